--- /dev/null
+++ b/Schema/Configuration.capnp
@@ -0,0 +1,57 @@
+@0xd3f1c6b0a8e94c21;
+# What operators declare: services, models, adapters, versions, workspaces and batch jobs.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Chicorydock::Schema");
+
+struct Service {
+  name @0 :Text;
+  kind @1 :Kind;
+  checksFencing @2 :Bool;
+  # Whether the service's endpoints refuse orders with an old fencing number.
+  unrepeatableRoutes @3 :List(Text);
+  # Routes whose calls may not be repeated, as "METHOD /path/prefix".
+  firstTokenTargetMs @4 :UInt32 = 1500;
+  tokenGapTargetMs @5 :UInt32 = 27;
+
+  enum Kind {
+    engine @0;
+    plain @1;
+  }
+}
+
+struct Model {
+  name @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  adapters @3 :List(Text);
+  replicasPerDomain @4 :UInt32;
+  # 0 means every endpoint of the service.
+}
+
+struct Workspace {
+  name @0 :Text;
+  keyDigests @1 :List(Text);
+  # SHA-256 digests, in hexadecimal, of the keys that callers present.
+  worth @2 :Float64 = 1;
+  maxInFlight @3 :UInt32;
+}
+
+struct Configuration {
+  revision @0 :UInt64;
+  requestId @1 :Text;
+  author @2 :Text;
+  services @3 :List(Service);
+  models @4 :List(Model);
+  workspaces @5 :List(Workspace);
+}
+
+struct BatchJob {
+  id @0 :Text;
+  # Empty: derived from the workspace and the items, so that a resent job is the same job.
+  workspace @1 :Text;
+  items @2 :Data;
+  # One JSON object a line: {"custom_id", "method", "url", "body"}.
+  completionWindowMs @3 :UInt64;
+  unrepeatable @4 :Bool;
+}
--- /dev/null
+++ b/Schema/Peer.capnp
@@ -0,0 +1,55 @@
+@0xa4be1f0c7d5523e9;
+# Messages between nodes.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("Chicorydock::Schema");
+
+struct MemberUpdate {
+  nodeId @0 :Text;
+  address @1 :Text;
+  region @2 :Text;
+  failureDomain @3 :Text;
+  incarnation @4 :UInt64;
+  state @5 :State;
+
+  enum State {
+    alive @0;
+    suspect @1;
+    leaving @2;
+    dead @3;
+  }
+}
+
+struct GossipRecord {
+  key @0 :Text;
+  version @1 :UInt64;
+  value @2 :Data;
+}
+
+struct PeerMessage {
+  kind @0 :Kind;
+  from @1 :MemberUpdate;
+  target @2 :Text;
+  targetAddress @3 :Text;
+  revision @4 :UInt64;
+  wallMilliseconds @5 :Int64;
+  counter @6 :UInt32;
+  members @7 :List(MemberUpdate);
+  records @8 :List(GossipRecord);
+
+  enum Kind {
+    ping @0;
+    pingRequest @1;
+    ack @2;
+    sync @3;
+  }
+}
+
+interface Peer {
+  exchange @0 (message :PeerMessage) -> (reply :PeerMessage);
+  # Delivers a membership message; the reply is an ack.
+  fetchRevision @1 (revision :UInt64) -> (found :Bool, document :Data);
+  # Returns the document of a configuration revision, a packed Configuration message.
+  yieldBatch @2 (service :Text, endpoint :Text) -> ();
+  # Asks the node to take batch work off an endpoint, because online work waits at the sender.
+}
