--- /dev/null
+++ b/Benchmarks/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/Libraries/LibHTTP/HttpMessage.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <QByteArray>
+#include <QByteArrayList>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace Chicorydock {
+
+/// Header fields in the order of arrival. Names compare without case.
+class HttpHeaders {
+public:
+    HttpHeaders() = default;
+    HttpHeaders(std::initializer_list<std::pair<QByteArray, QByteArray>> fields)
+        : m_fields(fields)
+    {
+    }
+
+    void add(QByteArray name, QByteArray value) { m_fields.emplace_back(std::move(name), std::move(value)); }
+
+    /// Returns the first value of the field, or nothing.
+    std::optional<QByteArray> find(QByteArrayView name) const
+    {
+        for (const auto& [key, value] : m_fields) {
+            if (key.compare(name, Qt::CaseInsensitive) == 0)
+                return value;
+        }
+        return {};
+    }
+
+    const std::vector<std::pair<QByteArray, QByteArray>>& fields() const { return m_fields; }
+
+    bool operator==(const HttpHeaders&) const = default;
+
+private:
+    std::vector<std::pair<QByteArray, QByteArray>> m_fields;
+};
+
+/// A whole request as a handler sees it.
+struct HttpRequest {
+    QByteArray method;
+    /// Path without query, percent-encoding decoded.
+    QByteArray path;
+    QByteArray query;
+    HttpHeaders headers;
+    QByteArray body;
+
+    bool operator==(const HttpRequest&) const = default;
+};
+
+/// A whole answer.
+struct HttpAnswer {
+    int status { 200 };
+    HttpHeaders headers;
+    QByteArray body;
+
+    bool operator==(const HttpAnswer&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/PeerMessage.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Chicorydock {
+
+/// What is known of one node. A higher incarnation wins; within one, the later state of the enumeration wins.
+struct MemberUpdate {
+    enum class State : uint8_t {
+        Alive,
+        Suspect,
+        /// Says itself that it is stopping; final for the incarnation.
+        Leaving,
+        /// Gone; final for the incarnation.
+        Dead,
+    };
+
+    std::string nodeId;
+    /// `HOST:PORT` of the RPC port.
+    std::string address;
+    std::string region;
+    std::string failureDomain;
+    uint64_t incarnation { 0 };
+    State state { State::Alive };
+
+    auto operator<=>(const MemberUpdate&) const = default;
+};
+
+/// A small piece of soft state that spreads by gossip. The highest version of a key wins.
+///
+/// Key spaces: `endpoint/ID` (address, service, failure domain, leaving mark), `summary/NODE/SERVICE` (in-flight counts
+/// and learned speeds), `head` (the highest known configuration revision).
+struct GossipRecord {
+    std::string key;
+    uint64_t version { 0 };
+    std::string value;
+
+    auto operator<=>(const GossipRecord&) const = default;
+};
+
+/// A message of the membership protocol. Every message carries updates and records along.
+struct PeerMessage {
+    enum class Kind : uint8_t {
+        /// Answer with Ack.
+        Ping,
+        /// Ping `target` and answer with Ack if it answered.
+        PingRequest,
+        Ack,
+        /// Answer with Ack and all members; used to join and to bring domains together.
+        Sync,
+    };
+
+    Kind kind { Kind::Ping };
+    MemberUpdate from;
+    /// Node id and address to probe, for PingRequest.
+    std::string target;
+    std::string targetAddress;
+    /// Highest configuration revision in force at the sender.
+    uint64_t revision { 0 };
+    /// Hybrid logical time of the sender.
+    int64_t wallMilliseconds { 0 };
+    uint32_t counter { 0 };
+    std::vector<MemberUpdate> members;
+    std::vector<GossipRecord> records;
+
+    auto operator<=>(const PeerMessage&) const = default;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/Settings.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Chicorydock {
+
+/// Settings of one process, read from a TOML file. The member names are the keys of the file in camel case.
+struct Settings {
+    /// `[node]`: who and where this process is.
+    struct Node {
+        std::string id;
+        std::string region;
+        std::string failureDomain;
+
+        auto operator<=>(const Node&) const = default;
+    };
+
+    /// `[http]`: the port for callers.
+    struct Http {
+        /// `HOST:PORT`, the host as an IP number.
+        std::string address;
+        uint32_t ioThreads { 2 };
+        uint64_t maxBodyBytes { 8 * 1024 * 1024 };
+        uint64_t maxHeaderBytes { 32 * 1024 };
+        /// Longest time in which a request must arrive as a whole.
+        Milliseconds requestTimeoutMs { 15'000 };
+        /// Deadline of a request that names none.
+        Milliseconds defaultDeadlineMs { 60'000 };
+        /// Time between the first termination signal and the refusal of new connections, in which the balancer
+        /// notices that the node is not ready.
+        Milliseconds drainDelayMs { 1'000 };
+        /// Longest time that a planned stop waits for requests in flight.
+        Milliseconds drainTimeoutMs { 120'000 };
+
+        auto operator<=>(const Http&) const = default;
+    };
+
+    /// `[rpc]`: the port for peers and operators.
+    struct Rpc {
+        std::string address;
+        /// RPC addresses of some other nodes, to join through when the platform's list is not available.
+        std::vector<std::string> seeds;
+
+        auto operator<=>(const Rpc&) const = default;
+    };
+
+    /// `[platform]`: the platform's services.
+    struct Platform {
+        std::string address;
+        Milliseconds timeoutMs { 2'000 };
+
+        auto operator<=>(const Platform&) const = default;
+    };
+
+    /// `[batch]`: batch processing.
+    struct Batch {
+        uint32_t chunkItems { 200 };
+        Milliseconds leaseMs { 15'000 };
+        uint32_t maxClaimedChunks { 4 };
+        /// Attempts after which an item ends as failed.
+        uint32_t maxItemAttempts { 3 };
+
+        auto operator<=>(const Batch&) const = default;
+    };
+
+    /// `[log]`: logs and the time line.
+    struct Log {
+        /// `debug`, `info`, `warning` or `error`.
+        std::string level { "info" };
+        /// File for the time line's events; empty keeps them in memory only.
+        std::string eventFile;
+        /// Number of events kept in memory.
+        uint32_t recentEvents { 20'000 };
+
+        auto operator<=>(const Log&) const = default;
+    };
+
+    /// `[[endpoint]]`: an endpoint known without the platform's list.
+    struct Endpoint {
+        std::string id;
+        std::string address;
+        std::string service;
+        std::string region;
+        std::string failureDomain;
+
+        auto operator<=>(const Endpoint&) const = default;
+    };
+
+    /// `[scheduler]`: the decisions on the request path.
+    struct Scheduling {
+        /// `learned` or `naive`.
+        std::string policy { "learned" };
+        /// Bytes a second that this node may send to and receive from other regions for spilled requests.
+        uint64_t regionBytesPerSecond { 200'000 };
+
+        auto operator<=>(const Scheduling&) const = default;
+    };
+
+    Node node;
+    Http http;
+    Rpc rpc;
+    Platform platform;
+    Batch batch;
+    Log log;
+    Scheduling scheduler;
+    std::vector<Endpoint> endpoints;
+
+    auto operator<=>(const Settings&) const = default;
+};
+
+}
