LibSettings: Load settings from TOML and report every problem with its line

A node needs typed settings, and an operator who mistypes a key should learn of all mistakes in one run. TomlTable reads one table, checks each value against a rule and rejects keys that nobody asked for; ProblemList turns the findings into one Error(InvalidConfiguration) sorted by line. The reader is independent of Settings so that the command-line tool can check declaration files the same way. A syntax error is reported alone, because toml++ gives no result after it.

--- /dev/null
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -0,0 +1,124 @@
+#include <LibSettings/SettingsLoader.h>
+
+#include <LibSettings/TomlTable.h>
+
+#include <set>
+
+namespace Chicorydock {
+
+namespace {
+
+    using Presence = TomlTable::Presence;
+
+    constexpr uint32_t maxIoThreads = 64;
+    constexpr uint64_t minHttpBytes = 1024;
+    constexpr uint64_t maxBodyBytesLimit = 1024ULL * 1024 * 1024;
+    constexpr uint64_t maxHeaderBytesLimit = 1024ULL * 1024;
+    /// A job has at most 200,000 items, so a larger chunk has no use.
+    constexpr uint32_t maxChunkItems = 200'000;
+    constexpr uint32_t maxClaimedChunksLimit = 1'000;
+    constexpr uint32_t maxItemAttemptsLimit = 100;
+    constexpr uint32_t maxRecentEvents = 10'000'000;
+    constexpr uint64_t maxRegionBytesPerSecond = 1'000'000'000'000;
+    /// A shorter lease would expire while its holder waits for an ordinary answer of the store.
+    constexpr Milliseconds minLease { 100 };
+    constexpr Milliseconds oneMillisecond { 1 };
+    constexpr Milliseconds tenMinutes { std::chrono::minutes { 10 } };
+    constexpr Milliseconds oneHour { std::chrono::hours { 1 } };
+    constexpr Milliseconds oneDay { std::chrono::hours { 24 } };
+
+    void readNode(TomlTable& table, Settings::Node& node)
+    {
+        table.text("id", node.id, TextRule::identifier(), Presence::Required);
+        table.text("region", node.region, TextRule::identifier(), Presence::Required);
+        table.text("failure_domain", node.failureDomain, TextRule::identifier(), Presence::Required);
+    }
+
+    void readHttp(TomlTable& table, Settings::Http& http)
+    {
+        table.text("address", http.address, TextRule::listenAddress(), Presence::Required);
+        table.number("io_threads", http.ioThreads, 1, maxIoThreads);
+        table.number("max_body_bytes", http.maxBodyBytes, minHttpBytes, maxBodyBytesLimit);
+        table.number("max_header_bytes", http.maxHeaderBytes, minHttpBytes, maxHeaderBytesLimit);
+        table.duration("request_timeout_ms", http.requestTimeoutMs, oneMillisecond, tenMinutes);
+        table.duration("default_deadline_ms", http.defaultDeadlineMs, oneMillisecond, oneDay);
+        table.duration("drain_delay_ms", http.drainDelayMs, Milliseconds { 0 }, tenMinutes);
+        table.duration("drain_timeout_ms", http.drainTimeoutMs, Milliseconds { 0 }, oneDay);
+    }
+
+    void readRpc(TomlTable& table, Settings::Rpc& rpc)
+    {
+        table.text("address", rpc.address, TextRule::listenAddress(), Presence::Required);
+        table.textList("seeds", rpc.seeds, TextRule::address());
+    }
+
+    void readPlatform(TomlTable& table, Settings::Platform& platform)
+    {
+        table.text("address", platform.address, TextRule::address(), Presence::Required);
+        table.duration("timeout_ms", platform.timeoutMs, oneMillisecond, tenMinutes);
+    }
+
+    void readBatch(TomlTable& table, Settings::Batch& batch)
+    {
+        table.number("chunk_items", batch.chunkItems, 1, maxChunkItems);
+        table.duration("lease_ms", batch.leaseMs, minLease, oneHour);
+        table.number("max_claimed_chunks", batch.maxClaimedChunks, 1, maxClaimedChunksLimit);
+        table.number("max_item_attempts", batch.maxItemAttempts, 1, maxItemAttemptsLimit);
+    }
+
+    void readLog(TomlTable& table, Settings::Log& log)
+    {
+        table.text("level", log.level, TextRule::oneOf({ "debug", "info", "warning", "error" }));
+        table.text("event_file", log.eventFile, TextRule::any());
+        table.number("recent_events", log.recentEvents, 1, maxRecentEvents);
+    }
+
+    void readScheduling(TomlTable& table, Settings::Scheduling& scheduler)
+    {
+        table.text("policy", scheduler.policy, TextRule::oneOf({ "learned", "naive" }));
+        table.number("region_bytes_per_second", scheduler.regionBytesPerSecond, 0, maxRegionBytesPerSecond);
+    }
+
+    Settings::Endpoint readEndpoint(TomlTable& table)
+    {
+        Settings::Endpoint endpoint;
+        table.text("id", endpoint.id, TextRule::identifier(), Presence::Required);
+        table.text("address", endpoint.address, TextRule::address(), Presence::Required);
+        table.text("service", endpoint.service, TextRule::identifier(), Presence::Required);
+        table.text("region", endpoint.region, TextRule::identifier(), Presence::Required);
+        table.text("failure_domain", endpoint.failureDomain, TextRule::identifier(), Presence::Required);
+        return endpoint;
+    }
+
+    void readEndpoints(TomlTable& file, std::vector<Settings::Endpoint>& endpoints)
+    {
+        std::set<std::string> ids;
+        file.tables("endpoint", [&](TomlTable& table) {
+            const Settings::Endpoint endpoint = readEndpoint(table);
+            if (!endpoint.id.empty() && !ids.insert(endpoint.id).second)
+                table.report("id", "\"" + endpoint.id + "\" a second time", "an identifier that is used once");
+            endpoints.push_back(endpoint);
+        });
+    }
+
+}
+
+Settings parseSettings(std::string_view text, const std::string& fileName)
+{
+    Settings settings;
+    readToml(text, fileName, [&](TomlTable& file) {
+        file.table("node", [&](TomlTable& it) { readNode(it, settings.node); });
+        file.table("http", [&](TomlTable& it) { readHttp(it, settings.http); });
+        file.table("rpc", [&](TomlTable& it) { readRpc(it, settings.rpc); });
+        file.table("platform", [&](TomlTable& it) { readPlatform(it, settings.platform); });
+        file.table("batch", [&](TomlTable& it) { readBatch(it, settings.batch); });
+        file.table("log", [&](TomlTable& it) { readLog(it, settings.log); });
+        file.table("scheduler", [&](TomlTable& it) { readScheduling(it, settings.scheduler); });
+        readEndpoints(file, settings.endpoints);
+    });
+    return settings;
+}
+
+Settings loadSettings(const std::string& path) { return parseSettings(readTextFile(path), path); }
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/SettingsLoader.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibSettings/Settings.h>
+
+#include <string>
+#include <string_view>
+
+namespace Chicorydock {
+
+/// Reads the settings from TOML text. The keys are the member names of `Settings` in snake case; durations are whole
+/// milliseconds. `fileName` is used in messages only. May be called from any thread.
+///
+/// Throws Error(InvalidConfiguration) with one line for each unknown key, wrong type, value out of range, malformed
+/// address and missing required key: `FILE:LINE: KEY: found ..., expected ...`.
+Settings parseSettings(std::string_view text, const std::string& fileName);
+
+/// Like `parseSettings()`, from a file. Also throws Error(InvalidConfiguration) if the file cannot be read.
+Settings loadSettings(const std::string& path);
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/TextRule.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace Chicorydock {
+
+/// Which texts a key accepts.
+struct TextRule {
+    std::function<bool(std::string_view)> accepts;
+    /// What is expected, for messages; for example `an IP address and port`.
+    std::string expected;
+
+    /// Any text, also an empty one.
+    static TextRule any();
+    /// Any text that is not empty.
+    static TextRule notEmpty();
+    /// 1 to 128 letters, digits, `.`, `_` and `-`. Identifiers become parts of row keys, so `/` is not allowed.
+    static TextRule identifier();
+    /// 1 to 128 printable ASCII characters without spaces; model names may contain `/` and `:`.
+    static TextRule name();
+    /// `HOST:PORT` with an IP number as host (IPv6 in brackets) and a port from 1 to 65535.
+    static TextRule address();
+    /// Like `address()`; port 0 lets the system choose one.
+    static TextRule listenAddress();
+    /// 64 hexadecimal digits in lower case.
+    static TextRule sha256Digest();
+    /// One of the words.
+    static TextRule oneOf(std::initializer_list<std::string_view> words);
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/TomlTable.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibSettings/ProblemList.h>
+#include <LibSettings/TextRule.h>
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Chicorydock {
+
+/// Reads the keys of one TOML table into values and checks each of them. A key that is absent leaves its value as it
+/// is. Problems go to the list; a value with a problem is not changed.
+///
+/// Thread safety: none. The TOML table and the list outlive the reader.
+class TomlTable {
+public:
+    enum class Presence : uint8_t {
+        Optional,
+        Required,
+    };
+
+    /// `path` is the dotted path of the table, empty for the whole file.
+    TomlTable(const toml::table&, std::string path, uint32_t line, ProblemList&);
+
+    void text(std::string_view key, std::string& value, const TextRule&, Presence = Presence::Optional);
+    void textList(std::string_view key, std::vector<std::string>& value, const TextRule&);
+    void boolean(std::string_view key, bool& value);
+    void number(std::string_view key, uint32_t& value, uint32_t lowest, uint32_t highest);
+    void number(std::string_view key, uint64_t& value, uint64_t lowest, uint64_t highest);
+    void number(std::string_view key, double& value, double lowest, double highest);
+    /// Reads a duration in whole milliseconds.
+    void duration(std::string_view key, Milliseconds& value, Milliseconds lowest, Milliseconds highest);
+
+    /// Calls `read` with the table under `key`; an absent table counts as an empty one, so that the required keys in it
+    /// are reported.
+    void table(std::string_view key, const std::function<void(TomlTable&)>& read);
+
+    /// Calls `read` with each table of the array of tables under `key`, in the order of the file.
+    void tables(std::string_view key, const std::function<void(TomlTable&)>& read);
+
+    /// Reports every key that none of the calls above has asked for. Called last.
+    void rejectUnknownKeys();
+
+    /// Reports a problem with the value of `key`, for checks that span several keys.
+    void report(std::string_view key, std::string_view found, std::string_view expected);
+
+private:
+    const toml::node* find(std::string_view key, Presence);
+    std::string fullKey(std::string_view key) const;
+    void reportNode(std::string_view key, const toml::node&, std::string_view expected);
+    bool integer(std::string_view key, uint64_t& value, uint64_t lowest, uint64_t highest, std::string_view unit);
+
+    const toml::table& m_table;
+    std::string m_path;
+    uint32_t m_line;
+    ProblemList& m_problems;
+    std::set<std::string, std::less<>> m_known;
+};
+
+/// Parses `text` and calls `read` with the whole file. Throws Error(InvalidConfiguration) with one line for each
+/// problem; a syntax error hides all others, because nothing after it can be trusted.
+void readToml(std::string_view text, const std::string& fileName, const std::function<void(TomlTable&)>& read);
+
+/// Returns the content of a file. Throws Error(InvalidConfiguration) if it cannot be read.
+std::string readTextFile(const std::string& path);
+
+}
