LibDispatch: Carry work through the scheduler to its single end

The dispatcher guards one scheduler per service and posts its decisions to the thread that owns the work. A runner holds the attempts, the deadline, the one reconnection after a silent connection, and the rule that decides which error is still true once a byte was handed over. The endpoint controller merges the settings, the platform's late list and the peers' records; leaving is final.

--- a/Libraries/LibCore/ErrorKind.h
+++ b/Libraries/LibCore/ErrorKind.h
@@ -28,6 +28,7 @@
     KeyReused,
     DeadlineExceeded,
     EndpointFailed,
+    EndpointRejected,
     MayHaveRun,
     OutcomeUnknown,
     Cancelled,
--- a/Libraries/LibCore/ErrorTable.cpp
+++ b/Libraries/LibCore/ErrorTable.cpp
@@ -32,6 +32,7 @@
         ErrorRow { ErrorKind::KeyReused, "key_reused", 422, false, true, false },
         ErrorRow { ErrorKind::DeadlineExceeded, "deadline_exceeded", 504, true, false, true },
         ErrorRow { ErrorKind::EndpointFailed, "endpoint_failed", 502, true, false, true },
+        ErrorRow { ErrorKind::EndpointRejected, "endpoint_rejected", 400, false, false, false },
         ErrorRow { ErrorKind::MayHaveRun, "may_have_run", 502, false, false, false },
         ErrorRow { ErrorKind::OutcomeUnknown, "outcome_unknown", 503, true, false, true },
         ErrorRow { ErrorKind::Cancelled, "cancelled", 499, false, false, false },
--- a/Libraries/LibRPC/CrossThread.h
+++ b/Libraries/LibRPC/CrossThread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibCore/Post.h>
 
 #include <kj/async.h>
 
@@ -9,9 +10,6 @@
 
 namespace Chicorydock {
 
-/// Runs a function on some other thread, some time later.
-using Post = std::function<void(std::function<void()>)>;
-
 /// Turns an error into the exception that an RPC caller receives: the name of the kind, a colon and the message.
 inline kj::Exception toRpcException(const Error& error)
 {
