--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -4,10 +4,11 @@
 
 namespace Chicorydock {
 
-Dispatcher::Dispatcher(const Clock& clock, SchedulerFactory factory, std::function<void()> wake)
+Dispatcher::Dispatcher(const Clock& clock, SchedulerFactory factory, std::function<void()> wake, YieldCallback yield)
     : m_clock(clock)
     , m_factory(std::move(factory))
     , m_wake(std::move(wake))
+    , m_yield(std::move(yield))
 {
 }
 
@@ -137,18 +138,6 @@
     }
 }
 
-std::map<std::string, std::vector<std::string>> Dispatcher::takeYieldRequests()
-{
-    std::map<std::string, std::vector<std::string>> requests;
-    for (const auto& [service, lane] : *m_lanes.read()) {
-        const std::lock_guard guard(lane->mutex);
-        auto endpoints = lane->scheduler->takeYieldRequests();
-        if (!endpoints.empty())
-            requests.emplace(service, std::move(endpoints));
-    }
-    return requests;
-}
-
 uint32_t Dispatcher::batchRoom(const std::string& service) const
 {
     const auto it = lane(service);
@@ -222,6 +211,8 @@
 {
     for (const Decision& decision : lane.scheduler->poll(m_clock.now()))
         deliver(lane, decision);
+    for (const std::string& endpoint : lane.scheduler->takeYieldRequests())
+        m_yield(lane.service, endpoint);
     const MonotonicTime next = lane.scheduler->nextPoll(m_clock.now());
     const bool isEarlier = next < lane.nextPoll;
     lane.nextPoll = next;
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -36,9 +36,12 @@
 class Dispatcher {
 public:
     using SchedulerFactory = std::function<std::unique_ptr<Scheduler>(const std::string& service)>;
+    using YieldCallback = std::function<void(const std::string& service, const std::string& endpoint)>;
 
-    /// `wake` is called when a poll is due earlier than `nextPoll()` last said.
-    Dispatcher(const Clock&, SchedulerFactory, std::function<void()> wake);
+    /// `wake` is called when a poll is due earlier than `nextPoll()` last said. `yield` is called when a peer should
+    /// take batch work off an endpoint, because online work waits here. Both are called on any thread, under the mutex
+    /// of a service, so they must not call back.
+    Dispatcher(const Clock&, SchedulerFactory, std::function<void()> wake, YieldCallback yield);
     ~Dispatcher();
 
     /// Replaces the endpoints of each service. Work on endpoints that are gone ends by itself.
@@ -63,9 +66,6 @@
     void peerSummary(const std::string& service, const std::string& node, const std::vector<EndpointSummary>&);
     void yieldBatch(const std::string& service, const std::string& endpoint);
 
-    /// Returns, by service, the endpoints that peers should take batch work off.
-    std::map<std::string, std::vector<std::string>> takeYieldRequests();
-
     uint32_t batchRoom(const std::string& service) const;
     std::map<std::string, std::vector<EndpointSummary>> summaries() const;
     std::map<std::string, std::vector<EndpointView>> views() const;
@@ -104,6 +104,7 @@
     const Clock& m_clock;
     SchedulerFactory m_factory;
     std::function<void()> m_wake;
+    YieldCallback m_yield;
     RcuCell<Lanes> m_lanes;
     RcuCell<EndpointSet> m_endpoints;
     std::atomic<WorkId> m_lastId { 0 };
--- a/Libraries/LibDispatch/ServiceRunner.cpp
+++ b/Libraries/LibDispatch/ServiceRunner.cpp
@@ -60,8 +60,8 @@
 
     void onFinished() override
     {
-        // Another endpoint may take a call that this one was too busy for. An unrepeatable call is not sent again, so its
-        // caller gets the answer as it is.
+        // Another endpoint may take a call that this one was too busy for. An unrepeatable call is not sent again, so
+        // its caller gets the answer as it is.
         const bool isBusy = m_answer.status == 503 || m_answer.status == 429;
         if (isBusy && m_service.mayRepeat()) {
             noteFailure({ HttpFailure::Phase::Answering, HttpFailure::Reason::Refused, m_answer.status, true,
--- /dev/null
+++ b/Libraries/LibRequest/GenerationHandler.cpp
@@ -0,0 +1,59 @@
+#include <LibRequest/GenerationHandler.h>
+
+#include <LibRequest/CallerStream.h>
+#include <LibRequest/GenerationWork.h>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Keeps the runner and its sink alive until the request has ended.
+    struct Running {
+        Running(RunnerEnvironment& environment, const RequestContextPtr& context, RunnerRequest request)
+            : stream(context, toUnixMilliseconds(environment.clock.wallNow()) / 1000)
+            , runner(std::make_shared<GenerationRunner>(environment, std::move(request),
+                  context->exchange->request().path.toStdString(), context->body, stream))
+        {
+        }
+
+        CallerStream stream;
+        std::shared_ptr<GenerationRunner> runner;
+    };
+
+}
+
+GenerationHandler::GenerationHandler(RunnerEnvironment& environment)
+    : m_environment(environment)
+{
+}
+
+void GenerationHandler::handle(const RequestContextPtr& context, const Next& next)
+{
+    if (context->route != Route::Generation) {
+        next(context);
+        return;
+    }
+    RunnerRequest request { context->service->name,
+        makeGenerationWork(context->body, *context->model, *context->workspace), context->traceId };
+    request.work.deadline = context->deadline;
+    request.work.repeatable = !context->isUnrepeatable;
+    m_environment.eventLog.record("request", "accepted", context->traceId, context->traceId,
+        { { "model", context->body.value("model") },
+            { "workspace", QString::fromStdString(context->workspace->name) } });
+
+    const auto running = std::make_shared<Running>(m_environment, context, std::move(request));
+    // The hook holds the runner until the end, and the event loop until the callback that ended it has returned.
+    context->endHooks.emplace_back(
+        [running, post = m_environment.post](const HttpAnswer*) { post([running] { running->runner->cancel(); }); });
+    context->exchange->setCallerGoneHandler([weak = std::weak_ptr(context), runner = std::weak_ptr(running)] {
+        const auto strong = weak.lock();
+        if (!strong)
+            return;
+        if (const auto it = runner.lock())
+            strong->isCertainlyNotRun = !it->runner->wasHandedOver();
+        strong->end(nullptr);
+    });
+    running->runner->start();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/ModelRoutes.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <LibRequest/Filter.h>
+
+namespace Chicorydock {
+
+/// Answers `/v1/models` from the configuration in force.
+class ModelRoutes final : public Filter {
+public:
+    void handle(const RequestContextPtr&, const Next&) override;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/RequestPipeline.cpp
@@ -0,0 +1,38 @@
+#include <LibRequest/RequestPipeline.h>
+
+#include <LibCore/SeededRandom.h>
+#include <LibRequest/AuthenticationFilter.h>
+#include <LibRequest/CallRecordFilter.h>
+#include <LibRequest/ClassifyFilter.h>
+#include <LibRequest/DeadlineFilter.h>
+#include <LibRequest/GenerationHandler.h>
+#include <LibRequest/HealthRoutes.h>
+#include <LibRequest/JobRoutes.h>
+#include <LibRequest/ModelRoutes.h>
+#include <LibRequest/RouteFilter.h>
+#include <LibRequest/ServiceHandler.h>
+
+namespace Chicorydock {
+
+std::unique_ptr<FilterChain> makeRequestPipeline(const PipelineParts& parts, RunnerEnvironment& environment)
+{
+    std::vector<std::unique_ptr<Filter>> filters;
+    filters.push_back(std::make_unique<HealthRoutes>(parts.isReady, parts.metrics));
+    filters.push_back(std::make_unique<RouteFilter>());
+    filters.push_back(std::make_unique<AuthenticationFilter>(parts.configuration));
+    filters.push_back(std::make_unique<DeadlineFilter>(parts.defaultDeadline));
+    filters.push_back(std::make_unique<AdmissionFilter>(parts.usage));
+    filters.push_back(std::make_unique<ClassifyFilter>());
+    filters.push_back(
+        std::make_unique<CallRecordFilter>(parts.callRecords, parts.clock, parts.toPlatform, environment.post));
+    filters.push_back(std::make_unique<ModelRoutes>());
+    filters.push_back(std::make_unique<GenerationHandler>(environment));
+    filters.push_back(std::make_unique<ServiceHandler>(environment));
+    filters.push_back(std::make_unique<JobRoutes>(parts.jobs, parts.clock, parts.toPlatform, environment.post));
+
+    const auto random = std::make_shared<SeededRandom>(SeededRandom::fromEntropy());
+    return std::make_unique<FilterChain>(
+        parts.clock, [random] { return random->identifier(); }, std::move(filters));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/ServiceHandler.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <LibDispatch/RunnerEnvironment.h>
+#include <LibRequest/Filter.h>
+
+namespace Chicorydock {
+
+/// Runs calls of plain services and answers their callers.
+class ServiceHandler final : public Filter {
+public:
+    explicit ServiceHandler(RunnerEnvironment&);
+
+    void handle(const RequestContextPtr&, const Next&) override;
+
+private:
+    RunnerEnvironment& m_environment;
+};
+
+}
