--- /dev/null
+++ b/Libraries/LibDispatch/EndpointMonitor.cpp
@@ -0,0 +1,93 @@
+#include <LibDispatch/EndpointMonitor.h>
+
+#include <algorithm>
+#include <set>
+
+namespace Chicorydock {
+
+namespace {
+
+    // Reports are late by seconds, so reading them more often would bring nothing new.
+    constexpr std::chrono::seconds readInterval { 2 };
+
+}
+
+EndpointMonitor::EndpointMonitor(const Clock& clock, EndpointClient& client, Dispatcher& dispatcher)
+    : m_clock(clock)
+    , m_client(client)
+    , m_dispatcher(dispatcher)
+{
+}
+
+void EndpointMonitor::setEndpoints(const std::vector<KnownEndpoint>& endpoints)
+{
+    std::set<std::string> ids;
+    for (const KnownEndpoint& endpoint : endpoints) {
+        ids.insert(endpoint.id);
+        Watch& watch = m_watches[endpoint.id];
+        watch.endpoint = endpoint;
+    }
+    std::erase_if(m_watches, [&](const auto& entry) { return !ids.contains(entry.first); });
+}
+
+void EndpointMonitor::tick()
+{
+    for (auto& [id, watch] : m_watches) {
+        if (watch.nextRead > m_clock.now())
+            continue;
+        watch.nextRead = m_clock.now() + readInterval;
+        read(watch);
+    }
+}
+
+void EndpointMonitor::read(Watch& watch)
+{
+    const std::string id = watch.endpoint.id;
+    if (!watch.isReadingLoad) {
+        watch.isReadingLoad = true;
+        watch.loadCall = m_client.readLoad(
+            watch.endpoint.address, [this, id](const std::optional<LoadReport>& report) { takeLoad(id, report); });
+    }
+    if (!watch.isReadingEvents) {
+        watch.isReadingEvents = true;
+        watch.eventsCall = m_client.readCacheEvents(watch.endpoint.address, watch.lastSequence,
+            [this, id](const std::optional<CacheEvents>& events) { takeEvents(id, events); });
+    }
+}
+
+void EndpointMonitor::takeLoad(const std::string& id, const std::optional<LoadReport>& report)
+{
+    const auto it = m_watches.find(id);
+    if (it == m_watches.end())
+        return;
+    it->second.isReadingLoad = false;
+    if (!report)
+        return;
+    // The endpoint's clock may differ from ours, so a report from the future counts as fresh.
+    const auto age = std::chrono::duration_cast<Milliseconds>(m_clock.wallNow() - report->measuredAt);
+    m_dispatcher.loadReport(
+        it->second.endpoint.service, id, report->running, report->waiting, std::max(age, Milliseconds { 0 }));
+}
+
+void EndpointMonitor::takeEvents(const std::string& id, const std::optional<CacheEvents>& events)
+{
+    const auto it = m_watches.find(id);
+    if (it == m_watches.end())
+        return;
+    Watch& watch = it->second;
+    watch.isReadingEvents = false;
+    if (!events || events->events.empty())
+        return;
+    std::vector<uint64_t> stored;
+    std::vector<uint64_t> evicted;
+    bool hasGap = false;
+    for (const CacheEvent& event : events->events) {
+        // A lower number means that the endpoint has restarted with an empty cache.
+        hasGap = hasGap || event.sequence != watch.lastSequence + 1;
+        watch.lastSequence = event.sequence;
+        (event.stored ? stored : evicted).push_back(event.prefix);
+    }
+    m_dispatcher.cacheEvents(watch.endpoint.service, id, stored, evicted, hasGap);
+}
+
+}
