LibHTTP: Add the HTTP server and the answers to errors

The server derives from QAbstractHttpServer. Qt's parser has no limits and accepts contradicting lengths, so HttpRequestReader checks framing and size of each request first, and RequestFeed, a QTcpSocket without a connection, passes the checked header of one request at a time to Qt. Bytes of further requests stay in the bounded buffer of the socket until the current answer has ended, which gives answers in request order.

A socket subclass that filters its own reads was ruled out: Qt connects to readyRead of that socket, and an unbuffered QTcpSocket does not report a disconnection on every path.

--- /dev/null
+++ b/Libraries/LibHTTP/ConnectionAcceptor.cpp
@@ -0,0 +1,24 @@
+#include <LibHTTP/ConnectionAcceptor.h>
+
+#include <sys/socket.h>
+
+namespace Chicorydock {
+
+ConnectionAcceptor::ConnectionAcceptor(AddConnection addConnection)
+    : m_addConnection(std::move(addConnection))
+{
+    // Pending connections are taken at once, so this only limits how many are accepted in one turn of the event loop.
+    setMaxPendingConnections(1024);
+}
+
+void ConnectionAcceptor::acceptWaiting()
+{
+    const auto listener = static_cast<int>(socketDescriptor());
+    int descriptor = 0;
+    while ((descriptor = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+        incomingConnection(descriptor);
+}
+
+void ConnectionAcceptor::incomingConnection(qintptr descriptor) { addPendingConnection(m_addConnection(descriptor)); }
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/ConnectionExchange.cpp
@@ -0,0 +1,123 @@
+#include <LibHTTP/ConnectionExchange.h>
+
+#include <LibHTTP/ErrorAnswer.h>
+
+#include <cassert>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    bool hasNoBody(int status) { return status == 204 || status == 304; }
+
+}
+
+ConnectionExchange::ConnectionExchange(HttpConnection& connection, HttpRequest request, bool isHttp10)
+    : m_connection(&connection)
+    , m_request(std::move(request))
+    , m_isHttp10(isHttp10)
+{
+}
+
+ConnectionExchange::~ConnectionExchange()
+{
+    m_callerGoneHandler = nullptr;
+    if (m_stage == Stage::Open)
+        answer(errorAnswer(Error(ErrorKind::Internal, "the request was dropped without an answer")));
+    if (m_stage == Stage::Streaming)
+        abortStream();
+}
+
+void ConnectionExchange::answer(const HttpAnswer& answer)
+{
+    assert(m_stage == Stage::Open);
+    if (!m_connection) {
+        end();
+        return;
+    }
+    const bool closes = m_connection->closesAfterAnswer();
+    const BodyFraming framing = hasNoBody(answer.status) ? BodyFraming::None : BodyFraming::ContentLength;
+    QByteArray bytes = formatAnswerHead(answer.status, answer.headers, framing, answer.body.size(), closes);
+    if (framing != BodyFraming::None && m_request.method != "HEAD")
+        bytes += answer.body;
+    m_connection->send(bytes);
+    end();
+    m_connection->endAnswer(closes);
+}
+
+void ConnectionExchange::startStream(int status, const HttpHeaders& headers)
+{
+    assert(m_stage == Stage::Open);
+    m_stage = Stage::Streaming;
+    if (!m_connection)
+        return;
+    m_closesConnection = m_isHttp10 || m_connection->closesAfterAnswer();
+    m_sendsBody = !hasNoBody(status) && m_request.method != "HEAD";
+    const BodyFraming framing = hasNoBody(status) ? BodyFraming::None
+        : m_isHttp10                              ? BodyFraming::Close
+                                                  : BodyFraming::Chunked;
+    m_connection->send(formatAnswerHead(status, headers, framing, 0, m_closesConnection));
+}
+
+void ConnectionExchange::sendChunk(QByteArrayView data)
+{
+    assert(m_stage == Stage::Streaming);
+    // An empty chunk would end the body.
+    if (!m_connection || !m_sendsBody || data.empty())
+        return;
+    if (m_isHttp10) {
+        m_connection->send(data.toByteArray());
+        return;
+    }
+    QByteArray chunk = QByteArray::number(data.size(), 16) + "\r\n";
+    chunk.append(data);
+    chunk.append("\r\n");
+    m_connection->send(chunk);
+}
+
+void ConnectionExchange::finishStream()
+{
+    assert(m_stage == Stage::Streaming);
+    const QPointer<HttpConnection> connection = m_connection;
+    if (connection && m_sendsBody && !m_isHttp10)
+        connection->send("0\r\n\r\n");
+    end();
+    if (connection)
+        connection->endAnswer(m_closesConnection);
+}
+
+void ConnectionExchange::abortStream()
+{
+    const QPointer<HttpConnection> connection = m_connection;
+    end();
+    if (connection)
+        connection->abort();
+}
+
+bool ConnectionExchange::isCallerGone() const { return !m_connection || !m_connection->isOpen(); }
+
+qint64 ConnectionExchange::bytesToWrite() const { return m_connection ? m_connection->bytesToWrite() : 0; }
+
+void ConnectionExchange::setCallerGoneHandler(std::function<void()> handler)
+{
+    m_callerGoneHandler = std::move(handler);
+}
+
+void ConnectionExchange::handleCallerGone()
+{
+    m_connection = nullptr;
+    if (m_stage == Stage::Ended)
+        return;
+    const std::function<void()> handler = std::exchange(m_callerGoneHandler, nullptr);
+    if (handler)
+        handler();
+}
+
+void ConnectionExchange::end()
+{
+    m_stage = Stage::Ended;
+    m_callerGoneHandler = nullptr;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/ConnectionExchange.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <LibHTTP/HttpConnection.h>
+#include <LibHTTP/HttpExchange.h>
+
+#include <QPointer>
+
+namespace Chicorydock {
+
+/// The exchange for one request of an `HttpConnection`. It may outlive the connection.
+///
+/// Thread safety: used on the I/O thread of the connection.
+class ConnectionExchange final : public HttpExchange {
+public:
+    ConnectionExchange(HttpConnection&, HttpRequest, bool isHttp10);
+    /// Answers with an internal error if the holder gave no answer, and breaks off a stream that was not ended.
+    ~ConnectionExchange() override;
+
+    const HttpRequest& request() const override { return m_request; }
+    void answer(const HttpAnswer&) override;
+    void startStream(int status, const HttpHeaders&) override;
+    void sendChunk(QByteArrayView) override;
+    void finishStream() override;
+    void abortStream() override;
+    qint64 bytesToWrite() const override;
+    bool isCallerGone() const override;
+    void setCallerGoneHandler(std::function<void()>) override;
+
+    /// Tells the holder that the connection was closed.
+    void handleCallerGone();
+
+private:
+    enum class Stage {
+        Open,
+        Streaming,
+        Ended,
+    };
+
+    void end();
+
+    QPointer<HttpConnection> m_connection;
+    HttpRequest m_request;
+    std::function<void()> m_callerGoneHandler;
+    Stage m_stage { Stage::Open };
+    bool m_isHttp10;
+    bool m_closesConnection { false };
+    bool m_sendsBody { true };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -0,0 +1,290 @@
+#include <LibHTTP/HttpConnection.h>
+
+#include <LibHTTP/ConnectionExchange.h>
+#include <LibHTTP/ErrorAnswer.h>
+
+#include <QHttpServerRequest>
+#include <QUrl>
+
+#include <algorithm>
+#include <sys/socket.h>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Bytes of further requests that are held while one is being answered.
+    constexpr qint64 readBufferBytes = 64 * 1024;
+
+    /// Longest time to drop input after the last answer. Closing earlier would send a reset, which can destroy an
+    /// answer that the caller has not read yet.
+    constexpr Milliseconds lingerTime { 2000 };
+
+    MonotonicTime now() { return std::chrono::steady_clock::now(); }
+
+    QByteArray toPath(const QByteArray& target)
+    {
+        return QByteArray::fromPercentEncoding(target.first(std::ranges::find(target, '?') - target.begin()));
+    }
+
+    QByteArray toQuery(const QByteArray& target)
+    {
+        const qsizetype mark = target.indexOf('?');
+        return mark < 0 ? QByteArray() : target.sliced(mark + 1);
+    }
+
+    HttpHeaders toHeaders(const QHttpServerRequest& request)
+    {
+        HttpHeaders headers;
+        for (const auto& [name, value] : request.headers()) {
+            // The reader replaced the fields that describe the framing by this one.
+            if (name.compare("Content-Length", Qt::CaseInsensitive) != 0)
+                headers.add(name, value);
+        }
+        return headers;
+    }
+
+    bool isSupported(QHttpServerRequest::Method method)
+    {
+        using Method = QHttpServerRequest::Method;
+        return method != Method::Unknown && method != Method::Connect && method != Method::Trace;
+    }
+
+}
+
+HttpConnection::HttpConnection(HttpConnectionContext& context, qintptr descriptor, QObject* parent)
+    : QObject(parent)
+    , m_context(context)
+    , m_socket(new QTcpSocket(this))
+    , m_reader(context.limits)
+{
+    m_socket->setReadBufferSize(readBufferBytes);
+    m_socket->setSocketDescriptor(descriptor);
+    m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    m_feed = new RequestFeed(*m_socket);
+    m_feed->setParent(this);
+    connect(m_socket, &QTcpSocket::readyRead, this, &HttpConnection::readInput);
+    connect(m_socket, &QTcpSocket::bytesWritten, this, &HttpConnection::onBytesWritten);
+    // Queued, because a write can notice the end of the connection, and the handler that wrote must not be told before
+    // its call has returned.
+    connect(m_socket, &QTcpSocket::disconnected, this, &HttpConnection::onDisconnected, Qt::QueuedConnection);
+    m_lastWriteProgress = now();
+    updateDeadline();
+}
+
+HttpConnection::~HttpConnection()
+{
+    m_socket->disconnect(this);
+    m_stage = Stage::Closed;
+    updateActivity();
+    if (const auto exchange = m_exchange.lock())
+        exchange->handleCallerGone();
+}
+
+void HttpConnection::readInput()
+{
+    if (m_stage == Stage::Lingering) {
+        dropInput();
+        return;
+    }
+    if (m_stage != Stage::Reading)
+        return;
+    if (!m_reader.isStarted())
+        m_requestStart = now();
+    m_input += m_socket->readAll();
+    processInput();
+}
+
+void HttpConnection::dropInput()
+{
+    m_input.clear();
+    m_socket->readAll();
+}
+
+void HttpConnection::processInput()
+{
+    try {
+        QByteArrayView input(m_input);
+        const bool isComplete = m_reader.consume(input);
+        m_input.remove(0, m_input.size() - input.size());
+        if (isComplete) {
+            dispatch(m_reader.take());
+            return;
+        }
+        if (m_reader.takeExpectsContinue())
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        updateDeadline();
+    } catch (const Error& error) {
+        refuse(error);
+    }
+}
+
+void HttpConnection::dispatch(FramedRequest request)
+{
+    m_stage = Stage::Handling;
+    m_hasServed = true;
+    updateActivity();
+    m_request = std::move(request);
+    m_isParsed = false;
+    m_feed->push(std::move(m_request.head));
+    if (!m_isParsed)
+        refuse(Error(ErrorKind::MalformedRequest, "the request cannot be parsed"));
+}
+
+void HttpConnection::handleParsedRequest(const QHttpServerRequest& parsed)
+{
+    m_isParsed = true;
+    if (!isSupported(parsed.method())) {
+        refuse(Error(ErrorKind::UnsupportedMethod, "the method is not supported"));
+        return;
+    }
+    HttpRequest request { .method = std::move(m_request.method),
+        .path = toPath(m_request.target),
+        .query = toQuery(m_request.target),
+        .headers = toHeaders(parsed),
+        .body = std::move(m_request.body) };
+    const auto exchange = std::make_shared<ConnectionExchange>(*this, std::move(request), m_request.isHttp10);
+    m_exchange = exchange;
+    m_context.handler.handle(exchange);
+}
+
+void HttpConnection::refuse(const Error& error)
+{
+    m_stage = Stage::Handling;
+    m_hasServed = true;
+    const HttpAnswer answer = m_context.protocolErrorAnswer(error);
+    send(formatAnswerHead(answer.status, answer.headers, BodyFraming::ContentLength, answer.body.size(), true)
+        + answer.body);
+    endAnswer(true);
+}
+
+void HttpConnection::updateDeadline()
+{
+    const HttpServerLimits& limits = m_context.limits;
+    if (!m_reader.isStarted()) {
+        m_deadline = now() + limits.idleTimeout;
+        return;
+    }
+    const auto bodyTime = Milliseconds { m_reader.bodyBytes() * 1000 / limits.minBodyBytesPerSecond };
+    m_deadline = m_requestStart + limits.requestTimeout + bodyTime;
+}
+
+void HttpConnection::checkDeadline(MonotonicTime time)
+{
+    if (!isOpen())
+        return;
+    if (m_stage == Stage::Reading && time >= m_deadline) {
+        if (m_reader.isStarted())
+            refuse(Error(ErrorKind::RequestTimeout, "the request did not arrive in time"));
+        else
+            m_socket->disconnectFromHost();
+        return;
+    }
+    if (m_stage == Stage::Lingering && time >= m_deadline && m_socket->bytesToWrite() == 0) {
+        m_socket->abort();
+        return;
+    }
+    if (m_socket->bytesToWrite() > 0 && time >= m_lastWriteProgress + m_context.limits.requestTimeout)
+        m_socket->abort();
+}
+
+void HttpConnection::closeIfIdle()
+{
+    const bool isIdle = m_stage == Stage::Reading && m_hasServed && !m_reader.isStarted();
+    if (isIdle && m_input.isEmpty() && m_socket->bytesAvailable() == 0)
+        m_socket->disconnectFromHost();
+}
+
+void HttpConnection::updateActivity()
+{
+    const bool isWriting = m_stage != Stage::Closed && isOpen() && m_socket->bytesToWrite() > 0;
+    const bool isActive = m_stage == Stage::Handling || isWriting;
+    if (isActive != m_isActive)
+        m_context.activeExchanges += isActive ? 1 : -1;
+    m_isActive = isActive;
+}
+
+bool HttpConnection::closesAfterAnswer() const { return m_context.isDraining || !m_request.keepAlive; }
+
+void HttpConnection::send(const QByteArray& bytes)
+{
+    if (!isOpen())
+        return;
+    if (m_socket->bytesToWrite() == 0)
+        m_lastWriteProgress = now();
+    m_socket->write(bytes);
+    // Without this, the bytes would wait for the next turn of the event loop.
+    m_socket->flush();
+}
+
+void HttpConnection::endAnswer(bool closeConnection)
+{
+    if (m_stage == Stage::Closed || !isOpen())
+        return;
+    m_exchange.reset();
+    if (closeConnection) {
+        startLingering();
+        return;
+    }
+    m_stage = Stage::Reading;
+    updateActivity();
+    m_requestStart = now();
+    updateDeadline();
+    // The next request may have arrived meanwhile. It is handled from the event loop, because this method may have
+    // been called by the handler of the current request.
+    if (!m_input.isEmpty() || m_socket->bytesAvailable() > 0)
+        QMetaObject::invokeMethod(this, &HttpConnection::readInput, Qt::QueuedConnection);
+}
+
+void HttpConnection::startLingering()
+{
+    m_stage = Stage::Lingering;
+    m_deadline = now() + lingerTime;
+    dropInput();
+    shutDownWriting();
+    updateActivity();
+}
+
+void HttpConnection::shutDownWriting()
+{
+    if (m_stage != Stage::Lingering || m_isWritingShutDown || m_socket->bytesToWrite() > 0)
+        return;
+    m_isWritingShutDown = true;
+    ::shutdown(static_cast<int>(m_socket->socketDescriptor()), SHUT_WR);
+}
+
+void HttpConnection::abort()
+{
+    if (m_stage == Stage::Closed || !isOpen())
+        return;
+    m_exchange.reset();
+    if (m_request.isHttp10) {
+        // An orderly close would mark the end of the body, so the connection is reset.
+        const linger option { .l_onoff = 1, .l_linger = 0 };
+        ::setsockopt(static_cast<int>(m_socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+        m_socket->abort();
+        return;
+    }
+    startLingering();
+}
+
+void HttpConnection::onBytesWritten()
+{
+    m_lastWriteProgress = now();
+    shutDownWriting();
+    updateActivity();
+}
+
+void HttpConnection::onDisconnected()
+{
+    if (m_stage == Stage::Closed)
+        return;
+    m_stage = Stage::Closed;
+    updateActivity();
+    if (const auto exchange = m_exchange.lock())
+        exchange->handleCallerGone();
+    Q_EMIT closed();
+    deleteLater();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <LibCore/Error.h>
+#include <LibHTTP/HttpExchange.h>
+#include <LibHTTP/HttpRequestReader.h>
+#include <LibHTTP/HttpResponseFormat.h>
+#include <LibHTTP/RequestFeed.h>
+
+#include <QPointer>
+#include <QTcpSocket>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+class QHttpServerRequest;
+
+namespace Chicorydock {
+
+class ConnectionExchange;
+
+/// What the connections of one server have in common.
+struct HttpConnectionContext {
+    HttpServerLimits limits;
+    /// Builds the answer to a request that cannot be passed to the handler.
+    std::function<HttpAnswer(const Error&)> protocolErrorAnswer;
+    HttpHandler& handler;
+    bool isDraining { false };
+    /// Number of requests whose answer has not wholly left the process.
+    std::atomic<int> activeExchanges { 0 };
+};
+
+/// One connection of a caller. It handles one request at a time: bytes of further requests stay in the bounded buffer
+/// of the socket until the current answer has ended, so answers leave in the order of the requests.
+///
+/// Thread safety: used on the I/O thread that created it.
+class HttpConnection final : public QObject {
+    Q_OBJECT
+
+public:
+    /// Takes over the descriptor of an accepted connection. `context` outlives the connection.
+    HttpConnection(HttpConnectionContext& context, qintptr descriptor, QObject* parent);
+    ~HttpConnection() override;
+
+    /// Returns the socket for QAbstractHttpServer, which the connection owns.
+    RequestFeed& feed() { return *m_feed; }
+
+    /// Handles the request that Qt parsed from the feed.
+    void handleParsedRequest(const QHttpServerRequest&);
+
+    /// Ends the connection if a limit of time has passed.
+    void checkDeadline(MonotonicTime now);
+
+    /// Closes the connection if it served a request and now waits for the next one.
+    void closeIfIdle();
+
+Q_SIGNALS:
+    void closed();
+
+private:
+    friend class ConnectionExchange;
+
+    enum class Stage {
+        Reading,
+        /// A request is with the handler.
+        Handling,
+        /// The last answer was sent; input is read and dropped until the caller closes the connection.
+        Lingering,
+        Closed,
+    };
+
+    void readInput();
+    void dropInput();
+    void processInput();
+    void dispatch(FramedRequest);
+    void refuse(const Error&);
+    void updateDeadline();
+    void updateActivity();
+
+    // For the exchange.
+    bool isOpen() const { return m_socket->state() == QAbstractSocket::ConnectedState; }
+    bool closesAfterAnswer() const;
+    void send(const QByteArray&);
+    void endAnswer(bool closeConnection);
+    void abort();
+    qint64 bytesToWrite() const { return m_socket->bytesToWrite(); }
+
+    void startLingering();
+    void shutDownWriting();
+    void onBytesWritten();
+    void onDisconnected();
+
+    HttpConnectionContext& m_context;
+    QTcpSocket* m_socket;
+    RequestFeed* m_feed;
+    HttpRequestReader m_reader;
+    QByteArray m_input;
+    FramedRequest m_request;
+    std::weak_ptr<ConnectionExchange> m_exchange;
+    Stage m_stage { Stage::Reading };
+    MonotonicTime m_deadline;
+    MonotonicTime m_requestStart;
+    MonotonicTime m_lastWriteProgress;
+    bool m_isActive { false };
+    bool m_hasServed { false };
+    bool m_isParsed { false };
+    bool m_isWritingShutDown { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/HttpRequestReader.cpp
@@ -0,0 +1,251 @@
+#include <LibHTTP/HttpRequestReader.h>
+
+#include <LibCore/Error.h>
+
+#include <QByteArrayList>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// More digits than any permitted length has, and few enough that the number fits 64 bits.
+    constexpr qsizetype maxLengthDigits = 15;
+
+    constexpr qsizetype maxChunkLineBytes = 256;
+
+    [[noreturn]] void refuse(const char* message) { throw Error(ErrorKind::MalformedRequest, message); }
+
+    bool isTokenCharacter(char c)
+    {
+        if ((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'))
+            return true;
+        return c != '\0' && QByteArrayView("!#$%&'*+-.^_`|~").contains(c);
+    }
+
+    bool isToken(QByteArrayView text) { return !text.empty() && std::ranges::all_of(text, isTokenCharacter); }
+
+    bool isControlCharacter(char c) { return (c >= 0 && c < 0x20 && c != '\t') || c == 0x7f; }
+
+    bool isGraphic(char c) { return c > 0x20 && c < 0x7f; }
+
+    bool equalsIgnoringCase(QByteArrayView left, QByteArrayView right)
+    {
+        return left.compare(right, Qt::CaseInsensitive) == 0;
+    }
+
+    bool listContains(QByteArrayView list, QByteArrayView word)
+    {
+        return std::ranges::any_of(list.toByteArray().split(','),
+            [&](const QByteArray& it) { return equalsIgnoringCase(it.trimmed(), word); });
+    }
+
+    /// Returns the path and query of a target in origin form or in absolute form.
+    QByteArray toOriginForm(const QByteArray& target)
+    {
+        if (target.startsWith('/'))
+            return target;
+        const QByteArrayView scheme("http://");
+        if (!equalsIgnoringCase(QByteArrayView(target).first(std::min(target.size(), scheme.size())), scheme))
+            refuse("the request target is not a path");
+        const qsizetype slash = target.indexOf('/', scheme.size());
+        return slash < 0 ? QByteArray("/") : target.sliced(slash);
+    }
+
+}
+
+HttpRequestReader::HttpRequestReader(const HttpServerLimits& limits)
+    : m_limits(limits)
+{
+}
+
+bool HttpRequestReader::consume(QByteArrayView& input)
+{
+    while (m_stage != Stage::Complete) {
+        if (m_stage == Stage::FixedBody || m_stage == Stage::ChunkData) {
+            if (!takeBody(input))
+                return false;
+            continue;
+        }
+        const std::optional<QByteArray> line = takeLine(input);
+        if (!line)
+            return false;
+        handleLine(*line);
+    }
+    return true;
+}
+
+FramedRequest HttpRequestReader::take()
+{
+    FramedRequest request = std::move(m_request);
+    *this = HttpRequestReader(m_limits);
+    return request;
+}
+
+bool HttpRequestReader::takeExpectsContinue()
+{
+    const bool isWaiting = m_stage == Stage::FixedBody || m_stage == Stage::ChunkSize;
+    return isWaiting && std::exchange(m_expectsContinue, false);
+}
+
+std::optional<QByteArray> HttpRequestReader::takeLine(QByteArrayView& input)
+{
+    const qsizetype end = input.indexOf('\n');
+    const qsizetype size = end < 0 ? input.size() : end + 1;
+    if (m_stage == Stage::ChunkSize || m_stage == Stage::ChunkEnd) {
+        // Only the line is limited here: the number of chunks is limited by the size of the body.
+        if (m_line.size() + size > maxChunkLineBytes)
+            refuse("the size line of a chunk is too long");
+    } else {
+        m_headBytes += size;
+        if (m_headBytes > m_limits.maxHeaderBytes)
+            throw Error(ErrorKind::HeaderTooLarge, "the header of the request is too large");
+    }
+    m_line.append(input.first(size));
+    input = input.sliced(size);
+    if (end < 0)
+        return {};
+    if (!m_line.endsWith("\r\n"))
+        refuse("a line of the request does not end with CR LF");
+    m_line.chop(2);
+    if (std::ranges::any_of(m_line, isControlCharacter))
+        refuse("a line of the request contains a control character");
+    return std::exchange(m_line, {});
+}
+
+bool HttpRequestReader::takeBody(QByteArrayView& input)
+{
+    const qsizetype size = static_cast<qsizetype>(std::min<qint64>(input.size(), m_remaining));
+    m_request.body.append(input.first(size));
+    input = input.sliced(size);
+    m_remaining -= size;
+    if (m_remaining > 0)
+        return false;
+    m_stage = m_stage == Stage::FixedBody ? Stage::Complete : Stage::ChunkEnd;
+    return true;
+}
+
+void HttpRequestReader::handleLine(const QByteArray& line)
+{
+    switch (m_stage) {
+    case Stage::RequestLine:
+        // RFC 9112, section 2.2: empty lines before the request line are ignored.
+        if (!line.isEmpty())
+            handleRequestLine(line);
+        return;
+    case Stage::Fields:
+        line.isEmpty() ? handleEndOfFields() : handleField(line);
+        return;
+    case Stage::ChunkSize:
+        handleChunkSize(line);
+        return;
+    case Stage::ChunkEnd:
+        if (!line.isEmpty())
+            refuse("a chunk is longer than its announced size");
+        m_stage = Stage::ChunkSize;
+        return;
+    case Stage::Trailer:
+        if (line.isEmpty())
+            m_stage = Stage::Complete;
+        return;
+    case Stage::FixedBody:
+    case Stage::ChunkData:
+    case Stage::Complete:
+        break;
+    }
+    Q_UNREACHABLE();
+}
+
+void HttpRequestReader::handleRequestLine(const QByteArray& line)
+{
+    const QByteArrayList words = line.split(' ');
+    if (words.size() != 3 || !isToken(words[0]) || words[1].isEmpty() || !std::ranges::all_of(words[1], isGraphic))
+        refuse("the request line is malformed");
+    if (words[2] != "HTTP/1.1" && words[2] != "HTTP/1.0")
+        refuse("the protocol version is not supported");
+    m_request.method = words[0];
+    m_request.target = toOriginForm(words[1]);
+    m_request.isHttp10 = words[2] == "HTTP/1.0";
+    m_request.keepAlive = !m_request.isHttp10;
+    m_request.head = m_request.method + ' ' + m_request.target + " HTTP/1.1\r\n";
+    m_stage = Stage::Fields;
+}
+
+void HttpRequestReader::handleField(const QByteArray& line)
+{
+    const qsizetype colon = line.indexOf(':');
+    const QByteArrayView name = QByteArrayView(line).first(std::max<qsizetype>(colon, 0));
+    if (!isToken(name))
+        refuse("a header field is malformed");
+    const QByteArrayView value = QByteArrayView(line).sliced(colon + 1).trimmed();
+    if (equalsIgnoringCase(name, "Content-Length")) {
+        handleContentLength(value);
+        return;
+    }
+    if (equalsIgnoringCase(name, "Transfer-Encoding")) {
+        // Any other coding would leave the length of the body unknown.
+        if (m_isChunked || m_request.isHttp10 || !equalsIgnoringCase(value, "chunked"))
+            refuse("the transfer encoding is not supported");
+        m_isChunked = true;
+        return;
+    }
+    if (equalsIgnoringCase(name, "Upgrade"))
+        return;
+    if (equalsIgnoringCase(name, "Host") && std::exchange(m_hasHost, true))
+        refuse("the Host field is repeated");
+    if (equalsIgnoringCase(name, "Connection") && listContains(value, "close"))
+        m_request.keepAlive = false;
+    if (equalsIgnoringCase(name, "Expect") && equalsIgnoringCase(value, "100-continue"))
+        m_expectsContinue = !m_request.isHttp10;
+    m_request.head += line + "\r\n";
+}
+
+void HttpRequestReader::handleContentLength(QByteArrayView value)
+{
+    if (m_contentLength)
+        refuse("Content-Length is repeated");
+    if (value.empty() || !std::ranges::all_of(value, [](char c) { return c >= '0' && c <= '9'; }))
+        refuse("Content-Length is not a number");
+    while (value.size() > 1 && value.startsWith('0'))
+        value = value.sliced(1);
+    if (value.size() > maxLengthDigits)
+        throw Error(ErrorKind::BodyTooLarge, "the body of the request is too large");
+    m_contentLength = value.toLongLong();
+}
+
+void HttpRequestReader::handleEndOfFields()
+{
+    if (m_isChunked && m_contentLength)
+        refuse("Content-Length and Transfer-Encoding contradict each other");
+    m_request.head += "Content-Length: 0\r\n\r\n";
+    if (m_isChunked) {
+        m_stage = Stage::ChunkSize;
+        return;
+    }
+    m_remaining = m_contentLength.value_or(0);
+    checkBodySize(m_remaining);
+    m_stage = m_remaining > 0 ? Stage::FixedBody : Stage::Complete;
+}
+
+void HttpRequestReader::handleChunkSize(const QByteArray& line)
+{
+    const auto isHexDigit = [](char c) { return (c >= '0' && c <= '9') || ((c | 0x20) >= 'a' && (c | 0x20) <= 'f'); };
+    const QByteArray digits = line.first(std::ranges::find(line, ';') - line.begin()).trimmed();
+    if (digits.isEmpty() || !std::ranges::all_of(digits, isHexDigit))
+        refuse("the size of a chunk is not a number");
+    if (digits.size() > maxLengthDigits)
+        throw Error(ErrorKind::BodyTooLarge, "the body of the request is too large");
+    m_remaining = digits.toLongLong(nullptr, 16);
+    checkBodySize(m_request.body.size() + m_remaining);
+    m_stage = m_remaining > 0 ? Stage::ChunkData : Stage::Trailer;
+}
+
+void HttpRequestReader::checkBodySize(qint64 size) const
+{
+    if (size > m_limits.maxBodyBytes)
+        throw Error(ErrorKind::BodyTooLarge, "the body of the request is too large");
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/HttpRequestReader.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <LibHTTP/HttpServerLimits.h>
+
+#include <QByteArray>
+#include <QByteArrayView>
+
+#include <optional>
+
+namespace Chicorydock {
+
+/// A request whose framing was checked.
+struct FramedRequest {
+    QByteArray method;
+    /// Path with query, percent-encoded.
+    QByteArray target;
+    /// Request line and fields for the parser of Qt. The fields that describe the framing are replaced by
+    /// `Content-Length: 0`, because the body is passed separately, and `Upgrade` is left out, because no other
+    /// protocol is offered.
+    QByteArray head;
+    QByteArray body;
+    bool isHttp10 { false };
+    /// Whether the caller wants to send more requests on the connection.
+    bool keepAlive { true };
+};
+
+/// Splits the bytes of a connection into requests and checks their framing and size, because the parser of
+/// QHttpServer has no limits and accepts contradicting lengths.
+///
+/// Thread safety: none.
+class HttpRequestReader {
+public:
+    explicit HttpRequestReader(const HttpServerLimits&);
+
+    /// Takes bytes from the front of `input`, up to the end of the current request. Returns whether that request is
+    /// complete. Throws `Error` for bad input; the connection cannot be used for requests after that.
+    bool consume(QByteArrayView& input);
+
+    /// Returns the complete request and starts with the next one. Precondition: `consume()` returned true.
+    FramedRequest take();
+
+    /// Returns whether a part of a request has arrived.
+    bool isStarted() const { return m_headBytes > 0; }
+
+    qint64 bodyBytes() const { return m_request.body.size(); }
+
+    /// Returns, once per request, whether the caller waits for `100 Continue` before it sends the body.
+    bool takeExpectsContinue();
+
+private:
+    enum class Stage {
+        RequestLine,
+        Fields,
+        FixedBody,
+        ChunkSize,
+        ChunkData,
+        ChunkEnd,
+        Trailer,
+        Complete,
+    };
+
+    std::optional<QByteArray> takeLine(QByteArrayView& input);
+    bool takeBody(QByteArrayView& input);
+    void handleLine(const QByteArray& line);
+    void handleRequestLine(const QByteArray& line);
+    void handleField(const QByteArray& line);
+    void handleContentLength(QByteArrayView value);
+    void handleEndOfFields();
+    void handleChunkSize(const QByteArray& line);
+    void checkBodySize(qint64 size) const;
+
+    HttpServerLimits m_limits;
+    Stage m_stage { Stage::RequestLine };
+    FramedRequest m_request;
+    QByteArray m_line;
+    qint64 m_headBytes { 0 };
+    std::optional<qint64> m_contentLength;
+    /// Bytes that are left of the body or of the current chunk.
+    qint64 m_remaining { 0 };
+    bool m_isChunked { false };
+    bool m_hasHost { false };
+    bool m_expectsContinue { false };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/QtHttpServer.cpp
@@ -0,0 +1,95 @@
+#include <LibHTTP/QtHttpServer.h>
+
+#include <LibHTTP/ConnectionAcceptor.h>
+#include <LibHTTP/ListeningSocket.h>
+
+#include <QTcpSocket>
+
+#include <algorithm>
+#include <vector>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Timeouts are checked for all connections together, because a timer per connection and request costs more.
+    std::chrono::milliseconds sweepInterval(const HttpServerLimits& limits)
+    {
+        return std::clamp(limits.requestTimeout / 8, Milliseconds { 10 }, Milliseconds { 1000 });
+    }
+
+}
+
+HttpServer::HttpServer(HttpHandler& handler, const HttpServerLimits& limits, ErrorAnswerer protocolErrorAnswer)
+    : m_context { .limits = limits, .protocolErrorAnswer = std::move(protocolErrorAnswer), .handler = handler }
+{
+    connect(&m_sweepTimer, &QTimer::timeout, this, &HttpServer::sweep);
+    m_sweepTimer.start(sweepInterval(limits));
+}
+
+HttpServer::~HttpServer()
+{
+    const std::unordered_map<const QTcpSocket*, HttpConnection*> connections = std::move(m_connections);
+    m_connections.clear();
+    for (const auto& [feed, connection] : connections) {
+        connection->disconnect(this);
+        delete connection;
+    }
+}
+
+uint16_t HttpServer::listen(const std::string& address)
+{
+    Q_ASSERT(!m_acceptor);
+    const int descriptor = openListeningSocket(address);
+    m_acceptor = new ConnectionAcceptor([this](qintptr accepted) { return addConnection(accepted); });
+    m_acceptor->setSocketDescriptor(descriptor);
+    bind(m_acceptor);
+    return m_acceptor->serverPort();
+}
+
+void HttpServer::stopListening()
+{
+    if (!m_acceptor)
+        return;
+    m_acceptor->acceptWaiting();
+    m_acceptor->close();
+    m_acceptor->deleteLater();
+    m_acceptor = nullptr;
+}
+
+void HttpServer::setDraining(bool isDraining)
+{
+    m_context.isDraining = isDraining;
+    if (!isDraining)
+        return;
+    for (const auto& [feed, connection] : m_connections)
+        connection->closeIfIdle();
+}
+
+QTcpSocket* HttpServer::addConnection(qintptr descriptor)
+{
+    auto* connection = new HttpConnection(m_context, descriptor, this);
+    const QTcpSocket* feed = &connection->feed();
+    m_connections.emplace(feed, connection);
+    connect(connection, &HttpConnection::closed, this, [this, feed] { m_connections.erase(feed); });
+    return &connection->feed();
+}
+
+void HttpServer::sweep()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    for (const auto& [feed, connection] : m_connections)
+        connection->checkDeadline(now);
+}
+
+bool HttpServer::handleRequest(const QHttpServerRequest& request, QTcpSocket* feed)
+{
+    const auto it = m_connections.find(feed);
+    if (it != m_connections.end())
+        it->second->handleParsedRequest(request);
+    return true;
+}
+
+void HttpServer::missingHandler(const QHttpServerRequest&, QTcpSocket*) { }
+
+}
