LibPlatform: Add the platform's services in memory and over HTTP

The in-memory services serve tests, benchmarks and the fake platform. Row versions come from one counter, so that a removed and reinserted row never matches an old expected version.

The HTTP clients run their calls on a thread of BlockingHttp instead of a nested event loop of the caller, since a nested loop would process unrelated events of the calling thread. Each running call has a network access manager of its own, which is discarded with its connections after a failed call.

A write that failed before any byte of its body was handed over, or that the service refused with platform_unavailable, throws PlatformUnavailable; all other failures of writes throw OutcomeUnknown.

--- /dev/null
+++ b/Libraries/LibPlatform/HttpObjectStore.cpp
@@ -0,0 +1,48 @@
+#include <LibPlatform/HttpObjectStore.h>
+
+#include <LibCore/Error.h>
+
+namespace Chicorydock {
+
+namespace {
+
+    QByteArray pathOf(std::string_view name)
+    {
+        return "/objects/" + QByteArray(name.data(), static_cast<qsizetype>(name.size())).toPercentEncoding("/");
+    }
+
+}
+
+HttpObjectStore::HttpObjectStore(const std::string& address, Milliseconds timeout, const std::string& failureDomain)
+    : m_http(address, timeout, failureDomain)
+{
+}
+
+void HttpObjectStore::put(std::string_view name, std::string_view content)
+{
+    const auto answer
+        = m_http.send("PUT", pathOf(name), QByteArray(content.data(), static_cast<qsizetype>(content.size())));
+    if (answer.status != 200)
+        throwPlatformError(answer);
+}
+
+std::optional<std::string> HttpObjectStore::get(std::string_view name)
+{
+    const auto answer = m_http.send("GET", pathOf(name));
+    if (answer.status == 404)
+        return {};
+    if (answer.status != 200) {
+        throw Error(ErrorKind::PlatformUnavailable,
+            "the object store answered a read with status " + std::to_string(answer.status));
+    }
+    return answer.body.toStdString();
+}
+
+void HttpObjectStore::remove(std::string_view name)
+{
+    const auto answer = m_http.send("DELETE", pathOf(name));
+    if (answer.status != 200)
+        throwPlatformError(answer);
+}
+
+}
