--- /dev/null
+++ b/Libraries/LibOperator/OperatorMessages.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <LibBatch/JobService.h>
+#include <LibConfiguration/Configuration.h>
+#include <LibLog/EventLog.h>
+#include <LibOperator/OperatorTypes.h>
+#include <Schema/Operator.capnp.h>
+
+#include <capnp/message.h>
+
+#include <string_view>
+
+namespace Chicorydock {
+
+/// Conversions between the value types of operators' calls and their Cap'n Proto structs. A reader throws
+/// Error(MalformedRequest) on a value that this version does not know. May be called from any thread.
+void write(const MemberUpdate&, Schema::MemberStatus::Builder);
+void write(const ServiceStatus&, Schema::ServiceStatus::Builder);
+void write(const Service&, Schema::Service::Builder);
+void write(const Model&, Schema::Model::Builder);
+void write(const Workspace&, Schema::Workspace::Builder);
+void write(const NodeStatus&, Schema::NodeStatus::Builder);
+void write(const EndpointStatus&, Schema::EndpointStatus::Builder);
+void write(const Configuration&, Schema::Configuration::Builder);
+void write(const RevisionSummary&, Schema::RevisionSummary::Builder);
+void write(const JobSubmission&, Schema::BatchJob::Builder);
+void write(const JobView&, Schema::JobStatus::Builder);
+void write(const Event&, Schema::TimelineEvent::Builder);
+
+MemberUpdate read(Schema::MemberStatus::Reader);
+ServiceStatus read(Schema::ServiceStatus::Reader);
+Service read(Schema::Service::Reader);
+Model read(Schema::Model::Reader);
+Workspace read(Schema::Workspace::Reader);
+NodeStatus read(Schema::NodeStatus::Reader);
+EndpointStatus read(Schema::EndpointStatus::Reader);
+Configuration read(Schema::Configuration::Reader);
+RevisionSummary read(Schema::RevisionSummary::Reader);
+JobSubmission read(Schema::BatchJob::Reader);
+JobView read(Schema::JobStatus::Reader);
+Event read(Schema::TimelineEvent::Reader);
+
+/// Names of states on the wire and in the output of the command-line tool.
+std::string_view stateName(MemberUpdate::State);
+std::string_view stateName(EndpointStatus::State);
+std::string_view stateName(JobView::State);
+
+/// Converts a list of structs with `write()` or `read()`.
+template <typename Value, typename ListBuilder> void writeList(const std::vector<Value>& values, ListBuilder list)
+{
+    for (uint32_t n = 0; n < values.size(); ++n)
+        write(values[n], list[n]);
+}
+
+template <typename ListReader> auto readList(ListReader list)
+{
+    std::vector<decltype(read(list[0]))> values;
+    values.reserve(list.size());
+    for (const auto it : list)
+        values.push_back(read(it));
+    return values;
+}
+
+/// Limits for reading messages of operators. A job of 200,000 items is larger than Cap'n Proto's default of 64 MiB, so
+/// the RPC port that offers `OperatorServer` has to use these, too.
+capnp::ReaderOptions operatorReaderOptions();
+
+}
--- a/Libraries/LibRPC/CrossThread.h
+++ b/Libraries/LibRPC/CrossThread.h
@@ -14,7 +14,8 @@
 inline kj::Exception toRpcException(const Error& error)
 {
     const std::string text = std::string(errorRow(error.kind()).name) + ": " + error.message();
-    return KJ_EXCEPTION(FAILED, kj::heapString(text.c_str()));
+    // Not KJ_EXCEPTION, which puts the source text of its argument before the description.
+    return { kj::Exception::Type::FAILED, __FILE__, __LINE__, kj::heapString(text.c_str(), text.size()) };
 }
 
 /// Runs `function` through `post` and returns a promise of its result on the kj event loop of the calling thread.
--- a/Schema/Operator.capnp
+++ b/Schema/Operator.capnp
@@ -62,7 +62,7 @@
   id @0 :Text;
   workspace @1 :Text;
   state @2 :Text;
-  # "validating", "in_progress", "completed", "cancelling" or "cancelled".
+  # "in_progress", "completed", "cancelling" or "cancelled".
   total @3 :UInt32;
   completed @4 :UInt32;
   failed @5 :UInt32;
