--- a/Libraries/LibDispatch/WorkRunner.cpp
+++ b/Libraries/LibDispatch/WorkRunner.cpp
@@ -119,8 +119,23 @@
         : failure.refused                     ? AttemptOutcome::Refused
                                               : AttemptOutcome::Failed;
     const bool isQueuedAgain = m_environment.dispatcher.finished(m_request.service, m_id, endpoint, outcome, mayRetry);
-    if (!isQueuedAgain && (m_attempts.empty() || isRejected))
-        fail(finalError(failure));
+    if (isQueuedAgain || (!m_attempts.empty() && !isRejected))
+        return;
+    if (!isRejected && !m_wasHandedOver && !mayRepeat() && submitAgain(endpoint))
+        return;
+    fail(finalError(failure));
+}
+
+bool WorkRunner::submitAgain(const std::string& excludedEndpoint)
+{
+    // Schedulers start unrepeatable work once; here it is certain that it has not run.
+    constexpr uint32_t maxSubmissions = 3;
+    if (m_request.work.attempt + 1 >= maxSubmissions)
+        return false;
+    ++m_request.work.attempt;
+    m_request.work.excludedEndpoints.push_back(excludedEndpoint);
+    m_id = m_environment.dispatcher.submit(m_request.service, m_request.work, weak_from_this(), m_environment.post);
+    return true;
 }
 
 void WorkRunner::attemptCompleted(Attempt& attempt)
--- a/Libraries/LibDispatch/WorkRunner.h
+++ b/Libraries/LibDispatch/WorkRunner.h
@@ -95,6 +95,7 @@
 
     void attemptFailed(Attempt&, const EndpointFailure&);
     void attemptCompleted(Attempt&);
+    bool submitAgain(const std::string& excludedEndpoint);
     void onDeadline();
     void end();
     void fail(const Error&);
--- /dev/null
+++ b/Tests/LibDispatch/TestEndpointController.cpp
@@ -0,0 +1,105 @@
+#include <LibCore/Error.h>
+#include <LibDispatch/EndpointController.h>
+
+#include <Tests/Support/MemoryEventLog.h>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+struct Fixture {
+    MemoryEventLog eventLog;
+    std::vector<GossipRecord> published;
+    int changes { 0 };
+    EndpointController controller { eventLog, [this](const GossipRecord& it) { published.push_back(it); },
+        [this] { ++changes; } };
+
+    const KnownEndpoint* find(const std::string& id)
+    {
+        set = controller.endpoints().read();
+        return set->find(id);
+    }
+
+    std::shared_ptr<const EndpointSet> set;
+};
+
+KnownEndpoint endpoint(const std::string& id, bool isLeaving = false)
+{
+    return { id, "127.0.0.1:1", "engine", "r", "d", isLeaving };
+}
+
+VmEntry listed(const std::string& id, bool isLeaving = false)
+{
+    return { id, VmEntry::Role::Endpoint, "127.0.0.1:1", "r", "d", "engine", isLeaving };
+}
+
+}
+
+// Guards against a late list that takes back what a peer already said.
+TEST_CASE("leaving is final, whichever source says it first")
+{
+    Fixture fixture;
+    fixture.controller.takeVmList({ listed("a") });
+    fixture.controller.takeRecord(EndpointController::toRecord(endpoint("a", true)));
+    CHECK(fixture.find("a")->isLeaving);
+    fixture.controller.takeVmList({ listed("a") });
+    fixture.controller.takeRecord(EndpointController::toRecord(endpoint("a")));
+    CHECK(fixture.find("a")->isLeaving);
+}
+
+// Guards against an endpoint that comes back through a peer that has not yet heard that it is gone.
+TEST_CASE("an endpoint that the list no longer names is gone for good")
+{
+    Fixture fixture;
+    fixture.controller.takeVmList({ listed("a"), listed("b") });
+    fixture.controller.takeVmList({ listed("b") });
+    CHECK(fixture.find("a") == nullptr);
+    fixture.controller.takeRecord(EndpointController::toRecord(endpoint("a")));
+    CHECK(fixture.find("a") == nullptr);
+    CHECK(fixture.find("b") != nullptr);
+}
+
+// Guards against losing configured endpoints, and those that only peers know, when the list does not name them.
+TEST_CASE("endpoints from the settings and from peers do not depend on the list")
+{
+    Fixture fixture;
+    fixture.controller.addConfigured({ endpoint("configured") });
+    fixture.controller.takeRecord(EndpointController::toRecord(endpoint("from-peer")));
+    fixture.controller.takeVmList({});
+    CHECK(fixture.find("configured") != nullptr);
+    CHECK(fixture.find("from-peer") != nullptr);
+}
+
+// Guards against a drain that the peers never hear of.
+TEST_CASE("a drained endpoint is published as leaving")
+{
+    Fixture fixture;
+    fixture.controller.addConfigured({ endpoint("a") });
+    fixture.published.clear();
+    fixture.controller.drain("a");
+    REQUIRE(fixture.published.size() == 1);
+    CHECK(fixture.published[0] == EndpointController::toRecord(endpoint("a", true)));
+    CHECK_THROWS_AS(fixture.controller.drain("unknown"), Error);
+}
+
+// Guards against peers that answer each other's records without end.
+TEST_CASE("a record that says nothing new changes nothing and is not published again")
+{
+    Fixture fixture;
+    fixture.controller.takeRecord(EndpointController::toRecord(endpoint("a")));
+    const int changes = fixture.changes;
+    fixture.controller.takeRecord(EndpointController::toRecord(endpoint("a")));
+    CHECK(fixture.changes == changes);
+    CHECK(fixture.published.empty());
+}
+
+// Guards against a crash or a half-known endpoint from a malformed record.
+TEST_CASE("malformed records are ignored")
+{
+    Fixture fixture;
+    fixture.controller.takeRecord({ "endpoint/a", 1, "not JSON" });
+    fixture.controller.takeRecord({ "endpoint/a", 1, "{\"address\": 5}" });
+    fixture.controller.takeRecord({ "head", 1, "7" });
+    CHECK(fixture.controller.endpoints().read()->endpoints.empty());
+}
--- /dev/null
+++ b/Tests/LibDispatch/TestGenerationRunner.cpp
@@ -0,0 +1,220 @@
+#include <LibDispatch/GenerationRunner.h>
+
+#include <LibRouting/NaiveScheduler.h>
+
+#include <Tests/Support/FakeEndpointClient.h>
+#include <Tests/Support/MemoryEventLog.h>
+#include <Tests/Support/SimulatedClock.h>
+#include <Tests/Support/TaskQueue.h>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct RecordingSink final : GenerationSink {
+    std::vector<std::string> tokens;
+    std::optional<std::string> whole;
+    std::optional<Error> error;
+
+    void onTokens(const std::string& text) override { tokens.push_back(text); }
+    void onFinished(const std::string& text, const GenerationEnd&) override { whole = text; }
+    void onFailed(const Error& failure) override { error = failure; }
+};
+
+struct Fixture {
+    SimulatedClock clock;
+    TaskQueue tasks;
+    MemoryEventLog eventLog;
+    FakeEndpointClient client;
+    DeadlineQueue deadlines;
+    Dispatcher dispatcher { clock,
+        [](const std::string&) { return std::make_unique<NaiveScheduler>(SchedulerSettings {}); }, [] {},
+        [](const std::string&, const std::string&) {} };
+    RunnerEnvironment environment { clock, dispatcher, client, deadlines, eventLog, tasks.post() };
+    RecordingSink sink;
+    std::shared_ptr<GenerationRunner> runner;
+
+    Fixture()
+    {
+        EndpointSet set;
+        std::vector<SchedulerEndpoint> endpoints;
+        for (const std::string id : { "a", "b" }) {
+            set.endpoints[id] = { id, "127.0.0.1:1", "engine", "r", "d", false };
+            endpoints.push_back({ id, "d" });
+        }
+        dispatcher.setEndpoints(set, { { "engine", endpoints } });
+    }
+
+    void start(bool isRepeatable)
+    {
+        RunnerRequest request { "engine", {}, "trace" };
+        request.work.maxTokens = 4;
+        request.work.deadline = clock.now() + 10s;
+        request.work.repeatable = isRepeatable;
+        runner = std::make_shared<GenerationRunner>(environment, request, "/v1/completions", QJsonObject {}, sink);
+        runner->start();
+        tasks.run();
+    }
+
+    GenerationObserver& observer() { return *client.generations.back().observer; }
+
+    uint32_t inFlight() { return dispatcher.counters().at("engine").onlineInFlight; }
+
+    void fail(HttpFailure::Phase phase, HttpFailure::Reason reason = HttpFailure::Reason::Closed)
+    {
+        observer().onFailed({ phase, reason, 0, false, "closed" });
+        tasks.run();
+    }
+};
+
+}
+
+// Guards against a lost or doubled token when a stream moves to another endpoint.
+TEST_CASE("a repeatable stream resumes on another endpoint after the last token")
+{
+    Fixture fixture;
+    fixture.start(true);
+    fixture.observer().onHandedOver();
+    fixture.observer().onTokens({ "one ", 1 });
+    fixture.observer().onTokens({ "two ", 1 });
+    fixture.fail(HttpFailure::Phase::Answering);
+
+    REQUIRE(fixture.client.generations.size() == 2);
+    const GenerationRequest& second = fixture.client.generations.back().request;
+    CHECK(second.resumeFrom == 2);
+    CHECK(second.resumeText == "one two ");
+    fixture.observer().onTokens({ "three", 1 });
+    fixture.observer().onFinished({ "stop", 1, 3, 0 });
+    CHECK(fixture.sink.whole == "one two three");
+    CHECK(fixture.sink.tokens == std::vector<std::string> { "one ", "two ", "three" });
+    CHECK(fixture.inFlight() == 0);
+}
+
+// Guards against a second run of a call that may not be repeated.
+TEST_CASE("an unrepeatable generation that was handed over is never sent again")
+{
+    Fixture fixture;
+    fixture.start(false);
+    fixture.observer().onHandedOver();
+    fixture.fail(HttpFailure::Phase::Sent);
+    CHECK(fixture.client.generations.size() == 1);
+    REQUIRE(fixture.sink.error);
+    CHECK(fixture.sink.error->kind() == ErrorKind::MayHaveRun);
+    CHECK(fixture.inFlight() == 0);
+}
+
+// Guards against giving up a call that certainly did not run.
+TEST_CASE("an unrepeatable generation that was not handed over goes to another endpoint")
+{
+    Fixture fixture;
+    fixture.start(false);
+    fixture.fail(HttpFailure::Phase::NotSent, HttpFailure::Reason::Refused);
+    CHECK(fixture.client.generations.size() == 2);
+    CHECK_FALSE(fixture.sink.error);
+}
+
+// Guards against blaming an endpoint for one connection that went silent.
+TEST_CASE("a silent connection is replaced once before the endpoint is given up")
+{
+    Fixture fixture;
+    fixture.start(true);
+    fixture.observer().onHandedOver();
+    fixture.fail(HttpFailure::Phase::Sent, HttpFailure::Reason::TimedOut);
+    REQUIRE(fixture.client.generations.size() == 2);
+    CHECK(fixture.client.generations.back().request.freshConnection);
+    CHECK(fixture.eventLog.count("dispatched") == 1);
+    fixture.fail(HttpFailure::Phase::Sent, HttpFailure::Reason::TimedOut);
+    CHECK(fixture.eventLog.count("dispatched") == 2);
+}
+
+// Guards against an unrepeatable call being sent twice because its connection was silent.
+TEST_CASE("a silent connection of an unrepeatable call is not replaced")
+{
+    Fixture fixture;
+    fixture.start(false);
+    fixture.observer().onHandedOver();
+    fixture.fail(HttpFailure::Phase::Sent, HttpFailure::Reason::TimedOut);
+    CHECK(fixture.client.generations.size() == 1);
+    CHECK(fixture.sink.error->kind() == ErrorKind::MayHaveRun);
+}
+
+// Guards against a request that stays open after its deadline, and against a refusal that wrongly says not run.
+TEST_CASE("the deadline ends a request with the error that is true")
+{
+    Fixture fixture;
+    fixture.start(true);
+    SECTION("handed over")
+    {
+        fixture.observer().onHandedOver();
+        fixture.clock.advance(10s);
+        fixture.deadlines.tick(fixture.clock.now());
+        CHECK(fixture.sink.error->kind() == ErrorKind::DeadlineExceeded);
+    }
+    SECTION("not handed over")
+    {
+        fixture.clock.advance(10s);
+        fixture.deadlines.tick(fixture.clock.now());
+        CHECK(fixture.sink.error->kind() == ErrorKind::DeadlineUnattainable);
+    }
+    CHECK(fixture.client.generations.back().isCancelled);
+    CHECK(fixture.inFlight() == 0);
+}
+
+// Guards against a slot that stays taken after its caller left.
+TEST_CASE("a cancelled request frees its slot and its connection")
+{
+    Fixture fixture;
+    fixture.start(true);
+    fixture.observer().onHandedOver();
+    CHECK(fixture.inFlight() == 1);
+    fixture.runner->cancel();
+    fixture.tasks.run();
+    CHECK(fixture.client.generations.back().isCancelled);
+    CHECK(fixture.inFlight() == 0);
+    CHECK_FALSE(fixture.sink.error);
+}
+
+// Guards against a leak when the runner is destroyed between a decision and its delivery.
+TEST_CASE("a start that finds no runner frees the slot")
+{
+    Fixture fixture;
+    RunnerRequest request { "engine", {}, "trace" };
+    request.work.deadline = fixture.clock.now() + 10s;
+    fixture.runner = std::make_shared<GenerationRunner>(
+        fixture.environment, request, "/v1/completions", QJsonObject {}, fixture.sink);
+    fixture.runner->start();
+    fixture.runner.reset();
+    fixture.tasks.run();
+    CHECK(fixture.client.generations.empty());
+    CHECK(fixture.inFlight() == 0);
+}
+
+// Guards against trying other endpoints with a request that none will take.
+TEST_CASE("a request that the endpoint rejects is not sent elsewhere")
+{
+    Fixture fixture;
+    fixture.start(true);
+    fixture.observer().onHandedOver();
+    fixture.observer().onFailed(
+        { HttpFailure::Phase::Answering, HttpFailure::Reason::Protocol, 400, false, "too long" });
+    fixture.tasks.run();
+    CHECK(fixture.client.generations.size() == 1);
+    CHECK(fixture.sink.error->kind() == ErrorKind::EndpointRejected);
+    CHECK(fixture.inFlight() == 0);
+}
+
+// Guards against a chain of failures that ends without an answer, and against a false claim that nothing ran.
+TEST_CASE("when every endpoint failed the request gets one final error")
+{
+    Fixture fixture;
+    fixture.start(true);
+    for (int n = 0; n < 20 && !fixture.sink.error; ++n) {
+        fixture.observer().onHandedOver();
+        fixture.fail(HttpFailure::Phase::Sent);
+    }
+    REQUIRE(fixture.sink.error);
+    CHECK_FALSE(errorRow(fixture.sink.error->kind()).notRun);
+    CHECK(fixture.inFlight() == 0);
+}
--- /dev/null
+++ b/Tests/Support/FakeExchange.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <LibHTTP/HttpExchange.h>
+
+namespace Chicorydock {
+
+/// A request without a connection that records its answer. Not thread safe.
+class FakeExchange final : public HttpExchange {
+public:
+    explicit FakeExchange(HttpRequest request)
+        : m_request(std::move(request))
+    {
+    }
+
+    /// The whole answer, or status and headers of the stream with the chunks as its body.
+    std::optional<HttpAnswer> answered;
+    bool isStream { false };
+    bool isFinished { false };
+    bool isAborted { false };
+    /// Chunks of a stream since the test last cleared them.
+    QByteArrayList chunks;
+
+    void leave()
+    {
+        m_isGone = true;
+        if (m_goneHandler)
+            std::exchange(m_goneHandler, {})();
+    }
+
+    const HttpRequest& request() const override { return m_request; }
+    void answer(const HttpAnswer& answer) override
+    {
+        if (m_isGone)
+            return;
+        Q_ASSERT(!answered);
+        answered = answer;
+        isFinished = true;
+    }
+    void startStream(int status, const HttpHeaders& headers) override
+    {
+        answered = HttpAnswer { status, headers, {} };
+        isStream = true;
+    }
+    void sendChunk(QByteArrayView chunk) override
+    {
+        chunks.append(chunk.toByteArray());
+        answered->body += chunk;
+    }
+    void finishStream() override { isFinished = true; }
+    void abortStream() override { isAborted = true; }
+    qint64 bytesToWrite() const override { return 0; }
+    bool isCallerGone() const override { return m_isGone; }
+    void setCallerGoneHandler(std::function<void()> handler) override { m_goneHandler = std::move(handler); }
+
+private:
+    HttpRequest m_request;
+    std::function<void()> m_goneHandler;
+    bool m_isGone { false };
+};
+
+}
