--- a/Libraries/LibMembership/PeerLink.h
+++ b/Libraries/LibMembership/PeerLink.h
@@ -22,7 +22,9 @@
 
     using RevisionCallback = std::function<void(std::optional<std::string>)>;
     /// Fetches the document of a configuration revision; nothing if the peer does not have it or does not answer.
-    virtual void fetchRevision(const std::string& address, uint64_t revision, Milliseconds timeout, RevisionCallback)
+    /// `held` is the revision in force at the caller (0: none); the document may be the difference to it.
+    virtual void fetchRevision(
+        const std::string& address, uint64_t revision, uint64_t held, Milliseconds timeout, RevisionCallback)
         = 0;
 
     /// Asks a peer to take batch work off an endpoint. Lost messages are not repeated.
--- a/Libraries/LibMembership/PeerMessage.h
+++ b/Libraries/LibMembership/PeerMessage.h
@@ -65,6 +65,8 @@
     uint32_t counter { 0 };
     std::vector<MemberUpdate> members;
     std::vector<GossipRecord> records;
+    /// Of a Sync: digest of the sender's members and stable records. A receiver with the same digest sends no lists.
+    uint64_t digest { 0 };
 
     auto operator<=>(const PeerMessage&) const = default;
 };
--- a/Libraries/LibRPC/CrossThread.h
+++ b/Libraries/LibRPC/CrossThread.h
@@ -3,6 +3,7 @@
 #include <LibCore/Error.h>
 
 #include <kj/async.h>
+#include <kj/debug.h>
 
 #include <functional>
 #include <memory>
--- /dev/null
+++ b/Libraries/LibRPC/RpcAddress.cpp
@@ -0,0 +1,57 @@
+#include <LibRPC/RpcAddress.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <charconv>
+#include <cstring>
+
+namespace Chicorydock {
+
+namespace {
+
+    std::optional<uint16_t> parsePort(std::string_view text)
+    {
+        uint16_t port = 0;
+        const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), port);
+        if (ec != std::errc {} || end != text.data() + text.size())
+            return {};
+        return port;
+    }
+
+    template <typename SocketAddress> RpcAddress pack(const SocketAddress& socketAddress)
+    {
+        RpcAddress address;
+        std::memcpy(&address.storage, &socketAddress, sizeof(socketAddress));
+        address.length = sizeof(socketAddress);
+        return address;
+    }
+
+}
+
+std::optional<RpcAddress> RpcAddress::parse(const std::string& text)
+{
+    const size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return {};
+    const auto port = parsePort(std::string_view(text).substr(colon + 1));
+    if (!port)
+        return {};
+    const std::string host = text.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']')) {
+        sockaddr_in6 address {};
+        address.sin6_family = AF_INET6;
+        address.sin6_port = htons(*port);
+        if (inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &address.sin6_addr) != 1)
+            return {};
+        return pack(address);
+    }
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(*port);
+    if (inet_pton(AF_INET, host.c_str(), &address.sin_addr) != 1)
+        return {};
+    return pack(address);
+}
+
+}
--- a/Schema/Configuration.capnp
+++ b/Schema/Configuration.capnp
@@ -46,6 +46,22 @@
   workspaces @5 :List(Workspace);
 }
 
+struct ConfigurationDelta {
+  # What a revision changes against an earlier one. Items replace those of the same name; new ones come last.
+  base @0 :UInt64;
+  changed @1 :Configuration;
+  removedServices @2 :List(Text);
+  removedModels @3 :List(Text);
+  removedWorkspaces @4 :List(Text);
+}
+
+struct ConfigurationDocument {
+  union {
+    whole @0 :Configuration;
+    delta @1 :ConfigurationDelta;
+  }
+}
+
 struct BatchJob {
   id @0 :Text;
   # Empty: derived from the workspace and the items, so that a resent job is the same job.
--- a/Schema/Configuration.capnp.h
+++ b/Schema/Configuration.capnp.h
@@ -26,6 +26,8 @@
 CAPNP_DECLARE_SCHEMA(d24eadfe44a61668);
 CAPNP_DECLARE_SCHEMA(ec12d269318a9721);
 CAPNP_DECLARE_SCHEMA(a8beb13c2a1b20b1);
+CAPNP_DECLARE_SCHEMA(ca9fd969180b1945);
+CAPNP_DECLARE_SCHEMA(ee743019025bc08a);
 CAPNP_DECLARE_SCHEMA(d9b338bbd72a37ec);
 
 }  // namespace schemas
@@ -96,6 +98,40 @@
   };
 };
 
+struct ConfigurationDelta {
+  ConfigurationDelta() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ca9fd969180b1945, 1, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ConfigurationDocument {
+  ConfigurationDocument() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    WHOLE,
+    DELTA,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ee743019025bc08a, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct BatchJob {
   BatchJob() = delete;
 
@@ -570,6 +606,223 @@
 };
 #endif  // !CAPNP_LITE
 
+class ConfigurationDelta::Reader {
+public:
+  typedef ConfigurationDelta Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBase() const;
+
+  inline bool hasChanged() const;
+  inline  ::Chicorydock::Schema::Configuration::Reader getChanged() const;
+
+  inline bool hasRemovedServices() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedServices() const;
+
+  inline bool hasRemovedModels() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedModels() const;
+
+  inline bool hasRemovedWorkspaces() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemovedWorkspaces() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationDelta::Builder {
+public:
+  typedef ConfigurationDelta Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline bool hasChanged();
+  inline  ::Chicorydock::Schema::Configuration::Builder getChanged();
+  inline void setChanged( ::Chicorydock::Schema::Configuration::Reader value);
+  inline  ::Chicorydock::Schema::Configuration::Builder initChanged();
+  inline void adoptChanged(::capnp::Orphan< ::Chicorydock::Schema::Configuration>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::Configuration> disownChanged();
+
+  inline bool hasRemovedServices();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedServices();
+  inline void setRemovedServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedServices(unsigned int size);
+  inline void adoptRemovedServices(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedServices();
+
+  inline bool hasRemovedModels();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedModels();
+  inline void setRemovedModels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedModels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedModels(unsigned int size);
+  inline void adoptRemovedModels(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedModels();
+
+  inline bool hasRemovedWorkspaces();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemovedWorkspaces();
+  inline void setRemovedWorkspaces( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemovedWorkspaces(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemovedWorkspaces(unsigned int size);
+  inline void adoptRemovedWorkspaces(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemovedWorkspaces();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationDelta::Pipeline {
+public:
+  typedef ConfigurationDelta Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Chicorydock::Schema::Configuration::Pipeline getChanged();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigurationDocument::Reader {
+public:
+  typedef ConfigurationDocument Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isWhole() const;
+  inline bool hasWhole() const;
+  inline  ::Chicorydock::Schema::Configuration::Reader getWhole() const;
+
+  inline bool isDelta() const;
+  inline bool hasDelta() const;
+  inline  ::Chicorydock::Schema::ConfigurationDelta::Reader getDelta() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationDocument::Builder {
+public:
+  typedef ConfigurationDocument Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isWhole();
+  inline bool hasWhole();
+  inline  ::Chicorydock::Schema::Configuration::Builder getWhole();
+  inline void setWhole( ::Chicorydock::Schema::Configuration::Reader value);
+  inline  ::Chicorydock::Schema::Configuration::Builder initWhole();
+  inline void adoptWhole(::capnp::Orphan< ::Chicorydock::Schema::Configuration>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::Configuration> disownWhole();
+
+  inline bool isDelta();
+  inline bool hasDelta();
+  inline  ::Chicorydock::Schema::ConfigurationDelta::Builder getDelta();
+  inline void setDelta( ::Chicorydock::Schema::ConfigurationDelta::Reader value);
+  inline  ::Chicorydock::Schema::ConfigurationDelta::Builder initDelta();
+  inline void adoptDelta(::capnp::Orphan< ::Chicorydock::Schema::ConfigurationDelta>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::ConfigurationDelta> disownDelta();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationDocument::Pipeline {
+public:
+  typedef ConfigurationDocument Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class BatchJob::Reader {
 public:
   typedef BatchJob Reads;
@@ -1249,6 +1502,290 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t ConfigurationDelta::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ConfigurationDelta::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ConfigurationDelta::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ConfigurationDelta::Reader::hasChanged() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDelta::Builder::hasChanged() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::Configuration::Reader ConfigurationDelta::Reader::getChanged() const {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::Configuration::Builder ConfigurationDelta::Builder::getChanged() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chicorydock::Schema::Configuration::Pipeline ConfigurationDelta::Pipeline::getChanged() {
+  return  ::Chicorydock::Schema::Configuration::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ConfigurationDelta::Builder::setChanged( ::Chicorydock::Schema::Configuration::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::Configuration::Builder ConfigurationDelta::Builder::initChanged() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDelta::Builder::adoptChanged(
+    ::capnp::Orphan< ::Chicorydock::Schema::Configuration>&& value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::Configuration> ConfigurationDelta::Builder::disownChanged() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationDelta::Reader::hasRemovedServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDelta::Builder::hasRemovedServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ConfigurationDelta::Reader::getRemovedServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ConfigurationDelta::Builder::getRemovedServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDelta::Builder::setRemovedServices( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void ConfigurationDelta::Builder::setRemovedServices(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ConfigurationDelta::Builder::initRemovedServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationDelta::Builder::adoptRemovedServices(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ConfigurationDelta::Builder::disownRemovedServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationDelta::Reader::hasRemovedModels() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDelta::Builder::hasRemovedModels() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ConfigurationDelta::Reader::getRemovedModels() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ConfigurationDelta::Builder::getRemovedModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDelta::Builder::setRemovedModels( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void ConfigurationDelta::Builder::setRemovedModels(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ConfigurationDelta::Builder::initRemovedModels(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationDelta::Builder::adoptRemovedModels(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ConfigurationDelta::Builder::disownRemovedModels() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationDelta::Reader::hasRemovedWorkspaces() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDelta::Builder::hasRemovedWorkspaces() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader ConfigurationDelta::Reader::getRemovedWorkspaces() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ConfigurationDelta::Builder::getRemovedWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDelta::Builder::setRemovedWorkspaces( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void ConfigurationDelta::Builder::setRemovedWorkspaces(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder ConfigurationDelta::Builder::initRemovedWorkspaces(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ConfigurationDelta::Builder::adoptRemovedWorkspaces(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> ConfigurationDelta::Builder::disownRemovedWorkspaces() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::Chicorydock::Schema::ConfigurationDocument::Which ConfigurationDocument::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline  ::Chicorydock::Schema::ConfigurationDocument::Which ConfigurationDocument::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool ConfigurationDocument::Reader::isWhole() const {
+  return which() == ConfigurationDocument::WHOLE;
+}
+inline bool ConfigurationDocument::Builder::isWhole() {
+  return which() == ConfigurationDocument::WHOLE;
+}
+inline bool ConfigurationDocument::Reader::hasWhole() const {
+  if (which() != ConfigurationDocument::WHOLE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDocument::Builder::hasWhole() {
+  if (which() != ConfigurationDocument::WHOLE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::Configuration::Reader ConfigurationDocument::Reader::getWhole() const {
+  KJ_IREQUIRE((which() == ConfigurationDocument::WHOLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::Configuration::Builder ConfigurationDocument::Builder::getWhole() {
+  KJ_IREQUIRE((which() == ConfigurationDocument::WHOLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDocument::Builder::setWhole( ::Chicorydock::Schema::Configuration::Reader value) {
+  _builder.setDataField<ConfigurationDocument::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigurationDocument::WHOLE);
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::Configuration::Builder ConfigurationDocument::Builder::initWhole() {
+  _builder.setDataField<ConfigurationDocument::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigurationDocument::WHOLE);
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDocument::Builder::adoptWhole(
+    ::capnp::Orphan< ::Chicorydock::Schema::Configuration>&& value) {
+  _builder.setDataField<ConfigurationDocument::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigurationDocument::WHOLE);
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::Configuration> ConfigurationDocument::Builder::disownWhole() {
+  KJ_IREQUIRE((which() == ConfigurationDocument::WHOLE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::Configuration>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ConfigurationDocument::Reader::isDelta() const {
+  return which() == ConfigurationDocument::DELTA;
+}
+inline bool ConfigurationDocument::Builder::isDelta() {
+  return which() == ConfigurationDocument::DELTA;
+}
+inline bool ConfigurationDocument::Reader::hasDelta() const {
+  if (which() != ConfigurationDocument::DELTA) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigurationDocument::Builder::hasDelta() {
+  if (which() != ConfigurationDocument::DELTA) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::ConfigurationDelta::Reader ConfigurationDocument::Reader::getDelta() const {
+  KJ_IREQUIRE((which() == ConfigurationDocument::DELTA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::ConfigurationDelta>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::ConfigurationDelta::Builder ConfigurationDocument::Builder::getDelta() {
+  KJ_IREQUIRE((which() == ConfigurationDocument::DELTA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::ConfigurationDelta>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDocument::Builder::setDelta( ::Chicorydock::Schema::ConfigurationDelta::Reader value) {
+  _builder.setDataField<ConfigurationDocument::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigurationDocument::DELTA);
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::ConfigurationDelta>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::ConfigurationDelta::Builder ConfigurationDocument::Builder::initDelta() {
+  _builder.setDataField<ConfigurationDocument::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigurationDocument::DELTA);
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::ConfigurationDelta>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigurationDocument::Builder::adoptDelta(
+    ::capnp::Orphan< ::Chicorydock::Schema::ConfigurationDelta>&& value) {
+  _builder.setDataField<ConfigurationDocument::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, ConfigurationDocument::DELTA);
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::ConfigurationDelta>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::ConfigurationDelta> ConfigurationDocument::Builder::disownDelta() {
+  KJ_IREQUIRE((which() == ConfigurationDocument::DELTA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::ConfigurationDelta>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool BatchJob::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Schema/Peer.capnp
+++ b/Schema/Peer.capnp
@@ -36,6 +36,8 @@
   counter @6 :UInt32;
   members @7 :List(MemberUpdate);
   records @8 :List(GossipRecord);
+  digest @9 :UInt64;
+  # Of the members and stable records at the sender of a sync; an equal one at the receiver makes the reply short.
 
   enum Kind {
     ping @0;
@@ -48,8 +50,9 @@
 interface Peer {
   exchange @0 (message :PeerMessage) -> (reply :PeerMessage);
   # Delivers a membership message; the reply is an ack.
-  fetchRevision @1 (revision :UInt64) -> (found :Bool, document :Data);
-  # Returns the document of a configuration revision, a packed Configuration message.
+  fetchRevision @1 (revision :UInt64, held :UInt64) -> (found :Bool, document :Data);
+  # Returns the document of a configuration revision, a packed ConfigurationDocument message. `held` is the revision
+  # that the caller has (0: none); the document may be the difference to it.
   yieldBatch @2 (service :Text, endpoint :Text) -> ();
   # Asks the node to take batch work off an endpoint, because online work waits at the sender.
 }
--- a/Schema/Peer.capnp.h
+++ b/Schema/Peer.capnp.h
@@ -94,7 +94,7 @@
 
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e269eca9a9ec590b, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(e269eca9a9ec590b, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -162,7 +162,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9bde0558f57083db, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9bde0558f57083db, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -473,6 +473,8 @@
   inline bool hasRecords() const;
   inline  ::capnp::List< ::Chicorydock::Schema::GossipRecord,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
+  inline  ::uint64_t getDigest() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -548,6 +550,9 @@
   inline void adoptRecords(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::GossipRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::GossipRecord,  ::capnp::Kind::STRUCT>> disownRecords();
 
+  inline  ::uint64_t getDigest();
+  inline void setDigest( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -823,6 +828,8 @@
 
   inline  ::uint64_t getRevision() const;
 
+  inline  ::uint64_t getHeld() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -854,6 +861,9 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
+  inline  ::uint64_t getHeld();
+  inline void setHeld( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1607,6 +1617,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t PeerMessage::Reader::getDigest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PeerMessage::Builder::getDigest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void PeerMessage::Builder::setDigest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Peer::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -1723,6 +1747,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Peer::FetchRevisionParams::Reader::getHeld() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Peer::FetchRevisionParams::Builder::getHeld() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Peer::FetchRevisionParams::Builder::setHeld( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Peer::FetchRevisionResults::Reader::getFound() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
