LibEndpoint: Add the HTTP client of endpoints

A generation is whole only when a finish reason and [DONE] have arrived. A token index that is missing, repeated or skipped fails the generation, so a faulty engine cannot put a gap into an answer.

--- /dev/null
+++ b/Libraries/LibEndpoint/GenerationCall.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibEndpoint/EndpointClient.h>
+#include <LibEndpoint/EventStreamParser.h>
+#include <LibEndpoint/GenerationEvent.h>
+
+#include <memory>
+
+namespace Chicorydock {
+
+/// One generation: reads the engine's event stream and checks that it has no gap and no repetition. Only a finish
+/// reason followed by `[DONE]` is the end of a whole answer.
+///
+/// Thread safety: used on the thread of the client.
+class GenerationCall final : public HttpCall, private HttpCallObserver {
+public:
+    GenerationCall(HttpClient&, const GenerationRequest&, GenerationObserver&);
+
+private:
+    void onHandedOver() override;
+    void onHeaders(int status, const HttpHeaders&) override;
+    void onData(const QByteArray&) override;
+    void onFinished() override;
+    void onFailed(const HttpFailure&) override;
+
+    void readEvents(const QByteArray&);
+    void handleEvent(const GenerationEvent&);
+    void checkOrder(const GenerationEvent&) const;
+    void fail(HttpFailure::Phase, HttpFailure::Reason, const std::string& message);
+    void finish();
+
+    GenerationObserver& m_observer;
+    EventStreamParser m_parser;
+    GenerationEnd m_end;
+    uint32_t m_nextToken;
+    int m_status { 0 };
+    bool m_isDone { false };
+    /// The start of the body of an error answer.
+    QByteArray m_errorBody;
+    /// Expires with this object, which the observer may destroy in any of its methods.
+    std::shared_ptr<char> m_alive { std::make_shared<char>() };
+    std::unique_ptr<HttpCall> m_call;
+};
+
+}
