--- a/Libraries/LibRouting/NaiveScheduler.cpp
+++ b/Libraries/LibRouting/NaiveScheduler.cpp
@@ -36,7 +36,7 @@
     const bool isNew = m_entries.emplace(work.id, Entry { work, {}, false, false }).second;
     assert(isNew);
     (void)isNew;
-    m_queue.push_back(work.id);
+    push(work);
 }
 
 void NaiveScheduler::withdraw(WorkId id, MonotonicTime)
@@ -47,10 +47,28 @@
     it->second.isWithdrawn = true;
     if (it->second.isInFlight)
         return;
+    --queued(it->second.work);
     m_entries.erase(it);
     std::erase(m_queue, id);
 }
 
+uint32_t& NaiveScheduler::queued(const Work& work)
+{
+    return work.workClass == WorkClass::Online ? m_counters.onlineQueued : m_counters.batchQueued;
+}
+
+void NaiveScheduler::push(const Work& work)
+{
+    m_queue.push_back(work.id);
+    ++queued(work);
+}
+
+void NaiveScheduler::pop()
+{
+    --queued(m_entries.at(m_queue.front()).work);
+    m_queue.pop_front();
+}
+
 bool NaiveScheduler::mayRun(const Endpoint& endpoint, const Work& work) const
 {
     if (!endpoint.isPresent || endpoint.endpoint.isLeaving)
@@ -109,20 +127,20 @@
         const WorkId id = m_queue.front();
         Entry& entry = m_entries.at(id);
         if (entry.work.deadline <= now) {
-            m_queue.pop_front();
+            pop();
             refuse(id, ErrorKind::DeadlineUnattainable, "the deadline passed in the queue", decisions);
             continue;
         }
         Endpoint* endpoint = nextEndpoint(entry.work);
         if (endpoint) {
-            m_queue.pop_front();
+            pop();
             start(entry, *endpoint);
             decisions.push_back({ Decision::Kind::Start, id, endpoint->endpoint.id, {} });
             continue;
         }
         if (hasCandidate(entry.work))
             break;
-        m_queue.pop_front();
+        pop();
         refuse(id, ErrorKind::NoEndpoint, "no endpoint can run the work", decisions);
     }
     return decisions;
@@ -157,7 +175,7 @@
         return false;
     }
     entry.work.excludedEndpoints.push_back(endpointId);
-    m_queue.push_back(id);
+    push(entry.work);
     return true;
 }
 
@@ -210,10 +228,6 @@
         counters.onlineInFlight += endpoint.online;
         counters.batchInFlight += endpoint.batch;
     }
-    for (const WorkId id : m_queue) {
-        const bool isOnline = m_entries.at(id).work.workClass == WorkClass::Online;
-        ++(isOnline ? counters.onlineQueued : counters.batchQueued);
-    }
     return counters;
 }
 
--- a/Libraries/LibRouting/NaiveScheduler.h
+++ b/Libraries/LibRouting/NaiveScheduler.h
@@ -51,6 +51,9 @@
         uint32_t batch { 0 };
     };
 
+    uint32_t& queued(const Work&);
+    void push(const Work&);
+    void pop();
     bool mayRun(const Endpoint&, const Work&) const;
     bool hasCandidate(const Work&) const;
     Endpoint* nextEndpoint(const Work&);
