LibRouting: Decide by learned endpoint speeds

Speeds are learned per endpoint from the node's own streams: the time to the first token against prompt tokens and the token gap against concurrency, with a fast average that takes a slowed endpoint out of use. Online work never counts batch work as load, so that it cannot wait behind it: it starts at once and batch work gives way. Work that cannot meet its deadline is refused when that is predicted.

--- /dev/null
+++ b/Libraries/LibRouting/OnlineQueue.cpp
@@ -0,0 +1,51 @@
+#include <LibRouting/OnlineQueue.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace Chicorydock {
+
+namespace {
+
+    constexpr std::chrono::seconds ageing { 2 };
+    // Work of twice the worth starts as if it had come this much earlier.
+    constexpr double secondsPerDoubledWorth = 0.1;
+    constexpr double maxWorthSeconds = 0.5;
+
+}
+
+OnlineQueue::Place OnlineQueue::placeOf(
+    const Work& work, MonotonicTime::duration drainInterval, MonotonicTime now) const
+{
+    MonotonicTime::duration behind {};
+    if (const auto it = m_backlog.find(work.workspace); it != m_backlog.end()) {
+        const auto others = static_cast<int64_t>(m_backlog.size() - 1);
+        // Each of the own queued works lets one of every other workspace go first.
+        behind = std::min<MonotonicTime::duration>(ageing, drainInterval * (static_cast<int64_t>(it->second) * others));
+    }
+    const double worthSeconds = secondsPerDoubledWorth * std::log2(std::max(1e-3, work.worth));
+    const auto virtualTime = std::min(work.deadline, now + ageing) + behind
+        - fromSeconds(std::clamp(worthSeconds, -maxWorthSeconds, maxWorthSeconds));
+    return { virtualTime.time_since_epoch().count(), work.id };
+}
+
+void OnlineQueue::push(Place place, const std::string& workspace)
+{
+    const bool isNew = m_tree.insert(place).second;
+    assert(isNew);
+    (void)isNew;
+    ++m_backlog[workspace];
+}
+
+void OnlineQueue::erase(Place place, const std::string& workspace)
+{
+    if (!m_tree.erase(place))
+        return;
+    const auto it = m_backlog.find(workspace);
+    assert(it != m_backlog.end());
+    if (--it->second == 0)
+        m_backlog.erase(it);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/PrefixAffinity.cpp
@@ -0,0 +1,106 @@
+#include <LibRouting/PrefixAffinity.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Chicorydock {
+
+namespace {
+
+    constexpr size_t maxKeys = 16'384;
+    // An endpoint's cache holds prefixes for minutes under load; without an event, a record of sent work counts this
+    // long.
+    constexpr std::chrono::minutes sentLife { 2 };
+    constexpr std::chrono::minutes storedLife { 15 };
+
+}
+
+PrefixAffinity::Holder& PrefixAffinity::holder(uint64_t key, uint32_t endpoint)
+{
+    Holders& holders = m_holders[key];
+    ++holders.uses;
+    m_order.push_back(key);
+    const auto begin = holders.list.begin();
+    const auto end = begin + holders.count;
+    auto it = std::find_if(begin, end, [&](const Holder& it) { return it.endpoint == endpoint; });
+    if (it == end) {
+        if (holders.count < holdersPerKey)
+            ++holders.count;
+        else
+            --it;
+        *it = { endpoint, {}, {} };
+    }
+    // The most recently used one is first.
+    std::rotate(begin, it, it + 1);
+    return holders.list.front();
+}
+
+void PrefixAffinity::forgetOldest()
+{
+    while (m_order.size() > maxKeys) {
+        const auto it = m_holders.find(m_order.front());
+        m_order.pop_front();
+        if (it != m_holders.end() && --it->second.uses == 0)
+            m_holders.erase(it);
+    }
+}
+
+void PrefixAffinity::noteSent(const std::vector<uint64_t>& prefixes, uint32_t endpoint, MonotonicTime now)
+{
+    for (const uint64_t key : prefixes)
+        holder(key, endpoint).sent = now;
+    forgetOldest();
+}
+
+void PrefixAffinity::noteStored(const std::vector<uint64_t>& keys, uint32_t endpoint, MonotonicTime now)
+{
+    for (const uint64_t key : keys)
+        holder(key, endpoint).stored = now;
+    forgetOldest();
+}
+
+void PrefixAffinity::noteEvicted(const std::vector<uint64_t>& keys, uint32_t endpoint)
+{
+    for (const uint64_t key : keys) {
+        const auto it = m_holders.find(key);
+        if (it == m_holders.end())
+            continue;
+        Holders& holders = it->second;
+        const auto begin = holders.list.begin();
+        const auto end = begin + holders.count;
+        const auto last = std::remove_if(begin, end, [&](const Holder& holder) { return holder.endpoint == endpoint; });
+        holders.count = static_cast<uint8_t>(last - begin);
+    }
+}
+
+void PrefixAffinity::noteGap(uint32_t endpoint, MonotonicTime now) { m_gaps[endpoint] = now; }
+
+bool PrefixAffinity::isTrusted(const Holder& holder, MonotonicTime now) const
+{
+    if (holder.sent != MonotonicTime {} && now - holder.sent < sentLife)
+        return true;
+    if (holder.stored == MonotonicTime {} || now - holder.stored >= storedLife)
+        return false;
+    const auto gap = m_gaps.find(holder.endpoint);
+    return gap == m_gaps.end() || gap->second < holder.stored;
+}
+
+std::vector<PrefixAffinity::Match> PrefixAffinity::find(const std::vector<uint64_t>& prefixes, MonotonicTime now) const
+{
+    std::vector<Match> matches;
+    for (size_t n = prefixes.size(); n > 0 && matches.empty(); --n) {
+        const auto it = m_holders.find(prefixes[n - 1]);
+        if (it == m_holders.end())
+            continue;
+        // Each prefix is twice as long as the one before it.
+        const double share = std::ldexp(1.0, static_cast<int>(n) - static_cast<int>(prefixes.size()));
+        for (size_t i = 0; i < it->second.count; ++i) {
+            const Holder& holder = it->second.list[i];
+            if (isTrusted(holder, now))
+                matches.push_back({ holder.endpoint, share });
+        }
+    }
+    return matches;
+}
+
+}
--- a/Libraries/LibRouting/Scheduler.h
+++ b/Libraries/LibRouting/Scheduler.h
@@ -55,7 +55,8 @@
     /// Queues work. Precondition: the id is not in use. Refusals come from `poll()`, at the same time.
     virtual void submit(const Work&, MonotonicTime now) = 0;
 
-    /// Forgets queued work, or notes that work in flight no longer has a caller. The attempts still end with
+    /// Forgets queued work, or notes that work in flight no longer has a caller: it is neither hedged nor started
+    /// again. No Cancel decision follows; the owner of the attempts ends them, and they are still reported to
     /// `finished()`. Unknown ids are ignored.
     virtual void withdraw(WorkId, MonotonicTime now) = 0;
 
@@ -68,9 +69,11 @@
     /// Tokens arrived on an attempt; the first call for an attempt marks its first token.
     virtual void tokens(WorkId, const std::string& endpoint, uint32_t count, MonotonicTime now) = 0;
 
-    /// An attempt ended. After `Failed` or `Refused` the scheduler may start the work again within the retry budget if
-    /// it is repeatable or was not handed over (`mayRetry`); otherwise it forgets the work, and the caller answers it.
-    /// Returns whether the work is queued again.
+    /// An attempt ended. After `Failed` or `Refused` the scheduler may start online work again within the retry budget
+    /// if it is repeatable and `mayRetry` says so; otherwise it forgets the work, and the caller answers it. Batch work
+    /// that was cancelled to give way is queued again; failed batch work is not, because its job counts the attempts.
+    /// Returns whether the work is queued again. If another attempt of the work runs, the result is false, and the work
+    /// goes on there.
     virtual bool finished(WorkId, const std::string& endpoint, AttemptOutcome, bool mayRetry, MonotonicTime now) = 0;
 
     /// Takes in an endpoint's late report of its own load.
--- /dev/null
+++ b/Libraries/LibRouting/SpeedEstimator.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibRouting/LinearEstimator.h>
+
+namespace Chicorydock {
+
+/// Learns the speed of one endpoint from this node's own streams: the time to the first token against prompt tokens,
+/// and the gap between tokens against concurrency. The regressions are the slow reference; a fast moving average of the
+/// ratio between observed and expected times gives the health.
+///
+/// Thread safety: none.
+class SpeedEstimator {
+public:
+    SpeedEstimator();
+
+    /// A first token came after `seconds`. `promptTokens` excludes those that a warm prefix saved.
+    void addFirstToken(double promptTokens, double seconds);
+
+    /// `count` tokens arrived on one stream, `elapsed` after its tokens before, at that concurrency of the endpoint.
+    /// Returns whether the estimates changed; samples are gathered for a short time before they count.
+    bool addTokens(uint32_t count, MonotonicTime::duration elapsed, double concurrency, MonotonicTime now);
+
+    /// Takes over a peer's estimates while this node has hardly any own samples. Zero values are ignored.
+    void seed(double firstTokenSeconds, double gapBaseSeconds, double gapSlopeSeconds);
+
+    double firstTokenSeconds(double promptTokens) const { return m_firstToken.at(promptTokens); }
+    double gapSeconds(double concurrency) const { return m_gap.at(concurrency); }
+    double gapBaseSeconds() const { return m_gap.base(); }
+    double gapSlopeSeconds() const { return m_gap.slope(); }
+
+    /// Returns the recent speed relative to the learned one, in (0, 1].
+    double health() const;
+    /// Returns the health, reduced by the silence since the last tokens. Precondition: streams are generating there.
+    double healthWhileStreaming(MonotonicTime now) const;
+
+    /// Whether enough own samples or a peer's estimates exist to rely on them.
+    bool isProven() const { return m_isSeeded || m_gap.samples() >= provenSamples || m_plainSamples >= provenSamples; }
+    uint64_t gapSamples() const { return m_gap.samples(); }
+
+private:
+    static constexpr uint64_t provenSamples = 2;
+
+    void addRatio(double ratio, double weight);
+
+    LinearEstimator m_firstToken;
+    LinearEstimator m_gap;
+    double m_fastRatio { 1 };
+    bool m_isSeeded { false };
+    uint64_t m_plainSamples { 0 };
+
+    MonotonicTime m_windowStart;
+    MonotonicTime m_lastTokens;
+    double m_windowSeconds { 0 };
+    double m_windowConcurrency { 0 };
+    uint32_t m_windowTokens { 0 };
+    uint32_t m_slowWindows { 0 };
+};
+
+}
