--- a/Libraries/LibRequest/CallerStream.cpp
+++ b/Libraries/LibRequest/CallerStream.cpp
@@ -47,9 +47,11 @@
     };
 }
 
-CallerStream::CallerStream(RequestContextPtr context, int64_t createdSeconds)
+CallerStream::CallerStream(RequestContextPtr context, const Clock& clock, RequestMetrics& metrics)
     : m_context(std::move(context))
-    , m_createdSeconds(createdSeconds)
+    , m_clock(clock)
+    , m_metrics(metrics)
+    , m_createdSeconds(toUnixMilliseconds(clock.wallNow()) / 1000)
     , m_isChat(m_context->exchange->request().path.endsWith("/chat/completions"))
     , m_isStream(m_context->body.value("stream").toBool())
 {
@@ -57,6 +59,7 @@
 
 void CallerStream::onTokens(const std::string& text)
 {
+    measure();
     if (!m_isStream || m_context->hasEnded)
         return;
     if (m_context->exchange->bytesToWrite() > maxUnsentBytes) {
@@ -105,6 +108,16 @@
     m_context->end(&answer);
 }
 
+void CallerStream::measure()
+{
+    const MonotonicTime now = m_clock.now();
+    if (m_lastToken)
+        m_metrics.countTokenGap(now - *m_lastToken);
+    else
+        m_metrics.countFirstToken(now - m_context->received);
+    m_lastToken = now;
+}
+
 void CallerStream::startStream()
 {
     if (m_hasStarted)
--- a/Libraries/LibRequest/CallerStream.h
+++ b/Libraries/LibRequest/CallerStream.h
@@ -2,6 +2,7 @@
 
 #include <LibDispatch/GenerationRunner.h>
 #include <LibRequest/RequestContext.h>
+#include <LibRequest/RequestMetrics.h>
 
 namespace Chicorydock {
 
@@ -11,23 +12,27 @@
 /// Thread safety: none; lives on the I/O thread of its exchange.
 class CallerStream final : public GenerationSink {
 public:
-    CallerStream(RequestContextPtr, int64_t createdSeconds);
+    CallerStream(RequestContextPtr, const Clock&, RequestMetrics&);
 
     void onTokens(const std::string& text) override;
     void onFinished(const std::string& wholeText, const GenerationEnd&) override;
     void onFailed(const Error&) override;
 
 private:
+    void measure();
     void startStream();
     void sendEvent(const QJsonObject&);
     QJsonObject chunk(const QString& text, const QJsonValue& finishReason) const;
     HttpAnswer wholeAnswer(const std::string& text, const GenerationEnd&) const;
 
     RequestContextPtr m_context;
+    const Clock& m_clock;
+    RequestMetrics& m_metrics;
     int64_t m_createdSeconds;
     bool m_isChat;
     bool m_isStream;
     bool m_hasStarted { false };
+    std::optional<MonotonicTime> m_lastToken;
 };
 
 /// Returns the JSON body of a whole generation. `object` is `chat.completion` or `text_completion`.
--- a/Libraries/LibRequest/GenerationHandler.cpp
+++ b/Libraries/LibRequest/GenerationHandler.cpp
@@ -9,8 +9,9 @@
 
     /// Keeps the runner and its sink alive until the request has ended.
     struct Running {
-        Running(RunnerEnvironment& environment, const RequestContextPtr& context, RunnerRequest request)
-            : stream(context, toUnixMilliseconds(environment.clock.wallNow()) / 1000)
+        Running(RunnerEnvironment& environment, RequestMetrics& metrics, const RequestContextPtr& context,
+            RunnerRequest request)
+            : stream(context, environment.clock, metrics)
             , runner(std::make_shared<GenerationRunner>(environment, std::move(request),
                   context->exchange->request().path.toStdString(), context->body, stream))
         {
@@ -22,8 +23,9 @@
 
 }
 
-GenerationHandler::GenerationHandler(RunnerEnvironment& environment)
+GenerationHandler::GenerationHandler(RunnerEnvironment& environment, RequestMetrics& metrics)
     : m_environment(environment)
+    , m_metrics(metrics)
 {
 }
 
@@ -41,7 +43,7 @@
         { { "model", context->body.value("model") },
             { "workspace", QString::fromStdString(context->workspace->name) } });
 
-    const auto running = std::make_shared<Running>(m_environment, context, std::move(request));
+    const auto running = std::make_shared<Running>(m_environment, m_metrics, context, std::move(request));
     // The hook holds the runner until the end, and the event loop until the callback that ended it has returned.
     context->endHooks.emplace_back(
         [running, post = m_environment.post](const HttpAnswer*) { post([running] { running->runner->cancel(); }); });
--- a/Libraries/LibRequest/GenerationHandler.h
+++ b/Libraries/LibRequest/GenerationHandler.h
@@ -2,18 +2,20 @@
 
 #include <LibDispatch/RunnerEnvironment.h>
 #include <LibRequest/Filter.h>
+#include <LibRequest/RequestMetrics.h>
 
 namespace Chicorydock {
 
 /// Runs generations and answers their callers.
 class GenerationHandler final : public Filter {
 public:
-    explicit GenerationHandler(RunnerEnvironment&);
+    GenerationHandler(RunnerEnvironment&, RequestMetrics&);
 
     void handle(const RequestContextPtr&, const Next&) override;
 
 private:
     RunnerEnvironment& m_environment;
+    RequestMetrics& m_metrics;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibRequest/MetricsFilter.cpp
@@ -0,0 +1,19 @@
+#include <LibRequest/MetricsFilter.h>
+
+namespace Chicorydock {
+
+MetricsFilter::MetricsFilter(const Clock& clock, RequestMetrics& metrics)
+    : m_clock(clock)
+    , m_metrics(metrics)
+{
+}
+
+void MetricsFilter::handle(const RequestContextPtr& context, const Next& next)
+{
+    context->endHooks.emplace_back([this, received = context->received](const HttpAnswer* answer) {
+        m_metrics.countEnd(answer ? answer->status : 0, m_clock.now() - received);
+    });
+    next(context);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRequest/MetricsFilter.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibRequest/Filter.h>
+#include <LibRequest/RequestMetrics.h>
+
+namespace Chicorydock {
+
+/// Counts each request when it ends.
+class MetricsFilter final : public Filter {
+public:
+    MetricsFilter(const Clock&, RequestMetrics&);
+
+    void handle(const RequestContextPtr&, const Next&) override;
+
+private:
+    const Clock& m_clock;
+    RequestMetrics& m_metrics;
+};
+
+}
--- a/Libraries/LibRequest/RequestPipeline.cpp
+++ b/Libraries/LibRequest/RequestPipeline.cpp
@@ -8,6 +8,7 @@
 #include <LibRequest/GenerationHandler.h>
 #include <LibRequest/HealthRoutes.h>
 #include <LibRequest/JobRoutes.h>
+#include <LibRequest/MetricsFilter.h>
 #include <LibRequest/ModelRoutes.h>
 #include <LibRequest/RouteFilter.h>
 #include <LibRequest/ServiceHandler.h>
@@ -18,6 +19,7 @@
 {
     std::vector<std::unique_ptr<Filter>> filters;
     filters.push_back(std::make_unique<HealthRoutes>(parts.isReady, parts.metrics));
+    filters.push_back(std::make_unique<MetricsFilter>(parts.clock, parts.requestMetrics));
     filters.push_back(std::make_unique<RouteFilter>());
     filters.push_back(std::make_unique<AuthenticationFilter>(parts.configuration));
     filters.push_back(std::make_unique<DeadlineFilter>(parts.defaultDeadline));
@@ -26,7 +28,7 @@
     filters.push_back(
         std::make_unique<CallRecordFilter>(parts.callRecords, parts.clock, parts.toPlatform, environment.post));
     filters.push_back(std::make_unique<ModelRoutes>());
-    filters.push_back(std::make_unique<GenerationHandler>(environment));
+    filters.push_back(std::make_unique<GenerationHandler>(environment, parts.requestMetrics));
     filters.push_back(std::make_unique<ServiceHandler>(environment));
     filters.push_back(std::make_unique<JobRoutes>(parts.jobs, parts.clock, parts.toPlatform, environment.post));
 
--- a/Libraries/LibRequest/RequestPipeline.h
+++ b/Libraries/LibRequest/RequestPipeline.h
@@ -6,6 +6,7 @@
 #include <LibRequest/AdmissionFilter.h>
 #include <LibRequest/CallRecordStore.h>
 #include <LibRequest/FilterChain.h>
+#include <LibRequest/RequestMetrics.h>
 
 namespace Chicorydock {
 
@@ -20,6 +21,7 @@
     Post toPlatform;
     std::function<bool()> isReady;
     std::function<std::string()> metrics;
+    RequestMetrics& requestMetrics;
     Milliseconds defaultDeadline { 60'000 };
 };
 
--- a/Tests/LibRequest/TestCallRecordStore.cpp
+++ b/Tests/LibRequest/TestCallRecordStore.cpp
@@ -44,10 +44,7 @@
 const HttpAnswer answer { 201, { { "Content-Type", "application/json" } }, "{\"certificate\":7}" };
 
 /// Returns a generator of integers in [0, bound). `inRange()` alone would leave out the upper ones in small cases.
-rc::Gen<int> anyBelow(int bound)
-{
-    return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, bound));
-}
+rc::Gen<int> anyBelow(int bound) { return rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, bound)); }
 
 CallPermit permitOf(const std::variant<CallPermit, HttpAnswer>& outcome)
 {
@@ -141,8 +138,8 @@
         std::map<std::string, int> arrivals;
         std::map<std::string, HttpAnswer> answers;
         std::vector<std::pair<std::string, CallPermit>> running;
-        const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-            rc::gen::pair(anyBelow(10), anyBelow(3)));
+        const auto steps
+            = *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(anyBelow(10), anyBelow(3)));
         for (const auto& [action, n] : steps) {
             const std::string key = "k" + std::to_string(n);
             try {
--- a/Tests/LibRequest/TestRequestPipeline.cpp
+++ b/Tests/LibRequest/TestRequestPipeline.cpp
@@ -61,9 +61,12 @@
     RcuCell<Configuration> configuration;
     WorkspaceUsage usage;
     MockJobService jobs;
-    std::unique_ptr<FilterChain> chain = makeRequestPipeline(
-        { clock, configuration, usage, callRecords, jobs, tasks.post(), [] { return true; }, [] { return "m 1\n"; } },
-        environment);
+    MetricsRegistry registry;
+    RequestMetrics requestMetrics { registry };
+    std::unique_ptr<FilterChain> chain
+        = makeRequestPipeline({ clock, configuration, usage, callRecords, jobs, tasks.post(), [] { return true; },
+                                  [] { return "m 1\n"; }, requestMetrics },
+            environment);
 
     Fixture()
     {
