--- a/Libraries/LibRPC/CrossThread.h
+++ b/Libraries/LibRPC/CrossThread.h
@@ -4,6 +4,7 @@
 #include <LibCore/Post.h>
 
 #include <kj/async.h>
+#include <kj/debug.h>
 
 #include <functional>
 #include <memory>
