--- /dev/null
+++ b/Utilities/chicorydock/Commands.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <Utilities/chicorydock/CommandLine.h>
+#include <Utilities/chicorydock/NodeGroup.h>
+
+#include <functional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace Chicorydock {
+
+/// What a command works with.
+struct CommandContext {
+    const CommandLine& line;
+    /// The words after the command.
+    std::vector<std::string> arguments;
+    NodeGroup& nodes;
+    std::function<void(Milliseconds)> sleep;
+    std::ostream& out;
+    std::ostream& err;
+};
+
+/// One command of the tool.
+struct Command {
+    /// Its words, for example `job` and `status`.
+    std::vector<std::string> words;
+    size_t minArguments;
+    size_t maxArguments;
+    std::string usage;
+    std::string description;
+    /// Throws ToolFailure or Error.
+    void (*run)(CommandContext&);
+};
+
+/// Returns the command that the words start with, or null.
+const Command* findCommand(const std::vector<std::string>& words);
+
+/// Returns the help texts of one command and of the tool.
+std::string describeCommand(const Command&);
+std::string describeCommands();
+
+}
--- /dev/null
+++ b/Utilities/chicorydock/OperatorJson.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibBatch/JobService.h>
+#include <LibOperator/OperatorTypes.h>
+
+#include <QJsonArray>
+#include <QJsonObject>
+
+#include <string>
+
+namespace Chicorydock {
+
+/// JSON output of the command-line tool. Keys are the field names of `Schema/Operator.capnp` in snake case; times are
+/// milliseconds since the Unix epoch.
+QJsonObject toJson(const NodeStatus&);
+QJsonObject toJson(const EndpointStatus&);
+QJsonObject toJson(const RevisionSummary&);
+QJsonObject toJson(const JobView&);
+
+/// Returns the object on one line.
+std::string toLine(const QJsonObject&);
+
+template <typename Values> QJsonArray toJsonArray(const Values& values)
+{
+    QJsonArray array;
+    for (const auto& it : values)
+        array.append(toJson(it));
+    return array;
+}
+
+}
--- /dev/null
+++ b/Utilities/chicorydock/Tool.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibOperator/OperatorHandler.h>
+
+#include <functional>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace Chicorydock {
+
+/// What the tool needs from outside, so that tests can replace it.
+struct ToolEnvironment {
+    /// Connects to a node with a timeout for each answer; throws Error if it cannot be reached.
+    std::function<std::unique_ptr<OperatorHandler>(const std::string& address, Milliseconds timeout)> connect;
+    /// Waits before the next question about a job.
+    std::function<void(Milliseconds)> sleep;
+};
+
+/// Runs one command, for example `{"job", "status", "ID", "--json"}`, and returns the exit code (see `ExitCode`).
+/// Results go to `out`, errors and warnings to `err`.
+///
+/// Thread safety: none; one call at a time in a process, because gflags keeps values per process.
+int run(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err, const ToolEnvironment&);
+
+}
