--- a/Libraries/LibHTTP/ConnectionExchange.cpp
+++ b/Libraries/LibHTTP/ConnectionExchange.cpp
@@ -16,6 +16,7 @@
 ConnectionExchange::ConnectionExchange(HttpConnection& connection, HttpRequest request, bool isHttp10)
     : m_connection(&connection)
     , m_request(std::move(request))
+    , m_connectionNumber(connection.number())
     , m_isHttp10(isHttp10)
 {
 }
--- a/Libraries/LibHTTP/ConnectionExchange.h
+++ b/Libraries/LibHTTP/ConnectionExchange.h
@@ -24,6 +24,7 @@
     void abortStream() override;
     qint64 bytesToWrite() const override;
     bool isCallerGone() const override;
+    uint64_t connectionNumber() const override { return m_connectionNumber; }
     void setCallerGoneHandler(std::function<void()>) override;
 
     /// Tells the holder that the connection was closed.
@@ -42,6 +43,7 @@
     HttpRequest m_request;
     std::function<void()> m_callerGoneHandler;
     Stage m_stage { Stage::Open };
+    uint64_t m_connectionNumber;
     bool m_isHttp10;
     bool m_closesConnection { false };
     bool m_sendsBody { true };
--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -55,6 +55,7 @@
 HttpConnection::HttpConnection(HttpConnectionContext& context, qintptr descriptor, QObject* parent)
     : QObject(parent)
     , m_context(context)
+    , m_number(++context.acceptedConnections)
     , m_socket(new QTcpSocket(this))
     , m_reader(context.limits)
 {
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -26,6 +26,7 @@
     std::function<HttpAnswer(const Error&)> protocolErrorAnswer;
     HttpHandler& handler;
     bool isDraining { false };
+    uint64_t acceptedConnections { 0 };
     /// Number of requests whose answer has not wholly left the process.
     std::atomic<int> activeExchanges { 0 };
 };
@@ -43,6 +44,9 @@
     /// Returns the socket for QAbstractHttpServer, which the connection owns.
     RequestFeed& feed() { return *m_feed; }
 
+    /// Returns the position of the connection in the order of acceptance, counted from 1.
+    uint64_t number() const { return m_number; }
+
     /// Handles the request that Qt parsed from the feed.
     void handleParsedRequest(const QHttpServerRequest&);
 
@@ -89,6 +93,7 @@
     void onDisconnected();
 
     HttpConnectionContext& m_context;
+    uint64_t m_number;
     QTcpSocket* m_socket;
     std::function<void()> m_closedHandler;
     RequestFeed* m_feed;
--- a/Libraries/LibHTTP/HttpExchange.h
+++ b/Libraries/LibHTTP/HttpExchange.h
@@ -2,6 +2,7 @@
 
 #include <LibHTTP/HttpMessage.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -38,6 +39,10 @@
 
     virtual bool isCallerGone() const = 0;
 
+    /// Returns the number of the connection, counted from 1 in the order of acceptance by its server, or 0 if there is
+    /// no such number.
+    virtual uint64_t connectionNumber() const { return 0; }
+
     /// Sets the function to call, once, when the caller closes the connection before the answer has ended.
     virtual void setCallerGoneHandler(std::function<void()>) = 0;
 };
--- a/Libraries/LibHTTP/QtHttpServer.h
+++ b/Libraries/LibHTTP/QtHttpServer.h
@@ -44,6 +44,9 @@
     /// one are closed.
     void setDraining(bool);
 
+    /// Returns the number of connections accepted so far, which is the number of the last one.
+    uint64_t acceptedConnections() const { return m_context.acceptedConnections; }
+
     /// Returns the number of requests whose answer has not wholly left the process. May be called from any thread.
     int activeExchanges() const { return m_context.activeExchanges; }
 
