--- a/Libraries/LibRequest/RequestMetrics.cpp
+++ b/Libraries/LibRequest/RequestMetrics.cpp
@@ -23,7 +23,7 @@
 {
     const size_t n = std::min(static_cast<size_t>(std::max(status, 0)) / 100, statusClasses - 1);
     m_ended[n]->add();
-    m_duration.observe(duration);
+    m_duration.observeDuration(duration);
 }
 
 }
--- a/Libraries/LibRequest/RequestMetrics.h
+++ b/Libraries/LibRequest/RequestMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Clock.h>
 #include <LibMetrics/MetricsRegistry.h>
 
 #include <array>
@@ -17,10 +18,10 @@
     void countEnd(int status, MonotonicTime::duration);
 
     /// Counts the time from the receipt of a request to its first token.
-    void countFirstToken(MonotonicTime::duration duration) { m_firstToken.observe(duration); }
+    void countFirstToken(MonotonicTime::duration duration) { m_firstToken.observeDuration(duration); }
 
     /// Counts the time between two tokens of one answer.
-    void countTokenGap(MonotonicTime::duration duration) { m_tokenGap.observe(duration); }
+    void countTokenGap(MonotonicTime::duration duration) { m_tokenGap.observeDuration(duration); }
 
 private:
     static constexpr size_t statusClasses = 6;
