LibRouting: Rename two classes that share their names with other libraries

EndpointState of LibEndpoint and IndexSet of LibBatch are other classes in the same namespace; with both in one program their methods would be taken for each other. They are EndpointModel and EndpointIndexSet now.

--- a/Libraries/LibConfiguration/Configuration.cpp
+++ b/Libraries/LibConfiguration/Configuration.cpp
@@ -19,6 +19,11 @@
 
 const Model* Configuration::findModel(std::string_view name) const { return findByName(models, name); }
 
+const Workspace* Configuration::findWorkspaceByName(std::string_view name) const
+{
+    return findByName(workspaces, name);
+}
+
 const Workspace* Configuration::findWorkspace(std::string_view keyDigest) const
 {
     const auto it = std::ranges::find_if(workspaces, [&](const Workspace& workspace) {
--- a/Libraries/LibConfiguration/Configuration.h
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -71,6 +71,7 @@
     /// Returns the named item or null. May be called from any thread.
     const Service* findService(std::string_view name) const;
     const Model* findModel(std::string_view name) const;
+    const Workspace* findWorkspaceByName(std::string_view name) const;
     /// Returns the workspace that the digest of a key belongs to, or null.
     const Workspace* findWorkspace(std::string_view keyDigest) const;
 };
--- a/Libraries/LibRouting/IndexSet.h
+++ b/Libraries/LibRouting/EndpointIndexSet.h
@@ -9,7 +9,7 @@
 /// A set of small integers from which a random member can be taken in constant time.
 ///
 /// Thread safety: none.
-class IndexSet {
+class EndpointIndexSet {
 public:
     bool contains(uint32_t index) const { return index < m_places.size() && m_places[index] != absent; }
 
--- a/Libraries/LibRouting/EndpointState.cpp
+++ b/Libraries/LibRouting/EndpointModel.cpp
@@ -1,4 +1,4 @@
-#include <LibRouting/EndpointState.h>
+#include <LibRouting/EndpointModel.h>
 
 #include <algorithm>
 #include <cmath>
@@ -22,31 +22,31 @@
 
 }
 
-EndpointState::EndpointState(const SchedulerEndpoint& endpoint, const SchedulerSettings& settings)
+EndpointModel::EndpointModel(const SchedulerEndpoint& endpoint, const SchedulerSettings& settings)
     : info(endpoint)
     , limit(settings)
     , m_settings(settings)
 {
 }
 
-void EndpointState::noteLoadReport(uint32_t running)
+void EndpointModel::noteLoadReport(uint32_t running)
 {
     const double known = total();
     m_unknownLoad = std::max(0.0, m_unknownLoad + reportWeight * (running - known - m_unknownLoad));
 }
 
-bool EndpointState::hasLongRoom() const
+bool EndpointModel::hasLongRoom() const
 {
     const auto slots = static_cast<uint32_t>(std::floor((1 - m_settings.shortSlots) * limit.value()));
     return longOnline < std::max(1U, slots);
 }
 
-bool EndpointState::isProbeDue(MonotonicTime now) const
+bool EndpointModel::isProbeDue(MonotonicTime now) const
 {
     return m_isSuspect && takesNewWork() && online + batch == 0 && now >= m_probeAt;
 }
 
-double EndpointState::batchLimit() const
+double EndpointModel::batchLimit() const
 {
     const double most = limit.value();
     const double reserve = std::ceil(most * m_settings.onlineReserve);
@@ -60,7 +60,7 @@
     return std::min(aboveReserve, onlineLoad + extra);
 }
 
-uint32_t EndpointState::batchRoom(MonotonicTime now) const
+uint32_t EndpointModel::batchRoom(MonotonicTime now) const
 {
     if (!takesNewWork() || !info.ownsBatch || locality == Locality::OtherRegion || now < batchHoldUntil)
         return 0;
@@ -70,14 +70,14 @@
     return room > 0 ? static_cast<uint32_t>(room) : 0;
 }
 
-double EndpointState::predictedSeconds(double promptTokens, double tokens, MonotonicTime now) const
+double EndpointModel::predictedSeconds(double promptTokens, double tokens, MonotonicTime now) const
 {
     const double present = concurrency();
     const double own = speed.firstTokenSeconds(promptTokens) + tokens * speed.gapSeconds(present + 1);
     return own / health(now);
 }
 
-void EndpointState::updateAfterSample(bool maySuspect, MonotonicTime now)
+void EndpointModel::updateAfterSample(bool maySuspect, MonotonicTime now)
 {
     limit.update(speed, concurrency(), now);
     const double present = speed.health();
@@ -89,14 +89,14 @@
         m_isSuspect = false;
 }
 
-void EndpointState::suspect(MonotonicTime now)
+void EndpointModel::suspect(MonotonicTime now)
 {
     m_isSuspect = true;
     m_probeDelay = std::clamp<MonotonicTime::duration>(m_probeDelay * 2, firstProbeDelay, maxProbeDelay);
     m_probeAt = now + m_probeDelay;
 }
 
-void EndpointState::noteFailure(MonotonicTime now)
+void EndpointModel::noteFailure(MonotonicTime now)
 {
     if (++m_failures < suspectFailures && !m_isSuspect)
         return;
@@ -105,16 +105,16 @@
     suspect(now);
 }
 
-void EndpointState::noteSuccess()
+void EndpointModel::noteSuccess()
 {
     m_failures = 0;
     if (m_isSuspect && speed.health() >= suspectHealth)
         m_isSuspect = false;
 }
 
-void EndpointState::noteProbeStarted(MonotonicTime now) { suspect(now); }
+void EndpointModel::noteProbeStarted(MonotonicTime now) { suspect(now); }
 
-void EndpointState::updateOnlineMean(MonotonicTime now)
+void EndpointModel::updateOnlineMean(MonotonicTime now)
 {
     const double elapsed = toSeconds(now - m_onlineMeanAt);
     const double keep = std::exp(-elapsed / toSeconds(onlineMeanTime));
@@ -122,7 +122,7 @@
     m_onlineMeanAt = now;
 }
 
-bool EndpointState::isWaitingForIdle() const
+bool EndpointModel::isWaitingForIdle() const
 {
     return takesNewWork() && info.ownsBatch && allOnline() == 0 && m_onlineMean >= idleOnlineMean;
 }
--- a/Libraries/LibRouting/EndpointState.h
+++ b/Libraries/LibRouting/EndpointModel.h
@@ -16,9 +16,9 @@
 /// What the learned policy keeps for one endpoint.
 ///
 /// Thread safety: none.
-class EndpointState {
+class EndpointModel {
 public:
-    EndpointState(const SchedulerEndpoint&, const SchedulerSettings&);
+    EndpointModel(const SchedulerEndpoint&, const SchedulerSettings&);
 
     SchedulerEndpoint info;
     Locality locality { Locality::OwnDomain };
--- a/Libraries/LibRouting/Lane.h
+++ b/Libraries/LibRouting/Lane.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibRouting/BatchQueue.h>
-#include <LibRouting/EndpointState.h>
-#include <LibRouting/IndexSet.h>
+#include <LibRouting/EndpointIndexSet.h>
+#include <LibRouting/EndpointModel.h>
 #include <LibRouting/OnlineQueue.h>
 
 #include <array>
@@ -16,16 +16,16 @@
 struct Lane {
     std::string model;
     /// Endpoints that are present, not leaving and have the model.
-    IndexSet members;
+    EndpointIndexSet members;
     /// Members whose batch work this node dispatches.
-    IndexSet batchMembers;
+    EndpointIndexSet batchMembers;
     /// Members with room for online work, by locality.
-    std::array<IndexSet, 3> open;
+    std::array<EndpointIndexSet, 3> open;
     /// Members of the own domain with room for long online work.
-    IndexSet openLong;
-    IndexSet openBatch;
+    EndpointIndexSet openLong;
+    EndpointIndexSet openBatch;
     /// Suspect members that may be probed now.
-    IndexSet probes;
+    EndpointIndexSet probes;
 
     OnlineQueue shortQueue;
     OnlineQueue longQueue;
@@ -43,7 +43,7 @@
     size_t onlineQueued() const { return shortQueue.size() + longQueue.size(); }
     bool hasQueued() const { return onlineQueued() > 0 || !batchQueue.isEmpty(); }
 
-    const IndexSet& localOpen(bool isLong) const { return isLong ? openLong : open[0]; }
+    const EndpointIndexSet& localOpen(bool isLong) const { return isLong ? openLong : open[0]; }
 
     /// An attempt completed.
     void noteCompleted(double seconds, uint32_t tokens)
--- a/Libraries/LibRouting/LearnedScheduler.cpp
+++ b/Libraries/LibRouting/LearnedScheduler.cpp
@@ -59,7 +59,7 @@
 {
     const auto [it, isNew] = m_indexes.emplace(endpoint.id, static_cast<uint32_t>(m_endpoints.size()));
     if (isNew) {
-        m_endpoints.push_back(std::make_unique<EndpointState>(endpoint, m_settings));
+        m_endpoints.push_back(std::make_unique<EndpointModel>(endpoint, m_settings));
         m_endpoints.back()->isPresent = false;
         m_endpointTimerAt.emplace_back();
     }
@@ -74,7 +74,7 @@
     return isOwn ? Locality::OwnDomain : Locality::OtherDomain;
 }
 
-bool LearnedScheduler::serves(const EndpointState& endpoint, const std::string& model)
+bool LearnedScheduler::serves(const EndpointModel& endpoint, const std::string& model)
 {
     const std::vector<std::string>& models = endpoint.info.models;
     return models.empty() || std::ranges::find(models, model) != models.end();
@@ -97,7 +97,7 @@
 void LearnedScheduler::updateMembership(uint32_t laneIndex, uint32_t index)
 {
     Lane& lane = *m_lanes[laneIndex];
-    EndpointState& endpoint = *m_endpoints[index];
+    EndpointModel& endpoint = *m_endpoints[index];
     const bool isServed = serves(endpoint, lane.model);
     const bool isMember = isServed && endpoint.takesNewWork();
     lane.members.set(index, isMember);
@@ -107,7 +107,7 @@
         endpoint.lanes.push_back(laneIndex);
     if (!isServed && it != endpoint.lanes.end()) {
         endpoint.lanes.erase(it);
-        for (IndexSet& open : lane.open)
+        for (EndpointIndexSet& open : lane.open)
             open.erase(index);
         lane.openLong.erase(index);
         lane.openBatch.erase(index);
@@ -120,7 +120,7 @@
     for (const auto& endpoint : m_endpoints)
         endpoint->isPresent = false;
     for (const SchedulerEndpoint& it : endpoints) {
-        EndpointState& endpoint = *m_endpoints[intern(it)];
+        EndpointModel& endpoint = *m_endpoints[intern(it)];
         endpoint.info = it;
         endpoint.isPresent = true;
         endpoint.locality = localityOf(it);
@@ -185,7 +185,7 @@
 
 void LearnedScheduler::touch(uint32_t index, MonotonicTime now)
 {
-    EndpointState& endpoint = *m_endpoints[index];
+    EndpointModel& endpoint = *m_endpoints[index];
     endpoint.updateOnlineMean(now);
     const bool isOpen = endpoint.hasOnlineRoom();
     const bool isLocal = endpoint.locality == Locality::OwnDomain;
@@ -326,7 +326,7 @@
 bool LearnedScheduler::canRunSomewhere(const WorkEntry& entry) const
 {
     const Lane& lane = *m_lanes[entry.lane];
-    const IndexSet& members = entry.isOnline() ? lane.members : lane.batchMembers;
+    const EndpointIndexSet& members = entry.isOnline() ? lane.members : lane.batchMembers;
     if (entry.excluded.empty())
         return !members.isEmpty();
     return std::ranges::any_of(members, [&](uint32_t it) { return entry.mayRunOn(it); });
@@ -407,7 +407,7 @@
             return { probe, false };
     }
     const Matches matches = m_affinity.find(entry.work.prefixes, now);
-    const IndexSet& open = lane.localOpen(entry.isLong);
+    const EndpointIndexSet& open = lane.localOpen(entry.isLong);
     const double remaining = toSeconds(entry.work.deadline - now);
     auto choice = choose(open, entry, matches, now);
     if (choice && choice->seconds > remaining)
@@ -522,13 +522,13 @@
 LearnedScheduler::Choice LearnedScheduler::rate(
     uint32_t index, const WorkEntry& entry, double warmShare, MonotonicTime now) const
 {
-    const EndpointState& endpoint = *m_endpoints[index];
+    const EndpointModel& endpoint = *m_endpoints[index];
     const double prompt = entry.work.promptTokens * (1 - warmShare);
     return { index, endpoint.predictedSeconds(prompt, entry.expectedTokens, now), warmShare };
 }
 
 std::optional<LearnedScheduler::Choice> LearnedScheduler::choose(
-    const IndexSet& set, const WorkEntry& entry, const Matches& matches, MonotonicTime now)
+    const EndpointIndexSet& set, const WorkEntry& entry, const Matches& matches, MonotonicTime now)
 {
     std::optional<Choice> best;
     double bestCost = 0;
@@ -541,7 +541,7 @@
     const auto consider = [&](uint32_t index, double warmShare, double bonus) {
         if (!entry.mayRunOn(index))
             return;
-        const EndpointState& endpoint = *m_endpoints[index];
+        const EndpointModel& endpoint = *m_endpoints[index];
         const Choice choice = rate(index, entry, warmShare, now);
         // The other streams there become slower by the slope for every token of this one.
         const double burden = entry.expectedTokens * endpoint.speed.gapSlopeSeconds() * endpoint.concurrency();
@@ -582,7 +582,7 @@
 }
 
 std::optional<LearnedScheduler::Choice> LearnedScheduler::chooseAmongAll(
-    const IndexSet& set, const WorkEntry& entry, MonotonicTime now) const
+    const EndpointIndexSet& set, const WorkEntry& entry, MonotonicTime now) const
 {
     std::optional<Choice> best;
     for (const uint32_t index : set) {
@@ -595,7 +595,7 @@
 
 void LearnedScheduler::start(WorkEntry& entry, const Choice& choice, MonotonicTime now)
 {
-    EndpointState& endpoint = *m_endpoints[choice.endpoint];
+    EndpointModel& endpoint = *m_endpoints[choice.endpoint];
     assert(endpoint.takesNewWork());
     assert(entry.work.repeatable || !entry.hasStarted);
     Lane& lane = *m_lanes[entry.lane];
@@ -659,7 +659,7 @@
 
 void LearnedScheduler::makeRoom(uint32_t index, MonotonicTime now)
 {
-    EndpointState& endpoint = *m_endpoints[index];
+    EndpointModel& endpoint = *m_endpoints[index];
     const uint32_t limit = endpoint.limit.value();
     if (endpoint.total() <= limit || endpoint.batch + endpoint.peerBatch == 0)
         return;
@@ -673,7 +673,7 @@
 
 uint32_t LearnedScheduler::cancelBatch(uint32_t index, uint32_t count, MonotonicTime now)
 {
-    EndpointState& endpoint = *m_endpoints[index];
+    EndpointModel& endpoint = *m_endpoints[index];
     std::vector<std::pair<uint32_t, WorkId>> byProgress;
     for (const WorkId id : endpoint.batchWorks) {
         const WorkEntry& entry = m_entries.at(id);
@@ -696,7 +696,7 @@
 
 void LearnedScheduler::release(WorkEntry& entry, Attempt& attempt, MonotonicTime now)
 {
-    EndpointState& endpoint = *m_endpoints[attempt.endpoint];
+    EndpointModel& endpoint = *m_endpoints[attempt.endpoint];
     endpoint.updateOnlineMean(now);
     if (entry.isOnline()) {
         --endpoint.online;
@@ -730,7 +730,7 @@
 
 void LearnedScheduler::noteSample(uint32_t index, MonotonicTime now)
 {
-    EndpointState& endpoint = *m_endpoints[index];
+    EndpointModel& endpoint = *m_endpoints[index];
     const bool wasSuspect = endpoint.isSuspect();
     const bool maySuspect = m_suspectCount < maxSuspectShare * m_presentCount;
     endpoint.updateAfterSample(maySuspect, now);
@@ -752,7 +752,7 @@
     if (found == entry.attempts.end() || found->isCancelled)
         return;
     Attempt& attempt = *found;
-    EndpointState& endpoint = *m_endpoints[*index];
+    EndpointModel& endpoint = *m_endpoints[*index];
     if (endpoint.locality == Locality::OtherRegion && attempt.tokens + count > entry.expectedTokens)
         m_regionBytes.charge(static_cast<double>(count) * m_settings.bytesPerGeneratedToken, now);
     if (attempt.tokens == 0) {
@@ -778,7 +778,7 @@
 
 void LearnedScheduler::learnFromCompletion(const WorkEntry& entry, const Attempt& attempt, MonotonicTime now)
 {
-    EndpointState& endpoint = *m_endpoints[attempt.endpoint];
+    EndpointModel& endpoint = *m_endpoints[attempt.endpoint];
     const double seconds = toSeconds(now - attempt.started);
     if (attempt.tokens == 0)
         endpoint.speed.addFirstToken(attempt.promptTokens, seconds);
@@ -825,7 +825,7 @@
         release(entry, *found, now);
     entry.attempts.erase(found);
 
-    EndpointState& endpoint = *m_endpoints[*index];
+    EndpointModel& endpoint = *m_endpoints[*index];
     const bool wasSuspect = endpoint.isSuspect();
     const bool hasFailed = outcome == AttemptOutcome::Failed || outcome == AttemptOutcome::Refused;
     if (outcome == AttemptOutcome::Completed) {
@@ -872,7 +872,7 @@
     return false;
 }
 
-bool LearnedScheduler::isBlockedByOnline(const EndpointState& endpoint) const
+bool LearnedScheduler::isBlockedByOnline(const EndpointModel& endpoint) const
 {
     return std::ranges::any_of(endpoint.lanes, [&](uint32_t it) {
         const Lane& lane = *m_lanes[it];
@@ -893,7 +893,7 @@
         std::optional<uint32_t> best;
         uint32_t bestRoom = 0;
         const auto consider = [&](uint32_t index) {
-            const EndpointState& endpoint = *m_endpoints[index];
+            const EndpointModel& endpoint = *m_endpoints[index];
             const uint32_t room = endpoint.batchRoom(now);
             if (room > bestRoom && entry.mayRunOn(index) && !isBlockedByOnline(endpoint)) {
                 best = index;
@@ -935,7 +935,7 @@
 void LearnedScheduler::applyPeerLoads(const std::vector<PeerLoads::Load>& loads, bool isAdded, MonotonicTime now)
 {
     for (const PeerLoads::Load& load : loads) {
-        EndpointState& endpoint = *m_endpoints[load.endpoint];
+        EndpointModel& endpoint = *m_endpoints[load.endpoint];
         endpoint.updateOnlineMean(now);
         if (isAdded) {
             endpoint.peerOnline += load.online;
@@ -971,7 +971,7 @@
     const auto index = indexOf(endpointId);
     if (!index)
         return;
-    EndpointState& endpoint = *m_endpoints[*index];
+    EndpointModel& endpoint = *m_endpoints[*index];
     endpoint.batchHoldUntil = std::max(endpoint.batchHoldUntil, now + m_settings.yieldHold);
     cancelBatch(*index, std::max(1U, endpoint.batch / yieldShare), now);
     touch(*index, now);
@@ -1009,7 +1009,7 @@
 {
     std::vector<EndpointView> list;
     for (EndpointSummary& it : summary(now)) {
-        const EndpointState& endpoint = *m_endpoints[m_indexes.at(it.endpoint)];
+        const EndpointModel& endpoint = *m_endpoints[m_indexes.at(it.endpoint)];
         list.push_back({ endpoint.info, std::move(it), endpoint.limit.value(), endpoint.health(now) });
     }
     return list;
--- a/Libraries/LibRouting/LearnedScheduler.h
+++ b/Libraries/LibRouting/LearnedScheduler.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Random.h>
 #include <LibRouting/ByteBudget.h>
-#include <LibRouting/EndpointState.h>
+#include <LibRouting/EndpointModel.h>
 #include <LibRouting/Lane.h>
 #include <LibRouting/LengthPredictor.h>
 #include <LibRouting/PeerLoads.h>
@@ -70,7 +70,7 @@
     uint32_t intern(const SchedulerEndpoint&);
     Locality localityOf(const SchedulerEndpoint&) const;
     uint32_t laneOf(const std::string& model, MonotonicTime now);
-    static bool serves(const EndpointState&, const std::string& model);
+    static bool serves(const EndpointModel&, const std::string& model);
 
     // Endpoints and the sets of the lanes that they are in.
     void touch(uint32_t endpoint, MonotonicTime now);
@@ -94,8 +94,8 @@
     void dequeue(WorkEntry&);
     void dispatchQueue(Lane&, bool isLong, MonotonicTime now);
     void hedge(WorkEntry&, MonotonicTime now);
-    std::optional<Choice> choose(const IndexSet&, const WorkEntry&, const Matches&, MonotonicTime now);
-    std::optional<Choice> chooseAmongAll(const IndexSet&, const WorkEntry&, MonotonicTime now) const;
+    std::optional<Choice> choose(const EndpointIndexSet&, const WorkEntry&, const Matches&, MonotonicTime now);
+    std::optional<Choice> chooseAmongAll(const EndpointIndexSet&, const WorkEntry&, MonotonicTime now) const;
     Choice rate(uint32_t endpoint, const WorkEntry&, double warmShare, MonotonicTime now) const;
     bool canRunSomewhere(const WorkEntry&) const;
     bool takeRegionBytes(const WorkEntry&, MonotonicTime now);
@@ -104,7 +104,7 @@
 
     // Batch work.
     void dispatchBatch(Lane&, MonotonicTime now);
-    bool isBlockedByOnline(const EndpointState&) const;
+    bool isBlockedByOnline(const EndpointModel&) const;
     void makeRoom(uint32_t endpoint, MonotonicTime now);
     uint32_t cancelBatch(uint32_t endpoint, uint32_t count, MonotonicTime now);
 
@@ -120,7 +120,7 @@
     SchedulerSettings m_settings;
     Random& m_random;
 
-    std::vector<std::unique_ptr<EndpointState>> m_endpoints;
+    std::vector<std::unique_ptr<EndpointModel>> m_endpoints;
     std::unordered_map<std::string, uint32_t> m_indexes;
     std::vector<std::unique_ptr<Lane>> m_lanes;
     std::unordered_map<std::string, uint32_t> m_laneIndexes;
