--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -1,7 +1,7 @@
 #include <LibHTTP/QtHttpClient.h>
 
-#include <Tests/LibHTTP/RecordingObserver.h>
-#include <Tests/LibHTTP/ScriptedServer.h>
+#include <Tests/Support/RecordingObserver.h>
+#include <Tests/Support/ScriptedServer.h>
 #include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
 
@@ -171,7 +171,7 @@
     QtHttpClient client;
     CHECK(run(client, makeRequest(server.address())).finished == 1);
     HttpCallRequest request = makeRequest(server.address());
-    request.progressTimeout = Milliseconds { 50 };
+    request.progressTimeout = Milliseconds { 1500 };
     const RecordingObserver silent = run(client, request);
     CHECK(silent.failure->phase == Phase::Sent);
     CHECK(silent.failure->reason == Reason::TimedOut);
