--- a/Tests/LibHTTP/TestHttpServer.cpp
+++ b/Tests/LibHTTP/TestHttpServer.cpp
@@ -1,17 +1,27 @@
 #include <LibHTTP/QtHttpServer.h>
 
+#include <LibCore/Error.h>
 #include <Tests/LibHTTP/RawCaller.h>
 #include <Tests/LibHTTP/RecordingHandler.h>
 #include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
 
+#include <cerrno>
+#include <sys/socket.h>
+#include <unistd.h>
+
 using namespace Chicorydock;
 
 namespace {
 
 struct Fixture {
+    explicit Fixture(const HttpServerLimits& limits = {})
+        : server(handler, limits)
+    {
+    }
+
     RecordingHandler handler;
-    HttpServer server { handler };
+    HttpServer server;
     uint16_t port { server.listen("127.0.0.1:0") };
 
     bool waitForExchanges(size_t n)
@@ -97,3 +107,197 @@
     CHECK(old.received().endsWith("\r\n\r\nhello"));
     CHECK(old.socket().error() == QAbstractSocket::RemoteHostClosedError);
 }
+
+// Guards against a stream broken off half-way that passes for a whole one, and against tokens lost before the break.
+TEST_CASE("an aborted chunked stream has no end of body")
+{
+    Fixture fixture;
+    RawCaller caller(fixture.port);
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    const auto exchange = fixture.handler.exchanges[0];
+    exchange->startStream(200, {});
+    exchange->sendChunk("half");
+    exchange->abortStream();
+    REQUIRE(waitFor([&] { return caller.isClosed(); }));
+    CHECK(caller.received().endsWith("4\r\nhalf\r\n"));
+    CHECK(waitFor([&] { return fixture.server.activeExchanges() == 0; }));
+}
+
+// Guards against an orderly close, which for an HTTP/1.0 caller marks the end of a whole body.
+TEST_CASE("an aborted stream resets the connection of an HTTP/1.0 caller")
+{
+    Fixture fixture;
+    RawCaller caller(fixture.port);
+    // Qt reports a reset and an orderly close alike, so the test reads from the descriptor itself.
+    const int descriptor = ::dup(static_cast<int>(caller.socket().socketDescriptor()));
+    caller.send("GET / HTTP/1.0\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    const auto exchange = fixture.handler.exchanges[0];
+    exchange->startStream(200, {});
+    exchange->abortStream();
+    char buffer[1024];
+    ssize_t result = 1;
+    while (result > 0 || (result < 0 && errno == EAGAIN))
+        result = ::recv(descriptor, buffer, sizeof(buffer), MSG_DONTWAIT);
+    CHECK(result == -1);
+    CHECK(errno == ECONNRESET);
+    ::close(descriptor);
+}
+
+// Guards against a caller that waits for ever because a handler lost its request.
+TEST_CASE("a dropped request is answered with an internal error")
+{
+    Fixture fixture;
+    RawCaller caller(fixture.port);
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    fixture.handler.exchanges.clear();
+    CHECK(waitFor([&] { return caller.received().contains("\"internal\""); }));
+}
+
+// Guards against one bad caller that stops the service for the others: each bad input is answered with its error and
+// ends only its own connection.
+TEST_CASE("bad input is answered with its error and the server keeps serving")
+{
+    const auto [input, kind] = GENERATE(table<const char*, ErrorKind>({
+        { "nonsense\r\n\r\n", ErrorKind::MalformedRequest },
+        { "POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n", ErrorKind::MalformedRequest },
+        { "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\nstart", ErrorKind::BodyTooLarge },
+        { "POST / HTTP/1.1\r\nContent-Length: 500\r\n\r\nstalls", ErrorKind::RequestTimeout },
+        { "POST / HTTP/1.1\r\nConte", ErrorKind::RequestTimeout },
+        { "TRACE / HTTP/1.1\r\n\r\n", ErrorKind::UnsupportedMethod },
+        { "BREW / HTTP/1.1\r\n\r\n", ErrorKind::UnsupportedMethod },
+    }));
+    CAPTURE(input);
+    HttpServerLimits limits;
+    limits.maxBodyBytes = 1000;
+    limits.requestTimeout = Milliseconds { 300 };
+    Fixture fixture(limits);
+    RawCaller bad(fixture.port);
+    bad.send(input);
+    REQUIRE(waitFor([&] { return bad.isClosed(); }));
+    const ErrorRow& row = errorRow(kind);
+    CHECK(bad.received().startsWith("HTTP/1.1 " + QByteArray::number(row.httpStatus)));
+    CHECK(bad.received().contains(QByteArrayView(row.name.data(), static_cast<qsizetype>(row.name.size()))));
+    CHECK(bad.received().contains("Connection: close\r\n"));
+    CHECK(fixture.handler.exchanges.empty());
+    RawCaller good(fixture.port);
+    good.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    fixture.handler.exchanges[0]->answer(plain("alive"));
+    CHECK(waitFor([&] { return good.received().endsWith("alive"); }));
+}
+
+// Guards against an answer to an oversized body that is lost because the connection is reset while the caller sends.
+TEST_CASE("the answer to an oversized body reaches a caller that goes on sending")
+{
+    HttpServerLimits limits;
+    limits.maxBodyBytes = 1000;
+    Fixture fixture(limits);
+    RawCaller caller(fixture.port);
+    caller.send("POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n");
+    caller.send(QByteArray(4'000'000, 'x'));
+    REQUIRE(waitFor([&] { return caller.isClosed(); }));
+    CHECK(caller.received().startsWith("HTTP/1.1 413"));
+}
+
+// Guards against an unbounded buffer for a caller that sends requests without reading answers.
+TEST_CASE("requests that arrive during an answer stay in a bounded buffer")
+{
+    Fixture fixture;
+    RawCaller caller(fixture.port);
+    const QByteArray request = "GET / HTTP/1.1\r\n\r\n";
+    // More than the socket buffers of both sides and the buffer of the server hold together.
+    const qsizetype requests = 32'000'000 / request.size();
+    caller.send(request.repeated(requests));
+    REQUIRE(fixture.waitForExchanges(1));
+    QElapsedTimer timer;
+    timer.start();
+    waitFor([&] { return timer.elapsed() > 200; });
+    CHECK(fixture.handler.exchanges.size() == 1);
+    CHECK(caller.socket().bytesToWrite() > 0);
+}
+
+// Guards against a caller that is told to send its body only after the server gave up waiting for it.
+TEST_CASE("a caller that expects 100-continue gets it before the body")
+{
+    Fixture fixture;
+    RawCaller caller(fixture.port);
+    caller.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    REQUIRE(waitFor([&] { return caller.received() == "HTTP/1.1 100 Continue\r\n\r\n"; }));
+    caller.send("ok");
+    REQUIRE(fixture.waitForExchanges(1));
+    CHECK(fixture.handler.exchanges[0]->request().body == "ok");
+}
+
+// Guards against a shutdown that interrupts a request, or that waits for callers that keep idle connections open.
+TEST_CASE("draining closes idle connections and lets requests in progress end")
+{
+    Fixture fixture;
+    RawCaller idle(fixture.port);
+    idle.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    fixture.handler.exchanges[0]->answer(plain("first"));
+    REQUIRE(waitFor([&] { return idle.received().endsWith("first"); }));
+    CHECK_FALSE(idle.received().contains("Connection: close"));
+    RawCaller busy(fixture.port);
+    busy.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(2));
+    RawCaller unused(fixture.port);
+
+    fixture.server.setDraining(true);
+    CHECK(waitFor([&] { return idle.isClosed(); }));
+    CHECK_FALSE(busy.isClosed());
+    // Connected, but perhaps not accepted yet.
+    fixture.server.stopListening();
+    unused.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(3));
+    fixture.handler.exchanges[1]->answer(plain("second"));
+    fixture.handler.exchanges[2]->answer(plain("third"));
+    CHECK(waitFor([&] { return busy.isClosed() && unused.isClosed(); }));
+    CHECK(busy.received().contains("Connection: close"));
+    CHECK(busy.received().endsWith("second"));
+    CHECK(unused.received().endsWith("third"));
+    CHECK(waitFor([&] { return fixture.server.activeExchanges() == 0; }));
+}
+
+// Guards against a slow caller that a handler cannot see, and against one that blocks the server for ever.
+TEST_CASE("a caller that does not read is visible and is disconnected in the end")
+{
+    HttpServerLimits limits;
+    limits.requestTimeout = Milliseconds { 500 };
+    Fixture fixture(limits);
+    RawCaller caller(fixture.port);
+    caller.socket().setReadBufferSize(1);
+    caller.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    int gone = 0;
+    const auto exchange = fixture.handler.exchanges[0];
+    exchange->setCallerGoneHandler([&] { ++gone; });
+    exchange->startStream(200, {});
+    exchange->sendChunk(QByteArray(32'000'000, 'x'));
+    CHECK(exchange->bytesToWrite() > 0);
+    CHECK(waitFor([&] { return gone == 1; }));
+    CHECK(exchange->isCallerGone());
+}
+
+// Guards against answers that a handler splits into two by a line break in a field.
+TEST_CASE("fields with line breaks are left out")
+{
+    const QByteArray head = formatAnswerHead(
+        200, { { "X-Good", "1" }, { "X-Bad", "1\r\nX-Injected: 2" } }, BodyFraming::ContentLength, 0, false);
+    CHECK(head == "HTTP/1.1 200 OK\r\nX-Good: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+// Guards against I/O threads that cannot share the port.
+TEST_CASE("two servers can listen on one port, and a bad address is an error")
+{
+    Fixture first;
+    RecordingHandler handler;
+    HttpServer second(handler);
+    CHECK(second.listen("127.0.0.1:" + std::to_string(first.port)) == first.port);
+    HttpServer third(handler);
+    for (const char* address : { "127.0.0.1", "127.0.0.1:x", "localhost:1", "127.0.0.1:70000", "192.0.2.1:1" })
+        CHECK_THROWS_AS(third.listen(address), Error);
+}
