LibOperator: Use the conversions and the history type of LibConfiguration

LibConfiguration now converts configurations to their schema and defines RevisionInfo, so the private copies here are removed. Names in TextRule accept the characters that LibConfiguration's validator accepts.

--- a/Libraries/LibOperator/OperatorClient.cpp
+++ b/Libraries/LibOperator/OperatorClient.cpp
@@ -1,5 +1,6 @@
 #include <LibOperator/OperatorClient.h>
 
+#include <LibConfiguration/ConfigurationSchema.h>
 #include <LibCore/Error.h>
 #include <LibOperator/OperatorMessages.h>
 #include <Schema/Node.capnp.h>
@@ -88,7 +89,7 @@
 uint64_t OperatorClient::apply(const Configuration& configuration, uint64_t expectedRevision)
 {
     auto request = m_connection->node.applyRequest();
-    write(configuration, request.initConfiguration());
+    toSchema(configuration, request.initConfiguration());
     request.setExpectedRevision(expectedRevision);
     return change(request).getRevision();
 }
@@ -96,10 +97,10 @@
 Configuration OperatorClient::configuration()
 {
     auto request = m_connection->node.configurationRequest();
-    return Chicorydock::read(read(request).getConfiguration());
+    return fromSchema(read(request).getConfiguration());
 }
 
-std::vector<RevisionSummary> OperatorClient::history(uint32_t limit)
+std::vector<RevisionInfo> OperatorClient::history(uint32_t limit)
 {
     auto request = m_connection->node.historyRequest();
     request.setLimit(limit);
--- a/Libraries/LibOperator/OperatorHandler.h
+++ b/Libraries/LibOperator/OperatorHandler.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBatch/JobService.h>
-#include <LibConfiguration/Configuration.h>
+#include <LibConfiguration/ConfigurationStore.h>
 #include <LibLog/EventLog.h>
 #include <LibOperator/OperatorTypes.h>
 
@@ -34,7 +34,7 @@
     virtual Configuration configuration() = 0;
 
     /// Returns the newest revisions, newest first.
-    virtual std::vector<RevisionSummary> history(uint32_t limit) = 0;
+    virtual std::vector<RevisionInfo> history(uint32_t limit) = 0;
 
     /// See `JobService`; an operator sees the jobs of all workspaces.
     virtual JobView submitJob(const JobSubmission&) = 0;
--- a/Libraries/LibOperator/OperatorMessages.cpp
+++ b/Libraries/LibOperator/OperatorMessages.cpp
@@ -54,32 +54,6 @@
 
     std::string toString(capnp::Text::Reader text) { return { text.begin(), text.size() }; }
 
-    template <typename ListBuilder> void writeTexts(const std::vector<std::string>& texts, ListBuilder list)
-    {
-        for (uint32_t n = 0; n < texts.size(); ++n)
-            list.set(n, toText(texts[n]));
-    }
-
-    std::vector<std::string> readTexts(capnp::List<capnp::Text>::Reader list)
-    {
-        std::vector<std::string> texts;
-        texts.reserve(list.size());
-        for (const auto it : list)
-            texts.push_back(toString(it));
-        return texts;
-    }
-
-    Service::Kind readKind(Schema::Service::Kind kind)
-    {
-        switch (kind) {
-        case Schema::Service::Kind::ENGINE:
-            return Service::Kind::Engine;
-        case Schema::Service::Kind::PLAIN:
-            return Service::Kind::Plain;
-        }
-        throw Error(ErrorKind::MalformedRequest, "unknown kind of service");
-    }
-
 }
 
 std::string_view stateName(MemberUpdate::State state) { return nameOf(memberStates, state); }
@@ -138,67 +112,6 @@
     };
 }
 
-void write(const Service& service, Schema::Service::Builder out)
-{
-    out.setName(toText(service.name));
-    out.setKind(service.kind == Service::Kind::Plain ? Schema::Service::Kind::PLAIN : Schema::Service::Kind::ENGINE);
-    out.setChecksFencing(service.checksFencing);
-    const auto routes = static_cast<uint32_t>(service.unrepeatableRoutes.size());
-    writeTexts(service.unrepeatableRoutes, out.initUnrepeatableRoutes(routes));
-    out.setFirstTokenTargetMs(service.firstTokenTargetMs);
-    out.setTokenGapTargetMs(service.tokenGapTargetMs);
-}
-
-Service read(Schema::Service::Reader in)
-{
-    return {
-        .name = toString(in.getName()),
-        .kind = readKind(in.getKind()),
-        .checksFencing = in.getChecksFencing(),
-        .unrepeatableRoutes = readTexts(in.getUnrepeatableRoutes()),
-        .firstTokenTargetMs = in.getFirstTokenTargetMs(),
-        .tokenGapTargetMs = in.getTokenGapTargetMs(),
-    };
-}
-
-void write(const Model& model, Schema::Model::Builder out)
-{
-    out.setName(toText(model.name));
-    out.setService(toText(model.service));
-    out.setVersion(toText(model.version));
-    writeTexts(model.adapters, out.initAdapters(static_cast<uint32_t>(model.adapters.size())));
-    out.setReplicasPerDomain(model.replicasPerDomain);
-}
-
-Model read(Schema::Model::Reader in)
-{
-    return {
-        .name = toString(in.getName()),
-        .service = toString(in.getService()),
-        .version = toString(in.getVersion()),
-        .adapters = readTexts(in.getAdapters()),
-        .replicasPerDomain = in.getReplicasPerDomain(),
-    };
-}
-
-void write(const Workspace& workspace, Schema::Workspace::Builder out)
-{
-    out.setName(toText(workspace.name));
-    writeTexts(workspace.keyDigests, out.initKeyDigests(static_cast<uint32_t>(workspace.keyDigests.size())));
-    out.setWorth(workspace.worth);
-    out.setMaxInFlight(workspace.maxInFlight);
-}
-
-Workspace read(Schema::Workspace::Reader in)
-{
-    return {
-        .name = toString(in.getName()),
-        .keyDigests = readTexts(in.getKeyDigests()),
-        .worth = in.getWorth(),
-        .maxInFlight = in.getMaxInFlight(),
-    };
-}
-
 void write(const NodeStatus& status, Schema::NodeStatus::Builder out)
 {
     out.setNodeId(toText(status.nodeId));
@@ -267,29 +180,7 @@
     };
 }
 
-void write(const Configuration& configuration, Schema::Configuration::Builder out)
-{
-    out.setRevision(configuration.revision);
-    out.setRequestId(toText(configuration.requestId));
-    out.setAuthor(toText(configuration.author));
-    writeList(configuration.services, out.initServices(static_cast<uint32_t>(configuration.services.size())));
-    writeList(configuration.models, out.initModels(static_cast<uint32_t>(configuration.models.size())));
-    writeList(configuration.workspaces, out.initWorkspaces(static_cast<uint32_t>(configuration.workspaces.size())));
-}
-
-Configuration read(Schema::Configuration::Reader in)
-{
-    return {
-        .revision = in.getRevision(),
-        .requestId = toString(in.getRequestId()),
-        .author = toString(in.getAuthor()),
-        .services = readList(in.getServices()),
-        .models = readList(in.getModels()),
-        .workspaces = readList(in.getWorkspaces()),
-    };
-}
-
-void write(const RevisionSummary& summary, Schema::RevisionSummary::Builder out)
+void write(const RevisionInfo& summary, Schema::RevisionSummary::Builder out)
 {
     out.setRevision(summary.revision);
     out.setAuthor(toText(summary.author));
@@ -297,7 +188,7 @@
     out.setAcceptedMs(toUnixMilliseconds(summary.accepted));
 }
 
-RevisionSummary read(Schema::RevisionSummary::Reader in)
+RevisionInfo read(Schema::RevisionSummary::Reader in)
 {
     return {
         .revision = in.getRevision(),
--- a/Libraries/LibOperator/OperatorMessages.h
+++ b/Libraries/LibOperator/OperatorMessages.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibBatch/JobService.h>
-#include <LibConfiguration/Configuration.h>
+#include <LibConfiguration/ConfigurationStore.h>
 #include <LibLog/EventLog.h>
 #include <LibOperator/OperatorTypes.h>
 #include <Schema/Operator.capnp.h>
@@ -12,30 +12,23 @@
 
 namespace Chicorydock {
 
-/// Conversions between the value types of operators' calls and their Cap'n Proto structs. A reader throws
+/// Conversions between the value types of operators' calls and their Cap'n Proto structs; those of a
+/// configuration are in LibConfiguration. A reader throws
 /// Error(MalformedRequest) on a value that this version does not know. May be called from any thread.
 void write(const MemberUpdate&, Schema::MemberStatus::Builder);
 void write(const ServiceStatus&, Schema::ServiceStatus::Builder);
-void write(const Service&, Schema::Service::Builder);
-void write(const Model&, Schema::Model::Builder);
-void write(const Workspace&, Schema::Workspace::Builder);
 void write(const NodeStatus&, Schema::NodeStatus::Builder);
 void write(const EndpointStatus&, Schema::EndpointStatus::Builder);
-void write(const Configuration&, Schema::Configuration::Builder);
-void write(const RevisionSummary&, Schema::RevisionSummary::Builder);
+void write(const RevisionInfo&, Schema::RevisionSummary::Builder);
 void write(const JobSubmission&, Schema::BatchJob::Builder);
 void write(const JobView&, Schema::JobStatus::Builder);
 void write(const Event&, Schema::TimelineEvent::Builder);
 
 MemberUpdate read(Schema::MemberStatus::Reader);
 ServiceStatus read(Schema::ServiceStatus::Reader);
-Service read(Schema::Service::Reader);
-Model read(Schema::Model::Reader);
-Workspace read(Schema::Workspace::Reader);
 NodeStatus read(Schema::NodeStatus::Reader);
 EndpointStatus read(Schema::EndpointStatus::Reader);
-Configuration read(Schema::Configuration::Reader);
-RevisionSummary read(Schema::RevisionSummary::Reader);
+RevisionInfo read(Schema::RevisionSummary::Reader);
 JobSubmission read(Schema::BatchJob::Reader);
 JobView read(Schema::JobStatus::Reader);
 Event read(Schema::TimelineEvent::Reader);
--- a/Libraries/LibOperator/OperatorServer.cpp
+++ b/Libraries/LibOperator/OperatorServer.cpp
@@ -1,5 +1,6 @@
 #include <LibOperator/OperatorServer.h>
 
+#include <LibConfiguration/ConfigurationSchema.h>
 #include <LibOperator/OperatorMessages.h>
 #include <LibRPC/CrossThread.h>
 
@@ -27,10 +28,10 @@
     }
 
     /// Reads parameters; a value that cannot be read reaches the caller as an error of its own kind.
-    template <typename Reader> auto readParameter(Reader reader)
+    template <typename Read> auto readParameter(Read read)
     {
         try {
-            return read(reader);
+            return read();
         } catch (const Error& error) {
             kj::throwFatalException(toRpcException(error));
         }
@@ -65,7 +66,7 @@
 kj::Promise<void> OperatorServer::apply(ApplyContext context)
 {
     const uint64_t expectedRevision = context.getParams().getExpectedRevision();
-    Configuration configuration = readParameter(context.getParams().getConfiguration());
+    Configuration configuration = readParameter([&] { return fromSchema(context.getParams().getConfiguration()); });
     return answer(
         m_post, context,
         [&handler = m_handler, expectedRevision, configuration = std::move(configuration)] {
@@ -78,7 +79,7 @@
 {
     return answer(
         m_post, context, [&handler = m_handler] { return handler.configuration(); },
-        [](auto results, const Configuration& configuration) { write(configuration, results.initConfiguration()); });
+        [](auto results, const Configuration& configuration) { toSchema(configuration, results.initConfiguration()); });
 }
 
 kj::Promise<void> OperatorServer::history(HistoryContext context)
@@ -86,14 +87,14 @@
     const uint32_t limit = std::min(context.getParams().getLimit(), maxRevisions);
     return answer(
         m_post, context, [&handler = m_handler, limit] { return handler.history(limit); },
-        [](auto results, const std::vector<RevisionSummary>& revisions) {
+        [](auto results, const std::vector<RevisionInfo>& revisions) {
             writeList(revisions, results.initRevisions(static_cast<uint32_t>(revisions.size())));
         });
 }
 
 kj::Promise<void> OperatorServer::submitJob(SubmitJobContext context)
 {
-    JobSubmission job = readParameter(context.getParams().getJob());
+    JobSubmission job = readParameter([&] { return read(context.getParams().getJob()); });
     // The items may be large and are copied already.
     context.releaseParams();
     return answer(
--- a/Libraries/LibOperator/OperatorTypes.h
+++ b/Libraries/LibOperator/OperatorTypes.h
@@ -70,14 +70,4 @@
     auto operator<=>(const EndpointStatus&) const = default;
 };
 
-/// One accepted configuration revision.
-struct RevisionSummary {
-    uint64_t revision { 0 };
-    std::string author;
-    std::string requestId;
-    WallTime accepted;
-
-    auto operator<=>(const RevisionSummary&) const = default;
-};
-
 }
--- a/Libraries/LibSettings/TextRule.cpp
+++ b/Libraries/LibSettings/TextRule.cpp
@@ -64,10 +64,11 @@
 TextRule TextRule::name()
 {
     return { [](std::string_view text) {
-                return !text.empty() && text.size() <= maxNameLength
-                    && std::ranges::all_of(text, [](char c) { return c > ' ' && c <= '~'; });
+                return !text.empty() && text.size() <= maxNameLength && std::ranges::all_of(text, [](char c) {
+                    return isIdentifierCharacter(c) || c == '/' || c == ':';
+                });
             },
-        "a name of at most 128 printable ASCII characters without spaces" };
+        "a name of at most 128 letters, digits, '.', '_', '-', '/' and ':'" };
 }
 
 TextRule TextRule::address()
--- a/Libraries/LibSettings/TextRule.h
+++ b/Libraries/LibSettings/TextRule.h
@@ -19,7 +19,7 @@
     static TextRule notEmpty();
     /// 1 to 128 letters, digits, `.`, `_` and `-`. Identifiers become parts of row keys, so `/` is not allowed.
     static TextRule identifier();
-    /// 1 to 128 printable ASCII characters without spaces; model names may contain `/` and `:`.
+    /// Like `identifier()`, but `/` and `:` are allowed, too.
     static TextRule name();
     /// `HOST:PORT` with an IP number as host (IPv6 in brackets) and a port from 1 to 65535.
     static TextRule address();
--- a/Tests/LibOperator/TestOperatorClient.cpp
+++ b/Tests/LibOperator/TestOperatorClient.cpp
@@ -1,3 +1,4 @@
+#include <LibConfiguration/ConfigurationSchema.h>
 #include <LibCore/Error.h>
 #include <LibOperator/OperatorClient.h>
 #include <Tests/LibOperator/MockOperatorHandler.h>
@@ -100,7 +101,7 @@
     }
     SECTION("history")
     {
-        const RevisionSummary revision { 4, "amaya", "r", fromUnixMilliseconds(1'700'000'000'001) };
+        const RevisionInfo revision { 4, "amaya", "r", fromUnixMilliseconds(1'700'000'000'001) };
         REQUIRE_CALL(handler, history(5)).RETURN(std::vector { revision });
         CHECK(client.history(5) == std::vector { revision });
     }
@@ -171,7 +172,7 @@
     MockOperatorHandler handler;
     const ServedOperator node(handler);
     OperatorClient client(node.address(), ampleTimeouts);
-    REQUIRE_CALL(handler, history(10'000)).RETURN(std::vector<RevisionSummary> {});
+    REQUIRE_CALL(handler, history(10'000)).RETURN(std::vector<RevisionInfo> {});
     REQUIRE_CALL(handler, jobResults(_, 0, 10'000)).RETURN(ResultPage {});
     REQUIRE_CALL(handler, timeline(_, 100'000)).RETURN(std::vector<Event> {});
     client.history(UINT32_MAX);
