--- a/Utilities/chicorydock/Commands.cpp
+++ b/Utilities/chicorydock/Commands.cpp
@@ -1,5 +1,6 @@
 #include <Utilities/chicorydock/Commands.h>
 
+#include <LibConfiguration/ConfigurationValidator.h>
 #include <LibCore/Digest.h>
 #include <LibLog/EventJson.h>
 #include <LibLog/RecordingEventLog.h>
@@ -138,6 +139,11 @@
         configuration.requestId = context.line.requestId;
         if (configuration.requestId.empty())
             configuration.requestId = sha256Hex(std::to_string(expected) + "\n" + content).substr(0, requestIdLength);
+        try {
+            validate(configuration);
+        } catch (const Error& error) {
+            throw ToolFailure::of(error, ExitCode::Usage);
+        }
         uint64_t revision = 0;
         try {
             revision = context.nodes.askFirst([&configuration = configuration, expected](OperatorHandler& node) {
@@ -166,7 +172,7 @@
             return;
         }
         TextTable table({ "revision", "accepted", "author", "request id" });
-        for (const RevisionSummary& it : revisions)
+        for (const RevisionInfo& it : revisions)
             table.addRow({ std::to_string(it.revision), formatTime(it.accepted), it.author, it.requestId });
         table.print(context.out);
     }
--- a/Utilities/chicorydock/DeclarationFile.cpp
+++ b/Utilities/chicorydock/DeclarationFile.cpp
@@ -59,7 +59,7 @@
         Model model;
         table.text("name", model.name, TextRule::name(), Presence::Required);
         table.text("service", model.service, TextRule::identifier(), Presence::Required);
-        table.text("version", model.version, TextRule::name());
+        table.text("version", model.version, TextRule::name(), Presence::Required);
         table.textList("adapters", model.adapters, TextRule::name());
         table.number("replicas_per_domain", model.replicasPerDomain, 0, maxReplicas);
         const Service* service = configuration.findService(model.service);
--- a/Utilities/chicorydock/NodeGroup.h
+++ b/Utilities/chicorydock/NodeGroup.h
@@ -17,7 +17,7 @@
 class NodeGroup {
 public:
     /// Connects to a node; throws Error if it cannot be reached.
-    using Connect = std::function<std::unique_ptr<OperatorHandler>(const std::string& address)>;
+    using Connect = std::function<std::shared_ptr<OperatorHandler>(const std::string& address)>;
 
     /// The answer of one node or the reason why there is none.
     template <typename Value> struct Answer {
@@ -84,7 +84,7 @@
     const std::vector<std::string> m_addresses;
     const Connect m_connect;
     size_t m_current { 0 };
-    std::unique_ptr<OperatorHandler> m_node;
+    std::shared_ptr<OperatorHandler> m_node;
 };
 
 }
--- a/Utilities/chicorydock/OperatorJson.cpp
+++ b/Utilities/chicorydock/OperatorJson.cpp
@@ -83,7 +83,7 @@
     };
 }
 
-QJsonObject toJson(const RevisionSummary& summary)
+QJsonObject toJson(const RevisionInfo& summary)
 {
     return {
         { "revision", static_cast<qint64>(summary.revision) },
--- a/Utilities/chicorydock/OperatorJson.h
+++ b/Utilities/chicorydock/OperatorJson.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibBatch/JobService.h>
+#include <LibConfiguration/ConfigurationStore.h>
 #include <LibOperator/OperatorTypes.h>
 
 #include <QJsonArray>
@@ -14,7 +15,7 @@
 /// milliseconds since the Unix epoch.
 QJsonObject toJson(const NodeStatus&);
 QJsonObject toJson(const EndpointStatus&);
-QJsonObject toJson(const RevisionSummary&);
+QJsonObject toJson(const RevisionInfo&);
 QJsonObject toJson(const JobView&);
 
 /// Returns the object on one line.
--- a/Utilities/chicorydock/Tool.cpp
+++ b/Utilities/chicorydock/Tool.cpp
@@ -4,6 +4,8 @@
 
 #include <Utilities/chicorydock/OperatorJson.h>
 
+#include <algorithm>
+
 namespace Chicorydock {
 
 namespace {
@@ -39,6 +41,8 @@
         const size_t arguments = line.words.size() - command->words.size();
         if (arguments < command->minArguments || arguments > command->maxArguments)
             throw ToolFailure::usage("expected " + command->usage);
+        if (std::ranges::find(line.words, "") != line.words.end())
+            throw ToolFailure::usage("an argument is empty");
         const auto connect = [&](const std::string& address) { return environment.connect(address, line.timeout); };
         NodeGroup nodes(line.nodes, connect);
         CommandContext context {
--- a/Utilities/chicorydock/Tool.h
+++ b/Utilities/chicorydock/Tool.h
@@ -14,7 +14,7 @@
 /// What the tool needs from outside, so that tests can replace it.
 struct ToolEnvironment {
     /// Connects to a node with a timeout for each answer; throws Error if it cannot be reached.
-    std::function<std::unique_ptr<OperatorHandler>(const std::string& address, Milliseconds timeout)> connect;
+    std::function<std::shared_ptr<OperatorHandler>(const std::string& address, Milliseconds timeout)> connect;
     /// Waits before the next question about a job.
     std::function<void(Milliseconds)> sleep;
 };
--- a/Utilities/chicorydock/main.cpp
+++ b/Utilities/chicorydock/main.cpp
@@ -13,7 +13,7 @@
                 OperatorClient::Timeouts timeouts;
                 timeouts.connect = std::min(timeouts.connect, timeout);
                 timeouts.call = timeout;
-                return std::make_unique<OperatorClient>(address, timeouts);
+                return std::make_shared<OperatorClient>(address, timeouts);
             },
         .sleep = [](Milliseconds duration) { std::this_thread::sleep_for(duration); },
     };
