LibHTTP: Tighten the tests of pipelining, refusal, shutdown and silence

With the mechanism off, four tests still passed: requests of a pipeline came in one piece, the caller of an oversized body read its answer before the reset, the last connection was accepted before the listening socket was closed, and only the silent connection itself was open. Each test now creates the situation, and each fails with its mechanism off: reading while a request is handled; closing without lingering; stopListening() without taking over waiting connections; ConnectionPool::discard() without effect.

--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -159,24 +159,36 @@
         [&] { return std::ranges::all_of(observers, [](const RecordingObserver& it) { return it.finished == 1; }); }));
 }
 
-// Guards against later calls that follow a silent connection into the same silence.
-TEST_CASE("a silent connection times out and the next call uses a new one")
+// Guards against later calls that follow a silent connection, or one opened at the same time, into the same silence.
+TEST_CASE("after a silent connection timed out, calls use new connections")
 {
-    int answersLeft = 1;
+    std::vector<QTcpSocket*> waiting;
     ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
-        // The first connection goes silent after one answer; new ones work.
-        if (server.connections() > 1 || answersLeft-- > 0)
+        // The first two connections go silent after one answer each; new ones work.
+        if (server.connections() > 2)
             socket.write(okAnswer);
+        else
+            waiting.push_back(&socket);
     });
     QtHttpClient client;
-    CHECK(run(client, makeRequest(server.address())).finished == 1);
+    RecordingObserver first;
+    RecordingObserver second;
+    const auto firstCall = client.start(makeRequest(server.address()), first);
+    const auto secondCall = client.start(makeRequest(server.address()), second);
+    REQUIRE(waitFor([&] { return waiting.size() == 2; }));
+    for (QTcpSocket* it : waiting)
+        it->write(okAnswer);
+    REQUIRE(waitFor([&] { return first.finished + second.finished == 2; }));
+
     HttpCallRequest request = makeRequest(server.address());
     request.progressTimeout = Milliseconds { 1500 };
     const RecordingObserver silent = run(client, request);
     CHECK(silent.failure->phase == Phase::Sent);
     CHECK(silent.failure->reason == Reason::TimedOut);
-    CHECK(run(client, makeRequest(server.address())).finished == 1);
     CHECK(server.connections() == 2);
+    CHECK(run(client, request).finished == 1);
+    CHECK(run(client, request).finished == 1);
+    CHECK(server.connections() == 3);
 }
 
 // Guards against a retry over the very connection that is suspected to be dead.
--- a/Tests/LibHTTP/TestHttpServer.cpp
+++ b/Tests/LibHTTP/TestHttpServer.cpp
@@ -6,8 +6,12 @@
 #include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <cerrno>
+#include <poll.h>
+#include <string>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace Chicorydock;
@@ -24,6 +28,14 @@
     HttpServer server;
     uint16_t port { server.listen("127.0.0.1:0") };
 
+    /// Lets the server take in everything that was sent before: a refused request passes through it meanwhile.
+    void roundTrip() const
+    {
+        RawCaller caller(port);
+        caller.send("nonsense\r\n");
+        REQUIRE(waitFor([&] { return caller.isClosed(); }));
+    }
+
     bool waitForExchanges(size_t n)
     {
         return waitFor([&] { return handler.exchanges.size() >= n; });
@@ -39,11 +51,14 @@
 {
     Fixture fixture;
     RawCaller caller(fixture.port);
-    caller.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\nPOST /second?x=%20 HTTP/1.1\r\nHost: a\r\n"
-                "Content-Length: 3\r\n\r\nabcGET /third HTTP/1.1\r\n\r\n");
+    caller.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\nPOST /second?x=%20 HTTP/1.1\r\nHost: a\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    caller.send("Content-Length: 3\r\n\r\nabcGET /third HTTP/1.1\r\n\r\n");
+    fixture.roundTrip();
     const QByteArrayList paths { "/first", "/second", "/third" };
     for (qsizetype n = 0; n < paths.size(); ++n) {
         REQUIRE(fixture.waitForExchanges(static_cast<size_t>(n) + 1));
+        fixture.roundTrip();
         CHECK(fixture.handler.exchanges.size() == static_cast<size_t>(n) + 1);
         const auto exchange = fixture.handler.exchanges.back();
         CHECK(exchange->request().path == paths[n]);
@@ -189,16 +204,31 @@
     CHECK(waitFor([&] { return good.received().endsWith("alive"); }));
 }
 
-// Guards against an answer to an oversized body that is lost because the connection is reset while the caller sends.
-TEST_CASE("the answer to an oversized body reaches a caller that goes on sending")
+// Guards against a connection that is reset while the caller still sends: many callers then never read the answer.
+TEST_CASE("a caller with an oversized body can send all of it and then reads the answer")
 {
     HttpServerLimits limits;
     limits.maxBodyBytes = 1000;
     Fixture fixture(limits);
     RawCaller caller(fixture.port);
+    const int descriptor = ::dup(static_cast<int>(caller.socket().socketDescriptor()));
     caller.send("POST / HTTP/1.1\r\nContent-Length: 4000000\r\n\r\n");
-    caller.send(QByteArray(4'000'000, 'x'));
-    REQUIRE(waitFor([&] { return caller.isClosed(); }));
+    std::atomic<bool> hasEnded { false };
+    bool wasSent = true;
+    std::thread sender([&] {
+        const std::string part(10'000, 'x');
+        for (int n = 0; n < 400 && wasSent; ++n) {
+            pollfd writable { .fd = descriptor, .events = POLLOUT, .revents = 0 };
+            ::poll(&writable, 1, -1);
+            const ssize_t sent = ::send(descriptor, part.data(), part.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+            wasSent = sent > 0 || errno == EAGAIN;
+        }
+        hasEnded = true;
+    });
+    CHECK(waitFor([&] { return hasEnded && caller.isClosed(); }));
+    sender.join();
+    ::close(descriptor);
+    CHECK(wasSent);
     CHECK(caller.received().startsWith("HTTP/1.1 413"));
 }
 
@@ -244,12 +274,12 @@
     RawCaller busy(fixture.port);
     busy.send("GET / HTTP/1.1\r\n\r\n");
     REQUIRE(fixture.waitForExchanges(2));
-    RawCaller unused(fixture.port);
 
     fixture.server.setDraining(true);
     CHECK(waitFor([&] { return idle.isClosed(); }));
     CHECK_FALSE(busy.isClosed());
-    // Connected, but perhaps not accepted yet.
+    // The kernel accepts the connection; the event loop of the server does not run before it stops listening.
+    RawCaller unused(fixture.port);
     fixture.server.stopListening();
     unused.send("GET / HTTP/1.1\r\n\r\n");
     REQUIRE(fixture.waitForExchanges(3));
