Tests: Make the focused batch tests catch each mechanism that is off

The tests of a pause between check and commit and of a cancellation passed although the condition they are about was off: the row of the job stopped the late commit in the first, and the periodic check of the job in the second. Both now put the fault directly before the transaction.

Run with one mechanism off at a time, the following fail: - no check of the job row at commit: 'nothing is committed after a cancellation', the comparison with the naive table - no expected version of the chunk row: 'a node paused between check and commit', the comparison - no read-back after a lost response: 'a lost response neither repeats nor loses a chunk' - intents of earlier holders not read: 'an unrepeatable item runs at most once over a crash', the comparison - dispatch without intent, or no read-back of intents: 'an intent record with unknown outcome', the comparison - chunks never split, or several suspect chunks at a time: 'an item that kills nodes' - cancellations not noticed: 'nothing is committed after a cancellation' - a release that forgets finished items, or keeps intents: the two tests of released nodes - claims drawn from all candidates: 'a node that is alone claims the job with the least slack first'

--- a/Tests/LibBatch/TestBatchController.cpp
+++ b/Tests/LibBatch/TestBatchController.cpp
@@ -62,9 +62,15 @@
 // Guards against a pause that falls between the check of the lease and the commit.
 TEST_CASE("a node paused between check and commit commits nothing")
 {
-    BatchWorld world(2);
-    world.service.submit(world.submission("job", 5));
+    BatchOptions options;
+    options.maxClaimedChunks = 1;
+    BatchWorld world(3, options);
+    // Node 1 keeps the other chunk open, so that the row of the job cannot stop the late commit, only that of the
+    // chunk.
+    world.service.submit(world.submission("job", 20));
     world.tick(0);
+    world.tick(1);
+    REQUIRE(world.node(1).controller->claimedChunks() == 1);
     world.node(0).executor->finish([](const BatchItem&) {
         return ItemOutcome { ItemOutcome::Kind::Completed, { 200, { { "echo", "late" } } } };
     });
@@ -75,14 +81,16 @@
             return;
         world.clock.advance(beyondLease);
         world.tick(1);
-        world.node(1).executor->finish();
-        world.tick(1);
+        world.tick(2);
+        world.node(2).executor->finish();
+        world.tick(2);
     });
     world.tick(0);
     REQUIRE(writes >= 2);
     CHECK(world.node(0).controller->counters().commits == 0);
-    CHECK(world.node(1).controller->counters().commits == 1);
-    for (const std::string& line : world.service.results("", "job", 0, 10).lines)
+    REQUIRE(world.runToEnd("job"));
+    CHECK(statuses(world, "job") == std::vector<int>(20, 200));
+    for (const std::string& line : world.service.results("", "job", 0, 20).lines)
         CHECK(line.find("late") == std::string::npos);
 }
 
@@ -99,6 +107,7 @@
     world.node(0).executor->finish();
     world.tick(0);
     CHECK(writes >= 4);
+    CHECK(world.node(0).controller->counters().claimConflicts == 0);
     CHECK(world.node(0).controller->counters().commits == 1);
     REQUIRE(world.runToEnd("job"));
     for (uint32_t n = 0; n < 10; ++n)
@@ -214,9 +223,17 @@
     world.service.submit(world.submission("job", 60));
     world.tickAll();
     world.node(0).executor->finish();
-    const JobView cancelled = world.service.cancel("", "job");
-    CHECK(cancelled.state == JobView::State::Cancelled);
+    JobView cancelled;
+    int writes = 0;
+    world.node(0).faults.setWriteHook([&] {
+        // The first write stores a result object; the second is the transaction that commits it.
+        if (++writes == 2)
+            cancelled = world.service.cancel("", "job");
+    });
     world.tickAll();
+    REQUIRE(cancelled.state == JobView::State::Cancelled);
+    CHECK(cancelled.completed == 0);
+    CHECK(world.node(0).controller->counters().commits == 0);
     world.clock.advance(world.options.cancelCheck);
     world.tickAll();
     CHECK(world.node(1).executor->running() == 0);
