--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -55,6 +55,7 @@
 HttpConnection::HttpConnection(HttpConnectionContext& context, qintptr descriptor, QObject* parent)
     : QObject(parent)
     , m_context(context)
+    , m_number(++context.acceptedConnections)
     , m_socket(new QTcpSocket(this))
     , m_reader(context.limits)
 {
@@ -283,7 +284,8 @@
     updateActivity();
     if (const auto exchange = m_exchange.lock())
         exchange->handleCallerGone();
-    Q_EMIT closed();
+    if (m_closedHandler)
+        m_closedHandler();
     deleteLater();
 }
 
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -26,6 +26,7 @@
     std::function<HttpAnswer(const Error&)> protocolErrorAnswer;
     HttpHandler& handler;
     bool isDraining { false };
+    uint64_t acceptedConnections { 0 };
     /// Number of requests whose answer has not wholly left the process.
     std::atomic<int> activeExchanges { 0 };
 };
@@ -35,8 +36,6 @@
 ///
 /// Thread safety: used on the I/O thread that created it.
 class HttpConnection final : public QObject {
-    Q_OBJECT
-
 public:
     /// Takes over the descriptor of an accepted connection. `context` outlives the connection.
     HttpConnection(HttpConnectionContext& context, qintptr descriptor, QObject* parent);
@@ -45,6 +44,9 @@
     /// Returns the socket for QAbstractHttpServer, which the connection owns.
     RequestFeed& feed() { return *m_feed; }
 
+    /// Returns the position of the connection in the order of acceptance, counted from 1.
+    uint64_t number() const { return m_number; }
+
     /// Handles the request that Qt parsed from the feed.
     void handleParsedRequest(const QHttpServerRequest&);
 
@@ -54,8 +56,8 @@
     /// Closes the connection if it served a request and now waits for the next one.
     void closeIfIdle();
 
-Q_SIGNALS:
-    void closed();
+    /// Sets the function to call, once, when the connection has been closed; the connection then deletes itself.
+    void setClosedHandler(std::function<void()> handler) { m_closedHandler = std::move(handler); }
 
 private:
     friend class ConnectionExchange;
@@ -91,7 +93,9 @@
     void onDisconnected();
 
     HttpConnectionContext& m_context;
+    uint64_t m_number;
     QTcpSocket* m_socket;
+    std::function<void()> m_closedHandler;
     RequestFeed* m_feed;
     HttpRequestReader m_reader;
     QByteArray m_input;
--- a/Libraries/LibHTTP/QtHttpServer.h
+++ b/Libraries/LibHTTP/QtHttpServer.h
@@ -23,8 +23,6 @@
 ///
 /// Thread safety: used on the thread that created it, which runs a Qt event loop, except `activeExchanges()`.
 class HttpServer final : public QAbstractHttpServer {
-    Q_OBJECT
-
 public:
     using ErrorAnswerer = std::function<HttpAnswer(const Error&)>;
 
@@ -46,6 +44,9 @@
     /// one are closed.
     void setDraining(bool);
 
+    /// Returns the number of connections accepted so far, which is the number of the last one.
+    uint64_t acceptedConnections() const { return m_context.acceptedConnections; }
+
     /// Returns the number of requests whose answer has not wholly left the process. May be called from any thread.
     int activeExchanges() const { return m_context.activeExchanges; }
 
