LibRouting: Bound the load of warm endpoints also among few candidates

With few endpoints, all of them are candidates, and those with the prefix kept its bonus whatever their load was.

Work whose cancelled hedge completed while its retry was queued stayed in the queue. A peer's estimates did not set the concurrency limit until the first own sample.

--- a/Libraries/LibRouting/LearnedScheduler.cpp
+++ b/Libraries/LibRouting/LearnedScheduler.cpp
@@ -530,53 +530,45 @@
 std::optional<LearnedScheduler::Choice> LearnedScheduler::choose(
     const IndexSet& set, const WorkEntry& entry, const Matches& matches, MonotonicTime now)
 {
+    std::array<uint32_t, candidates> sampled {};
+    const size_t count = std::min(candidates, set.size());
+    double loads = 0;
+    for (size_t n = 0; n < count; ++n) {
+        sampled[n] = set.size() <= candidates ? set[n] : set[m_random.below(set.size())];
+        loads += m_endpoints[sampled[n]]->allOnline();
+    }
+    if (count == 0)
+        return {};
+
     std::optional<Choice> best;
     double bestCost = 0;
-    double loads = 0;
-    size_t rated = 0;
-    const auto warmShareOf = [&](uint32_t index) {
-        const auto it = std::ranges::find(matches, index, &PrefixAffinity::Match::endpoint);
-        return it == matches.end() ? 0.0 : it->share;
-    };
-    const auto consider = [&](uint32_t index, double warmShare, double bonus) {
+    const auto consider = [&](uint32_t index, double warmShare) {
         if (!entry.mayRunOn(index))
             return;
-        const EndpointState& endpoint = *m_endpoints[index];
         const Choice choice = rate(index, entry, warmShare, now);
+        const SpeedEstimator& speed = m_endpoints[index]->speed;
         // The other streams there become slower by the slope for every token of this one.
-        const double burden = entry.expectedTokens * endpoint.speed.gapSlopeSeconds() * endpoint.concurrency();
+        const double burden = entry.expectedTokens * speed.gapSlopeSeconds() * m_endpoints[index]->concurrency();
+        const double bonus = (affinityFactor - 1)
+            * (speed.firstTokenSeconds(entry.work.promptTokens)
+                - speed.firstTokenSeconds(entry.work.promptTokens * (1 - warmShare)));
         const double cost = choice.seconds + burden - bonus;
         if (!best || cost < bestCost) {
             best = choice;
             bestCost = cost;
         }
     };
-    const auto sample = [&](uint32_t index) {
-        loads += m_endpoints[index]->allOnline();
-        ++rated;
-        consider(index, warmShareOf(index), 0);
-    };
-    if (set.size() <= candidates) {
-        for (const uint32_t index : set)
-            sample(index);
-    } else {
-        for (size_t n = 0; n < candidates; ++n)
-            sample(set[m_random.below(set.size())]);
-        if (!best) {
-            for (const uint32_t index : set)
-                sample(index);
-        }
-    }
-    if (rated == 0)
-        return best;
-    const double maxLoad = maxAffinityLoad * loads / static_cast<double>(rated) + 1;
+    // Endpoints that hold the prefix compete without it once they are loaded more than the others.
+    const double maxLoad = maxAffinityLoad * loads / static_cast<double>(count) + 1;
     for (const PrefixAffinity::Match& match : matches) {
-        if (!set.contains(match.endpoint) || m_endpoints[match.endpoint]->allOnline() > maxLoad)
-            continue;
-        const SpeedEstimator& speed = m_endpoints[match.endpoint]->speed;
-        const double saved = speed.firstTokenSeconds(entry.work.promptTokens)
-            - speed.firstTokenSeconds(entry.work.promptTokens * (1 - match.share));
-        consider(match.endpoint, match.share, (affinityFactor - 1) * saved);
+        if (set.contains(match.endpoint) && m_endpoints[match.endpoint]->allOnline() < maxLoad)
+            consider(match.endpoint, match.share);
+    }
+    for (size_t n = 0; n < count; ++n)
+        consider(sampled[n], 0);
+    if (!best) {
+        for (const uint32_t index : set)
+            consider(index, 0);
     }
     return best;
 }
@@ -838,6 +830,9 @@
     noteSample(*index, now);
 
     if (outcome == AttemptOutcome::Completed && entry.state != WorkEntry::State::Ended) {
+        // A cancelled attempt may complete while the work waits for its retry.
+        if (entry.state == WorkEntry::State::Queued)
+            dequeue(entry);
         cancelOthers(entry, *index, now);
         entry.state = WorkEntry::State::Ended;
         setTimer(entry, {});
@@ -958,7 +953,8 @@
         if (!index)
             continue;
         loads.push_back({ *index, it.onlineInFlight, it.batchInFlight });
-        m_endpoints[*index]->speed.seed(it.firstTokenSeconds, it.gapBaseSeconds, it.gapSlopeSeconds);
+        if (m_endpoints[*index]->speed.seed(it.firstTokenSeconds, it.gapBaseSeconds, it.gapSlopeSeconds))
+            noteSample(*index, now);
     }
     const std::vector<PeerLoads::Load> added = loads;
     // The new loads come first, so that an endpoint does not look free in between.
--- a/Libraries/LibRouting/SpeedEstimator.cpp
+++ b/Libraries/LibRouting/SpeedEstimator.cpp
@@ -88,14 +88,15 @@
     return true;
 }
 
-void SpeedEstimator::seed(double firstTokenSeconds, double gapBaseSeconds, double gapSlopeSeconds)
+bool SpeedEstimator::seed(double firstTokenSeconds, double gapBaseSeconds, double gapSlopeSeconds)
 {
     if (m_gap.samples() >= learningSamples || m_isSeeded || gapBaseSeconds <= 0)
-        return;
+        return false;
     m_isSeeded = true;
     m_gap.seed(gapBaseSeconds, gapSlopeSeconds);
     if (firstTokenSeconds > 0)
         m_firstToken.seed(firstTokenSeconds, m_firstToken.slope());
+    return true;
 }
 
 double SpeedEstimator::health() const { return std::clamp(1 / m_fastRatio, worstHealth, 1.0); }
--- a/Libraries/LibRouting/SpeedEstimator.h
+++ b/Libraries/LibRouting/SpeedEstimator.h
@@ -21,8 +21,9 @@
     /// Returns whether the estimates changed; samples are gathered for a short time before they count.
     bool addTokens(uint32_t count, MonotonicTime::duration elapsed, double concurrency, MonotonicTime now);
 
-    /// Takes over a peer's estimates while this node has hardly any own samples. Zero values are ignored.
-    void seed(double firstTokenSeconds, double gapBaseSeconds, double gapSlopeSeconds);
+    /// Takes over a peer's estimates while this node has hardly any own samples. Zero values are ignored. Returns whether
+    /// the estimates changed.
+    bool seed(double firstTokenSeconds, double gapBaseSeconds, double gapSlopeSeconds);
 
     double firstTokenSeconds(double promptTokens) const { return m_firstToken.at(promptTokens); }
     double gapSeconds(double concurrency) const { return m_gap.at(concurrency); }
