LibMembership: Add membership, gossip of records and urgent news

A state machine of the SWIM family: random probes with indirect probes and suspicion within a failure domain, a few contacts between domains, and news carried along within a byte budget. Leaving and urgent records go directly to every member of the domain until they are acknowledged: an epidemic with probes every 2 s is too slow for the target of 2 s. A new revision is told to three members and on average a dozen contacts per domain at once.

Two faults were found by the tests and mended. A sync list without the dead left a few nodes of other domains with leaving members for minutes at 340 nodes, so the list has them now. After a partition the verdicts of the other side made a domain bury 23 of its own live members; a verdict from outside is now only told to the member, which refutes it, and a node that was cut off alone drops its own verdicts.

Benchmarks/control measures traffic, processor time and memory per node.

--- /dev/null
+++ b/Benchmarks/control/main.cpp
@@ -0,0 +1,223 @@
+#include <LibConfiguration/ConfigurationDocument.h>
+#include <LibRPC/PeerSchema.h>
+#include <Tests/Support/SimulatedCluster.h>
+
+#include <LibCore/Digest.h>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <gflags/gflags.h>
+
+#include <malloc.h>
+
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+
+// Measures the control traffic, processor time and memory of a node on a simulated clock, with 14,000 configuration
+// changes and 1,900 restarts of VMs a day, and prints one JSON line per row.
+DEFINE_uint64(seed, 1, "seed of all random decisions");
+DEFINE_uint32(seconds, 300, "simulated seconds measured per row");
+DEFINE_string(commit, "unknown", "commit that is measured, copied into every row");
+DEFINE_uint32(max_nodes, 340, "rows with more nodes are left out");
+
+using namespace Chicorydock;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr double changesPerDay = 14'000;
+constexpr double restartsPerDay = 1'900;
+constexpr double secondsPerDay = 86'400;
+constexpr size_t workspaces = 560;
+// Frames of Cap'n Proto RPC around a call (Call, Return, Finish), and TCP/IP headers of its packets: one for the call,
+// one for the return, one for the finish and one bare acknowledgement, with 52 bytes of headers each.
+constexpr uint64_t callFrameBytes = 152;
+constexpr uint64_t returnFrameBytes = 88;
+constexpr uint64_t finishFrameBytes = 40;
+constexpr uint64_t packetHeaderBytes = 52;
+
+struct FleetSize {
+    size_t nodes;
+    size_t endpoints;
+    size_t domains;
+};
+
+uint64_t messageBytes(const PeerMessage& message)
+{
+    capnp::MallocMessageBuilder builder;
+    toSchema(message, builder.initRoot<Schema::PeerMessage>());
+    return capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+}
+
+double processorSeconds()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+Configuration makeConfiguration(uint64_t number)
+{
+    Configuration configuration;
+    configuration.requestId = "change-" + std::to_string(number);
+    configuration.author = "bench";
+    for (size_t n = 0; n < workspaces; ++n)
+        configuration.workspaces.push_back(
+            { "workspace-" + std::to_string(n), { sha256Hex(std::to_string(n)) }, 1, 0 });
+    configuration.workspaces[number % workspaces].maxInFlight = static_cast<uint32_t>(number);
+    return configuration;
+}
+
+void publishEndpoints(SimulatedCluster& cluster, const FleetSize& row)
+{
+    for (size_t n = 0; n < row.endpoints; ++n) {
+        const std::string domain = "d" + std::to_string(n % row.domains);
+        const std::string value
+            = R"({"address":"10.1.2.3:8000","service":"flag-assistant","region":"r0","failure_domain":")" + domain
+            + "\"}";
+        for (const auto& it : cluster.nodes) {
+            // Every node learns of the endpoints of its domain from the platform's list.
+            if (it->domain() == domain)
+                it->membership.publish({ "endpoint/e" + std::to_string(n), 1, value });
+        }
+    }
+}
+
+/// Counts the bytes of one call, as the sum of both directions.
+class Traffic {
+public:
+    void addMessage(const PeerMessage& message)
+    {
+        const bool isReply = message.kind == PeerMessage::Kind::Ack && message.target.empty();
+        bytes += messageBytes(message) + (isReply ? returnFrameBytes : callFrameBytes + finishFrameBytes)
+            + packetHeaderBytes * 2;
+        ++messages;
+    }
+
+    void addDocument(size_t size)
+    {
+        bytes += size + 64 + callFrameBytes + returnFrameBytes + finishFrameBytes + packetHeaderBytes * 4;
+        messages += 2;
+    }
+
+    uint64_t bytes { 0 };
+    uint64_t messages { 0 };
+};
+
+class Measurement {
+public:
+    explicit Measurement(const FleetSize& row)
+        : m_row(row)
+        , m_cluster(FLAGS_seed)
+    {
+        m_cluster.start(row.nodes, row.domains);
+        m_cluster.network.setLoss(0.01);
+        for (const auto& it : m_cluster.nodes)
+            wrapDocuments(*it);
+        publishEndpoints(m_cluster, row);
+        changeConfiguration();
+        m_cluster.run(120s);
+    }
+
+    void run()
+    {
+        Traffic traffic;
+        uint64_t serialization = 0;
+        m_cluster.network.setTap([&](const std::string&, const std::string&, const PeerMessage& message) {
+            const double before = processorSeconds();
+            traffic.addMessage(message);
+            serialization += static_cast<uint64_t>((processorSeconds() - before) * 1e9);
+        });
+        m_documents = &traffic;
+        const double started = processorSeconds();
+        for (uint32_t n = 0; n < FLAGS_seconds; ++n) {
+            m_changes += changesPerDay / secondsPerDay;
+            m_restarts += restartsPerDay / secondsPerDay * static_cast<double>(m_row.nodes + m_row.endpoints) / 6'440;
+            for (; m_changes >= 1; --m_changes)
+                changeConfiguration();
+            for (; m_restarts >= 1; --m_restarts)
+                leaveEndpoint();
+            m_cluster.run(1s);
+        }
+        print(traffic, processorSeconds() - started, static_cast<double>(serialization) * 1e-9);
+    }
+
+private:
+    void wrapDocuments(SimulatedNode& node)
+    {
+        m_cluster.network.attach(node.address,
+            { [&node](const PeerMessage& message) { return node.membership.receive(message); },
+                [this, &node](uint64_t revision, uint64_t held) {
+                    auto document = node.configuration.document(revision, held);
+                    if (m_documents != nullptr)
+                        m_documents->addDocument(document ? document->size() : 0);
+                    return document;
+                } });
+    }
+
+    void changeConfiguration()
+    {
+        Configuration configuration = makeConfiguration(m_revision);
+        SimulatedNode& node = *m_cluster.nodes[m_revision % m_cluster.nodes.size()];
+        configuration.revision = node.store.apply(configuration, m_revision);
+        ++m_revision;
+        node.configuration.adopt(configuration);
+    }
+
+    void leaveEndpoint()
+    {
+        const size_t n = m_leaving++ % m_row.endpoints;
+        const std::string domain = "d" + std::to_string(n % m_row.domains);
+        for (const auto& it : m_cluster.nodes) {
+            if (it->domain() != domain)
+                continue;
+            it->membership.publish({ "endpoint/e" + std::to_string(n), 2, "{}" }, Membership::Urgency::Urgent);
+            break;
+        }
+    }
+
+    void print(const Traffic& traffic, double processor, double serialization) const
+    {
+        const double nodeSeconds = static_cast<double>(m_row.nodes) * FLAGS_seconds;
+        const auto inForce = std::ranges::count_if(
+            m_cluster.nodes, [&](const auto& it) { return it->configuration.revision() == m_revision; });
+        const struct mallinfo2 heap = mallinfo2();
+        std::printf("{\"benchmark\":\"control\",\"nodes\":%zu,\"endpoints\":%zu,\"domains\":%zu,\"seed\":%llu,"
+                    "\"commit\":\"%s\",\"seconds\":%u,\"sent_bytes_per_second\":%.0f,"
+                    "\"sent_and_received_bytes_per_second\":%.0f,\"messages_per_second\":%.2f,"
+                    "\"processor_us_per_second\":%.0f,\"serialization_us_per_second\":%.0f,\"memory_kb\":%.0f,"
+                    "\"nodes_at_head\":%zu}\n",
+            m_row.nodes, m_row.endpoints, m_row.domains, static_cast<unsigned long long>(FLAGS_seed),
+            FLAGS_commit.c_str(), FLAGS_seconds, static_cast<double>(traffic.bytes) / nodeSeconds,
+            2 * static_cast<double>(traffic.bytes) / nodeSeconds, static_cast<double>(traffic.messages) / nodeSeconds,
+            (processor - serialization) / nodeSeconds * 1e6, serialization / nodeSeconds * 1e6,
+            static_cast<double>(heap.uordblks) / 1024 / static_cast<double>(m_row.nodes), static_cast<size_t>(inForce));
+        std::fflush(stdout);
+    }
+
+    FleetSize m_row;
+    SimulatedCluster m_cluster;
+    Traffic* m_documents { nullptr };
+    uint64_t m_revision { 0 };
+    size_t m_leaving { 0 };
+    double m_changes { 0 };
+    double m_restarts { 0 };
+};
+
+}
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("measures the control plane of a node");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    constexpr FleetSize rows[] {
+        { 10, 20, 3 },
+        { 40, 200, 3 },
+        { 340, 6'100, 9 },
+    };
+    for (const FleetSize& row : rows) {
+        if (row.nodes <= FLAGS_max_nodes)
+            Measurement(row).run();
+    }
+    return 0;
+}
--- /dev/null
+++ b/Libraries/LibMembership/Membership.cpp
@@ -0,0 +1,460 @@
+#include <LibMembership/Membership.h>
+
+#include <LibMembership/MessageSize.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace Chicorydock {
+
+namespace {
+
+    // Expected number of members that probe a suspect at once, so that it can refute in time.
+    constexpr uint64_t earlyProbes = 4;
+    constexpr auto cleanupInterval = std::chrono::seconds(10);
+
+}
+
+Membership::Membership(const Clock& clock, HybridLogicalClock& hybridClock, Random& random, PeerLink& link,
+    MembershipObserver& observer, const RecordPolicy& policy, MemberUpdate self, MembershipOptions options)
+    : m_clock(clock)
+    , m_hybridClock(hybridClock)
+    , m_random(random)
+    , m_link(link)
+    , m_observer(observer)
+    , m_policy(policy)
+    , m_options(options)
+    , m_self(std::move(self))
+    , m_lastTick(clock.now())
+    , m_lastAnswer(clock.now())
+    , m_nextReconnect(clock.now())
+    , m_nextCleanup(clock.now() + cleanupInterval)
+{
+    assert(!m_self.nodeId.empty() && !m_self.address.empty());
+    m_self.incarnation = static_cast<uint64_t>(toUnixMilliseconds(clock.wallNow()));
+    m_self.state = MemberUpdate::State::Alive;
+    // Nodes that start together spread over the interval.
+    m_nextProbe = clock.now() + fromSeconds(toSeconds(options.probeInterval) * random.unit());
+    m_nextContact = clock.now() + fromSeconds(toSeconds(options.contactInterval) * random.unit());
+    m_nextSync = clock.now();
+    publishMembers();
+}
+
+void Membership::tick(MonotonicTime now)
+{
+    checkPause(now);
+    m_gossipCredit
+        = std::min(m_gossipCredit + m_options.gossipBytesPerSecond * toSeconds(now - m_lastTick), maxGossipCredit());
+    m_lastTick = now;
+    expireProbes(now);
+    expireSuspicions(now);
+    if (isDue(m_nextProbe, m_options.probeInterval, now))
+        probeNext(now);
+    if (isDue(m_nextContact, m_options.contactInterval, now))
+        contactOtherDomain();
+    if (now >= m_nextReconnect) {
+        const bool isAlone = liveMembers(true).empty() && liveMembers(false).empty();
+        isDue(m_nextReconnect, isAlone ? m_options.joinInterval : m_options.reconnectInterval, now);
+        reconnect();
+    }
+    if (isDue(m_nextSync, m_hasDomainRecords ? m_options.syncInterval : m_options.joinInterval, now))
+        syncWithRandomMember();
+    sendUrgent();
+    removeOldMembers(now);
+    publishMembers();
+}
+
+PeerMessage Membership::receive(const PeerMessage& message)
+{
+    checkPause(m_clock.now());
+    takeIn(message);
+    if (message.kind == PeerMessage::Kind::PingRequest)
+        relayProbe(message);
+    if (message.kind == PeerMessage::Kind::Ack) {
+        // A relay reports that the target of an indirect probe answered it.
+        for (const auto& [id, probe] : m_probes) {
+            if (probe.nodeId == message.target) {
+                endProbe(id, true);
+                break;
+            }
+        }
+    }
+    PeerMessage reply = makeMessage(PeerMessage::Kind::Ack, message.from.nodeId, isLocal(message.from));
+    if (message.kind == PeerMessage::Kind::Sync)
+        fillSyncReply(reply, message);
+    return reply;
+}
+
+void Membership::publish(const GossipRecord& record, Urgency urgency)
+{
+    if (m_policy.scope(record) == RecordPolicy::Scope::Ignored || !m_records.put(record, m_clock.now()))
+        return;
+    queueRecord(record);
+    if (urgency == Urgency::Urgent)
+        addUrgent(record.key);
+}
+
+void Membership::forget(const std::string& key)
+{
+    m_records.remove(key);
+    m_recordNews.remove(key);
+    m_remoteRecordNews.remove(key);
+}
+
+void Membership::setRevision(uint64_t revision)
+{
+    if (revision <= m_revision)
+        return;
+    m_revision = revision;
+    spreadRevision();
+}
+
+void Membership::leave()
+{
+    if (m_self.state == MemberUpdate::State::Leaving)
+        return;
+    m_self.state = MemberUpdate::State::Leaving;
+    // Every message carries this node's own state, so the delivery needs no key of a record.
+    addUrgent({});
+    m_isDirty = true;
+    publishMembers();
+}
+
+PeerMessage Membership::makeMessage(PeerMessage::Kind kind, const std::string& recipient, bool isLocal)
+{
+    const HybridTime time = m_hybridClock.tick();
+    PeerMessage message;
+    message.kind = kind;
+    message.from = m_self;
+    message.revision = m_revision;
+    message.wallMilliseconds = time.wallMilliseconds;
+    message.counter = time.counter;
+    // A member that is held for suspect or dead has to hear it, or it could not refute.
+    const Member* member = m_members.find(recipient);
+    if (member != nullptr && !(member->update.state == MemberUpdate::State::Alive))
+        message.members.push_back(member->update);
+    if (const auto verdict = m_foreignVerdicts.extract(recipient); !verdict.empty())
+        message.members.push_back(verdict.mapped());
+    addGossip(message, isLocal);
+    return message;
+}
+
+void Membership::addGossip(PeerMessage& message, bool isLocal)
+{
+    const size_t allowed
+        = std::min(static_cast<size_t>(std::max(m_gossipCredit, 0.0)), m_options.gossipBytesPerMessage);
+    size_t bytes = allowed;
+    const auto memberSize = [&](const std::string& id) {
+        const Member* member = m_members.find(id);
+        return member == nullptr ? 0 : wireSize(member->update);
+    };
+    const uint32_t limit = retransmissionLimit();
+    for (const std::string& id : m_memberNews.take(bytes, memberSize, [&](const std::string&) { return limit; }))
+        message.members.push_back(m_members.find(id)->update);
+    const auto recordSize = [&](const std::string& key) {
+        const GossipRecord* record = m_records.find(key);
+        return record == nullptr ? 0 : wireSize(*record);
+    };
+    // A volatile record is out of date before it could reach everyone by retransmission.
+    const auto recordLimit = [&](const std::string& key) {
+        return RecordTable::isVolatile(key) ? m_options.volatileTransmissions : limit;
+    };
+    TransmissionQueue& news = isLocal ? m_recordNews : m_remoteRecordNews;
+    std::vector<std::string> keys = news.take(bytes, recordSize, recordLimit);
+    if (bytes == allowed && m_gossipCredit >= maxGossipCredit()) {
+        // A record larger than a message's share goes alone, once the credit is full, and leaves a debt.
+        size_t oversize = m_options.maxRecordBytes;
+        keys = news.take(oversize, recordSize, recordLimit, 1);
+        m_gossipCredit -= static_cast<double>(m_options.maxRecordBytes - oversize);
+    }
+    for (const std::string& key : keys)
+        message.records.push_back(*m_records.find(key));
+    m_gossipCredit -= static_cast<double>(allowed - bytes);
+}
+
+void Membership::send(
+    const std::string& address, const PeerMessage& message, Milliseconds timeout, ReplyHandler handler)
+{
+    m_link.exchange(address, message, timeout,
+        [this, lifetime = std::weak_ptr(m_lifetime), handler = std::move(handler)](const Reply& reply) {
+            if (lifetime.expired())
+                return;
+            checkPause(m_clock.now());
+            if (reply) {
+                noteAnswer();
+                m_hasDomainRecords = m_hasDomainRecords || (reply->digest != 0 && isLocal(reply->from));
+                takeIn(*reply);
+            }
+            handler(reply);
+        });
+}
+
+void Membership::takeIn(const PeerMessage& message)
+{
+    m_hybridClock.receive({ message.wallMilliseconds, message.counter });
+    const std::string& domain = message.from.failureDomain;
+    if (message.from.nodeId != m_self.nodeId)
+        applyUpdate(message.from, domain);
+    for (const MemberUpdate& it : message.members)
+        applyUpdate(it, domain);
+    for (const GossipRecord& it : message.records)
+        applyRecord(it, isLocal(message.from));
+    if (message.revision > m_revision)
+        m_observer.onRevision(message.revision, message.from.address);
+}
+
+void Membership::fillSyncReply(PeerMessage& reply, const PeerMessage& request)
+{
+    const bool isLocalPeer = isLocal(request.from);
+    const uint32_t memberDigest = m_members.digest(m_self);
+    reply.digest = (static_cast<uint64_t>(m_records.digest()) << 32) | memberDigest;
+    size_t bytes = m_options.syncBytes;
+    const auto fits = [&](const auto& item) {
+        const size_t size = wireSize(item);
+        const bool isSmall = size <= bytes;
+        bytes -= isSmall ? size : 0;
+        return isSmall;
+    };
+    if (static_cast<uint32_t>(request.digest) != memberDigest) {
+        for (const auto& [id, member] : m_members.members()) {
+            // The dead are listed as well, or a peer that missed the news would keep them for long.
+            if (id != request.from.nodeId && fits(member.update))
+                reply.members.push_back(member.update);
+        }
+    }
+    if (isLocalPeer && static_cast<uint32_t>(request.digest >> 32) == m_records.digest())
+        return;
+    for (const GossipRecord& it : m_records.all()) {
+        const bool isWanted = isLocalPeer || m_policy.scope(it) == RecordPolicy::Scope::Everywhere;
+        if (isWanted && fits(it))
+            reply.records.push_back(it);
+    }
+}
+
+void Membership::applyUpdate(const MemberUpdate& update, const std::string& senderDomain)
+{
+    if (update.nodeId == m_self.nodeId) {
+        applyToSelf(update);
+        return;
+    }
+    const Member* known = m_members.find(update.nodeId);
+    if (known == nullptr) {
+        // A verdict on an unknown member tells nothing worth keeping.
+        if (update.state != MemberUpdate::State::Dead)
+            changeMember(update);
+        return;
+    }
+    if (!MemberTable::supersedes(update, known->update))
+        return;
+    // A domain loses sight of others in a partition. Its verdict is a fact about its own members and to its own nodes;
+    // to anyone else it is a reason to ask.
+    const bool isForeign = senderDomain != m_self.failureDomain && senderDomain != update.failureDomain;
+    const bool isVerdict = update.state == MemberUpdate::State::Suspect || update.state == MemberUpdate::State::Dead;
+    if (isForeign && isVerdict && isLocal(update) && !known->isDead())
+        notifyOfVerdict(update);
+    else if (isForeign && update.state == MemberUpdate::State::Dead && !known->isDead())
+        suspect(update.nodeId, update.incarnation);
+    else
+        changeMember(update);
+}
+
+void Membership::notifyOfVerdict(const MemberUpdate& verdict)
+{
+    m_foreignVerdicts[verdict.nodeId] = verdict;
+    probeSoon(verdict.nodeId);
+}
+
+void Membership::probeSoon(const std::string& nodeId)
+{
+    // Only a few of all members that hear of it ask the member before its turn.
+    if (m_random.below(m_members.members().size()) < earlyProbes)
+        m_probeOrder.push_back(nodeId);
+}
+
+void Membership::applyToSelf(const MemberUpdate& update)
+{
+    if (update.incarnation < m_self.incarnation)
+        return;
+    const bool isSame = update.incarnation == m_self.incarnation && update.state <= m_self.state;
+    const bool isFinal = m_self.state == MemberUpdate::State::Leaving;
+    if (isSame || isFinal)
+        return;
+    // Either a verdict to refute, or an earlier process of this node whose wall clock was ahead.
+    m_self.incarnation = update.incarnation + 1;
+    m_isDirty = true;
+}
+
+void Membership::changeMember(const MemberUpdate& update)
+{
+    const Member* known = m_members.find(update.nodeId);
+    const bool isNew = known == nullptr || known->isDead();
+    m_members.put(update, m_clock.now());
+    if (update.state == MemberUpdate::State::Suspect)
+        m_members.setSuspicionDeadline(update.nodeId, m_clock.now() + suspicionTimeout(update));
+    if (isNew && isLocal(update)) {
+        // A random place in the round keeps the probes of all members independent of each other.
+        const auto place = static_cast<ptrdiff_t>(m_random.below(m_probeOrder.size() + 1));
+        m_probeOrder.insert(m_probeOrder.begin() + place, update.nodeId);
+    }
+    if (update.state == MemberUpdate::State::Suspect && isLocal(update))
+        probeSoon(update.nodeId);
+    m_memberNews.add(update.nodeId);
+    m_isDirty = true;
+    m_observer.onMemberChanged(update);
+}
+
+void Membership::suspect(const std::string& nodeId, uint64_t incarnation)
+{
+    const Member* member = m_members.find(nodeId);
+    if (member == nullptr || member->isDead() || member->update.incarnation > incarnation)
+        return;
+    if (member->update.state == MemberUpdate::State::Alive) {
+        MemberUpdate update = member->update;
+        update.incarnation = incarnation;
+        update.state = MemberUpdate::State::Suspect;
+        changeMember(update);
+        return;
+    }
+    // A leaving member stays leaving until it is gone.
+    if (!member->suspicionDeadline)
+        m_members.setSuspicionDeadline(nodeId, m_clock.now() + suspicionTimeout(member->update));
+}
+
+MonotonicTime::duration Membership::suspicionTimeout(const MemberUpdate& update) const
+{
+    const double members = static_cast<double>(m_members.members().size()) + 1;
+    const double intervals = m_options.suspicionIntervals * std::max(1.0, std::log10(members));
+    const double remote = isLocal(update) ? 1 : m_options.remoteSuspicionFactor;
+    return fromSeconds(toSeconds(m_options.probeInterval) * intervals * remote * (1 + m_healthPenalty));
+}
+
+void Membership::expireSuspicions(MonotonicTime now)
+{
+    for (const std::string& id : m_members.expiredSuspicions(now)) {
+        MemberUpdate update = m_members.find(id)->update;
+        update.state = MemberUpdate::State::Dead;
+        changeMember(update);
+    }
+}
+
+void Membership::removeOldMembers(MonotonicTime now)
+{
+    if (now < m_nextCleanup)
+        return;
+    m_nextCleanup = now + cleanupInterval;
+    std::vector<std::string> dead = m_members.select([](const Member& member) { return member.isDead(); });
+    std::ranges::sort(dead, std::greater {}, [&](const std::string& id) { return m_members.find(id)->since; });
+    std::set<std::string> liveDomains { m_self.failureDomain };
+    for (const auto& [id, member] : m_members.members()) {
+        if (!member.isDead())
+            liveDomains.insert(member.update.failureDomain);
+    }
+    for (size_t n = 0; n < dead.size(); ++n) {
+        const Member& member = *m_members.find(dead[n]);
+        // A domain that is cut off for long is found again only through its dead members.
+        const bool isOld
+            = now - member.since > m_options.deadRetention && liveDomains.contains(member.update.failureDomain);
+        if (isOld || n >= m_options.maxDeadMembers)
+            m_members.remove(dead[n]);
+    }
+    std::erase_if(m_foreignVerdicts, [&](const auto& it) {
+        const Member* member = m_members.find(it.first);
+        return member == nullptr || !MemberTable::supersedes(it.second, member->update);
+    });
+}
+
+void Membership::applyRecord(const GossipRecord& record, bool isLocalSender)
+{
+    const auto scope = m_policy.scope(record);
+    if (scope == RecordPolicy::Scope::Ignored || (!isLocalSender && scope != RecordPolicy::Scope::Everywhere))
+        return;
+    if (!m_records.put(record, m_clock.now()))
+        return;
+    queueRecord(record);
+    m_observer.onRecordChanged(record);
+}
+
+void Membership::queueRecord(const GossipRecord& record)
+{
+    m_recordNews.add(record.key);
+    if (m_policy.scope(record) == RecordPolicy::Scope::Everywhere)
+        m_remoteRecordNews.add(record.key);
+    if (m_records.size() > m_options.maxRecords)
+        forget(m_records.oldest());
+}
+
+void Membership::checkPause(MonotonicTime now)
+{
+    const auto gap = now - m_lastTick;
+    if (gap < m_options.pauseThreshold)
+        return;
+    // This process did not run. What timed out meanwhile may have been answered, and refutations were not read.
+    m_members.shiftDeadlines(gap);
+    m_probes.clear();
+    m_lastAnswer += gap;
+    m_lastTick = now;
+}
+
+void Membership::noteAnswer()
+{
+    const MonotonicTime now = m_clock.now();
+    if (now - m_lastAnswer > m_options.isolationThreshold) {
+        // This node was cut off, so its verdicts since then say nothing about others. Those who live come back as new.
+        const auto judged = m_members.select([&](const Member& it) {
+            return it.since >= m_lastAnswer && (it.update.state == MemberUpdate::State::Suspect || it.isDead());
+        });
+        for (const std::string& id : judged) {
+            m_members.remove(id);
+            m_memberNews.remove(id);
+        }
+        m_isDirty = true;
+    }
+    m_lastAnswer = now;
+}
+
+bool Membership::isDue(MonotonicTime& next, Milliseconds interval, MonotonicTime now)
+{
+    if (now < next)
+        return false;
+    // A fifth of jitter keeps nodes from falling into step.
+    next = std::max(next + fromSeconds(toSeconds(interval) * (0.9 + 0.2 * m_random.unit())), now);
+    return true;
+}
+
+std::vector<std::string> Membership::liveMembers(bool local) const
+{
+    return m_members.select([&](const Member& it) { return it.isLive() && isLocal(it.update) == local; });
+}
+
+std::string Membership::pickOne(const std::vector<std::string>& ids)
+{
+    return ids.empty() ? std::string {} : ids[m_random.below(ids.size())];
+}
+
+void Membership::shuffle(std::vector<std::string>& ids)
+{
+    for (size_t n = ids.size(); n > 1; --n)
+        std::swap(ids[n - 1], ids[m_random.below(n)]);
+}
+
+uint32_t Membership::retransmissionLimit() const
+{
+    const double members = static_cast<double>(m_members.members().size()) + 2;
+    return static_cast<uint32_t>(std::ceil(m_options.retransmissionFactor * std::log2(members)));
+}
+
+void Membership::publishMembers()
+{
+    if (!m_isDirty)
+        return;
+    m_isDirty = false;
+    MemberList list;
+    list.reserve(m_members.members().size() + 1);
+    for (const auto& [id, member] : m_members.members())
+        list.push_back(member.update);
+    list.insert(std::ranges::lower_bound(list, m_self.nodeId, {}, &MemberUpdate::nodeId), m_self);
+    m_published.publish(std::make_shared<const MemberList>(std::move(list)));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/MembershipObserver.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <LibMembership/PeerMessage.h>
+
+namespace Chicorydock {
+
+/// Hears of changes that reach this node. Called on the controllers' thread, from within `Membership`; it may call
+/// `publish()` and `setRevision()`.
+class MembershipObserver {
+public:
+    virtual ~MembershipObserver() = default;
+
+    /// A member is new, or its state or incarnation changed.
+    virtual void onMemberChanged(const MemberUpdate&) = 0;
+
+    /// A record of a peer is new or has a higher version. Not called for records that this node published.
+    virtual void onRecordChanged(const GossipRecord&) = 0;
+
+    /// The peer at `address` has a higher revision in force than this node.
+    virtual void onRevision(uint64_t revision, const std::string& address) = 0;
+};
+
+}
