chicorydockd: Put the node together and serve the whole path

I/O threads with their own HTTP server, filter chain and runners; one thread for timed decisions, one for batch, one for RPC; the controllers on the main thread.

--- /dev/null
+++ b/Services/chicorydockd/IoThread.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "RunnerThread.h"
+
+#include <LibHTTP/QtHttpServer.h>
+#include <LibRequest/RequestPipeline.h>
+
+namespace Chicorydock {
+
+/// A thread that serves callers: an HTTP server, the filter chain and the runners of its requests.
+///
+/// Thread safety: all methods are called on the main thread, except `activeExchanges()`.
+class IoThread {
+public:
+    IoThread(
+        const Clock&, Dispatcher&, EventLog&, const PipelineParts&, const HttpServerLimits&, const std::string& name);
+    ~IoThread();
+
+    /// Returns the bound port. Throws Error(Internal) if the address cannot be bound.
+    uint16_t listen(const std::string& address);
+
+    /// Lets answers carry `Connection: close`.
+    void drain();
+    void stopListening();
+    int activeExchanges() const { return m_server->activeExchanges(); }
+
+private:
+    RunnerThread m_thread;
+    std::unique_ptr<FilterChain> m_chain;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+}
--- /dev/null
+++ b/Services/chicorydockd/RunnerThread.cpp
@@ -0,0 +1,73 @@
+#include "RunnerThread.h"
+
+#include <LibEndpoint/HttpEndpointClient.h>
+#include <LibHTTP/QtHttpClient.h>
+
+#include <QTimer>
+
+#include <exception>
+
+namespace Chicorydock {
+
+namespace {
+
+    // Deadlines are kept to this accuracy.
+    constexpr std::chrono::milliseconds deadlineTick { 10 };
+
+}
+
+RunnerThread::RunnerThread(const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog, const std::string& name)
+    : m_context(new QObject)
+    , m_post(postTo(m_context))
+{
+    m_thread.setObjectName(QString::fromStdString(name));
+    m_context->moveToThread(&m_thread);
+    m_thread.start();
+    run([&] { setUp(clock, dispatcher, eventLog); });
+}
+
+RunnerThread::~RunnerThread() { stop(); }
+
+void RunnerThread::run(const std::function<void()>& function)
+{
+    std::exception_ptr exception;
+    QMetaObject::invokeMethod(
+        m_context,
+        [&] {
+            try {
+                function();
+            } catch (...) {
+                exception = std::current_exception();
+            }
+        },
+        Qt::BlockingQueuedConnection);
+    if (exception)
+        std::rethrow_exception(exception);
+}
+
+void RunnerThread::stop()
+{
+    if (!m_thread.isRunning())
+        return;
+    run([this] {
+        m_environment.reset();
+        m_endpointClient.reset();
+        m_httpClient.reset();
+        m_context->deleteLater();
+    });
+    m_thread.quit();
+    m_thread.wait();
+}
+
+void RunnerThread::setUp(const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog)
+{
+    m_httpClient = std::make_unique<QtHttpClient>();
+    m_endpointClient = std::make_unique<HttpEndpointClient>(*m_httpClient);
+    m_environment = std::make_unique<RunnerEnvironment>(
+        RunnerEnvironment { clock, dispatcher, *m_endpointClient, m_deadlines, eventLog, m_post });
+    auto* timer = new QTimer(m_context);
+    QObject::connect(timer, &QTimer::timeout, m_context, [this, &clock] { m_deadlines.tick(clock.now()); });
+    timer->start(deadlineTick);
+}
+
+}
--- /dev/null
+++ b/Services/chicorydockd/SignalWatcher.cpp
@@ -0,0 +1,56 @@
+#include "SignalWatcher.h"
+
+#include <LibCore/Error.h>
+
+#include <array>
+#include <csignal>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Chicorydock {
+
+namespace {
+
+    // A signal handler may only touch global state; it writes to one end, and the event loop reads the other.
+    std::array<int, 2> signalSockets { -1, -1 };
+
+    void writeSignal(int)
+    {
+        const char byte = 1;
+        [[maybe_unused]] const ssize_t n = write(signalSockets[0], &byte, 1);
+    }
+
+}
+
+SignalWatcher::SignalWatcher(std::function<void()> onTerminate)
+    : m_onTerminate(std::move(onTerminate))
+{
+    if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, signalSockets.data()) != 0)
+        throw Error { ErrorKind::Internal, "no socket pair for signals" };
+    m_notifier = std::make_unique<QSocketNotifier>(signalSockets[1], QSocketNotifier::Read);
+    QObject::connect(m_notifier.get(), &QSocketNotifier::activated, m_notifier.get(), [this] {
+        char byte = 0;
+        while (read(signalSockets[1], &byte, 1) > 0) { }
+        if (m_wasSignalled)
+            return;
+        m_wasSignalled = true;
+        m_onTerminate();
+    });
+    struct sigaction action = {};
+    action.sa_handler = writeSignal;
+    action.sa_flags = SA_RESTART;
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+}
+
+SignalWatcher::~SignalWatcher()
+{
+    std::signal(SIGTERM, SIG_DFL);
+    std::signal(SIGINT, SIG_DFL);
+    m_notifier.reset();
+    for (const int socket : signalSockets)
+        close(socket);
+}
+
+}
--- /dev/null
+++ b/Services/chicorydockd/SummaryExchange.cpp
@@ -0,0 +1,73 @@
+#include "SummaryExchange.h"
+
+#include <LibDispatch/SummaryCodec.h>
+
+namespace Chicorydock {
+
+namespace {
+
+    constexpr std::string_view keyPrefix = "summary/";
+
+    // Summaries of all nodes of a failure domain together may use about half of the 3 KB/s that control may cost a
+    // node, so the more nodes and endpoints there are, the rarer they become.
+    constexpr double bytesPerSecond = 1500;
+    constexpr std::chrono::seconds minInterval { 1 };
+
+}
+
+SummaryExchange::SummaryExchange(const Clock& clock, Dispatcher& dispatcher, std::string nodeId, Publish publish)
+    : m_clock(clock)
+    , m_dispatcher(dispatcher)
+    , m_nodeId(std::move(nodeId))
+    , m_publish(std::move(publish))
+{
+}
+
+void SummaryExchange::tick(size_t localMembers)
+{
+    if (m_clock.now() < m_nextPublication)
+        return;
+    size_t bytes = 0;
+    for (const auto& [service, summaries] : m_dispatcher.summaries()) {
+        const std::string value = packSummaries(summaries);
+        bytes += value.size();
+        std::string& last = m_lastPublished[service];
+        if (value == last)
+            continue;
+        last = value;
+        const auto version = static_cast<uint64_t>(toUnixMilliseconds(m_clock.wallNow()));
+        m_publish({ std::string(keyPrefix) + m_nodeId + '/' + service, version, value });
+    }
+    const double seconds = static_cast<double>(bytes * localMembers) / bytesPerSecond;
+    m_nextPublication = m_clock.now() + std::max<MonotonicTime::duration>(minInterval, fromSeconds(seconds));
+}
+
+void SummaryExchange::takeRecord(const GossipRecord& record)
+{
+    if (!record.key.starts_with(keyPrefix))
+        return;
+    const size_t nodeEnd = record.key.find('/', keyPrefix.size());
+    if (nodeEnd == std::string::npos)
+        return;
+    const std::string node = record.key.substr(keyPrefix.size(), nodeEnd - keyPrefix.size());
+    const std::string service = record.key.substr(nodeEnd + 1);
+    if (node == m_nodeId)
+        return;
+    const auto views = m_dispatcher.views();
+    const auto it = views.find(service);
+    if (it == views.end())
+        return;
+    std::vector<std::string> ids;
+    ids.reserve(it->second.size());
+    for (const EndpointView& view : it->second)
+        ids.push_back(view.endpoint.id);
+    m_dispatcher.peerSummary(service, node, unpackSummaries(record.value, ids));
+}
+
+void SummaryExchange::forgetNode(const std::string& nodeId)
+{
+    for (const auto& [service, view] : m_dispatcher.views())
+        m_dispatcher.peerSummary(service, nodeId, {});
+}
+
+}
--- a/Services/chicorydockd/main.cpp
+++ b/Services/chicorydockd/main.cpp
@@ -1,1 +1,76 @@
-int main() { return 0; }
+#include "Daemon.h"
+#include "SignalWatcher.h"
+
+#include <LibLog/JsonLogSink.h>
+#include <LibSettings/SettingsLoader.h>
+
+#include <QCoreApplication>
+#include <QJsonDocument>
+
+#include <gflags/gflags.h>
+#include <glog/logging.h>
+
+#include <cstdio>
+
+DEFINE_string(settings, "", "TOML file with the settings of this node");
+DEFINE_string(check_settings, "", "check this settings file, report every problem, and exit");
+
+namespace {
+
+// Exit status for settings or flags that cannot be used.
+constexpr int usageStatus = 2;
+
+int fail(int status, const std::string& message)
+{
+    std::fprintf(stderr, "%s\n", message.c_str());
+    return status;
+}
+
+int serve(int argc, char** argv, const Chicorydock::Settings& settings)
+{
+    using namespace Chicorydock;
+    const QCoreApplication application(argc, argv);
+    const JsonLog log(settings.log.level, settings.node.id, settings.node.failureDomain);
+    try {
+        Daemon daemon(settings);
+        const SignalWatcher watcher([&] { daemon.beginStop([] { QCoreApplication::quit(); }); });
+        daemon.start();
+        const QJsonObject ready {
+            { "node", QString::fromStdString(settings.node.id) },
+            { "http_address", QString::fromStdString(daemon.httpAddress()) },
+            { "rpc_address", QString::fromStdString(daemon.rpcAddress()) },
+        };
+        std::printf("%s\n", QJsonDocument(ready).toJson(QJsonDocument::Compact).constData());
+        std::fflush(stdout);
+        return QCoreApplication::exec();
+    } catch (const Error& error) {
+        LOG(ERROR) << "could not start: " << error.message();
+        return 1;
+    }
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("serves online and batch inference on one fleet of endpoints\n\n"
+                            "  chicorydockd --settings=FILE\n"
+                            "  chicorydockd --check_settings=FILE");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc > 1)
+        return fail(usageStatus, std::string("unexpected argument '") + argv[1] + "'; see --help");
+    const bool isCheck = !FLAGS_check_settings.empty();
+    const std::string file = isCheck ? FLAGS_check_settings : FLAGS_settings;
+    if (file.empty())
+        return fail(usageStatus, "--settings=FILE is required; see --help");
+    try {
+        const Chicorydock::Settings settings = Chicorydock::loadSettings(file);
+        if (!isCheck)
+            return serve(argc, argv, settings);
+        std::printf("%s: the settings are valid\n", file.c_str());
+        return 0;
+    } catch (const Chicorydock::Error& error) {
+        return fail(usageStatus, error.message());
+    }
+}
