LibHTTP: Send the chunks of a stream together at the end of a turn

Each chunk was a system call of its own. Now a chunk waits for the event loop, and the end of an answer is sent at once.

A test that cancels a call half-way and reads the answer of the next one guards the reuse of connection names after a cancelled call.

--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -214,8 +214,12 @@
     if (m_socket->bytesToWrite() == 0)
         m_lastWriteProgress = now();
     m_socket->write(bytes);
-    // Without this, the bytes would wait for the next turn of the event loop.
-    m_socket->flush();
+}
+
+void HttpConnection::flush()
+{
+    if (isOpen())
+        m_socket->flush();
 }
 
 void HttpConnection::endAnswer(bool closeConnection)
@@ -223,6 +227,7 @@
     if (m_stage == Stage::Closed || !isOpen())
         return;
     m_exchange.reset();
+    flush();
     if (closeConnection) {
         startLingering();
         return;
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -6,7 +6,6 @@
 #include <LibHTTP/HttpResponseFormat.h>
 #include <LibHTTP/RequestFeed.h>
 
-#include <QPointer>
 #include <QTcpSocket>
 
 #include <atomic>
@@ -82,7 +81,9 @@
     // For the exchange.
     bool isOpen() const { return m_socket->state() == QAbstractSocket::ConnectedState; }
     bool closesAfterAnswer() const;
+    /// Sends the bytes in the next turn of the event loop, together with what else is sent until then.
     void send(const QByteArray&);
+    void flush();
     void endAnswer(bool closeConnection);
     void abort();
     qint64 bytesToWrite() const { return m_socket->bytesToWrite(); }
--- a/Libraries/LibHTTP/QtHttpClient.h
+++ b/Libraries/LibHTTP/QtHttpClient.h
@@ -13,7 +13,10 @@
 /// the first bytes of the body. For a request without a body Qt has no such point between connecting and writing, so
 /// `onHandedOver()` comes when the call starts, and a refused connection is still reported as `NotSent`.
 ///
+/// An answer that is neither chunked nor has a length ends with the connection, so whether it is whole cannot be told.
+///
 /// HEAD is not supported, because Qt would send it again after a broken connection.
+/// Precondition: all handles are destroyed before the client.
 class QtHttpClient final : public HttpClient {
 public:
     QtHttpClient();
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 
 #include <QPointer>
+#include <QTimer>
 
 using namespace Chicorydock;
 using Phase = HttpFailure::Phase;
@@ -221,6 +222,32 @@
     CHECK_FALSE(observer.hasEnded());
 }
 
+// Guards against the rest of a cancelled answer that reaches the next call.
+TEST_CASE("a call after a cancelled one gets its own answer")
+{
+    int arrivals = 0;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        const QByteArray body = QByteArray::number(++arrivals).rightJustified(6, '0');
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n" + body);
+        // The second half of odd answers comes only after the call was cancelled.
+        if (arrivals % 2 == 0)
+            socket.write(body);
+        else
+            QTimer::singleShot(0, &socket, [&socket, body] { socket.write(body); });
+    });
+    QtHttpClient client;
+    for (int n = 1; n <= 40; n += 2) {
+        RecordingObserver cancelled;
+        std::unique_ptr<HttpCall> call;
+        cancelled.dataHook = [&] { call.reset(); };
+        call = client.start(makeRequest(server.address()), cancelled);
+        REQUIRE(waitFor([&] { return !call; }));
+        const RecordingObserver next = run(client, makeRequest(server.address()));
+        REQUIRE(next.finished == 1);
+        CHECK(next.body == QByteArray::number(n + 1).rightJustified(6, '0').repeated(2));
+    }
+}
+
 // Guards against bytes that leave although the call was cancelled at hand-over.
 TEST_CASE("a call that is cancelled at hand-over sends nothing")
 {
