--- /dev/null
+++ b/Tests/LibRouting/TestPrefixAffinity.cpp
@@ -0,0 +1,66 @@
+#include <LibRouting/PrefixAffinity.h>
+#include <Tests/Support/SimulatedClock.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+// Guards against choosing an endpoint that holds only a short beginning while another one holds nearly all.
+TEST_CASE("the endpoint with the longest prefix is found")
+{
+    SimulatedClock clock;
+    PrefixAffinity affinity;
+    affinity.noteSent({ 1, 2 }, 7, clock.now());
+    affinity.noteSent({ 1, 2, 3, 4 }, 8, clock.now());
+    const auto matches = affinity.find({ 1, 2, 3, 5 }, clock.now());
+    REQUIRE(matches.size() == 1);
+    CHECK(matches[0].endpoint == 8);
+    CHECK(matches[0].share == Approx(0.5));
+    CHECK(affinity.find({ 99 }, clock.now()).empty());
+}
+
+// Guards against stale events: after lost events only what this node sent there itself counts.
+TEST_CASE("a gap makes events uncertain and keeps the own record")
+{
+    SimulatedClock clock;
+    PrefixAffinity affinity;
+    affinity.noteStored({ 1 }, 7, clock.now());
+    affinity.noteSent({ 2 }, 7, clock.now());
+    CHECK(affinity.find({ 1 }, clock.now()).size() == 1);
+    clock.advance(std::chrono::seconds { 1 });
+    affinity.noteGap(7, clock.now());
+    CHECK(affinity.find({ 1 }, clock.now()).empty());
+    CHECK(affinity.find({ 2 }, clock.now()).size() == 1);
+    clock.advance(std::chrono::seconds { 1 });
+    affinity.noteStored({ 1 }, 7, clock.now());
+    CHECK(affinity.find({ 1 }, clock.now()).size() == 1);
+}
+
+// Guards against sending work to an endpoint for a prefix that it no longer holds.
+TEST_CASE("evicted and old prefixes are forgotten")
+{
+    SimulatedClock clock;
+    PrefixAffinity affinity;
+    affinity.noteSent({ 1 }, 7, clock.now());
+    affinity.noteSent({ 1 }, 8, clock.now());
+    affinity.noteEvicted({ 1, 55 }, 7);
+    REQUIRE(affinity.find({ 1 }, clock.now()).size() == 1);
+    CHECK(affinity.find({ 1 }, clock.now())[0].endpoint == 8);
+    clock.advance(std::chrono::minutes { 3 });
+    CHECK(affinity.find({ 1 }, clock.now()).empty());
+}
+
+// Guards against memory that grows with the number of different prompts.
+TEST_CASE("the record is bounded and keeps the recent prefixes")
+{
+    SimulatedClock clock;
+    PrefixAffinity affinity;
+    for (uint64_t key = 0; key < 50'000; ++key) {
+        affinity.noteSent({ key }, static_cast<uint32_t>(key % 10), clock.now());
+        affinity.noteSent({ 7 }, 3, clock.now());
+    }
+    CHECK(affinity.size() <= 16'384);
+    CHECK(affinity.find({ 49'999 }, clock.now()).size() == 1);
+    CHECK_FALSE(affinity.find({ 7 }, clock.now()).empty());
+    CHECK(affinity.find({ 8 }, clock.now()).empty());
+}
