--- a/Benchmarks/Rows.cpp
+++ b/Benchmarks/Rows.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr double warmUpSeconds = 20;
-    constexpr double measuredSeconds = 60;
+    constexpr double measuredSeconds = 120;
 
     double percentile(std::vector<double> values, double share)
     {
@@ -442,8 +442,8 @@
         Run run(options, shape);
         run.warmUp();
         std::vector<double> loads(options.endpoints);
-        for (int n = 0; n < 60; ++n) {
-            run.simulation.runFor(measuredSeconds / 60);
+        for (int n = 0; n < 120; ++n) {
+            run.simulation.runFor(measuredSeconds / 120);
             for (uint32_t i = 0; i < options.endpoints; ++i)
                 loads[i] += run.simulation.engine(i).running();
         }
--- a/Benchmarks/Workload.cpp
+++ b/Benchmarks/Workload.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr uint32_t workspaces = 8;
+    constexpr uint64_t arrivalSeedOffset = 1'000'000;
     constexpr uint32_t prefixKeysPerPrompt = 4;
     constexpr uint32_t largeLimit = 50'000;
     // Some callers set a large limit for every request, so that the limit alone does not reveal a straggler.
@@ -33,6 +34,7 @@
 
 Workload::Workload(Simulation& simulation, const WorkloadOptions& options)
     : m_simulation(simulation)
+    , m_random(simulation.options().seed + arrivalSeedOffset)
     , m_options(options)
 {
 }
@@ -51,7 +53,7 @@
 
 void Workload::scheduleNext()
 {
-    const double wait = -std::log(1 - m_simulation.random().unit()) / m_options.rate;
+    const double wait = -std::log(1 - m_random.unit()) / m_options.rate;
     m_simulation.events().after(wait, [this] {
         if (!m_isRunning)
             return;
@@ -62,7 +64,7 @@
 
 void Workload::arrive()
 {
-    SeededRandom& random = m_simulation.random();
+    SeededRandom& random = m_random;
     Work work;
     work.model = "model";
     work.workspace = "workspace" + std::to_string(random.below(workspaces));
--- a/Benchmarks/Workload.h
+++ b/Benchmarks/Workload.h
@@ -45,6 +45,8 @@
     void scheduleNext();
 
     Simulation& m_simulation;
+    /// Own source, so that runs with the same seed get the same requests whatever else happens in them.
+    SeededRandom m_random;
     WorkloadOptions m_options;
     bool m_isRunning { false };
 };
