--- a/Tests/LibRouting/TestQueues.cpp
+++ b/Tests/LibRouting/TestQueues.cpp
@@ -1,7 +1,7 @@
 #include <LibCore/SeededRandom.h>
 #include <LibRouting/BatchQueue.h>
 #include <LibRouting/ByteBudget.h>
-#include <LibRouting/IndexSet.h>
+#include <LibRouting/EndpointIndexSet.h>
 #include <LibRouting/LengthPredictor.h>
 #include <LibRouting/OnlineQueue.h>
 #include <LibRouting/RetryBudget.h>
@@ -94,7 +94,7 @@
 // Guards against retry storms: the share must hold over any number of requests, also right after the start.
 TEST_CASE("retries stay within their share of requests")
 {
-    RetryBudget budget(0.1, 10);
+    RetryBudget budget(0.1, 10, 0);
     size_t taken = 0;
     for (size_t n = 1; n <= 1'000; ++n) {
         budget.earn();
@@ -176,7 +176,7 @@
 // Guards against an endpoint that stays a candidate after another one took its place in the list.
 TEST_CASE("members of an index set come and go")
 {
-    IndexSet set;
+    EndpointIndexSet set;
     CHECK(set.insert(5));
     CHECK(set.insert(2));
     CHECK(set.insert(9));
