LibHTTP: Keep idle connections while draining

Cause: the process test 'a rolling restart of every node under load cuts no request' saw one request end without an answer: draining closed idle connections at once, also one on which a request was on its way. Ruled out: a lost exchange in the server (none was active) and the runners. Change: draining only marks answers with Connection: close; idle connections are closed by a call of its own, which the daemon makes when it stops listening, after the balancer has had its time. The test of draining now also sends a request on an idle connection after draining has begun.

--- a/Libraries/LibHTTP/QtHttpServer.cpp
+++ b/Libraries/LibHTTP/QtHttpServer.cpp
@@ -55,11 +55,10 @@
     m_acceptor = nullptr;
 }
 
-void HttpServer::setDraining(bool isDraining)
+void HttpServer::setDraining(bool isDraining) { m_context.isDraining = isDraining; }
+
+void HttpServer::closeIdleConnections()
 {
-    m_context.isDraining = isDraining;
-    if (!isDraining)
-        return;
     for (const auto& [feed, connection] : m_connections)
         connection->closeIfIdle();
 }
--- a/Libraries/LibHTTP/QtHttpServer.h
+++ b/Libraries/LibHTTP/QtHttpServer.h
@@ -40,10 +40,13 @@
     /// over first, because closing the socket would reset them.
     void stopListening();
 
-    /// While draining, answers carry `Connection: close`, and connections that served a request and wait for the next
-    /// one are closed.
+    /// While draining, answers carry `Connection: close`.
     void setDraining(bool);
 
+    /// Closes the connections that served a request and wait for the next one. A request that is on its way on one of
+    /// them is cut, so the callers must have had the time to go elsewhere.
+    void closeIdleConnections();
+
     /// Returns the number of connections accepted so far, which is the number of the last one.
     uint64_t acceptedConnections() const { return m_context.acceptedConnections; }
 
--- a/Services/chicorydockd/IoThread.cpp
+++ b/Services/chicorydockd/IoThread.cpp
@@ -34,7 +34,10 @@
 
 void IoThread::stopListening()
 {
-    m_thread.run([this] { m_server->stopListening(); });
+    m_thread.run([this] {
+        m_server->stopListening();
+        m_server->closeIdleConnections();
+    });
 }
 
 }
--- a/Services/chicorydockd/IoThread.h
+++ b/Services/chicorydockd/IoThread.h
@@ -21,6 +21,7 @@
 
     /// Lets answers carry `Connection: close`.
     void drain();
+    /// Takes no more connections and closes the idle ones.
     void stopListening();
     int activeExchanges() const { return m_server->activeExchanges(); }
 
--- a/Tests/LibHTTP/TestHttpServer.cpp
+++ b/Tests/LibHTTP/TestHttpServer.cpp
@@ -276,15 +276,31 @@
     REQUIRE(fixture.waitForExchanges(2));
 
     fixture.server.setDraining(true);
+    // A request that is on its way on an idle connection is still served.
+    idle.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(3));
+    fixture.handler.exchanges[2]->answer(plain("late"));
     CHECK(waitFor([&] { return idle.isClosed(); }));
+    CHECK(idle.received().contains("Connection: close"));
+    CHECK(idle.received().endsWith("late"));
+    RawCaller idleAgain(fixture.port);
+    fixture.server.setDraining(false);
+    idleAgain.send("GET / HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(4));
+    fixture.handler.exchanges[3]->answer(plain("again"));
+    REQUIRE(waitFor([&] { return idleAgain.received().endsWith("again"); }));
+    fixture.server.setDraining(true);
+    CHECK_FALSE(idleAgain.isClosed());
+    fixture.server.closeIdleConnections();
+    CHECK(waitFor([&] { return idleAgain.isClosed(); }));
     CHECK_FALSE(busy.isClosed());
     // The kernel accepts the connection; the event loop of the server does not run before it stops listening.
     RawCaller unused(fixture.port);
     fixture.server.stopListening();
     unused.send("GET / HTTP/1.1\r\n\r\n");
-    REQUIRE(fixture.waitForExchanges(3));
+    REQUIRE(fixture.waitForExchanges(5));
     fixture.handler.exchanges[1]->answer(plain("second"));
-    fixture.handler.exchanges[2]->answer(plain("third"));
+    fixture.handler.exchanges[4]->answer(plain("third"));
     CHECK(waitFor([&] { return busy.isClosed() && unused.isClosed(); }));
     CHECK(busy.received().contains("Connection: close"));
     CHECK(busy.received().endsWith("second"));
