chicorydockd: Place models on endpoints and tell peers which are loaded

The placement controller runs in each node and orders only under the lease of its failure domain. The node that owns an endpoint's batch work reads which models it has loaded and spreads them, so that schedulers send work only to endpoints that have the model.

Plain services are no longer asked for load, cache events and state: they do not report them, and the process test of unrepeatable items counted those readings as calls.

--- a/Libraries/LibDispatch/EndpointMonitor.cpp
+++ b/Libraries/LibDispatch/EndpointMonitor.cpp
@@ -12,10 +12,12 @@
 
 }
 
-EndpointMonitor::EndpointMonitor(const Clock& clock, EndpointClient& client, Dispatcher& dispatcher)
+EndpointMonitor::EndpointMonitor(
+    const Clock& clock, EndpointClient& client, Dispatcher& dispatcher, ModelsCallback takeModels)
     : m_clock(clock)
     , m_client(client)
     , m_dispatcher(dispatcher)
+    , m_takeModels(std::move(takeModels))
 {
 }
 
@@ -48,6 +50,11 @@
         watch.loadCall = m_client.readLoad(
             watch.endpoint.address, [this, id](const std::optional<LoadReport>& report) { takeLoad(id, report); });
     }
+    if (!watch.isReadingState) {
+        watch.isReadingState = true;
+        watch.stateCall = m_client.readState(
+            watch.endpoint.address, [this, id](const std::optional<EndpointState>& state) { takeState(id, state); });
+    }
     if (!watch.isReadingEvents) {
         watch.isReadingEvents = true;
         watch.eventsCall = m_client.readCacheEvents(watch.endpoint.address, watch.lastSequence,
@@ -55,6 +62,20 @@
     }
 }
 
+void EndpointMonitor::takeState(const std::string& id, const std::optional<EndpointState>& state)
+{
+    const auto it = m_watches.find(id);
+    if (it == m_watches.end())
+        return;
+    it->second.isReadingState = false;
+    if (!state)
+        return;
+    std::vector<std::string> models;
+    for (const LoadedModel& model : state->models)
+        models.push_back(model.model);
+    m_takeModels(id, models);
+}
+
 void EndpointMonitor::takeLoad(const std::string& id, const std::optional<LoadReport>& report)
 {
     const auto it = m_watches.find(id);
--- a/Libraries/LibDispatch/EndpointMonitor.h
+++ b/Libraries/LibDispatch/EndpointMonitor.h
@@ -8,12 +8,15 @@
 
 namespace Chicorydock {
 
-/// Reads the late load reports and cache events of endpoints and hands them to the schedulers.
+/// Reads the late load reports, the cache events and the loaded models of endpoints.
 ///
 /// Thread safety: none; lives on the thread of its client.
 class EndpointMonitor {
 public:
-    EndpointMonitor(const Clock&, EndpointClient&, Dispatcher&);
+    using ModelsCallback = std::function<void(const std::string& endpoint, const std::vector<std::string>& models)>;
+
+    /// `takeModels` gets the names of the models that an endpoint has loaded, after each reading.
+    EndpointMonitor(const Clock&, EndpointClient&, Dispatcher&, ModelsCallback takeModels);
 
     /// Replaces the endpoints to read.
     void setEndpoints(const std::vector<KnownEndpoint>&);
@@ -28,17 +31,21 @@
         uint64_t lastSequence { 0 };
         std::unique_ptr<HttpCall> loadCall;
         std::unique_ptr<HttpCall> eventsCall;
+        std::unique_ptr<HttpCall> stateCall;
         bool isReadingLoad { false };
         bool isReadingEvents { false };
+        bool isReadingState { false };
     };
 
     void read(Watch&);
     void takeLoad(const std::string& id, const std::optional<LoadReport>&);
     void takeEvents(const std::string& id, const std::optional<CacheEvents>&);
+    void takeState(const std::string& id, const std::optional<EndpointState>&);
 
     const Clock& m_clock;
     EndpointClient& m_client;
     Dispatcher& m_dispatcher;
+    ModelsCallback m_takeModels;
     std::map<std::string, Watch> m_watches;
 };
 
--- a/Services/chicorydockd/Cluster.cpp
+++ b/Services/chicorydockd/Cluster.cpp
@@ -1,7 +1,11 @@
 #include "Cluster.h"
 
+#include <QStringList>
+
 #include <glog/logging.h>
 
+#include <array>
+
 namespace Chicorydock {
 
 namespace {
@@ -9,6 +13,8 @@
     // The list lags by seconds anyway, and 340 nodes read it.
     constexpr std::chrono::seconds vmListInterval { 5 };
 
+    constexpr std::string_view modelsPrefix = "models/";
+
     MemberUpdate makeSelf(const ClusterParts& parts)
     {
         const Settings::Node& node = parts.settings.node;
@@ -24,6 +30,37 @@
         return endpoints;
     }
 
+    const char* nameOf(OrderOutcome outcome)
+    {
+        switch (outcome) {
+        case OrderOutcome::Done:
+            return "done";
+        case OrderOutcome::RefusedAsOld:
+            return "refused_as_old";
+        case OrderOutcome::Failed:
+            return "failed";
+        case OrderOutcome::Unknown:
+            return "unknown";
+        }
+        return "unknown";
+    }
+
+    QJsonObject toJson(const PlacementEndpoint& endpoint, const EndpointOrder& order)
+    {
+        static const std::array names { "load", "unload", "change_role" };
+        return { { "endpoint", QString::fromStdString(endpoint.id) },
+            { "order", names[static_cast<size_t>(order.kind)] }, { "model", QString::fromStdString(order.model.model) },
+            { "version", QString::fromStdString(order.model.version) },
+            { "fencing_number", static_cast<qint64>(order.fencingNumber) } };
+    }
+
+    std::shared_ptr<PlacementLease> makeLease(const ClusterParts& parts, Random& random)
+    {
+        const Settings::Node& node = parts.settings.node;
+        return std::make_shared<PlacementLease>(parts.tables, parts.clock, node.failureDomain,
+            node.id + '/' + random.identifier(), PlacementController::Options {}.leaseDuration);
+    }
+
     const char* nameOf(MemberUpdate::State state)
     {
         switch (state) {
@@ -56,9 +93,12 @@
               m_membership.publish(record, isLeaving ? Membership::Urgency::Urgent : Membership::Urgency::Normal);
           },
           [this] { m_needsPlan = true; })
-    , m_monitor(m_parts.clock, m_parts.endpointClient, m_parts.dispatcher)
+    , m_monitor(m_parts.clock, m_parts.endpointClient, m_parts.dispatcher,
+          [this](const std::string& endpoint, const std::vector<std::string>& models) { takeModels(endpoint, models); })
     , m_summaries(m_parts.clock, m_parts.dispatcher, m_place.id,
           [this](const GossipRecord& record) { m_membership.publish(record); })
+    , m_placement(m_parts.clock, m_random, m_parts.endpointClient, *this, makeLease(m_parts, m_random),
+          m_parts.toPlatform, m_parts.toControllers, {})
 {
     m_membership.setSeeds(m_parts.settings.rpc.seeds);
     m_endpoints.addConfigured(configuredEndpoints(m_parts.settings));
@@ -76,9 +116,17 @@
     if (m_needsPlan)
         plan();
     m_monitor.tick();
+    m_placement.tick(now);
+    m_holdsPlacementLease = m_placement.holdsLease();
     m_summaries.tick(nodesOfDomain(*members().read(), m_place, m_place.failureDomain).size());
 }
 
+void Cluster::leave()
+{
+    m_membership.leave();
+    m_placement.stop();
+}
+
 void Cluster::requestYield(const std::string& service, const std::string& endpoint)
 {
     const auto endpoints = m_endpoints.endpoints().read();
@@ -117,6 +165,7 @@
 {
     m_endpoints.takeRecord(record);
     m_summaries.takeRecord(record);
+    takeModelsRecord(record);
     // A leaving endpoint must get no more work, so the plan does not wait for the next tick.
     if (m_needsPlan)
         plan();
@@ -132,6 +181,66 @@
     m_parts.eventLog.record("revision", "in_force", std::to_string(configuration.revision));
     LOG(INFO) << "configuration revision " << configuration.revision << " is in force";
     m_membership.setRevision(configuration.revision);
+    m_placement.setConfiguration(m_parts.configuration.read());
+    m_needsPlan = true;
+}
+
+void Cluster::onLeaseAcquired(uint64_t epoch)
+{
+    m_parts.eventLog.record(
+        "lease", "acquired", m_place.failureDomain, {}, { { "epoch", static_cast<qint64>(epoch) } });
+    LOG(INFO) << "holds the placement lease of " << m_place.failureDomain << " with epoch " << epoch;
+}
+
+void Cluster::onLeaseLost(uint64_t epoch)
+{
+    m_parts.eventLog.record("lease", "lost", m_place.failureDomain, {}, { { "epoch", static_cast<qint64>(epoch) } });
+    LOG(WARNING) << "lost the placement lease of " << m_place.failureDomain << " with epoch " << epoch;
+}
+
+void Cluster::onOrderSent(const PlacementEndpoint& endpoint, const EndpointOrder& order)
+{
+    m_parts.eventLog.record("order", "sent", endpoint.id, {}, toJson(endpoint, order));
+}
+
+void Cluster::onOrderEnded(const PlacementEndpoint& endpoint, const EndpointOrder& order, OrderOutcome outcome)
+{
+    QJsonObject details = toJson(endpoint, order);
+    details.insert("outcome", nameOf(outcome));
+    m_parts.eventLog.record("order", "ended", endpoint.id, {}, details);
+}
+
+void Cluster::takeModels(const std::string& endpoint, const std::vector<std::string>& models)
+{
+    const auto [it, isNew] = m_models.try_emplace(endpoint, models);
+    if (!isNew && it->second == models)
+        return;
+    it->second = models;
+    m_needsPlan = true;
+    QStringList names;
+    for (const std::string& model : models)
+        names.append(QString::fromStdString(model));
+    // One node reads the state of each endpoint, so its clock orders the versions.
+    m_membership.publish({ std::string(modelsPrefix) + endpoint,
+        static_cast<uint64_t>(toUnixMilliseconds(m_parts.clock.wallNow())), names.join('\n').toStdString() });
+}
+
+void Cluster::takeModelsRecord(const GossipRecord& record)
+{
+    if (!record.key.starts_with(modelsPrefix))
+        return;
+    std::vector<std::string> models;
+    for (const QString& name : QString::fromStdString(record.value).split('\n', Qt::SkipEmptyParts))
+        models.push_back(name.toStdString());
+    m_models[record.key.substr(modelsPrefix.size())] = std::move(models);
+    m_needsPlan = true;
+}
+
+bool Cluster::isEngine(const std::string& service) const
+{
+    const auto configuration = m_parts.configuration.read();
+    const Service* declared = configuration->findService(service);
+    return declared && declared->kind == Service::Kind::Engine;
 }
 
 void Cluster::readVmList()
@@ -177,18 +286,34 @@
 {
     m_needsPlan = false;
     const auto endpoints = m_endpoints.endpoints().read();
-    const auto plan = planEndpoints(*endpoints, *members().read(), m_place);
+    auto plan = planEndpoints(*endpoints, *members().read(), m_place);
+    for (auto& [service, list] : plan) {
+        for (SchedulerEndpoint& endpoint : list) {
+            if (const auto it = m_models.find(endpoint.id); it != m_models.end())
+                endpoint.models = it->second;
+        }
+    }
     m_parts.dispatcher.setEndpoints(*endpoints, plan);
 
     // One node reads the reports of each endpoint; reading them at every node would cost more than control may.
     std::vector<KnownEndpoint> watched;
     for (const auto& [service, list] : plan) {
+        // Only engines report their load, cache and state.
+        if (!isEngine(service))
+            continue;
         for (const SchedulerEndpoint& endpoint : list) {
             if (endpoint.ownsBatch)
                 watched.push_back(*endpoints->find(endpoint.id));
         }
     }
     m_monitor.setEndpoints(watched);
+
+    std::vector<PlacementEndpoint> placed;
+    for (const auto& [id, endpoint] : endpoints->endpoints) {
+        if (endpoint.failureDomain == m_place.failureDomain && !endpoint.isLeaving && isEngine(endpoint.service))
+            placed.push_back({ id, endpoint.address, endpoint.service });
+    }
+    m_placement.setEndpoints(placed);
 }
 
 }
--- a/Services/chicorydockd/Cluster.h
+++ b/Services/chicorydockd/Cluster.h
@@ -8,6 +8,7 @@
 #include <LibDispatch/EndpointMonitor.h>
 #include <LibDispatch/Topology.h>
 #include <LibMembership/Membership.h>
+#include <LibPlacement/PlacementController.h>
 #include <LibRPC/PeerHandler.h>
 #include <LibSettings/Settings.h>
 
@@ -24,6 +25,7 @@
     Dispatcher& dispatcher;
     PeerLink& link;
     VmList& vmList;
+    TableService& tables;
     ConfigurationStore& configurationStore;
     RcuCell<Configuration>& configuration;
     EndpointClient& endpointClient;
@@ -33,10 +35,10 @@
     Post toControllers;
 };
 
-/// The controllers that make a node part of the whole: membership, configuration, endpoints and summaries.
+/// The controllers that make a node part of the whole: membership, configuration, endpoints, placement and summaries.
 ///
 /// Thread safety: belongs to the controllers' thread, except the snapshots, which may be read from any thread.
-class Cluster final : public PeerHandler, private MembershipObserver {
+class Cluster final : public PeerHandler, private MembershipObserver, private PlacementObserver {
 public:
     explicit Cluster(ClusterParts);
     ~Cluster() override;
@@ -44,8 +46,8 @@
     /// Starts what is due. Called about ten times a second.
     void tick();
 
-    /// Tells the peers that this node is leaving.
-    void leave() { m_membership.leave(); }
+    /// Tells the peers that this node is leaving, and gives the placement lease back.
+    void leave();
     bool hasToldPeers() const { return m_membership.isUrgentNewsDelivered(); }
 
     /// Marks an endpoint as leaving, here and at all peers. Throws Error(NotFound).
@@ -61,6 +63,7 @@
     const RcuCell<EndpointSet>& endpoints() const { return m_endpoints.endpoints(); }
     const NodePlace& place() const { return m_place; }
     bool isPlatformReachable() const { return m_isPlatformReachable; }
+    bool holdsPlacementLease() const { return m_holdsPlacementLease; }
 
     PeerMessage exchange(const PeerMessage&) override;
     std::optional<std::string> fetchRevision(uint64_t revision, uint64_t held) override;
@@ -70,7 +73,14 @@
     void onMemberChanged(const MemberUpdate&) override;
     void onRecordChanged(const GossipRecord&) override;
     void onRevision(uint64_t revision, const std::string& address) override;
+    void onLeaseAcquired(uint64_t epoch) override;
+    void onLeaseLost(uint64_t epoch) override;
+    void onOrderSent(const PlacementEndpoint&, const EndpointOrder&) override;
+    void onOrderEnded(const PlacementEndpoint&, const EndpointOrder&, OrderOutcome) override;
     void onConfiguration(const Configuration&);
+    void takeModels(const std::string& endpoint, const std::vector<std::string>& models);
+    void takeModelsRecord(const GossipRecord&);
+    bool isEngine(const std::string& service) const;
 
     void readVmList();
     void takeVmList(const std::vector<VmEntry>&);
@@ -85,10 +95,14 @@
     EndpointController m_endpoints;
     EndpointMonitor m_monitor;
     SummaryExchange m_summaries;
+    PlacementController m_placement;
+    // Names of the models that each endpoint has loaded; one that is missing here takes any.
+    std::map<std::string, std::vector<std::string>> m_models;
     MonotonicTime m_nextVmList;
     bool m_isReadingVmList { false };
     bool m_needsPlan { true };
     std::atomic<bool> m_isPlatformReachable { false };
+    std::atomic<bool> m_holdsPlacementLease { false };
     // Expires with this object, so that late callbacks find out.
     std::shared_ptr<bool> m_lifetime { std::make_shared<bool>() };
 };
--- a/Services/chicorydockd/Daemon.cpp
+++ b/Services/chicorydockd/Daemon.cpp
@@ -132,7 +132,7 @@
         [this]() -> Schema::Operator::Client { return kj::heap<OperatorServer>(*m_operator, m_platformPool.post()); });
     m_rpcAddress = withPort(m_settings.rpc.address, m_rpcServer->port());
     m_cluster = std::make_unique<Cluster>(ClusterParts { m_settings, m_clock, m_hybridClock, m_eventLog, m_dispatcher,
-        *m_link, m_vmList, m_configurationStore, m_configuration, m_controllerClient, m_rpcAddress,
+        *m_link, m_vmList, m_tables, m_configurationStore, m_configuration, m_controllerClient, m_rpcAddress,
         m_platformPool.post(), m_toControllers });
     m_operator
         = std::make_unique<NodeOperator>(NodeOperator::Parts { m_settings, m_clock, *m_cluster, m_dispatcher, m_jobs,
--- a/Services/chicorydockd/NodeOperator.cpp
+++ b/Services/chicorydockd/NodeOperator.cpp
@@ -24,6 +24,7 @@
     status.members = *m_parts.cluster.members().read();
     for (const auto& [name, counters] : m_parts.dispatcher.counters())
         status.services.push_back({ name, counters });
+    status.holdsPlacementLease = m_parts.cluster.holdsPlacementLease();
     status.claimedChunks = m_parts.batch.claimedChunks();
     return status;
 }
@@ -75,13 +76,7 @@
 
 Configuration NodeOperator::configuration() { return *m_parts.configuration.read(); }
 
-std::vector<RevisionSummary> NodeOperator::history(uint32_t limit)
-{
-    std::vector<RevisionSummary> summaries;
-    for (const RevisionInfo& it : m_parts.configurationStore.history(limit))
-        summaries.push_back({ it.revision, it.author, it.requestId, it.accepted });
-    return summaries;
-}
+std::vector<RevisionInfo> NodeOperator::history(uint32_t limit) { return m_parts.configurationStore.history(limit); }
 
 JobView NodeOperator::submitJob(const JobSubmission& submission)
 {
