--- a/Tests/Processes/TestSystem.cpp
+++ b/Tests/Processes/TestSystem.cpp
@@ -49,14 +49,14 @@
     const QString region = regionOf(entry.failureDomain.toStdString());
     QFile file(m_folder.filePath(name + ".toml"));
     REQUIRE(file.open(QIODevice::WriteOnly));
-    file.write(
-        QString("[node]\nid = \"%1\"\nregion = \"%2\"\nfailure_domain = \"%3\"\n"
-                "[http]\naddress = \"127.0.0.1:0\"\ndrain_delay_ms = 200\n"
-                "[rpc]\naddress = \"127.0.0.1:0\"\n"
-                "[platform]\naddress = \"%4\"\ntimeout_ms = 500\n"
-                "[batch]\nchunk_items = 10\nlease_ms = 3000\n%5")
-            .arg(name, region, entry.failureDomain, QString::fromStdString(platformAddress()), entry.extraSettings)
-            .toUtf8());
+    file.write(QString("[node]\nid = \"%1\"\nregion = \"%2\"\nfailure_domain = \"%3\"\n"
+                       "[http]\naddress = \"127.0.0.1:0\"\ndrain_delay_ms = 200\n"
+                       "[rpc]\naddress = \"127.0.0.1:0\"\nseeds = [%5]\n"
+                       "[platform]\naddress = \"%4\"\ntimeout_ms = 500\n"
+                       "[batch]\nchunk_items = 10\nlease_ms = 3000\n%6")
+                   .arg(name, region, entry.failureDomain, QString::fromStdString(platformAddress()), seeds(),
+                       entry.extraSettings)
+                   .toUtf8());
     file.close();
     m_operators.erase(id);
     m_processes[id]
@@ -69,6 +69,16 @@
     publishList();
 }
 
+QString TestSystem::seeds() const
+{
+    QStringList addresses;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.vm.value("role") == "entry")
+            addresses.append('"' + entry.vm.value("address").toString() + '"');
+    }
+    return addresses.join(", ");
+}
+
 void TestSystem::restartNode(const std::string& id)
 {
     const Entry entry = m_entries.at(id);
--- a/Tests/Processes/TestSystem.h
+++ b/Tests/Processes/TestSystem.h
@@ -66,6 +66,8 @@
 
     std::string platformAddress() const { return m_platform->ready("address"); }
     void startNode(const std::string& id, const Entry&);
+    /// Returns the RPC addresses of the nodes that were started so far, for the settings of a new one.
+    QString seeds() const;
     void publishList();
     std::string addEndpoint(const std::string& service, const QString& program, const std::string& failureDomain,
         const QStringList& arguments);
