LibBatch: Claim the next chunk before the held ones run out

nextTick() is now relative to the last tick. It was relative to the time of its own call while chunks were held, so a caller that polled it never ticked.

A controller looked for work only when there was room beyond all waiting items, and its interval had grown to seconds by then. It now also keeps one waiting item for each running one, and looks at once when a held chunk falls below that.

--- a/Libraries/LibBatch/BatchController.cpp
+++ b/Libraries/LibBatch/BatchController.cpp
@@ -93,6 +93,7 @@
 
 void BatchController::tick(MonotonicTime now)
 {
+    m_lastTick = now;
     takeOutcomes(now);
     if (m_isReleasing)
         stopRunning();
@@ -109,9 +110,8 @@
 
 MonotonicTime BatchController::nextTick() const
 {
-    const MonotonicTime now = m_clock.now();
     if (!m_chunks.empty())
-        return now + dispatchInterval;
+        return m_lastTick + dispatchInterval;
     return std::max(m_nextLook, m_storeRetryAt);
 }
 
@@ -284,7 +284,14 @@
 
 void BatchController::look(MonotonicTime now)
 {
-    if (now < m_nextLook || m_chunks.size() >= m_options.maxClaimedChunks)
+    if (m_chunks.size() >= m_options.maxClaimedChunks)
+        return;
+    const bool wasRunningOut = std::exchange(m_isRunningOut, m_chunks.empty() || isRunningOut());
+    if (m_isRunningOut && !wasRunningOut) {
+        m_lookInterval = m_options.minPoll;
+        m_nextLook = now;
+    }
+    if (now < m_nextLook)
         return;
     // Set before the calls, so that a failed look is not repeated at once.
     m_nextLook = now + m_lookInterval;
@@ -301,12 +308,15 @@
 /// Claims one chunk; returns false if there is none or other nodes were faster too often.
 bool BatchController::claimNext()
 {
+    const std::map<std::string, Load> held = loads();
     std::map<std::string, bool> rooms;
     const auto hasRoomFor = [&](const JobRecord& job) {
         return std::ranges::any_of(job.paths, [&](const std::string& path) {
             const auto [it, isNew] = rooms.try_emplace(path, false);
-            if (isNew)
-                it->second = hasRoom(path);
+            if (isNew) {
+                const auto load = held.find(path);
+                it->second = needsItems(path, load == held.end() ? Load {} : load->second);
+            }
             return it->second;
         });
     };
@@ -375,13 +385,35 @@
     return chunk.lostClaims >= (chunk.isSplit ? 1 : m_options.maxLostClaims);
 }
 
-/// Returns whether the endpoints could take more items than those that wait already.
-bool BatchController::hasRoom(const std::string& path) const
+/// Returns the items of held chunks by path. A chunk whose items are not loaded yet counts for each path of its job.
+std::map<std::string, BatchController::Load> BatchController::loads() const
 {
-    uint32_t waiting = 0;
-    for (const auto& chunk : m_chunks)
-        waiting += chunk->isLoaded() ? chunk->waiting(path) : chunk->stored().record.count;
-    return m_executor.room(path) > waiting;
+    std::map<std::string, Load> result;
+    for (const auto& chunk : m_chunks) {
+        if (!chunk->isLoaded()) {
+            for (const std::string& path : chunk->job().record.paths)
+                result[path].waiting += chunk->stored().record.count;
+        }
+        for (const HeldItem& held : chunk->items()) {
+            Load& load = result[held.item.path];
+            load.waiting += held.state == HeldItem::State::Waiting;
+            load.running += held.state == HeldItem::State::Running;
+        }
+    }
+    return result;
+}
+
+/// Returns whether more items than those that wait could start within about the time of one item: those that there is
+/// room for, and one for each that runs now. Without this reserve, endpoints are idle while the next chunk is claimed.
+bool BatchController::needsItems(const std::string& path, const Load& load) const
+{
+    return load.waiting < m_executor.room(path) + load.running;
+}
+
+/// Returns whether the held chunks run out of items for a path, so that a look for work should not be delayed.
+bool BatchController::isRunningOut() const
+{
+    return std::ranges::any_of(loads(), [this](const auto& entry) { return needsItems(entry.first, entry.second); });
 }
 
 bool BatchController::isHeld(const std::string& jobId, uint32_t first) const
--- a/Libraries/LibBatch/BatchController.h
+++ b/Libraries/LibBatch/BatchController.h
@@ -62,6 +62,11 @@
 
 private:
     struct Inbox;
+    /// Items of one path in held chunks.
+    struct Load {
+        uint32_t waiting { 0 };
+        uint32_t running { 0 };
+    };
     using Chunks = std::vector<std::unique_ptr<HeldChunk>>;
 
     bool useStore(const std::function<void()>& step);
@@ -81,7 +86,9 @@
     bool claimNext();
     bool claim(const ClaimPlanner::Candidate&);
     bool isLostTooOften(const ChunkRecord&) const;
-    bool hasRoom(const std::string& path) const;
+    std::map<std::string, Load> loads() const;
+    bool needsItems(const std::string& path, const Load&) const;
+    bool isRunningOut() const;
     bool isHeld(const std::string& jobId, uint32_t first) const;
 
     void loadChunks();
@@ -116,6 +123,8 @@
     std::atomic<bool> m_isReleasing { false };
     bool m_hasStoppedRunning { false };
     uint64_t m_lastSerial { 0 };
+    MonotonicTime m_lastTick;
+    bool m_isRunningOut { false };
     MonotonicTime m_nextLook;
     Milliseconds m_lookInterval;
     MonotonicTime m_nextCancelCheck;
--- a/Libraries/LibBatch/HeldChunk.cpp
+++ b/Libraries/LibBatch/HeldChunk.cpp
@@ -43,12 +43,6 @@
     return std::ranges::any_of(m_items, [](const HeldItem& held) { return held.state == HeldItem::State::Running; });
 }
 
-uint32_t HeldChunk::waiting(const std::string& path) const
-{
-    return static_cast<uint32_t>(std::ranges::count_if(m_items,
-        [&](const HeldItem& held) { return held.state == HeldItem::State::Waiting && held.item.path == path; }));
-}
-
 bool HeldChunk::isEnded() const
 {
     return m_isLoaded
--- a/Libraries/LibBatch/HeldChunk.h
+++ b/Libraries/LibBatch/HeldChunk.h
@@ -73,10 +73,9 @@
     bool isLoaded() const { return m_isLoaded; }
 
     std::vector<HeldItem>& items() { return m_items; }
+    const std::vector<HeldItem>& items() const { return m_items; }
     HeldItem* find(uint32_t index);
     bool hasRunning() const;
-    /// Returns the number of waiting items with that path.
-    uint32_t waiting(const std::string& path) const;
     bool isEnded() const;
 
     /// Fixes the write that ends the claim: with a result for every item it makes the chunk done, otherwise it hands
