--- a/Libraries/LibMembership/MemberTable.cpp
+++ b/Libraries/LibMembership/MemberTable.cpp
@@ -28,7 +28,9 @@
 void MemberTable::put(const MemberUpdate& update, MonotonicTime now)
 {
     m_suspects.erase(update.nodeId);
-    m_members[update.nodeId] = { update, now, {} };
+    Member& member = m_members[update.nodeId];
+    const bool hadLeft = member.hasLeft && member.update.incarnation == update.incarnation;
+    member = { update, now, {}, hadLeft || update.state == MemberUpdate::State::Leaving };
 }
 
 const Member* MemberTable::find(const std::string& nodeId) const
--- a/Libraries/LibMembership/MemberTable.h
+++ b/Libraries/LibMembership/MemberTable.h
@@ -16,6 +16,9 @@
     /// When the member is declared dead unless it refutes; set by the table only.
     std::optional<MonotonicTime> suspicionDeadline;
 
+    /// Whether it said in this incarnation that it is leaving, which stays true when it is dead.
+    bool hasLeft { false };
+
     bool isDead() const { return update.state == MemberUpdate::State::Dead; }
     /// Whether it takes part: alive or suspect.
     bool isLive() const { return update.state < MemberUpdate::State::Leaving; }
--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -400,9 +400,11 @@
 {
     const MonotonicTime now = m_clock.now();
     if (now - m_lastAnswer > m_options.isolationThreshold) {
-        // This node was cut off, so its verdicts since then say nothing about others. Those who live come back as new.
+        // This node was cut off, so its verdicts since then say nothing about others. Those who live come back as new;
+        // those who have left must not, whoever has not heard of it yet.
         const auto judged = m_members.select([&](const Member& it) {
-            return it.since >= m_lastAnswer && (it.update.state == MemberUpdate::State::Suspect || it.isDead());
+            const bool isJudged = it.update.state == MemberUpdate::State::Suspect || it.isDead();
+            return isJudged && !it.hasLeft && it.since >= m_lastAnswer;
         });
         for (const std::string& id : judged) {
             m_members.remove(id);
--- a/Tests/LibMembership/TestMembership.cpp
+++ b/Tests/LibMembership/TestMembership.cpp
@@ -157,7 +157,14 @@
     SimulatedCluster cluster(9);
     startAndSettle(cluster, 10);
     SimulatedNode& paused = *cluster.nodes[3];
+    const SimulatedNode& suspect = *cluster.nodes[0];
     for (int n = 0; n < 5; ++n) {
+        // A suspicion is pending when the pause begins, and the refutation arrives during the pause.
+        cluster.network.setPasses([&](const std::string& from, const std::string& to) {
+            return from != suspect.address && to != suspect.address;
+        });
+        REQUIRE(cluster.runUntil(60s, [&] { return paused.stateOf(suspect.id()) == State::Suspect; }));
+        cluster.network.setPasses({});
         cluster.network.pause(paused.address);
         cluster.run(40s);
         const uint64_t before = paused.deathsSeen;
--- a/Tests/Support/SimulatedCluster.h
+++ b/Tests/Support/SimulatedCluster.h
@@ -123,8 +123,10 @@
             network, clock, memory, policy, std::move(self), m_random.next(), m_options));
         SimulatedNode& node = *nodes.back();
         std::vector<std::string> seeds;
-        for (size_t n = 0; n < std::min<size_t>(nodes.size() - 1, 3); ++n)
-            seeds.push_back(nodes[n]->address);
+        for (const auto& it : nodes) {
+            if (it->isRunning && it.get() != &node && seeds.size() < 3)
+                seeds.push_back(it->address);
+        }
         node.membership.setSeeds(seeds);
         network.attach(address,
             { [&node](const PeerMessage& message) { return node.membership.receive(message); },
@@ -175,7 +177,7 @@
         return std::ranges::all_of(nodes, [&](const auto& it) { return !it->isRunning || condition(*it); });
     }
 
-    /// Returns whether every running node holds exactly the running nodes to be alive.
+    /// Returns whether every running node holds exactly the running nodes to be alive and suspects nobody.
     bool agrees() const
     {
         std::set<std::string> running;
@@ -188,7 +190,8 @@
             const auto alive = std::ranges::count(*members, MemberUpdate::State::Alive, &MemberUpdate::state);
             return static_cast<size_t>(alive) == running.size()
                 && std::ranges::all_of(*members, [&](const MemberUpdate& it) {
-                       return it.state != MemberUpdate::State::Alive || running.contains(it.nodeId);
+                       return it.state == MemberUpdate::State::Alive ? running.contains(it.nodeId)
+                                                                     : it.state != MemberUpdate::State::Suspect;
                    });
         });
     }
--- a/Tests/Support/SimulatedNetwork.h
+++ b/Tests/Support/SimulatedNetwork.h
@@ -4,6 +4,7 @@
 #include <LibMembership/PeerLink.h>
 #include <Tests/Support/SimulatedClock.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -36,19 +37,21 @@
         m_tap = std::move(tap);
     }
 
-    /// Runs the function later as a part of the process at `owner`.
+    /// Runs the function later as a timer of the process at `owner`.
     void schedule(const std::string& owner, MonotonicTime::duration delay, std::function<void()> function)
     {
-        m_events.emplace(m_clock.now() + delay, Event { owner, std::move(function) });
+        m_events.emplace(m_clock.now() + delay, Event { owner, true, std::move(function) });
     }
 
     /// Stops the process at the address; what reaches it waits until it resumes.
     void pause(const std::string& address) { m_paused[address]; }
+    /// Goes on with the process. Its timers run before it reads what it has received, as in an event loop.
     void resume(const std::string& address)
     {
-        const auto waiting = m_paused.extract(address);
-        for (const auto& it : waiting.mapped())
-            it();
+        auto waiting = m_paused.extract(address);
+        std::ranges::stable_partition(waiting.mapped(), [](const Event& it) { return it.isTimer; });
+        for (const Event& it : waiting.mapped())
+            it.function();
     }
 
     /// Runs the events up to the time and leaves the clock there.
@@ -61,7 +64,7 @@
             if (paused == m_paused.end())
                 event.mapped().function();
             else
-                paused->second.push_back(std::move(event.mapped().function));
+                paused->second.push_back(std::move(event.mapped()));
         }
         m_clock.advance(end - m_clock.now());
     }
@@ -108,6 +111,7 @@
 private:
     struct Event {
         std::string owner;
+        bool isTimer;
         std::function<void()> function;
     };
 
@@ -122,6 +126,11 @@
         return (!m_passes || m_passes(from, to)) && m_random.unit() >= m_loss;
     }
 
+    void deliver(const std::string& to, std::function<void()> function)
+    {
+        m_events.emplace(m_clock.now() + delay(), Event { to, false, std::move(function) });
+    }
+
     MonotonicTime::duration delay() { return fromSeconds(toSeconds(m_maxDelay) * (0.1 + 0.9 * m_random.unit())); }
 
     template <typename Result>
@@ -137,13 +146,13 @@
         schedule(from, timeout, [finish] { finish({}); });
         if (!passes(from, to))
             return;
-        schedule(to, delay(), [this, from, to, handle = std::move(handle), finish] {
+        deliver(to, [this, from, to, handle = std::move(handle), finish] {
             const auto it = m_handlers.find(to);
             if (it == m_handlers.end())
                 return;
             auto result = handle(it->second);
             if (passes(to, from))
-                schedule(from, delay(), [finish, result = std::move(result)] { finish(result); });
+                deliver(from, [finish, result = std::move(result)] { finish(result); });
         });
     }
 
@@ -151,7 +160,7 @@
     SeededRandom m_random;
     std::map<std::string, Handlers> m_handlers;
     std::multimap<MonotonicTime, Event> m_events;
-    std::map<std::string, std::vector<std::function<void()>>> m_paused;
+    std::map<std::string, std::vector<Event>> m_paused;
     std::function<bool(const std::string&, const std::string&)> m_passes;
     std::function<void(const std::string&, const std::string&, const PeerMessage&)> m_tap;
     double m_loss { 0 };
