--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -55,6 +55,7 @@
 HttpConnection::HttpConnection(HttpConnectionContext& context, qintptr descriptor, QObject* parent)
     : QObject(parent)
     , m_context(context)
+    , m_number(++context.acceptedConnections)
     , m_socket(new QTcpSocket(this))
     , m_reader(context.limits)
 {
@@ -213,8 +214,12 @@
     if (m_socket->bytesToWrite() == 0)
         m_lastWriteProgress = now();
     m_socket->write(bytes);
-    // Without this, the bytes would wait for the next turn of the event loop.
-    m_socket->flush();
+}
+
+void HttpConnection::flush()
+{
+    if (isOpen())
+        m_socket->flush();
 }
 
 void HttpConnection::endAnswer(bool closeConnection)
@@ -222,6 +227,7 @@
     if (m_stage == Stage::Closed || !isOpen())
         return;
     m_exchange.reset();
+    flush();
     if (closeConnection) {
         startLingering();
         return;
@@ -283,7 +289,8 @@
     updateActivity();
     if (const auto exchange = m_exchange.lock())
         exchange->handleCallerGone();
-    Q_EMIT closed();
+    if (m_closedHandler)
+        m_closedHandler();
     deleteLater();
 }
 
