chicorydockd: Return the history in the type of LibConfiguration

LibOperator now uses RevisionInfo instead of a type of its own, so the conversion in NodeOperator is removed.

--- a/Services/chicorydockd/NodeOperator.cpp
+++ b/Services/chicorydockd/NodeOperator.cpp
@@ -75,13 +75,7 @@
 
 Configuration NodeOperator::configuration() { return *m_parts.configuration.read(); }
 
-std::vector<RevisionSummary> NodeOperator::history(uint32_t limit)
-{
-    std::vector<RevisionSummary> summaries;
-    for (const RevisionInfo& it : m_parts.configurationStore.history(limit))
-        summaries.push_back({ it.revision, it.author, it.requestId, it.accepted });
-    return summaries;
-}
+std::vector<RevisionInfo> NodeOperator::history(uint32_t limit) { return m_parts.configurationStore.history(limit); }
 
 JobView NodeOperator::submitJob(const JobSubmission& submission)
 {
--- a/Services/chicorydockd/NodeOperator.h
+++ b/Services/chicorydockd/NodeOperator.h
@@ -35,7 +35,7 @@
     std::vector<EndpointStatus> endpoints() override;
     uint64_t apply(const Configuration&, uint64_t expectedRevision) override;
     Configuration configuration() override;
-    std::vector<RevisionSummary> history(uint32_t limit) override;
+    std::vector<RevisionInfo> history(uint32_t limit) override;
     JobView submitJob(const JobSubmission&) override;
     JobView jobStatus(const std::string& id) override;
     ResultPage jobResults(const std::string& id, uint32_t after, uint32_t limit) override;
