LibLog: Select the chunks and items of a job by its identifier

`chicorydock timeline JOB` against three nodes showed only the events of the job itself, because chunks and items carry the identifier JOB/NUMBER. The filter now accepts them, too. The new test fails without the change (0 events instead of 1).

--- a/Libraries/LibLog/EventLog.h
+++ b/Libraries/LibLog/EventLog.h
@@ -40,6 +40,7 @@
         = 0;
 
     /// Returns the newest events, oldest first, at most `limit`; `id` filters by identifier or trace id if not empty.
+    /// The identifier of a job also selects its chunks and items, `ID/NUMBER`.
     virtual std::vector<Event> recent(size_t limit, std::string_view id = {}) const = 0;
 };
 
--- a/Libraries/LibLog/RecordingEventLog.cpp
+++ b/Libraries/LibLog/RecordingEventLog.cpp
@@ -30,6 +30,17 @@
         };
     }
 
+    /// Chunks and items have the identifier of their job, a slash and a number.
+    bool isPartOf(std::string_view part, std::string_view whole)
+    {
+        return part.size() > whole.size() && part.starts_with(whole) && part[whole.size()] == '/';
+    }
+
+    bool concerns(const Event& event, std::string_view id)
+    {
+        return id.empty() || event.id == id || event.traceId == id || isPartOf(event.id, id);
+    }
+
     std::string toLine(const Event& event)
     {
         return QJsonDocument(toJson(event)).toJson(QJsonDocument::Compact).toStdString();
@@ -75,7 +86,7 @@
     std::vector<Event> found;
     const std::lock_guard guard(m_mutex);
     for (auto it = m_events.rbegin(); it != m_events.rend() && found.size() < limit; ++it) {
-        if (id.empty() || it->id == id || it->traceId == id)
+        if (concerns(*it, id))
             found.push_back(*it);
     }
     std::ranges::reverse(found);
--- a/Tests/LibLog/TestRecordingEventLog.cpp
+++ b/Tests/LibLog/TestRecordingEventLog.cpp
@@ -46,6 +46,20 @@
     CHECK(log.recent(1, "r1")[0].action == "finished");
 }
 
+// Guards against a time line of a job without its chunks, or with those of a job whose name starts the same.
+TEST_CASE("the identifier of a job selects its chunks and items")
+{
+    const SimulatedClock clock;
+    HybridLogicalClock hybrid(clock);
+    RecordingEventLog log({ .node = "n1", .failureDomain = "d1", .file = "" }, hybrid);
+    log.record("chunk", "claimed", "job/0");
+    log.record("chunk", "claimed", "job2/0");
+    log.record("chunk", "claimed", "job2");
+    REQUIRE(log.recent(10, "job").size() == 1);
+    CHECK(log.recent(10, "job")[0].id == "job/0");
+    CHECK(log.recent(10, "job2").size() == 2);
+}
+
 // Guards against events that are lost when the process stops.
 TEST_CASE("all events are in the file after the log is destroyed")
 {
