chicorydock: Derive the request id from the author, too

The same file and revision from another author gave the same request id but other content, so the node answered that the id belongs to another change instead of naming the lost race.

--- a/Utilities/chicorydock/Commands.cpp
+++ b/Utilities/chicorydock/Commands.cpp
@@ -138,7 +138,8 @@
         configuration.author = context.line.author;
         configuration.requestId = context.line.requestId;
         if (configuration.requestId.empty())
-            configuration.requestId = sha256Hex(std::to_string(expected) + "\n" + content).substr(0, requestIdLength);
+            configuration.requestId = sha256Hex(std::to_string(expected) + "\n" + configuration.author + "\n" + content)
+                                          .substr(0, requestIdLength);
         try {
             validate(configuration);
         } catch (const Error& error) {
