--- a/Meta/chicorydock.sh
+++ b/Meta/chicorydock.sh
@@ -2,6 +2,7 @@
 # Sets everything up on a fresh machine.
 #   Meta/chicorydock.sh test   installs, builds, checks the format, runs clang-tidy and all tests
 #   Meta/chicorydock.sh build  installs and builds only
+#   Meta/chicorydock.sh run    installs, builds and starts a small system on loopback until Ctrl-C
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${BUILD_DIR:-build}
@@ -29,6 +30,11 @@
     install_packages
     build_all
     ;;
+run)
+    install_packages
+    build_all
+    exec Meta/run-demo.sh
+    ;;
 test)
     install_packages
     build_all
@@ -36,7 +42,7 @@
     ctest --test-dir "$build" --output-on-failure -j "$(nproc)"
     ;;
 *)
-    sed -n '2,4s/^# *//p' "$0" >&2
+    sed -n '2,5s/^# *//p' "$0" >&2
     exit 2
     ;;
 esac
