--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -7,8 +7,8 @@
 /// Thread safety: none.
 class RetryBudget {
 public:
-    /// `share` of an extra attempt is earned per first attempt, up to `burst` of them. `initial` attempts are there from
-    /// the start.
+    /// `share` of an extra attempt is earned per first attempt, up to `burst` of them. `initial` attempts are there
+    /// from the start.
     RetryBudget(double share, double burst, double initial)
         : m_share(share)
         , m_burst(burst)
