--- a/Services/chicorydockd/NodeOperator.cpp
+++ b/Services/chicorydockd/NodeOperator.cpp
@@ -24,6 +24,7 @@
     status.members = *m_parts.cluster.members().read();
     for (const auto& [name, counters] : m_parts.dispatcher.counters())
         status.services.push_back({ name, counters });
+    status.holdsPlacementLease = m_parts.cluster.holdsPlacementLease();
     status.claimedChunks = m_parts.batch.claimedChunks();
     return status;
 }
