LibRouting: Let batch work fill endpoints without online work beyond the token gap target

Batch work alone has no target for the token gap, and more streams give more tokens. An endpoint without online work now takes batch work up to four times its limit, within the absolute one. The first online request there makes it give way.

Tried on the way and not kept: cancelling batch work down to the allowance whenever online work arrives, with a cost of 0.1 s per displaced batch stream in the choice of an endpoint.

The property test checked batch work against the limit from the token gap, which no longer applies without online work; it now checks the new bound there and the old one beside online work.

--- a/Benchmarks/Rows.cpp
+++ b/Benchmarks/Rows.cpp
@@ -245,6 +245,12 @@
     // Batch work may fill endpoints until the token gap reaches its target.
     std::vector<Metric> batchToTarget(Policy policy, uint64_t seed) { return batchWithAllowance(policy, seed, 1'000); }
 
+    // Batch work only uses endpoints without online work and moments with less of it than usual.
+    std::vector<Metric> batchWithoutAllowance(Policy policy, uint64_t seed)
+    {
+        return batchWithAllowance(policy, seed, 0);
+    }
+
     // Batch work may hardly lengthen the token gap that online work has without it.
     std::vector<Metric> batchWithSmallAllowance(Policy policy, uint64_t seed)
     {
@@ -548,6 +554,7 @@
     static const std::vector<Row> list {
         { "a learning", learning },
         { "b batch up to the gap target", batchToTarget },
+        { "b batch without gap allowance", batchWithoutAllowance },
         { "b batch with 8% gap allowance", batchWithSmallAllowance },
         { "b burst", burst },
         { "c stragglers", stragglers },
--- a/Libraries/LibRouting/EndpointState.cpp
+++ b/Libraries/LibRouting/EndpointState.cpp
@@ -17,6 +17,8 @@
     // Reports are seconds late, so that they only move the correction slowly.
     constexpr double reportWeight = 0.2;
     constexpr std::chrono::seconds onlineMeanTime { 2 };
+    // Batch work alone may exceed the limit this many times, so that it ramps up with it.
+    constexpr double maxDenseFactor = 4;
     // Below this mean an endpoint counts as free of online work.
     constexpr double idleOnlineMean = 0.05;
 
@@ -49,9 +51,14 @@
 double EndpointState::batchLimit() const
 {
     const double most = limit.value();
-    const double reserve = std::ceil(most * m_settings.onlineReserve);
-    const double aboveReserve = std::max(1.0, most - reserve);
+    const double share = 1 - m_settings.onlineReserve;
+    const double aboveReserve = std::max(1.0, most - std::ceil(most * m_settings.onlineReserve));
     const double onlineLoad = std::max<double>(m_onlineMean, allOnline());
+    if (onlineLoad < idleOnlineMean && speed.isProven()) {
+        // Batch work alone has no target for the token gap, and more streams give more tokens.
+        const double mostAlone = std::min<double>(m_settings.maxConcurrency, most * maxDenseFactor);
+        return std::max(aboveReserve, mostAlone * share);
+    }
     const double slope = speed.gapSlopeSeconds();
     if (onlineLoad < idleOnlineMean || slope <= 0)
         return aboveReserve;
--- a/Tests/LibRouting/TestSchedulerProperties.cpp
+++ b/Tests/LibRouting/TestSchedulerProperties.cpp
@@ -300,7 +300,10 @@
         }
         RC_ASSERT(m_endpoints.at(decision.endpoint).ownsBatch);
         RC_ASSERT(!m_endpoints.at(decision.endpoint).isRemote);
-        RC_ASSERT(isProbe || running(decision.endpoint) + m_peerOnline[decision.endpoint] <= limit);
+        const size_t online = running(decision.endpoint, WorkClass::Online) + m_peerOnline[decision.endpoint];
+        const size_t total = running(decision.endpoint) + m_peerOnline[decision.endpoint];
+        // Without online work the limit from the token gap does not hold for batch work, the absolute one does.
+        RC_ASSERT(isProbe || total <= (online > 0 ? limit : std::min(settings().maxConcurrency, 4 * limit)));
         batchStarts.insert(decision.endpoint);
     }
 
