LibRouting: Predict the service time of answers whose tokens are not reported one by one

An answer that was not streamed counted as one token, so that work with 100 expected tokens was predicted to take a hundred times its time and was refused. A new test of refusals by worth found it.

--- a/Libraries/LibRouting/Lane.h
+++ b/Libraries/LibRouting/Lane.h
@@ -45,11 +45,11 @@
 
     const IndexSet& localOpen(bool isLong) const { return isLong ? openLong : open[0]; }
 
-    /// An attempt completed.
-    void noteCompleted(double seconds, uint32_t tokens)
+    /// An attempt completed with that many tokens, or as many as expected if they were not reported one by one.
+    void noteCompleted(double seconds, double tokens)
     {
         constexpr double weight = 0.05;
-        const double counted = std::max(1U, tokens);
+        const double counted = std::max(1.0, tokens);
         if (meanServiceSeconds == 0) {
             meanServiceSeconds = seconds;
             meanTokens = counted;
--- a/Libraries/LibRouting/LearnedScheduler.cpp
+++ b/Libraries/LibRouting/LearnedScheduler.cpp
@@ -780,7 +780,7 @@
     else
         m_lengths.add(entry.work, attempt.tokens);
     if (entry.isOnline())
-        m_lanes[entry.lane]->noteCompleted(seconds, attempt.tokens);
+        m_lanes[entry.lane]->noteCompleted(seconds, attempt.tokens > 0 ? attempt.tokens : entry.expectedTokens);
 }
 
 bool LearnedScheduler::tryRetry(WorkEntry& entry, uint32_t failedEndpoint, bool mayRetry, MonotonicTime now)
--- a/Tests/LibRouting/TestLearnedScheduler.cpp
+++ b/Tests/LibRouting/TestLearnedScheduler.cpp
@@ -196,6 +196,48 @@
     CHECK(completed > requests * 0.95);
 }
 
+// Guards against retries beyond the budget while no endpoint is suspect yet, as right after many endpoints fail at
+// once.
+TEST_CASE("only a tenth of the requests is retried even if all of them fail")
+{
+    SchedulerFixture fixture;
+    fixture.setEndpoints(50);
+    size_t retried = 0;
+    for (int n = 0; n < 50; ++n) {
+        for (const Decision& it : fixture.submit(fixture.online())) {
+            if (it.kind == Kind::Start)
+                retried += fixture.finish(it.work, it.endpoint, AttemptOutcome::Refused) ? 1 : 0;
+        }
+    }
+    CHECK(retried == 5);
+}
+
+// Guards against worthy requests that are refused while unworthy ones wait.
+TEST_CASE("while the queue fills, requests of little worth are refused first")
+{
+    SchedulerFixture fixture;
+    fixture.setEndpoints(10);
+    for (int n = 0; n < 20; ++n) {
+        const auto it = fixture.submit(fixture.online()).at(0);
+        fixture.clock.advance(std::chrono::seconds { 4 });
+        fixture.finish(it.work, it.endpoint, AttemptOutcome::Completed);
+        fixture.update();
+        fixture.poll();
+    }
+    size_t refusedLow = 0;
+    size_t refusedHigh = 0;
+    // 80 slots and answers of 4 s: 20 requests may wait a second. With less than 12, a worth above the median waits.
+    for (int n = 0; fixture.scheduler.counters().onlineQueued < 12 && n < 300; ++n) {
+        Work work = fixture.online();
+        work.worth = n % 2 == 0 ? 1 : 8;
+        if (SchedulerFixture::count(fixture.submit(work), Kind::Refuse) > 0)
+            ++(n % 2 == 0 ? refusedLow : refusedHigh);
+    }
+    CHECK(fixture.scheduler.counters().onlineQueued == 12);
+    CHECK(refusedLow > 0);
+    CHECK(refusedHigh == 0);
+}
+
 // Guards against a request that waits for an endpoint which hangs before its first token.
 TEST_CASE("a late first token is hedged within the budget, and the loser is cancelled")
 {
--- a/Tests/LibRouting/TestSpeedEstimator.cpp
+++ b/Tests/LibRouting/TestSpeedEstimator.cpp
@@ -1,21 +1,25 @@
+#include <LibCore/SeededRandom.h>
 #include <LibRouting/ConcurrencyLimit.h>
 #include <LibRouting/SpeedEstimator.h>
 #include <Tests/Support/SimulatedClock.h>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace Chicorydock;
 
 namespace {
 
 // Feeds streams with a gap of base + slope * concurrency for a while.
-void stream(SpeedEstimator& speed, SimulatedClock& clock, double seconds, double concurrency, double gap)
+void stream(
+    SpeedEstimator& speed, SimulatedClock& clock, double seconds, double concurrency, double gap, double others = 0)
 {
     const MonotonicTime end = clock.now() + fromSeconds(seconds);
     while (clock.now() < end) {
         clock.advance(fromSeconds(gap));
         for (int n = 0; n < static_cast<int>(concurrency); ++n)
-            speed.addTokens(1, fromSeconds(gap), concurrency, 0, clock.now());
+            speed.addTokens(1, fromSeconds(gap), concurrency, others, clock.now());
     }
 }
 
@@ -35,6 +39,25 @@
     CHECK(speed.health() > 0.9);
 }
 
+// Guards against a slope that comes out too small because the peers' part of the concurrency is known late.
+TEST_CASE("the slope is learned although peers' counts lag by a second")
+{
+    SimulatedClock clock;
+    SpeedEstimator speed;
+    SeededRandom random(1);
+    double others = 20;
+    double known = 20;
+    constexpr double own = 4;
+    for (int second = 0; second < 200; ++second) {
+        for (int step = 0; step < 10; ++step) {
+            others = std::clamp(others + (random.unit() - 0.5) * 5, 5.0, 40.0);
+            stream(speed, clock, 0.1, own, 0.008 + 0.0006 * (own + others), known);
+        }
+        known = others;
+    }
+    CHECK(speed.gapSlopeSeconds() == Approx(0.0006).epsilon(0.25));
+}
+
 // Guards against coefficients that jump when the concurrency varies again after a long time without variation.
 TEST_CASE("a constant concurrency does not unlearn the slope")
 {
@@ -47,6 +70,18 @@
     CHECK(speed.gapSeconds(30) == Approx(0.026).epsilon(0.1));
 }
 
+// Guards against the same in the regression itself, where one wrong sample must not outweigh a thousand.
+TEST_CASE("the regression stays calm after many samples at one point")
+{
+    LinearEstimator estimator(0.012, 0.0005, 0.985);
+    for (int n = 0; n < 200; ++n)
+        estimator.add(5 + n % 20, 0.008 + 0.0006 * (5 + n % 20));
+    for (int n = 0; n < 3'000; ++n)
+        estimator.add(10, 0.014);
+    estimator.add(11, 0.016);
+    CHECK(estimator.at(30) == Approx(0.026).epsilon(0.1));
+}
+
 // Guards against a disturbance that changes the reference: the endpoint must keep its share afterwards, and must lose
 // it within a few gaps meanwhile.
 TEST_CASE("a slowed endpoint loses health at once, keeps its reference and recovers")
