--- a/Tests/LibRouting/TestLearnedScheduler.cpp
+++ b/Tests/LibRouting/TestLearnedScheduler.cpp
@@ -11,7 +11,9 @@
 // Guards against online work that waits until batch work completes.
 TEST_CASE("online work starts at once on endpoints full of batch work, which gives way with least progress first")
 {
-    SchedulerFixture fixture;
+    SchedulerSettings settings;
+    settings.maxConcurrency = 8;
+    SchedulerFixture fixture(settings);
     fixture.setEndpoints(1);
     const std::vector<WorkId> batch = fixture.fillWithBatch();
     REQUIRE(batch.size() == 7);
@@ -31,12 +33,14 @@
     CHECK(fixture.scheduler.counters().batchInFlight == 0);
 }
 
-// Guards against batch work that lengthens the token gap of online work beyond the allowance.
-TEST_CASE("beside online work, batch work fills an endpoint up to the gap allowance only")
+// Guards against batch work that lengthens the token gap of online work beyond the allowance, and against capacity that
+// batch work leaves unused although no online work is there.
+TEST_CASE("batch work fills an endpoint without online work, and beside online work up to the gap allowance only")
 {
     SchedulerFixture fixture;
     fixture.setEndpoints(1);
-    CHECK(fixture.scheduler.batchRoom(fixture.clock.now()) == 7);
+    // Four times the limit of 8, above the reserve.
+    CHECK(fixture.scheduler.batchRoom(fixture.clock.now()) == 28);
     CHECK(fixture.submit(fixture.online()).size() == 1);
     // 10.5 ms with one stream; 8% more are 1.7 streams.
     CHECK(fixture.fillWithBatch().size() == 1);
@@ -45,7 +49,9 @@
 // Guards against batch items that are lost or come back at once to the endpoint that they just left.
 TEST_CASE("batch work that gave way is queued again and starts when the burst is over")
 {
-    SchedulerFixture fixture;
+    SchedulerSettings settings;
+    settings.maxConcurrency = 8;
+    SchedulerFixture fixture(settings);
     fixture.setEndpoints(1);
     const WorkId first = fixture.fillWithBatch().front();
     fixture.scheduler.yieldBatch("e0", fixture.clock.now());
@@ -190,6 +196,48 @@
     CHECK(completed > requests * 0.95);
 }
 
+// Guards against retries beyond the budget while no endpoint is suspect yet, as right after many endpoints fail at
+// once.
+TEST_CASE("only a tenth of the requests is retried even if all of them fail")
+{
+    SchedulerFixture fixture;
+    fixture.setEndpoints(50);
+    size_t retried = 0;
+    for (int n = 0; n < 50; ++n) {
+        for (const Decision& it : fixture.submit(fixture.online())) {
+            if (it.kind == Kind::Start)
+                retried += fixture.finish(it.work, it.endpoint, AttemptOutcome::Refused) ? 1 : 0;
+        }
+    }
+    CHECK(retried == 5);
+}
+
+// Guards against worthy requests that are refused while unworthy ones wait.
+TEST_CASE("while the queue fills, requests of little worth are refused first")
+{
+    SchedulerFixture fixture;
+    fixture.setEndpoints(10);
+    for (int n = 0; n < 20; ++n) {
+        const auto it = fixture.submit(fixture.online()).at(0);
+        fixture.clock.advance(std::chrono::seconds { 4 });
+        fixture.finish(it.work, it.endpoint, AttemptOutcome::Completed);
+        fixture.update();
+        fixture.poll();
+    }
+    size_t refusedLow = 0;
+    size_t refusedHigh = 0;
+    // 80 slots and answers of 4 s: 20 requests may wait a second. With less than 12, a worth above the median waits.
+    for (int n = 0; fixture.scheduler.counters().onlineQueued < 12 && n < 300; ++n) {
+        Work work = fixture.online();
+        work.worth = n % 2 == 0 ? 1 : 8;
+        if (SchedulerFixture::count(fixture.submit(work), Kind::Refuse) > 0)
+            ++(n % 2 == 0 ? refusedLow : refusedHigh);
+    }
+    CHECK(fixture.scheduler.counters().onlineQueued == 12);
+    CHECK(refusedLow > 0);
+    CHECK(refusedHigh == 0);
+}
+
 // Guards against a request that waits for an endpoint which hangs before its first token.
 TEST_CASE("a late first token is hedged within the budget, and the loser is cancelled")
 {
