LibRouting: Resume the streams of a lost endpoint from a reserve of their own

Cause: with a retry budget that starts with 64 retries, refused requests could be retried beyond a tenth of the requests; the merged test 'only a tenth of the requests is retried even if all of them fail' counted 50 retries of 50 requests instead of 5. Ruled out: a smaller burst, which cuts streams when an endpoint is lost. Change: the budget starts empty again and holds for refusals; work whose endpoint failed may also take from a reserve of 64 that fills by one in ten seconds.

--- a/Libraries/LibRouting/LearnedScheduler.cpp
+++ b/Libraries/LibRouting/LearnedScheduler.cpp
@@ -41,8 +41,9 @@
 LearnedScheduler::LearnedScheduler(const SchedulerSettings& settings, Random& random)
     : m_settings(settings)
     , m_random(random)
-    , m_retries(settings.retryBudget, settings.retryBurst, settings.retryBurst)
-    , m_hedges(settings.hedgeBudget, settings.hedgeBurst, 0)
+    , m_retries(settings.retryBudget, settings.budgetBurst)
+    , m_hedges(settings.hedgeBudget, settings.budgetBurst)
+    , m_lossReserve(settings.lossReserve, settings.lossReservePerSecond)
     , m_regionBytes(settings.regionBytesPerSecond)
 {
 }
@@ -783,14 +784,15 @@
         m_lanes[entry.lane]->noteCompleted(seconds, attempt.tokens > 0 ? attempt.tokens : entry.expectedTokens);
 }
 
-bool LearnedScheduler::tryRetry(WorkEntry& entry, uint32_t failedEndpoint, bool mayRetry, MonotonicTime now)
+bool LearnedScheduler::tryRetry(
+    WorkEntry& entry, uint32_t failedEndpoint, bool mayRetry, bool hasRefused, MonotonicTime now)
 {
     if (!entry.isOnline() || entry.isWithdrawn || !mayRetry || !entry.work.repeatable)
         return false;
     entry.excluded.push_back(failedEndpoint);
     if (++entry.work.attempt >= maxAttempts || entry.work.deadline <= now || !canRunSomewhere(entry))
         return false;
-    if (!m_retries.take())
+    if (!m_retries.take() && (hasRefused || !m_lossReserve.take(now)))
         return false;
     Lane& lane = *m_lanes[entry.lane];
     if (entry.onlinePlace.id == 0)
@@ -861,7 +863,7 @@
         return true;
     }
     setTimer(entry, {});
-    if (hasFailed && tryRetry(entry, *index, mayRetry, now))
+    if (hasFailed && tryRetry(entry, *index, mayRetry, outcome == AttemptOutcome::Refused, now))
         return true;
     if (entry.attempts.empty())
         m_entries.erase(it);
--- a/Libraries/LibRouting/LearnedScheduler.h
+++ b/Libraries/LibRouting/LearnedScheduler.h
@@ -5,6 +5,7 @@
 #include <LibRouting/EndpointModel.h>
 #include <LibRouting/Lane.h>
 #include <LibRouting/LengthPredictor.h>
+#include <LibRouting/LossReserve.h>
 #include <LibRouting/PeerLoads.h>
 #include <LibRouting/PrefixAffinity.h>
 #include <LibRouting/RetryBudget.h>
@@ -113,7 +114,7 @@
     void release(WorkEntry&, Attempt&, MonotonicTime now);
     void cancel(WorkEntry&, Attempt&, MonotonicTime now);
     void cancelOthers(WorkEntry&, uint32_t winner, MonotonicTime now);
-    bool tryRetry(WorkEntry&, uint32_t failedEndpoint, bool mayRetry, MonotonicTime now);
+    bool tryRetry(WorkEntry&, uint32_t failedEndpoint, bool mayRetry, bool hasRefused, MonotonicTime now);
     void learnFromCompletion(const WorkEntry&, const Attempt&, MonotonicTime now);
     void refuse(WorkEntry&, ErrorKind, const char* message);
 
@@ -139,6 +140,7 @@
     PeerLoads m_peers;
     RetryBudget m_retries;
     RetryBudget m_hedges;
+    LossReserve m_lossReserve;
     ByteBudget m_regionBytes;
     WorthWindow m_worths;
     SchedulerCounters m_counters;
--- a/Libraries/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/RetryBudget.h
@@ -2,17 +2,16 @@
 
 namespace Chicorydock {
 
-/// Token bucket that limits extra attempts to a share of the first attempts.
+/// Token bucket that limits extra attempts to a share of the first attempts. It starts empty, so that the share holds
+/// from the first request on.
 ///
 /// Thread safety: none.
 class RetryBudget {
 public:
-    /// `share` of an extra attempt is earned per first attempt, up to `burst` of them. `initial` attempts are there
-    /// from the start.
-    RetryBudget(double share, double burst, double initial)
+    /// `share` of an extra attempt is earned per first attempt, up to `burst` of them.
+    RetryBudget(double share, double burst)
         : m_share(share)
         , m_burst(burst)
-        , m_balance(initial)
     {
     }
 
@@ -35,7 +34,7 @@
 
     double m_share;
     double m_burst;
-    double m_balance;
+    double m_balance { 0 };
 };
 
 }
--- a/Libraries/LibRouting/SchedulerSettings.h
+++ b/Libraries/LibRouting/SchedulerSettings.h
@@ -40,11 +40,14 @@
     /// Retries and hedges per started request.
     double retryBudget { 0.10 };
     double hedgeBudget { 0.05 };
-    /// Retries that may happen at once after a quiet time or a start. All streams of a lost endpoint are resumed at
-    /// once, and an endpoint runs up to `maxConcurrency` of them.
-    double retryBurst { 64 };
-    /// Hedges that may happen at once after a quiet time. There are none at the start, because no speed is known yet.
-    double hedgeBurst { 10 };
+    /// Retries or hedges that may happen at once after a quiet time.
+    double budgetBurst { 10 };
+    /// Further retries for work whose endpoint failed, there from the start. All streams of a lost endpoint are resumed
+    /// at once, and an endpoint runs up to `maxConcurrency` of them. A refusal never takes from this reserve, because
+    /// refusals come by the thousand when the endpoints are overloaded.
+    double lossReserve { 64 };
+    /// How fast the reserve fills again: about one lost endpoint in ten minutes.
+    double lossReservePerSecond { 0.1 };
 
     /// Bytes a second for work sent to other regions.
     uint64_t regionBytesPerSecond { 200'000 };
--- a/Tests/LibRouting/TestQueues.cpp
+++ b/Tests/LibRouting/TestQueues.cpp
@@ -3,6 +3,7 @@
 #include <LibRouting/ByteBudget.h>
 #include <LibRouting/EndpointIndexSet.h>
 #include <LibRouting/LengthPredictor.h>
+#include <LibRouting/LossReserve.h>
 #include <LibRouting/OnlineQueue.h>
 #include <LibRouting/RetryBudget.h>
 #include <LibRouting/WorthWindow.h>
@@ -94,7 +95,7 @@
 // Guards against retry storms: the share must hold over any number of requests, also right after the start.
 TEST_CASE("retries stay within their share of requests")
 {
-    RetryBudget budget(0.1, 10, 0);
+    RetryBudget budget(0.1, 10);
     size_t taken = 0;
     for (size_t n = 1; n <= 1'000; ++n) {
         budget.earn();
@@ -110,6 +111,22 @@
     CHECK(burst == 10);
 }
 
+// Guards against streams that are cut because their endpoint was lost before the node had served many requests, and
+// against a reserve without end.
+TEST_CASE("a lost endpoint's streams can all be resumed, also right after the start")
+{
+    LossReserve reserve(64, 0.1);
+    SimulatedClock clock;
+    size_t taken = 0;
+    while (reserve.take(clock.now()))
+        ++taken;
+    CHECK(taken == 64);
+    clock.advance(std::chrono::seconds { 50 });
+    while (reserve.take(clock.now()))
+        ++taken;
+    CHECK(taken == 69);
+}
+
 // Guards against spilled requests that use more of the region link than they may, by one big or many small ones.
 TEST_CASE("bytes to other regions stay within their rate")
 {
