LibBatch: Report an unknown outcome when a write cannot be read back

A submission whose insert took effect, whose response was lost and which met an outage at the read-back threw PlatformUnavailable, which tells the caller that the job certainly was not accepted; a cancellation did the same. Both now throw OutcomeUnknown. A view that cannot be read after the write is reported in the same way. The new test failed for both calls before the change.

--- a/Libraries/LibBatch/JobStore.cpp
+++ b/Libraries/LibBatch/JobStore.cpp
@@ -61,6 +61,17 @@
         return "input/" + record.digest + '-' + std::to_string(record.chunkItems) + '/' + padded(chunkNumber, 8);
     }
 
+    /// Reads after a write whose outcome is unknown. If the read fails, the outcome stays unknown: PlatformUnavailable
+    /// would say that the write had no effect.
+    template <typename Function> auto readBack(Function function)
+    {
+        try {
+            return function();
+        } catch (const Error& error) {
+            throw Error(ErrorKind::OutcomeUnknown, "a write could not be read back: " + error.message());
+        }
+    }
+
     StoredChunk fromRow(const Row& row) { return { ChunkRecord::parse(row.value), row.version }; }
 
 }
@@ -89,7 +100,7 @@
                 throw;
         }
         // Either there is such a job, or the response was lost: the stored row tells.
-        if (auto stored = job(record.id))
+        if (auto stored = readBack([&] { return job(record.id); }))
             return *stored;
         if (attempt == maxWriteAttempts)
             throw Error(ErrorKind::OutcomeUnknown, "the job row could not be written");
@@ -107,7 +118,7 @@
             if (error.kind() != ErrorKind::OutcomeUnknown)
                 throw;
         }
-        const auto stored = job(record.id);
+        const auto stored = readBack([&] { return job(record.id); });
         if (!stored || stored->version != version)
             return stored && stored->record.writer == record.writer;
         if (attempt == maxWriteAttempts)
@@ -205,7 +216,7 @@
         if (result && result->committed)
             return { WriteResult::Kind::Applied, result->versions[0] };
         // An earlier attempt with this token may have taken effect, even if this one was refused.
-        const auto stored = chunk(jobId, record.first);
+        const auto stored = readBack([&] { return chunk(jobId, record.first); });
         if (stored && stored->record.writer == record.writer)
             return { WriteResult::Kind::Applied, stored->version };
         if (result)
--- a/Libraries/LibBatch/JobStore.h
+++ b/Libraries/LibBatch/JobStore.h
@@ -52,7 +52,8 @@
 ///
 /// Every write carries a writer token in its row. After a lost response the row is read back: the token tells whether
 /// the write took effect. All methods throw Error(PlatformUnavailable); those that write also throw
-/// Error(OutcomeUnknown) if the row could not be read back. Repeating a write with the same token is safe.
+/// Error(OutcomeUnknown) if the write may have taken effect and the row could not be read back. Repeating a write with
+/// the same token is safe.
 ///
 /// Thread safety: all methods may be called from any thread.
 class JobStore {
--- a/Libraries/LibBatch/TableJobService.cpp
+++ b/Libraries/LibBatch/TableJobService.cpp
@@ -85,7 +85,7 @@
     };
     if (const auto stored = m_store.job(record.id)) {
         checkSame(*stored);
-        return view(stored->record);
+        return viewAfterWrite(stored->record);
     }
     const auto summary = ItemFile::check(submission.items, m_chunkItems);
     record.workspace = submission.workspace;
@@ -100,7 +100,7 @@
         m_store.putInput(record, n, summary.chunks[n]);
     const StoredJob stored = m_store.insertJob(record);
     checkSame(stored);
-    return view(stored.record);
+    return stored.record.writer == record.writer ? viewWithoutChunks(stored.record) : viewAfterWrite(stored.record);
 }
 
 JobView TableJobService::status(std::string_view workspace, std::string_view id)
@@ -117,7 +117,7 @@
         stored.record.state = JobView::State::Cancelled;
         stored.record.writer = writerToken();
         if (m_store.endJob(stored.record, stored.version))
-            return view(stored.record);
+            return viewAfterWrite(stored.record);
     }
 }
 
@@ -191,9 +191,9 @@
     return std::move(*stored);
 }
 
-JobView TableJobService::view(const JobRecord& record)
+JobView TableJobService::viewWithoutChunks(const JobRecord& record)
 {
-    JobView result { .id = record.id,
+    return { .id = record.id,
         .workspace = record.workspace,
         .state = record.state,
         .total = record.total,
@@ -201,6 +201,11 @@
         .failed = record.failed,
         .created = record.created,
         .deadline = record.deadline };
+}
+
+JobView TableJobService::view(const JobRecord& record)
+{
+    JobView result = viewWithoutChunks(record);
     if (record.state == JobView::State::Completed)
         return result;
     for (const auto& [first, chunk] : m_store.chunks(record)) {
@@ -210,6 +215,16 @@
     return result;
 }
 
+/// Returns the view of a job after its row was written. PlatformUnavailable would say that nothing was written.
+JobView TableJobService::viewAfterWrite(const JobRecord& record)
+{
+    try {
+        return view(record);
+    } catch (const Error& error) {
+        throw Error(ErrorKind::OutcomeUnknown, "the job was written, but not read back: " + error.message());
+    }
+}
+
 std::string TableJobService::writerToken()
 {
     const std::lock_guard guard(m_randomMutex);
--- a/Libraries/LibBatch/TableJobService.h
+++ b/Libraries/LibBatch/TableJobService.h
@@ -26,6 +26,8 @@
 private:
     StoredJob find(std::string_view workspace, std::string_view id);
     JobView view(const JobRecord&);
+    JobView viewAfterWrite(const JobRecord&);
+    static JobView viewWithoutChunks(const JobRecord&);
     std::string writerToken();
     bool appendResults(const ChunkRecord&, uint32_t total, uint32_t limit, bool skipsGaps, ResultPage&);
 
--- a/Tests/LibBatch/TestTableJobService.cpp
+++ b/Tests/LibBatch/TestTableJobService.cpp
@@ -57,6 +57,23 @@
     CHECK(service.cancel("w", "job").state == JobView::State::Cancelled);
 }
 
+// Guards against an answer that says "not run" although the job was accepted or cancelled.
+TEST_CASE("an outage after a write that took effect is not reported as a write without effect")
+{
+    BatchWorld world;
+    FaultInjector faults(1);
+    FaultyTableService tables(world.tables, faults);
+    SeededRandom random(2);
+    TableJobService service(tables, world.objects, world.clock, random, BatchWorld::chunkItems);
+    faults.startOutageAfterWrite();
+    messageOf([&] { service.submit(world.submission("job", 5)); }, ErrorKind::OutcomeUnknown);
+    CHECK(world.service.status("w", "job").state == JobView::State::InProgress);
+    faults.setOutage(false);
+    faults.startOutageAfterWrite();
+    messageOf([&] { service.cancel("w", "job"); }, ErrorKind::OutcomeUnknown);
+    CHECK(world.service.status("w", "job").state == JobView::State::Cancelled);
+}
+
 // Guards against a job that is accepted with an item that cannot be run, and against an unhelpful refusal.
 TEST_CASE("a malformed item is refused with its line and the reason")
 {
@@ -80,6 +97,11 @@
     }
     messageOf([&] { world.service.submit({ .id = "job", .workspace = "w", .items = "\n \n" }); },
         ErrorKind::MalformedRequest);
+    const std::string tooMany = BatchWorld::items(200'001);
+    const std::string message
+        = messageOf([&] { world.service.submit({ .id = "job", .workspace = "w", .items = tooMany }); },
+            ErrorKind::MalformedRequest);
+    CHECK(message.starts_with("line 200001: "));
     messageOf(
         [&] { world.service.submit({ .id = "a/b", .workspace = "w", .items = good }); }, ErrorKind::MalformedRequest);
     messageOf([&] { world.service.status("w", "job"); }, ErrorKind::NotFound);
--- a/Tests/Support/FaultInjector.h
+++ b/Tests/Support/FaultInjector.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <mutex>
+#include <utility>
 
 namespace Chicorydock {
 
@@ -46,6 +47,14 @@
         m_responsesToLose = n;
     }
 
+    /// The next write takes effect, its response is lost, and an outage follows.
+    void startOutageAfterWrite()
+    {
+        const std::lock_guard guard(m_mutex);
+        m_responsesToLose = 1;
+        m_startsOutage = true;
+    }
+
     /// Sets a function that runs before each write, without a lock held.
     void setWriteHook(std::function<void()> hook) { m_writeHook = std::move(hook); }
 
@@ -88,6 +97,7 @@
             const std::lock_guard guard(m_mutex);
             if (m_responsesToLose > 0) {
                 --m_responsesToLose;
+                m_outage = m_outage || std::exchange(m_startsOutage, false);
                 return true;
             }
         }
@@ -98,6 +108,7 @@
     SeededRandom m_random;
     std::function<void()> m_writeHook;
     bool m_outage { false };
+    bool m_startsOutage { false };
     double m_lostResponseShare { 0 };
     double m_lostRequestShare { 0 };
     uint32_t m_responsesToLose { 0 };
