Benchmarks: Measure the lost share of a slowed endpoint over two seconds

Half a second without a start happens by chance, so that round robin seemed to take the endpoint out of use after 0.1 s.

--- a/Benchmarks/Rows.cpp
+++ b/Benchmarks/Rows.cpp
@@ -180,32 +180,23 @@
         simulation.engine(busiest).setSlowdown(1);
         simulation.runFor(60);
 
-        // Lost: the last start before half a second without any. Regained: the start of the first second that has half
-        // of the usual starts.
-        std::vector<MonotonicTime> startTimes;
-        for (const Record& it : simulation.records()) {
-            if (it.started && *it.started >= slowAt && it.firstEndpoint == busiest)
-                startTimes.push_back(*it.started);
-        }
-        MonotonicTime last = slowAt;
-        for (const MonotonicTime it : startTimes) {
-            if (it - last > Milliseconds { 500 })
-                break;
-            last = it;
-        }
-        const double lost = toSeconds(last - slowAt);
-        const auto firstSecond = [&](MonotonicTime from, double seconds, auto matches) {
-            for (double at = 0; at < seconds; at += 0.1) {
-                const MonotonicTime window = from + fromSeconds(at);
-                auto counts = startsIn(window, window + std::chrono::seconds { 1 });
-                if (matches(counts[busiest]))
+        // Lost or regained: the start of the first two seconds with less or more than half of the usual starts. Shorter
+        // windows are empty by chance.
+        constexpr std::chrono::seconds window { 2 };
+        const auto firstWindow = [&](MonotonicTime from, double seconds, auto matches) {
+            for (double at = 0; at < seconds; at += 0.05) {
+                auto counts = startsIn(from + fromSeconds(at), from + fromSeconds(at) + window);
+                if (matches(counts[busiest] / toSeconds(window)))
                     return at;
             }
             return seconds;
         };
         const double gap = 5 * simulation.engine(busiest).gapSeconds(10);
-        const double back = firstSecond(fastAt, 30, [&](double count) { return count > usual / 2; });
+        const double lost = firstWindow(slowAt, 8, [&](double rate) { return rate < usual / 2; });
+        const double back = firstWindow(fastAt, 30, [&](double rate) { return rate > usual / 2; });
+        auto first = startsIn(slowAt, slowAt + std::chrono::seconds { 1 });
         metrics.push_back({ "seconds until a slowed endpoint lost its share", lost, 5 * gap, false });
+        metrics.push_back({ "its starts in the first second / usual", first[busiest] / usual, {}, false });
         metrics.push_back({ "seconds until it had its share again", back, {}, false });
         return metrics;
     }
