LibRouting: Sharpen the test of slopes learned from late peer counts

With regression windows of 50 ms the old test passed. The peers' counts now change within two seconds; the slope comes out as 0.00039 with 50 ms and 0.00060 with the window of a second, where 0.00060 is right.

--- a/Tests/LibRouting/TestSpeedEstimator.cpp
+++ b/Tests/LibRouting/TestSpeedEstimator.cpp
@@ -5,8 +5,6 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-
 using namespace Chicorydock;
 
 namespace {
@@ -50,7 +48,7 @@
     constexpr double own = 4;
     for (int second = 0; second < 200; ++second) {
         for (int step = 0; step < 10; ++step) {
-            others = std::clamp(others + (random.unit() - 0.5) * 5, 5.0, 40.0);
+            others += 0.05 * (20 - others) + (random.unit() - 0.5) * 6;
             stream(speed, clock, 0.1, own, 0.008 + 0.0006 * (own + others), known);
         }
         known = others;
