LibMembership: Bound the records in a sync and space probes after a revision

A difference in one record made a sync answer list all records of the domain, up to 256 KB. A peer that has records already now gets 8 KB of them from a random place on; a new one still gets all.

--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -225,7 +225,15 @@
     }
     if (isLocalPeer && static_cast<uint32_t>(request.digest >> 32) == m_records.digest())
         return;
-    for (const GossipRecord& it : m_records.all()) {
+    std::vector<GossipRecord> records = m_records.all();
+    // A peer that has records already gets a part of them, from a random place on. Whole lists of thousands of records
+    // after each difference would exceed the traffic of a node.
+    const bool isNewPeer = request.digest >> 32 == 0;
+    if (!isNewPeer && !records.empty()) {
+        bytes = std::min(bytes, m_options.partialSyncBytes);
+        std::ranges::rotate(records, records.begin() + static_cast<ptrdiff_t>(m_random.below(records.size())));
+    }
+    for (const GossipRecord& it : records) {
         const bool isWanted = isLocalPeer || m_policy.scope(it) == RecordPolicy::Scope::Everywhere;
         if (isWanted && fits(it))
             reply.records.push_back(it);
--- a/Libraries/LibMembership/MembershipContacts.cpp
+++ b/Libraries/LibMembership/MembershipContacts.cpp
@@ -111,7 +111,7 @@
     // These messages are probes as well, so the regular one can wait.
     for (const std::string& id : local)
         probe(id);
-    m_nextProbe = std::max(m_nextProbe, m_clock.now() + m_options.probeInterval);
+    m_nextProbe = std::max(m_nextProbe, m_clock.now() + m_options.probeDelayAfterRevision);
     if (m_random.unit() < m_options.revisionContactsPerDomain / localMembers)
         contactOtherDomain();
 }
--- a/Libraries/LibMembership/MembershipOptions.h
+++ b/Libraries/LibMembership/MembershipOptions.h
@@ -36,6 +36,8 @@
     /// the others about it.
     uint32_t revisionFanOut { 3 };
     uint32_t revisionContactsPerDomain { 12 };
+    /// Time without a regular probe after them, because they are probes as well.
+    Milliseconds probeDelayAfterRevision { 3'000 };
 
     /// Urgent news goes directly to every member of the domain, this often at most until it is acknowledged.
     uint32_t urgentAttempts { 5 };
@@ -53,6 +55,8 @@
     size_t maxRecordBytes { 16 * 1024 };
     /// Bytes of members and records in the answer to a sync.
     size_t syncBytes { 256 * 1024 };
+    /// Bytes of records in it for a peer that has records already.
+    size_t partialSyncBytes { 8 * 1024 };
 
     /// A gap between two ticks from which on this process counts as paused; nothing that timed out meanwhile counts.
     Milliseconds pauseThreshold { 1'000 };
