LibDispatch: Notice a silent stream after two seconds

Ruled out: a shorter general timeout, because the first token of a long prompt may take longer. Change: once a stream has its first token, 2 s without the next one end the attempt's connection, and the stream resumes over a new one.

The new test failed with a double free at first: functions posted by a runner outlived the deadline queue that its attempts use. Threads now drop waiting functions before the environment.

--- a/Libraries/LibDispatch/GenerationRunner.cpp
+++ b/Libraries/LibDispatch/GenerationRunner.cpp
@@ -2,6 +2,14 @@
 
 namespace Chicorydock {
 
+namespace {
+
+    // Engines give every stream a token in each step, and even a slowed one takes far less than this, so a longer
+    // silence in the middle of a stream means that its connection or its engine is lost.
+    constexpr std::chrono::seconds maxTokenSilence { 2 };
+
+}
+
 class GenerationRunner::GenerationAttempt final : public Attempt, private GenerationObserver {
 public:
     GenerationAttempt(GenerationRunner& runner, const KnownEndpoint& endpoint)
@@ -10,6 +18,8 @@
     {
     }
 
+    ~GenerationAttempt() override { m_generation.environment().deadlines.remove(m_silenceCheck); }
+
     void send(bool freshConnection) override
     {
         GenerationRequest request;
@@ -22,12 +32,40 @@
         request.remaining = m_generation.remaining();
         request.progressTimeout = std::min(m_generation.environment().progressTimeout, request.remaining);
         request.freshConnection = freshConnection;
+        m_generation.environment().deadlines.remove(m_silenceCheck);
+        m_silenceCheck = 0;
         m_call = m_generation.environment().client.generate(request, *this);
     }
 
 private:
     void onHandedOver() override { noteHandedOver(); }
-    void onTokens(const GeneratedTokens& tokens) override { m_generation.takeTokens(*this, tokens); }
+
+    void onTokens(const GeneratedTokens& tokens) override
+    {
+        m_lastToken = m_generation.environment().clock.now();
+        if (m_silenceCheck == 0)
+            scheduleSilenceCheck();
+        m_generation.takeTokens(*this, tokens);
+    }
+
+    void scheduleSilenceCheck()
+    {
+        m_silenceCheck
+            = m_generation.environment().deadlines.add(m_lastToken + maxTokenSilence, [this] { checkSilence(); });
+    }
+
+    void checkSilence()
+    {
+        m_silenceCheck = 0;
+        if (m_generation.environment().clock.now() < m_lastToken + maxTokenSilence) {
+            scheduleSilenceCheck();
+            return;
+        }
+        m_call.reset();
+        noteFailure({ HttpFailure::Phase::Answering, HttpFailure::Reason::TimedOut, 0, false,
+            "no token for 2 s in the middle of a stream" });
+    }
+
     void onFailed(const EndpointFailure& failure) override { noteFailure(failure); }
 
     void onFinished(const GenerationEnd& end) override
@@ -37,6 +75,8 @@
     }
 
     GenerationRunner& m_generation;
+    MonotonicTime m_lastToken;
+    DeadlineQueue::Id m_silenceCheck { 0 };
 };
 
 GenerationRunner::GenerationRunner(
--- a/Services/chicorydockd/RunnerThread.cpp
+++ b/Services/chicorydockd/RunnerThread.cpp
@@ -3,6 +3,7 @@
 #include <LibEndpoint/HttpEndpointClient.h>
 #include <LibHTTP/QtHttpClient.h>
 
+#include <QCoreApplication>
 #include <QTimer>
 
 #include <exception>
@@ -50,6 +51,8 @@
     if (!m_thread.isRunning())
         return;
     run([this] {
+        // Functions that wait may hold runners, which use the environment when they end.
+        QCoreApplication::removePostedEvents(m_context);
         m_environment.reset();
         m_endpointClient.reset();
         m_httpClient.reset();
--- a/Tests/LibDispatch/TestGenerationRunner.cpp
+++ b/Tests/LibDispatch/TestGenerationRunner.cpp
@@ -47,6 +47,13 @@
         dispatcher.setEndpoints(set, { { "engine", endpoints } });
     }
 
+    ~Fixture()
+    {
+        // Posted functions hold the runner, which uses the other members when it ends.
+        runner.reset();
+        tasks.run();
+    }
+
     void start(bool isRepeatable)
     {
         RunnerRequest request { "engine", {}, "trace" };
@@ -129,6 +136,27 @@
     CHECK(fixture.eventLog.count("dispatched") == 2);
 }
 
+// Guards against a caller that waits for the deadline because the connection of its stream went silent.
+TEST_CASE("a stream that is silent after its first token moves to a new connection")
+{
+    Fixture fixture;
+    fixture.start(true);
+    fixture.observer().onHandedOver();
+    fixture.observer().onTokens({ "one ", 1 });
+    fixture.clock.advance(1500ms);
+    fixture.deadlines.tick(fixture.clock.now());
+    fixture.observer().onTokens({ "two ", 1 });
+    fixture.clock.advance(1500ms);
+    fixture.deadlines.tick(fixture.clock.now());
+    CHECK(fixture.client.generations.size() == 1);
+    fixture.clock.advance(500ms);
+    fixture.deadlines.tick(fixture.clock.now());
+    REQUIRE(fixture.client.generations.size() == 2);
+    CHECK(fixture.client.generations.front().isCancelled);
+    CHECK(fixture.client.generations.back().request.freshConnection);
+    CHECK(fixture.client.generations.back().request.resumeFrom == 2);
+}
+
 // Guards against an unrepeatable call being sent twice because its connection was silent.
 TEST_CASE("a silent connection of an unrepeatable call is not replaced")
 {
--- a/Tests/LibRequest/TestRequestPipeline.cpp
+++ b/Tests/LibRequest/TestRequestPipeline.cpp
@@ -81,6 +81,9 @@
         dispatcher.setEndpoints(set, plan);
     }
 
+    // Posted functions hold runners, which use the other members when they end.
+    ~Fixture() { tasks.run(); }
+
     std::shared_ptr<FakeExchange> send(HttpRequest request)
     {
         auto exchange = std::make_shared<FakeExchange>(std::move(request));
