--- a/Libraries/LibMembership/Membership.cpp
+++ b/Libraries/LibMembership/Membership.cpp
@@ -231,7 +231,8 @@
     const bool isNewPeer = request.digest >> 32 == 0;
     if (!isNewPeer && !records.empty()) {
         bytes = std::min(bytes, m_options.partialSyncBytes);
-        std::ranges::rotate(records, records.begin() + static_cast<ptrdiff_t>(m_random.below(records.size())));
+        const auto first = records.begin() + static_cast<ptrdiff_t>(m_random.below(records.size()));
+        std::rotate(records.begin(), first, records.end());
     }
     for (const GossipRecord& it : records) {
         const bool isWanted = isLocalPeer || m_policy.scope(it) == RecordPolicy::Scope::Everywhere;
--- a/Tests/Support/SimulatedNetwork.h
+++ b/Tests/Support/SimulatedNetwork.h
@@ -49,8 +49,9 @@
     void resume(const std::string& address)
     {
         auto waiting = m_paused.extract(address);
-        std::ranges::stable_partition(waiting.mapped(), [](const Event& it) { return it.isTimer; });
-        for (const Event& it : waiting.mapped())
+        std::vector<Event>& events = waiting.mapped();
+        std::stable_partition(events.begin(), events.end(), [](const Event& it) { return it.isTimer; });
+        for (const Event& it : events)
             it.function();
     }
 
