LibBatch: Run the last attempt at an item apart from other retries

The last attempt at an item now waits until no other item that failed before is running at the node. The new test of the controller gave up all five items before the change and gives up only the one at fault after it.

--- a/Libraries/LibBatch/BatchController.cpp
+++ b/Libraries/LibBatch/BatchController.cpp
@@ -494,7 +494,7 @@
             const auto [room, isNew] = rooms.try_emplace(held.item.path, 0);
             if (isNew)
                 room->second = m_executor.room(held.item.path);
-            if (room->second == 0)
+            if (room->second == 0 || (held.attempts > 0 && !mayRetry(held)))
                 continue;
             --room->second;
             start(*chunk, held);
@@ -512,6 +512,23 @@
     return now < chunk.leaseEnd() || (!chunk.job().record.unrepeatable && now < m_storeRetryAt);
 }
 
+/// Returns whether an item that failed before may start. One that takes its worker down makes the items beside it fail,
+/// so the last attempt at an item runs while no other item that failed before does.
+bool BatchController::mayRetry(const HeldItem& item) const
+{
+    bool isAnyRunning = false;
+    bool isLastRunning = false;
+    for (const auto& chunk : m_chunks) {
+        for (const HeldItem& held : chunk->items()) {
+            const bool isRetry = held.state == HeldItem::State::Running && held.attempts > 0;
+            isAnyRunning |= isRetry;
+            isLastRunning |= isRetry && held.attempts + 1 >= m_options.maxItemAttempts;
+        }
+    }
+    const bool isLast = item.attempts + 1 >= m_options.maxItemAttempts;
+    return isLast ? !isAnyRunning : !isLastRunning;
+}
+
 /// Makes the intent to run some items durable, if fewer items have one than there is room for.
 void BatchController::writeIntents(HeldChunk& chunk, MonotonicTime now)
 {
--- a/Libraries/LibBatch/BatchController.h
+++ b/Libraries/LibBatch/BatchController.h
@@ -71,6 +71,7 @@
 
     bool useStore(const std::function<void()>& step);
     bool mayDispatch(const HeldChunk&) const;
+    bool mayRetry(const HeldItem&) const;
 
     void takeOutcomes(MonotonicTime now);
     void applyOutcome(HeldChunk&, HeldItem&, const ItemOutcome&, MonotonicTime now);
--- a/Tests/LibBatch/TestBatchController.cpp
+++ b/Tests/LibBatch/TestBatchController.cpp
@@ -177,6 +177,22 @@
     CHECK(world.service.status("", "job").failed == 1);
 }
 
+// Guards against items that are given up because they ran beside one that takes its worker down.
+TEST_CASE("items that fail together with another one are not blamed for it")
+{
+    BatchWorld world;
+    world.service.submit(world.submission("job", 5));
+    for (int n = 0; n < 60 && world.service.status("", "job").state == JobView::State::InProgress; ++n) {
+        world.tick(0);
+        const bool isDown = world.node(0).executor->isRunning("item-2");
+        world.node(0).executor->finish([&](const BatchItem& item) {
+            return isDown ? ItemOutcome { ItemOutcome::Kind::Failed, { 502, {} } } : FakeExecutor::succeed(item);
+        });
+        world.clock.advance(Milliseconds { 1'100 });
+    }
+    CHECK(statuses(world, "job") == std::vector<int> { 200, 200, 502, 200, 200 });
+}
+
 // Guards against a certificate that is issued twice because its node was killed before the result was durable.
 TEST_CASE("an unrepeatable item runs at most once over a crash")
 {
