LibBatch: Hand back a chunk that cannot go on

The time line showed that replaced workers had given the batch work of every endpoint to the other node, while the first one went on renewing the lease of a chunk that it could no longer start an item of. Ruled out: that the item killed all workers (3 died), and that the scheduler lost items (its queues were empty). Change: a chunk without a running item for 5 s is handed back with its results so far.

--- a/Libraries/LibBatch/BatchController.cpp
+++ b/Libraries/LibBatch/BatchController.cpp
@@ -604,13 +604,22 @@
         });
 }
 
+bool BatchController::isIdleTooLong(HeldChunk& chunk) const
+{
+    if (!chunk.isLoaded() || chunk.hasRunning()) {
+        chunk.setIdleSince(m_clock.now());
+        return false;
+    }
+    return m_clock.now() - chunk.idleSince() >= m_options.maxIdle;
+}
+
 void BatchController::commitChunks()
 {
     std::vector<HeldChunk*> held;
     for (const auto& chunk : m_chunks)
         held.push_back(chunk.get());
     for (HeldChunk* chunk : held) {
-        const bool isReady = chunk->isEnded() || (m_isReleasing && !chunk->hasRunning());
+        const bool isReady = chunk->isEnded() || isIdleTooLong(*chunk) || (m_isReleasing && !chunk->hasRunning());
         if (!chunk->commit() && !isReady)
             continue;
         if (!chunk->commit())
--- a/Libraries/LibBatch/BatchController.h
+++ b/Libraries/LibBatch/BatchController.h
@@ -100,6 +100,7 @@
     void resolveIntents(HeldChunk&);
     void start(HeldChunk&, HeldItem&);
 
+    bool isIdleTooLong(HeldChunk&) const;
     void commitChunks();
     void commit(HeldChunk&);
     void finishCommit(HeldChunk&);
--- a/Libraries/LibBatch/BatchOptions.h
+++ b/Libraries/LibBatch/BatchOptions.h
@@ -25,6 +25,9 @@
     Milliseconds maxPoll { 5'000 };
     /// Time between reads of the rows of jobs with claimed chunks, to notice a cancellation.
     Milliseconds cancelCheck { 2'000 };
+    /// Time without a running item after which a chunk is handed back: the endpoints that this node may use for batch
+    /// work can all pass to other nodes while it holds the chunk.
+    Milliseconds maxIdle { 5'000 };
     /// Delay before an item whose attempt failed or did not run is tried again.
     Milliseconds retryDelay { 1'000 };
 
--- a/Libraries/LibBatch/HeldChunk.h
+++ b/Libraries/LibBatch/HeldChunk.h
@@ -52,6 +52,7 @@
         , m_isSuspect(isSuspect)
         , m_claimed(claimed)
         , m_leaseEnd(leaseEnd)
+        , m_idleSince(claimed)
     {
     }
 
@@ -72,6 +73,10 @@
     void load(std::string_view inputLines);
     bool isLoaded() const { return m_isLoaded; }
 
+    /// Since when the chunk is loaded and none of its items runs.
+    MonotonicTime idleSince() const { return m_idleSince; }
+    void setIdleSince(MonotonicTime time) { m_idleSince = time; }
+
     std::vector<HeldItem>& items() { return m_items; }
     const std::vector<HeldItem>& items() const { return m_items; }
     HeldItem* find(uint32_t index);
@@ -92,6 +97,7 @@
     MonotonicTime m_claimed;
     MonotonicTime m_leaseEnd;
     bool m_isLoaded { false };
+    MonotonicTime m_idleSince;
     std::vector<HeldItem> m_items;
     std::optional<ChunkCommit> m_commit;
 };
--- a/Tests/LibBatch/TestBatchController.cpp
+++ b/Tests/LibBatch/TestBatchController.cpp
@@ -279,6 +279,22 @@
     CHECK(statuses(world, "job") == std::vector<int>(10, 200));
 }
 
+// Guards against a chunk that waits for ever at a node whose endpoints have all passed to other nodes.
+TEST_CASE("a node that cannot start any item hands its chunk over")
+{
+    BatchWorld world(2);
+    world.service.submit(world.submission("job", 10));
+    world.node(0).executor->setCapacity(4);
+    world.tick(0);
+    world.node(0).executor->finish();
+    world.node(0).executor->setCapacity(0);
+    REQUIRE(world.runToEnd("job"));
+    CHECK(world.node(0).controller->counters().handedBack == 1);
+    CHECK(statuses(world, "job") == std::vector<int>(10, 200));
+    for (uint32_t n = 0; n < 10; ++n)
+        CHECK(world.runsOf("job", n) == 1);
+}
+
 // Guards against a planned stop that makes unrepeatable items end as may_have_run.
 TEST_CASE("a released node lets unrepeatable items end and frees those that did not start")
 {
