LibDispatch: Hold the list of services while reading it

Cause: loops over *m_lanes.read() kept no reference to the list, since the temporary pointer ends before the loop, so a reader used freed memory when the endpoints changed meanwhile. Ruled out: the RPC server and the operator client, which only reported the lost connection. Change: each loop holds the pointer.

Also: records of live endpoints are published for the own failure domain only, those of leaving ones everywhere; a cancelled job is only recorded if it was cancelled.

--- a/Libraries/LibBatch/JobService.h
+++ b/Libraries/LibBatch/JobService.h
@@ -62,7 +62,8 @@
 /// Takes in batch jobs and answers for them. Any node answers for any job.
 ///
 /// Thread safety: all methods may be called from any thread; they block on the platform, so they are never called on
-/// an I/O thread. All throw Error(PlatformUnavailable) while the platform is down.
+/// an I/O thread. All throw Error(PlatformUnavailable) while the platform is down. Those that write throw
+/// Error(OutcomeUnknown) if the write may have taken effect; repeating the call is safe.
 class JobService {
 public:
     virtual ~JobService() = default;
--- a/Libraries/LibCore/RcuCell.h
+++ b/Libraries/LibCore/RcuCell.h
@@ -25,7 +25,8 @@
 
     ~RcuCell() { delete m_value.load(); }
 
-    /// Returns the current value. Never blocks.
+    /// Returns the current value. Never blocks. Keep the pointer in a variable: `for (it : *cell.read())` would go on
+    /// reading a value that a writer may have freed.
     std::shared_ptr<const T> read() const
     {
         urcu_bp_read_lock();
--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -148,7 +148,8 @@
 std::map<std::string, std::vector<EndpointSummary>> Dispatcher::summaries() const
 {
     std::map<std::string, std::vector<EndpointSummary>> result;
-    for (const auto& [service, lane] : *m_lanes.read()) {
+    const auto lanes = m_lanes.read();
+    for (const auto& [service, lane] : *lanes) {
         const std::lock_guard guard(lane->mutex);
         result.emplace(service, lane->scheduler->summary(m_clock.now()));
     }
@@ -158,7 +159,8 @@
 std::map<std::string, std::vector<EndpointView>> Dispatcher::views() const
 {
     std::map<std::string, std::vector<EndpointView>> result;
-    for (const auto& [service, lane] : *m_lanes.read()) {
+    const auto lanes = m_lanes.read();
+    for (const auto& [service, lane] : *lanes) {
         const std::lock_guard guard(lane->mutex);
         result.emplace(service, lane->scheduler->view(m_clock.now()));
     }
@@ -168,7 +170,8 @@
 std::map<std::string, SchedulerCounters> Dispatcher::counters() const
 {
     std::map<std::string, SchedulerCounters> result;
-    for (const auto& [service, lane] : *m_lanes.read()) {
+    const auto lanes = m_lanes.read();
+    for (const auto& [service, lane] : *lanes) {
         const std::lock_guard guard(lane->mutex);
         result.emplace(service, lane->scheduler->counters());
     }
@@ -179,7 +182,8 @@
 
 void Dispatcher::poll()
 {
-    for (const auto& [service, lane] : *m_lanes.read()) {
+    const auto lanes = m_lanes.read();
+    for (const auto& [service, lane] : *lanes) {
         const std::lock_guard guard(lane->mutex);
         if (lane->nextPoll <= m_clock.now())
             pollLane(*lane);
@@ -191,7 +195,8 @@
     // Without any work, time changes nothing for a while.
     constexpr std::chrono::seconds idlePoll { 1 };
     MonotonicTime next = m_clock.now() + idlePoll;
-    for (const auto& [service, lane] : *m_lanes.read()) {
+    const auto lanes = m_lanes.read();
+    for (const auto& [service, lane] : *lanes) {
         const std::lock_guard guard(lane->mutex);
         next = std::min(next, lane->nextPoll);
     }
--- a/Libraries/LibDispatch/EndpointController.cpp
+++ b/Libraries/LibDispatch/EndpointController.cpp
@@ -20,9 +20,10 @@
 
 }
 
-EndpointController::EndpointController(
-    EventLog& eventLog, std::function<void(const GossipRecord&)> publish, std::function<void()> changed)
-    : m_eventLog(eventLog)
+EndpointController::EndpointController(std::string failureDomain, EventLog& eventLog,
+    std::function<void(const GossipRecord&)> publish, std::function<void()> changed)
+    : m_failureDomain(std::move(failureDomain))
+    , m_eventLog(eventLog)
     , m_publish(std::move(publish))
     , m_changed(std::move(changed))
 {
@@ -95,6 +96,11 @@
         QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString() };
 }
 
+bool EndpointController::isLeavingRecord(const GossipRecord& record)
+{
+    return record.key.starts_with(keyPrefix) && record.version >= leavingVersion;
+}
+
 void EndpointController::merge(const KnownEndpoint& endpoint, bool tellPeers)
 {
     if (m_gone.contains(endpoint.id))
@@ -105,7 +111,7 @@
     it->second.isLeaving = endpoint.isLeaving;
     m_isDirty = true;
     m_eventLog.record("endpoint", endpoint.isLeaving ? "leaving" : "joined", endpoint.id);
-    if (tellPeers)
+    if (tellPeers && (endpoint.isLeaving || endpoint.failureDomain == m_failureDomain))
         m_publish(toRecord(it->second));
 }
 
--- a/Libraries/LibDispatch/EndpointController.h
+++ b/Libraries/LibDispatch/EndpointController.h
@@ -18,8 +18,14 @@
 /// Thread safety: none, except that `endpoints()` may be read from any thread; belongs to the controllers' thread.
 class EndpointController {
 public:
-    /// `publish` spreads a record to the peers; `changed` is called after each change of the set.
-    EndpointController(EventLog&, std::function<void(const GossipRecord&)> publish, std::function<void()> changed);
+    /// `publish` spreads a record to the peers; `changed` is called after each change of the set. Records of live
+    /// endpoints are published for `failureDomain` only, because nodes cannot pay for those of all domains; the news
+    /// that an endpoint is leaving is published wherever it is.
+    EndpointController(std::string failureDomain, EventLog&, std::function<void(const GossipRecord&)> publish,
+        std::function<void()> changed);
+
+    /// Returns whether a record says that an endpoint is leaving.
+    static bool isLeavingRecord(const GossipRecord&);
 
     /// Adds endpoints from the settings. They stay known even when the platform's list does not name them.
     void addConfigured(const std::vector<KnownEndpoint>&);
@@ -42,6 +48,7 @@
     void merge(const KnownEndpoint&, bool tellPeers);
     void publishSet();
 
+    std::string m_failureDomain;
     EventLog& m_eventLog;
     std::function<void(const GossipRecord&)> m_publish;
     std::function<void()> m_changed;
--- a/Services/chicorydockd/Cluster.cpp
+++ b/Services/chicorydockd/Cluster.cpp
@@ -86,10 +86,10 @@
     , m_configuration(m_parts.clock, m_random, m_parts.link, m_parts.configurationStore, m_parts.toPlatform,
           m_parts.toControllers, m_parts.configuration, [this](const Configuration& it) { onConfiguration(it); }, {})
     , m_endpoints(
-          m_parts.eventLog,
+          m_place.failureDomain, m_parts.eventLog,
           [this](const GossipRecord& record) {
               // Only leaving is urgent: an endpoint that joins a little later loses no request.
-              const bool isLeaving = record.version > 1;
+              const bool isLeaving = EndpointController::isLeavingRecord(record);
               m_membership.publish(record, isLeaving ? Membership::Urgency::Urgent : Membership::Urgency::Normal);
           },
           [this] { m_needsPlan = true; })
@@ -107,6 +107,12 @@
 
 Cluster::~Cluster() = default;
 
+RecordPolicy::Scope Cluster::Records::scope(const GossipRecord& record) const
+{
+    // Other failure domains spill work to these endpoints and must stop as well.
+    return EndpointController::isLeavingRecord(record) ? Scope::Everywhere : Scope::FailureDomain;
+}
+
 void Cluster::tick()
 {
     const MonotonicTime now = m_parts.clock.now();
--- a/Services/chicorydockd/Cluster.h
+++ b/Services/chicorydockd/Cluster.h
@@ -70,6 +70,11 @@
     void yieldBatch(const std::string& service, const std::string& endpoint) override;
 
 private:
+    class Records final : public RecordPolicy {
+    public:
+        Scope scope(const GossipRecord&) const override;
+    };
+
     void onMemberChanged(const MemberUpdate&) override;
     void onRecordChanged(const GossipRecord&) override;
     void onRevision(uint64_t revision, const std::string& address) override;
@@ -89,7 +94,7 @@
     ClusterParts m_parts;
     NodePlace m_place;
     SeededRandom m_random;
-    RecordPolicy m_recordPolicy;
+    Records m_recordPolicy;
     Membership m_membership;
     ConfigurationController m_configuration;
     EndpointController m_endpoints;
--- a/Services/chicorydockd/NodeOperator.cpp
+++ b/Services/chicorydockd/NodeOperator.cpp
@@ -95,7 +95,9 @@
 JobView NodeOperator::cancelJob(const std::string& id)
 {
     const JobView job = m_parts.jobs.cancel({}, id);
-    m_parts.eventLog.record("job", "cancelled", id);
+    // A job that had already ended stays as it was.
+    if (job.state == JobView::State::Cancelled)
+        m_parts.eventLog.record("job", "cancelled", id);
     return job;
 }
 
--- a/Tests/LibDispatch/TestEndpointController.cpp
+++ b/Tests/LibDispatch/TestEndpointController.cpp
@@ -12,7 +12,7 @@
     MemoryEventLog eventLog;
     std::vector<GossipRecord> published;
     int changes { 0 };
-    EndpointController controller { eventLog, [this](const GossipRecord& it) { published.push_back(it); },
+    EndpointController controller { "d", eventLog, [this](const GossipRecord& it) { published.push_back(it); },
         [this] { ++changes; } };
 
     const KnownEndpoint* find(const std::string& id)
@@ -83,6 +83,20 @@
     CHECK_THROWS_AS(fixture.controller.drain("unknown"), Error);
 }
 
+// Guards against control traffic that grows with the endpoints of all failure domains, and against nodes of other
+// domains that go on spilling work to an endpoint which is leaving.
+TEST_CASE("of other failure domains only the leaving endpoints are published")
+{
+    Fixture fixture;
+    KnownEndpoint far = endpoint("far");
+    far.failureDomain = "other";
+    fixture.controller.addConfigured({ far });
+    CHECK(fixture.published.empty());
+    fixture.controller.drain("far");
+    REQUIRE(fixture.published.size() == 1);
+    CHECK(EndpointController::isLeavingRecord(fixture.published[0]));
+}
+
 // Guards against peers that answer each other's records without end.
 TEST_CASE("a record that says nothing new changes nothing and is not published again")
 {
--- a/Tests/Support/SimulatedCluster.h
+++ b/Tests/Support/SimulatedCluster.h
@@ -39,7 +39,8 @@
     /// Returns the state in which this node knows a member, or nothing.
     std::optional<MemberUpdate::State> stateOf(const std::string& id) const
     {
-        for (const MemberUpdate& it : *membership.members().read()) {
+        const auto members = membership.members().read();
+        for (const MemberUpdate& it : *members) {
             if (it.nodeId == id)
                 return it.state;
         }
