--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -97,6 +97,9 @@
         std::string policy { "learned" };
         /// Bytes a second that this node may send to and receive from other regions for spilled requests.
         uint64_t regionBytesPerSecond { 200'000 };
+        /// How much longer batch work may make the gap between the tokens of online work, as a share of that gap. More
+        /// gives batch work more throughput and online answers a longer tail.
+        double batchGapAllowance { 0.08 };
 
         auto operator<=>(const Scheduling&) const = default;
     };
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -77,6 +77,8 @@
     {
         table.text("policy", scheduler.policy, TextRule::oneOf({ "learned", "naive" }));
         table.number("region_bytes_per_second", scheduler.regionBytesPerSecond, 0, maxRegionBytesPerSecond);
+        constexpr double maxBatchGapAllowance = 10;
+        table.number("batch_gap_allowance", scheduler.batchGapAllowance, 0.0, maxBatchGapAllowance);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
--- a/Services/chicorydockd/Daemon.cpp
+++ b/Services/chicorydockd/Daemon.cpp
@@ -159,6 +159,7 @@
     SchedulerSettings settings;
     settings.failureDomain = m_settings.node.failureDomain;
     settings.regionBytesPerSecond = m_settings.scheduler.regionBytesPerSecond;
+    settings.batchGapAllowance = m_settings.scheduler.batchGapAllowance;
     const auto configuration = m_configuration.read();
     if (const Service* declared = configuration->findService(service)) {
         settings.firstTokenTarget = Milliseconds { declared->firstTokenTargetMs };
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -61,12 +61,13 @@
 [scheduler]
 policy = "naive"
 region_bytes_per_second = 0
+batch_gap_allowance = 0.5
 )",
         "s.toml");
     CHECK(settings.rpc == Settings::Rpc { "[::1]:8081", { "127.0.0.1:1" } });
     CHECK(settings.batch == Settings::Batch { 7, Milliseconds { 900 }, 2, 5 });
     CHECK(settings.log == Settings::Log { "debug", "events.jsonl", 11 });
-    CHECK(settings.scheduler == Settings::Scheduling { "naive", 0 });
+    CHECK(settings.scheduler == Settings::Scheduling { "naive", 0, 0.5 });
     CHECK(settings.http.defaultDeadlineMs == Milliseconds { 60'000 });
 }
 
