LibDispatch: Read the reports of an endpoint one after the other

Cause: a node held three connections to each endpoint whose reports it reads; resident memory was 67.4 MB with 320 endpoints and 6 nodes, above the 64 MB for control. Ruled out: the schedulers (1.4 KB per endpoint). Change: load, state and cache events are read in turn over one connection.

--- a/Libraries/LibDispatch/EndpointMonitor.cpp
+++ b/Libraries/LibDispatch/EndpointMonitor.cpp
@@ -51,22 +51,12 @@
 
 void EndpointMonitor::read(Watch& watch)
 {
-    const std::string id = watch.endpoint.id;
-    if (!watch.isReadingLoad) {
-        watch.isReadingLoad = true;
-        watch.loadCall = m_client.readLoad(
-            watch.endpoint.address, [this, id](const std::optional<LoadReport>& report) { takeLoad(id, report); });
-    }
-    if (!watch.isReadingState) {
-        watch.isReadingState = true;
-        watch.stateCall = m_client.readState(
-            watch.endpoint.address, [this, id](const std::optional<EndpointState>& state) { takeState(id, state); });
-    }
-    if (!watch.isReadingEvents) {
-        watch.isReadingEvents = true;
-        watch.eventsCall = m_client.readCacheEvents(watch.endpoint.address, watch.lastSequence,
-            [this, id](const std::optional<CacheEvents>& events) { takeEvents(id, events); });
-    }
+    if (watch.isReading)
+        return;
+    watch.isReading = true;
+    // One report after the other needs one connection to the endpoint instead of three.
+    watch.call = m_client.readLoad(watch.endpoint.address,
+        [this, id = watch.endpoint.id](const std::optional<LoadReport>& report) { takeLoad(id, report); });
 }
 
 void EndpointMonitor::takeState(const std::string& id, const std::optional<EndpointState>& state)
@@ -74,7 +64,10 @@
     const auto it = m_watches.find(id);
     if (it == m_watches.end())
         return;
-    it->second.isReadingState = false;
+    Watch& watch = it->second;
+    watch.lastCall = std::move(watch.call);
+    watch.call = m_client.readCacheEvents(watch.endpoint.address, watch.lastSequence,
+        [this, id](const std::optional<CacheEvents>& events) { takeEvents(id, events); });
     if (!state)
         return;
     std::vector<std::string> models;
@@ -88,7 +81,10 @@
     const auto it = m_watches.find(id);
     if (it == m_watches.end())
         return;
-    it->second.isReadingLoad = false;
+    Watch& watch = it->second;
+    watch.lastCall = std::move(watch.call);
+    watch.call = m_client.readState(
+        watch.endpoint.address, [this, id](const std::optional<EndpointState>& state) { takeState(id, state); });
     if (!report)
         return;
     // The endpoint's clock may differ from ours, so a report from the future counts as fresh.
@@ -103,7 +99,7 @@
     if (it == m_watches.end())
         return;
     Watch& watch = it->second;
-    watch.isReadingEvents = false;
+    watch.isReading = false;
     if (!events || events->events.empty())
         return;
     std::vector<uint64_t> stored;
--- a/Libraries/LibDispatch/EndpointMonitor.h
+++ b/Libraries/LibDispatch/EndpointMonitor.h
@@ -29,12 +29,10 @@
         KnownEndpoint endpoint;
         MonotonicTime nextRead;
         uint64_t lastSequence { 0 };
-        std::unique_ptr<HttpCall> loadCall;
-        std::unique_ptr<HttpCall> eventsCall;
-        std::unique_ptr<HttpCall> stateCall;
-        bool isReadingLoad { false };
-        bool isReadingEvents { false };
-        bool isReadingState { false };
+        std::unique_ptr<HttpCall> call;
+        // A call must not be destroyed in its own callback.
+        std::unique_ptr<HttpCall> lastCall;
+        bool isReading { false };
     };
 
     void read(Watch&);
