--- a/Tests/Processes/TestOnline.cpp
+++ b/Tests/Processes/TestOnline.cpp
@@ -53,6 +53,39 @@
     CHECK(system.call(second, "GET", "/v1/models")->wait().json().value("data").toArray().size() == 1);
 }
 
+// Guards against bad input that a running node answers with another kind, passes on, or does not survive.
+TEST_CASE("a running node answers bad input with its kind and keeps serving")
+{
+    TestSystem system;
+    const std::string engine = system.addEngine();
+    const std::string node = system.addNode();
+    system.waitUntilReady(node, 1);
+    const QByteArray tooLarge(9 * 1024 * 1024, 'x');
+    struct Row {
+        QByteArray method;
+        QByteArray target;
+        QByteArray body;
+        const char* kind;
+    };
+    const Row rows[] = {
+        { "POST", "/v1/completions", "{\"model\":", "malformed_request" },
+        { "POST", "/v1/completions", "{\"model\":\"other\",\"prompt\":\"x\"}", "unknown_model" },
+        { "POST", "/v1/completions", tooLarge, "body_too_large" },
+        { "POST", "/v1/unknown", "{}", "unknown_route" },
+        { "DELETE", "/v1/models", "", "unsupported_method" },
+        { "POST", "/services/unknown/x", "{}", "unknown_service" },
+        { "GET", "/v1/batches/unknown", "", "not_found" },
+    };
+    for (const Row& row : rows) {
+        INFO(row.kind);
+        const auto call = system.call(node, row.method, row.target, row.body);
+        CHECK(call->wait().errorKind() == row.kind);
+        CHECK(call->json().value("error").toObject().value("not_run").toBool());
+    }
+    CHECK(system.counters(engine).value("arrivals").toInt() == 0);
+    CHECK(system.post(node, "/v1/completions", TestSystem::completion("x"))->wait().status() == 200);
+}
+
 // Guards against a stream that loses or doubles a token when its endpoint dies.
 TEST_CASE("a repeatable stream survives the loss of its endpoint")
 {
