Libraries: Name the states of jobs and members in one place

Three files named the states of a job and two those of a member; a new state would have had to be added to each. Two places ran a function on another thread and waited for it; both use runAndWait() now. Behaviour is the same.

--- a/Libraries/LibBatch/JobRecord.cpp
+++ b/Libraries/LibBatch/JobRecord.cpp
@@ -10,29 +10,14 @@
 
 namespace {
 
-    QString stateName(JobView::State state)
-    {
-        switch (state) {
-        case JobView::State::InProgress:
-            return "in_progress";
-        case JobView::State::Completed:
-            return "completed";
-        case JobView::State::Cancelling:
-            return "cancelling";
-        case JobView::State::Cancelled:
-            return "cancelled";
-        }
-        return {};
-    }
-
-    JobView::State stateFromName(const QString& name)
+    JobView::State stateFromName(const std::string& name)
     {
         for (const auto state : { JobView::State::InProgress, JobView::State::Completed, JobView::State::Cancelling,
                  JobView::State::Cancelled }) {
             if (stateName(state) == name)
                 return state;
         }
-        throw Error(ErrorKind::Internal, "a job row has the unknown state " + name.toStdString());
+        throw Error(ErrorKind::Internal, "a job row has the unknown state " + name);
     }
 
 }
@@ -43,7 +28,7 @@
     for (const std::string& path : paths)
         pathList.append(QString::fromStdString(path));
     const QJsonObject object { { "id", QString::fromStdString(id) }, { "workspace", QString::fromStdString(workspace) },
-        { "state", stateName(state) }, { "total", static_cast<qint64>(total) },
+        { "state", QString::fromUtf8(stateName(state).data()) }, { "total", static_cast<qint64>(total) },
         { "chunk_items", static_cast<qint64>(chunkItems) }, { "paths", pathList }, { "unrepeatable", unrepeatable },
         { "created_ms", static_cast<qint64>(toUnixMilliseconds(created)) },
         { "deadline_ms", static_cast<qint64>(toUnixMilliseconds(deadline)) },
@@ -62,7 +47,7 @@
     JobRecord record;
     record.id = object["id"].toString().toStdString();
     record.workspace = object["workspace"].toString().toStdString();
-    record.state = stateFromName(object["state"].toString());
+    record.state = stateFromName(object["state"].toString().toStdString());
     record.total = static_cast<uint32_t>(object["total"].toInteger());
     record.chunkItems = static_cast<uint32_t>(object["chunk_items"].toInteger());
     if (record.chunkItems == 0)
--- a/Libraries/LibBatch/JobService.h
+++ b/Libraries/LibBatch/JobService.h
@@ -47,6 +47,9 @@
     auto operator<=>(const JobView&) const = default;
 };
 
+/// Returns the stable name of a state in answers, rows and messages. May be called from any thread.
+std::string_view stateName(JobView::State);
+
 /// A part of a job's results.
 struct ResultPage {
     /// One JSON object a line, in the order of items: `{"id", "custom_id", "response", "error"}`.
--- a/Libraries/LibCore/Post.h
+++ b/Libraries/LibCore/Post.h
@@ -3,6 +3,7 @@
 #include <QMetaObject>
 #include <QObject>
 
+#include <exception>
 #include <functional>
 
 namespace Chicorydock {
@@ -19,4 +20,23 @@
     };
 }
 
+/// Runs a function in the event loop of the thread of `context`, waits for it and throws what it threw. Precondition:
+/// not called on that thread, which runs its event loop.
+inline void runAndWait(QObject* context, const std::function<void()>& function)
+{
+    std::exception_ptr exception;
+    QMetaObject::invokeMethod(
+        context,
+        [&] {
+            try {
+                function();
+            } catch (...) {
+                exception = std::current_exception();
+            }
+        },
+        Qt::BlockingQueuedConnection);
+    if (exception)
+        std::rethrow_exception(exception);
+}
+
 }
--- a/Libraries/LibOperator/OperatorMessages.cpp
+++ b/Libraries/LibOperator/OperatorMessages.cpp
@@ -29,11 +29,11 @@
         StateNames<EndpointStatus::State> { EndpointStatus::State::Unreachable, "unreachable" },
     };
 
-    constexpr std::array jobStates {
-        StateNames<JobView::State> { JobView::State::InProgress, "in_progress" },
-        StateNames<JobView::State> { JobView::State::Completed, "completed" },
-        StateNames<JobView::State> { JobView::State::Cancelling, "cancelling" },
-        StateNames<JobView::State> { JobView::State::Cancelled, "cancelled" },
+    const std::array jobStates {
+        StateNames<JobView::State> { JobView::State::InProgress, stateName(JobView::State::InProgress) },
+        StateNames<JobView::State> { JobView::State::Completed, stateName(JobView::State::Completed) },
+        StateNames<JobView::State> { JobView::State::Cancelling, stateName(JobView::State::Cancelling) },
+        StateNames<JobView::State> { JobView::State::Cancelled, stateName(JobView::State::Cancelled) },
     };
 
     template <typename Names, typename State> std::string_view nameOf(const Names& names, State state)
@@ -60,8 +60,6 @@
 
 std::string_view stateName(EndpointStatus::State state) { return nameOf(endpointStates, state); }
 
-std::string_view stateName(JobView::State state) { return nameOf(jobStates, state); }
-
 void write(const MemberUpdate& member, Schema::MemberStatus::Builder out)
 {
     out.setNodeId(toText(member.nodeId));
--- a/Libraries/LibOperator/OperatorMessages.h
+++ b/Libraries/LibOperator/OperatorMessages.h
@@ -36,7 +36,6 @@
 /// Names of states on the wire and in the output of the command-line tool.
 std::string_view stateName(MemberUpdate::State);
 std::string_view stateName(EndpointStatus::State);
-std::string_view stateName(JobView::State);
 
 /// Converts a list of structs with `write()` or `read()`.
 template <typename Value, typename ListBuilder> void writeList(const std::vector<Value>& values, ListBuilder list)
--- a/Libraries/LibRequest/JobRoutes.cpp
+++ b/Libraries/LibRequest/JobRoutes.cpp
@@ -23,21 +23,6 @@
 
     qint64 toUnixSeconds(WallTime time) { return toUnixMilliseconds(time) / 1000; }
 
-    const char* nameOf(JobView::State state)
-    {
-        switch (state) {
-        case JobView::State::InProgress:
-            return "in_progress";
-        case JobView::State::Completed:
-            return "completed";
-        case JobView::State::Cancelling:
-            return "cancelling";
-        case JobView::State::Cancelled:
-            return "cancelled";
-        }
-        return "in_progress";
-    }
-
     QJsonObject toJson(const JobView& job)
     {
         const bool hasOutput = job.state == JobView::State::Completed || job.state == JobView::State::Cancelled;
@@ -45,7 +30,7 @@
         return {
             { "id", id },
             { "object", "batch" },
-            { "status", nameOf(job.state) },
+            { "status", QString::fromUtf8(stateName(job.state).data()) },
             { "created_at", toUnixSeconds(job.created) },
             { "expires_at", toUnixSeconds(job.deadline) },
             { "output_file_id",
--- a/Services/chicorydockd/Cluster.cpp
+++ b/Services/chicorydockd/Cluster.cpp
@@ -1,5 +1,7 @@
 #include "Cluster.h"
 
+#include <LibOperator/OperatorMessages.h>
+
 #include <QStringList>
 
 #include <glog/logging.h>
@@ -64,21 +66,6 @@
             node.id + '/' + random.identifier(), PlacementController::Options {}.leaseDuration);
     }
 
-    const char* nameOf(MemberUpdate::State state)
-    {
-        switch (state) {
-        case MemberUpdate::State::Alive:
-            return "alive";
-        case MemberUpdate::State::Suspect:
-            return "suspect";
-        case MemberUpdate::State::Leaving:
-            return "leaving";
-        case MemberUpdate::State::Dead:
-            return "dead";
-        }
-        return "unknown";
-    }
-
 }
 
 Cluster::Cluster(ClusterParts parts)
@@ -164,7 +151,7 @@
 
 void Cluster::onMemberChanged(const MemberUpdate& member)
 {
-    m_parts.eventLog.record("member", nameOf(member.state), member.nodeId);
+    m_parts.eventLog.record("member", stateName(member.state), member.nodeId);
     m_needsPlan = true;
     if (member.state == MemberUpdate::State::Dead)
         m_summaries.forgetNode(member.nodeId);
--- a/Services/chicorydockd/Daemon.cpp
+++ b/Services/chicorydockd/Daemon.cpp
@@ -110,21 +110,6 @@
 
 void Daemon::listenRpc()
 {
-    const auto runOnControllers = [this](const std::function<void()>& function) {
-        std::exception_ptr exception;
-        QMetaObject::invokeMethod(
-            &m_context,
-            [&] {
-                try {
-                    function();
-                } catch (...) {
-                    exception = std::current_exception();
-                }
-            },
-            Qt::BlockingQueuedConnection);
-        if (exception)
-            std::rethrow_exception(exception);
-    };
     // The capabilities are made on the first connection, when the objects behind them exist.
     m_rpcServer = std::make_unique<RpcServer>(
         m_rpcThread, m_settings.rpc.address,
@@ -134,9 +119,9 @@
     m_cluster = std::make_unique<Cluster>(ClusterParts { m_settings, m_clock, m_hybridClock, m_eventLog, m_dispatcher,
         *m_link, m_vmList, m_tables, m_configurationStore, m_configuration, m_controllerClient, m_rpcAddress,
         m_platformPool.post(), m_toControllers });
-    m_operator
-        = std::make_unique<NodeOperator>(NodeOperator::Parts { m_settings, m_clock, *m_cluster, m_dispatcher, m_jobs,
-            *m_batch, m_configurationStore, m_configuration, m_eventLog, m_isReady, m_isStopping, runOnControllers });
+    m_operator = std::make_unique<NodeOperator>(NodeOperator::Parts { m_settings, m_clock, *m_cluster, m_dispatcher,
+        m_jobs, *m_batch, m_configurationStore, m_configuration, m_eventLog, m_isReady, m_isStopping,
+        [this](const std::function<void()>& function) { runAndWait(&m_context, function); } });
 }
 
 void Daemon::listenHttp()
--- a/Services/chicorydockd/RunnerThread.cpp
+++ b/Services/chicorydockd/RunnerThread.cpp
@@ -6,8 +6,6 @@
 #include <QCoreApplication>
 #include <QTimer>
 
-#include <exception>
-
 namespace Chicorydock {
 
 namespace {
@@ -31,22 +29,7 @@
 
 RunnerThread::~RunnerThread() { stop(); }
 
-void RunnerThread::run(const std::function<void()>& function)
-{
-    std::exception_ptr exception;
-    QMetaObject::invokeMethod(
-        m_context,
-        [&] {
-            try {
-                function();
-            } catch (...) {
-                exception = std::current_exception();
-            }
-        },
-        Qt::BlockingQueuedConnection);
-    if (exception)
-        std::rethrow_exception(exception);
-}
+void RunnerThread::run(const std::function<void()>& function) { runAndWait(m_context, function); }
 
 void RunnerThread::stop()
 {
