LibRequest: Write call records in one place

begin() and takeOver() each held the same conditional write with its read-back after a lost response; both call tryWrite() now. A peer's load summary copied the views of every service to find the endpoints of one, for each record received; Dispatcher::view() returns those of one service.

--- a/Libraries/LibDispatch/Dispatcher.cpp
+++ b/Libraries/LibDispatch/Dispatcher.cpp
@@ -167,6 +167,15 @@
     return result;
 }
 
+std::vector<EndpointView> Dispatcher::view(const std::string& service) const
+{
+    const auto it = lane(service);
+    if (!it)
+        return {};
+    const std::lock_guard guard(it->mutex);
+    return it->scheduler->view(m_clock.now());
+}
+
 std::map<std::string, SchedulerCounters> Dispatcher::counters() const
 {
     std::map<std::string, SchedulerCounters> result;
--- a/Libraries/LibDispatch/Dispatcher.h
+++ b/Libraries/LibDispatch/Dispatcher.h
@@ -69,6 +69,8 @@
     uint32_t batchRoom(const std::string& service) const;
     std::map<std::string, std::vector<EndpointSummary>> summaries() const;
     std::map<std::string, std::vector<EndpointView>> views() const;
+    /// Returns the endpoints of one service; none if it has no scheduler.
+    std::vector<EndpointView> view(const std::string& service) const;
     std::map<std::string, SchedulerCounters> counters() const;
 
     /// Returns whether the service has a scheduler, that is, whether any endpoint of it was ever known.
--- a/Libraries/LibRequest/CallRecordStore.cpp
+++ b/Libraries/LibRequest/CallRecordStore.cpp
@@ -30,15 +30,8 @@
     own.digest = claim.digest;
     own.isUnrepeatable = claim.isUnrepeatable;
     own.deadlineMs = toUnixMilliseconds(claim.deadline);
-    try {
-        const CommitResult result = m_tables.commit({ Operation::insert(table, rowKey, own.toRow()) });
-        if (result.committed)
-            return CallPermit { rowKey, result.versions.at(0), own };
-    } catch (const Error& error) {
-        if (error.kind() != ErrorKind::OutcomeUnknown)
-            throw;
-        return readBack(rowKey, own);
-    }
+    if (const auto permit = tryWrite(rowKey, own, 0))
+        return *permit;
     return resolve(claim, rowKey, own);
 }
 
@@ -67,19 +60,26 @@
     return takeOver(rowKey, own, row->version);
 }
 
-std::variant<CallPermit, HttpAnswer> CallRecordStore::takeOver(
+CallPermit CallRecordStore::takeOver(const std::string& rowKey, const CallRecord& own, uint64_t expectedVersion)
+{
+    if (const auto permit = tryWrite(rowKey, own, expectedVersion))
+        return *permit;
+    throw Error { ErrorKind::CallInProgress, "another node took the same call at the same time", progressRetry };
+}
+
+std::optional<CallPermit> CallRecordStore::tryWrite(
     const std::string& rowKey, const CallRecord& own, uint64_t expectedVersion)
 {
     try {
         const CommitResult result = m_tables.commit({ Operation::put(table, rowKey, own.toRow(), expectedVersion) });
-        if (result.committed)
-            return CallPermit { rowKey, result.versions.at(0), own };
+        if (!result.committed)
+            return {};
+        return CallPermit { rowKey, result.versions.at(0), own };
     } catch (const Error& error) {
         if (error.kind() != ErrorKind::OutcomeUnknown)
             throw;
         return readBack(rowKey, own);
     }
-    throw Error { ErrorKind::CallInProgress, "another node took the same call at the same time", progressRetry };
 }
 
 CallPermit CallRecordStore::readBack(const std::string& rowKey, const CallRecord& own)
--- a/Libraries/LibRequest/CallRecordStore.h
+++ b/Libraries/LibRequest/CallRecordStore.h
@@ -53,8 +53,9 @@
 
 private:
     std::variant<CallPermit, HttpAnswer> resolve(const CallClaim&, const std::string& rowKey, const CallRecord& own);
-    std::variant<CallPermit, HttpAnswer> takeOver(
-        const std::string& rowKey, const CallRecord& own, uint64_t expectedVersion);
+    CallPermit takeOver(const std::string& rowKey, const CallRecord& own, uint64_t expectedVersion);
+    /// Writes the own record if the row has the expected version (0: none yet); returns nothing if it has another.
+    std::optional<CallPermit> tryWrite(const std::string& rowKey, const CallRecord& own, uint64_t expectedVersion);
     CallPermit readBack(const std::string& rowKey, const CallRecord& own);
     void replace(const CallPermit&, const CallRecord&);
 
--- a/Services/chicorydockd/SummaryExchange.cpp
+++ b/Services/chicorydockd/SummaryExchange.cpp
@@ -53,20 +53,15 @@
     const std::string service = record.key.substr(nodeEnd + 1);
     if (node == m_nodeId)
         return;
-    const auto views = m_dispatcher.views();
-    const auto it = views.find(service);
-    if (it == views.end())
-        return;
     std::vector<std::string> ids;
-    ids.reserve(it->second.size());
-    for (const EndpointView& view : it->second)
+    for (const EndpointView& view : m_dispatcher.view(service))
         ids.push_back(view.endpoint.id);
     m_dispatcher.peerSummary(service, node, unpackSummaries(record.value, ids));
 }
 
 void SummaryExchange::forgetNode(const std::string& nodeId)
 {
-    for (const auto& [service, view] : m_dispatcher.views())
+    for (const auto& [service, counters] : m_dispatcher.counters())
         m_dispatcher.peerSummary(service, nodeId, {});
 }
 
