--- a/Benchmarks/http/RelayService.h
+++ b/Benchmarks/http/RelayService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/QtHttpClient.h>
+#include <LibHTTP/PooledHttpClient.h>
 #include <LibHTTP/QtHttpServer.h>
 
 #include <unordered_map>
@@ -21,7 +21,7 @@
     class Relay;
 
     std::string m_target;
-    QtHttpClient m_client;
+    PooledHttpClient m_client;
     std::unordered_map<const Relay*, std::unique_ptr<Relay>> m_relays;
     HttpServer m_server;
     uint16_t m_port;
--- a/Benchmarks/http/main.cpp
+++ b/Benchmarks/http/main.cpp
@@ -59,7 +59,7 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("measures what HttpServer and QtHttpClient add to a call");
+    gflags::SetUsageMessage("measures what HttpServer and PooledHttpClient add to a call");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const QCoreApplication application(argc, argv);
     const EventLoopThread<OriginService> origin([] { return std::make_unique<OriginService>(); });
--- /dev/null
+++ b/Libraries/LibGateway/EventStreamReader.cpp
@@ -0,0 +1,65 @@
+#include <LibGateway/EventStreamReader.h>
+
+#include <QByteArrayList>
+
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    QByteArray withoutLineEnd(QByteArray line)
+    {
+        while (line.endsWith('\n') || line.endsWith('\r'))
+            line.chop(1);
+        return line;
+    }
+
+    /// Returns the value of a line `name: value`. One space behind the colon does not belong to the value.
+    QByteArray fieldValue(const QByteArray& line, qsizetype nameSize)
+    {
+        QByteArray value = line.mid(nameSize + 1);
+        if (value.startsWith(' '))
+            value.remove(0, 1);
+        return value;
+    }
+
+}
+
+std::vector<StreamEvent> EventStreamReader::consume(const QByteArray& bytes)
+{
+    std::vector<StreamEvent> events;
+    m_bytes += bytes;
+    for (;;) {
+        const qsizetype end = m_bytes.indexOf('\n', m_lineStart);
+        if (end < 0)
+            return events;
+        const QByteArrayView line = QByteArrayView(m_bytes).sliced(m_lineStart, end - m_lineStart);
+        const bool isEmpty = line.empty() || line == QByteArrayView("\r");
+        m_lineStart = end + 1;
+        if (isEmpty)
+            events.push_back(takeEvent(m_lineStart));
+    }
+}
+
+StreamEvent EventStreamReader::takeEvent(qsizetype size)
+{
+    StreamEvent event;
+    event.bytes = m_bytes.first(size);
+    m_bytes.remove(0, size);
+    m_lineStart = 0;
+    bool hasData = false;
+    for (const QByteArray& it : event.bytes.split('\n')) {
+        const QByteArray line = withoutLineEnd(it);
+        if (line.startsWith("id:"))
+            event.id = fieldValue(line, 2).toULongLong();
+        if (!line.startsWith("data:"))
+            continue;
+        if (std::exchange(hasData, true))
+            event.data += '\n';
+        event.data += fieldValue(line, 4);
+    }
+    return event;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -0,0 +1,192 @@
+#include <LibGateway/GatewayHandler.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// How often a caller's wait for results of a job that another node runs asks the store.
+    constexpr Milliseconds rereadInterval { 450 };
+    constexpr Milliseconds readCheckInterval { 100 };
+
+    /// Longest wait that is granted to a reader.
+    constexpr Milliseconds maxReadWait { 2'000 };
+
+    constexpr size_t maxJobItems = 200;
+
+    constexpr Milliseconds notReadyRetryAfter { 500 };
+
+}
+
+GatewayHandler::GatewayHandler(GatewayEnvironment& environment, JobController& jobs)
+    : m_environment(environment)
+    , m_jobs(jobs)
+{
+    m_jobs.setListedHandler([this](const std::string& jobId) { handleListed(jobId); });
+    connect(&m_readTimer, &QTimer::timeout, this, &GatewayHandler::checkWaitingReads);
+}
+
+GatewayHandler::~GatewayHandler() = default;
+
+std::string GatewayHandler::requestId(const HttpExchange& exchange) const
+{
+    return m_environment.wire.decodeRequest(exchange.request()).id;
+}
+
+void GatewayHandler::handle(std::shared_ptr<HttpExchange> exchange)
+{
+    if (const auto call = m_environment.wire.decodeJobCall(exchange->request())) {
+        handleJobCall(exchange, *call);
+        return;
+    }
+    const ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
+    if (m_environment.configuration->version == 0) {
+        answerError(
+            exchange, Error(ErrorKind::NotReady, "no configuration is known yet", notReadyRetryAfter), request.id);
+        return;
+    }
+    const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
+    if (!route)
+        answerError(exchange, Error(ErrorKind::UnknownRoute, "no route takes the request"), request.id);
+    else if (route->kind == RouteKind::Batch)
+        submitJob(exchange, request, *route);
+    else
+        forward(exchange, request, *route);
+}
+
+void GatewayHandler::answerError(
+    const std::shared_ptr<HttpExchange>& exchange, const Error& error, const std::string& id)
+{
+    const std::string_view name = errorRow(error.kind()).name;
+    m_environment.log.record("request", "refused", id, {},
+        { { "outcome", QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size())) },
+            { "reason", QString::fromStdString(error.message()) },
+            { "path", QString::fromUtf8(exchange->request().path) },
+            { "configuration", static_cast<qint64>(m_environment.configuration->version) } });
+    exchange->answer(m_environment.wire.errorAnswer(error, id));
+}
+
+void GatewayHandler::forward(
+    const std::shared_ptr<HttpExchange>& exchange, const ForwardRequest& request, const GatewayRoute& route)
+{
+    const uint64_t number = ++m_lastNumber;
+    auto call = std::make_unique<ForwardedCall>(
+        m_environment, exchange, request, m_environment.configuration, route, [this, number] {
+            // The call is still running, so it goes in the next turn of the event loop.
+            QMetaObject::invokeMethod(
+                this, [this, number] { m_calls.erase(number); }, Qt::QueuedConnection);
+        });
+    ForwardedCall& started = *call;
+    m_calls[number] = std::move(call);
+    started.start();
+}
+
+void GatewayHandler::submitJob(
+    const std::shared_ptr<HttpExchange>& exchange, const ForwardRequest& request, const GatewayRoute& route)
+{
+    const auto submission = m_environment.wire.decodeSubmission(exchange->request());
+    if (exchange->request().method != "POST" || !submission || submission->items.size() > maxJobItems) {
+        answerError(exchange, Error(ErrorKind::MalformedRequest, "the body is no job"), request.id);
+        return;
+    }
+    m_jobs.submit(*submission, route, request.host, [this, exchange, id = request.id](std::optional<Error> error) {
+        if (error)
+            answerError(exchange, *error, id);
+        else
+            exchange->answer(m_environment.wire.acceptedAnswer());
+    });
+}
+
+void GatewayHandler::handleJobCall(const std::shared_ptr<HttpExchange>& exchange, const JobCall& call)
+{
+    switch (call.kind) {
+    case JobCall::Kind::EndJob:
+        m_jobs.end(call.jobId, [this, exchange, id = call.jobId](std::optional<Error> error) {
+            if (error)
+                answerError(exchange, *error, id);
+            else
+                exchange->answer({});
+        });
+        return;
+    case JobCall::Kind::ReadItem:
+        m_jobs.readItem(
+            call.jobId, call.itemId, [this, exchange, id = call.jobId](const std::variant<QByteArray, Error>& result) {
+                if (const auto* error = std::get_if<Error>(&result))
+                    answerError(exchange, *error, id);
+                else
+                    exchange->answer({ .status = 200,
+                        .headers = { { "Content-Type", "application/octet-stream" } },
+                        .body = std::get<QByteArray>(result) });
+            });
+        return;
+    case JobCall::Kind::ReadResults:
+        const uint64_t number = ++m_lastNumber;
+        const MonotonicTime now = m_environment.clock.now();
+        m_reads[number] = { exchange, call, now + std::min(call.wait, maxReadWait), now };
+        readResults(number);
+        return;
+    }
+}
+
+void GatewayHandler::readResults(uint64_t number)
+{
+    WaitingRead& read = m_reads.at(number);
+    read.isReading = true;
+    m_jobs.readResults(read.call.jobId, read.call.after,
+        [this, number](const std::variant<JobResultPage, Error>& result) { handleResults(number, result); });
+}
+
+void GatewayHandler::handleResults(uint64_t number, const std::variant<JobResultPage, Error>& result)
+{
+    const auto it = m_reads.find(number);
+    if (it == m_reads.end())
+        return;
+    WaitingRead& read = it->second;
+    read.isReading = false;
+    if (const auto* error = std::get_if<Error>(&result)) {
+        answerError(read.exchange, *error, read.call.jobId);
+        m_reads.erase(it);
+        return;
+    }
+    const JobResultPage& page = std::get<JobResultPage>(result);
+    const MonotonicTime now = m_environment.clock.now();
+    const bool isComplete = page.next >= page.total;
+    if (!page.results.empty() || isComplete || now + readCheckInterval >= read.until) {
+        read.exchange->answer(m_environment.wire.resultsAnswer(page));
+        m_reads.erase(it);
+        return;
+    }
+    read.nextRead = std::min(now + rereadInterval, read.until - readCheckInterval);
+    if (!m_readTimer.isActive())
+        m_readTimer.start(readCheckInterval);
+}
+
+void GatewayHandler::checkWaitingReads()
+{
+    const MonotonicTime now = m_environment.clock.now();
+    std::erase_if(m_reads, [](const auto& it) { return !it.second.isReading && it.second.exchange->isCallerGone(); });
+    std::vector<uint64_t> due;
+    for (const auto& [number, read] : m_reads) {
+        if (!read.isReading && now >= read.nextRead)
+            due.push_back(number);
+    }
+    for (const uint64_t it : due)
+        readResults(it);
+    if (m_reads.empty())
+        m_readTimer.stop();
+}
+
+void GatewayHandler::handleListed(const std::string& jobId)
+{
+    std::vector<uint64_t> due;
+    for (const auto& [number, read] : m_reads) {
+        if (!read.isReading && read.call.jobId == jobId)
+            due.push_back(number);
+    }
+    for (const uint64_t it : due)
+        readResults(it);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <LibGateway/ForwardedCall.h>
+#include <LibGateway/GatewayEnvironment.h>
+#include <LibGateway/JobController.h>
+#include <LibHTTP/HttpExchange.h>
+
+#include <QObject>
+#include <QTimer>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Chicorydock {
+
+/// Takes in the requests of callers: requests to forward, jobs, and calls about jobs.
+///
+/// Thread safety: used on the I/O thread.
+class GatewayHandler final : public QObject, public HttpHandler {
+public:
+    /// Both parameters outlive the handler.
+    GatewayHandler(GatewayEnvironment&, JobController&);
+    ~GatewayHandler() override;
+
+    void handle(std::shared_ptr<HttpExchange>) override;
+
+    size_t callsInProgress() const { return m_calls.size(); }
+
+private:
+    /// A caller that waits for a result.
+    struct WaitingRead {
+        std::shared_ptr<HttpExchange> exchange;
+        JobCall call;
+        MonotonicTime until;
+        /// When the store is asked again if this node does not run the job.
+        MonotonicTime nextRead;
+        bool isReading { false };
+    };
+
+    void forward(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
+    void submitJob(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
+    void handleJobCall(const std::shared_ptr<HttpExchange>&, const JobCall&);
+    void readResults(uint64_t number);
+    void handleResults(uint64_t number, const std::variant<JobResultPage, Error>&);
+    void checkWaitingReads();
+    void handleListed(const std::string& jobId);
+    void answerError(const std::shared_ptr<HttpExchange>&, const Error&, const std::string& id);
+    std::string requestId(const HttpExchange&) const;
+
+    GatewayEnvironment& m_environment;
+    JobController& m_jobs;
+    std::map<uint64_t, std::unique_ptr<ForwardedCall>> m_calls;
+    std::map<uint64_t, WaitingRead> m_reads;
+    uint64_t m_lastNumber { 0 };
+    QTimer m_readTimer;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -0,0 +1,210 @@
+#include <LibGateway/ItemRun.h>
+
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    constexpr Milliseconds connectTimeout { 400 };
+
+    /// Silence after which the item goes on at another endpoint. Reading a prompt and a preempted run take less.
+    constexpr Milliseconds silenceLimit { 1'500 };
+
+    constexpr Milliseconds retryDelay { 100 };
+
+    /// The endpoint's own statement that this run of the item failed, or that no run can succeed.
+    constexpr int failedRunStatus = 500;
+    constexpr int impossibleItemStatus = 422;
+
+}
+
+ItemRun::ItemRun(GatewayEnvironment& environment, const Job& job, JobItem item, std::function<void(JobResult)> onDone)
+    : m_environment(environment)
+    , m_job(job)
+    , m_item(std::move(item))
+    , m_onDone(std::move(onDone))
+{
+    m_retryTimer.setSingleShot(true);
+    QObject::connect(&m_retryTimer, &QTimer::timeout, &m_retryTimer, [this] { requestSlot(); });
+}
+
+ItemRun::~ItemRun() { stop(); }
+
+void ItemRun::start() { requestSlot(); }
+
+void ItemRun::resume(const ItemProgress& progress)
+{
+    m_lastEventId = progress.lastEventId;
+    m_output = progress.output;
+    m_hasOutput = m_lastEventId > 0;
+}
+
+std::optional<ItemProgress> ItemRun::progress() const
+{
+    if (m_isDone || m_lastEventId == 0)
+        return {};
+    return ItemProgress { m_item.id, m_lastEventId, m_output };
+}
+
+void ItemRun::stop()
+{
+    m_isDone = true;
+    m_retryTimer.stop();
+    m_call.reset();
+    releaseSlot(EndpointOutcome::Cancelled);
+}
+
+void ItemRun::requestSlot()
+{
+    if (m_isDone)
+        return;
+    const GatewayRoute* route = m_environment.configuration->findRouteByName(m_job.route);
+    if (!route) {
+        if (m_environment.configuration->version > 0)
+            finish(false, "the configuration no longer has the route");
+        else
+            requestSlotLater();
+        return;
+    }
+    if (m_environment.clock.now() > m_job.giveUpAt) {
+        finish(false, "the item waited longer than the route allows");
+        return;
+    }
+    BatchWork work;
+    work.service = chooseService(*route, m_environment.random.unit());
+    work.dueAt = m_job.dueAt;
+    m_work = m_environment.broker.submit(std::move(work), *this);
+}
+
+void ItemRun::requestSlotLater() { m_retryTimer.start(retryDelay); }
+
+void ItemRun::onSlot(const std::string& endpoint)
+{
+    m_hasSlot = true;
+    m_endpoint = endpoint;
+    const auto record = m_environment.directory.find(endpoint);
+    if (!record) {
+        releaseSlot(EndpointOutcome::Cancelled);
+        requestSlotLater();
+        return;
+    }
+    m_events = {};
+    m_head = {};
+    const HttpCallRequest call { .address = record->address,
+        .method = "POST",
+        .target = m_item.path,
+        .headers = m_environment.wire.itemHeaders(
+            m_item, m_job.host, record->id, m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt),
+        .body = m_item.body,
+        .progressTimeout = silenceLimit,
+        .connectTimeout = connectTimeout,
+        .echoedField = m_environment.wire.requestIdField() };
+    m_call = m_environment.http.start(call, *this);
+}
+
+// Work of jobs waits as long as it takes.
+void ItemRun::onRefused(Milliseconds) { requestSlotLater(); }
+
+void ItemRun::onYield()
+{
+    m_work = 0;
+    m_hasSlot = false;
+    m_call.reset();
+    requestSlot();
+}
+
+void ItemRun::onHeaders(int status, const HttpHeaders& headers)
+{
+    m_head = m_environment.wire.decodeAnswerHead(status, headers);
+    if (m_head.workTimePercent)
+        m_environment.broker.scheduler().setWorkTime(m_endpoint, *m_head.workTimePercent, m_environment.clock.now());
+}
+
+void ItemRun::onData(const QByteArray& data)
+{
+    if (m_head.status != 200)
+        return;
+    for (const StreamEvent& it : m_events.consume(data)) {
+        if (!it.id || *it.id <= m_lastEventId)
+            continue;
+        if (m_lastEventId > 0 && *it.id > m_lastEventId + 1) {
+            m_call.reset();
+            handleFailure("an event is missing in the stream of the endpoint");
+            return;
+        }
+        m_lastEventId = *it.id;
+        if (std::exchange(m_hasOutput, true))
+            m_output += '\n';
+        m_output += it.data;
+    }
+}
+
+void ItemRun::onFinished()
+{
+    m_call.reset();
+    if (m_head.isNotRun) {
+        if (m_head.isOtherEndpoint)
+            m_environment.directory.markReplaced(m_endpoint);
+        releaseSlot(EndpointOutcome::Cancelled);
+        requestSlotLater();
+        return;
+    }
+    if (m_head.status == 200 && !m_events.hasPartialEvent()) {
+        releaseSlot(EndpointOutcome::Answered);
+        finish(true, "");
+        return;
+    }
+    if (m_head.status != failedRunStatus && m_head.status != impossibleItemStatus) {
+        handleFailure("the endpoint answered " + std::to_string(m_head.status));
+        return;
+    }
+    releaseSlot(EndpointOutcome::Answered);
+    const GatewayRoute* route = m_environment.configuration->findRouteByName(m_job.route);
+    if (m_head.status == impossibleItemStatus)
+        finish(false, "the endpoint states that the item cannot be done");
+    else if (++m_failedRuns >= (route ? route->maxAttempts : 1))
+        finish(false, "the item failed at " + std::to_string(m_failedRuns) + " runs");
+    else
+        requestSlotLater();
+}
+
+void ItemRun::onFailed(const HttpFailure& failure)
+{
+    m_call.reset();
+    handleFailure(failure.message);
+}
+
+void ItemRun::handleFailure(const std::string& reason)
+{
+    logStep("moved", reason);
+    releaseSlot(EndpointOutcome::Failed);
+    requestSlotLater();
+}
+
+void ItemRun::releaseSlot(EndpointOutcome outcome)
+{
+    if (m_work == 0)
+        return;
+    const uint64_t work = std::exchange(m_work, 0);
+    if (std::exchange(m_hasSlot, false))
+        m_environment.broker.ended(work, outcome);
+    else
+        m_environment.broker.withdraw(work);
+}
+
+void ItemRun::finish(bool isCompleted, const std::string& reason)
+{
+    m_isDone = true;
+    logStep(isCompleted ? "completed" : "given_up", reason);
+    m_onDone({ m_item.id, isCompleted, isCompleted ? m_output : QByteArray() });
+}
+
+void ItemRun::logStep(std::string_view action, const std::string& reason) const
+{
+    m_environment.log.record("item", action, m_item.id, {},
+        { { "job", QString::fromStdString(m_job.id) }, { "endpoint", QString::fromStdString(m_endpoint) },
+            { "last_event", static_cast<qint64>(m_lastEventId) }, { "reason", QString::fromStdString(reason) } });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/JobController.cpp
@@ -0,0 +1,471 @@
+#include <LibGateway/JobController.h>
+
+#include <LibRouting/Rendezvous.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Content that fits one transaction with its record; larger content becomes an object.
+    constexpr qsizetype maxInputRowBytes = 400'000;
+
+    /// After its start a node has not heard of all peers yet.
+    constexpr Milliseconds startGrace { 2'000 };
+
+    /// Nodes claim a job one after the other, so that usually only one tries.
+    constexpr Milliseconds claimInterval { 500 };
+    constexpr size_t maxClaimRank = 4;
+
+    constexpr int maxEndTries = 4;
+
+    constexpr Milliseconds quotaRetryAfter { 1'000 };
+    constexpr Milliseconds storeRetryAfter { 500 };
+
+    Error storeError(const StoreFailure& failure)
+    {
+        if (failure.kind == StoreFailure::Kind::OutcomeUnknown)
+            return { ErrorKind::MayHaveRun, failure.message };
+        return { ErrorKind::PlatformUnavailable, failure.message, storeRetryAfter };
+    }
+
+    Error readError(const StoreFailure& failure)
+    {
+        return { ErrorKind::PlatformUnavailable, failure.message, storeRetryAfter };
+    }
+
+    const Error noSuchJob { ErrorKind::NotFound, "there is no such job" };
+
+}
+
+/// Wraps a reply so that it is dropped when the controller is gone.
+template <typename Function> auto JobController::guarded(Function function)
+{
+    return [lifetime = m_lifetime, function = std::move(function)](auto&& result) mutable {
+        if (*lifetime)
+            function(std::forward<decltype(result)>(result));
+    };
+}
+
+JobController::JobController(GatewayEnvironment& environment, RowStore& store, const JobPeers& peers, std::string node)
+    : m_environment(environment)
+    , m_store(store)
+    , m_peers(peers)
+    , m_node(std::move(node))
+    , m_startedAt(environment.clock.now())
+{
+}
+
+JobController::~JobController() { *m_lifetime = false; }
+
+void JobController::submit(
+    const SubmittedJob& submission, const GatewayRoute& route, const std::string& host, const Done& done)
+{
+    if (m_records.contains(submission.jobId)) {
+        done({});
+        return;
+    }
+    JobHead record;
+    record.id = submission.jobId;
+    record.owner = m_isLeaving ? "" : m_node;
+    record.route = route.name;
+    record.host = host;
+    record.itemCount = static_cast<uint32_t>(submission.items.size());
+    for (const JobItem& it : submission.items)
+        record.tokens += it.tokens;
+    if (route.maxWaitingTokens > 0 && waitingTokens(route.name) + record.tokens > route.maxWaitingTokens) {
+        done(Error(ErrorKind::Overloaded, "the waiting items of the route are at their limit", quotaRetryAfter));
+        return;
+    }
+    if (!m_store.time()) {
+        done(Error(ErrorKind::PlatformUnavailable, "the store has not answered yet", storeRetryAfter));
+        return;
+    }
+    record.submittedAt = *m_store.time();
+    const QByteArray content = encodeJobItems(submission.items);
+    if (content.size() <= maxInputRowBytes) {
+        commitSubmission(record, content, submission.items, done);
+        return;
+    }
+    // The content of a job never changes, but a repeat may be on its way at another node, so the name is unique.
+    record.inputObject = "job-" + record.id + "-" + m_environment.random.identifier();
+    m_store.putObject(record.inputObject, content,
+        guarded([this, record, items = submission.items, done](const StoreResult<bool>& result) {
+            if (const auto* failure = std::get_if<StoreFailure>(&result)) {
+                // Without its record the object is no job, so nothing of it runs.
+                done(Error(ErrorKind::PlatformUnavailable, failure->message, storeRetryAfter));
+                return;
+            }
+            commitSubmission(record, {}, items, done);
+        }));
+}
+
+void JobController::commitSubmission(
+    const JobHead& record, const QByteArray& content, const std::vector<JobItem>& items, const Done& done)
+{
+    RowTransaction transaction;
+    transaction.conditions.push_back({ JobRows::record(record.id), 0 });
+    transaction.writes.push_back({ JobRows::record(record.id), encodeJobHead(record) });
+    if (record.inputObject.empty()) {
+        for (RowWrite& it : JobRows::split(JobRows::input(record.id), content))
+            transaction.writes.push_back(std::move(it));
+    }
+    m_store.commit(transaction, guarded([this, record, items, done](const StoreResult<RowCommit>& result) {
+        handleSubmission(record, items, done, result);
+    }));
+}
+
+void JobController::handleSubmission(
+    const JobHead& record, const std::vector<JobItem>& items, const Done& done, const StoreResult<RowCommit>& result)
+{
+    const auto* commit = std::get_if<RowCommit>(&result);
+    if (!commit) {
+        const StoreFailure& failure = std::get<StoreFailure>(result);
+        m_environment.log.record(
+            "job", "not_accepted", record.id, {}, { { "reason", QString::fromStdString(failure.message) } });
+        done(storeError(failure));
+        return;
+    }
+    // A conflict means that the job was accepted before.
+    if (commit->isCommitted) {
+        JobHead accepted = record;
+        accepted.version = commit->version;
+        learn(accepted);
+        m_environment.log.record("job", "accepted", record.id, {},
+            { { "items", static_cast<qint64>(record.itemCount) }, { "tokens", static_cast<qint64>(record.tokens) },
+                { "version", static_cast<qint64>(accepted.version) } });
+        if (accepted.owner == m_node && !m_isLeaving)
+            own(accepted, { items, {}, {} });
+    }
+    done({});
+}
+
+uint64_t JobController::waitingTokens(const std::string& route) const
+{
+    uint64_t sum = 0;
+    for (const auto& [id, record] : m_records) {
+        if (record.state != JobHead::State::Open || record.route != route)
+            continue;
+        const auto owned = m_owned.find(id);
+        sum += owned == m_owned.end() ? record.tokens : owned->second->waitingTokens();
+    }
+    return sum;
+}
+
+void JobController::learn(const JobHead& record)
+{
+    const auto [it, isNew] = m_records.try_emplace(record.id, record);
+    if (!isNew && record.version < it->second.version)
+        return;
+    it->second = record;
+    const bool isOpen = record.state == JobHead::State::Open;
+    if (!isOpen || !isOrphan(record))
+        m_orphanSince.erase(record.id);
+    const auto owned = m_owned.find(record.id);
+    if (owned == m_owned.end())
+        return;
+    const bool isStillOwner = isOpen && record.owner == m_node;
+    if (!isStillOwner && record.version > owned->second->record().version)
+        dropOwned(record.id);
+}
+
+void JobController::dropOwned(const std::string& jobId)
+{
+    const auto it = m_owned.find(jobId);
+    if (it == m_owned.end())
+        return;
+    it->second->stop();
+    // The job may be the caller of this function.
+    QTimer::singleShot(0, this, [job = std::shared_ptr<OwnedJob>(std::move(it->second))] {});
+    m_owned.erase(it);
+}
+
+void JobController::own(const JobHead& record, const JobContent& content)
+{
+    const std::string id = record.id;
+    auto job = std::make_unique<OwnedJob>(
+        m_environment, m_store, record, content.items, content.results,
+        [this, id](OwnedJob::End reason) {
+            if (reason == OwnedJob::End::Done) {
+                m_records[id].state = JobHead::State::Done;
+                m_environment.log.record("job", "done", id);
+            }
+            dropOwned(id);
+        },
+        [this, id] {
+            if (m_onListed)
+                m_onListed(id);
+        });
+    job->resume(content.progress);
+    OwnedJob& started = *job;
+    m_owned[id] = std::move(job);
+    started.start();
+}
+
+void JobController::onTableListed(const std::vector<StoredRow>& rows) { onRowsChanged(rows); }
+
+void JobController::onRowsChanged(const std::vector<StoredRow>& rows)
+{
+    for (const StoredRow& it : rows) {
+        if (it.isRemoved) {
+            m_records.erase(it.address.key);
+            continue;
+        }
+        if (const auto record = decodeJobHead(it))
+            learn(*record);
+    }
+    tick();
+}
+
+void JobController::onReachableChanged(bool isReachable) { m_isReachable = isReachable; }
+
+bool JobController::isOrphan(const JobHead& record) const
+{
+    if (record.owner == m_node)
+        return !m_owned.contains(record.id);
+    return record.owner.empty() || !m_peers.canRunJobs(record.owner);
+}
+
+Milliseconds JobController::claimDelay(const std::string& jobId) const
+{
+    std::vector<std::string> nodes = m_peers.nodesForJobs();
+    nodes.push_back(m_node);
+    size_t rank = 0;
+    while (rank < maxClaimRank && nodes.size() > 1) {
+        const std::string first = rendezvousOwner(jobId, nodes);
+        if (first == m_node)
+            break;
+        std::erase(nodes, first);
+        ++rank;
+    }
+    return claimInterval * rank;
+}
+
+void JobController::tick()
+{
+    const MonotonicTime now = m_environment.clock.now();
+    if (m_isLeaving || !m_isReachable || now < m_startedAt + startGrace)
+        return;
+    for (const auto& [id, record] : m_records) {
+        if (record.state != JobHead::State::Open || m_loading.contains(id) || m_owned.contains(id))
+            continue;
+        if (!isOrphan(record)) {
+            m_orphanSince.erase(id);
+            continue;
+        }
+        const MonotonicTime since = m_orphanSince.try_emplace(id, now).first->second;
+        if (now - since >= claimDelay(id))
+            claim(record);
+    }
+}
+
+void JobController::claim(const JobHead& record)
+{
+    JobHead claimed = record;
+    claimed.owner = m_node;
+    m_loading.insert(record.id);
+    const RowTransaction transaction { { { JobRows::record(record.id), record.version } },
+        { { JobRows::record(record.id), encodeJobHead(claimed) } }, {} };
+    m_store.commit(transaction, guarded([this, record, claimed](const StoreResult<RowCommit>& result) mutable {
+        m_loading.erase(record.id);
+        m_orphanSince.erase(record.id);
+        const auto* commit = std::get_if<RowCommit>(&result);
+        if (!commit)
+            return;
+        if (!commit->isCommitted) {
+            onRowsChanged(commit->current);
+            return;
+        }
+        claimed.version = commit->version;
+        m_environment.log.record("job", "claimed", record.id, {},
+            { { "previous_owner", QString::fromStdString(record.owner) },
+                { "version", static_cast<qint64>(claimed.version) } });
+        m_loading.insert(record.id);
+        learn(claimed);
+        load(claimed);
+    }));
+}
+
+void JobController::load(const JobHead& record)
+{
+    JobLoader::loadAll(m_store, record, guarded([this, record](const StoreResult<JobContent>& result) {
+        m_loading.erase(record.id);
+        const auto* content = std::get_if<JobContent>(&result);
+        const auto known = m_records.find(record.id);
+        const bool isCurrent = known != m_records.end() && known->second.version == record.version;
+        // A failed load is tried again: the record still names this node, which does not run the job.
+        if (content && isCurrent && !m_isLeaving)
+            own(record, *content);
+    }));
+}
+
+void JobController::readResults(const std::string& jobId, size_t after, const Reply<JobResultPage>& reply)
+{
+    JobLoader::loadResults(
+        m_store, jobId, after, guarded([this, jobId, after, reply](StoreResult<std::vector<JobResult>> result) {
+            if (const auto* failure = std::get_if<StoreFailure>(&result)) {
+                reply(readError(*failure));
+                return;
+            }
+            JobResultPage page;
+            page.results = std::move(std::get<std::vector<JobResult>>(result));
+            page.next = after + page.results.size();
+            if (const auto it = m_records.find(jobId); it != m_records.end()) {
+                page.total = it->second.itemCount;
+                reply(std::move(page));
+                return;
+            }
+            const RowAddress address = JobRows::record(jobId);
+            m_store.read({ address.table, address.partition, jobId, jobId + '\0' },
+                guarded([this, page, reply](const StoreResult<RowPage>& rows) mutable {
+                    const auto* found = std::get_if<RowPage>(&rows);
+                    if (!found) {
+                        reply(readError(std::get<StoreFailure>(rows)));
+                        return;
+                    }
+                    const auto record = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
+                    if (!record) {
+                        reply(noSuchJob);
+                        return;
+                    }
+                    learn(*record);
+                    page.total = record->itemCount;
+                    reply(std::move(page));
+                }));
+        }));
+}
+
+void JobController::readItem(const std::string& jobId, const std::string& itemId, const Reply<QByteArray>& reply)
+{
+    if (const auto it = m_owned.find(jobId); it != m_owned.end()) {
+        if (const JobItem* item = it->second->findItem(itemId)) {
+            reply(item->body);
+            return;
+        }
+    }
+    const RowAddress address = JobRows::record(jobId);
+    m_store.read({ address.table, address.partition, jobId, jobId + '\0' },
+        guarded([this, itemId, reply](const StoreResult<RowPage>& rows) {
+            const auto* found = std::get_if<RowPage>(&rows);
+            if (!found) {
+                reply(readError(std::get<StoreFailure>(rows)));
+                return;
+            }
+            const auto record = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
+            if (!record) {
+                reply(noSuchJob);
+                return;
+            }
+            JobLoader::loadItems(
+                m_store, *record, guarded([itemId, reply](const StoreResult<std::vector<JobItem>>& result) {
+                    const auto* items = std::get_if<std::vector<JobItem>>(&result);
+                    if (!items) {
+                        reply(readError(std::get<StoreFailure>(result)));
+                        return;
+                    }
+                    const auto item = std::ranges::find(*items, itemId, &JobItem::id);
+                    if (item == items->end())
+                        reply(Error(ErrorKind::NotFound, "the job has no such item"));
+                    else
+                        reply(item->body);
+                }));
+        }));
+}
+
+void JobController::end(const std::string& jobId, const Done& done)
+{
+    if (const auto it = m_records.find(jobId); it != m_records.end()) {
+        endRecord(it->second, maxEndTries, done);
+        return;
+    }
+    const RowAddress address = JobRows::record(jobId);
+    m_store.read({ address.table, address.partition, jobId, jobId + '\0' },
+        guarded([this, done](const StoreResult<RowPage>& rows) {
+            const auto* found = std::get_if<RowPage>(&rows);
+            if (!found) {
+                done(readError(std::get<StoreFailure>(rows)));
+                return;
+            }
+            const auto record = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
+            if (record)
+                endRecord(*record, maxEndTries, done);
+            else
+                done(noSuchJob);
+        }));
+}
+
+void JobController::endRecord(JobHead record, int triesLeft, const Done& done)
+{
+    if (record.state != JobHead::State::Open) {
+        learn(record);
+        done({});
+        return;
+    }
+    JobHead ended = record;
+    ended.state = JobHead::State::Ended;
+    const RowTransaction transaction { { { JobRows::record(record.id), record.version } },
+        { { JobRows::record(record.id), encodeJobHead(ended) } }, {} };
+    m_store.commit(transaction, guarded([this, ended, triesLeft, done](const StoreResult<RowCommit>& result) mutable {
+        const auto* commit = std::get_if<RowCommit>(&result);
+        if (!commit) {
+            done(storeError(std::get<StoreFailure>(result)));
+            return;
+        }
+        if (commit->isCommitted) {
+            ended.version = commit->version;
+            m_environment.log.record("job", "ended", ended.id);
+            learn(ended);
+            done({});
+            return;
+        }
+        const auto current = commit->current.empty() ? std::nullopt : decodeJobHead(commit->current.front());
+        if (!current)
+            done(noSuchJob);
+        else if (triesLeft > 0)
+            endRecord(*current, triesLeft - 1, done);
+        else
+            done(Error(ErrorKind::PlatformUnavailable, "the job keeps changing", storeRetryAfter));
+    }));
+}
+
+void JobController::release()
+{
+    m_isLeaving = true;
+    std::vector<std::string> ids;
+    for (const auto& [id, job] : m_owned) {
+        ids.push_back(id);
+        releaseJob(*job);
+    }
+    for (const std::string& it : ids)
+        dropOwned(it);
+}
+
+void JobController::releaseJob(const OwnedJob& job)
+{
+    JobHead released = job.record();
+    released.owner.clear();
+    RowTransaction transaction { { { JobRows::record(released.id), released.version } },
+        { { JobRows::record(released.id), encodeJobHead(released) } }, {} };
+    const std::vector<ItemProgress> progress = job.progress();
+    const QByteArray content = encodeJobProgress(progress);
+    if (!progress.empty() && content.size() <= maxInputRowBytes) {
+        for (RowWrite& it : JobRows::split(JobRows::progress(released.id), content))
+            transaction.writes.push_back(std::move(it));
+    }
+    ++m_releasing;
+    m_store.commit(transaction, guarded([this, id = released.id](const StoreResult<RowCommit>& result) {
+        --m_releasing;
+        const auto* commit = std::get_if<RowCommit>(&result);
+        m_environment.log.record("job", "released", id, {}, { { "committed", commit && commit->isCommitted } });
+    }));
+}
+
+size_t JobController::openJobs() const
+{
+    return static_cast<size_t>(
+        std::ranges::count_if(m_records, [](const auto& it) { return it.second.state == JobHead::State::Open; }));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/JobHead.cpp
@@ -0,0 +1,256 @@
+#include <LibGateway/JobHead.h>
+
+#include <LibGateway/SlotScheduler.h>
+
+#include <QDataStream>
+#include <QIODevice>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <algorithm>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// A partition applies 200 transactions a second, so this many carry more than the store takes in all.
+    constexpr uint32_t partitionCount = 16;
+
+    /// Positions are written with leading zeros, so that keys sort like numbers.
+    constexpr int positionDigits = 6;
+
+    /// Separates the key of a content from the number of its part; smaller than any character of a position.
+    constexpr char partSeparator = '+';
+
+    QString text(const std::string& it) { return QString::fromStdString(it); }
+
+    std::string positionText(size_t position)
+    {
+        return QByteArray::number(static_cast<qulonglong>(position)).rightJustified(positionDigits, '0').toStdString();
+    }
+
+    /// Returns the range of the rows of one content.
+    RowRange contentRange(const char* table, const std::string& jobId)
+    {
+        return { table, JobRows::partition(jobId), jobId, jobId + static_cast<char>(partSeparator + 1) };
+    }
+
+    const char* stateName(JobHead::State state)
+    {
+        switch (state) {
+        case JobHead::State::Done:
+            return "done";
+        case JobHead::State::Ended:
+            return "ended";
+        default:
+            return "open";
+        }
+    }
+
+    JobHead::State stateOf(const QString& name)
+    {
+        if (name == "done")
+            return JobHead::State::Done;
+        return name == "ended" ? JobHead::State::Ended : JobHead::State::Open;
+    }
+
+}
+
+QByteArray encodeJobHead(const JobHead& record)
+{
+    const QJsonObject object {
+        { "state", stateName(record.state) },
+        { "owner", text(record.owner) },
+        { "route", text(record.route) },
+        { "host", text(record.host) },
+        { "tokens", static_cast<qint64>(record.tokens) },
+        { "items", static_cast<qint64>(record.itemCount) },
+        { "submitted_at_ms", static_cast<qint64>(record.submittedAt.count()) },
+        { "input_object", text(record.inputObject) },
+    };
+    return QJsonDocument(object).toJson(QJsonDocument::Compact);
+}
+
+std::optional<JobHead> decodeJobHead(const StoredRow& row)
+{
+    const QJsonDocument document = QJsonDocument::fromJson(row.value);
+    if (!document.isObject())
+        return {};
+    const QJsonObject object = document.object();
+    JobHead record;
+    record.id = row.address.key;
+    record.state = stateOf(object["state"].toString());
+    record.owner = object["owner"].toString().toStdString();
+    record.route = object["route"].toString().toStdString();
+    record.host = object["host"].toString().toStdString();
+    record.tokens = static_cast<uint64_t>(object["tokens"].toInteger());
+    record.itemCount = static_cast<uint32_t>(object["items"].toInteger());
+    record.submittedAt = Milliseconds { object["submitted_at_ms"].toInteger() };
+    record.inputObject = object["input_object"].toString().toStdString();
+    record.version = row.version;
+    return record;
+}
+
+QByteArray encodeJobItems(const std::vector<JobItem>& items)
+{
+    QByteArray bytes;
+    QDataStream stream(&bytes, QIODevice::WriteOnly);
+    stream << static_cast<quint32>(items.size());
+    for (const JobItem& it : items) {
+        stream << QByteArray::fromStdString(it.id) << it.path << it.body << static_cast<quint64>(it.tokens)
+               << static_cast<quint32>(it.headers.fields().size());
+        for (const auto& [name, value] : it.headers.fields())
+            stream << name << value;
+    }
+    return bytes;
+}
+
+std::optional<std::vector<JobItem>> decodeJobItems(const QByteArray& bytes)
+{
+    QDataStream stream(bytes);
+    quint32 count = 0;
+    stream >> count;
+    std::vector<JobItem> items;
+    for (quint32 n = 0; n < count && stream.status() == QDataStream::Ok; ++n) {
+        JobItem item;
+        QByteArray id;
+        quint64 tokens = 0;
+        quint32 fields = 0;
+        stream >> id >> item.path >> item.body >> tokens >> fields;
+        for (quint32 k = 0; k < fields && stream.status() == QDataStream::Ok; ++k) {
+            QByteArray name;
+            QByteArray value;
+            stream >> name >> value;
+            item.headers.add(name, value);
+        }
+        item.id = id.toStdString();
+        item.tokens = tokens;
+        items.push_back(std::move(item));
+    }
+    if (stream.status() != QDataStream::Ok)
+        return {};
+    return items;
+}
+
+QByteArray encodeJobProgress(const std::vector<ItemProgress>& items)
+{
+    QByteArray bytes;
+    QDataStream stream(&bytes, QIODevice::WriteOnly);
+    stream << static_cast<quint32>(items.size());
+    for (const ItemProgress& it : items)
+        stream << QByteArray::fromStdString(it.itemId) << static_cast<quint64>(it.lastEventId) << it.output;
+    return bytes;
+}
+
+std::optional<std::vector<ItemProgress>> decodeJobProgress(const QByteArray& bytes)
+{
+    QDataStream stream(bytes);
+    quint32 count = 0;
+    stream >> count;
+    std::vector<ItemProgress> items;
+    for (quint32 n = 0; n < count && stream.status() == QDataStream::Ok; ++n) {
+        QByteArray id;
+        quint64 lastEventId = 0;
+        ItemProgress item;
+        stream >> id >> lastEventId >> item.output;
+        item.itemId = id.toStdString();
+        item.lastEventId = lastEventId;
+        items.push_back(std::move(item));
+    }
+    if (stream.status() != QDataStream::Ok)
+        return {};
+    return items;
+}
+
+QByteArray encodeJobResult(const JobResult& result)
+{
+    QByteArray bytes;
+    QDataStream stream(&bytes, QIODevice::WriteOnly);
+    stream << QByteArray::fromStdString(result.itemId) << result.isCompleted << result.output;
+    return bytes;
+}
+
+std::optional<JobResult> decodeJobResult(const QByteArray& bytes)
+{
+    QDataStream stream(bytes);
+    QByteArray id;
+    JobResult result;
+    stream >> id >> result.isCompleted >> result.output;
+    if (stream.status() != QDataStream::Ok)
+        return {};
+    result.itemId = id.toStdString();
+    return result;
+}
+
+namespace JobRows {
+
+    std::string partition(const std::string& jobId)
+    {
+        return "p" + std::to_string(SlotScheduler::endpointKey(jobId) % partitionCount);
+    }
+
+    std::vector<std::string> partitions()
+    {
+        std::vector<std::string> names;
+        for (uint32_t n = 0; n < partitionCount; ++n)
+            names.push_back("p" + std::to_string(n));
+        return names;
+    }
+
+    RowAddress record(const std::string& jobId) { return { recordTable, partition(jobId), jobId }; }
+
+    RowAddress input(const std::string& jobId) { return { inputTable, partition(jobId), jobId }; }
+
+    RowRange inputRange(const std::string& jobId) { return contentRange(inputTable, jobId); }
+
+    RowAddress progress(const std::string& jobId) { return { progressTable, partition(jobId), jobId }; }
+
+    RowRange progressRange(const std::string& jobId) { return contentRange(progressTable, jobId); }
+
+    RowAddress result(const std::string& jobId, size_t position)
+    {
+        return { resultTable, partition(jobId), jobId + '/' + positionText(position) };
+    }
+
+    RowRange resultRange(const std::string& jobId, size_t from)
+    {
+        // The character behind the slash ends the range.
+        return { resultTable, partition(jobId), jobId + '/' + positionText(from), jobId + '0' };
+    }
+
+    std::vector<RowWrite> split(const RowAddress& address, const QByteArray& content)
+    {
+        const qsizetype parts = std::max<qsizetype>(1, (content.size() + maxRowBytes - 1) / maxRowBytes);
+        std::vector<RowWrite> rows;
+        for (qsizetype n = 0; n < parts; ++n) {
+            RowAddress row = address;
+            QByteArray value = content.mid(n * maxRowBytes, maxRowBytes);
+            if (n == 0)
+                value.prepend(QByteArray::number(parts) + '\n');
+            else
+                row.key += partSeparator + positionText(static_cast<size_t>(n));
+            rows.push_back({ std::move(row), std::move(value) });
+        }
+        return rows;
+    }
+
+    std::vector<std::pair<std::string, QByteArray>> join(const std::vector<StoredRow>& rows)
+    {
+        std::vector<std::pair<std::string, QByteArray>> contents;
+        for (size_t n = 0; n < rows.size();) {
+            const qsizetype end = rows[n].value.indexOf('\n');
+            const size_t parts = end < 0 ? 0 : rows[n].value.first(end).toULongLong();
+            if (parts == 0 || n + parts > rows.size())
+                break;
+            QByteArray content = rows[n].value.mid(end + 1);
+            for (size_t k = 1; k < parts; ++k)
+                content += rows[n + k].value;
+            contents.emplace_back(rows[n].address.key, std::move(content));
+            n += parts;
+        }
+        return contents;
+    }
+
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/OwnedJob.cpp
@@ -0,0 +1,216 @@
+#include <LibGateway/OwnedJob.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Results that end together are committed together.
+    constexpr Milliseconds commitDelay { 40 };
+    constexpr Milliseconds commitRetryDelay { 200 };
+
+    /// A transaction holds at most 100 entries and 1 MB.
+    constexpr qsizetype maxCommitBytes = 400'000;
+    constexpr size_t maxCommitResults = 20;
+
+    MonotonicTime localTime(const GatewayEnvironment& environment, const RowStore& store, Milliseconds storeTime)
+    {
+        const MonotonicTime now = environment.clock.now();
+        return now + (storeTime - store.time().value_or(storeTime));
+    }
+
+}
+
+OwnedJob::OwnedJob(GatewayEnvironment& environment, RowStore& store, JobHead record, std::vector<JobItem> items,
+    std::vector<JobResult> listed, std::function<void(End)> onEnd, std::function<void()> onListed)
+    : m_environment(environment)
+    , m_store(store)
+    , m_record(std::move(record))
+    , m_onEnd(std::move(onEnd))
+    , m_onListed(std::move(onListed))
+    , m_nextPosition(listed.size())
+{
+    const MonotonicTime submittedAt = localTime(environment, store, m_record.submittedAt);
+    const GatewayRoute* route = environment.configuration->findRouteByName(m_record.route);
+    m_job = { m_record.id, m_record.route, m_record.host,
+        submittedAt + (route ? route->completionTarget : Milliseconds { 0 }),
+        submittedAt + (route && route->maxWait.count() > 0 ? route->maxWait : std::chrono::hours { 24 }) };
+    m_commitTimer.setSingleShot(true);
+    QObject::connect(&m_commitTimer, &QTimer::timeout, &m_commitTimer, [this] { commit(); });
+    addItems(std::move(items), listed);
+}
+
+OwnedJob::~OwnedJob() { *m_lifetime = false; }
+
+void OwnedJob::addItems(std::vector<JobItem> items, const std::vector<JobResult>& listed)
+{
+    std::set<std::string> done;
+    for (const JobResult& it : listed)
+        done.insert(it.itemId);
+    for (JobItem& it : items) {
+        if (!done.contains(it.id))
+            m_runs.push_back(std::make_unique<ItemRun>(
+                m_environment, m_job, std::move(it), [this](JobResult result) { handleResult(std::move(result)); }));
+    }
+}
+
+void OwnedJob::resume(const std::vector<ItemProgress>& progress)
+{
+    for (const ItemProgress& it : progress) {
+        const auto run = std::ranges::find_if(m_runs, [&](const auto& run) { return run->item().id == it.itemId; });
+        if (run != m_runs.end())
+            (*run)->resume(it);
+    }
+}
+
+std::vector<ItemProgress> OwnedJob::progress() const
+{
+    std::vector<ItemProgress> items;
+    for (const auto& it : m_runs) {
+        if (auto progress = it->progress())
+            items.push_back(std::move(*progress));
+    }
+    return items;
+}
+
+const JobItem* OwnedJob::findItem(const std::string& id) const
+{
+    const auto it = std::ranges::find_if(m_runs, [&](const auto& run) { return run->item().id == id; });
+    return it == m_runs.end() ? nullptr : &(*it)->item();
+}
+
+void OwnedJob::start()
+{
+    for (const auto& it : m_runs)
+        it->start();
+    // A job whose items all have results only lacks the row that says so.
+    if (m_runs.empty())
+        m_commitTimer.start(commitDelay);
+}
+
+void OwnedJob::stop()
+{
+    for (const auto& it : m_runs)
+        it->stop();
+    m_commitTimer.stop();
+    m_hasEnded = true;
+}
+
+uint64_t OwnedJob::waitingTokens() const
+{
+    uint64_t sum = 0;
+    for (const auto& it : m_runs) {
+        if (!it->isDone())
+            sum += it->item().tokens;
+    }
+    return sum;
+}
+
+bool OwnedJob::isBusy() const
+{
+    return !m_pending.empty() || !m_committing.empty()
+        || std::ranges::any_of(m_runs, [](const auto& it) { return it->isRunning(); });
+}
+
+void OwnedJob::handleResult(JobResult result)
+{
+    m_pending.push_back(std::move(result));
+    if (m_committing.empty() && !m_commitTimer.isActive())
+        m_commitTimer.start(commitDelay);
+}
+
+void OwnedJob::commit()
+{
+    if (m_hasEnded)
+        return;
+    if (m_committing.empty()) {
+        qsizetype bytes = 0;
+        while (!m_pending.empty() && m_committing.size() < maxCommitResults && bytes < maxCommitBytes) {
+            bytes += m_pending.front().output.size();
+            m_committing.push_back(std::move(m_pending.front()));
+            m_pending.erase(m_pending.begin());
+        }
+        m_transaction = transaction(m_committing);
+    }
+    m_store.commit(m_transaction, [this, lifetime = m_lifetime](const StoreResult<RowCommit>& result) {
+        if (*lifetime && !m_hasEnded)
+            handleCommit(result);
+    });
+}
+
+RowTransaction OwnedJob::transaction(const std::vector<JobResult>& results) const
+{
+    RowTransaction transaction;
+    transaction.conditions.push_back({ JobRows::record(m_record.id), m_record.version });
+    size_t position = m_nextPosition;
+    for (const JobResult& it : results) {
+        const RowAddress address = JobRows::result(m_record.id, position++);
+        transaction.conditions.push_back({ address, 0 });
+        for (RowWrite& row : JobRows::split(address, encodeJobResult(it)))
+            transaction.writes.push_back(std::move(row));
+    }
+    if (position >= m_record.itemCount) {
+        JobHead done = m_record;
+        done.state = JobHead::State::Done;
+        transaction.writes.push_back({ JobRows::record(m_record.id), encodeJobHead(done) });
+    }
+    return transaction;
+}
+
+void OwnedJob::handleCommit(const StoreResult<RowCommit>& result)
+{
+    const auto* commit = std::get_if<RowCommit>(&result);
+    if (!commit) {
+        // The same transaction goes again; if it was applied after all, its positions are taken.
+        m_commitTimer.start(commitRetryDelay);
+        return;
+    }
+    if (commit->isCommitted)
+        handleListed(commit->version);
+    else
+        handleConflict(*commit);
+}
+
+void OwnedJob::handleConflict(const RowCommit& commit)
+{
+    if (isOwnCommit(commit.current)) {
+        handleListed(0);
+        return;
+    }
+    m_environment.log.record("job", "lost", m_record.id, {},
+        { { "version", static_cast<qint64>(m_record.version) },
+            { "reason", "another node has the job, or its caller ended it" } });
+    end(End::Lost);
+}
+
+bool OwnedJob::isOwnCommit(const std::vector<StoredRow>& current) const
+{
+    if (m_committing.empty())
+        return false;
+    // The transaction is atomic, so its first result stands for all of it.
+    const RowWrite& first = m_transaction.writes.front();
+    return std::ranges::any_of(
+        current, [&](const StoredRow& it) { return it.address == first.row && it.value == first.value; });
+}
+
+void OwnedJob::handleListed(uint64_t)
+{
+    m_nextPosition += m_committing.size();
+    m_committing.clear();
+    m_onListed();
+    if (m_nextPosition >= m_record.itemCount)
+        end(End::Done);
+    else if (!m_pending.empty())
+        m_commitTimer.start(Milliseconds { 0 });
+}
+
+void OwnedJob::end(End reason)
+{
+    stop();
+    m_onEnd(reason);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/OwnedJob.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <LibGateway/ItemRun.h>
+#include <LibGateway/JobHead.h>
+
+#include <QTimer>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace Chicorydock {
+
+/// A job that this node runs. Results get their positions in the order in which they are committed; a commit holds only
+/// while the job's row is the one that this node wrote, and only if the positions are free, so it applies once.
+///
+/// Thread safety: used on the I/O thread.
+class OwnedJob final {
+public:
+    /// How the work on the job ended.
+    enum class End : uint8_t {
+        /// All items have a result.
+        Done,
+        /// Another node has the job, or its caller ended it.
+        Lost,
+    };
+
+    /// `listed` are the results that the job has already. `onEnd` is called once; it must not destroy the job at once.
+    /// `onListed` is called after each commit.
+    OwnedJob(GatewayEnvironment&, RowStore&, JobHead, std::vector<JobItem>, std::vector<JobResult> listed,
+        std::function<void(End)> onEnd, std::function<void()> onListed);
+    ~OwnedJob();
+
+    /// Goes on behind what another node received of the items. Called before `start()`.
+    void resume(const std::vector<ItemProgress>&);
+
+    void start();
+
+    /// Returns what was received of the items that have not ended.
+    std::vector<ItemProgress> progress() const;
+
+    /// Returns the items without a result.
+    const JobItem* findItem(const std::string& id) const;
+
+    /// Stops all items, without results.
+    void stop();
+
+    const JobHead& record() const { return m_record; }
+
+    /// Tokens of the items without a result.
+    uint64_t waitingTokens() const;
+
+    /// Returns whether an item is at an endpoint, or a result is on its way to the store.
+    bool isBusy() const;
+
+private:
+    void addItems(std::vector<JobItem>, const std::vector<JobResult>& listed);
+    void handleResult(JobResult);
+    void commit();
+    RowTransaction transaction(const std::vector<JobResult>&) const;
+    void handleCommit(const StoreResult<RowCommit>&);
+    void handleConflict(const RowCommit&);
+    bool isOwnCommit(const std::vector<StoredRow>& current) const;
+    void handleListed(uint64_t version);
+    void end(End);
+
+    GatewayEnvironment& m_environment;
+    RowStore& m_store;
+    JobHead m_record;
+    ItemRun::Job m_job;
+    const std::function<void(End)> m_onEnd;
+    const std::function<void()> m_onListed;
+    std::vector<std::unique_ptr<ItemRun>> m_runs;
+    /// Position of the next result.
+    size_t m_nextPosition { 0 };
+    std::vector<JobResult> m_pending;
+    /// Results of the commit in progress.
+    std::vector<JobResult> m_committing;
+    RowTransaction m_transaction;
+    bool m_hasEnded { false };
+    QTimer m_commitTimer;
+    std::shared_ptr<bool> m_lifetime { std::make_shared<bool>(true) };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/SlotBroker.cpp
@@ -0,0 +1,97 @@
+#include <LibGateway/SlotBroker.h>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// How often waiting work is looked at when nothing else happens.
+    constexpr Milliseconds waitInterval { 25 };
+
+}
+
+SlotBroker::SlotBroker(SlotScheduler& scheduler, const Clock& clock, std::function<void()> onUseChanged)
+    : m_scheduler(scheduler)
+    , m_clock(clock)
+    , m_onUseChanged(std::move(onUseChanged))
+{
+    m_waitTimer.setSingleShot(true);
+    connect(&m_waitTimer, &QTimer::timeout, this, &SlotBroker::poll);
+}
+
+uint64_t SlotBroker::submit(OnlineWork work, SlotClient& client)
+{
+    work.id = ++m_lastWork;
+    m_clients[work.id] = &client;
+    m_scheduler.submit(work, m_clock.now());
+    schedulePoll();
+    return work.id;
+}
+
+uint64_t SlotBroker::submit(BatchWork work, SlotClient& client)
+{
+    work.id = ++m_lastWork;
+    m_clients[work.id] = &client;
+    m_scheduler.submit(work);
+    schedulePoll();
+    return work.id;
+}
+
+void SlotBroker::withdraw(uint64_t work)
+{
+    m_clients.erase(work);
+    m_scheduler.withdraw(work);
+}
+
+void SlotBroker::ended(uint64_t work, EndpointOutcome outcome)
+{
+    m_clients.erase(work);
+    m_scheduler.ended(work, outcome, m_clock.now());
+    m_onUseChanged();
+    schedulePoll();
+}
+
+void SlotBroker::schedulePoll()
+{
+    if (m_isPollScheduled)
+        return;
+    m_isPollScheduled = true;
+    QMetaObject::invokeMethod(this, &SlotBroker::poll, Qt::QueuedConnection);
+}
+
+void SlotBroker::poll()
+{
+    m_isPollScheduled = false;
+    const std::vector<SlotDecision> decisions = m_scheduler.poll(m_clock.now());
+    for (const SlotDecision& it : decisions)
+        deliver(it);
+    if (!decisions.empty())
+        m_onUseChanged();
+    if (m_scheduler.waitingOnline() + m_scheduler.waitingBatch() > 0)
+        m_waitTimer.start(waitInterval);
+}
+
+void SlotBroker::deliver(const SlotDecision& decision)
+{
+    const auto it = m_clients.find(decision.work);
+    if (it == m_clients.end()) {
+        // The client withdrew between the decision and now.
+        m_scheduler.ended(decision.work, EndpointOutcome::Cancelled, m_clock.now());
+        return;
+    }
+    SlotClient& client = *it->second;
+    switch (decision.kind) {
+    case SlotDecision::Kind::Start:
+        client.onSlot(decision.endpoint);
+        return;
+    case SlotDecision::Kind::Refuse:
+        m_clients.erase(it);
+        client.onRefused(decision.retryAfter);
+        return;
+    case SlotDecision::Kind::Yield:
+        m_clients.erase(it);
+        client.onYield();
+        return;
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -0,0 +1,494 @@
+#include <LibGateway/SlotScheduler.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <tuple>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Slots of an endpoint that batch work leaves free, so that an online request need not wait for a yield.
+    constexpr uint32_t batchReserve = 1;
+
+    /// Endpoints with fewer slots have no reserve, because batch work would not run there at all.
+    constexpr uint32_t minSlotsForReserve = 4;
+
+    /// A peer that was not heard for so long is gone, and its work with it.
+    constexpr Milliseconds peerTimeout { 1'500 };
+
+    /// Cost of another region or failure domain, in units of the load of an endpoint (1 is full). The link between
+    /// regions is slow and billed by volume.
+    constexpr double otherRegionCost = 0.9;
+    constexpr double otherDomainCost = 0.02;
+
+    /// Cost of an endpoint whose batch items have to yield first: own items yield at once, those of peers later.
+    constexpr double ownYieldCost = 0.5;
+    constexpr double peerYieldCost = 0.7;
+
+    /// How long a statement about the speed of an endpoint counts. Slow spells last about this long.
+    constexpr Milliseconds workTimeLifetime { 600 };
+    constexpr double slownessCost = 0.25;
+
+    /// First time for which an endpoint is avoided after it failed; it doubles with each further failure.
+    constexpr Milliseconds firstAvoidance { 250 };
+    constexpr uint32_t maxAvoidanceDoublings = 4;
+
+    /// A new request waits only if the queue ahead of it is expected to take at most this share of the time it has. The
+    /// expectation is rough, and a refusal is of most use to the caller at once.
+    constexpr double maxExpectedShare = 0.5;
+
+    /// Time in which the use of a slot has become known to all peers of the region.
+    constexpr Milliseconds reportTime { 30 };
+
+    /// However many nodes there are, a slot that stays free is open to all after so many turns.
+    constexpr uint32_t maxTurns = 4;
+
+    /// Time after the end of its own work in which a node may use the slot again before its peers know that it is free.
+    constexpr Milliseconds ownTurnTime { 10 };
+
+    /// Assumed until requests of the service have ended.
+    constexpr Milliseconds defaultHoldTime { 500 };
+    constexpr double holdTimeWeight = 0.1;
+
+    /// Choices between endpoints of about the same load are random within half a slot, so that nodes which see the same
+    /// loads go to different endpoints.
+    constexpr double randomSlots = 0.5;
+
+    /// Nodes differ in the endpoints that they prefer by up to so many slots, for the same reason.
+    constexpr double preferredSlots = 2;
+
+    /// Callers that are refused come back after the expected wait, spread over as much time again and at least this.
+    constexpr Milliseconds minRetrySpread { 300 };
+    constexpr Milliseconds minRetryAfter { 150 };
+    constexpr Milliseconds maxRetryAfter { 1'600 };
+
+    uint32_t batchSlots(uint32_t slotCount)
+    {
+        return slotCount >= minSlotsForReserve ? slotCount - batchReserve : slotCount;
+    }
+
+    /// Returns the place of a node in the order for an endpoint, which is another one for each endpoint.
+    uint32_t orderKey(const std::string& endpoint, const std::string& node)
+    {
+        // The finalizer of MurmurHash3: names that differ in the last character only get unrelated places.
+        uint32_t hash = SlotScheduler::endpointKey(endpoint + '/' + node);
+        hash = (hash ^ (hash >> 16)) * 0x85ebca6bU;
+        hash = (hash ^ (hash >> 13)) * 0xc2b2ae35U;
+        return hash ^ (hash >> 16);
+    }
+
+}
+
+SlotScheduler::SlotScheduler(Place place, Random& random)
+    : m_place(std::move(place))
+    , m_region([this] {
+        const auto it = m_place.regions.find(m_place.failureDomain);
+        return it == m_place.regions.end() ? std::string() : it->second;
+    }())
+    , m_random(random)
+{
+}
+
+uint32_t SlotScheduler::endpointKey(const std::string& id)
+{
+    // FNV-1a: the same on every node, whatever its library.
+    uint32_t hash = 2166136261U;
+    for (const char c : id)
+        hash = (hash ^ static_cast<uint8_t>(c)) * 16777619U;
+    return hash;
+}
+
+void SlotScheduler::setEndpoints(const std::vector<EndpointRecord>& records)
+{
+    for (auto& [id, it] : m_endpoints)
+        it.isUsable = false;
+    for (const EndpointRecord& record : records) {
+        const auto [it, isNew] = m_endpoints.try_emplace(record.id);
+        Endpoint& endpoint = it->second;
+        if (!isNew && endpoint.record.startedAt != record.startedAt)
+            endpoint.failures = 0;
+        endpoint.record = record;
+        endpoint.isUsable = true;
+        if (!isNew)
+            continue;
+        const uint32_t key = endpointKey(record.id);
+        m_idsByKey[key] = record.id;
+        for (const auto& [node, peer] : m_peers) {
+            if (const auto use = peer.use.find(key); use != peer.use.end()) {
+                endpoint.peers.online += use->second.online;
+                endpoint.peers.batch += use->second.batch;
+            }
+        }
+    }
+    std::erase_if(m_endpoints, [&](const auto& it) {
+        const Endpoint& endpoint = it.second;
+        const bool isDropped = !endpoint.isUsable && endpoint.own == SlotUse {};
+        if (isDropped)
+            m_idsByKey.erase(endpointKey(it.first));
+        return isDropped;
+    });
+}
+
+void SlotScheduler::submit(const OnlineWork& work, MonotonicTime) { m_online.push_back(work); }
+
+void SlotScheduler::submit(const BatchWork& work) { m_batch.push_back(work); }
+
+void SlotScheduler::withdraw(uint64_t work)
+{
+    std::erase_if(m_online, [&](const OnlineWork& it) { return it.id == work; });
+    std::erase_if(m_batch, [&](const BatchWork& it) { return it.id == work; });
+}
+
+SlotScheduler::Endpoint* SlotScheduler::endpoint(const std::string& id)
+{
+    const auto it = m_endpoints.find(id);
+    return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+void SlotScheduler::ended(uint64_t work, EndpointOutcome outcome, MonotonicTime now)
+{
+    const auto it = m_running.find(work);
+    if (it == m_running.end())
+        return;
+    const Running running = it->second;
+    m_running.erase(it);
+    Endpoint* place = endpoint(running.endpoint);
+    if (place) {
+        --(running.isBatch ? place->own.batch : place->own.online);
+        if (!running.isBatch)
+            place->ownEndedAt = place->onlineChangedAt = now;
+    }
+    if (place && outcome == EndpointOutcome::Failed) {
+        const uint32_t doublings = std::min(place->failures++, maxAvoidanceDoublings);
+        place->avoidedUntil = now + firstAvoidance * (1 << doublings);
+    }
+    if (outcome != EndpointOutcome::Answered)
+        return;
+    if (place)
+        place->failures = 0;
+    if (!running.isBatch) {
+        Milliseconds& mean = m_holdTimes.try_emplace(running.service, defaultHoldTime).first->second;
+        const double held = toSeconds(now - running.startedAt) * 1000;
+        const double old = static_cast<double>(mean.count());
+        mean = Milliseconds { std::lround(old + (held - old) * holdTimeWeight) };
+    }
+}
+
+void SlotScheduler::addPeerUse(const Peer& peer, bool isAdded)
+{
+    for (const auto& [key, use] : peer.use) {
+        const auto id = m_idsByKey.find(key);
+        Endpoint* place = id == m_idsByKey.end() ? nullptr : endpoint(id->second);
+        if (!place)
+            continue;
+        place->peers.online += isAdded ? use.online : -use.online;
+        place->peers.batch += isAdded ? use.batch : -use.batch;
+    }
+    m_peersWaiting += isAdded ? peer.waiting : -peer.waiting;
+}
+
+void SlotScheduler::setPeerUse(
+    const std::string& node, const std::unordered_map<uint32_t, SlotUse>& use, uint32_t waiting, MonotonicTime now)
+{
+    Peer& peer = m_peers[node];
+    const Peer next { use, waiting, now };
+    noteOnlineChanges(peer, next, now);
+    addPeerUse(peer, false);
+    peer = next;
+    addPeerUse(peer, true);
+}
+
+void SlotScheduler::noteOnlineChanges(const Peer& before, const Peer& after, MonotonicTime now)
+{
+    const auto note = [&](uint32_t key, uint32_t from, uint32_t to) {
+        const auto id = m_idsByKey.find(key);
+        if (from != to && id != m_idsByKey.end())
+            m_endpoints.at(id->second).onlineChangedAt = now;
+    };
+    for (const auto& [key, use] : before.use) {
+        const auto it = after.use.find(key);
+        note(key, use.online, it == after.use.end() ? 0 : it->second.online);
+    }
+    for (const auto& [key, use] : after.use) {
+        if (!before.use.contains(key))
+            note(key, 0, use.online);
+    }
+}
+
+void SlotScheduler::removePeer(const std::string& node)
+{
+    const auto it = m_peers.find(node);
+    if (it == m_peers.end())
+        return;
+    addPeerUse(it->second, false);
+    m_peers.erase(it);
+}
+
+void SlotScheduler::expirePeers(MonotonicTime now)
+{
+    std::vector<std::string> expired;
+    for (const auto& [node, peer] : m_peers) {
+        if (now - peer.heardAt > peerTimeout)
+            expired.push_back(node);
+    }
+    for (const std::string& it : expired)
+        removePeer(it);
+}
+
+void SlotScheduler::setWorkTime(const std::string& id, uint32_t percent, MonotonicTime now)
+{
+    Endpoint* place = endpoint(id);
+    if (!place)
+        return;
+    place->workTimePercent = percent;
+    place->workTimeAt = now;
+}
+
+std::vector<SlotDecision> SlotScheduler::poll(MonotonicTime now)
+{
+    std::vector<SlotDecision> decisions;
+    expirePeers(now);
+    decideOnline(decisions, now);
+    decideYields(decisions);
+    decideBatch(decisions, now);
+    return decisions;
+}
+
+void SlotScheduler::decideOnline(std::vector<SlotDecision>& decisions, MonotonicTime now)
+{
+    // Requests that can still be answered on time go first, the most urgent ones of the highest priority in front.
+    // Late ones follow, because serving them first would make all others late too.
+    std::ranges::stable_sort(m_online, {}, [&](const OnlineWork& it) {
+        const bool isLate = now > it.startBy;
+        return std::tuple(isLate, it.priority, isLate ? it.deadline : it.startBy);
+    });
+    std::map<std::string, size_t> ahead;
+    std::vector<OnlineWork> waiting;
+    for (OnlineWork& work : m_online) {
+        if (Endpoint* place = chooseForOnline(work, now)) {
+            if (place->total() >= place->record.slotCount && place->own.batch > 0)
+                yieldOne(decisions, *place);
+            startWork(decisions, work.id, *place, false, now);
+            continue;
+        }
+        size_t& before = ahead[work.service];
+        if (isHopeless(work, before, now)) {
+            decisions.push_back({ SlotDecision::Kind::Refuse, work.id, {}, retryAfter(work.service, before) });
+            continue;
+        }
+        ++before;
+        work.isAccepted = true;
+        waiting.push_back(std::move(work));
+    }
+    m_online = std::move(waiting);
+}
+
+Milliseconds SlotScheduler::retryAfter(const std::string& service, size_t ahead)
+{
+    const Milliseconds wait = expectedWait(service, ahead);
+    const double spread = m_random.unit() * static_cast<double>(std::max(wait, minRetrySpread).count());
+    return std::min(minRetryAfter + wait + Milliseconds { std::lround(spread) }, maxRetryAfter);
+}
+
+bool SlotScheduler::isHopeless(const OnlineWork& work, size_t ahead, MonotonicTime now) const
+{
+    const MonotonicTime start = now + expectedWait(work.service, ahead);
+    if (start > work.deadline)
+        return true;
+    // A caller that may come back is better served by a later attempt that is on time than by a late answer.
+    if (work.isLastAttempt)
+        return false;
+    if (work.isAccepted)
+        return start > work.startBy;
+    return toSeconds(start - now) > toSeconds(work.startBy - now) * maxExpectedShare;
+}
+
+Milliseconds SlotScheduler::expectedWait(const std::string& service, size_t ahead) const
+{
+    const auto it = m_holdTimes.find(service);
+    const Milliseconds hold = it == m_holdTimes.end() ? defaultHoldTime : it->second;
+    const uint32_t slotCount = std::max(1U, slotsOf(service).first);
+    // Peers compete for the same slots.
+    const double queue = static_cast<double>(ahead + m_peersWaiting);
+    return Milliseconds { std::lround(queue * static_cast<double>(hold.count()) / slotCount) };
+}
+
+std::pair<uint32_t, uint32_t> SlotScheduler::slotsOf(const std::string& service) const
+{
+    std::pair<uint32_t, uint32_t> sum { 0, 0 };
+    for (const auto& [id, it] : m_endpoints) {
+        if (!it.isUsable || it.record.service != service)
+            continue;
+        sum.first += it.record.slotCount;
+        sum.second += std::min(it.total(), it.record.slotCount);
+    }
+    return sum;
+}
+
+bool SlotScheduler::isAvoided(const Endpoint& place, const std::vector<std::string>& excluded, MonotonicTime now) const
+{
+    if (!place.isUsable || std::ranges::find(excluded, place.record.id) != excluded.end())
+        return true;
+    if (place.failures == 0)
+        return false;
+    // After the time of avoidance one piece of work at a time tries whether the endpoint is back.
+    return now < place.avoidedUntil || place.own != SlotUse {};
+}
+
+bool SlotScheduler::isOwnTurn(const Endpoint& place, MonotonicTime now) const
+{
+    // The node whose work ended knows of the free slot before its peers do.
+    if (now - place.ownEndedAt < ownTurnTime)
+        return true;
+    // All nodes order themselves in the same way for this endpoint. As many as there are free slots may take one at
+    // once, and the next ones if the slots are still free when that would have become known.
+    const uint32_t free = place.record.slotCount - place.online();
+    const uint32_t own = orderKey(place.record.id, m_place.node);
+    uint32_t before = 0;
+    for (const auto& [node, peer] : m_peers) {
+        if (orderKey(place.record.id, node) < own)
+            ++before;
+    }
+    return now - place.onlineChangedAt >= reportTime * std::min(before / free, maxTurns);
+}
+
+double SlotScheduler::distance(const Endpoint& place) const
+{
+    if (place.record.failureDomain == m_place.failureDomain)
+        return 0;
+    const auto it = m_place.regions.find(place.record.failureDomain);
+    return it != m_place.regions.end() && it->second == m_region ? otherDomainCost : otherRegionCost;
+}
+
+double SlotScheduler::preference(const Endpoint& place) const
+{
+    return orderKey(place.record.id, m_place.node) / 4294967296.0;
+}
+
+double SlotScheduler::slowness(const Endpoint& place, MonotonicTime now) const
+{
+    if (place.workTimePercent <= 100 || now - place.workTimeAt > workTimeLifetime)
+        return 0;
+    return (place.workTimePercent / 100.0 - 1) * slownessCost;
+}
+
+SlotScheduler::Endpoint* SlotScheduler::chooseForOnline(const OnlineWork& work, MonotonicTime now)
+{
+    Endpoint* best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (auto& [id, it] : m_endpoints) {
+        if (it.record.service != work.service || isAvoided(it, work.excluded, now))
+            continue;
+        const uint32_t capacity = it.record.slotCount;
+        if (it.online() >= capacity || !isOwnTurn(it, now))
+            continue;
+        // The random part spreads nodes that see the same load.
+        double cost = static_cast<double>(it.total()) / capacity + distance(it) + slowness(it, now)
+            + (m_random.unit() * randomSlots + preference(it) * preferredSlots) / capacity;
+        if (it.total() >= capacity)
+            cost += it.own.batch > 0 ? ownYieldCost : peerYieldCost;
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = &it;
+        }
+    }
+    return best;
+}
+
+void SlotScheduler::startWork(
+    std::vector<SlotDecision>& decisions, uint64_t work, Endpoint& place, bool isBatch, MonotonicTime now)
+{
+    ++(isBatch ? place.own.batch : place.own.online);
+    m_running[work] = { place.record.id, isBatch, place.record.service, now };
+    decisions.push_back({ SlotDecision::Kind::Start, work, place.record.id, {} });
+}
+
+void SlotScheduler::yieldOne(std::vector<SlotDecision>& decisions, Endpoint& place)
+{
+    // The item that started last has received the least, so its prompt is the cheapest to read again.
+    const std::pair<const uint64_t, Running>* latest = nullptr;
+    for (const auto& it : m_running) {
+        if (!it.second.isBatch || it.second.endpoint != place.record.id)
+            continue;
+        if (!latest || it.second.startedAt > latest->second.startedAt)
+            latest = &it;
+    }
+    if (!latest)
+        return;
+    const uint64_t work = latest->first;
+    decisions.push_back({ SlotDecision::Kind::Yield, work, place.record.id, {} });
+    m_running.erase(work);
+    --place.own.batch;
+}
+
+uint32_t SlotScheduler::ownShareOfYields(const Endpoint& place, uint32_t excess) const
+{
+    // All nodes go through the nodes in the same order, so that together they stop as many items as needed.
+    const uint32_t key = endpointKey(place.record.id);
+    for (const auto& [node, peer] : m_peers) {
+        if (node > m_place.node)
+            break;
+        if (const auto use = peer.use.find(key); use != peer.use.end())
+            excess -= std::min(excess, use->second.batch);
+    }
+    return std::min(excess, place.own.batch);
+}
+
+void SlotScheduler::decideYields(std::vector<SlotDecision>& decisions)
+{
+    for (auto& [id, place] : m_endpoints) {
+        if (place.own.batch == 0 || place.total() <= place.record.slotCount)
+            continue;
+        for (uint32_t n = ownShareOfYields(place, place.total() - place.record.slotCount); n > 0; --n)
+            yieldOne(decisions, place);
+    }
+}
+
+SlotScheduler::Endpoint* SlotScheduler::chooseForBatch(const BatchWork& work, MonotonicTime now)
+{
+    Endpoint* best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (auto& [id, it] : m_endpoints) {
+        if (it.record.service != work.service || isAvoided(it, work.excluded, now))
+            continue;
+        if (it.total() >= batchSlots(it.record.slotCount))
+            continue;
+        const double cost = static_cast<double>(it.total()) / it.record.slotCount + distance(it) + slowness(it, now)
+            + m_random.unit() * randomSlots / it.record.slotCount;
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = &it;
+        }
+    }
+    return best;
+}
+
+void SlotScheduler::decideBatch(std::vector<SlotDecision>& decisions, MonotonicTime now)
+{
+    if (m_batch.empty())
+        return;
+    // Items that can still be on time go first, the most urgent in front.
+    std::ranges::stable_sort(m_batch, {}, [&](const BatchWork& it) { return std::tuple(now > it.dueAt, it.dueAt); });
+    std::vector<BatchWork> waiting;
+    for (BatchWork& work : m_batch) {
+        if (Endpoint* place = chooseForBatch(work, now))
+            startWork(decisions, work.id, *place, true, now);
+        else
+            waiting.push_back(std::move(work));
+    }
+    m_batch = std::move(waiting);
+}
+
+std::unordered_map<uint32_t, SlotUse> SlotScheduler::ownUse() const
+{
+    std::unordered_map<uint32_t, SlotUse> use;
+    for (const auto& [id, it] : m_endpoints) {
+        if (it.own != SlotUse {})
+            use[endpointKey(id)] = it.own;
+    }
+    return use;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -0,0 +1,209 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibCore/Random.h>
+#include <LibGateway/EndpointRecord.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Chicorydock {
+
+/// A request that waits for a slot of an endpoint.
+struct OnlineWork {
+    uint64_t id { 0 };
+    std::string service;
+    /// 0 is the highest.
+    uint32_t priority { 0 };
+    /// Latest start with which the answer has its full worth.
+    MonotonicTime startBy;
+    /// Latest time at which an answer is of use.
+    MonotonicTime deadline;
+    /// Whether the caller was probably refused before and has no further attempt.
+    bool isLastAttempt { false };
+    /// Endpoints that must not be used, because an earlier attempt failed there.
+    std::vector<std::string> excluded;
+    /// Whether the scheduler has decided once to let it wait.
+    bool isAccepted { false };
+
+    bool operator==(const OnlineWork&) const = default;
+};
+
+/// An item of a job that waits for a slot.
+struct BatchWork {
+    uint64_t id { 0 };
+    std::string service;
+    /// When the item should be done to have its full worth.
+    MonotonicTime dueAt;
+    std::vector<std::string> excluded;
+
+    bool operator==(const BatchWork&) const = default;
+};
+
+/// What to do with a piece of work.
+struct SlotDecision {
+    enum class Kind : uint8_t {
+        /// Run it at the endpoint.
+        Start,
+        /// Refuse the request.
+        Refuse,
+        /// Stop the running item; it goes on later, at any endpoint.
+        Yield,
+    };
+
+    Kind kind { Kind::Start };
+    uint64_t work { 0 };
+    std::string endpoint;
+    /// When the caller should come back, for a refusal.
+    Milliseconds retryAfter { 0 };
+
+    bool operator==(const SlotDecision&) const = default;
+};
+
+/// Work that one node runs at one endpoint.
+struct SlotUse {
+    uint32_t online { 0 };
+    uint32_t batch { 0 };
+
+    auto operator<=>(const SlotUse&) const = default;
+};
+
+/// How an endpoint treated a piece of work, as far as its reputation is concerned.
+enum class EndpointOutcome : uint8_t {
+    Answered,
+    /// It did not answer, or broke the answer off.
+    Failed,
+    /// The work was given up for other reasons.
+    Cancelled,
+};
+
+/// Shares the slots of endpoints between the nodes of a deployment, without a coordinator: each node counts what it
+/// runs itself and what its peers last said. Engines have no priorities and admit in order of arrival, so work waits
+/// here and not there.
+///
+/// Online work may take every slot. Where batch items hold the slots that it needs, they yield: those of this node at
+/// once, those of peers when they hear of it. Batch items start only on slots above a reserve, so that most online
+/// requests find a free slot.
+///
+/// Deterministic: a function of the calls, the times passed in and the random numbers.
+///
+/// Thread safety: none.
+class SlotScheduler {
+public:
+    struct Place {
+        std::string node;
+        std::string failureDomain;
+        /// Region of each failure domain.
+        std::map<std::string, std::string> regions;
+    };
+
+    SlotScheduler(Place, Random&);
+
+    /// Replaces the endpoints that may be used. Work that runs at others goes on.
+    void setEndpoints(const std::vector<EndpointRecord>&);
+
+    void submit(const OnlineWork&, MonotonicTime now);
+    void submit(const BatchWork&);
+    /// Takes back work that waits.
+    void withdraw(uint64_t work);
+
+    /// Notes that work which was started has ended.
+    void ended(uint64_t work, EndpointOutcome, MonotonicTime now);
+
+    /// Replaces what a peer runs, by endpoint key, and the number of online requests that wait there.
+    void setPeerUse(
+        const std::string& node, const std::unordered_map<uint32_t, SlotUse>&, uint32_t waiting, MonotonicTime now);
+    void removePeer(const std::string& node);
+
+    /// Notes how long work takes at the endpoint, in percent of the usual.
+    void setWorkTime(const std::string& endpoint, uint32_t percent, MonotonicTime now);
+
+    /// Returns what is to be done now. Started work counts at once, work told to yield no longer counts.
+    std::vector<SlotDecision> poll(MonotonicTime now);
+
+    /// Returns what this node runs, by endpoint key, without idle endpoints.
+    std::unordered_map<uint32_t, SlotUse> ownUse() const;
+    uint32_t waitingOnline() const { return static_cast<uint32_t>(m_online.size()); }
+    uint32_t waitingBatch() const { return static_cast<uint32_t>(m_batch.size()); }
+
+    /// Returns the key under which nodes tell each other of an endpoint.
+    static uint32_t endpointKey(const std::string& id);
+
+    /// Returns all slots of the service's endpoints and those in use, as far as this node knows.
+    std::pair<uint32_t, uint32_t> slotsOf(const std::string& service) const;
+
+private:
+    struct Endpoint {
+        EndpointRecord record;
+        bool isUsable { false };
+        SlotUse own;
+        SlotUse peers;
+        uint32_t failures { 0 };
+        MonotonicTime avoidedUntil;
+        /// When the online use by any node changed last.
+        MonotonicTime onlineChangedAt;
+        /// When online work of this node ended here last.
+        MonotonicTime ownEndedAt;
+        uint32_t workTimePercent { 100 };
+        MonotonicTime workTimeAt;
+
+        uint32_t online() const { return own.online + peers.online; }
+        uint32_t total() const { return online() + own.batch + peers.batch; }
+    };
+
+    struct Running {
+        std::string endpoint;
+        bool isBatch { false };
+        std::string service;
+        MonotonicTime startedAt;
+    };
+
+    struct Peer {
+        std::unordered_map<uint32_t, SlotUse> use;
+        uint32_t waiting { 0 };
+        MonotonicTime heardAt;
+    };
+
+    void addPeerUse(const Peer&, bool isAdded);
+    void noteOnlineChanges(const Peer& before, const Peer& after, MonotonicTime now);
+    void expirePeers(MonotonicTime now);
+    Endpoint* endpoint(const std::string& id);
+    void decideOnline(std::vector<SlotDecision>&, MonotonicTime now);
+    void decideYields(std::vector<SlotDecision>&);
+    void decideBatch(std::vector<SlotDecision>&, MonotonicTime now);
+    Endpoint* chooseForOnline(const OnlineWork&, MonotonicTime now);
+    Endpoint* chooseForBatch(const BatchWork&, MonotonicTime now);
+    bool isAvoided(const Endpoint&, const std::vector<std::string>& excluded, MonotonicTime now) const;
+    /// Returns whether it is this node's turn to take a slot that has just become free.
+    bool isOwnTurn(const Endpoint&, MonotonicTime now) const;
+    double distance(const Endpoint&) const;
+    /// Returns how far down the endpoint is in this node's own order, from 0 to 1.
+    double preference(const Endpoint&) const;
+    double slowness(const Endpoint&, MonotonicTime now) const;
+    void startWork(std::vector<SlotDecision>&, uint64_t work, Endpoint&, bool isBatch, MonotonicTime now);
+    void yieldOne(std::vector<SlotDecision>&, Endpoint&);
+    uint32_t ownShareOfYields(const Endpoint&, uint32_t excess) const;
+    Milliseconds expectedWait(const std::string& service, size_t ahead) const;
+    Milliseconds retryAfter(const std::string& service, size_t ahead);
+    bool isHopeless(const OnlineWork&, size_t ahead, MonotonicTime now) const;
+
+    const Place m_place;
+    const std::string m_region;
+    Random& m_random;
+    std::map<std::string, Endpoint> m_endpoints;
+    std::unordered_map<uint32_t, std::string> m_idsByKey;
+    std::map<std::string, Peer> m_peers;
+    uint32_t m_peersWaiting { 0 };
+    std::vector<OnlineWork> m_online;
+    std::vector<BatchWork> m_batch;
+    std::unordered_map<uint64_t, Running> m_running;
+    /// Mean time that online work of a service holds a slot.
+    std::map<std::string, Milliseconds> m_holdTimes;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -0,0 +1,234 @@
+#include <LibHTTP/ClientConnection.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Servers that do not state how long they keep an idle connection may close it within a second.
+    constexpr Milliseconds defaultIdleLimit { 500 };
+
+    /// Share of the stated time for which an idle connection is used again, so that a request does not cross the
+    /// server's close.
+    constexpr double usableShareOfIdleTimeout = 0.6;
+
+    MonotonicTime now() { return std::chrono::steady_clock::now(); }
+
+    bool isOwnedByClient(const QByteArray& name)
+    {
+        return std::ranges::any_of(std::initializer_list<const char*> { "Connection", "Content-Length", "Keep-Alive",
+                                       "Transfer-Encoding", "Upgrade", "Expect", "TE" },
+            [&](const char* it) { return name.compare(it, Qt::CaseInsensitive) == 0; });
+    }
+
+    bool needsLength(const HttpCallRequest& request)
+    {
+        return !request.body.isEmpty() || request.method == "POST" || request.method == "PUT";
+    }
+
+    Milliseconds statedIdleTimeout(const HttpHeaders& headers)
+    {
+        const auto value = headers.find("Keep-Alive");
+        if (!value)
+            return defaultIdleLimit;
+        for (const QByteArray& it : value->split(',')) {
+            const QByteArray part = it.trimmed();
+            if (part.startsWith("timeout="))
+                return std::chrono::duration_cast<Milliseconds>(
+                    std::chrono::seconds { part.mid(8).toInt() } * usableShareOfIdleTimeout);
+        }
+        return defaultIdleLimit;
+    }
+
+}
+
+ClientConnection::ClientConnection(const std::string& address, std::function<void(ClientConnection&)> onStateChanged)
+    : m_address(address)
+    , m_onStateChanged(std::move(onStateChanged))
+    , m_socket(std::make_unique<ClientSocket>(address, static_cast<ClientSocketListener&>(*this)))
+    , m_reader(*this)
+{
+    m_timer.setSingleShot(true);
+    connect(&m_timer, &QTimer::timeout, this, &ClientConnection::handleTimer);
+}
+
+uint64_t ClientConnection::send(HttpCallRequest request, HttpCallObserver& observer)
+{
+    m_request = std::move(request);
+    m_observer = &observer;
+    m_phase = HttpFailure::Phase::NotSent;
+    m_lastProgress = now();
+    m_reader.reset();
+    const bool isOpen = m_socket->isConnected();
+    m_timer.start(isOpen ? m_request.progressTimeout : std::min(m_request.connectTimeout, m_request.progressTimeout));
+    if (isOpen) {
+        m_state = State::Busy;
+        // The observer must not hear anything before the start of the call has returned.
+        QMetaObject::invokeMethod(this, &ClientConnection::transmit, Qt::QueuedConnection);
+    }
+    return ++m_call;
+}
+
+void ClientConnection::cancel(uint64_t call)
+{
+    if (!m_observer || call != m_call)
+        return;
+    m_observer = nullptr;
+    setState(State::Closed);
+}
+
+void ClientConnection::onConnected()
+{
+    if (!m_observer)
+        return;
+    m_state = State::Busy;
+    transmit();
+}
+
+void ClientConnection::transmit()
+{
+    if (!m_observer || m_state != State::Busy)
+        return;
+    m_phase = HttpFailure::Phase::Sent;
+    m_lastProgress = now();
+    m_timer.start(m_request.progressTimeout);
+    m_observer->onHandedOver();
+    if (m_observer)
+        m_socket->write(formatRequest());
+}
+
+QByteArray ClientConnection::formatRequest() const
+{
+    QByteArray text = m_request.method + ' ' + m_request.target + " HTTP/1.1\r\n";
+    if (!m_request.headers.find("Host"))
+        text += "Host: " + QByteArray::fromStdString(m_address) + "\r\n";
+    for (const auto& [name, value] : m_request.headers.fields()) {
+        if (!isOwnedByClient(name))
+            text += name + ": " + value + "\r\n";
+    }
+    if (needsLength(m_request))
+        text += "Content-Length: " + QByteArray::number(m_request.body.size()) + "\r\n";
+    return text + "\r\n" + m_request.body;
+}
+
+void ClientConnection::onInput(QByteArrayView input)
+{
+    if (!m_observer) {
+        // Nothing was asked, so what arrives belongs to no request.
+        setState(State::Closed);
+        return;
+    }
+    m_lastProgress = now();
+    while (!input.empty() && m_observer && m_state == State::Busy) {
+        const bool isHttp = m_reader.consume(input);
+        // The observer may have cancelled the call in between.
+        if (!m_observer)
+            return;
+        if (!isHttp) {
+            fail(HttpFailure::Reason::Protocol, "the bytes that arrived are not an HTTP answer");
+            return;
+        }
+        if (!m_reader.isComplete())
+            return;
+        if (!std::exchange(m_skipsAnswer, false)) {
+            finish(!input.empty());
+            return;
+        }
+        m_reader.reset();
+    }
+}
+
+void ClientConnection::onEnded(SocketEnd reason)
+{
+    if (!m_observer) {
+        setState(State::Closed);
+        return;
+    }
+    if (reason == SocketEnd::EndOfStream && m_phase == HttpFailure::Phase::Answering) {
+        m_reader.finishInput();
+        if (m_reader.isComplete() && !m_skipsAnswer) {
+            finish(false);
+            return;
+        }
+    }
+    if (m_observer)
+        fail(reason == SocketEnd::Refused ? HttpFailure::Reason::Refused : HttpFailure::Reason::Closed,
+            reason == SocketEnd::Refused ? "the connection was refused" : "the connection was closed");
+}
+
+void ClientConnection::onResponseHeaders(int status, const HttpHeaders& headers)
+{
+    if (belongsToEarlierRequest(headers)) {
+        m_skipsAnswer = true;
+        return;
+    }
+    m_phase = HttpFailure::Phase::Answering;
+    noteLifetime(headers);
+    if (m_observer)
+        m_observer->onHeaders(status, headers);
+}
+
+bool ClientConnection::belongsToEarlierRequest(const HttpHeaders& headers) const
+{
+    if (m_request.echoedField.isEmpty())
+        return false;
+    const auto echo = headers.find(m_request.echoedField);
+    return echo && echo != m_request.headers.find(m_request.echoedField);
+}
+
+void ClientConnection::noteLifetime(const HttpHeaders& headers) { m_idleLimit = statedIdleTimeout(headers); }
+
+void ClientConnection::onResponseBody(QByteArrayView data)
+{
+    if (m_observer && !m_skipsAnswer)
+        m_observer->onData(data.toByteArray());
+}
+
+void ClientConnection::onResponseEnd() { }
+
+void ClientConnection::finish(bool hasExtraBytes)
+{
+    HttpCallObserver* observer = std::exchange(m_observer, nullptr);
+    const bool isClean = m_reader.keepsConnection() && !hasExtraBytes && m_socket && !m_socket->hasUnsentBytes();
+    m_usableUntil = now() + m_idleLimit;
+    setState(isClean ? State::Idle : State::Closed);
+    observer->onFinished();
+}
+
+void ClientConnection::fail(HttpFailure::Reason reason, std::string message)
+{
+    HttpCallObserver* observer = std::exchange(m_observer, nullptr);
+    setState(State::Closed);
+    observer->onFailed({ .phase = m_phase, .reason = reason, .message = std::move(message) });
+}
+
+void ClientConnection::setState(State state)
+{
+    if (m_state == State::Closed)
+        return;
+    m_state = state;
+    m_timer.stop();
+    if (state == State::Closed)
+        m_socket.reset();
+    m_onStateChanged(*this);
+}
+
+void ClientConnection::handleTimer()
+{
+    if (!m_observer)
+        return;
+    const Milliseconds limit = m_phase == HttpFailure::Phase::NotSent
+        ? std::min(m_request.connectTimeout, m_request.progressTimeout)
+        : m_request.progressTimeout;
+    const auto silence = now() - m_lastProgress;
+    if (silence < limit) {
+        m_timer.start(std::chrono::ceil<Milliseconds>(limit - silence));
+        return;
+    }
+    m_wentSilent = true;
+    fail(HttpFailure::Reason::TimedOut, "no byte came or went within the time limit");
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/ClientSocket.cpp
@@ -0,0 +1,151 @@
+#include <LibHTTP/ClientSocket.h>
+
+#include <QPointer>
+
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Chicorydock {
+
+namespace {
+
+    constexpr size_t readBufferBytes = 16 * 1024;
+
+    /// Returns whether the text is `HOST:PORT` with an IPv4 number as host.
+    bool parseAddress(const std::string& text, sockaddr_in& address)
+    {
+        const size_t colon = text.rfind(':');
+        if (colon == std::string::npos)
+            return false;
+        address.sin_family = AF_INET;
+        const int port = std::atoi(text.c_str() + colon + 1);
+        if (port <= 0 || port > UINT16_MAX)
+            return false;
+        address.sin_port = htons(static_cast<uint16_t>(port));
+        return ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
+    }
+
+    void disableDelay(int descriptor)
+    {
+        const int on = 1;
+        ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
+
+}
+
+ClientSocket::ClientSocket(const std::string& address, ClientSocketListener& listener)
+    : m_listener(listener)
+{
+    open(address);
+}
+
+ClientSocket::~ClientSocket() { close(); }
+
+void ClientSocket::open(const std::string& text)
+{
+    sockaddr_in address {};
+    if (parseAddress(text, address)) {
+        m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+        if (m_descriptor >= 0) {
+            disableDelay(m_descriptor);
+            const int ec = ::connect(m_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+            if (ec != 0 && errno != EINPROGRESS)
+                close();
+        }
+    }
+    if (m_descriptor < 0) {
+        QMetaObject::invokeMethod(
+            this, [this] { end(SocketEnd::Refused); }, Qt::QueuedConnection);
+        return;
+    }
+    m_writeNotifier = std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Write);
+    connect(m_writeNotifier.get(), &QSocketNotifier::activated, this,
+        [this] { m_isConnected ? sendOutput() : finishConnecting(); });
+}
+
+void ClientSocket::finishConnecting()
+{
+    int ec = 0;
+    socklen_t size = sizeof(ec);
+    ::getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &ec, &size);
+    if (ec != 0) {
+        end(SocketEnd::Refused);
+        return;
+    }
+    m_isConnected = true;
+    m_writeNotifier->setEnabled(false);
+    m_readNotifier = std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Read);
+    connect(m_readNotifier.get(), &QSocketNotifier::activated, this, [this] { readInput(); });
+    m_listener.onConnected();
+}
+
+void ClientSocket::write(const QByteArray& bytes)
+{
+    m_output += bytes;
+    if (m_isConnected)
+        sendOutput();
+}
+
+void ClientSocket::sendOutput()
+{
+    while (!m_output.isEmpty()) {
+        const ssize_t n
+            = ::send(m_descriptor, m_output.constData(), static_cast<size_t>(m_output.size()), MSG_NOSIGNAL);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0)
+            break;
+        m_output.remove(0, n);
+    }
+    // A write error shows up as a read event, which reports how the connection ended.
+    m_writeNotifier->setEnabled(!m_output.isEmpty() && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+void ClientSocket::readInput()
+{
+    std::array<char, readBufferBytes> buf;
+    const QPointer<ClientSocket> self(this);
+    for (;;) {
+        const ssize_t n = ::recv(m_descriptor, buf.data(), buf.size(), 0);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return;
+        if (n <= 0) {
+            end(n == 0 ? SocketEnd::EndOfStream : SocketEnd::Reset);
+            return;
+        }
+        m_listener.onInput(QByteArrayView(buf.data(), n));
+        if (!self || m_descriptor < 0 || static_cast<size_t>(n) < buf.size())
+            return;
+    }
+}
+
+void ClientSocket::end(SocketEnd reason)
+{
+    close();
+    m_listener.onEnded(reason);
+}
+
+void ClientSocket::close()
+{
+    m_isConnected = false;
+    // A notifier may be the sender of the signal that is being handled.
+    for (auto* notifier : { &m_readNotifier, &m_writeNotifier }) {
+        if (*notifier) {
+            (*notifier)->setEnabled(false);
+            notifier->release()->deleteLater();
+        }
+    }
+    if (m_descriptor >= 0)
+        ::close(m_descriptor);
+    m_descriptor = -1;
+}
+
+}
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -20,8 +20,13 @@
     QByteArray body;
     /// Longest time without a byte in either direction, connecting included.
     Milliseconds progressTimeout { 10'000 };
+    /// Longest time to open a connection.
+    Milliseconds connectTimeout { 10'000 };
     /// Whether an open connection must not be used again, for example after another went silent.
     bool freshConnection { false };
+    /// Name of a field of this request that answers repeat. An answer that carries it with another value belongs to an
+    /// earlier request of the connection and is passed over. Empty if answers repeat nothing.
+    QByteArray echoedField;
 };
 
 /// Why a call failed.
--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -143,7 +143,8 @@
         .path = toPath(m_request.target),
         .query = toQuery(m_request.target),
         .headers = toHeaders(parsed),
-        .body = std::move(m_request.body) };
+        .body = std::move(m_request.body),
+        .target = std::move(m_request.target) };
     const auto exchange = std::make_shared<ConnectionExchange>(*this, std::move(request), m_request.isHttp10);
     m_exchange = exchange;
     m_context.handler.handle(exchange);
--- a/Libraries/LibHTTP/HttpMessage.h
+++ b/Libraries/LibHTTP/HttpMessage.h
@@ -46,6 +46,8 @@
     QByteArray query;
     HttpHeaders headers;
     QByteArray body;
+    /// Path with query, as it was sent.
+    QByteArray target;
 
     bool operator==(const HttpRequest&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibHTTP/PooledHttpClient.cpp
@@ -0,0 +1,116 @@
+#include <LibHTTP/PooledHttpClient.h>
+
+#include <QPointer>
+
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    constexpr Milliseconds sweepInterval { 500 };
+
+    class PooledCall final : public HttpCall {
+    public:
+        PooledCall(ClientConnection& connection, uint64_t number)
+            : m_connection(&connection)
+            , m_number(number)
+        {
+        }
+
+        ~PooledCall() override
+        {
+            if (m_connection)
+                m_connection->cancel(m_number);
+        }
+
+    private:
+        QPointer<ClientConnection> m_connection;
+        uint64_t m_number;
+    };
+
+}
+
+PooledHttpClient::PooledHttpClient()
+{
+    QObject::connect(&m_sweepTimer, &QTimer::timeout, &m_sweepTimer, [this] { sweep(); });
+    m_sweepTimer.start(sweepInterval);
+}
+
+PooledHttpClient::~PooledHttpClient()
+{
+    m_idle.clear();
+    for (ClientConnection* it : std::exchange(m_connections, {}))
+        delete it;
+}
+
+std::unique_ptr<HttpCall> PooledHttpClient::start(const HttpCallRequest& request, HttpCallObserver& observer)
+{
+    ClientConnection& connection = acquire(request.address, request.freshConnection);
+    return std::make_unique<PooledCall>(connection, connection.send(request, observer));
+}
+
+ClientConnection& PooledHttpClient::acquire(const std::string& address, bool fresh)
+{
+    const auto it = m_idle.find(address);
+    if (fresh || it == m_idle.end())
+        return open(address);
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    while (!it->second.empty()) {
+        ClientConnection* connection = it->second.back();
+        it->second.pop_back();
+        if (now < connection->usableUntil())
+            return *connection;
+        connection->close();
+    }
+    return open(address);
+}
+
+ClientConnection& PooledHttpClient::open(const std::string& address)
+{
+    ++m_openedConnections;
+    auto* connection = new ClientConnection(address, [this](ClientConnection& changed) { handleStateChange(changed); });
+    m_connections.push_back(connection);
+    return *connection;
+}
+
+void PooledHttpClient::handleStateChange(ClientConnection& connection)
+{
+    if (connection.state() == ClientConnection::State::Idle) {
+        m_idle[connection.address()].push_back(&connection);
+        return;
+    }
+    if (const auto it = m_idle.find(connection.address()); it != m_idle.end())
+        std::erase(it->second, &connection);
+    std::erase(m_connections, &connection);
+    connection.deleteLater();
+    // After one connection went silent, the others may lead nowhere too.
+    if (connection.wentSilent())
+        closeIdle(connection.address());
+}
+
+void PooledHttpClient::closeIdle(const std::string& address)
+{
+    const auto it = m_idle.find(address);
+    if (it == m_idle.end())
+        return;
+    for (ClientConnection* connection : std::exchange(it->second, {}))
+        connection->close();
+}
+
+void PooledHttpClient::sweep()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    std::vector<ClientConnection*> expired;
+    for (const auto& [address, connections] : m_idle) {
+        for (ClientConnection* it : connections) {
+            if (now >= it->usableUntil())
+                expired.push_back(it);
+        }
+    }
+    for (ClientConnection* it : expired)
+        it->close();
+    std::erase_if(m_idle, [](const auto& it) { return it.second.empty(); });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHTTP/PooledHttpClient.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <LibHTTP/ClientConnection.h>
+#include <LibHTTP/HttpClient.h>
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace Chicorydock {
+
+/// `HttpClient` that keeps open connections for further calls. A connection is used again only if the last answer was
+/// whole, nothing came behind it and the peer still keeps it. A request is written once, to one connection.
+///
+/// An answer without a length is whole if its connection ends in order.
+///
+/// Thread safety: used on the thread that created it, which runs a Qt event loop.
+/// Precondition: all handles are destroyed before the client.
+class PooledHttpClient final : public HttpClient {
+public:
+    PooledHttpClient();
+    ~PooledHttpClient() override;
+
+    std::unique_ptr<HttpCall> start(const HttpCallRequest&, HttpCallObserver&) override;
+
+    /// Returns the number of connections opened so far.
+    uint64_t openedConnections() const { return m_openedConnections; }
+
+private:
+    using Connections = std::vector<ClientConnection*>;
+
+    ClientConnection& acquire(const std::string& address, bool fresh);
+    ClientConnection& open(const std::string& address);
+    void handleStateChange(ClientConnection&);
+    void closeIdle(const std::string& address);
+    void sweep();
+
+    /// Idle connections by address, the one used last at the end.
+    std::unordered_map<std::string, Connections> m_idle;
+    std::vector<ClientConnection*> m_connections;
+    uint64_t m_openedConnections { 0 };
+    QTimer m_sweepTimer;
+};
+
+}
--- a/Libraries/LibHTTP/QtHttpServer.cpp
+++ b/Libraries/LibHTTP/QtHttpServer.cpp
@@ -55,6 +55,12 @@
     m_acceptor = nullptr;
 }
 
+void HttpServer::setLimits(const HttpServerLimits& limits)
+{
+    m_context.limits = limits;
+    m_sweepTimer.start(sweepInterval(limits));
+}
+
 void HttpServer::setDraining(bool isDraining) { m_context.isDraining = isDraining; }
 
 void HttpServer::closeIdleConnections()
--- a/Libraries/LibHTTP/QtHttpServer.h
+++ b/Libraries/LibHTTP/QtHttpServer.h
@@ -40,6 +40,9 @@
     /// over first, because closing the socket would reset them.
     void stopListening();
 
+    /// Replaces the limits, for requests that arrive from now on.
+    void setLimits(const HttpServerLimits&);
+
     /// While draining, answers carry `Connection: close`.
     void setDraining(bool);
 
--- /dev/null
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -0,0 +1,139 @@
+#include <LibPlatform/TableFollower.h>
+
+#include <glog/logging.h>
+
+#include <algorithm>
+
+namespace Chicorydock {
+
+namespace {
+
+    constexpr Milliseconds firstRetryDelay { 100 };
+    constexpr Milliseconds longestRetryDelay { 500 };
+
+    /// After the store dropped its history it may answer from older state for some seconds.
+    constexpr int extraListings = 4;
+    constexpr Milliseconds extraListingInterval { 1'500 };
+
+}
+
+TableFollower::TableFollower(RowStore& store, Options options, TableListener& listener)
+    : m_store(store)
+    , m_options(std::move(options))
+    , m_listener(listener)
+{
+    m_timer.setSingleShot(true);
+    m_relistTimer.setSingleShot(true);
+    connect(&m_timer, &QTimer::timeout, this, [this] { m_isListed ? follow() : list(); });
+    connect(&m_relistTimer, &QTimer::timeout, this, [this] {
+        --m_extraListings;
+        // The feed in progress ends by itself; its changes are older than the listing or come again.
+        m_isListed = false;
+        scheduleRelisting();
+    });
+}
+
+void TableFollower::start() { list(); }
+
+void TableFollower::list()
+{
+    m_listing.clear();
+    m_listedVersion = 0;
+    listPartition(0, {});
+}
+
+void TableFollower::listPartition(size_t n, const std::string& from)
+{
+    m_store.read({ m_options.table, m_options.partitions[n], from, {} }, [this, n](const StoreResult<RowPage>& result) {
+        if (const auto* page = std::get_if<RowPage>(&result))
+            handleListing(n, *page);
+        else
+            handleFailure(std::get<StoreFailure>(result));
+    });
+}
+
+void TableFollower::handleListing(size_t n, const RowPage& page)
+{
+    setReachable(true);
+    // Changes after the first page may be missing in it, so the feed starts there.
+    if (m_listedVersion == 0)
+        m_listedVersion = page.storeVersion;
+    m_listing.insert(m_listing.end(), page.rows.begin(), page.rows.end());
+    if (page.hasMore && !page.rows.empty()) {
+        // The smallest key behind the last one.
+        listPartition(n, page.rows.back().address.key + '\0');
+        return;
+    }
+    if (n + 1 < m_options.partitions.size()) {
+        listPartition(n + 1, {});
+        return;
+    }
+    finishListing();
+}
+
+void TableFollower::finishListing()
+{
+    m_isListed = true;
+    m_version = m_listedVersion;
+    m_retryDelay = Milliseconds { 0 };
+    m_listener.onTableListed(std::exchange(m_listing, {}));
+    follow();
+}
+
+void TableFollower::follow()
+{
+    m_store.changes(m_options.table, m_version, m_options.wait, [this](const StoreResult<RowPage>& result) {
+        if (const auto* page = std::get_if<RowPage>(&result))
+            handleChanges(*page);
+        else
+            handleFailure(std::get<StoreFailure>(result));
+    });
+}
+
+void TableFollower::handleChanges(const RowPage& page)
+{
+    setReachable(true);
+    m_retryDelay = Milliseconds { 0 };
+    m_version = std::max(m_version, page.storeVersion);
+    if (!page.rows.empty())
+        m_listener.onRowsChanged(page.rows);
+    if (!m_isListed || (!page.rows.empty() && m_options.pace.count() > 0)) {
+        m_timer.start(m_isListed ? m_options.pace : Milliseconds { 0 });
+        return;
+    }
+    follow();
+}
+
+void TableFollower::handleFailure(const StoreFailure& failure)
+{
+    if (failure.kind == StoreFailure::Kind::HistoryLost) {
+        LOG(WARNING) << "the store no longer keeps the changes of table " << m_options.table << " after version "
+                     << m_version << "; listing it again";
+        m_isListed = false;
+        m_extraListings = extraListings;
+        scheduleRelisting();
+        m_timer.start(Milliseconds { 0 });
+        return;
+    }
+    if (m_isReachable)
+        LOG(WARNING) << "the store does not answer for table " << m_options.table << ": " << failure.message;
+    setReachable(false);
+    m_retryDelay = std::clamp(m_retryDelay * 2, firstRetryDelay, longestRetryDelay);
+    m_timer.start(m_retryDelay);
+}
+
+void TableFollower::setReachable(bool isReachable)
+{
+    if (m_isReachable == isReachable)
+        return;
+    m_isReachable = isReachable;
+    m_listener.onReachableChanged(isReachable);
+}
+
+void TableFollower::scheduleRelisting()
+{
+    if (m_extraListings > 0)
+        m_relistTimer.start(extraListingInterval);
+}
+
+}
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -4,6 +4,8 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -104,6 +106,18 @@
         auto operator<=>(const Scheduling&) const = default;
     };
 
+    /// `[gateway]`: present on a platform whose own protocol the node speaks.
+    struct Gateway {
+        /// `HOST:PORT` for the balancer's checks and for readers of metrics.
+        std::string statusAddress;
+        /// `HOST:PORT` for reports of other nodes.
+        std::string peerAddress;
+        /// Region of each failure domain.
+        std::map<std::string, std::string> regions;
+
+        auto operator<=>(const Gateway&) const = default;
+    };
+
     Node node;
     Http http;
     Rpc rpc;
@@ -112,6 +126,7 @@
     Log log;
     Scheduling scheduler;
     std::vector<Endpoint> endpoints;
+    std::optional<Gateway> gateway;
 
     auto operator<=>(const Settings&) const = default;
 };
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -81,6 +81,14 @@
         table.number("batch_gap_allowance", scheduler.batchGapAllowance, 0.0, maxBatchGapAllowance);
     }
 
+    void readGateway(TomlTable& table, std::optional<Settings::Gateway>& gateway)
+    {
+        gateway.emplace();
+        table.text("status_address", gateway->statusAddress, TextRule::listenAddress(), Presence::Required);
+        table.text("peer_address", gateway->peerAddress, TextRule::address(), Presence::Required);
+        table.textMap("regions", gateway->regions, TextRule::identifier());
+    }
+
     Settings::Endpoint readEndpoint(TomlTable& table)
     {
         Settings::Endpoint endpoint;
@@ -116,6 +124,8 @@
         file.table("batch", [&](TomlTable& it) { readBatch(it, settings.batch); });
         file.table("log", [&](TomlTable& it) { readLog(it, settings.log); });
         file.table("scheduler", [&](TomlTable& it) { readScheduling(it, settings.scheduler); });
+        if (file.hasTable("gateway"))
+            file.table("gateway", [&](TomlTable& it) { readGateway(it, settings.gateway); });
         readEndpoints(file, settings.endpoints);
     });
     return settings;
--- a/Libraries/LibSettings/TomlTable.cpp
+++ b/Libraries/LibSettings/TomlTable.cpp
@@ -115,6 +115,29 @@
     value = std::move(texts);
 }
 
+void TomlTable::textMap(std::string_view key, std::map<std::string, std::string>& value, const TextRule& rule)
+{
+    const toml::node* node = find(key, Presence::Optional);
+    if (!node)
+        return;
+    const auto* table = node->as_table();
+    if (!table) {
+        reportNode(key, *node, "a table of texts, each " + rule.expected);
+        return;
+    }
+    std::map<std::string, std::string> texts;
+    for (const auto& [name, entry] : *table) {
+        const auto* found = entry.as_string();
+        if (found && rule.accepts(found->get()))
+            texts.emplace(name.str(), found->get());
+        else
+            reportNode(std::string(key) + "." + std::string(name.str()), entry, rule.expected);
+    }
+    value = std::move(texts);
+}
+
+bool TomlTable::hasTable(std::string_view key) { return find(key, Presence::Optional) != nullptr; }
+
 void TomlTable::boolean(std::string_view key, bool& value)
 {
     const toml::node* node = find(key, Presence::Optional);
--- a/Libraries/LibSettings/TomlTable.h
+++ b/Libraries/LibSettings/TomlTable.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -31,6 +32,8 @@
 
     void text(std::string_view key, std::string& value, const TextRule&, Presence = Presence::Optional);
     void textList(std::string_view key, std::vector<std::string>& value, const TextRule&);
+    /// Reads a table of texts by key.
+    void textMap(std::string_view key, std::map<std::string, std::string>& value, const TextRule&);
     void boolean(std::string_view key, bool& value);
     void number(std::string_view key, uint32_t& value, uint32_t lowest, uint32_t highest);
     void number(std::string_view key, uint64_t& value, uint64_t lowest, uint64_t highest);
@@ -38,6 +41,9 @@
     /// Reads a duration in whole milliseconds.
     void duration(std::string_view key, Milliseconds& value, Milliseconds lowest, Milliseconds highest);
 
+    /// Returns whether there is a table under `key`.
+    bool hasTable(std::string_view key);
+
     /// Calls `read` with the table under `key`; an absent table counts as an empty one, so that the required keys in it
     /// are reported.
     void table(std::string_view key, const std::function<void(TomlTable&)>& read);
--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -15,7 +15,7 @@
 root = pathlib.Path.cwd()
 cache = pathlib.Path(os.environ.get("XDG_CACHE_HOME", pathlib.Path.home() / ".cache")) / "chicorydock-tidy"
 cache.mkdir(parents=True, exist_ok=True)
-folders = ("Libraries", "Services", "Utilities", "Benchmarks", "Tests")
+folders = ("Libraries", "platform", "Services", "Utilities", "Benchmarks", "Tests")
 units = [unit for unit in json.load(open(f"{build}/compile_commands.json"))
          if pathlib.Path(unit["file"]).is_relative_to(root)
          and pathlib.Path(unit["file"]).relative_to(root).parts[0] in folders]
--- a/Services/chicorydockd/Daemon.h
+++ b/Services/chicorydockd/Daemon.h
@@ -10,7 +10,7 @@
 #include <LibBatch/TableJobService.h>
 #include <LibCore/SystemClock.h>
 #include <LibEndpoint/HttpEndpointClient.h>
-#include <LibHTTP/QtHttpClient.h>
+#include <LibHTTP/PooledHttpClient.h>
 #include <LibLog/RecordingEventLog.h>
 #include <LibPlatform/HttpObjectStore.h>
 #include <LibPlatform/HttpTableService.h>
@@ -88,7 +88,7 @@
     std::unique_ptr<BatchController> m_batch;
     std::unique_ptr<BatchThread> m_batchThread;
 
-    QtHttpClient m_controllerHttp;
+    PooledHttpClient m_controllerHttp;
     HttpEndpointClient m_controllerClient { m_controllerHttp };
     RpcThread m_rpcThread;
     std::unique_ptr<RpcPeerLink> m_link;
--- /dev/null
+++ b/Services/chicorydockd/Gateway.cpp
@@ -0,0 +1,301 @@
+#include "Gateway.h"
+
+#include <QJsonDocument>
+#include <glog/logging.h>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Longest wait for an answer of the store. Its usual answer takes 5 ms; a feed that has gone silent must be
+    /// noticed within the time in which a configuration takes effect.
+    constexpr Milliseconds storeTimeout { 700 };
+    constexpr Milliseconds configurationWait { 1'200 };
+    constexpr Milliseconds endpointWait { 1'200 };
+    constexpr Milliseconds jobWait { 4'000 };
+    constexpr Milliseconds jobPace { 700 };
+
+    constexpr Milliseconds tickInterval { 250 };
+
+    /// The balancer notices within two of its checks, a second apart, that the node is not ready.
+    constexpr Milliseconds drainDelay { 2'300 };
+    constexpr Milliseconds stopCheckInterval { 50 };
+
+    std::string incarnation(const Settings& settings, Random& random)
+    {
+        // A node that starts again is another node to its peers: it has lost what it knew.
+        return settings.node.id + "." + random.identifier().substr(0, 8);
+    }
+
+    SlotScheduler::Place placeOf(const Settings& settings, const std::string& node)
+    {
+        return { node, settings.node.failureDomain, settings.gateway->regions };
+    }
+
+    HttpServerLimits serverLimits(const Settings& settings)
+    {
+        HttpServerLimits limits;
+        limits.maxBodyBytes = static_cast<qint64>(settings.http.maxBodyBytes);
+        limits.maxHeaderBytes = static_cast<qint64>(settings.http.maxHeaderBytes);
+        limits.requestTimeout = settings.http.requestTimeoutMs;
+        return limits;
+    }
+
+}
+
+class Gateway::ConfigurationListener final : public TableListener {
+public:
+    explicit ConfigurationListener(Gateway& gateway)
+        : m_gateway(gateway)
+    {
+    }
+
+    void onTableListed(const std::vector<StoredRow>& rows) override { onRowsChanged(rows); }
+
+    void onRowsChanged(const std::vector<StoredRow>& rows) override
+    {
+        for (const StoredRow& it : rows) {
+            if (it.address.key == m_gateway.m_wire.configurationKey() && !it.isRemoved)
+                m_gateway.takeConfiguration(it.value);
+        }
+    }
+
+    void onReachableChanged(bool isReachable) override
+    {
+        m_gateway.m_log.record("store", isReachable ? "regained" : "lost", "configuration");
+    }
+
+private:
+    Gateway& m_gateway;
+};
+
+class Gateway::EndpointListener final : public TableListener {
+public:
+    explicit EndpointListener(Gateway& gateway)
+        : m_gateway(gateway)
+    {
+    }
+
+    void onTableListed(const std::vector<StoredRow>& rows) override
+    {
+        std::vector<EndpointRecord> records;
+        for (const StoredRow& it : rows) {
+            if (auto record = decode(it))
+                records.push_back(std::move(*record));
+        }
+        m_gateway.m_directory.replaceAll(records, m_gateway.m_clock.now());
+        m_gateway.takeEndpoints();
+    }
+
+    void onRowsChanged(const std::vector<StoredRow>& rows) override
+    {
+        for (const StoredRow& it : rows) {
+            if (it.isRemoved) {
+                m_gateway.m_log.record("endpoint", "removed", it.address.key);
+                m_gateway.m_directory.remove(it.address.key, m_gateway.m_clock.now());
+            } else if (const auto record = decode(it)) {
+                m_gateway.m_log.record("endpoint", record->isLeaving ? "leaving" : "changed", record->id, {},
+                    { { "version", static_cast<qint64>(it.version) } });
+                m_gateway.m_directory.put(*record);
+            }
+        }
+        m_gateway.takeEndpoints();
+    }
+
+    void onReachableChanged(bool isReachable) override
+    {
+        m_gateway.m_log.record("store", isReachable ? "regained" : "lost", "endpoints");
+        m_gateway.m_directory.setStoreReachable(isReachable, m_gateway.m_clock.now());
+    }
+
+private:
+    std::optional<EndpointRecord> decode(const StoredRow& row) const
+    {
+        auto record = m_gateway.m_wire.decodeEndpoint(row.address.key, row.value);
+        if (!record)
+            m_gateway.m_log.record("endpoint", "unreadable", row.address.key);
+        return record;
+    }
+
+    Gateway& m_gateway;
+};
+
+class Gateway::StatusHandler final : public HttpHandler {
+public:
+    explicit StatusHandler(Gateway& gateway)
+        : m_gateway(gateway)
+    {
+    }
+
+    void handle(std::shared_ptr<HttpExchange> exchange) override
+    {
+        const HttpRequest& request = exchange->request();
+        if (m_gateway.m_wire.isReadinessCall(request))
+            exchange->answer({ .status = m_gateway.isReady() ? 200 : 503 });
+        else if (request.path == "/metrics")
+            exchange->answer({ .status = 200,
+                .headers = { { "Content-Type", "text/plain; version=0.0.4" } },
+                .body = m_gateway.metricsText() });
+        else
+            exchange->answer({ .status = 404 });
+    }
+
+private:
+    Gateway& m_gateway;
+};
+
+Gateway::Gateway(const Settings& settings)
+    : m_settings(settings)
+    , m_node(incarnation(settings, m_random))
+    , m_log({ m_node, settings.node.failureDomain }, m_clock)
+    , m_store(m_storeClient, settings.platform.address, storeTimeout)
+    , m_scheduler(placeOf(settings, m_node), m_random)
+    , m_broker(m_scheduler, m_clock, [this] { m_peers.noteChange(); })
+    , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_log, m_metrics,
+        std::make_shared<const GatewayConfiguration>() }
+    , m_peers(
+          { m_node, settings.node.failureDomain, settings.gateway->peerAddress, settings.gateway->regions }, m_clock,
+          [this] { return makeReport(); }, [this](const PeerReport& report) { takeReport(report); })
+    , m_jobs(m_environment, m_store, m_peers, m_node)
+    , m_handler(m_environment, m_jobs)
+    , m_configurationListener(std::make_unique<ConfigurationListener>(*this))
+    , m_endpointListener(std::make_unique<EndpointListener>(*this))
+    , m_statusHandler(std::make_unique<StatusHandler>(*this))
+    , m_configurationFollower(std::make_unique<TableFollower>(m_store,
+          TableFollower::Options { m_wire.configurationTable(), { "" }, configurationWait }, *m_configurationListener))
+    , m_endpointFollower(std::make_unique<TableFollower>(
+          m_store, TableFollower::Options { m_wire.endpointTable(), { "" }, endpointWait }, *m_endpointListener))
+    , m_jobFollower(std::make_unique<TableFollower>(
+          m_store, TableFollower::Options { JobRows::recordTable, JobRows::partitions(), jobWait, jobPace }, m_jobs))
+    , m_registry(m_store, m_peers, m_node, settings.gateway->peerAddress)
+    , m_server(m_handler, serverLimits(settings), [this](const Error& error) { return m_wire.errorAnswer(error, {}); })
+    , m_statusServer(*m_statusHandler)
+{
+    connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
+    connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::start()
+{
+    m_peers.start();
+    m_server.listen(m_settings.http.address);
+    m_statusServer.listen(m_settings.gateway->statusAddress);
+    m_configurationFollower->start();
+    m_endpointFollower->start();
+    m_jobFollower->start();
+    m_registry.start();
+    m_tickTimer.start(tickInterval);
+    m_log.record("node", "started", m_node);
+}
+
+void Gateway::takeConfiguration(const QByteArray& document)
+{
+    auto configuration = m_wire.decodeConfiguration(document);
+    if (!configuration) {
+        m_log.record("configuration", "unreadable", "");
+        return;
+    }
+    // A listing may be older than what is in force; an accepted version is never taken back.
+    if (configuration->version <= m_environment.configuration->version)
+        return;
+    m_log.record("configuration", "in_force", std::to_string(configuration->version), {},
+        { { "previous", static_cast<qint64>(m_environment.configuration->version) },
+            { "routes", static_cast<qint64>(configuration->routes.size()) } });
+    HttpServerLimits limits = serverLimits(m_settings);
+    limits.maxBodyBytes = static_cast<qint64>(configuration->limits.maxBodyBytes);
+    limits.maxHeaderBytes = static_cast<qint64>(configuration->limits.maxHeaderBytes);
+    limits.requestTimeout = configuration->limits.headerTimeout;
+    limits.idleTimeout = configuration->limits.idleTimeout;
+    m_server.setLimits(limits);
+    m_environment.configuration = std::make_shared<const GatewayConfiguration>(std::move(*configuration));
+    m_broker.schedulePoll();
+}
+
+void Gateway::takeEndpoints()
+{
+    m_scheduler.setEndpoints(m_directory.usable());
+    m_broker.schedulePoll();
+}
+
+void Gateway::tick()
+{
+    if (m_directory.applyRemovals(m_clock.now()))
+        takeEndpoints();
+    m_jobs.tick();
+}
+
+bool Gateway::isReady() const
+{
+    return !m_isStopping && m_environment.configuration->version > 0 && m_endpointFollower->isListed();
+}
+
+PeerReport Gateway::makeReport() const
+{
+    PeerReport report;
+    report.waiting = m_scheduler.waitingOnline();
+    report.isStoreReachable = m_jobFollower->isReachable();
+    report.isLeaving = m_isStopping;
+    report.use = m_scheduler.ownUse();
+    return report;
+}
+
+void Gateway::takeReport(const PeerReport& report)
+{
+    m_scheduler.setPeerUse(report.node, report.use, report.waiting, m_clock.now());
+    m_broker.schedulePoll();
+}
+
+void Gateway::noteReload() { m_log.record("node", "reloaded", m_node); }
+
+void Gateway::beginStop(std::function<void()> onStopped)
+{
+    m_log.record("node", "stopping", m_node, {},
+        { { "calls", static_cast<qint64>(m_handler.callsInProgress()) },
+            { "jobs", static_cast<qint64>(m_jobs.ownedJobs()) } });
+    m_onStopped = std::move(onStopped);
+    m_isStopping = true;
+    m_stopStartedAt = m_clock.now();
+    m_server.setDraining(true);
+    m_jobs.release();
+    m_registry.leave();
+    m_peers.noteChange();
+    m_stopTimer.start(stopCheckInterval);
+}
+
+void Gateway::checkStopped()
+{
+    const auto elapsed = m_clock.now() - m_stopStartedAt;
+    if (elapsed < drainDelay)
+        return;
+    m_server.stopListening();
+    m_server.closeIdleConnections();
+    const bool isIdle = m_server.activeExchanges() == 0 && m_jobs.isReleased();
+    if (!isIdle && elapsed < m_settings.http.drainTimeoutMs)
+        return;
+    m_stopTimer.stop();
+    m_log.record("node", "stopped", m_node, {}, { { "idle", isIdle } });
+    m_onStopped();
+}
+
+QByteArray Gateway::metricsText()
+{
+    const auto set = [&](const char* name, const char* help, double value) { m_metrics.gauge(name, help).set(value); };
+    set("chicorydock_ready", "Whether the balancer should send requests.", isReady());
+    set("chicorydock_configuration_version", "Version in force.",
+        static_cast<double>(m_environment.configuration->version));
+    set("chicorydock_online_waiting", "Online requests that wait for a slot.", m_scheduler.waitingOnline());
+    set("chicorydock_batch_waiting", "Items that wait for a slot.", m_scheduler.waitingBatch());
+    set("chicorydock_peers", "Nodes heard of lately.", static_cast<double>(m_peers.aliveCount()));
+    set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
+    set("chicorydock_jobs_owned", "Jobs that this node runs.", static_cast<double>(m_jobs.ownedJobs()));
+    set("chicorydock_store_calls", "Calls to the store since the start.", static_cast<double>(m_store.calls()));
+    set("chicorydock_endpoint_connections", "Connections opened to endpoints since the start.",
+        static_cast<double>(m_endpointClient.openedConnections()));
+    set("chicorydock_log_lines_dropped", "Log lines that were left out since the start.",
+        static_cast<double>(m_log.dropped()));
+    return QByteArray::fromStdString(m_metrics.text());
+}
+
+}
--- /dev/null
+++ b/Services/chicorydockd/NodeRegistry.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <LibGateway/PeerGroup.h>
+#include <LibPlatform/TableFollower.h>
+
+#include <map>
+#include <string>
+
+namespace Chicorydock {
+
+/// How nodes find each other: each writes its address to the platform's store when it starts.
+///
+/// Thread safety: used on the main thread.
+class NodeRegistry final : public QObject, private TableListener {
+public:
+    /// The store and the peers outlive the registry. `address` is where this node hears its peers.
+    NodeRegistry(RowStore&, PeerGroup&, std::string node, std::string address);
+
+    void start();
+
+    /// Removes this node.
+    void leave();
+
+private:
+    void onTableListed(const std::vector<StoredRow>&) override;
+    void onRowsChanged(const std::vector<StoredRow>&) override;
+    void onReachableChanged(bool) override { }
+
+    void writeOwnRow();
+    void removeSilentNodes();
+
+    RowStore& m_store;
+    PeerGroup& m_peers;
+    const std::string m_node;
+    const std::string m_address;
+    /// Versions of the rows of other nodes.
+    std::map<std::string, uint64_t> m_nodes;
+    bool m_isLeaving { false };
+    QTimer m_writeTimer;
+    QTimer m_cleanTimer;
+    TableFollower m_follower;
+};
+
+}
--- a/Services/chicorydockd/RunnerThread.cpp
+++ b/Services/chicorydockd/RunnerThread.cpp
@@ -1,7 +1,7 @@
 #include "RunnerThread.h"
 
 #include <LibEndpoint/HttpEndpointClient.h>
-#include <LibHTTP/QtHttpClient.h>
+#include <LibHTTP/PooledHttpClient.h>
 
 #include <QCoreApplication>
 #include <QTimer>
@@ -49,7 +49,7 @@
 
 void RunnerThread::setUp(const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog)
 {
-    m_httpClient = std::make_unique<QtHttpClient>();
+    m_httpClient = std::make_unique<PooledHttpClient>();
     m_endpointClient = std::make_unique<HttpEndpointClient>(*m_httpClient);
     m_environment = std::make_unique<RunnerEnvironment>(
         RunnerEnvironment { clock, dispatcher, *m_endpointClient, m_deadlines, eventLog, m_post });
--- a/Services/chicorydockd/main.cpp
+++ b/Services/chicorydockd/main.cpp
@@ -1,4 +1,5 @@
 #include "Daemon.h"
+#include "Gateway.h"
 #include "SignalWatcher.h"
 
 #include <LibLog/JsonLogSink.h>
@@ -26,6 +27,24 @@
     return status;
 }
 
+/// Serves on the platform whose protocol the settings name.
+int serveGateway(int argc, char** argv, const Chicorydock::Settings& settings)
+{
+    using namespace Chicorydock;
+    const QCoreApplication application(argc, argv);
+    const JsonLog log(settings.log.level, settings.node.id, settings.node.failureDomain);
+    try {
+        Gateway gateway(settings);
+        const SignalWatcher watcher(
+            [&] { gateway.beginStop([] { QCoreApplication::quit(); }); }, [&] { gateway.noteReload(); });
+        gateway.start();
+        return QCoreApplication::exec();
+    } catch (const Error& error) {
+        LOG(ERROR) << "could not start: " << error.message();
+        return 1;
+    }
+}
+
 int serve(int argc, char** argv, const Chicorydock::Settings& settings)
 {
     using namespace Chicorydock;
@@ -67,7 +86,7 @@
     try {
         const Chicorydock::Settings settings = Chicorydock::loadSettings(file);
         if (!isCheck)
-            return serve(argc, argv, settings);
+            return settings.gateway ? serveGateway(argc, argv, settings) : serve(argc, argv, settings);
         std::printf("%s: the settings are valid\n", file.c_str());
         return 0;
     } catch (const Chicorydock::Error& error) {
--- a/Tests/LibEndpoint/TestHttpEndpointClient.cpp
+++ b/Tests/LibEndpoint/TestHttpEndpointClient.cpp
@@ -1,6 +1,6 @@
 #include <LibEndpoint/HttpEndpointClient.h>
 
-#include <LibHTTP/QtHttpClient.h>
+#include <LibHTTP/PooledHttpClient.h>
 #include <Tests/Fakes/engine/FakeEngine.h>
 #include <Tests/Fakes/service/FakeService.h>
 #include <Tests/LibEndpoint/RecordingGeneration.h>
@@ -51,7 +51,7 @@
 
     FakeEngine engine;
     std::string address { "127.0.0.1:" + std::to_string(engine.listen("127.0.0.1:0")) };
-    QtHttpClient http;
+    PooledHttpClient http;
     HttpEndpointClient client { http };
 };
 
@@ -63,7 +63,7 @@
         socket.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk
             + "0\r\n\r\n");
     });
-    QtHttpClient http;
+    PooledHttpClient http;
     HttpEndpointClient client(http);
     RecordingGeneration observer;
     const GenerationRequest request {
@@ -252,7 +252,7 @@
     CAPTURE(moment);
     FakeService service(Milliseconds { 0 });
     const std::string address = "127.0.0.1:" + std::to_string(service.listen("127.0.0.1:0"));
-    QtHttpClient http;
+    PooledHttpClient http;
     HttpEndpointClient client(http);
     const auto run = [&](const char* callId, bool fresh) {
         RecordingObserver observer;
@@ -287,7 +287,7 @@
     {
         ScriptedServer server([](QTcpSocket& socket, const QByteArray&) { socket.disconnectFromHost(); });
         address = server.address();
-        QtHttpClient http;
+        PooledHttpClient http;
         HttpEndpointClient client(http);
         std::optional<OrderOutcome> outcome;
         const auto call = client.order(address, {}, [&](OrderOutcome it) { outcome = it; });
@@ -295,7 +295,7 @@
         CHECK(outcome == OrderOutcome::Unknown);
         CHECK(server.arrivals("POST /orders") == 1);
     }
-    QtHttpClient http;
+    PooledHttpClient http;
     HttpEndpointClient client(http);
     std::optional<OrderOutcome> outcome;
     const auto call = client.order(address, {}, [&](OrderOutcome it) { outcome = it; });
--- /dev/null
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <LibCore/SeededRandom.h>
+#include <LibGateway/GatewayEnvironment.h>
+#include <Tests/Support/MemoryEventLog.h>
+#include <Tests/Support/SimulatedClock.h>
+#include <platform/PlatformWireFormat.h>
+
+#include <QCoreApplication>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Chicorydock {
+
+/// Answers calls as the test says. Not thread safe.
+class FakeHttpClient final : public HttpClient {
+public:
+    struct Call {
+        HttpCallRequest request;
+        HttpCallObserver* observer { nullptr };
+        bool isCancelled { false };
+    };
+
+    std::unique_ptr<HttpCall> start(const HttpCallRequest& request, HttpCallObserver& observer) override
+    {
+        m_calls.push_back(std::make_shared<Call>(Call { request, &observer }));
+        return std::make_unique<Handle>(m_calls.back());
+    }
+
+    size_t count() const { return m_calls.size(); }
+    Call& call(size_t n) { return *m_calls.at(n); }
+    Call& last() { return *m_calls.back(); }
+
+    /// Answers the newest call as an endpoint does.
+    void handOver() { last().observer->onHandedOver(); }
+    void headers(int status, HttpHeaders headers = {}) { last().observer->onHeaders(status, headers); }
+    void data(const QByteArray& bytes) { last().observer->onData(bytes); }
+    void finish() { last().observer->onFinished(); }
+    void fail(HttpFailure::Phase phase) { last().observer->onFailed({ phase, HttpFailure::Reason::Closed, "test" }); }
+
+private:
+    class Handle final : public HttpCall {
+    public:
+        explicit Handle(std::shared_ptr<Call> call)
+            : m_call(std::move(call))
+        {
+        }
+        ~Handle() override { m_call->isCancelled = true; }
+
+    private:
+        std::shared_ptr<Call> m_call;
+    };
+
+    std::vector<std::shared_ptr<Call>> m_calls;
+};
+
+/// The parts that a gateway shares, with one service `lm` of several endpoints and three routes: `/s/` (resumable
+/// stream), `/u/` (stream that may not be resumed), `/i/` (idempotent), `/b/` (jobs).
+struct GatewayFixture {
+    SimulatedClock clock;
+    SeededRandom random { 1 };
+    PlatformWireFormat wire;
+    FakeHttpClient http;
+    MemoryEventLog log;
+    MetricsRegistry metrics;
+    EndpointDirectory directory;
+    SlotScheduler scheduler { { "n1", "z1", { { "z1", "r1" } } }, random };
+    SlotBroker broker { scheduler, clock, [] {} };
+    GatewayEnvironment environment { clock, random, wire, http, broker, directory, log, metrics,
+        std::make_shared<const GatewayConfiguration>() };
+
+    explicit GatewayFixture(size_t endpoints = 3)
+    {
+        std::vector<EndpointRecord> records;
+        for (size_t n = 0; n < endpoints; ++n)
+            records.push_back(
+                { "e" + std::to_string(n), "10.0.0." + std::to_string(n) + ":80", "lm", "z1", 8, false, 1 });
+        directory.replaceAll(records, clock.now());
+        scheduler.setEndpoints(records);
+        GatewayConfiguration configuration;
+        configuration.version = 3;
+        configuration.routes = { makeRoute("s", RouteKind::Stream, true), makeRoute("u", RouteKind::Stream, false),
+            makeRoute("i", RouteKind::Idempotent, false), makeRoute("b", RouteKind::Batch, true) };
+        environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    }
+
+    /// Lets queued decisions happen.
+    static void settle()
+    {
+        for (int n = 0; n < 4; ++n)
+            QCoreApplication::processEvents();
+    }
+
+private:
+    static GatewayRoute makeRoute(const std::string& name, RouteKind kind, bool isResumable)
+    {
+        GatewayRoute route;
+        route.name = name;
+        route.host = "h.example";
+        route.prefix = "/" + name + "/";
+        route.kind = kind;
+        route.shares = { { "lm", 1 } };
+        route.timeout = Milliseconds { 5'000 };
+        route.latencyTarget = Milliseconds { 300 };
+        route.maxAttempts = 2;
+        route.isResumable = isResumable;
+        route.completionTarget = std::chrono::seconds { 18 };
+        route.maxWait = std::chrono::seconds { 60 };
+        route.maxWaitingTokens = 1'000;
+        return route;
+    }
+};
+
+}
--- /dev/null
+++ b/Tests/LibGateway/SlotWorld.h
@@ -0,0 +1,249 @@
+#pragma once
+
+#include <LibCore/SeededRandom.h>
+#include <LibGateway/SlotScheduler.h>
+#include <Tests/Support/SimulatedClock.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Chicorydock {
+
+/// Several nodes in front of shared endpoints that admit in order of arrival, in steps of simulated time. What nodes
+/// tell each other arrives late.
+class SlotWorld final {
+public:
+    struct Options {
+        size_t nodes { 12 };
+        size_t endpoints { 18 };
+        uint32_t slotCount { 8 };
+        /// Time that online work and items hold a slot.
+        Milliseconds onlineHold { 750 };
+        Milliseconds batchHold { 5'100 };
+        Milliseconds onlineTarget { 220 };
+        Milliseconds reportDelay { 25 };
+        uint64_t seed { 1 };
+    };
+
+    struct Totals {
+        size_t onlineArrivals { 0 };
+        /// Started at the endpoint within the target.
+        size_t onlineOnTime { 0 };
+        size_t onlineLate { 0 };
+        size_t onlineRefused { 0 };
+        Milliseconds longestOnlineWait { 0 };
+        /// Slot time that items have had.
+        Milliseconds batchSlotTime { 0 };
+        size_t yields { 0 };
+    };
+
+    explicit SlotWorld(const Options& options)
+        : m_options(options)
+        , m_random(options.seed)
+    {
+        std::map<std::string, std::string> regions { { "z0", "r0" }, { "z1", "r0" }, { "z2", "r1" } };
+        std::vector<EndpointRecord> records;
+        for (size_t n = 0; n < options.endpoints; ++n) {
+            records.push_back({ "e" + std::to_string(n), "10.0.0.1:80", "lm", "z" + std::to_string(n % 3),
+                options.slotCount, false, 1 });
+            m_endpoints[records.back().id];
+        }
+        for (size_t n = 0; n < options.nodes; ++n) {
+            m_nodes.push_back(std::make_unique<Node>(options.seed * 100 + n));
+            m_nodes.back()->name = "n" + std::to_string(n);
+            m_nodes.back()->scheduler = std::make_unique<SlotScheduler>(
+                SlotScheduler::Place { m_nodes.back()->name, "z" + std::to_string(n % 3), regions },
+                m_nodes.back()->random);
+            m_nodes.back()->scheduler->setEndpoints(records);
+        }
+    }
+
+    /// Plays for that long with so many online requests a second, and never fewer than `itemsWaiting` items waiting at
+    /// each node.
+    void run(Milliseconds duration, double onlinePerSecond, size_t itemsWaiting)
+    {
+        const MonotonicTime end = m_clock.now() + duration;
+        while (m_clock.now() < end) {
+            const double expected = onlinePerSecond * toSeconds(step);
+            for (double left = expected; left > 0 && m_random.unit() < left; left -= 1)
+                arrive();
+            for (const auto& node : m_nodes) {
+                while (node->scheduler->waitingBatch() < itemsWaiting)
+                    submitItem(*node);
+            }
+            deliverReports();
+            for (size_t n = 0; n < m_nodes.size(); ++n)
+                decide(n);
+            serve();
+            m_clock.advance(step);
+        }
+    }
+
+    const Totals& totals() const { return m_totals; }
+    void resetTotals() { m_totals = {}; }
+
+private:
+    static constexpr Milliseconds step { 5 };
+
+    struct Work {
+        size_t node { 0 };
+        uint64_t id { 0 };
+        bool isBatch { false };
+        MonotonicTime arrival;
+        Milliseconds left { 0 };
+    };
+
+    struct Report {
+        std::unordered_map<uint32_t, SlotUse> use;
+        uint32_t waiting { 0 };
+
+        bool operator==(const Report&) const = default;
+    };
+
+    struct Node {
+        explicit Node(uint64_t seed)
+            : random(seed)
+        {
+        }
+
+        std::string name;
+        SeededRandom random;
+        std::unique_ptr<SlotScheduler> scheduler;
+        std::map<uint64_t, Work> work;
+        std::deque<std::pair<MonotonicTime, Report>> reports;
+        Report lastReport;
+        /// The newest report that has reached the peers.
+        Report delivered;
+    };
+
+    struct Endpoint {
+        std::vector<Work> running;
+        std::deque<Work> queue;
+    };
+
+    void arrive()
+    {
+        const size_t n = m_random.below(m_nodes.size());
+        const MonotonicTime now = m_clock.now();
+        Node& node = *m_nodes[n];
+        const uint64_t id = ++m_lastWork;
+        node.work[id] = { n, id, false, now, m_options.onlineHold };
+        node.scheduler->submit(
+            OnlineWork { id, "lm", 0, now + m_options.onlineTarget, now + std::chrono::seconds { 5 }, false, {} }, now);
+        ++m_totals.onlineArrivals;
+    }
+
+    void submitItem(Node& node)
+    {
+        const uint64_t id = ++m_lastWork;
+        const size_t n = indexOf(node);
+        node.work[id] = { n, id, true, m_clock.now(), m_options.batchHold };
+        node.scheduler->submit(BatchWork { id, "lm", m_clock.now() + std::chrono::seconds { 18 }, {} });
+    }
+
+    size_t indexOf(const Node& node) const
+    {
+        size_t n = 0;
+        while (m_nodes[n].get() != &node)
+            ++n;
+        return n;
+    }
+
+    void deliverReports()
+    {
+        for (const auto& from : m_nodes) {
+            const Report report { from->scheduler->ownUse(), from->scheduler->waitingOnline() };
+            if (report != from->lastReport) {
+                from->reports.emplace_back(m_clock.now() + m_options.reportDelay, report);
+                from->lastReport = report;
+            }
+            const bool isDue = !from->reports.empty() && from->reports.front().first <= m_clock.now();
+            if (isDue) {
+                from->delivered = from->reports.front().second;
+                from->reports.pop_front();
+            }
+            for (const auto& to : m_nodes) {
+                // An unchanged report still shows that the peer is alive.
+                if (to != from)
+                    to->scheduler->setPeerUse(from->name, from->delivered.use, from->delivered.waiting, m_clock.now());
+            }
+        }
+    }
+
+    void decide(size_t n)
+    {
+        Node& node = *m_nodes[n];
+        for (const SlotDecision& it : node.scheduler->poll(m_clock.now())) {
+            Work work = node.work.at(it.work);
+            switch (it.kind) {
+            case SlotDecision::Kind::Start:
+                m_endpoints.at(it.endpoint).queue.push_back(work);
+                break;
+            case SlotDecision::Kind::Refuse:
+                ++m_totals.onlineRefused;
+                node.work.erase(it.work);
+                break;
+            case SlotDecision::Kind::Yield:
+                ++m_totals.yields;
+                giveBack(node, it);
+                break;
+            }
+        }
+    }
+
+    /// The item keeps what it received and waits again.
+    void giveBack(Node& node, const SlotDecision& decision)
+    {
+        Endpoint& endpoint = m_endpoints.at(decision.endpoint);
+        for (const Work& it : endpoint.running) {
+            if (it.id == decision.work)
+                node.work.at(it.id).left = it.left;
+        }
+        std::erase_if(endpoint.running, [&](const Work& it) { return it.id == decision.work; });
+        std::erase_if(endpoint.queue, [&](const Work& it) { return it.id == decision.work; });
+        node.scheduler->submit(BatchWork { decision.work, "lm", m_clock.now() + std::chrono::seconds { 18 }, {} });
+    }
+
+    void serve()
+    {
+        for (auto& [id, endpoint] : m_endpoints) {
+            for (Work& it : endpoint.running) {
+                it.left -= step;
+                if (it.isBatch)
+                    m_totals.batchSlotTime += step;
+                if (it.left.count() <= 0) {
+                    m_nodes[it.node]->scheduler->ended(it.id, EndpointOutcome::Answered, m_clock.now());
+                    m_nodes[it.node]->work.erase(it.id);
+                }
+            }
+            std::erase_if(endpoint.running, [](const Work& it) { return it.left.count() <= 0; });
+            while (endpoint.running.size() < m_options.slotCount && !endpoint.queue.empty()) {
+                admit(endpoint.queue.front());
+                endpoint.running.push_back(endpoint.queue.front());
+                endpoint.queue.pop_front();
+            }
+        }
+    }
+
+    void admit(const Work& work)
+    {
+        if (work.isBatch)
+            return;
+        const auto wait = std::chrono::duration_cast<Milliseconds>(m_clock.now() - work.arrival);
+        ++(wait <= m_options.onlineTarget ? m_totals.onlineOnTime : m_totals.onlineLate);
+        m_totals.longestOnlineWait = std::max(m_totals.longestOnlineWait, wait);
+    }
+
+    const Options m_options;
+    SeededRandom m_random;
+    SimulatedClock m_clock;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::map<std::string, Endpoint> m_endpoints;
+    uint64_t m_lastWork { 0 };
+    Totals m_totals;
+};
+
+}
--- /dev/null
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -0,0 +1,202 @@
+#include <LibGateway/ForwardedCall.h>
+
+#include "GatewayFixture.h"
+
+#include <Tests/Support/FakeExchange.h>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+using Phase = HttpFailure::Phase;
+
+namespace {
+
+/// One request on its way.
+struct CallFixture : GatewayFixture {
+    std::shared_ptr<FakeExchange> exchange;
+    std::unique_ptr<ForwardedCall> call;
+    int ends { 0 };
+
+    explicit CallFixture(const QByteArray& target, HttpHeaders extra = {})
+    {
+        HttpRequest request { "POST", target, {}, std::move(extra), "body", target };
+        request.headers.add("Host", "h.example");
+        request.headers.add("Request-Id", "q1");
+        request.headers.add("Deadline-Ms", "4000");
+        exchange = std::make_shared<FakeExchange>(request);
+        const ForwardRequest decoded = wire.decodeRequest(request);
+        const GatewayRoute* route = environment.configuration->findRoute(decoded.host, decoded.path);
+        REQUIRE(route);
+        call = std::make_unique<ForwardedCall>(
+            environment, exchange, decoded, environment.configuration, *route, [this] { ++ends; });
+        call->start();
+        settle();
+        REQUIRE(http.count() == 1);
+    }
+
+    int status() const { return exchange->answered ? exchange->answered->status : 0; }
+    bool isNotRunPromise() const { return status() == 503 || status() == 429 || status() == 408 || status() == 421; }
+};
+
+QByteArray event(int id) { return "id: " + QByteArray::number(id) + "\ndata: d" + QByteArray::number(id) + "\n\n"; }
+
+const HttpHeaders streamHeaders { { "Content-Type", "text/event-stream" }, { "Server-Signature", "s" } };
+
+}
+
+// Guards against a request that an endpoint cannot tell from another's, or works on longer than the caller waits.
+TEST_CASE("a request reaches the endpoint unchanged, with its name and the time that is left")
+{
+    CallFixture fixture("/i/7?x=%20y", { { "Model", "m" }, { "Connection", "close" } });
+    const HttpCallRequest& sent = fixture.http.last().request;
+    CHECK(sent.method == "POST");
+    CHECK(sent.target == "/i/7?x=%20y");
+    CHECK(sent.body == "body");
+    CHECK(sent.headers.find("Host") == "h.example");
+    CHECK(sent.headers.find("Request-Id") == "q1");
+    CHECK(sent.headers.find("Model") == "m");
+    CHECK_FALSE(sent.headers.find("Connection"));
+    CHECK(sent.headers.find("Expect-Instance")->startsWith("e"));
+    CHECK(sent.headers.find("Deadline-Ms")->toInt() <= 4000);
+    CHECK(sent.echoedField == "Request-Id");
+}
+
+// Guards against an answer that loses its signature, status or body.
+TEST_CASE("a whole answer is passed on as it came")
+{
+    CallFixture fixture("/i/7");
+    fixture.http.handOver();
+    fixture.http.headers(200, { { "Server-Signature", "s" } });
+    fixture.http.data("by");
+    CHECK_FALSE(fixture.exchange->answered);
+    fixture.http.data("tes");
+    fixture.http.finish();
+    CHECK(fixture.status() == 200);
+    CHECK(fixture.exchange->answered->body == "bytes");
+    CHECK(fixture.exchange->answered->headers.find("Server-Signature") == "s");
+    CHECK(fixture.ends == 1);
+    CHECK(fixture.scheduler.ownUse().empty());
+}
+
+// Guards against a promise that a request did not run although it may have, which makes a caller send it again.
+TEST_CASE("what was handed over and got no answer is never said not to have run")
+{
+    const bool isRepeatable = GENERATE(true, false);
+    CallFixture fixture(isRepeatable ? "/s/1" : "/u/1");
+    fixture.http.handOver();
+    fixture.http.fail(Phase::Sent);
+    CallFixture::settle();
+    if (isRepeatable) {
+        REQUIRE(fixture.http.count() == 2);
+        CHECK(fixture.http.call(0).request.address != fixture.http.call(1).request.address);
+        fixture.http.handOver();
+        fixture.http.headers(503, { { "Not-Executed", "1" } });
+        fixture.http.finish();
+        CallFixture::settle();
+    }
+    CHECK(fixture.http.count() == (isRepeatable ? 2 : 1));
+    CHECK(fixture.status() == 502);
+}
+
+// Guards against a refusal by an endpoint that the caller cannot tell from a failure.
+TEST_CASE("a request that no endpoint ran is refused with the promise and a time to come back")
+{
+    CallFixture fixture("/u/1");
+    for (size_t n = 0; n < 2; ++n) {
+        REQUIRE(fixture.http.count() == n + 1);
+        fixture.http.handOver();
+        fixture.http.headers(503, { { "Not-Executed", "1" } });
+        fixture.http.finish();
+        CallFixture::settle();
+    }
+    CHECK(fixture.isNotRunPromise());
+    CHECK(fixture.exchange->answered->headers.find("Retry-After")->toDouble() > 0);
+}
+
+// Guards against a status of the endpoint that callers take for a promise which the endpoint did not make.
+TEST_CASE("a 503 of an endpoint without the statement that it did not run becomes 502")
+{
+    CallFixture fixture("/u/1");
+    fixture.http.handOver();
+    fixture.http.headers(503, { { "Server-Signature", "s" } });
+    fixture.http.finish();
+    CHECK(fixture.status() == 502);
+    CHECK_FALSE(fixture.exchange->answered->headers.find("Server-Signature"));
+}
+
+// Guards against a refused connection that uses up the only attempt of a request.
+TEST_CASE("a connection that cannot be opened is no attempt")
+{
+    CallFixture fixture("/u/1");
+    fixture.http.fail(Phase::NotSent);
+    CallFixture::settle();
+    REQUIRE(fixture.http.count() == 2);
+    fixture.http.handOver();
+    fixture.http.headers(200, streamHeaders);
+    fixture.http.data(event(1));
+    fixture.http.finish();
+    CHECK(fixture.exchange->isFinished);
+}
+
+// Guards against events that are missing, doubled or cut when a stream goes on at another endpoint.
+TEST_CASE("a resumable stream goes on behind the last event at another endpoint")
+{
+    CallFixture fixture("/s/1");
+    fixture.http.handOver();
+    fixture.http.headers(200, streamHeaders);
+    fixture.http.data(event(1) + event(2) + "id: 3\nda");
+    fixture.http.fail(Phase::Answering);
+    CallFixture::settle();
+    REQUIRE(fixture.http.count() == 2);
+    CHECK(fixture.http.last().request.headers.find("Last-Event-Id") == "2");
+    fixture.http.handOver();
+    fixture.http.headers(200, { { "Server-Signature", "other" } });
+    fixture.http.data(event(2) + event(3) + event(4));
+    fixture.http.finish();
+    CHECK(fixture.exchange->answered->body == event(1) + event(2) + event(3) + event(4));
+    CHECK(fixture.exchange->answered->headers.find("Server-Signature") == "s");
+    CHECK(fixture.exchange->isFinished);
+}
+
+// Guards against a stream that looks whole although its end or an event in it is missing.
+TEST_CASE("a stream that breaks and cannot be resumed does not look whole")
+{
+    CallFixture fixture("/u/1");
+    fixture.http.handOver();
+    fixture.http.headers(200, streamHeaders);
+    fixture.http.data(event(1));
+    SECTION("the connection is lost") { fixture.http.fail(Phase::Answering); }
+    SECTION("it ends in the middle of an event")
+    {
+        fixture.http.data("id: 2\nda");
+        fixture.http.finish();
+    }
+    SECTION("an event is missing") { fixture.http.data(event(3)); }
+    CHECK(fixture.exchange->isAborted);
+    CHECK_FALSE(fixture.exchange->isFinished);
+    CHECK(fixture.ends == 1);
+    CHECK(fixture.http.count() == 1);
+}
+
+// Guards against endpoints that go on working for callers who have left.
+TEST_CASE("when the caller leaves, the endpoint's connection is closed and the slot is free")
+{
+    CallFixture fixture("/s/1");
+    fixture.http.handOver();
+    fixture.exchange->leave();
+    CHECK(fixture.http.call(0).isCancelled);
+    CHECK(fixture.scheduler.ownUse().empty());
+    CHECK(fixture.ends == 1);
+}
+
+// Guards against an endpoint that is used again although another one has its address.
+TEST_CASE("an endpoint whose address belongs to another one is dropped")
+{
+    CallFixture fixture("/u/1");
+    const std::string id = fixture.http.last().request.headers.find("Expect-Instance")->toStdString();
+    fixture.http.handOver();
+    fixture.http.headers(421, { { "Instance-Id", "x" }, { "Not-Executed", "1" } });
+    fixture.http.finish();
+    CallFixture::settle();
+    CHECK_FALSE(fixture.directory.find(id));
+    CHECK(fixture.http.count() == 2);
+}
--- /dev/null
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -0,0 +1,365 @@
+#include <LibGateway/JobController.h>
+
+#include "GatewayFixture.h"
+
+#include <Tests/Support/MemoryRowStore.h>
+#include <Tests/Support/WaitFor.h>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+class FakePeers final : public JobPeers {
+public:
+    std::set<std::string> alive;
+
+    bool canRunJobs(const std::string& node) const override { return alive.contains(node); }
+    std::vector<std::string> nodesForJobs() const override { return { alive.begin(), alive.end() }; }
+};
+
+/// A node with its own view, in front of a store that several nodes share.
+struct JobNode : GatewayFixture {
+    FakePeers peers;
+    std::unique_ptr<JobController> jobs;
+
+    JobNode(MemoryRowStore& store, const std::string& name)
+        : m_store(store)
+    {
+        jobs = std::make_unique<JobController>(environment, store, peers, name);
+        jobs->onReachableChanged(true);
+    }
+
+    /// Tells the controller all that is in the store.
+    void follow()
+    {
+        std::vector<StoredRow> rows;
+        for (const std::string& it : JobRows::partitions()) {
+            for (StoredRow& row : m_store.rowsIn({ JobRows::recordTable, it, {}, {} }))
+                rows.push_back(std::move(row));
+        }
+        jobs->onTableListed(rows);
+    }
+
+    /// Lets time pass, so that orphans are claimed.
+    void passTime(Milliseconds time)
+    {
+        for (Milliseconds left = time; left.count() > 0; left -= Milliseconds { 250 }) {
+            clock.advance(Milliseconds { 250 });
+            jobs->tick();
+            m_store.deliver();
+        }
+    }
+
+    std::optional<Error> submit(const SubmittedJob& job)
+    {
+        std::optional<std::optional<Error>> result;
+        jobs->submit(job, *environment.configuration->findRouteByName("b"), "h.example",
+            [&](std::optional<Error> error) { result = error; });
+        m_store.deliver();
+        settle();
+        REQUIRE(result);
+        return *result;
+    }
+
+    /// Lets the endpoint complete the newest run that is open.
+    void completeNext(const QByteArray& text)
+    {
+        settle();
+        http.handOver();
+        http.headers(200);
+        http.data("id: 1\ndata: " + text + "\n\n");
+        http.finish();
+    }
+
+    /// Waits until results are on their way, and lets the store take them.
+    void commit()
+    {
+        REQUIRE(waitFor([&] { return m_store.waitingCalls() > 0; }));
+        m_store.deliver();
+    }
+
+    std::variant<JobResultPage, Error> read(const std::string& job, size_t after = 0)
+    {
+        std::optional<std::variant<JobResultPage, Error>> result;
+        jobs->readResults(job, after, [&](const auto& it) { result = it; });
+        m_store.deliver();
+        REQUIRE(result);
+        return *result;
+    }
+
+private:
+    MemoryRowStore& m_store;
+};
+
+SubmittedJob makeJob(const std::string& id, size_t items = 1, uint64_t tokens = 10)
+{
+    SubmittedJob job { id, {} };
+    for (size_t n = 0; n < items; ++n)
+        job.items.push_back({ id + "-" + std::to_string(n), "/b/x", {}, "body", tokens });
+    return job;
+}
+
+JobResultPage pageOf(const std::variant<JobResultPage, Error>& result)
+{
+    REQUIRE(std::holds_alternative<JobResultPage>(result));
+    return std::get<JobResultPage>(result);
+}
+
+}
+
+// Guards against a job that is accepted twice, or refused after it was accepted.
+TEST_CASE("a repeated submission is accepted once, at any node")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode first(store, "n1");
+    JobNode second(store, "n2");
+    CHECK_FALSE(first.submit(makeJob("j")));
+    CHECK_FALSE(second.submit(makeJob("j")));
+    CHECK_FALSE(first.submit(makeJob("j")));
+    CHECK(store.commits == 1);
+    CHECK(first.jobs->ownedJobs() == 1);
+    CHECK(second.jobs->ownedJobs() == 0);
+}
+
+// Guards against the promise that nothing of a job runs, for a job that the store may hold.
+TEST_CASE("a submission is refused only if the store states that it holds nothing")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    SECTION("the store refused")
+    {
+        store.commitFault = MemoryRowStore::Fault::Refused;
+        CHECK(errorRow(node.submit(makeJob("j"))->kind()).httpStatus == 503);
+        CHECK(store.commits == 0);
+    }
+    SECTION("the answer was lost")
+    {
+        store.commitFault = MemoryRowStore::Fault::AnswerLost;
+        CHECK(errorRow(node.submit(makeJob("j"))->kind()).httpStatus == 502);
+        // The job is there, so this node runs it once it learns of it.
+        store.commitFault = MemoryRowStore::Fault::None;
+        node.follow();
+        node.passTime(std::chrono::seconds { 4 });
+        CHECK(node.jobs->ownedJobs() == 1);
+    }
+    SECTION("the write comes late")
+    {
+        store.commitFault = MemoryRowStore::Fault::Late;
+        CHECK(errorRow(node.submit(makeJob("j"))->kind()).httpStatus == 502);
+        store.commitFault = MemoryRowStore::Fault::None;
+        CHECK_FALSE(node.submit(makeJob("j")));
+        store.applyLate();
+        CHECK(store.commits == 1);
+    }
+}
+
+// Guards against more waiting tokens than the route allows, counted over all nodes.
+TEST_CASE("a job that does not fit the route's limit is refused")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode first(store, "n1");
+    JobNode second(store, "n2");
+    CHECK_FALSE(first.submit(makeJob("a", 2, 400)));
+    second.follow();
+    const auto error = second.submit(makeJob("b", 1, 300));
+    REQUIRE(error);
+    CHECK(errorRow(error->kind()).httpStatus == 429);
+    CHECK(error->retryAfter());
+    CHECK_FALSE(second.submit(makeJob("c", 1, 200)));
+
+    // What is done no longer counts.
+    first.completeNext("x");
+    first.commit();
+    CHECK_FALSE(first.submit(makeJob("d", 1, 300)));
+}
+
+// Guards against results that are lost, change their position or differ between nodes.
+TEST_CASE("results keep their positions and are the same at all nodes")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode first(store, "n1");
+    JobNode second(store, "n2");
+    REQUIRE_FALSE(first.submit(makeJob("j", 2)));
+    REQUIRE(first.http.count() == 2);
+    first.completeNext("text");
+    first.commit();
+    const JobResultPage page = pageOf(second.read("j"));
+    CHECK(page.total == 2);
+    CHECK(page.next == 1);
+    REQUIRE(page.results.size() == 1);
+    CHECK(page.results[0] == JobResult { "j-1", true, "text" });
+    CHECK(pageOf(first.read("j")) == page);
+    CHECK(pageOf(second.read("j", 1)).results.empty());
+}
+
+// Guards against an answer that says that a job does not exist while the store cannot be asked.
+TEST_CASE("a job is unknown only if the store says so")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    CHECK(std::get<Error>(node.read("nothing")).kind() == ErrorKind::NotFound);
+    store.isDown = true;
+    CHECK(errorRow(std::get<Error>(node.read("nothing")).kind()).httpStatus == 503);
+}
+
+// Guards against results that are listed twice when the answer of a commit is lost, or the commit itself comes late.
+TEST_CASE("a commit without an answer is listed once")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j", 2)));
+    node.completeNext("text");
+    store.commitFault = GENERATE(MemoryRowStore::Fault::AnswerLost, MemoryRowStore::Fault::Late);
+    node.commit();
+    store.commitFault = MemoryRowStore::Fault::None;
+    // The repeat finds the positions taken by its own content, or free.
+    node.commit();
+    store.applyLate();
+    CHECK(pageOf(node.read("j")).results.size() == 1);
+    CHECK(node.jobs->ownedJobs() == 1);
+}
+
+// Guards against a frozen node that adds results to a job which another node has taken over.
+TEST_CASE("a node that lost its job cannot add to it")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode frozen(store, "n1");
+    JobNode other(store, "n2");
+    REQUIRE_FALSE(frozen.submit(makeJob("j")));
+    other.follow();
+    other.passTime(std::chrono::seconds { 4 });
+    REQUIRE(other.jobs->ownedJobs() == 1);
+
+    frozen.completeNext("old");
+    frozen.commit();
+    CHECK(frozen.jobs->ownedJobs() == 0);
+    other.completeNext("new");
+    other.commit();
+    const JobResultPage page = pageOf(other.read("j"));
+    REQUIRE(page.results.size() == 1);
+    CHECK(page.results[0].output == "new");
+}
+
+// Guards against the claim of a job whose node lives, and against two nodes that claim at the same time.
+TEST_CASE("a job is taken over only from a node that cannot run it, by one node")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode owner(store, "n1");
+    JobNode second(store, "n2");
+    JobNode third(store, "n3");
+    REQUIRE_FALSE(owner.submit(makeJob("j")));
+    for (JobNode* it : { &second, &third }) {
+        it->peers.alive = { "n1" };
+        it->follow();
+        it->passTime(std::chrono::seconds { 6 });
+        CHECK(it->jobs->ownedJobs() == 0);
+    }
+    second.peers.alive = { "n3" };
+    third.peers.alive = { "n2" };
+    second.passTime(std::chrono::seconds { 6 });
+    third.passTime(std::chrono::seconds { 6 });
+    CHECK(second.jobs->ownedJobs() + third.jobs->ownedJobs() == 1);
+}
+
+// Guards against received output that is lost at a planned stop.
+TEST_CASE("a released job goes on behind the last event at the next node")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode leaving(store, "n1");
+    JobNode next(store, "n2");
+    REQUIRE_FALSE(leaving.submit(makeJob("j")));
+    leaving.http.handOver();
+    leaving.http.headers(200);
+    leaving.http.data("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    leaving.jobs->release();
+    CHECK(leaving.http.last().isCancelled);
+    store.deliver();
+    CHECK(leaving.jobs->isReleased());
+
+    next.follow();
+    next.passTime(std::chrono::seconds { 4 });
+    JobNode::settle();
+    REQUIRE(next.http.count() == 1);
+    CHECK(next.http.last().request.headers.find("Last-Event-Id") == "2");
+    next.http.handOver();
+    next.http.headers(200);
+    next.http.data("id: 3\ndata: c\n\n");
+    next.http.finish();
+    next.commit();
+    CHECK(pageOf(next.read("j")).results.at(0).output == "a\nb\nc");
+}
+
+// Guards against items that run although their job was ended, also when another node was told.
+TEST_CASE("an ended job stops, wherever it is ended")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode owner(store, "n1");
+    JobNode other(store, "n2");
+    REQUIRE_FALSE(owner.submit(makeJob("j", 2)));
+    for (int n = 0; n < 2; ++n) {
+        std::optional<std::optional<Error>> result;
+        other.jobs->end("j", [&](std::optional<Error> error) { result = error; });
+        store.deliver();
+        REQUIRE(result);
+        CHECK_FALSE(*result);
+    }
+    owner.follow();
+    CHECK(owner.jobs->ownedJobs() == 0);
+    CHECK(owner.http.call(0).isCancelled);
+    CHECK(owner.http.call(1).isCancelled);
+    owner.passTime(std::chrono::seconds { 4 });
+    CHECK(owner.jobs->ownedJobs() == 0);
+}
+
+// Guards against items that are tried for ever, or given up too early.
+TEST_CASE("an item ends as given up after its attempts, or at once if it can never be done")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j")));
+    const bool isImpossible = GENERATE(true, false);
+    const size_t runs = isImpossible ? 1 : 2;
+    for (size_t n = 1; n <= runs; ++n) {
+        REQUIRE(waitFor([&] { return node.http.count() == n; }));
+        node.http.handOver();
+        node.http.headers(isImpossible ? 422 : 500);
+        node.http.finish();
+    }
+    node.commit();
+    const JobResultPage page = pageOf(node.read("j"));
+    REQUIRE(page.results.size() == 1);
+    CHECK_FALSE(page.results[0].isCompleted);
+    CHECK(node.http.count() == runs);
+}
+
+// Guards against a body that cannot be read while its item waits.
+TEST_CASE("the body of an item can be read at any node")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode owner(store, "n1");
+    JobNode other(store, "n2");
+    SubmittedJob job = makeJob("j");
+    // Larger than a row, and than a transaction.
+    job.items[0].body = QByteArray(GENERATE(10, 200'000, 900'000), 'x');
+    REQUIRE_FALSE(owner.submit(job));
+    for (JobNode* it : { &owner, &other }) {
+        std::optional<std::variant<QByteArray, Error>> result;
+        it->jobs->readItem("j", "j-0", [&](const auto& value) { result = value; });
+        store.deliver();
+        REQUIRE(result);
+        CHECK(std::get<QByteArray>(*result) == job.items[0].body);
+    }
+}
--- /dev/null
+++ b/Tests/LibGateway/TestJobHead.cpp
@@ -0,0 +1,81 @@
+#include <LibGateway/JobHead.h>
+
+#include <LibCore/SeededRandom.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+std::vector<StoredRow> toRows(const std::vector<RowWrite>& writes)
+{
+    std::vector<StoredRow> rows;
+    for (const RowWrite& it : writes)
+        rows.push_back({ it.row, it.value, 1, false });
+    std::ranges::sort(rows, {}, [](const StoredRow& it) { return it.address.key; });
+    return rows;
+}
+
+}
+
+// Guards against content that the next owner of a job reads differently.
+TEST_CASE("job values survive the store")
+{
+    JobHead head { "j1", JobHead::State::Ended, "n1", "r1", "h.example", 123, 4, Milliseconds { 99 }, "object", 0 };
+    StoredRow row { JobRows::record("j1"), encodeJobHead(head), 12, false };
+    head.version = 12;
+    CHECK(decodeJobHead(row) == head);
+    row.value = "no record";
+    CHECK_FALSE(decodeJobHead(row));
+
+    const std::vector<JobItem> items { { "i1", "/a?b", { { "Model", "m" } }, QByteArray("\0\xff", 2), 7 },
+        { "i2", "/c", {}, "", 0 } };
+    CHECK(decodeJobItems(encodeJobItems(items)) == items);
+    CHECK_FALSE(decodeJobItems(encodeJobItems(items).chopped(1)));
+
+    const JobResult result { "i1", true, "one\ntwo" };
+    CHECK(decodeJobResult(encodeJobResult(result)) == result);
+    CHECK_FALSE(decodeJobResult("x"));
+
+    const std::vector<ItemProgress> progress { { "i1", 9, "one" } };
+    CHECK(decodeJobProgress(encodeJobProgress(progress)) == progress);
+}
+
+// Guards against large outputs that do not fit a row, and against pages that end between the rows of one content.
+TEST_CASE("split content is put together again, and left out while rows are missing")
+{
+    const QByteArray large(maxRowBytes * 2 + 17, 'x');
+    std::vector<RowWrite> writes;
+    const std::vector<QByteArray> contents { "", "small", large, "last" };
+    for (size_t n = 0; n < contents.size(); ++n) {
+        for (RowWrite& it : JobRows::split(JobRows::result("j", n), contents[n])) {
+            CHECK(it.value.size() <= maxRowBytes + 16);
+            writes.push_back(std::move(it));
+        }
+    }
+    std::vector<StoredRow> rows = toRows(writes);
+    auto joined = JobRows::join(rows);
+    REQUIRE(joined.size() == contents.size());
+    for (size_t n = 0; n < contents.size(); ++n)
+        CHECK(joined[n].second == contents[n]);
+
+    rows.erase(rows.begin() + 4, rows.end());
+    CHECK(JobRows::join(rows).size() == 2);
+}
+
+// Guards against reads of one job that return rows of another.
+TEST_CASE("the ranges of a job hold its rows only")
+{
+    const auto contains = [](const RowRange& range, const RowAddress& address) {
+        return address.key >= range.from && address.key < range.until;
+    };
+    CHECK(contains(JobRows::resultRange("ab", 0), JobRows::result("ab", 0)));
+    CHECK(contains(JobRows::resultRange("ab", 7), JobRows::result("ab", 199)));
+    CHECK_FALSE(contains(JobRows::resultRange("ab", 7), JobRows::result("ab", 6)));
+    CHECK_FALSE(contains(JobRows::resultRange("ab", 0), JobRows::result("ab0", 0)));
+    CHECK_FALSE(contains(JobRows::resultRange("ab", 0), JobRows::result("a", 0)));
+    CHECK(contains(JobRows::inputRange("ab"), JobRows::split(JobRows::input("ab"), QByteArray(100'000, 'x'))[1].row));
+    CHECK_FALSE(contains(JobRows::inputRange("ab"), JobRows::input("ab0")));
+    CHECK(JobRows::partition("ab") == JobRows::result("ab", 3).partition);
+}
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -1,4 +1,4 @@
-#include <LibHTTP/QtHttpClient.h>
+#include <LibHTTP/PooledHttpClient.h>
 
 #include <Tests/Support/RecordingObserver.h>
 #include <Tests/Support/ScriptedServer.h>
@@ -26,7 +26,7 @@
 }
 
 /// Runs one call to its end.
-RecordingObserver run(QtHttpClient& client, const HttpCallRequest& request)
+RecordingObserver run(PooledHttpClient& client, const HttpCallRequest& request)
 {
     RecordingObserver observer;
     const auto call = client.start(request, observer);
@@ -44,7 +44,7 @@
 TEST_CASE("a call reports hand-over, status, body and end, and the next one uses the same connection")
 {
     ScriptedServer server(answerOk);
-    QtHttpClient client;
+    PooledHttpClient client;
     for (int n = 0; n < 3; ++n) {
         const RecordingObserver observer = run(client, makeRequest(server.address()));
         CHECK(observer.handedOver == 1);
@@ -72,7 +72,7 @@
         else
             socket.disconnectFromHost();
     });
-    QtHttpClient client;
+    PooledHttpClient client;
     if (isReused)
         CHECK(run(client, makeRequest(server.address(), method)).finished == 1);
     HttpCallRequest request = makeRequest(server.address(), method);
@@ -99,7 +99,7 @@
         socket.write(answer);
         socket.disconnectFromHost();
     });
-    QtHttpClient client;
+    PooledHttpClient client;
     HttpCallRequest request = makeRequest(server.address());
     // Qt does not notice the end of the connection while it waits for the end of the last chunk.
     request.progressTimeout = Milliseconds { 1500 };
@@ -117,7 +117,7 @@
         socket.write("HTTP/1.1 " + QByteArray::number(status)
             + " Error\r\nWWW-Authenticate: Basic realm=\"a\"\r\nContent-Length: 3\r\n\r\nwhy");
     });
-    QtHttpClient client;
+    PooledHttpClient client;
     const RecordingObserver observer = run(client, makeRequest(server.address()));
     INFO(status << ' ' << (observer.failure ? observer.failure->message : ""));
     CHECK(observer.status == status);
@@ -133,7 +133,7 @@
         const ScriptedServer server(answerOk);
         address = server.address();
     }
-    QtHttpClient client;
+    PooledHttpClient client;
     const RecordingObserver post = run(client, makeRequest(address));
     CHECK(post.handedOver == 0);
     CHECK(post.failure->phase == Phase::NotSent);
@@ -148,7 +148,7 @@
     constexpr size_t calls = 40;
     std::vector<QTcpSocket*> waiting;
     ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) { waiting.push_back(&socket); });
-    QtHttpClient client;
+    PooledHttpClient client;
     std::vector<RecordingObserver> observers(calls);
     std::vector<std::unique_ptr<HttpCall>> handles;
     for (RecordingObserver& it : observers)
@@ -171,7 +171,7 @@
         else
             waiting.push_back(&socket);
     });
-    QtHttpClient client;
+    PooledHttpClient client;
     RecordingObserver first;
     RecordingObserver second;
     const auto firstCall = client.start(makeRequest(server.address()), first);
@@ -196,7 +196,7 @@
 TEST_CASE("a call can ask for a fresh connection")
 {
     ScriptedServer server(answerOk);
-    QtHttpClient client;
+    PooledHttpClient client;
     CHECK(run(client, makeRequest(server.address())).finished == 1);
     HttpCallRequest request = makeRequest(server.address());
     request.freshConnection = true;
@@ -212,7 +212,7 @@
         connection = &socket;
         socket.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n");
     });
-    QtHttpClient client;
+    PooledHttpClient client;
     RecordingObserver observer;
     std::unique_ptr<HttpCall> call;
     observer.dataHook = [&] { call.reset(); };
@@ -235,7 +235,7 @@
         else
             QTimer::singleShot(0, &socket, [&socket, body] { socket.write(body); });
     });
-    QtHttpClient client;
+    PooledHttpClient client;
     for (int n = 1; n <= 40; n += 2) {
         RecordingObserver cancelled;
         std::unique_ptr<HttpCall> call;
@@ -252,7 +252,7 @@
 TEST_CASE("a call that is cancelled at hand-over sends nothing")
 {
     ScriptedServer server(answerOk);
-    QtHttpClient client;
+    PooledHttpClient client;
     RecordingObserver observer;
     std::unique_ptr<HttpCall> call;
     observer.handedOverHook = [&] { call.reset(); };
--- /dev/null
+++ b/Tests/LibPlatform/TestTableFollower.cpp
@@ -0,0 +1,90 @@
+#include <LibPlatform/TableFollower.h>
+
+#include <Tests/Support/MemoryRowStore.h>
+#include <Tests/Support/SimulatedClock.h>
+#include <Tests/Support/WaitFor.h>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+class RecordingListener final : public TableListener {
+public:
+    std::map<std::string, QByteArray> rows;
+    int listings { 0 };
+    bool isReachable { false };
+
+    void onTableListed(const std::vector<StoredRow>& listed) override
+    {
+        ++listings;
+        rows.clear();
+        onRowsChanged(listed);
+    }
+
+    void onRowsChanged(const std::vector<StoredRow>& changed) override
+    {
+        for (const StoredRow& it : changed) {
+            if (it.isRemoved)
+                rows.erase(it.address.key);
+            else
+                rows[it.address.key] = it.value;
+        }
+    }
+
+    void onReachableChanged(bool value) override { isReachable = value; }
+};
+
+struct Fixture {
+    SimulatedClock clock;
+    MemoryRowStore store { clock };
+    RecordingListener listener;
+    TableFollower follower { store, { "t", { "p0", "p1" }, Milliseconds { 1 } }, listener };
+
+    /// Answers calls until the condition holds.
+    template <typename Condition> bool deliverUntil(Condition condition)
+    {
+        return waitFor([&] {
+            store.deliverOne();
+            return condition();
+        });
+    }
+};
+
+}
+
+// Guards against rows and changes that a follower does not hear of.
+TEST_CASE("a follower hears of all rows and of each change")
+{
+    Fixture fixture;
+    fixture.store.put({ "t", "p0", "a" }, "1");
+    fixture.store.put({ "t", "p1", "b" }, "2");
+    fixture.store.put({ "other", "p0", "c" }, "3");
+    fixture.follower.start();
+    REQUIRE(fixture.deliverUntil([&] { return fixture.listener.listings == 1; }));
+    CHECK(fixture.listener.rows == std::map<std::string, QByteArray> { { "a", "1" }, { "b", "2" } });
+    fixture.store.put({ "t", "p0", "a" }, "4");
+    fixture.store.remove({ "t", "p1", "b" });
+    CHECK(fixture.deliverUntil([&] {
+        return fixture.listener.rows == std::map<std::string, QByteArray> { { "a", "4" } };
+    }));
+    CHECK(fixture.listener.listings == 1);
+}
+
+// Guards against changes that are missed when the store drops its history or is away.
+TEST_CASE("a follower lists the table again when the history is lost, and goes on after an outage")
+{
+    Fixture fixture;
+    fixture.follower.start();
+    REQUIRE(fixture.deliverUntil([&] { return fixture.listener.listings == 1; }));
+    fixture.store.isDown = true;
+    REQUIRE(fixture.deliverUntil([&] { return !fixture.listener.isReachable; }));
+    fixture.store.put({ "t", "p0", "a" }, "1");
+    const bool isHistoryLost = GENERATE(true, false);
+    if (isHistoryLost)
+        fixture.store.dropHistory();
+    fixture.store.isDown = false;
+    CHECK(fixture.deliverUntil([&] { return fixture.listener.rows.contains("a"); }));
+    CHECK(fixture.listener.isReachable);
+    CHECK(fixture.listener.listings == (isHistoryLost ? 2 : 1));
+}
--- /dev/null
+++ b/Tests/Platform/TestPlatformRowStore.cpp
@@ -0,0 +1,113 @@
+#include <platform/PlatformRowStore.h>
+
+#include <LibHTTP/PooledHttpClient.h>
+#include <Tests/Support/ScriptedServer.h>
+#include <Tests/Support/WaitFor.h>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+QByteArray answer(int status, const QByteArray& body = "{}")
+{
+    return "HTTP/1.1 " + QByteArray::number(status) + " Status\r\nContent-Length: " + QByteArray::number(body.size())
+        + "\r\n\r\n" + body;
+}
+
+/// A store that gives one answer to each call, or closes the connection if that is empty.
+struct StoreFixture {
+    explicit StoreFixture(QByteArray reply)
+        : m_reply(std::move(reply))
+    {
+    }
+
+    ScriptedServer server { [this](QTcpSocket& socket, const QByteArray&) {
+        if (m_reply.isEmpty())
+            socket.disconnectFromHost();
+        else
+            socket.write(m_reply);
+    } };
+    PooledHttpClient client;
+    PlatformRowStore store { client, server.address(), Milliseconds { 1'000 } };
+
+    StoreResult<RowCommit> commit(const RowTransaction& transaction = {})
+    {
+        std::optional<StoreResult<RowCommit>> result;
+        store.commit(transaction, [&](const StoreResult<RowCommit>& it) { result = it; });
+        REQUIRE(waitFor([&] { return result.has_value(); }));
+        return *result;
+    }
+
+    StoreResult<RowPage> changes()
+    {
+        std::optional<StoreResult<RowPage>> result;
+        store.changes("t", 5, Milliseconds { 50 }, [&](const StoreResult<RowPage>& it) { result = it; });
+        REQUIRE(waitFor([&] { return result.has_value(); }));
+        return *result;
+    }
+
+private:
+    QByteArray m_reply;
+};
+
+StoreFailure::Kind failureOf(const StoreResult<RowCommit>& result)
+{
+    REQUIRE(std::holds_alternative<StoreFailure>(result));
+    return std::get<StoreFailure>(result).kind;
+}
+
+}
+
+// Guards against a transaction that the store reads differently, and against a version that is lost.
+TEST_CASE("a transaction is sent whole and its version comes back")
+{
+    StoreFixture fixture(answer(200, R"({"ver":412,"now_ms":51230})"));
+    const auto result = fixture.commit(
+        { { { { "my", "p7", "owner" }, 3 } }, { { { "my", "p7", "owner" }, "node-1" } }, { { "my", "p7", "old" } } });
+    CHECK(std::get<RowCommit>(result) == RowCommit { true, 412, {} });
+    CHECK(fixture.server.received().contains("POST /api/rows-tx HTTP/1.1\r\n"));
+    CHECK(fixture.server.received().contains(R"("expected_rev":[{"key":"owner","part":"p7","table":"my","ver":3}])"));
+    CHECK(
+        fixture.server.received().contains(R"("puts":[{"key":"owner","part":"p7","table":"my","value":"bm9kZS0x"}])"));
+    CHECK(fixture.server.received().contains(R"("delete":[{"key":"old","part":"p7","table":"my"}])"));
+    CHECK(fixture.store.time() >= Milliseconds { 51'230 });
+}
+
+// Guards against a conflict that is taken for an outage.
+TEST_CASE("a condition that does not hold is a result with the rows as they are")
+{
+    StoreFixture fixture(
+        answer(412, R"({"rows":[{"table":"my","part":"p","key":"k","value":"eA==","ver":9}],"ver":20,"now_ms":1})"));
+    const auto result = fixture.commit();
+    CHECK(std::get<RowCommit>(result) == RowCommit { false, 20, { { { "my", "p", "k" }, "x", 9, false } } });
+}
+
+// Guards against "not done" for a write that may have been done.
+TEST_CASE("only the store's refusal or a refused connection says that a write was not done")
+{
+    CHECK(failureOf(StoreFixture(answer(503)).commit()) == StoreFailure::Kind::NotDone);
+    CHECK(failureOf(StoreFixture(answer(429)).commit()) == StoreFailure::Kind::NotDone);
+    CHECK(failureOf(StoreFixture(answer(500)).commit()) == StoreFailure::Kind::OutcomeUnknown);
+    CHECK(failureOf(StoreFixture("").commit()) == StoreFailure::Kind::OutcomeUnknown);
+}
+
+// Guards against a feed that has gone silent without a reset.
+TEST_CASE("a feed that does not answer ends with a failure")
+{
+    StoreFixture fixture("HTTP/1.1 200 OK\r\n");
+    CHECK(std::holds_alternative<StoreFailure>(fixture.changes()));
+}
+
+// Guards against removed rows and a lost history that go unnoticed.
+TEST_CASE("a feed reports removals, and that its history is gone")
+{
+    StoreFixture fixture(
+        answer(200, R"({"rows":[{"table":"t","part":"","key":"k","ver":7,"deleted":true}],"ver":8,"now_ms":1})"));
+    const auto page = std::get<RowPage>(fixture.changes());
+    REQUIRE(page.rows.size() == 1);
+    CHECK(page.rows[0].isRemoved);
+    CHECK(page.storeVersion == 8);
+    StoreFixture lost(answer(410));
+    CHECK(std::get<StoreFailure>(lost.changes()).kind == StoreFailure::Kind::HistoryLost);
+}
--- /dev/null
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -0,0 +1,141 @@
+#include <platform/PlatformWireFormat.h>
+
+#include <LibCore/SeededRandom.h>
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+const QByteArray configurationDocument = R"({"version":7,"routes":[
+ {"name":"r1","host":"h.example","prefix":"/a/","route_type":"streaming","timeout_ms":5000,"target_latency_ms":300,
+  "priority":0,"service":"lm","max_attempts":2,"sticky":true,"can_resume":true,"gap_aim_ms":250},
+ {"name":"r2","host":"h.example","prefix":"/b/","route_type":"batch","timeout_ms":15000,"target_latency_ms":500,
+  "priority":2,"traffic_split":[{"service":"lm","weight":90},{"service":"lm2","weight":10}],"max_attempts":3,
+  "completion_target_ms":18000,"max_wait_s":60,"cap":1800000},
+ {"name":"r3","host":"h.example","prefix":"/c/","route_type":"something else"}],
+ "services":[{"name":"lm","max_connections":360,"engine":{"slots":8,"cap":12}},{"name":"idx","max_connections":100}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+QByteArray endpointDocument(const char* field = nullptr, const QJsonValue& value = {})
+{
+    QJsonObject object { { "service", "lm" }, { "address", "10.0.0.1:80" }, { "zone", "z1" }, { "version", "v1" },
+        { "slots", 8 }, { "state", "ready" }, { "cold_remaining_ms", 0 }, { "sequence", 4 },
+        { "born", qint64 { 1700000000123 } } };
+    if (field && value.isUndefined())
+        object.remove(QLatin1String(field));
+    else if (field)
+        object[QLatin1String(field)] = value;
+    return QJsonDocument(object).toJson();
+}
+
+}
+
+// Guards against a field of the operator's configuration that is lost or taken for another.
+TEST_CASE("the operator's configuration is decoded")
+{
+    const auto configuration = PlatformWireFormat().decodeConfiguration(configurationDocument);
+    REQUIRE(configuration);
+    CHECK(configuration->version == 7);
+    REQUIRE(configuration->routes.size() == 2);
+    const GatewayRoute& stream = configuration->routes[0];
+    CHECK(stream.kind == RouteKind::Stream);
+    CHECK(stream.isResumable);
+    CHECK(stream.maxAttempts == 2);
+    CHECK(stream.timeout == Milliseconds { 5'000 });
+    CHECK(stream.latencyTarget == Milliseconds { 300 });
+    CHECK(stream.gapTarget == Milliseconds { 250 });
+    CHECK(stream.shares == std::vector<ServiceShare> { { "lm", 1 } });
+    const GatewayRoute& batch = configuration->routes[1];
+    CHECK(batch.kind == RouteKind::Batch);
+    CHECK(batch.shares == std::vector<ServiceShare> { { "lm", 90 }, { "lm2", 10 } });
+    CHECK(batch.completionTarget == Milliseconds { 18'000 });
+    CHECK(batch.maxWait == Milliseconds { 60'000 });
+    CHECK(batch.maxWaitingTokens == 1'800'000);
+    CHECK(configuration->services[0].isEngine);
+    CHECK_FALSE(configuration->services[1].isEngine);
+    CHECK(configuration->limits.maxBodyBytes == 4'194'304);
+    CHECK(configuration->limits.idleTimeout == Milliseconds { 15'000 });
+    CHECK_FALSE(PlatformWireFormat().decodeConfiguration("{\"version\":\"7\",\"routes\":[]}"));
+    CHECK_FALSE(PlatformWireFormat().decodeConfiguration("no json"));
+}
+
+// Guards against rows of other writers that are taken for endpoints.
+TEST_CASE("a registration with a missing or unreadable field names no endpoint")
+{
+    const PlatformWireFormat wire;
+    const auto record = wire.decodeEndpoint("i-1", endpointDocument());
+    REQUIRE(record);
+    CHECK(*record == EndpointRecord { "i-1", "10.0.0.1:80", "lm", "z1", 8, false, 1700000000123 });
+    CHECK(wire.decodeEndpoint("i-1", endpointDocument("state", "draining"))->isLeaving);
+    for (const char* it : { "service", "address", "zone", "slots", "state" }) {
+        CAPTURE(it);
+        CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument(it, QJsonValue(QJsonValue::Undefined))));
+        CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument(it, QJsonObject {})));
+    }
+    CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("state", "resting")));
+    CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("slots", 0)));
+    CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("born", "yesterday")));
+    CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("born", 1.5)));
+    CHECK_FALSE(wire.decodeEndpoint("i-1", "\xff\xfe"));
+}
+
+// Guards against damaged documents that end the process.
+TEST_CASE("damaged documents are refused")
+{
+    const PlatformWireFormat wire;
+    SeededRandom random(3);
+    for (int n = 0; n < 1000; ++n) {
+        QByteArray damaged = random.below(2) == 0 ? configurationDocument : endpointDocument();
+        for (int k = 0; k < 3; ++k)
+            damaged[static_cast<qsizetype>(random.below(damaged.size()))] = static_cast<char>(random.below(256));
+        wire.decodeConfiguration(damaged);
+        wire.decodeEndpoint("i", damaged);
+    }
+    SUCCEED();
+}
+
+// Guards against a job whose items are not those that were submitted.
+TEST_CASE("a submitted job is decoded, and a malformed one is refused as a whole")
+{
+    HttpRequest request { "POST", "/b/1", {}, { { "Request-Id", "j1" } }, {}, "/b/1" };
+    request.body
+        = R"({"items":[{"id":"i1","path":"/b/3/9?x","headers":{"Model":"m"},"body":"q83v","token_count":940}]})";
+    const auto job = PlatformWireFormat().decodeSubmission(request);
+    REQUIRE(job);
+    CHECK(job->jobId == "j1");
+    REQUIRE(job->items.size() == 1);
+    CHECK(job->items[0] == JobItem { "i1", "/b/3/9?x", { { "Model", "m" } }, QByteArray::fromHex("abcdef"), 940 });
+    request.body = R"({"items":[{"id":"i1","path":"/b/3"},{"path":"/b/4"}]})";
+    CHECK_FALSE(PlatformWireFormat().decodeSubmission(request));
+    request.body = "[]";
+    CHECK_FALSE(PlatformWireFormat().decodeSubmission(request));
+}
+
+// Guards against calls about jobs that are taken for requests to forward.
+TEST_CASE("calls about jobs are decoded")
+{
+    const PlatformWireFormat wire;
+    HttpRequest request { "GET", "/api/lots/j1", "after=12", { { "Wait-Ms", "1000" } }, {}, "/api/lots/j1?after=12" };
+    CHECK(wire.decodeJobCall(request) == JobCall { JobCall::Kind::ReadResults, "j1", "", 12, Milliseconds { 1'000 } });
+    request.method = "DELETE";
+    CHECK(wire.decodeJobCall(request)->kind == JobCall::Kind::EndJob);
+    const HttpRequest item { "GET", "/api/items/j1", "id=i9", {}, {}, "/api/items/j1?id=i9" };
+    CHECK(wire.decodeJobCall(item) == JobCall { JobCall::Kind::ReadItem, "j1", "i9", 0, Milliseconds { 0 } });
+    CHECK_FALSE(wire.decodeJobCall({ "GET", "/a/1", {}, {}, {}, "/a/1" }));
+}
+
+// Guards against a promise that the request did not run without the endpoint's word.
+TEST_CASE("only the endpoint's own statement says that a request did not run")
+{
+    const PlatformWireFormat wire;
+    CHECK(wire.decodeAnswerHead(503, { { "Not-Executed", "1" } }).isNotRun);
+    CHECK_FALSE(wire.decodeAnswerHead(503, {}).isNotRun);
+    CHECK(wire.decodeAnswerHead(421, {}).isNotRun);
+    CHECK(wire.decodeAnswerHead(421, {}).isOtherEndpoint);
+    CHECK(wire.decodeAnswerHead(200, { { "Server-Load", "3,0,8,250" } }).workTimePercent == 250);
+    CHECK_FALSE(wire.decodeAnswerHead(200, { { "Server-Load", "3,0,8" } }).workTimePercent);
+}
--- a/Tests/Processes/TestCall.h
+++ b/Tests/Processes/TestCall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibHTTP/QtHttpClient.h>
+#include <LibHTTP/PooledHttpClient.h>
 
 #include <QJsonObject>
 
--- a/Tests/Processes/TestSystem.h
+++ b/Tests/Processes/TestSystem.h
@@ -74,7 +74,7 @@
     QString logFile(const std::string& id) const;
 
     QTemporaryDir m_folder;
-    QtHttpClient m_client;
+    PooledHttpClient m_client;
     std::unique_ptr<TestProcess> m_platform;
     std::map<std::string, std::unique_ptr<TestProcess>> m_processes;
     std::map<std::string, Entry> m_entries;
