LibGateway: Report to peers by distance, take turns also for items

Change: each distance (failure domain, region, other region) has a budget of datagrams a second, so a peer hears less often the more peers there are; the own failure domain is preferred more the older reports from others are; the nodes of an endpoint's failure domain come first in its order; items take slots in turn like requests.

--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -12,15 +12,28 @@
 namespace {
 
     /// Reports without a change, so that peers know that the node is alive.
-    constexpr Milliseconds heartbeatInterval { 300 };
+    constexpr Milliseconds minHeartbeatInterval { 300 };
 
-    /// Shortest time between two reports, so that many changes cost few datagrams. The link between regions is slow and
-    /// billed by volume.
-    constexpr Milliseconds minReportInterval { 20 };
-    constexpr Milliseconds minReportIntervalOtherRegion { 100 };
+    /// What is special about a distance.
+    struct ReportPlan {
+        /// Shortest time between two reports to one peer.
+        Milliseconds minInterval;
+        /// Datagrams a second to all peers at that distance while loads change. With more peers each hears less often,
+        /// so that the cost of a node does not grow with the deployment.
+        size_t datagramsPerSecond;
+    };
 
-    /// Silence after which a node counts as gone: four lost heartbeats.
-    constexpr Milliseconds silenceLimit { 1'200 };
+    /// The link between regions is slow and billed by volume.
+    constexpr std::array<ReportPlan, 3> reportPlans { {
+        { Milliseconds { 20 }, 400 },
+        { Milliseconds { 20 }, 200 },
+        { Milliseconds { 100 }, 150 },
+    } };
+
+    /// Lost heartbeats after which a node counts as gone.
+    constexpr int lostHeartbeats = 4;
+
+    constexpr Milliseconds sendTick { 10 };
 
     /// A node that was not heard for so long gets no more reports.
     constexpr Milliseconds forgetLimit { 30'000 };
@@ -41,10 +54,9 @@
     , m_makeReport(std::move(makeReport))
     , m_onReport(std::move(onReport))
 {
-    m_changeTimer.setSingleShot(true);
-    m_changeTimer.setTimerType(Qt::PreciseTimer);
-    connect(&m_changeTimer, &QTimer::timeout, this, &PeerGroup::sendReports);
-    connect(&m_heartbeatTimer, &QTimer::timeout, this, &PeerGroup::sendReports);
+    m_sendTimer.setSingleShot(true);
+    m_sendTimer.setTimerType(Qt::PreciseTimer);
+    connect(&m_sendTimer, &QTimer::timeout, this, &PeerGroup::sendReports);
     connect(&m_socket, &QUdpSocket::readyRead, this, &PeerGroup::receive);
 }
 
@@ -54,7 +66,7 @@
     if (!m_socket.bind(host, port))
         throw Error(ErrorKind::Internal,
             "cannot listen for peers on " + m_options.address + ": " + m_socket.errorString().toStdString());
-    m_heartbeatTimer.start(heartbeatInterval);
+    m_sendTimer.start(minHeartbeatInterval);
 }
 
 std::string PeerGroup::regionOf(const std::string& failureDomain) const
@@ -78,40 +90,76 @@
         m_peers.erase(it);
 }
 
+PeerGroup::Distance PeerGroup::distanceOf(const std::string& failureDomain) const
+{
+    if (failureDomain == m_options.failureDomain)
+        return Distance::FailureDomain;
+    return regionOf(failureDomain) == regionOf(m_options.failureDomain) ? Distance::Region : Distance::OtherRegion;
+}
+
+void PeerGroup::countPeers()
+{
+    m_peerCounts = {};
+    for (const auto& [node, peer] : m_peers)
+        ++m_peerCounts.at(static_cast<size_t>(peer.distance));
+}
+
+Milliseconds PeerGroup::reportInterval(Distance distance) const
+{
+    const ReportPlan& plan = reportPlans.at(static_cast<size_t>(distance));
+    const size_t count = m_peerCounts.at(static_cast<size_t>(distance));
+    return std::max(plan.minInterval, Milliseconds { count * 1000 / plan.datagramsPerSecond });
+}
+
+Milliseconds PeerGroup::heartbeatInterval(Distance distance) const
+{
+    return std::max(minHeartbeatInterval, reportInterval(distance));
+}
+
+Milliseconds PeerGroup::silenceLimit(Distance distance) const { return heartbeatInterval(distance) * lostHeartbeats; }
+
 void PeerGroup::noteChange()
 {
-    m_hasChanged = true;
-    if (m_changeTimer.isActive())
-        return;
-    const auto due = std::max(m_clock.now(), m_lastSend + minReportInterval);
-    m_changeTimer.start(std::chrono::ceil<Milliseconds>(due - m_clock.now()));
+    for (auto& [node, peer] : m_peers)
+        peer.isBehind = true;
+    // Changes that happen together go out together.
+    if (!m_sendTimer.isActive() || m_sendTimer.remainingTimeAsDuration() > sendTick)
+        m_sendTimer.start(sendTick);
 }
 
 void PeerGroup::sendReports()
 {
     const MonotonicTime now = m_clock.now();
-    PeerReport report = m_makeReport();
-    report.node = m_options.node;
-    report.failureDomain = m_options.failureDomain;
-    report.sequence = ++m_sequence;
-    const QByteArray datagram = encodePeerReport(report);
-    m_lastSend = now;
-    bool isAnyLeft = false;
     std::erase_if(m_peers, [&](const auto& it) { return now - it.second.heardAt > forgetLimit; });
+    countPeers();
+    QByteArray datagram;
+    MonotonicTime next = now + minHeartbeatInterval;
     for (auto& [node, peer] : m_peers) {
-        const Milliseconds interval = peer.isOtherRegion ? minReportIntervalOtherRegion : minReportInterval;
-        const bool isDue = now - peer.sentAt >= (m_hasChanged ? interval : heartbeatInterval - minReportInterval);
-        if (!isDue) {
-            isAnyLeft = m_hasChanged;
-            continue;
+        const Milliseconds interval = peer.isBehind ? reportInterval(peer.distance) : heartbeatInterval(peer.distance);
+        if (peer.sentAt + interval <= now) {
+            if (datagram.isEmpty())
+                datagram = nextDatagram();
+            send(peer, datagram, now);
         }
-        peer.sentAt = now;
-        m_socket.writeDatagram(datagram, peer.host, peer.port);
+        next = std::min(next, peer.sentAt + (peer.isBehind ? interval : heartbeatInterval(peer.distance)));
     }
-    // Peers in other regions hear of this change with their next report.
-    m_hasChanged = isAnyLeft;
-    if (isAnyLeft && !m_changeTimer.isActive())
-        m_changeTimer.start(minReportIntervalOtherRegion);
+    m_sendTimer.start(std::max(sendTick, std::chrono::ceil<Milliseconds>(next - now)));
+}
+
+QByteArray PeerGroup::nextDatagram()
+{
+    PeerReport report = m_makeReport();
+    report.node = m_options.node;
+    report.failureDomain = m_options.failureDomain;
+    report.sequence = ++m_sequence;
+    return encodePeerReport(report);
+}
+
+void PeerGroup::send(Peer& peer, const QByteArray& datagram, MonotonicTime now)
+{
+    peer.sentAt = now;
+    peer.isBehind = false;
+    m_socket.writeDatagram(datagram, peer.host, peer.port);
 }
 
 void PeerGroup::receive()
@@ -133,15 +181,15 @@
             LOG(INFO) << "heard of node " << report->node << " in " << report->failureDomain;
         peer.wasHeard = true;
         peer.heardAt = m_clock.now();
-        peer.isOtherRegion = regionOf(report->failureDomain) != regionOf(m_options.failureDomain);
+        peer.distance = distanceOf(report->failureDomain);
         peer.report = *report;
-        m_onReport(*report);
+        m_onReport(*report, silenceLimit(peer.distance));
     }
 }
 
 bool PeerGroup::isHeard(const Peer& peer) const
 {
-    return peer.wasHeard && m_clock.now() - peer.heardAt <= silenceLimit;
+    return peer.wasHeard && m_clock.now() - peer.heardAt <= silenceLimit(peer.distance);
 }
 
 bool PeerGroup::isAlive(const std::string& node) const
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -8,6 +8,7 @@
 #include <QTimer>
 #include <QUdpSocket>
 
+#include <array>
 #include <functional>
 #include <map>
 #include <string>
@@ -29,7 +30,8 @@
         std::map<std::string, std::string> regions;
     };
 
-    using ReportHandler = std::function<void(const PeerReport&)>;
+    /// Hears a report and how long it counts if no further one comes.
+    using ReportHandler = std::function<void(const PeerReport&, Milliseconds lifetime)>;
 
     /// `makeReport` returns the current report of this node; `onReport` hears each new one of a peer.
     PeerGroup(Options, const Clock&, std::function<PeerReport()> makeReport, ReportHandler onReport);
@@ -55,14 +57,26 @@
 
     size_t aliveCount() const;
 
+    /// Returns how old the last report from other failure domains of the region may be while loads change.
+    Milliseconds regionInterval() const { return reportInterval(Distance::Region); }
+
     /// Returns whether the node has been silent for so long that it gets no more reports.
     bool isForgotten(const std::string& node) const { return !m_peers.contains(node); }
 
 private:
+    /// How far away a peer is. The farther, the fewer reports it gets.
+    enum class Distance : uint8_t {
+        FailureDomain,
+        Region,
+        OtherRegion,
+    };
+
     struct Peer {
         QHostAddress host;
         uint16_t port { 0 };
-        bool isOtherRegion { false };
+        Distance distance { Distance::OtherRegion };
+        /// Whether a change has not been reported to it.
+        bool isBehind { false };
         MonotonicTime heardAt;
         MonotonicTime sentAt;
         bool wasHeard { false };
@@ -71,7 +85,16 @@
 
     void receive();
     void sendReports();
+    QByteArray nextDatagram();
+    void send(Peer&, const QByteArray& datagram, MonotonicTime now);
     bool isHeard(const Peer&) const;
+    Distance distanceOf(const std::string& failureDomain) const;
+    /// Shortest time between two reports to a peer at that distance while loads change.
+    Milliseconds reportInterval(Distance) const;
+    /// Time between two reports without a change.
+    Milliseconds heartbeatInterval(Distance) const;
+    Milliseconds silenceLimit(Distance) const;
+    void countPeers();
     std::string regionOf(const std::string& failureDomain) const;
 
     const Options m_options;
@@ -80,11 +103,9 @@
     const ReportHandler m_onReport;
     QUdpSocket m_socket;
     std::map<std::string, Peer> m_peers;
+    std::array<size_t, 3> m_peerCounts {};
     uint64_t m_sequence { 0 };
-    bool m_hasChanged { false };
-    MonotonicTime m_lastSend;
-    QTimer m_changeTimer;
-    QTimer m_heartbeatTimer;
+    QTimer m_sendTimer;
 };
 
 }
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -15,14 +15,16 @@
     /// Endpoints with fewer slots have no reserve, because batch work would not run there at all.
     constexpr uint32_t minSlotsForReserve = 4;
 
-    /// A peer that was not heard for so long is gone, and its work with it.
-    constexpr Milliseconds peerTimeout { 1'500 };
-
     /// Cost of another region or failure domain, in units of the load of an endpoint (1 is full). The link between
     /// regions is slow and billed by volume.
     constexpr double otherRegionCost = 0.9;
     constexpr double otherDomainCost = 0.02;
 
+    /// Age of the reports from another failure domain that costs as much as a whole endpoint's load, and the most that
+    /// old reports cost.
+    constexpr double reportAgeCostScale = 400;
+    constexpr double maxReportAgeCost = 0.6;
+
     /// Cost of an endpoint whose batch items have to yield first: own items yield at once, those of peers later.
     constexpr double ownYieldCost = 0.5;
     constexpr double peerYieldCost = 0.7;
@@ -115,8 +117,9 @@
             continue;
         const uint32_t key = endpointKey(record.id);
         m_idsByKey[key] = record.id;
+        endpoint.preference = orderKey(record.id, m_place.node) / 4294967296.0;
         for (const auto& [node, peer] : m_peers) {
-            if (const auto use = peer.use.find(key); use != peer.use.end()) {
+            if (const auto use = peer.said.use.find(key); use != peer.said.use.end()) {
                 endpoint.peers.online += use->second.online;
                 endpoint.peers.batch += use->second.batch;
             }
@@ -157,6 +160,7 @@
     Endpoint* place = endpoint(running.endpoint);
     if (place) {
         --(running.isBatch ? place->own.batch : place->own.online);
+        place->changedAt = now;
         if (!running.isBatch)
             place->ownEndedAt = place->onlineChangedAt = now;
     }
@@ -178,7 +182,7 @@
 
 void SlotScheduler::addPeerUse(const Peer& peer, bool isAdded)
 {
-    for (const auto& [key, use] : peer.use) {
+    for (const auto& [key, use] : peer.said.use) {
         const auto id = m_idsByKey.find(key);
         Endpoint* place = id == m_idsByKey.end() ? nullptr : endpoint(id->second);
         if (!place)
@@ -186,34 +190,39 @@
         place->peers.online += isAdded ? use.online : -use.online;
         place->peers.batch += isAdded ? use.batch : -use.batch;
     }
-    m_peersWaiting += isAdded ? peer.waiting : -peer.waiting;
+    m_peersWaiting += isAdded ? peer.said.waiting : -peer.said.waiting;
 }
 
-void SlotScheduler::setPeerUse(
-    const std::string& node, const std::unordered_map<uint32_t, SlotUse>& use, uint32_t waiting, MonotonicTime now)
+void SlotScheduler::setPeerUse(const std::string& node, const PeerUse& said, MonotonicTime now)
 {
-    Peer& peer = m_peers[node];
-    const Peer next { use, waiting, now };
-    noteOnlineChanges(peer, next, now);
+    const auto [it, isNew] = m_peers.try_emplace(node);
+    Peer& peer = it->second;
+    if (isNew || peer.said.failureDomain != said.failureDomain)
+        ++m_peerGeneration;
+    noteChanges(peer.said, said, now);
     addPeerUse(peer, false);
-    peer = next;
+    peer = { said, now };
     addPeerUse(peer, true);
 }
 
-void SlotScheduler::noteOnlineChanges(const Peer& before, const Peer& after, MonotonicTime now)
+void SlotScheduler::noteChanges(const PeerUse& before, const PeerUse& after, MonotonicTime now)
 {
-    const auto note = [&](uint32_t key, uint32_t from, uint32_t to) {
+    const auto note = [&](uint32_t key, const SlotUse& from, const SlotUse& to) {
         const auto id = m_idsByKey.find(key);
-        if (from != to && id != m_idsByKey.end())
-            m_endpoints.at(id->second).onlineChangedAt = now;
+        if (from == to || id == m_idsByKey.end())
+            return;
+        Endpoint& place = m_endpoints.at(id->second);
+        place.changedAt = now;
+        if (from.online != to.online)
+            place.onlineChangedAt = now;
     };
     for (const auto& [key, use] : before.use) {
         const auto it = after.use.find(key);
-        note(key, use.online, it == after.use.end() ? 0 : it->second.online);
+        note(key, use, it == after.use.end() ? SlotUse {} : it->second);
     }
     for (const auto& [key, use] : after.use) {
         if (!before.use.contains(key))
-            note(key, 0, use.online);
+            note(key, {}, use);
     }
 }
 
@@ -224,13 +233,14 @@
         return;
     addPeerUse(it->second, false);
     m_peers.erase(it);
+    ++m_peerGeneration;
 }
 
 void SlotScheduler::expirePeers(MonotonicTime now)
 {
     std::vector<std::string> expired;
     for (const auto& [node, peer] : m_peers) {
-        if (now - peer.heardAt > peerTimeout)
+        if (now - peer.heardAt > peer.said.lifetime)
             expired.push_back(node);
     }
     for (const std::string& it : expired)
@@ -337,21 +347,28 @@
     return now < place.avoidedUntil || place.own != SlotUse {};
 }
 
-bool SlotScheduler::isOwnTurn(const Endpoint& place, MonotonicTime now) const
+bool SlotScheduler::isOwnTurn(Endpoint& place, uint32_t free, MonotonicTime since, MonotonicTime now) const
 {
-    // The node whose work ended knows of the free slot before its peers do.
-    if (now - place.ownEndedAt < ownTurnTime)
-        return true;
     // All nodes order themselves in the same way for this endpoint. As many as there are free slots may take one at
     // once, and the next ones if the slots are still free when that would have become known.
-    const uint32_t free = place.record.slotCount - place.online();
+    return now - since >= reportTime * std::min(nodesBefore(place) / free, maxTurns);
+}
+
+uint32_t SlotScheduler::nodesBefore(Endpoint& place) const
+{
+    if (place.nodesBeforeGeneration == m_peerGeneration)
+        return place.nodesBefore;
+    // The nodes of the endpoint's own failure domain come first: they hear of each other's work soonest.
+    const bool isOwnDomain = place.record.failureDomain == m_place.failureDomain;
     const uint32_t own = orderKey(place.record.id, m_place.node);
-    uint32_t before = 0;
-    for (const auto& [node, peer] : m_peers) {
-        if (orderKey(place.record.id, node) < own)
-            ++before;
-    }
-    return now - place.onlineChangedAt >= reportTime * std::min(before / free, maxTurns);
+    place.nodesBefore = static_cast<uint32_t>(std::ranges::count_if(m_peers, [&](const auto& it) {
+        const bool isPeerOfDomain = it.second.said.failureDomain == place.record.failureDomain;
+        if (isPeerOfDomain != isOwnDomain)
+            return isPeerOfDomain;
+        return orderKey(place.record.id, it.first) < own;
+    }));
+    place.nodesBeforeGeneration = m_peerGeneration;
+    return place.nodesBefore;
 }
 
 double SlotScheduler::distance(const Endpoint& place) const
@@ -359,12 +376,10 @@
     if (place.record.failureDomain == m_place.failureDomain)
         return 0;
     const auto it = m_place.regions.find(place.record.failureDomain);
-    return it != m_place.regions.end() && it->second == m_region ? otherDomainCost : otherRegionCost;
-}
-
-double SlotScheduler::preference(const Endpoint& place) const
-{
-    return orderKey(place.record.id, m_place.node) / 4294967296.0;
+    const double ageCost
+        = std::min(static_cast<double>(m_reportInterval.count()) / reportAgeCostScale, maxReportAgeCost);
+    const bool isOwnRegion = it != m_place.regions.end() && it->second == m_region;
+    return isOwnRegion ? otherDomainCost + ageCost : otherRegionCost;
 }
 
 double SlotScheduler::slowness(const Endpoint& place, MonotonicTime now) const
@@ -382,11 +397,15 @@
         if (it.record.service != work.service || isAvoided(it, work.excluded, now))
             continue;
         const uint32_t capacity = it.record.slotCount;
-        if (it.online() >= capacity || !isOwnTurn(it, now))
+        if (it.online() >= capacity)
+            continue;
+        // The node whose work ended knows of the free slot before its peers do.
+        const bool isFirstToKnow = now - it.ownEndedAt < ownTurnTime;
+        if (!isFirstToKnow && !isOwnTurn(it, capacity - it.online(), it.onlineChangedAt, now))
             continue;
         // The random part spreads nodes that see the same load.
         double cost = static_cast<double>(it.total()) / capacity + distance(it) + slowness(it, now)
-            + (m_random.unit() * randomSlots + preference(it) * preferredSlots) / capacity;
+            + (m_random.unit() * randomSlots + it.preference * preferredSlots) / capacity;
         if (it.total() >= capacity)
             cost += it.own.batch > 0 ? ownYieldCost : peerYieldCost;
         if (cost < bestCost) {
@@ -401,6 +420,7 @@
     std::vector<SlotDecision>& decisions, uint64_t work, Endpoint& place, bool isBatch, MonotonicTime now)
 {
     ++(isBatch ? place.own.batch : place.own.online);
+    place.changedAt = now;
     m_running[work] = { place.record.id, isBatch, place.record.service, now };
     decisions.push_back({ SlotDecision::Kind::Start, work, place.record.id, {} });
 }
@@ -430,7 +450,7 @@
     for (const auto& [node, peer] : m_peers) {
         if (node > m_place.node)
             break;
-        if (const auto use = peer.use.find(key); use != peer.use.end())
+        if (const auto use = peer.said.use.find(key); use != peer.said.use.end())
             excess -= std::min(excess, use->second.batch);
     }
     return std::min(excess, place.own.batch);
@@ -453,7 +473,8 @@
     for (auto& [id, it] : m_endpoints) {
         if (it.record.service != work.service || isAvoided(it, work.excluded, now))
             continue;
-        if (it.total() >= batchSlots(it.record.slotCount))
+        const uint32_t capacity = batchSlots(it.record.slotCount);
+        if (it.total() >= capacity || !isOwnTurn(it, capacity - it.total(), it.changedAt, now))
             continue;
         const double cost = static_cast<double>(it.total()) / it.record.slotCount + distance(it) + slowness(it, now)
             + m_random.unit() * randomSlots / it.record.slotCount;
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -73,6 +73,19 @@
     auto operator<=>(const SlotUse&) const = default;
 };
 
+/// What a peer says of itself.
+struct PeerUse {
+    std::string failureDomain;
+    /// Slots in use, by endpoint key.
+    std::unordered_map<uint32_t, SlotUse> use;
+    /// Online requests that wait there.
+    uint32_t waiting { 0 };
+    /// Time after which the peer is taken to be gone, and its work with it, unless it says more.
+    Milliseconds lifetime { 1'500 };
+
+    bool operator==(const PeerUse&) const = default;
+};
+
 /// How an endpoint treated a piece of work, as far as its reputation is concerned.
 enum class EndpointOutcome : uint8_t {
     Answered,
@@ -115,11 +128,14 @@
     /// Notes that work which was started has ended.
     void ended(uint64_t work, EndpointOutcome, MonotonicTime now);
 
-    /// Replaces what a peer runs, by endpoint key, and the number of online requests that wait there.
-    void setPeerUse(
-        const std::string& node, const std::unordered_map<uint32_t, SlotUse>&, uint32_t waiting, MonotonicTime now);
+    /// Replaces what a peer said last.
+    void setPeerUse(const std::string& node, const PeerUse&, MonotonicTime now);
     void removePeer(const std::string& node);
 
+    /// Sets how old the reports from other failure domains of the region may be. The older they are, the more the own
+    /// failure domain is preferred, because work that goes elsewhere may find the slots taken.
+    void setReportInterval(Milliseconds interval) { m_reportInterval = interval; }
+
     /// Notes how long work takes at the endpoint, in percent of the usual.
     void setWorkTime(const std::string& endpoint, uint32_t percent, MonotonicTime now);
 
@@ -145,8 +161,14 @@
         SlotUse peers;
         uint32_t failures { 0 };
         MonotonicTime avoidedUntil;
-        /// When the online use by any node changed last.
+        /// When the online use, or any use, by any node changed last.
         MonotonicTime onlineChangedAt;
+        MonotonicTime changedAt;
+        /// Nodes before this one in the order for the endpoint, as of a generation of the peers.
+        uint32_t nodesBefore { 0 };
+        uint64_t nodesBeforeGeneration { 0 };
+        /// This node's own preference, from 0 to 1; lower comes first.
+        double preference { 0 };
         /// When online work of this node ended here last.
         MonotonicTime ownEndedAt;
         uint32_t workTimePercent { 100 };
@@ -164,13 +186,12 @@
     };
 
     struct Peer {
-        std::unordered_map<uint32_t, SlotUse> use;
-        uint32_t waiting { 0 };
+        PeerUse said;
         MonotonicTime heardAt;
     };
 
     void addPeerUse(const Peer&, bool isAdded);
-    void noteOnlineChanges(const Peer& before, const Peer& after, MonotonicTime now);
+    void noteChanges(const PeerUse& before, const PeerUse& after, MonotonicTime now);
     void expirePeers(MonotonicTime now);
     Endpoint* endpoint(const std::string& id);
     void decideOnline(std::vector<SlotDecision>&, MonotonicTime now);
@@ -180,10 +201,9 @@
     Endpoint* chooseForBatch(const BatchWork&, MonotonicTime now);
     bool isAvoided(const Endpoint&, const std::vector<std::string>& excluded, MonotonicTime now) const;
     /// Returns whether it is this node's turn to take a slot that has just become free.
-    bool isOwnTurn(const Endpoint&, MonotonicTime now) const;
+    bool isOwnTurn(Endpoint&, uint32_t free, MonotonicTime since, MonotonicTime now) const;
+    uint32_t nodesBefore(Endpoint&) const;
     double distance(const Endpoint&) const;
-    /// Returns how far down the endpoint is in this node's own order, from 0 to 1.
-    double preference(const Endpoint&) const;
     double slowness(const Endpoint&, MonotonicTime now) const;
     void startWork(std::vector<SlotDecision>&, uint64_t work, Endpoint&, bool isBatch, MonotonicTime now);
     void yieldOne(std::vector<SlotDecision>&, Endpoint&);
@@ -198,7 +218,10 @@
     std::map<std::string, Endpoint> m_endpoints;
     std::unordered_map<uint32_t, std::string> m_idsByKey;
     std::map<std::string, Peer> m_peers;
+    /// Rises when a peer comes or goes.
+    uint64_t m_peerGeneration { 1 };
     uint32_t m_peersWaiting { 0 };
+    Milliseconds m_reportInterval { 0 };
     std::vector<OnlineWork> m_online;
     std::vector<BatchWork> m_batch;
     std::unordered_map<uint64_t, Running> m_running;
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -155,7 +155,8 @@
         std::make_shared<const GatewayConfiguration>() }
     , m_peers(
           { m_node, settings.node.failureDomain, settings.gateway->peerAddress, settings.gateway->regions }, m_clock,
-          [this] { return makeReport(); }, [this](const PeerReport& report) { takeReport(report); })
+          [this] { return makeReport(); },
+          [this](const PeerReport& report, Milliseconds lifetime) { takeReport(report, lifetime); })
     , m_jobs(m_environment, m_store, m_peers, m_node)
     , m_handler(m_environment, m_jobs)
     , m_configurationListener(std::make_unique<ConfigurationListener>(*this))
@@ -241,9 +242,10 @@
     return report;
 }
 
-void Gateway::takeReport(const PeerReport& report)
+void Gateway::takeReport(const PeerReport& report, Milliseconds lifetime)
 {
-    m_scheduler.setPeerUse(report.node, report.use, report.waiting, m_clock.now());
+    m_scheduler.setReportInterval(m_peers.regionInterval());
+    m_scheduler.setPeerUse(report.node, { report.failureDomain, report.use, report.waiting, lifetime }, m_clock.now());
     m_broker.schedulePoll();
 }
 
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -54,7 +54,7 @@
     void tick();
     bool isReady() const;
     PeerReport makeReport() const;
-    void takeReport(const PeerReport&);
+    void takeReport(const PeerReport&, Milliseconds lifetime);
     void checkStopped();
     QByteArray metricsText();
 
--- a/Tests/LibGateway/SlotWorld.h
+++ b/Tests/LibGateway/SlotWorld.h
@@ -54,8 +54,9 @@
         for (size_t n = 0; n < options.nodes; ++n) {
             m_nodes.push_back(std::make_unique<Node>(options.seed * 100 + n));
             m_nodes.back()->name = "n" + std::to_string(n);
+            m_nodes.back()->failureDomain = "z" + std::to_string(n % 3);
             m_nodes.back()->scheduler = std::make_unique<SlotScheduler>(
-                SlotScheduler::Place { m_nodes.back()->name, "z" + std::to_string(n % 3), regions },
+                SlotScheduler::Place { m_nodes.back()->name, m_nodes.back()->failureDomain, regions },
                 m_nodes.back()->random);
             m_nodes.back()->scheduler->setEndpoints(records);
         }
@@ -110,6 +111,7 @@
         }
 
         std::string name;
+        std::string failureDomain;
         SeededRandom random;
         std::unique_ptr<SlotScheduler> scheduler;
         std::map<uint64_t, Work> work;
@@ -168,7 +170,8 @@
             for (const auto& to : m_nodes) {
                 // An unchanged report still shows that the peer is alive.
                 if (to != from)
-                    to->scheduler->setPeerUse(from->name, from->delivered.use, from->delivered.waiting, m_clock.now());
+                    to->scheduler->setPeerUse(from->name,
+                        { from->failureDomain, from->delivered.use, from->delivered.waiting }, m_clock.now());
             }
         }
     }
--- a/Tests/LibGateway/TestSlotScheduler.cpp
+++ b/Tests/LibGateway/TestSlotScheduler.cpp
@@ -42,7 +42,7 @@
 
     void setPeer(const std::string& node, SlotUse use, const std::string& endpoint = "a", uint32_t waiting = 0)
     {
-        scheduler.setPeerUse(node, { { SlotScheduler::endpointKey(endpoint), use } }, waiting, clock.now());
+        scheduler.setPeerUse(node, { "z1", { { SlotScheduler::endpointKey(endpoint), use } }, waiting }, clock.now());
     }
 };
 
@@ -115,10 +115,10 @@
         CHECK(nodes[name]->poll(clock.now()).size() == 2);
     }
     const uint32_t key = SlotScheduler::endpointKey("a");
-    nodes["n1"]->setPeerUse("n2", { { key, { 0, 2 } } }, 0, clock.now());
-    nodes["n1"]->setPeerUse("n3", { { key, { 4, 0 } } }, 0, clock.now());
-    nodes["n2"]->setPeerUse("n1", { { key, { 0, 2 } } }, 0, clock.now());
-    nodes["n2"]->setPeerUse("n3", { { key, { 4, 0 } } }, 0, clock.now());
+    nodes["n1"]->setPeerUse("n2", { "z1", { { key, { 0, 2 } } } }, clock.now());
+    nodes["n1"]->setPeerUse("n3", { "z1", { { key, { 4, 0 } } } }, clock.now());
+    nodes["n2"]->setPeerUse("n1", { "z1", { { key, { 0, 2 } } } }, clock.now());
+    nodes["n2"]->setPeerUse("n3", { "z1", { { key, { 4, 0 } } } }, clock.now());
     CHECK(count(nodes["n1"]->poll(clock.now()), Kind::Yield) + count(nodes["n2"]->poll(clock.now()), Kind::Yield) == 2);
 }
 
