--- /dev/null
+++ b/Tests/LibGateway/TestPeerGroup.cpp
@@ -0,0 +1,83 @@
+#include <LibCore/SystemClock.h>
+#include <LibGateway/PeerGroup.h>
+
+#include <Tests/Support/SimulatedClock.h>
+#include <Tests/Support/WaitFor.h>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+/// Returns a free UDP port of the loopback address.
+uint16_t freePort()
+{
+    QUdpSocket socket;
+    socket.bind(QHostAddress::LocalHost);
+    return socket.localPort();
+}
+
+/// A node that keeps what it hears.
+struct PeerNode {
+    std::string address { "127.0.0.1:" + std::to_string(freePort()) };
+    PeerReport own;
+    std::map<std::string, PeerReport> heard;
+    std::map<std::string, Milliseconds> lifetimes;
+    PeerGroup group;
+
+    PeerNode(const std::string& name, const std::string& domain, const Clock& clock)
+        : group(
+            { name, domain, address, { { "z1", "r1" }, { "z2", "r1" }, { "z3", "r2" } } }, clock,
+            [this] { return own; },
+            [this](const PeerReport& report, Milliseconds lifetime) {
+                heard[report.node] = report;
+                lifetimes[report.node] = lifetime;
+            })
+    {
+        group.start();
+    }
+};
+
+}
+
+// Guards against nodes that do not find each other when only one of them knows the other's address.
+TEST_CASE("a node that gets a report answers with its own")
+{
+    SystemClock clock;
+    PeerNode first("n1", "z1", clock);
+    PeerNode second("n2", "z3", clock);
+    second.own.waiting = 7;
+    second.own.isStoreReachable = true;
+    first.group.addAddress("n2", second.address);
+    REQUIRE(waitFor([&] { return first.group.isAlive("n2") && second.group.isAlive("n1"); }));
+    CHECK(first.heard["n2"].waiting == 7);
+    CHECK(first.heard["n2"].failureDomain == "z3");
+    CHECK(first.group.canRunJobs("n2"));
+    CHECK(first.group.nodesForJobs() == std::vector<std::string> { "n2" });
+    CHECK_FALSE(second.group.canRunJobs("n1"));
+
+    // A change reaches the peers without waiting for them to ask.
+    second.own.isLeaving = true;
+    second.group.noteChange();
+    CHECK(waitFor([&] { return first.heard["n2"].isLeaving; }));
+    CHECK_FALSE(first.group.canRunJobs("n2"));
+}
+
+// Guards against a node that counts as alive for ever, and against one that is never heard but counts.
+TEST_CASE("a silent node is not alive")
+{
+    SimulatedClock clock;
+    PeerNode first("n1", "z1", clock);
+    PeerNode second("n2", "z1", clock);
+    CHECK_FALSE(first.group.isAlive("n2"));
+    first.group.addAddress("n2", second.address);
+    CHECK_FALSE(first.group.isAlive("n2"));
+    second.group.addAddress("n1", first.address);
+    REQUIRE(waitFor([&] {
+        clock.advance(Milliseconds { 1 });
+        return first.group.isAlive("n2");
+    }));
+    clock.advance(first.lifetimes["n2"] + Milliseconds { 1 });
+    CHECK_FALSE(first.group.isAlive("n2"));
+    CHECK_FALSE(first.group.canRunJobs("n2"));
+}
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -8,6 +8,8 @@
 #include <QPointer>
 #include <QTimer>
 
+#include <sys/socket.h>
+
 using namespace Chicorydock;
 using Phase = HttpFailure::Phase;
 using Reason = HttpFailure::Reason;
@@ -262,3 +264,92 @@
     CHECK(server.arrivals("POST /work") == 1);
     CHECK_FALSE(observer.hasEnded());
 }
+
+// Guards against a late answer to an earlier request that is taken for the answer to the next one.
+TEST_CASE("an answer that repeats another identifier is passed over")
+{
+    const QByteArray stale = "HTTP/1.1 200 OK\r\nX-Call-Id: 6\r\nContent-Length: 3\r\n\r\nold";
+    const QByteArray own = "HTTP/1.1 200 OK\r\nX-Call-Id: 7\r\nContent-Length: 3\r\n\r\nnew";
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) { socket.write(stale + own); });
+    PooledHttpClient client;
+    HttpCallRequest request = makeRequest(server.address());
+    request.echoedField = "X-Call-Id";
+    const RecordingObserver observer = run(client, request);
+    CHECK(observer.finished == 1);
+    CHECK(observer.body == "new");
+}
+
+// Guards against bytes behind an answer that become the beginning of the next one.
+TEST_CASE("a connection with bytes behind the answer is not used again")
+{
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write(QByteArray(okAnswer) + "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra");
+    });
+    PooledHttpClient client;
+    for (int n = 1; n <= 3; ++n) {
+        const RecordingObserver observer = run(client, makeRequest(server.address()));
+        CHECK(observer.body == "ok");
+        CHECK(server.connections() == n);
+    }
+}
+
+// Guards against an answer without a length that passes for a whole one after a reset, and against a whole one that
+// does not.
+TEST_CASE("an answer without a length is whole if its connection ends in order")
+{
+    const bool isReset = GENERATE(true, false);
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write("HTTP/1.1 200 OK\r\n\r\nall of it");
+        if (isReset) {
+            socket.flush();
+            socket.waitForBytesWritten();
+            const linger option { .l_onoff = 1, .l_linger = 0 };
+            ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+            socket.abort();
+        } else {
+            socket.disconnectFromHost();
+        }
+    });
+    PooledHttpClient client;
+    const RecordingObserver observer = run(client, makeRequest(server.address()));
+    CHECK(observer.finished == (isReset ? 0 : 1));
+    if (!isReset)
+        CHECK(observer.body == "all of it");
+}
+
+// Guards against an interim answer that is taken for the answer.
+TEST_CASE("interim answers are passed over")
+{
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + QByteArray(okAnswer));
+    });
+    PooledHttpClient client;
+    const RecordingObserver observer = run(client, makeRequest(server.address()));
+    CHECK(observer.status == 200);
+    CHECK_FALSE(observer.headers.find("Link"));
+    CHECK(observer.body == "ok");
+}
+
+// Guards against a request that crosses the close of a connection which the server announced to close.
+TEST_CASE("a connection is not used again after the server closes it or its stated time is nearly over")
+{
+    const QByteArray field = GENERATE("Connection: close", "Keep-Alive: timeout=0");
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write("HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 2\r\n\r\nok");
+    });
+    PooledHttpClient client;
+    CHECK(run(client, makeRequest(server.address())).finished == 1);
+    CHECK(run(client, makeRequest(server.address())).finished == 1);
+    CHECK(server.connections() == 2);
+}
+
+// Guards against bytes that are no HTTP and pass for an answer.
+TEST_CASE("bytes that are no answer fail the call")
+{
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) { socket.write("garbage\r\n\r\n"); });
+    PooledHttpClient client;
+    const RecordingObserver observer = run(client, makeRequest(server.address()));
+    REQUIRE(observer.failure);
+    CHECK(observer.failure->reason == Reason::Protocol);
+    CHECK(observer.failure->phase == Phase::Sent);
+}
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -62,12 +62,19 @@
 policy = "naive"
 region_bytes_per_second = 0
 batch_gap_allowance = 0.5
+[gateway]
+status_address = "127.0.0.1:0"
+peer_address = "127.0.0.1:7001"
+regions = { bajio-1 = "bajio", noroeste-1 = "noroeste" }
 )",
         "s.toml");
     CHECK(settings.rpc == Settings::Rpc { "[::1]:8081", { "127.0.0.1:1" } });
     CHECK(settings.batch == Settings::Batch { 7, Milliseconds { 900 }, 2, 5 });
     CHECK(settings.log == Settings::Log { "debug", "events.jsonl", 11 });
     CHECK(settings.scheduler == Settings::Scheduling { "naive", 0, 0.5 });
+    CHECK(settings.gateway
+        == Settings::Gateway {
+            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } } });
     CHECK(settings.http.defaultDeadlineMs == Milliseconds { 60'000 });
 }
 
@@ -137,3 +144,13 @@
     CHECK_THROWS_AS(loadSettings("/nonexistent/settings.toml"), Error);
     CHECK_THROWS_AS(loadSettings("/"), Error);
 }
+
+// Guards against a node that serves in another way than its operator meant because of a half-filled table.
+TEST_CASE("the gateway's table is optional, and its addresses are required in it")
+{
+    CHECK_FALSE(parseSettings(validText, "s.toml").gateway);
+    const std::string problems = problemsOf(validText + "[gateway]\nregions = { a = 1 }\n");
+    CHECK(problems.find("gateway.status_address") != std::string::npos);
+    CHECK(problems.find("gateway.peer_address") != std::string::npos);
+    CHECK(problems.find("gateway.regions.a") != std::string::npos);
+}
