chicorydock: Explain what logs tell of a request; wait for peers after an outage of the store

Ruled out: a kill of the owner (it logged on), a wrong fence (the owner's later commit was refused, as it must be).

Change: no claims within 1.2 s after the store came back, as after a start. A test plays the outage.

--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -12,8 +12,9 @@
     /// Content that fits one transaction with its record; larger content becomes an object.
     constexpr qsizetype maxInputRowBytes = 400'000;
 
-    /// After its start a node has not heard of all peers yet.
-    constexpr Milliseconds startGrace { 1'000 };
+    /// After its start, and after an outage of the store, a node has not heard of all peers yet that they live and have
+    /// the store. Claiming their jobs then would cost what they received since their last checkpoint.
+    constexpr Milliseconds claimGrace { 1'200 };
 
     /// Nodes claim a job one after the other, so that usually only one tries.
     constexpr Milliseconds claimInterval { 500 };
@@ -54,7 +55,6 @@
     , m_store(store)
     , m_peers(peers)
     , m_node(std::move(node))
-    , m_startedAt(environment.clock.now())
 {
 }
 
@@ -218,7 +218,12 @@
     tick();
 }
 
-void JobController::onReachableChanged(bool isReachable) { m_isReachable = isReachable; }
+void JobController::onReachableChanged(bool isReachable)
+{
+    if (isReachable && !m_isReachable)
+        m_reachableSince = m_environment.clock.now();
+    m_isReachable = isReachable;
+}
 
 bool JobController::isOrphan(const JobHead& record) const
 {
@@ -245,7 +250,7 @@
 void JobController::tick()
 {
     const MonotonicTime now = m_environment.clock.now();
-    if (m_isLeaving || !m_isReachable || now < m_startedAt + startGrace)
+    if (m_isLeaving || !m_isReachable || now < m_reachableSince + claimGrace)
         return;
     for (const auto& [id, record] : m_records) {
         if (record.state != JobHead::State::Open || m_loading.contains(id) || m_owned.contains(id))
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -95,8 +95,8 @@
     std::set<std::string> m_loading;
     std::map<std::string, MonotonicTime> m_orphanSince;
     std::function<void(const std::string&)> m_onListed;
-    const MonotonicTime m_startedAt;
     bool m_isReachable { false };
+    MonotonicTime m_reachableSince;
     bool m_isLeaving { false };
     size_t m_releasing { 0 };
     std::shared_ptr<bool> m_lifetime { std::make_shared<bool>(true) };
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -270,6 +270,30 @@
     CHECK(second.jobs->ownedJobs() + third.jobs->ownedJobs() == 1);
 }
 
+// Guards against jobs that change their node when the store comes back, because it comes back at one node first.
+TEST_CASE("after an outage of the store jobs stay with their nodes")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode owner(store, "n1");
+    JobNode other(store, "n2");
+    REQUIRE_FALSE(owner.submit(makeJob("j")));
+    other.peers.alive = { "n1" };
+    other.follow();
+    other.passTime(std::chrono::seconds { 6 });
+
+    // During the outage no node can run jobs; afterwards the news of the owner is one report late.
+    other.jobs->onReachableChanged(false);
+    other.peers.alive = {};
+    other.passTime(std::chrono::seconds { 6 });
+    other.jobs->onReachableChanged(true);
+    other.passTime(Milliseconds { 750 });
+    other.peers.alive = { "n1" };
+    other.passTime(std::chrono::seconds { 6 });
+    CHECK(other.jobs->ownedJobs() == 0);
+    CHECK(owner.jobs->ownedJobs() == 1);
+}
+
 // Guards against received output that is lost at a planned stop.
 TEST_CASE("a released job goes on behind the last event at the next node")
 {
--- /dev/null
+++ b/Tests/Utilities/chicorydock/TestExplain.cpp
@@ -0,0 +1,63 @@
+#include <Tests/Utilities/chicorydock/ToolFixture.h>
+
+#include <QJsonArray>
+
+using namespace Chicorydock;
+
+namespace {
+
+QByteArray line(int wallMilliseconds, const char* node, const char* subject, const char* action, const char* id,
+    const QJsonObject& details = {})
+{
+    const QJsonObject object { { "wall_ms", wallMilliseconds }, { "sequence", 1 }, { "node", node },
+        { "subject", subject }, { "action", action }, { "id", id }, { "details", details } };
+    return QJsonDocument(object).toJson(QJsonDocument::Compact) + '\n';
+}
+
+}
+
+// Guards against a story that lacks what another process did, or tells it in the wrong order.
+TEST_CASE_METHOD(ToolFixture, "explain merges what all processes tell of a request")
+{
+    const auto first = writeFile("a.log",
+        (line(30, "n1", "request", "finished", "q1", { { "outcome", "endpoint_failed" } })
+            + line(10, "n1", "request", "moved", "q1", { { "reason", "the endpoint was silent" } })
+            + line(20, "n1", "request", "finished", "other"))
+            .toStdString());
+    // Bench and collectors put their own text in front of a line.
+    const auto second = writeFile("b.log",
+        ("  39.58 edge-1 " + line(5, "n2", "request", "refused", "q1") + "half a line {\"subj\nplain text\n")
+            .toStdString());
+    REQUIRE(run({ "explain", "q1", first, second, "--json" }) == 0);
+    const QJsonArray lines = outJson()["lines"].toArray();
+    REQUIRE(lines.size() == 3);
+    CHECK(lines[0].toObject()["node"] == "n2");
+    CHECK(lines[1].toObject()["action"] == "moved");
+    CHECK(lines[2].toObject()["action"] == "finished");
+    CHECK_THAT(err(), Catch::Contains("skipped 2 of 6 lines"));
+    REQUIRE(run({ "explain", "q1", first, second }) == 0);
+    CHECK_THAT(out(), Catch::Contains("the endpoint was silent"));
+}
+
+// Guards against an item whose late end was decided by what happened to its job.
+TEST_CASE_METHOD(ToolFixture, "explain tells of the job of an item, and of the items of a job")
+{
+    const auto file = writeFile("a.log",
+        (line(10, "n1", "job", "accepted", "j1") + line(20, "n2", "job", "claimed", "j1")
+            + line(30, "n2", "item", "given_up", "i1", { { "job", "j1" } })
+            + line(40, "n2", "item", "completed", "i2", { { "job", "j1" } }))
+            .toStdString());
+    REQUIRE(run({ "explain", "i1", file, "--json" }) == 0);
+    CHECK(outJson()["lines"].toArray().size() == 3);
+    REQUIRE(run({ "explain", "j1", file, "--json" }) == 0);
+    CHECK(outJson()["lines"].toArray().size() == 4);
+}
+
+// Guards against an unknown identifier that looks like a request without trouble.
+TEST_CASE_METHOD(ToolFixture, "explain fails for an unknown identifier and an unreadable file")
+{
+    const auto file = writeFile("a.log", line(10, "n1", "job", "accepted", "j1").toStdString());
+    CHECK(run({ "explain", "nobody", file }) == 1);
+    CHECK_THAT(err(), Catch::Contains("no line of 1 tells of \"nobody\""));
+    CHECK(run({ "explain", "j1", file + ".none" }) == 2);
+}
--- a/Utilities/chicorydock/Commands.cpp
+++ b/Utilities/chicorydock/Commands.cpp
@@ -8,20 +8,27 @@
 #include <LibSettings/TomlTable.h>
 #include <Utilities/chicorydock/DeclarationFile.h>
 #include <Utilities/chicorydock/JobFile.h>
+#include <Utilities/chicorydock/LogStory.h>
 #include <Utilities/chicorydock/OperatorJson.h>
 #include <Utilities/chicorydock/TextTable.h>
+#include <Utilities/chicorydock/ToolFailure.h>
 
 #include <QDateTime>
+#include <QJsonArray>
 #include <QJsonDocument>
 
 #include <algorithm>
+#include <fstream>
 #include <iomanip>
+#include <iostream>
 #include <sstream>
 
 namespace Chicorydock {
 
 namespace {
 
+    constexpr size_t maxLogFiles = 1'000;
+
     constexpr uint32_t resultsPerPage = 1'000;
     /// Time between two questions for results that are not there yet.
     constexpr Milliseconds resultsPollInterval { 1'000 };
@@ -326,6 +333,47 @@
         table.print(context.out);
     }
 
+    LogStory readStory(const std::vector<std::string>& arguments)
+    {
+        LogStory story(arguments[0]);
+        if (arguments.size() == 1) {
+            story.read(std::cin);
+            return story;
+        }
+        for (size_t n = 1; n < arguments.size(); ++n) {
+            std::ifstream file(arguments[n]);
+            if (!file)
+                throw ToolFailure::usage("cannot read " + arguments[n]);
+            story.read(file);
+        }
+        return story;
+    }
+
+    void runExplain(CommandContext& context)
+    {
+        const LogStory story = readStory(context.arguments);
+        const std::vector<QJsonObject> lines = story.lines();
+        if (story.unreadableLines() > 0)
+            context.err << "skipped " << story.unreadableLines() << " of " << story.totalLines()
+                        << " lines that are no JSON objects\n";
+        if (lines.empty())
+            throw Error(ErrorKind::NotFound,
+                "no line of " + std::to_string(story.totalLines()) + " tells of \"" + context.arguments[0] + "\"");
+        if (context.line.isJson) {
+            QJsonArray array;
+            for (const QJsonObject& it : lines)
+                array.append(it);
+            context.out << toLine({ { "lines", array } }) << "\n";
+            return;
+        }
+        TextTable table({ "time", "node", "subject", "action", "id", "details" });
+        for (const QJsonObject& it : lines)
+            table.addRow({ formatTime(it["wall_ms"].toInteger()), it["node"].toString().toStdString(),
+                it["subject"].toString().toStdString(), it["action"].toString().toStdString(),
+                it["id"].toString().toStdString(), toLine(it["details"].toObject()) });
+        table.print(context.out);
+    }
+
     void runDigest(CommandContext& context)
     {
         const std::string digest = sha256Hex(context.arguments[0]);
@@ -354,6 +402,10 @@
             { { "timeline" }, 0, 1, "timeline [ID]",
                 "Merges the newest events of all given nodes, of one request, job or endpoint if ID is given.",
                 runTimeline },
+            { { "explain" }, 1, maxLogFiles + 1, "explain ID [FILE...]",
+                "Prints what the logs of several processes tell of a request, job or item, in order. Reads standard "
+                "input if no file is given.",
+                runExplain },
             { { "digest" }, 1, 1, "digest KEY", "Prints the digest of a caller's key for declarations.", runDigest },
         };
         return commands;
