LibGateway: Run items that can be on time before those that cannot

Cause: with more items than slots all items ran in the order of their due times, so each started shortly before it was late.

Change: the scheduler learns how long items hold slots, counts what an item had already, and runs those that can still be done in time first; of running items, those that are late in any case yield first.

--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -79,6 +79,7 @@
     BatchWork work;
     work.service = chooseService(*route, m_environment.random.unit());
     work.dueAt = m_job.dueAt;
+    work.slotTimeUsed = m_slotTimeUsed;
     m_work = m_environment.broker.submit(std::move(work), *this);
 }
 
@@ -87,6 +88,7 @@
 void ItemRun::onSlot(const std::string& endpoint)
 {
     m_hasSlot = true;
+    m_slotTakenAt = m_environment.clock.now();
     m_endpoint = endpoint;
     const auto record = m_environment.directory.find(endpoint);
     if (!record) {
@@ -111,10 +113,16 @@
 // Work of jobs waits as long as it takes.
 void ItemRun::onRefused(Milliseconds) { requestSlotLater(); }
 
+void ItemRun::countSlotTime()
+{
+    m_slotTimeUsed += std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - m_slotTakenAt);
+}
+
 void ItemRun::onYield()
 {
     m_work = 0;
     m_hasSlot = false;
+    countSlotTime();
     m_call.reset();
     requestSlot();
 }
@@ -193,10 +201,12 @@
     if (m_work == 0)
         return;
     const uint64_t work = std::exchange(m_work, 0);
-    if (std::exchange(m_hasSlot, false))
+    if (std::exchange(m_hasSlot, false)) {
+        countSlotTime();
         m_environment.broker.ended(work, outcome);
-    else
+    } else {
         m_environment.broker.withdraw(work);
+    }
 }
 
 void ItemRun::finish(bool isCompleted, const std::string& reason)
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -60,6 +60,7 @@
     void requestSlot();
     void requestSlotLater();
     void releaseSlot(EndpointOutcome);
+    void countSlotTime();
     void handleFailure(const std::string& reason);
     void finish(bool isCompleted, const std::string& reason);
     void logStep(std::string_view action, const std::string& reason) const;
@@ -83,6 +84,9 @@
     qsizetype m_takenBytes { 0 };
     /// Runs that the endpoint itself called failed.
     uint32_t m_failedRuns { 0 };
+    MonotonicTime m_slotTakenAt;
+    /// Time for which runs of the item have held a slot.
+    Milliseconds m_slotTimeUsed { 0 };
     QTimer m_retryTimer;
 };
 
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -172,12 +172,27 @@
         return;
     if (place)
         place->failures = 0;
-    if (!running.isBatch) {
-        Milliseconds& mean = m_holdTimes.try_emplace(running.service, defaultHoldTime).first->second;
-        const double held = toSeconds(now - running.startedAt) * 1000;
-        const double old = static_cast<double>(mean.count());
-        mean = Milliseconds { std::lround(old + (held - old) * holdTimeWeight) };
-    }
+    const auto held = std::chrono::duration_cast<Milliseconds>(now - running.startedAt);
+    if (running.isBatch)
+        learnHoldTime(m_itemTimes, running.service, held + running.slotTimeUsed);
+    else
+        learnHoldTime(m_holdTimes, running.service, held);
+}
+
+void SlotScheduler::learnHoldTime(
+    std::map<std::string, Milliseconds>& means, const std::string& service, Milliseconds held)
+{
+    Milliseconds& mean = means.try_emplace(service, held).first->second;
+    const double old = static_cast<double>(mean.count());
+    mean = Milliseconds { std::lround(old + (static_cast<double>(held.count()) - old) * holdTimeWeight) };
+}
+
+bool SlotScheduler::isTooLate(
+    const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const
+{
+    const auto it = m_itemTimes.find(service);
+    const Milliseconds whole = it == m_itemTimes.end() ? Milliseconds { 0 } : it->second;
+    return now + std::max(whole - slotTimeUsed, Milliseconds { 0 }) > dueAt;
 }
 
 void SlotScheduler::addPeerUse(const Peer& peer, bool isAdded)
@@ -261,7 +276,7 @@
     std::vector<SlotDecision> decisions;
     expirePeers(now);
     decideOnline(decisions, now);
-    decideYields(decisions);
+    decideYields(decisions, now);
     decideBatch(decisions, now);
     return decisions;
 }
@@ -279,7 +294,7 @@
     for (OnlineWork& work : m_online) {
         if (Endpoint* place = chooseForOnline(work, now)) {
             if (place->total() >= place->record.slotCount && place->own.batch > 0)
-                yieldOne(decisions, *place);
+                yieldOne(decisions, *place, now);
             startWork(decisions, work.id, *place, false, now);
             continue;
         }
@@ -421,26 +436,39 @@
 {
     ++(isBatch ? place.own.batch : place.own.online);
     place.changedAt = now;
-    m_running[work] = { place.record.id, isBatch, place.record.service, now };
+    m_running[work] = { place.record.id, isBatch, place.record.service, now, {}, {} };
     decisions.push_back({ SlotDecision::Kind::Start, work, place.record.id, {} });
 }
 
-void SlotScheduler::yieldOne(std::vector<SlotDecision>& decisions, Endpoint& place)
+void SlotScheduler::startItem(
+    std::vector<SlotDecision>& decisions, const BatchWork& work, Endpoint& place, MonotonicTime now)
 {
-    // The item that started last has received the least, so its prompt is the cheapest to read again.
-    const std::pair<const uint64_t, Running>* latest = nullptr;
+    startWork(decisions, work.id, place, true, now);
+    Running& running = m_running.at(work.id);
+    running.dueAt = work.dueAt;
+    running.slotTimeUsed = work.slotTimeUsed;
+}
+
+void SlotScheduler::yieldOne(std::vector<SlotDecision>& decisions, Endpoint& place, MonotonicTime now)
+{
+    // An item that is late in any case yields first, then the one that is due last.
+    const auto order = [&](const Running& it) {
+        return std::tuple(isTooLate(it.service, it.dueAt, it.slotTimeUsed, it.startedAt), it.dueAt, it.startedAt);
+    };
+    const std::pair<const uint64_t, Running>* chosen = nullptr;
     for (const auto& it : m_running) {
         if (!it.second.isBatch || it.second.endpoint != place.record.id)
             continue;
-        if (!latest || it.second.startedAt > latest->second.startedAt)
-            latest = &it;
+        if (!chosen || order(it.second) > order(chosen->second))
+            chosen = &it;
     }
-    if (!latest)
+    if (!chosen)
         return;
-    const uint64_t work = latest->first;
+    const uint64_t work = chosen->first;
     decisions.push_back({ SlotDecision::Kind::Yield, work, place.record.id, {} });
     m_running.erase(work);
     --place.own.batch;
+    place.changedAt = now;
 }
 
 uint32_t SlotScheduler::ownShareOfYields(const Endpoint& place, uint32_t excess) const
@@ -456,13 +484,13 @@
     return std::min(excess, place.own.batch);
 }
 
-void SlotScheduler::decideYields(std::vector<SlotDecision>& decisions)
+void SlotScheduler::decideYields(std::vector<SlotDecision>& decisions, MonotonicTime now)
 {
     for (auto& [id, place] : m_endpoints) {
         if (place.own.batch == 0 || place.total() <= place.record.slotCount)
             continue;
         for (uint32_t n = ownShareOfYields(place, place.total() - place.record.slotCount); n > 0; --n)
-            yieldOne(decisions, place);
+            yieldOne(decisions, place, now);
     }
 }
 
@@ -490,12 +518,15 @@
 {
     if (m_batch.empty())
         return;
-    // Items that can still be on time go first, the most urgent in front.
-    std::ranges::stable_sort(m_batch, {}, [&](const BatchWork& it) { return std::tuple(now > it.dueAt, it.dueAt); });
+    // Items that can still be on time go first, the most urgent in front. Running the others first would make all late
+    // when there is more work than slots.
+    std::ranges::stable_sort(m_batch, {}, [&](const BatchWork& it) {
+        return std::tuple(isTooLate(it.service, it.dueAt, it.slotTimeUsed, now), it.dueAt);
+    });
     std::vector<BatchWork> waiting;
     for (BatchWork& work : m_batch) {
         if (Endpoint* place = chooseForBatch(work, now))
-            startWork(decisions, work.id, *place, true, now);
+            startItem(decisions, work, *place, now);
         else
             waiting.push_back(std::move(work));
     }
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -41,6 +41,8 @@
     /// When the item should be done to have its full worth.
     MonotonicTime dueAt;
     std::vector<std::string> excluded;
+    /// Time for which earlier runs of the item have held a slot.
+    Milliseconds slotTimeUsed { 0 };
 
     bool operator==(const BatchWork&) const = default;
 };
@@ -183,6 +185,9 @@
         bool isBatch { false };
         std::string service;
         MonotonicTime startedAt;
+        /// For items: when they are due, and how long earlier runs held a slot.
+        MonotonicTime dueAt;
+        Milliseconds slotTimeUsed { 0 };
     };
 
     struct Peer {
@@ -195,7 +200,7 @@
     void expirePeers(MonotonicTime now);
     Endpoint* endpoint(const std::string& id);
     void decideOnline(std::vector<SlotDecision>&, MonotonicTime now);
-    void decideYields(std::vector<SlotDecision>&);
+    void decideYields(std::vector<SlotDecision>&, MonotonicTime now);
     void decideBatch(std::vector<SlotDecision>&, MonotonicTime now);
     Endpoint* chooseForOnline(const OnlineWork&, MonotonicTime now);
     Endpoint* chooseForBatch(const BatchWork&, MonotonicTime now);
@@ -206,7 +211,11 @@
     double distance(const Endpoint&) const;
     double slowness(const Endpoint&, MonotonicTime now) const;
     void startWork(std::vector<SlotDecision>&, uint64_t work, Endpoint&, bool isBatch, MonotonicTime now);
-    void yieldOne(std::vector<SlotDecision>&, Endpoint&);
+    void startItem(std::vector<SlotDecision>&, const BatchWork&, Endpoint&, MonotonicTime now);
+    void yieldOne(std::vector<SlotDecision>&, Endpoint&, MonotonicTime now);
+    /// Returns whether an item can no longer be done when it is due.
+    bool isTooLate(const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const;
+    void learnHoldTime(std::map<std::string, Milliseconds>&, const std::string& service, Milliseconds held);
     uint32_t ownShareOfYields(const Endpoint&, uint32_t excess) const;
     Milliseconds expectedWait(const std::string& service, size_t ahead) const;
     Milliseconds retryAfter(const std::string& service, size_t ahead);
@@ -227,6 +236,8 @@
     std::unordered_map<uint64_t, Running> m_running;
     /// Mean time that online work of a service holds a slot.
     std::map<std::string, Milliseconds> m_holdTimes;
+    /// Mean time that an item of a service holds slots, over all its runs.
+    std::map<std::string, Milliseconds> m_itemTimes;
 };
 
 }
--- a/Tests/LibGateway/SlotWorld.h
+++ b/Tests/LibGateway/SlotWorld.h
@@ -24,6 +24,7 @@
         Milliseconds onlineHold { 750 };
         Milliseconds batchHold { 5'100 };
         Milliseconds onlineTarget { 220 };
+        Milliseconds itemTarget { 18'000 };
         Milliseconds reportDelay { 25 };
         uint64_t seed { 1 };
     };
@@ -38,6 +39,8 @@
         /// Slot time that items have had.
         Milliseconds batchSlotTime { 0 };
         size_t yields { 0 };
+        size_t itemsOnTime { 0 };
+        size_t itemsLate { 0 };
     };
 
     explicit SlotWorld(const Options& options)
@@ -65,16 +68,38 @@
     /// Plays for that long with so many online requests a second, and never fewer than `itemsWaiting` items waiting at
     /// each node.
     void run(Milliseconds duration, double onlinePerSecond, size_t itemsWaiting)
+    {
+        play(duration, onlinePerSecond, [&] {
+            for (const auto& node : m_nodes) {
+                while (node->scheduler->waitingBatch() < itemsWaiting)
+                    submitItem(*node);
+            }
+        });
+    }
+
+    /// Plays for that long with so many online requests and so many new items a second.
+    void runWithItems(Milliseconds duration, double onlinePerSecond, double itemsPerSecond)
+    {
+        play(duration, onlinePerSecond, [&] {
+            if (m_random.unit() < itemsPerSecond * toSeconds(step))
+                submitItem(*m_nodes[m_random.below(m_nodes.size())]);
+        });
+    }
+
+    const Totals& totals() const { return m_totals; }
+    void resetTotals() { m_totals = {}; }
+
+private:
+    static constexpr Milliseconds step { 5 };
+
+    template <typename AddItems> void play(Milliseconds duration, double onlinePerSecond, AddItems addItems)
     {
         const MonotonicTime end = m_clock.now() + duration;
         while (m_clock.now() < end) {
             const double expected = onlinePerSecond * toSeconds(step);
             for (double left = expected; left > 0 && m_random.unit() < left; left -= 1)
                 arrive();
-            for (const auto& node : m_nodes) {
-                while (node->scheduler->waitingBatch() < itemsWaiting)
-                    submitItem(*node);
-            }
+            addItems();
             deliverReports();
             for (size_t n = 0; n < m_nodes.size(); ++n)
                 decide(n);
@@ -83,18 +108,14 @@
         }
     }
 
-    const Totals& totals() const { return m_totals; }
-    void resetTotals() { m_totals = {}; }
-
-private:
-    static constexpr Milliseconds step { 5 };
-
     struct Work {
         size_t node { 0 };
         uint64_t id { 0 };
         bool isBatch { false };
         MonotonicTime arrival;
         Milliseconds left { 0 };
+        /// For items.
+        MonotonicTime dueAt;
     };
 
     struct Report {
@@ -132,7 +153,7 @@
         const MonotonicTime now = m_clock.now();
         Node& node = *m_nodes[n];
         const uint64_t id = ++m_lastWork;
-        node.work[id] = { n, id, false, now, m_options.onlineHold };
+        node.work[id] = { n, id, false, now, m_options.onlineHold, {} };
         node.scheduler->submit(
             OnlineWork { id, "lm", 0, now + m_options.onlineTarget, now + std::chrono::seconds { 5 }, false, {} }, now);
         ++m_totals.onlineArrivals;
@@ -142,8 +163,9 @@
     {
         const uint64_t id = ++m_lastWork;
         const size_t n = indexOf(node);
-        node.work[id] = { n, id, true, m_clock.now(), m_options.batchHold };
-        node.scheduler->submit(BatchWork { id, "lm", m_clock.now() + std::chrono::seconds { 18 }, {} });
+        const MonotonicTime dueAt = m_clock.now() + m_options.itemTarget;
+        node.work[id] = { n, id, true, m_clock.now(), m_options.batchHold, dueAt };
+        node.scheduler->submit(BatchWork { id, "lm", dueAt, {} });
     }
 
     size_t indexOf(const Node& node) const
@@ -207,7 +229,8 @@
         }
         std::erase_if(endpoint.running, [&](const Work& it) { return it.id == decision.work; });
         std::erase_if(endpoint.queue, [&](const Work& it) { return it.id == decision.work; });
-        node.scheduler->submit(BatchWork { decision.work, "lm", m_clock.now() + std::chrono::seconds { 18 }, {} });
+        const Work& work = node.work.at(decision.work);
+        node.scheduler->submit(BatchWork { decision.work, "lm", work.dueAt, {}, m_options.batchHold - work.left });
     }
 
     void serve()
@@ -218,6 +241,8 @@
                 if (it.isBatch)
                     m_totals.batchSlotTime += step;
                 if (it.left.count() <= 0) {
+                    if (it.isBatch)
+                        ++(m_clock.now() <= it.dueAt ? m_totals.itemsOnTime : m_totals.itemsLate);
                     m_nodes[it.node]->scheduler->ended(it.id, EndpointOutcome::Answered, m_clock.now());
                     m_nodes[it.node]->work.erase(it.id);
                 }
--- a/Tests/LibGateway/TestSlotScheduler.cpp
+++ b/Tests/LibGateway/TestSlotScheduler.cpp
@@ -232,6 +232,30 @@
     CHECK(decisions[0].work == urgent);
 }
 
+// Guards against items that are all late when there is more work than slots.
+TEST_CASE("an item that can no longer be on time waits behind those that can, and yields first")
+{
+    Fixture fixture;
+    fixture.scheduler.setEndpoints({ makeEndpoint("a", "z1", 1) });
+    const uint64_t learned = fixture.submitBatch();
+    fixture.poll();
+    fixture.clock.advance(std::chrono::seconds { 5 });
+    fixture.scheduler.ended(learned, EndpointOutcome::Answered, fixture.clock.now());
+    // An item takes 5 s, so one that is due in 4 s is lost, unless most of it has run.
+    fixture.submitBatch(std::chrono::seconds { 4 });
+    const uint64_t feasible = fixture.submitBatch(std::chrono::seconds { 7 });
+    auto decisions = fixture.poll();
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].work == feasible);
+    fixture.scheduler.ended(feasible, EndpointOutcome::Cancelled, fixture.clock.now());
+
+    fixture.scheduler.submit(BatchWork {
+        ++fixture.lastWork, "lm", fixture.clock.now() + std::chrono::seconds { 3 }, {}, std::chrono::seconds { 3 } });
+    decisions = fixture.poll();
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].work == fixture.lastWork);
+}
+
 // Guards against work at endpoints that left or were never there, and lost counts of work that still runs there.
 TEST_CASE("an endpoint that leaves takes no new work, and its running work ends as usual")
 {
@@ -293,3 +317,20 @@
     CHECK(totals.onlineOnTime >= 0.85 * capacity);
     CHECK(totals.onlineLate <= totals.onlineArrivals / 20);
 }
+
+// Load: the crests of the sheet on a fleet that has lost a third of its endpoints, and more items than fit. Guards
+// against items that are all late: 95 of 100 that are done must be on time.
+TEST_CASE("with more items than slots, those that are done are mostly on time")
+{
+    SlotWorld::Options options;
+    options.endpoints = 12;
+    options.seed = GENERATE(1, 2, 3);
+    SlotWorld world(options);
+    for (int n = 0; n < 12; ++n) {
+        world.runWithItems(Milliseconds { 2'400 }, 115, 18);
+        world.runWithItems(Milliseconds { 3'400 }, 24, 18);
+    }
+    const SlotWorld::Totals& totals = world.totals();
+    INFO("items on time " << totals.itemsOnTime << ", late " << totals.itemsLate);
+    CHECK(totals.itemsLate * 20 <= totals.itemsOnTime);
+}
