LibGateway: Stop items where the store is lost while other nodes have it

Ruled out: handing the results to the new owner, which needs a way around the fence.

Change: a node that is without the store for 0.7 s, while a peer has it, stops its items; they go on there if the job has not been taken over. While nobody has the store, items run on, as before.

--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -52,14 +52,19 @@
     return progress;
 }
 
-void ItemRun::stop()
+void ItemRun::suspend()
 {
-    m_isDone = true;
     m_retryTimer.stop();
     m_call.reset();
     releaseSlot(EndpointOutcome::Cancelled);
 }
 
+void ItemRun::stop()
+{
+    m_isDone = true;
+    suspend();
+}
+
 void ItemRun::requestSlot()
 {
     if (m_isDone)
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -38,6 +38,9 @@
     /// Returns what was received since the last call, or nothing if that is nothing.
     std::optional<ItemProgress> takeProgress();
 
+    /// Leaves the endpoint or the queue, until `start()` is called again.
+    void suspend();
+
     /// Stops for good, without a result.
     void stop();
 
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -16,6 +16,10 @@
     /// the store. Claiming their jobs then would cost what they received since their last checkpoint.
     constexpr Milliseconds claimGrace { 1'200 };
 
+    /// A node that is without the store for so long, while others have it, loses its jobs to them. What its items would
+    /// still receive would be received again there.
+    constexpr Milliseconds suspendDelay { 700 };
+
     /// Nodes claim a job one after the other, so that usually only one tries.
     constexpr Milliseconds claimInterval { 500 };
     constexpr size_t maxClaimRank = 4;
@@ -220,8 +224,8 @@
 
 void JobController::onReachableChanged(bool isReachable)
 {
-    if (isReachable && !m_isReachable)
-        m_reachableSince = m_environment.clock.now();
+    if (isReachable != m_isReachable)
+        (isReachable ? m_reachableSince : m_unreachableSince) = m_environment.clock.now();
     m_isReachable = isReachable;
 }
 
@@ -250,6 +254,7 @@
 void JobController::tick()
 {
     const MonotonicTime now = m_environment.clock.now();
+    suspendWithoutStore(now);
     if (m_isLeaving || !m_isReachable || now < m_reachableSince + claimGrace)
         return;
     for (const auto& [id, record] : m_records) {
@@ -265,6 +270,15 @@
     }
 }
 
+void JobController::suspendWithoutStore(MonotonicTime now)
+{
+    const bool isLost = !m_isReachable && now >= m_unreachableSince + suspendDelay;
+    // While no node has the store, the jobs stay here and their results are committed later.
+    const bool isSuspended = isLost && !m_peers.nodesForJobs().empty();
+    for (const auto& [id, job] : m_owned)
+        job->setSuspended(isSuspended);
+}
+
 void JobController::claim(const JobHead& record)
 {
     JobHead claimed = record;
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -77,6 +77,8 @@
     void own(const JobHead&, const JobContent&);
     void dropOwned(const std::string& jobId);
     bool isOrphan(const JobHead&) const;
+    /// Stops the items of this node's jobs while other nodes have the store and this one does not.
+    void suspendWithoutStore(MonotonicTime now);
     Milliseconds claimDelay(const std::string& jobId) const;
     void claim(const JobHead&);
     void load(const JobHead&);
@@ -96,7 +98,9 @@
     std::map<std::string, MonotonicTime> m_orphanSince;
     std::function<void(const std::string&)> m_onListed;
     bool m_isReachable { false };
+    /// When the store came back, or was lost.
     MonotonicTime m_reachableSince;
+    MonotonicTime m_unreachableSince;
     bool m_isLeaving { false };
     size_t m_releasing { 0 };
     std::shared_ptr<bool> m_lifetime { std::make_shared<bool>(true) };
--- a/Libraries/LibGateway/OwnedJob.cpp
+++ b/Libraries/LibGateway/OwnedJob.cpp
@@ -149,6 +149,20 @@
     m_hasEnded = true;
 }
 
+void OwnedJob::setSuspended(bool isSuspended)
+{
+    if (m_hasEnded || std::exchange(m_isSuspended, isSuspended) == isSuspended)
+        return;
+    for (const auto& it : m_runs) {
+        if (it->isDone())
+            continue;
+        if (isSuspended)
+            it->suspend();
+        else
+            it->start();
+    }
+}
+
 uint64_t OwnedJob::waitingTokens() const
 {
     uint64_t sum = 0;
--- a/Libraries/LibGateway/OwnedJob.h
+++ b/Libraries/LibGateway/OwnedJob.h
@@ -43,6 +43,9 @@
     /// Stops all items, without results.
     void stop();
 
+    /// Stops the items for a while or lets them go on. Results that are there wait for the store as before.
+    void setSuspended(bool);
+
     const JobHead& record() const { return m_record; }
 
     /// Tokens of the items without a result.
@@ -84,6 +87,7 @@
     RowTransaction m_checkpoint;
     size_t m_nextProgress { 0 };
     bool m_hasEnded { false };
+    bool m_isSuspended { false };
     QTimer m_checkpointTimer;
     QTimer m_commitTimer;
     std::shared_ptr<bool> m_lifetime { std::make_shared<bool>(true) };
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -294,6 +294,32 @@
     CHECK(owner.jobs->ownedJobs() == 1);
 }
 
+// Guards against items that run twice to their end because their node has lost the store and another node takes over.
+TEST_CASE("a node without the store stops its items while other nodes have it")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j")));
+    REQUIRE(node.http.count() == 1);
+    node.jobs->onReachableChanged(false);
+    node.passTime(std::chrono::seconds { 5 });
+    // Nobody has the store, so the item goes on.
+    CHECK_FALSE(node.http.call(0).isCancelled);
+
+    node.peers.alive = { "n2" };
+    node.passTime(std::chrono::seconds { 1 });
+    CHECK(node.http.call(0).isCancelled);
+    JobNode::settle();
+    CHECK(node.http.count() == 1);
+
+    // The job was not taken over in time, so it goes on here.
+    node.jobs->onReachableChanged(true);
+    node.passTime(std::chrono::seconds { 1 });
+    JobNode::settle();
+    CHECK(node.http.count() == 2);
+}
+
 // Guards against received output that is lost at a planned stop.
 TEST_CASE("a released job goes on behind the last event at the next node")
 {
