LibGateway: Share how work holds a slot and how a job's head is read

ForwardedCall and ItemRun both kept the number of their work and whether it had its slot, and released it in the same way; SlotHold does that once. Three methods of JobController read the head of a job from the store; they call readHead.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -60,6 +60,7 @@
     , m_onDone(std::move(onDone))
     , m_arrival(environment.clock.now())
     , m_answerBy(answerLimit(m_request, route, m_arrival))
+    , m_slot(environment.broker)
     , m_lastEventId(m_request.lastEventId.value_or(0))
 {
     for (QTimer* it : { &m_limitTimer, &m_silenceTimer })
@@ -72,7 +73,7 @@
 {
     m_exchange->setCallerGoneHandler(nullptr);
     m_call.reset();
-    releaseSlot(EndpointOutcome::Cancelled);
+    m_slot.release(EndpointOutcome::Cancelled);
 }
 
 void ForwardedCall::start()
@@ -95,17 +96,16 @@
     const bool hasUsedAttempt = m_request.deadline && *m_request.deadline + usedAttemptMargin < m_route.timeout;
     work.isLastAttempt = hasUsedAttempt || m_mayHaveRun || m_hasStreamBegun;
     work.excluded = m_excluded;
-    m_hasSlot = false;
-    m_work = m_environment.broker.submit(std::move(work), *this);
+    m_slot.request(std::move(work), *this);
 }
 
 void ForwardedCall::onSlot(const std::string& endpoint)
 {
-    m_hasSlot = true;
+    m_slot.noteStart();
     m_endpoint = endpoint;
     const auto record = m_environment.directory.find(endpoint);
     if (!record) {
-        releaseSlot(EndpointOutcome::Cancelled);
+        m_slot.release(EndpointOutcome::Cancelled);
         requestSlot();
         return;
     }
@@ -216,7 +216,7 @@
         { { "endpoint", QString::fromStdString(m_endpoint) }, { "status", m_head.status } });
     if (m_head.isOtherEndpoint)
         m_environment.directory.markReplaced(m_endpoint);
-    releaseSlot(EndpointOutcome::Cancelled);
+    m_slot.release(EndpointOutcome::Cancelled);
     m_excluded.push_back(m_endpoint);
     if (m_attempts < m_route.maxAttempts && timeLeft() > minTimeForAttempt) {
         requestSlot();
@@ -234,7 +234,7 @@
         handleFailedAttempt("the stream of the endpoint ended in the middle of an event");
         return;
     }
-    releaseSlot(EndpointOutcome::Answered);
+    m_slot.release(EndpointOutcome::Answered);
     beginStream();
     m_exchange->finishStream();
     finish("answered", "");
@@ -247,7 +247,7 @@
         handleFailedAttempt("the endpoint answered " + std::to_string(m_head.status));
         return;
     }
-    releaseSlot(EndpointOutcome::Answered);
+    m_slot.release(EndpointOutcome::Answered);
     m_firstByteAt = m_environment.clock.now();
     if (m_hasStreamBegun) {
         // The stream cannot go on: the endpoint answered the resumed run with a whole answer.
@@ -273,7 +273,7 @@
         return;
     }
     // The endpoint saw nothing of the request, so this is no attempt.
-    releaseSlot(EndpointOutcome::Failed);
+    m_slot.release(EndpointOutcome::Failed);
     m_excluded.push_back(m_endpoint);
     if (++m_failedConnections < maxFailedConnections && timeLeft() > minTimeForAttempt) {
         requestSlot();
@@ -290,7 +290,7 @@
 void ForwardedCall::handleFailedAttempt(const std::string& reason)
 {
     m_mayHaveRunBefore = true;
-    releaseSlot(EndpointOutcome::Failed);
+    m_slot.release(EndpointOutcome::Failed);
     m_excluded.push_back(m_endpoint);
     if (mayGoOnElsewhere()) {
         m_environment.log.record("request", "moved", m_request.id, {},
@@ -310,20 +310,9 @@
     handleFailedAttempt("the endpoint was silent");
 }
 
-void ForwardedCall::releaseSlot(EndpointOutcome outcome)
-{
-    if (m_work == 0)
-        return;
-    const uint64_t work = std::exchange(m_work, 0);
-    if (std::exchange(m_hasSlot, false))
-        m_environment.broker.ended(work, outcome);
-    else
-        m_environment.broker.withdraw(work);
-}
-
 void ForwardedCall::onRefused(Milliseconds retryAfter)
 {
-    m_work = 0;
+    m_slot.noteLoss();
     if (m_mayHaveRun)
         refuse(ErrorKind::EndpointFailed, "no endpoint is free for another attempt");
     else
@@ -336,14 +325,14 @@
 void ForwardedCall::handleTimeLimit()
 {
     m_call.reset();
-    releaseSlot(EndpointOutcome::Cancelled);
+    m_slot.release(EndpointOutcome::Cancelled);
     refuse(m_mayHaveRun ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineUnattainable, "the time limit was reached");
 }
 
 void ForwardedCall::handleCallerGone()
 {
     m_call.reset();
-    releaseSlot(EndpointOutcome::Cancelled);
+    m_slot.release(EndpointOutcome::Cancelled);
     finish("cancelled", "the caller closed the connection");
 }
 
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/EventStreamReader.h>
 #include <LibGateway/GatewayEnvironment.h>
+#include <LibGateway/SlotHold.h>
 #include <LibHTTP/HttpExchange.h>
 
 #include <QTimer>
@@ -50,7 +51,6 @@
     /// The attempt failed after the request was handed to the endpoint.
     void handleFailedAttempt(const std::string& reason);
     bool mayGoOnElsewhere() const;
-    void releaseSlot(EndpointOutcome);
     void handleSilence();
     void handleTimeLimit();
     void handleCallerGone();
@@ -70,8 +70,7 @@
     const MonotonicTime m_answerBy;
     std::string m_service;
 
-    uint64_t m_work { 0 };
-    bool m_hasSlot { false };
+    SlotHold m_slot;
     std::string m_endpoint;
     std::vector<std::string> m_excluded;
     std::unique_ptr<HttpCall> m_call;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -24,6 +24,7 @@
     , m_job(job)
     , m_item(std::move(item))
     , m_onDone(std::move(onDone))
+    , m_slot(environment.broker)
 {
     m_retryTimer.setSingleShot(true);
     QObject::connect(&m_retryTimer, &QTimer::timeout, &m_retryTimer, [this] { requestSlot(); });
@@ -85,14 +86,14 @@
     work.service = chooseService(*route, m_environment.random.unit());
     work.dueAt = m_job.dueAt;
     work.slotTimeUsed = m_slotTimeUsed;
-    m_work = m_environment.broker.submit(std::move(work), *this);
+    m_slot.request(std::move(work), *this);
 }
 
 void ItemRun::requestSlotLater() { m_retryTimer.start(retryDelay); }
 
 void ItemRun::onSlot(const std::string& endpoint)
 {
-    m_hasSlot = true;
+    m_slot.noteStart();
     m_slotTakenAt = m_environment.clock.now();
     m_endpoint = endpoint;
     const auto record = m_environment.directory.find(endpoint);
@@ -116,7 +117,11 @@
 }
 
 // Work of jobs waits as long as it takes.
-void ItemRun::onRefused(Milliseconds) { requestSlotLater(); }
+void ItemRun::onRefused(Milliseconds)
+{
+    m_slot.noteLoss();
+    requestSlotLater();
+}
 
 void ItemRun::countSlotTime()
 {
@@ -125,8 +130,7 @@
 
 void ItemRun::onYield()
 {
-    m_work = 0;
-    m_hasSlot = false;
+    m_slot.noteLoss();
     countSlotTime();
     m_call.reset();
     requestSlot();
@@ -203,15 +207,9 @@
 
 void ItemRun::releaseSlot(EndpointOutcome outcome)
 {
-    if (m_work == 0)
-        return;
-    const uint64_t work = std::exchange(m_work, 0);
-    if (std::exchange(m_hasSlot, false)) {
+    if (m_slot.isStarted())
         countSlotTime();
-        m_environment.broker.ended(work, outcome);
-    } else {
-        m_environment.broker.withdraw(work);
-    }
+    m_slot.release(outcome);
 }
 
 void ItemRun::finish(bool isCompleted, const std::string& reason)
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -3,6 +3,7 @@
 #include <LibGateway/EventStreamReader.h>
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/JobTypes.h>
+#include <LibGateway/SlotHold.h>
 
 #include <QTimer>
 
@@ -72,8 +73,7 @@
     const Job& m_job;
     const JobItem m_item;
     const std::function<void(JobResult)> m_onDone;
-    uint64_t m_work { 0 };
-    bool m_hasSlot { false };
+    SlotHold m_slot;
     bool m_isDone { false };
     std::string m_endpoint;
     std::unique_ptr<HttpCall> m_call;
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -335,23 +335,14 @@
                 reply(std::move(page));
                 return;
             }
-            const RowAddress address = JobRows::record(jobId);
-            m_store.read({ address.table, address.partition, jobId, jobId + '\0' },
-                guarded([this, page, reply](const StoreResult<RowPage>& rows) mutable {
-                    const auto* found = std::get_if<RowPage>(&rows);
-                    if (!found) {
-                        reply(readError(std::get<StoreFailure>(rows)));
-                        return;
-                    }
-                    const auto record = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
-                    if (!record) {
-                        reply(noSuchJob);
-                        return;
-                    }
-                    learn(*record);
-                    page.total = record->itemCount;
-                    reply(std::move(page));
-                }));
+            readHead(jobId, [page, reply](const std::variant<JobHead, Error>& head) mutable {
+                if (const auto* error = std::get_if<Error>(&head)) {
+                    reply(*error);
+                    return;
+                }
+                page.total = std::get<JobHead>(head).itemCount;
+                reply(std::move(page));
+            });
         }));
 }
 
@@ -363,32 +354,44 @@
             return;
         }
     }
+    readHead(jobId, [this, itemId, reply](const std::variant<JobHead, Error>& head) {
+        if (const auto* error = std::get_if<Error>(&head)) {
+            reply(*error);
+            return;
+        }
+        JobLoader::loadItems(
+            m_store, std::get<JobHead>(head), guarded([itemId, reply](const StoreResult<std::vector<JobItem>>& result) {
+                const auto* items = std::get_if<std::vector<JobItem>>(&result);
+                if (!items) {
+                    reply(readError(std::get<StoreFailure>(result)));
+                    return;
+                }
+                const auto item = std::ranges::find(*items, itemId, &JobItem::id);
+                if (item == items->end())
+                    reply(Error(ErrorKind::NotFound, "the job has no such item"));
+                else
+                    reply(item->body);
+            }));
+    });
+}
+
+void JobController::readHead(const std::string& jobId, const Reply<JobHead>& reply)
+{
     const RowAddress address = JobRows::record(jobId);
     m_store.read({ address.table, address.partition, jobId, jobId + '\0' },
-        guarded([this, itemId, reply](const StoreResult<RowPage>& rows) {
+        guarded([this, reply](const StoreResult<RowPage>& rows) {
             const auto* found = std::get_if<RowPage>(&rows);
             if (!found) {
                 reply(readError(std::get<StoreFailure>(rows)));
                 return;
             }
-            const auto record = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
-            if (!record) {
+            const auto head = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
+            if (!head) {
                 reply(noSuchJob);
                 return;
             }
-            JobLoader::loadItems(
-                m_store, *record, guarded([itemId, reply](const StoreResult<std::vector<JobItem>>& result) {
-                    const auto* items = std::get_if<std::vector<JobItem>>(&result);
-                    if (!items) {
-                        reply(readError(std::get<StoreFailure>(result)));
-                        return;
-                    }
-                    const auto item = std::ranges::find(*items, itemId, &JobItem::id);
-                    if (item == items->end())
-                        reply(Error(ErrorKind::NotFound, "the job has no such item"));
-                    else
-                        reply(item->body);
-                }));
+            learn(*head);
+            reply(*head);
         }));
 }
 
@@ -398,20 +401,12 @@
         endRecord(it->second, maxEndTries, done);
         return;
     }
-    const RowAddress address = JobRows::record(jobId);
-    m_store.read({ address.table, address.partition, jobId, jobId + '\0' },
-        guarded([this, done](const StoreResult<RowPage>& rows) {
-            const auto* found = std::get_if<RowPage>(&rows);
-            if (!found) {
-                done(readError(std::get<StoreFailure>(rows)));
-                return;
-            }
-            const auto record = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
-            if (record)
-                endRecord(*record, maxEndTries, done);
-            else
-                done(noSuchJob);
-        }));
+    readHead(jobId, [this, done](const std::variant<JobHead, Error>& head) {
+        if (const auto* error = std::get_if<Error>(&head))
+            done(*error);
+        else
+            endRecord(std::get<JobHead>(head), maxEndTries, done);
+    });
 }
 
 void JobController::endRecord(JobHead record, int triesLeft, const Done& done)
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -82,6 +82,8 @@
     Milliseconds claimDelay(const std::string& jobId) const;
     void claim(const JobHead&);
     void load(const JobHead&);
+    /// Reads the head of a job from the store and learns it. Replies NotFound only if the store has no such job.
+    void readHead(const std::string& jobId, const Reply<JobHead>&);
     void endRecord(JobHead, int triesLeft, const Done&);
     void releaseJob(OwnedJob&);
     template <typename Function> auto guarded(Function);
