--- a/Libraries/LibGateway/OwnedJob.h
+++ b/Libraries/LibGateway/OwnedJob.h
@@ -37,7 +37,7 @@
     /// Stops all items and returns the transaction that gives the job away, with what was received of them.
     RowTransaction release();
 
-    /// Returns the items without a result.
+    /// Returns the item, or null if the job has none of that name or it had a result when this node took the job.
     const JobItem* findItem(const std::string& id) const;
 
     /// Stops all items, without results.
