--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -46,8 +46,6 @@
     void stop();
 
     bool isDone() const { return m_isDone; }
-    /// Returns whether an endpoint works on the item.
-    bool isRunning() const { return m_call != nullptr; }
     const JobItem& item() const { return m_item; }
 
 private:
--- a/Libraries/LibGateway/OwnedJob.cpp
+++ b/Libraries/LibGateway/OwnedJob.cpp
@@ -173,12 +173,6 @@
     return sum;
 }
 
-bool OwnedJob::isBusy() const
-{
-    return !m_pending.empty() || !m_committing.empty()
-        || std::ranges::any_of(m_runs, [](const auto& it) { return it->isRunning(); });
-}
-
 void OwnedJob::handleResult(JobResult result)
 {
     m_pending.push_back(std::move(result));
@@ -233,7 +227,7 @@
         return;
     }
     if (commit->isCommitted)
-        handleListed(commit->version);
+        handleListed();
     else
         handleConflict(*commit);
 }
@@ -241,7 +235,7 @@
 void OwnedJob::handleConflict(const RowCommit& commit)
 {
     if (isOwnCommit(commit.current)) {
-        handleListed(0);
+        handleListed();
         return;
     }
     m_environment.log.record("job", "lost", m_record.id, {},
@@ -260,7 +254,7 @@
         current, [&](const StoredRow& it) { return it.address == first.row && it.value == first.value; });
 }
 
-void OwnedJob::handleListed(uint64_t)
+void OwnedJob::handleListed()
 {
     m_nextPosition += m_committing.size();
     m_committing.clear();
--- a/Libraries/LibGateway/OwnedJob.h
+++ b/Libraries/LibGateway/OwnedJob.h
@@ -51,9 +51,6 @@
     /// Tokens of the items without a result.
     uint64_t waitingTokens() const;
 
-    /// Returns whether an item is at an endpoint, or a result is on its way to the store.
-    bool isBusy() const;
-
 private:
     void addItems(JobContent&);
     /// Writes what was received of the items, so that another node can go on from there.
@@ -67,7 +64,7 @@
     void handleCommit(const StoreResult<RowCommit>&);
     void handleConflict(const RowCommit&);
     bool isOwnCommit(const std::vector<StoredRow>& current) const;
-    void handleListed(uint64_t version);
+    void handleListed();
     void end(End);
 
     GatewayEnvironment& m_environment;
