LibGateway: Take turns by the age of reports, and send fewer of them

Each start opened a connection. Every report also made its receiver decide anew over all endpoints and copy the report; each node sent up to 750 datagrams a second. Ruled out: a loop in the job code. The log until the 14th second holds no moved and no refused item; the profile of 40 nodes shows the scheduler's scan, its maps and malloc, spread over all nodes.

Changes: - A slot that is free for items is open to the nodes in an order; each waits as long as reports over its distance take, from the time at which the slot became free. Other changes of the load do not start the wait again.

Conclusion: what one node knows of a slot is as old as the reports from there; every rule that shares slots has to wait that long or stay near.

--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -11,25 +11,6 @@
 
 namespace {
 
-    /// Reports without a change, so that peers know that the node is alive.
-    constexpr Milliseconds minHeartbeatInterval { 300 };
-
-    /// What is special about a distance.
-    struct ReportPlan {
-        /// Shortest time between two reports to one peer.
-        Milliseconds minInterval;
-        /// Datagrams a second to all peers at that distance while loads change. With more peers each hears less often,
-        /// so that the cost of a node does not grow with the deployment.
-        size_t datagramsPerSecond;
-    };
-
-    /// The link between regions is slow and billed by volume.
-    constexpr std::array<ReportPlan, 3> reportPlans { {
-        { Milliseconds { 20 }, 400 },
-        { Milliseconds { 20 }, 200 },
-        { Milliseconds { 100 }, 150 },
-    } };
-
     /// Lost heartbeats after which a node counts as gone.
     constexpr int lostHeartbeats = 4;
 
@@ -66,7 +47,7 @@
     if (!m_socket.bind(host, port))
         throw Error(ErrorKind::Internal,
             "cannot listen for peers on " + m_options.address + ": " + m_socket.errorString().toStdString());
-    m_sendTimer.start(minHeartbeatInterval);
+    m_sendTimer.start(heartbeatInterval(PeerDistance::FailureDomain, 0));
 }
 
 std::string PeerGroup::regionOf(const std::string& failureDomain) const
@@ -90,11 +71,12 @@
         m_peers.erase(it);
 }
 
-PeerGroup::Distance PeerGroup::distanceOf(const std::string& failureDomain) const
+PeerDistance PeerGroup::distanceOf(const std::string& failureDomain) const
 {
     if (failureDomain == m_options.failureDomain)
-        return Distance::FailureDomain;
-    return regionOf(failureDomain) == regionOf(m_options.failureDomain) ? Distance::Region : Distance::OtherRegion;
+        return PeerDistance::FailureDomain;
+    const bool isOwnRegion = regionOf(failureDomain) == regionOf(m_options.failureDomain);
+    return isOwnRegion ? PeerDistance::Region : PeerDistance::OtherRegion;
 }
 
 void PeerGroup::countPeers()
@@ -104,19 +86,9 @@
         ++m_peerCounts.at(static_cast<size_t>(peer.distance));
 }
 
-Milliseconds PeerGroup::reportInterval(Distance distance) const
-{
-    const ReportPlan& plan = reportPlans.at(static_cast<size_t>(distance));
-    const size_t count = m_peerCounts.at(static_cast<size_t>(distance));
-    return std::max(plan.minInterval, Milliseconds { count * 1000 / plan.datagramsPerSecond });
-}
-
-Milliseconds PeerGroup::heartbeatInterval(Distance distance) const
-{
-    return std::max(minHeartbeatInterval, reportInterval(distance));
-}
+size_t PeerGroup::countAt(PeerDistance distance) const { return m_peerCounts.at(static_cast<size_t>(distance)); }
 
-Milliseconds PeerGroup::silenceLimit(Distance distance) const { return heartbeatInterval(distance) * lostHeartbeats; }
+Milliseconds PeerGroup::silenceLimit(PeerDistance distance) const { return heartbeat(distance) * lostHeartbeats; }
 
 void PeerGroup::noteChange()
 {
@@ -133,15 +105,15 @@
     std::erase_if(m_peers, [&](const auto& it) { return now - it.second.heardAt > forgetLimit; });
     countPeers();
     QByteArray datagram;
-    MonotonicTime next = now + minHeartbeatInterval;
+    MonotonicTime next = now + heartbeatInterval(PeerDistance::FailureDomain, 0);
     for (auto& [node, peer] : m_peers) {
-        const Milliseconds interval = peer.isBehind ? reportInterval(peer.distance) : heartbeatInterval(peer.distance);
-        if (peer.sentAt + interval <= now) {
+        const Milliseconds pause = peer.isBehind ? interval(peer.distance) : heartbeat(peer.distance);
+        if (peer.sentAt + pause <= now) {
             if (datagram.isEmpty())
                 datagram = nextDatagram();
             send(peer, datagram, now);
         }
-        next = std::min(next, peer.sentAt + (peer.isBehind ? interval : heartbeatInterval(peer.distance)));
+        next = std::min(next, peer.sentAt + (peer.isBehind ? pause : heartbeat(peer.distance)));
     }
     m_sendTimer.start(std::max(sendTick, std::chrono::ceil<Milliseconds>(next - now)));
 }
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -3,6 +3,7 @@
 #include <LibCore/Clock.h>
 #include <LibGateway/JobController.h>
 #include <LibGateway/PeerReport.h>
+#include <LibGateway/ReportPlan.h>
 
 #include <QObject>
 #include <QTimer>
@@ -57,24 +58,14 @@
 
     size_t aliveCount() const;
 
-    /// Returns how old the last report from other failure domains of the region may be while loads change.
-    Milliseconds regionInterval() const { return reportInterval(Distance::Region); }
-
     /// Returns whether the node has been silent for so long that it gets no more reports.
     bool isForgotten(const std::string& node) const { return !m_peers.contains(node); }
 
 private:
-    /// How far away a peer is. The farther, the fewer reports it gets.
-    enum class Distance : uint8_t {
-        FailureDomain,
-        Region,
-        OtherRegion,
-    };
-
     struct Peer {
         QHostAddress host;
         uint16_t port { 0 };
-        Distance distance { Distance::OtherRegion };
+        PeerDistance distance { PeerDistance::OtherRegion };
         /// Whether a change has not been reported to it.
         bool isBehind { false };
         MonotonicTime heardAt;
@@ -88,12 +79,11 @@
     QByteArray nextDatagram();
     void send(Peer&, const QByteArray& datagram, MonotonicTime now);
     bool isHeard(const Peer&) const;
-    Distance distanceOf(const std::string& failureDomain) const;
-    /// Shortest time between two reports to a peer at that distance while loads change.
-    Milliseconds reportInterval(Distance) const;
-    /// Time between two reports without a change.
-    Milliseconds heartbeatInterval(Distance) const;
-    Milliseconds silenceLimit(Distance) const;
+    PeerDistance distanceOf(const std::string& failureDomain) const;
+    size_t countAt(PeerDistance) const;
+    Milliseconds interval(PeerDistance distance) const { return reportInterval(distance, countAt(distance)); }
+    Milliseconds heartbeat(PeerDistance distance) const { return heartbeatInterval(distance, countAt(distance)); }
+    Milliseconds silenceLimit(PeerDistance) const;
     void countPeers();
     std::string regionOf(const std::string& failureDomain) const;
 
@@ -103,7 +93,7 @@
     const ReportHandler m_onReport;
     QUdpSocket m_socket;
     std::map<std::string, Peer> m_peers;
-    std::array<size_t, 3> m_peerCounts {};
+    std::array<size_t, peerDistanceCount> m_peerCounts {};
     uint64_t m_sequence { 0 };
     QTimer m_sendTimer;
 };
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace Chicorydock {
 
@@ -44,11 +45,23 @@
     /// expectation is rough, and a refusal is of most use to the caller at once.
     constexpr double maxExpectedShare = 0.5;
 
-    /// Time in which the use of a slot has become known to all peers of the region.
-    constexpr Milliseconds reportTime { 30 };
+    /// Time in which the online use of a slot has become known to the peers that are first in its order.
+    constexpr Milliseconds onlineTurnTime { 30 };
 
-    /// However many nodes there are, a slot that stays free is open to all after so many turns.
-    constexpr uint32_t maxTurns = 4;
+    /// However many nodes there are, a slot that stays free is open to all online requests after so many turns.
+    constexpr uint32_t maxOnlineTurns = 4;
+
+    /// Time that a report may be on its way and wait to be read, beyond the time between two reports.
+    constexpr Milliseconds reportLatency { 10 };
+
+    /// A slot that stays free so long is open to the items of all nodes. Items have seconds to spare.
+    constexpr Milliseconds maxBatchTurnTime { 1'000 };
+
+    /// It must also stay free for so many reports from there.
+    constexpr int maxReportsBehind = 4;
+
+    /// Peers and statements of endpoints that are too old are looked for this often.
+    constexpr Milliseconds expiryInterval { 20 };
 
     /// Time after the end of its own work in which a node may use the slot again before its peers know that it is free.
     constexpr Milliseconds ownTurnTime { 10 };
@@ -118,11 +131,11 @@
         endpoint.isUsable = true;
         if (!isNew)
             continue;
-        const uint32_t key = endpointKey(record.id);
-        m_idsByKey[key] = record.id;
+        endpoint.key = endpointKey(record.id);
+        m_endpointsByKey[endpoint.key] = &endpoint;
         endpoint.preference = orderKey(record.id, m_place.node) / 4294967296.0;
         for (const auto& [node, peer] : m_peers) {
-            if (const auto use = peer.said.use.find(key); use != peer.said.use.end()) {
+            if (const auto use = peer.said.use.find(endpoint.key); use != peer.said.use.end()) {
                 endpoint.peers.online += use->second.online;
                 endpoint.peers.batch += use->second.batch;
             }
@@ -132,12 +145,30 @@
         const Endpoint& endpoint = it.second;
         const bool isDropped = !endpoint.isUsable && endpoint.own == SlotUse {};
         if (isDropped)
-            m_idsByKey.erase(endpointKey(it.first));
+            m_endpointsByKey.erase(endpoint.key);
         return isDropped;
     });
+    countSlots();
 }
 
-void SlotScheduler::submit(const OnlineWork& work, MonotonicTime) { m_online.push_back(work); }
+void SlotScheduler::countSlots()
+{
+    m_serviceSlots.clear();
+    m_nearbySlots.clear();
+    for (const auto& [id, it] : m_endpoints) {
+        if (!it.isUsable)
+            continue;
+        m_serviceSlots[it.record.service] += it.record.slotCount;
+        if (it.record.failureDomain == m_place.failureDomain)
+            m_nearbySlots[it.record.service] += it.record.slotCount;
+    }
+}
+
+void SlotScheduler::submit(const OnlineWork& work, MonotonicTime now)
+{
+    m_online.push_back(work);
+    m_online.back().submittedAt = now;
+}
 
 void SlotScheduler::submit(const BatchWork& work) { m_batch.push_back(work); }
 
@@ -153,6 +184,20 @@
     return it == m_endpoints.end() ? nullptr : &it->second;
 }
 
+SlotScheduler::Endpoint* SlotScheduler::endpointOf(uint32_t key)
+{
+    const auto it = m_endpointsByKey.find(key);
+    return it == m_endpointsByKey.end() ? nullptr : it->second;
+}
+
+void SlotScheduler::noteBatchSlots(Endpoint& place, MonotonicTime now)
+{
+    const bool isFree = place.total() < batchSlots(place.record.slotCount);
+    if (isFree && !place.isFreeForBatch)
+        place.freeForBatchSince = now;
+    place.isFreeForBatch = isFree;
+}
+
 void SlotScheduler::ended(uint64_t work, EndpointOutcome outcome, MonotonicTime now)
 {
     const auto it = m_running.find(work);
@@ -160,12 +205,13 @@
         return;
     const Running running = it->second;
     m_running.erase(it);
+    m_ownBatch -= running.isBatch ? 1 : 0;
     Endpoint* place = endpoint(running.endpoint);
     if (place) {
         --(running.isBatch ? place->own.batch : place->own.online);
-        place->changedAt = now;
         if (!running.isBatch)
             place->ownEndedAt = place->onlineChangedAt = now;
+        noteBatchSlots(*place, now);
     }
     if (place && outcome == EndpointOutcome::Failed) {
         const uint32_t doublings = std::min(place->failures++, maxAvoidanceDoublings);
@@ -198,41 +244,43 @@
     return now + std::max(whole - slotTimeUsed, Milliseconds { 0 }) > dueAt;
 }
 
-void SlotScheduler::addPeerUse(const Peer& peer, bool isAdded)
+void SlotScheduler::addPeerUse(const PeerUse& said, bool isAdded)
 {
-    for (const auto& [key, use] : peer.said.use) {
-        const auto id = m_idsByKey.find(key);
-        Endpoint* place = id == m_idsByKey.end() ? nullptr : endpoint(id->second);
+    for (const auto& [key, use] : said.use) {
+        Endpoint* place = endpointOf(key);
         if (!place)
             continue;
         place->peers.online += isAdded ? use.online : -use.online;
         place->peers.batch += isAdded ? use.batch : -use.batch;
     }
-    m_peersWaiting += isAdded ? peer.said.waiting : -peer.said.waiting;
+    m_peersWaiting += isAdded ? said.waiting : -said.waiting;
 }
 
 void SlotScheduler::setPeerUse(const std::string& node, const PeerUse& said, MonotonicTime now)
 {
     const auto [it, isNew] = m_peers.try_emplace(node);
     Peer& peer = it->second;
-    if (isNew || peer.said.failureDomain != said.failureDomain)
-        ++m_peerGeneration;
-    noteChanges(peer.said, said, now);
-    addPeerUse(peer, false);
-    peer = { said, now };
-    addPeerUse(peer, true);
+    peer.heardAt = now;
+    const bool isMoved = isNew || peer.said.failureDomain != said.failureDomain;
+    if (peer.said != said) {
+        const PeerUse before = std::exchange(peer.said, said);
+        addPeerUse(before, false);
+        addPeerUse(said, true);
+        noteChanges(before, said, now);
+    }
+    if (isMoved)
+        countPeers();
 }
 
 void SlotScheduler::noteChanges(const PeerUse& before, const PeerUse& after, MonotonicTime now)
 {
     const auto note = [&](uint32_t key, const SlotUse& from, const SlotUse& to) {
-        const auto id = m_idsByKey.find(key);
-        if (from == to || id == m_idsByKey.end())
+        Endpoint* place = from == to ? nullptr : endpointOf(key);
+        if (!place)
             return;
-        Endpoint& place = m_endpoints.at(id->second);
-        place.changedAt = now;
+        noteBatchSlots(*place, now);
         if (from.online != to.online)
-            place.onlineChangedAt = now;
+            place->onlineChangedAt = now;
     };
     for (const auto& [key, use] : before.use) {
         const auto it = after.use.find(key);
@@ -244,14 +292,31 @@
     }
 }
 
+PeerDistance SlotScheduler::distanceTo(const std::string& failureDomain) const
+{
+    if (failureDomain == m_place.failureDomain)
+        return PeerDistance::FailureDomain;
+    const auto it = m_place.regions.find(failureDomain);
+    const bool isOwnRegion = it != m_place.regions.end() && it->second == m_region;
+    return isOwnRegion ? PeerDistance::Region : PeerDistance::OtherRegion;
+}
+
+void SlotScheduler::countPeers()
+{
+    ++m_peerGeneration;
+    m_peerCounts = {};
+    for (const auto& [node, peer] : m_peers)
+        ++m_peerCounts.at(static_cast<size_t>(distanceTo(peer.said.failureDomain)));
+}
+
 void SlotScheduler::removePeer(const std::string& node)
 {
     const auto it = m_peers.find(node);
     if (it == m_peers.end())
         return;
-    addPeerUse(it->second, false);
+    addPeerUse(it->second.said, false);
     m_peers.erase(it);
-    ++m_peerGeneration;
+    countPeers();
 }
 
 void SlotScheduler::expirePeers(MonotonicTime now)
@@ -286,11 +351,19 @@
     }
 }
 
-std::vector<SlotDecision> SlotScheduler::poll(MonotonicTime now)
+void SlotScheduler::expire(MonotonicTime now)
 {
-    std::vector<SlotDecision> decisions;
+    if (now - m_expiredAt < expiryInterval)
+        return;
+    m_expiredAt = now;
     expirePeers(now);
     expireObservations(now);
+}
+
+std::vector<SlotDecision> SlotScheduler::poll(MonotonicTime now)
+{
+    std::vector<SlotDecision> decisions;
+    expire(now);
     decideOnline(decisions, now);
     decideYields(decisions, now);
     decideBatch(decisions, now);
@@ -299,6 +372,8 @@
 
 void SlotScheduler::decideOnline(std::vector<SlotDecision>& decisions, MonotonicTime now)
 {
+    if (m_online.empty())
+        return;
     // Requests that can still be answered on time go first, the most urgent ones of the highest priority in front.
     // Late ones follow, because serving them first would make all others late too.
     std::ranges::stable_sort(m_online, {}, [&](const OnlineWork& it) {
@@ -306,9 +381,13 @@
         return std::tuple(isLate, it.priority, isLate ? it.deadline : it.startBy);
     });
     std::map<std::string, size_t> ahead;
+    std::set<std::string> fullServices;
     std::vector<OnlineWork> waiting;
     for (OnlineWork& work : m_online) {
-        if (Endpoint* place = chooseForOnline(work, now)) {
+        Endpoint* place = fullServices.contains(work.service) ? nullptr : chooseForOnline(work, now);
+        if (!place && work.excluded.empty())
+            fullServices.insert(work.service);
+        if (place) {
             if (place->total() >= place->record.slotCount && place->own.batch > 0)
                 yieldOne(decisions, *place, now);
             startWork(decisions, work.id, *place, false, now);
@@ -350,22 +429,11 @@
 {
     const auto it = m_holdTimes.find(service);
     const Milliseconds hold = it == m_holdTimes.end() ? defaultHoldTime : it->second;
-    const uint32_t slotCount = std::max(1U, slotsOf(service).first);
+    const auto slotCount = m_serviceSlots.find(service);
+    const uint32_t n = slotCount == m_serviceSlots.end() ? 1 : std::max(1U, slotCount->second);
     // Peers compete for the same slots.
     const double queue = static_cast<double>(ahead + m_peersWaiting);
-    return Milliseconds { std::lround(queue * static_cast<double>(hold.count()) / slotCount) };
-}
-
-std::pair<uint32_t, uint32_t> SlotScheduler::slotsOf(const std::string& service) const
-{
-    std::pair<uint32_t, uint32_t> sum { 0, 0 };
-    for (const auto& [id, it] : m_endpoints) {
-        if (!it.isUsable || it.record.service != service)
-            continue;
-        sum.first += it.record.slotCount;
-        sum.second += std::min(it.total(), it.record.slotCount);
-    }
-    return sum;
+    return Milliseconds { std::lround(queue * static_cast<double>(hold.count()) / n) };
 }
 
 bool SlotScheduler::isAvoided(const Endpoint& place, const std::vector<std::string>& excluded, MonotonicTime now) const
@@ -378,39 +446,71 @@
     return now < place.avoidedUntil || place.own != SlotUse {};
 }
 
-bool SlotScheduler::isOwnTurn(Endpoint& place, uint32_t free, MonotonicTime since, MonotonicTime now) const
+bool SlotScheduler::isWithinReach(const Endpoint& place, const OnlineWork& work, MonotonicTime now) const
+{
+    const PeerDistance distance = distanceTo(place.record.failureDomain);
+    if (distance == PeerDistance::FailureDomain || !m_nearbySlots.contains(work.service))
+        return true;
+    // In a crest most slots that seem free elsewhere are taken before the request arrives there. A slot nearby usually
+    // becomes free sooner than it takes to hear that.
+    if (place.total() * 2 <= place.record.slotCount)
+        return true;
+    return now - work.submittedAt >= turnTime(distance);
+}
+
+bool SlotScheduler::isOnlineTurn(Endpoint& place, uint32_t free, MonotonicTime now) const
 {
     // All nodes order themselves in the same way for this endpoint. As many as there are free slots may take one at
     // once, and the next ones if the slots are still free when that would have become known.
-    return now - since >= reportTime * std::min(nodesBefore(place) / free, maxTurns);
+    const NodesBefore& before = nodesBefore(place);
+    const uint32_t turns = std::min((before.inDomain + before.elsewhere) / free, maxOnlineTurns);
+    return now - place.onlineChangedAt >= onlineTurnTime * turns;
+}
+
+bool SlotScheduler::isBatchTurn(Endpoint& place, uint32_t free, MonotonicTime now) const
+{
+    const NodesBefore& before = nodesBefore(place);
+    const PeerDistance distance = distanceTo(place.record.failureDomain);
+    const Milliseconds domainTurn = turnTime(PeerDistance::FailureDomain);
+    const Milliseconds ownTurn = turnTime(distance);
+    Milliseconds turn = domainTurn * (before.inDomain / free) + ownTurn * (before.elsewhere / free);
+    // A node elsewhere first waits until it would have heard that a node of the endpoint's domain took the slot.
+    if (distance != PeerDistance::FailureDomain)
+        turn += ownTurn;
+    return now - place.freeForBatchSince >= std::min(turn, std::max(maxBatchTurnTime, ownTurn * maxReportsBehind));
 }
 
-uint32_t SlotScheduler::nodesBefore(Endpoint& place) const
+Milliseconds SlotScheduler::turnTime(PeerDistance distance) const
+{
+    return reportInterval(distance, m_peerCounts.at(static_cast<size_t>(distance))) + reportLatency;
+}
+
+const SlotScheduler::NodesBefore& SlotScheduler::nodesBefore(Endpoint& place) const
 {
     if (place.nodesBeforeGeneration == m_peerGeneration)
         return place.nodesBefore;
     // The nodes of the endpoint's own failure domain come first: they hear of each other's work soonest.
     const bool isOwnDomain = place.record.failureDomain == m_place.failureDomain;
     const uint32_t own = orderKey(place.record.id, m_place.node);
-    place.nodesBefore = static_cast<uint32_t>(std::ranges::count_if(m_peers, [&](const auto& it) {
-        const bool isPeerOfDomain = it.second.said.failureDomain == place.record.failureDomain;
-        if (isPeerOfDomain != isOwnDomain)
-            return isPeerOfDomain;
-        return orderKey(place.record.id, it.first) < own;
-    }));
+    place.nodesBefore = {};
+    for (const auto& [node, peer] : m_peers) {
+        const bool isPeerOfDomain = peer.said.failureDomain == place.record.failureDomain;
+        const bool isBefore = isPeerOfDomain == isOwnDomain ? orderKey(place.record.id, node) < own : isPeerOfDomain;
+        if (isBefore)
+            ++(isPeerOfDomain ? place.nodesBefore.inDomain : place.nodesBefore.elsewhere);
+    }
     place.nodesBeforeGeneration = m_peerGeneration;
     return place.nodesBefore;
 }
 
 double SlotScheduler::distance(const Endpoint& place) const
 {
-    if (place.record.failureDomain == m_place.failureDomain)
+    const PeerDistance distance = distanceTo(place.record.failureDomain);
+    if (distance == PeerDistance::FailureDomain)
         return 0;
-    const auto it = m_place.regions.find(place.record.failureDomain);
-    const double ageCost
-        = std::min(static_cast<double>(m_reportInterval.count()) / reportAgeCostScale, maxReportAgeCost);
-    const bool isOwnRegion = it != m_place.regions.end() && it->second == m_region;
-    return isOwnRegion ? otherDomainCost + ageCost : otherRegionCost;
+    const Milliseconds age = reportInterval(distance, m_peerCounts.at(static_cast<size_t>(distance)));
+    const double ageCost = std::min(static_cast<double>(age.count()) / reportAgeCostScale, maxReportAgeCost);
+    return ageCost + (distance == PeerDistance::Region ? otherDomainCost : otherRegionCost);
 }
 
 double SlotScheduler::slowness(const Endpoint& place, MonotonicTime now) const
@@ -428,11 +528,11 @@
         if (it.record.service != work.service || isAvoided(it, work.excluded, now))
             continue;
         const uint32_t capacity = it.record.slotCount;
-        if (it.online() >= capacity)
+        if (it.online() >= capacity || !isWithinReach(it, work, now))
             continue;
         // The node whose work ended knows of the free slot before its peers do.
         const bool isFirstToKnow = now - it.ownEndedAt < ownTurnTime;
-        if (!isFirstToKnow && !isOwnTurn(it, capacity - it.online(), it.onlineChangedAt, now))
+        if (!isFirstToKnow && !isOnlineTurn(it, capacity - it.online(), now))
             continue;
         // The random part spreads nodes that see the same load.
         double cost = static_cast<double>(it.total()) / capacity + distance(it) + slowness(it, now)
@@ -451,7 +551,8 @@
     std::vector<SlotDecision>& decisions, uint64_t work, Endpoint& place, bool isBatch, MonotonicTime now)
 {
     ++(isBatch ? place.own.batch : place.own.online);
-    place.changedAt = now;
+    m_ownBatch += isBatch ? 1 : 0;
+    noteBatchSlots(place, now);
     m_running[work] = { place.record.id, isBatch, place.record.service, now, {}, {} };
     decisions.push_back({ SlotDecision::Kind::Start, work, place.record.id, {} });
 }
@@ -484,17 +585,17 @@
     decisions.push_back({ SlotDecision::Kind::Yield, work, place.record.id, {} });
     m_running.erase(work);
     --place.own.batch;
-    place.changedAt = now;
+    --m_ownBatch;
+    noteBatchSlots(place, now);
 }
 
 uint32_t SlotScheduler::ownShareOfYields(const Endpoint& place, uint32_t excess) const
 {
     // All nodes go through the nodes in the same order, so that together they stop as many items as needed.
-    const uint32_t key = endpointKey(place.record.id);
     for (const auto& [node, peer] : m_peers) {
         if (node > m_place.node)
             break;
-        if (const auto use = peer.said.use.find(key); use != peer.said.use.end())
+        if (const auto use = peer.said.use.find(place.key); use != peer.said.use.end())
             excess -= std::min(excess, use->second.batch);
     }
     return std::min(excess, place.own.batch);
@@ -502,6 +603,8 @@
 
 void SlotScheduler::decideYields(std::vector<SlotDecision>& decisions, MonotonicTime now)
 {
+    if (m_ownBatch == 0)
+        return;
     for (auto& [id, place] : m_endpoints) {
         if (place.own.batch == 0 || place.total() <= place.record.slotCount)
             continue;
@@ -517,8 +620,9 @@
     for (auto& [id, it] : m_endpoints) {
         if (it.record.service != work.service || isAvoided(it, work.excluded, now))
             continue;
+        noteBatchSlots(it, now);
         const uint32_t capacity = batchSlots(it.record.slotCount);
-        if (it.total() >= capacity || !isOwnTurn(it, capacity - it.total(), it.changedAt, now))
+        if (it.total() >= capacity || !isBatchTurn(it, capacity - it.total(), now))
             continue;
         const double cost = static_cast<double>(it.total()) / it.record.slotCount + distance(it) + slowness(it, now)
             + m_random.unit() * randomSlots / it.record.slotCount;
@@ -539,9 +643,13 @@
     std::ranges::stable_sort(m_batch, {}, [&](const BatchWork& it) {
         return std::tuple(isTooLate(it.service, it.dueAt, it.slotTimeUsed, now), it.dueAt);
     });
+    std::set<std::string> fullServices;
     std::vector<BatchWork> waiting;
     for (BatchWork& work : m_batch) {
-        if (Endpoint* place = chooseForBatch(work, now))
+        Endpoint* place = fullServices.contains(work.service) ? nullptr : chooseForBatch(work, now);
+        if (!place && work.excluded.empty())
+            fullServices.insert(work.service);
+        if (place)
             startItem(decisions, work, *place, now);
         else
             waiting.push_back(std::move(work));
@@ -554,7 +662,7 @@
     std::unordered_map<uint32_t, SlotUse> use;
     for (const auto& [id, it] : m_endpoints) {
         if (it.own != SlotUse {})
-            use[endpointKey(id)] = it.own;
+            use[it.key] = it.own;
     }
     return use;
 }
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -3,11 +3,14 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Random.h>
 #include <LibGateway/EndpointRecord.h>
+#include <LibGateway/ReportPlan.h>
 
+#include <array>
 #include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +33,8 @@
     std::vector<std::string> excluded;
     /// Whether the scheduler has decided once to let it wait.
     bool isAccepted { false };
+    /// Set by the scheduler.
+    MonotonicTime submittedAt;
 
     bool operator==(const OnlineWork&) const = default;
 };
@@ -144,10 +149,6 @@
     void setPeerUse(const std::string& node, const PeerUse&, MonotonicTime now);
     void removePeer(const std::string& node);
 
-    /// Sets how old the reports from other failure domains of the region may be. The older they are, the more the own
-    /// failure domain is preferred, because work that goes elsewhere may find the slots taken.
-    void setReportInterval(Milliseconds interval) { m_reportInterval = interval; }
-
     /// Notes what the endpoint said of its load. Work there that no node has told of yet counts as online work for a
     /// short time.
     void observe(const std::string& endpoint, const ObservedLoad&, MonotonicTime now);
@@ -160,25 +161,35 @@
     uint32_t waitingOnline() const { return static_cast<uint32_t>(m_online.size()); }
     uint32_t waitingBatch() const { return static_cast<uint32_t>(m_batch.size()); }
 
+    /// Returns whether work waits or might have to yield, so that the use by peers matters now.
+    bool dependsOnPeers() const { return !m_online.empty() || !m_batch.empty() || m_ownBatch > 0; }
+
     /// Returns the key under which nodes tell each other of an endpoint.
     static uint32_t endpointKey(const std::string& id);
 
-    /// Returns all slots of the service's endpoints and those in use, as far as this node knows.
-    std::pair<uint32_t, uint32_t> slotsOf(const std::string& service) const;
-
 private:
+    /// The nodes that come before this one in the order for an endpoint.
+    struct NodesBefore {
+        /// In the failure domain of the endpoint.
+        uint32_t inDomain { 0 };
+        uint32_t elsewhere { 0 };
+    };
+
     struct Endpoint {
         EndpointRecord record;
+        uint32_t key { 0 };
         bool isUsable { false };
         SlotUse own;
         SlotUse peers;
         uint32_t failures { 0 };
         MonotonicTime avoidedUntil;
-        /// When the online use, or any use, by any node changed last.
+        /// When the online use by any node changed last.
         MonotonicTime onlineChangedAt;
-        MonotonicTime changedAt;
-        /// Nodes before this one in the order for the endpoint, as of a generation of the peers.
-        uint32_t nodesBefore { 0 };
+        /// Whether there is a slot for items, and since when.
+        bool isFreeForBatch { false };
+        MonotonicTime freeForBatchSince;
+        /// As of a generation of the peers.
+        NodesBefore nodesBefore;
         uint64_t nodesBeforeGeneration { 0 };
         /// This node's own preference, from 0 to 1; lower comes first.
         double preference { 0 };
@@ -209,20 +220,31 @@
         MonotonicTime heardAt;
     };
 
-    void addPeerUse(const Peer&, bool isAdded);
+    void addPeerUse(const PeerUse&, bool isAdded);
     void noteChanges(const PeerUse& before, const PeerUse& after, MonotonicTime now);
+    /// Removes silent peers, and what endpoints said too long ago.
+    void expire(MonotonicTime now);
     void expirePeers(MonotonicTime now);
     void expireObservations(MonotonicTime now);
+    void countPeers();
+    PeerDistance distanceTo(const std::string& failureDomain) const;
+    Milliseconds turnTime(PeerDistance) const;
+    static void noteBatchSlots(Endpoint&, MonotonicTime now);
     Endpoint* endpoint(const std::string& id);
+    Endpoint* endpointOf(uint32_t key);
     void decideOnline(std::vector<SlotDecision>&, MonotonicTime now);
     void decideYields(std::vector<SlotDecision>&, MonotonicTime now);
     void decideBatch(std::vector<SlotDecision>&, MonotonicTime now);
     Endpoint* chooseForOnline(const OnlineWork&, MonotonicTime now);
     Endpoint* chooseForBatch(const BatchWork&, MonotonicTime now);
+    /// Returns whether the request may go to the failure domain of the endpoint, as far as the age of the reports from
+    /// there allows.
+    bool isWithinReach(const Endpoint&, const OnlineWork&, MonotonicTime now) const;
     bool isAvoided(const Endpoint&, const std::vector<std::string>& excluded, MonotonicTime now) const;
     /// Returns whether it is this node's turn to take a slot that has just become free.
-    bool isOwnTurn(Endpoint&, uint32_t free, MonotonicTime since, MonotonicTime now) const;
-    uint32_t nodesBefore(Endpoint&) const;
+    bool isOnlineTurn(Endpoint&, uint32_t free, MonotonicTime now) const;
+    bool isBatchTurn(Endpoint&, uint32_t free, MonotonicTime now) const;
+    const NodesBefore& nodesBefore(Endpoint&) const;
     double distance(const Endpoint&) const;
     double slowness(const Endpoint&, MonotonicTime now) const;
     void startWork(std::vector<SlotDecision>&, uint64_t work, Endpoint&, bool isBatch, MonotonicTime now);
@@ -233,6 +255,7 @@
     void learnHoldTime(std::map<std::string, Milliseconds>&, const std::string& service, Milliseconds held);
     uint32_t ownShareOfYields(const Endpoint&, uint32_t excess) const;
     Milliseconds expectedWait(const std::string& service, size_t ahead) const;
+    void countSlots();
     Milliseconds retryAfter(const std::string& service, size_t ahead);
     bool isHopeless(const OnlineWork&, size_t ahead, MonotonicTime now) const;
 
@@ -240,12 +263,18 @@
     const std::string m_region;
     Random& m_random;
     std::map<std::string, Endpoint> m_endpoints;
-    std::unordered_map<uint32_t, std::string> m_idsByKey;
+    /// Pointers into `m_endpoints`.
+    std::unordered_map<uint32_t, Endpoint*> m_endpointsByKey;
+    /// Slots of the usable endpoints of each service, and those of them in the own failure domain.
+    std::map<std::string, uint32_t> m_serviceSlots;
+    std::map<std::string, uint32_t> m_nearbySlots;
     std::map<std::string, Peer> m_peers;
     /// Rises when a peer comes or goes.
     uint64_t m_peerGeneration { 1 };
     uint32_t m_peersWaiting { 0 };
-    Milliseconds m_reportInterval { 0 };
+    std::array<size_t, peerDistanceCount> m_peerCounts {};
+    MonotonicTime m_expiredAt;
+    uint32_t m_ownBatch { 0 };
     std::vector<OnlineWork> m_online;
     std::vector<BatchWork> m_batch;
     std::unordered_map<uint64_t, Running> m_running;
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -244,9 +244,10 @@
 
 void Gateway::takeReport(const PeerReport& report, Milliseconds lifetime)
 {
-    m_scheduler.setReportInterval(m_peers.regionInterval());
     m_scheduler.setPeerUse(report.node, { report.failureDomain, report.use, report.waiting, lifetime }, m_clock.now());
-    m_broker.schedulePoll();
+    // Most reports come while nothing here depends on them.
+    if (m_scheduler.dependsOnPeers())
+        m_broker.schedulePoll();
 }
 
 void Gateway::noteReload() { m_log.record("node", "reloaded", m_node); }
--- a/Tests/LibGateway/SlotWorld.h
+++ b/Tests/LibGateway/SlotWorld.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibCore/SeededRandom.h>
+#include <LibGateway/ReportPlan.h>
 #include <LibGateway/SlotScheduler.h>
 #include <Tests/Support/SimulatedClock.h>
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -25,7 +27,11 @@
         Milliseconds batchHold { 5'100 };
         Milliseconds onlineTarget { 220 };
         Milliseconds itemTarget { 18'000 };
-        Milliseconds reportDelay { 25 };
+        /// The nodes and endpoints are spread over so many failure domains, and those over regions.
+        size_t domains { 3 };
+        size_t domainsPerRegion { 2 };
+        /// Time that a report is on its way.
+        Milliseconds latency { 5 };
         uint64_t seed { 1 };
     };
 
@@ -39,6 +45,10 @@
         /// Slot time that items have had.
         Milliseconds batchSlotTime { 0 };
         size_t yields { 0 };
+        /// Items that yielded before the endpoint had admitted them.
+        size_t vainStarts { 0 };
+        size_t itemStarts { 0 };
+        size_t datagrams { 0 };
         size_t itemsOnTime { 0 };
         size_t itemsLate { 0 };
     };
@@ -47,22 +57,32 @@
         : m_options(options)
         , m_random(options.seed)
     {
-        std::map<std::string, std::string> regions { { "z0", "r0" }, { "z1", "r0" }, { "z2", "r1" } };
+        std::map<std::string, std::string> regions;
+        for (size_t n = 0; n < options.domains; ++n)
+            regions["z" + std::to_string(n)] = "r" + std::to_string(n / options.domainsPerRegion);
         std::vector<EndpointRecord> records;
         for (size_t n = 0; n < options.endpoints; ++n) {
-            records.push_back({ "e" + std::to_string(n), "10.0.0.1:80", "lm", "z" + std::to_string(n % 3),
+            records.push_back({ "e" + std::to_string(n), "10.0.0.1:80", "lm", "z" + std::to_string(n % options.domains),
                 options.slotCount, false, 1 });
             m_endpoints[records.back().id];
         }
         for (size_t n = 0; n < options.nodes; ++n) {
             m_nodes.push_back(std::make_unique<Node>(options.seed * 100 + n));
             m_nodes.back()->name = "n" + std::to_string(n);
-            m_nodes.back()->failureDomain = "z" + std::to_string(n % 3);
+            m_nodes.back()->failureDomain = "z" + std::to_string(n % options.domains);
             m_nodes.back()->scheduler = std::make_unique<SlotScheduler>(
                 SlotScheduler::Place { m_nodes.back()->name, m_nodes.back()->failureDomain, regions },
                 m_nodes.back()->random);
             m_nodes.back()->scheduler->setEndpoints(records);
         }
+        for (const auto& from : m_nodes) {
+            for (const auto& to : m_nodes) {
+                if (to == from)
+                    continue;
+                from->outlets.at(static_cast<size_t>(distance(*from, *to, regions))).peers.push_back(to.get());
+                to->scheduler->setPeerUse(from->name, { from->failureDomain, {}, 0, lifetime }, m_clock.now());
+            }
+        }
     }
 
     /// Plays for that long with so many online requests a second, and never fewer than `itemsWaiting` items waiting at
@@ -91,6 +111,7 @@
 
 private:
     static constexpr Milliseconds step { 5 };
+    static constexpr Milliseconds lifetime { 5'000 };
 
     template <typename AddItems> void play(Milliseconds duration, double onlinePerSecond, AddItems addItems)
     {
@@ -125,6 +146,16 @@
         bool operator==(const Report&) const = default;
     };
 
+    struct Node;
+
+    /// The reports of a node to its peers at one distance.
+    struct Outlet {
+        std::vector<Node*> peers;
+        MonotonicTime sentAt;
+        Report sent;
+        std::deque<std::pair<MonotonicTime, Report>> onTheWay;
+    };
+
     struct Node {
         explicit Node(uint64_t seed)
             : random(seed)
@@ -136,10 +167,7 @@
         SeededRandom random;
         std::unique_ptr<SlotScheduler> scheduler;
         std::map<uint64_t, Work> work;
-        std::deque<std::pair<MonotonicTime, Report>> reports;
-        Report lastReport;
-        /// The newest report that has reached the peers.
-        Report delivered;
+        std::array<Outlet, peerDistanceCount> outlets;
     };
 
     struct Endpoint {
@@ -176,28 +204,47 @@
         return n;
     }
 
+    static PeerDistance distance(const Node& from, const Node& to, const std::map<std::string, std::string>& regions)
+    {
+        if (from.failureDomain == to.failureDomain)
+            return PeerDistance::FailureDomain;
+        const bool isOneRegion = regions.at(from.failureDomain) == regions.at(to.failureDomain);
+        return isOneRegion ? PeerDistance::Region : PeerDistance::OtherRegion;
+    }
+
     void deliverReports()
     {
         for (const auto& from : m_nodes) {
             const Report report { from->scheduler->ownUse(), from->scheduler->waitingOnline() };
-            if (report != from->lastReport) {
-                from->reports.emplace_back(m_clock.now() + m_options.reportDelay, report);
-                from->lastReport = report;
-            }
-            const bool isDue = !from->reports.empty() && from->reports.front().first <= m_clock.now();
-            if (isDue) {
-                from->delivered = from->reports.front().second;
-                from->reports.pop_front();
-            }
-            for (const auto& to : m_nodes) {
-                // An unchanged report still shows that the peer is alive.
-                if (to != from)
-                    to->scheduler->setPeerUse(from->name,
-                        { from->failureDomain, from->delivered.use, from->delivered.waiting }, m_clock.now());
+            for (size_t n = 0; n < peerDistanceCount; ++n) {
+                const auto distance = static_cast<PeerDistance>(n);
+                Outlet& outlet = from->outlets.at(n);
+                const size_t peers = outlet.peers.size();
+                const bool isChanged = report != outlet.sent;
+                const Milliseconds pause
+                    = isChanged ? reportInterval(distance, peers) : heartbeatInterval(distance, peers);
+                if (m_clock.now() >= outlet.sentAt + pause) {
+                    outlet.sentAt = m_clock.now();
+                    outlet.sent = report;
+                    outlet.onTheWay.emplace_back(m_clock.now() + m_options.latency, report);
+                    m_totals.datagrams += peers;
+                }
+                deliver(*from, outlet);
             }
         }
     }
 
+    void deliver(const Node& from, Outlet& outlet)
+    {
+        while (!outlet.onTheWay.empty() && outlet.onTheWay.front().first <= m_clock.now()) {
+            const Report& report = outlet.onTheWay.front().second;
+            for (Node* to : outlet.peers)
+                to->scheduler->setPeerUse(
+                    from.name, { from.failureDomain, report.use, report.waiting, lifetime }, m_clock.now());
+            outlet.onTheWay.pop_front();
+        }
+    }
+
     void decide(size_t n)
     {
         Node& node = *m_nodes[n];
@@ -205,6 +252,7 @@
             Work work = node.work.at(it.work);
             switch (it.kind) {
             case SlotDecision::Kind::Start:
+                m_totals.itemStarts += work.isBatch ? 1 : 0;
                 m_endpoints.at(it.endpoint).queue.push_back(work);
                 break;
             case SlotDecision::Kind::Refuse:
@@ -228,7 +276,7 @@
                 node.work.at(it.id).left = it.left;
         }
         std::erase_if(endpoint.running, [&](const Work& it) { return it.id == decision.work; });
-        std::erase_if(endpoint.queue, [&](const Work& it) { return it.id == decision.work; });
+        m_totals.vainStarts += std::erase_if(endpoint.queue, [&](const Work& it) { return it.id == decision.work; });
         const Work& work = node.work.at(decision.work);
         node.scheduler->submit(BatchWork { decision.work, "lm", work.dueAt, {}, m_options.batchHold - work.left });
     }
--- a/Tests/LibGateway/TestSlotScheduler.cpp
+++ b/Tests/LibGateway/TestSlotScheduler.cpp
@@ -347,3 +347,32 @@
     INFO("items on time " << totals.itemsOnTime << ", late " << totals.itemsLate);
     CHECK(totals.itemsLate * 20 <= totals.itemsOnTime);
 }
+
+// Load: the sheet of the grown site, 70 nodes in six failure domains before 89 endpoints: 880 streams a second in the
+// crests and 180 in the troughs, items always waiting. Guards against nodes that start items at the same slot before
+// they hear of each other: such a start costs a connection and the reading of a prompt, and gives nothing. Target: 9
+// of 10 starts of items get their slot, 95 of 100 online requests are on time while they fit.
+TEST_CASE("70 nodes do not take the same slots for their items")
+{
+    SlotWorld::Options options;
+    options.nodes = 70;
+    options.endpoints = 89;
+    options.slotCount = 7;
+    options.domains = 6;
+    options.domainsPerRegion = 3;
+    options.onlineHold = Milliseconds { 700 };
+    options.seed = GENERATE(1, 2);
+    SlotWorld world(options);
+    world.run(Milliseconds { 3'400 }, 180, 8);
+    world.resetTotals();
+    world.run(Milliseconds { 2'400 }, 760, 8);
+    world.run(Milliseconds { 3'400 }, 180, 8);
+    const SlotWorld::Totals& totals = world.totals();
+    INFO("on time " << totals.onlineOnTime << " of " << totals.onlineArrivals << ", late " << totals.onlineLate
+                    << ", refused " << totals.onlineRefused << ", yields " << totals.yields << ", starts in vain "
+                    << totals.vainStarts << " of " << totals.itemStarts << ", datagrams a node and second "
+                    << totals.datagrams * 1000 / options.nodes / 5'800);
+    CHECK(totals.vainStarts * 10 <= totals.itemStarts);
+    CHECK(totals.onlineOnTime >= totals.onlineArrivals * 95 / 100);
+    CHECK(totals.batchSlotTime.count() > 0);
+}
