LibGateway: Check the endpoint's signature, log what decisions went by

A success counts only with the signature of the endpoint, but the gateway passed on every 2xx: a server that is no endpoint, at an address that is used again, could have answered a request or completed an item. Such an answer is now a failed attempt; the stream or request goes on elsewhere where it may, and is 502 otherwise. The new tests failed first. The fake endpoint of the tests signs its answers as endpoints do.

The log said where a request went, not why. The finished line now has the use of the endpoint as known at the decision (slots, slots_online, slots_batch, slots_age_ms), and for refusals the expected wait and what the caller was told; a yielding item has its own line. The time to the slot, the first byte and the end of a request is in histograms by route (chicorydock_request_seconds).

The test of yields compares whole decisions, so it now also states the view that the decision went by.

--- /dev/null
+++ b/Libraries/LibGateway/DecisionFields.cpp
@@ -0,0 +1,17 @@
+#include <LibGateway/DecisionFields.h>
+
+namespace Chicorydock {
+
+void addView(QJsonObject& details, const SlotView& view)
+{
+    if (view.slotCount == 0) {
+        details["expected_wait_ms"] = static_cast<qint64>(view.expectedWait.count());
+        return;
+    }
+    details["slots"] = static_cast<qint64>(view.slotCount);
+    details["slots_online"] = static_cast<qint64>(view.online);
+    details["slots_batch"] = static_cast<qint64>(view.batch);
+    details["slots_age_ms"] = static_cast<qint64>(view.age.count());
+}
+
+}
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/ForwardedCall.h>
 
+#include <LibGateway/DecisionFields.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -99,9 +101,10 @@
     m_slot.request(std::move(work), *this);
 }
 
-void ForwardedCall::onSlot(const std::string& endpoint)
+void ForwardedCall::onSlot(const std::string& endpoint, const SlotView& view)
 {
     m_slot.noteStart();
+    m_view = view;
     m_endpoint = endpoint;
     const auto record = m_environment.directory.find(endpoint);
     if (!record) {
@@ -155,6 +158,11 @@
     m_head = m_environment.wire.decodeAnswerHead(status, headers);
     if (m_head.load)
         m_environment.broker.scheduler().observe(m_endpoint, *m_head.load, m_environment.clock.now());
+    if (m_head.isUnvouchedSuccess()) {
+        m_call.reset();
+        handleFailedAttempt("the answer has no signature of the endpoint");
+        return;
+    }
     // A stream keeps the headers of its first endpoint.
     if (!m_hasStreamBegun)
         m_headers = headers;
@@ -310,9 +318,11 @@
     handleFailedAttempt("the endpoint was silent");
 }
 
-void ForwardedCall::onRefused(Milliseconds retryAfter)
+void ForwardedCall::onRefused(Milliseconds retryAfter, const SlotView& view)
 {
     m_slot.noteLoss();
+    m_view = view;
+    m_retryAfter = retryAfter;
     if (m_mayHaveRun)
         refuse(ErrorKind::EndpointFailed, "no endpoint is free for another attempt");
     else
@@ -320,7 +330,7 @@
 }
 
 // Only work of jobs is told to yield.
-void ForwardedCall::onYield() { }
+void ForwardedCall::onYield(const SlotView&) { }
 
 void ForwardedCall::handleTimeLimit()
 {
@@ -372,12 +382,29 @@
         details["first_byte_ms"] = static_cast<qint64>(milliseconds(*m_firstByteAt - m_arrival).count());
     if (!reason.empty())
         details["reason"] = QString::fromStdString(reason);
+    if (m_view)
+        addView(details, *m_view);
+    if (m_retryAfter)
+        details["retry_after_ms"] = static_cast<qint64>(m_retryAfter->count());
     m_environment.log.record("request", "finished", m_request.id, {}, details);
     m_environment.metrics
         .counter("chicorydock_requests_total", "Requests by route and outcome.",
             { { "route", m_route.name }, { "outcome", outcome } })
         .add(1);
+    measure("queue", m_sentAt);
+    measure("first_byte", m_firstByteAt);
+    measure("total", now);
     m_onDone();
 }
 
+void ForwardedCall::measure(const std::string& phase, const std::optional<MonotonicTime>& end)
+{
+    if (!end)
+        return;
+    m_environment.metrics
+        .histogram("chicorydock_request_seconds", "Time from the arrival of a request to the end of a phase.",
+            { { "route", m_route.name }, { "phase", phase } })
+        .observe(toSeconds(*end - m_arrival));
+}
+
 }
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -29,9 +29,9 @@
 
 private:
     // SlotClient
-    void onSlot(const std::string& endpoint) override;
-    void onRefused(Milliseconds retryAfter) override;
-    void onYield() override;
+    void onSlot(const std::string& endpoint, const SlotView&) override;
+    void onRefused(Milliseconds retryAfter, const SlotView&) override;
+    void onYield(const SlotView&) override;
 
     // HttpCallObserver
     void onHandedOver() override;
@@ -58,6 +58,8 @@
     Milliseconds timeLeft() const;
     void refuse(ErrorKind, const std::string& reason, std::optional<Milliseconds> retryAfter = {});
     void finish(const std::string& outcome, const std::string& reason);
+    /// Counts the time from the arrival to the end of a phase, if it has ended.
+    void measure(const std::string& phase, const std::optional<MonotonicTime>& end);
 
     GatewayEnvironment& m_environment;
     const std::shared_ptr<HttpExchange> m_exchange;
@@ -92,6 +94,9 @@
     uint64_t m_lastEventId { 0 };
     std::optional<MonotonicTime> m_sentAt;
     std::optional<MonotonicTime> m_firstByteAt;
+    /// What the last decision about a slot went by.
+    std::optional<SlotView> m_view;
+    std::optional<Milliseconds> m_retryAfter;
     QTimer m_limitTimer;
     QTimer m_silenceTimer;
 };
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/ItemRun.h>
 
+#include <LibGateway/DecisionFields.h>
+
 #include <utility>
 
 namespace Chicorydock {
@@ -91,7 +93,7 @@
 
 void ItemRun::requestSlotLater() { m_retryTimer.start(retryDelay); }
 
-void ItemRun::onSlot(const std::string& endpoint)
+void ItemRun::onSlot(const std::string& endpoint, const SlotView&)
 {
     m_slot.noteStart();
     m_slotTakenAt = m_environment.clock.now();
@@ -117,7 +119,7 @@
 }
 
 // Work of jobs waits as long as it takes.
-void ItemRun::onRefused(Milliseconds)
+void ItemRun::onRefused(Milliseconds, const SlotView&)
 {
     m_slot.noteLoss();
     requestSlotLater();
@@ -128,8 +130,15 @@
     m_slotTimeUsed += std::chrono::duration_cast<Milliseconds>(m_environment.clock.now() - m_slotTakenAt);
 }
 
-void ItemRun::onYield()
+void ItemRun::onYield(const SlotView& view)
 {
+    QJsonObject details {
+        { "job", QString::fromStdString(m_job.id) },
+        { "endpoint", QString::fromStdString(m_endpoint) },
+        { "last_event", static_cast<qint64>(m_lastEventId) },
+    };
+    addView(details, view);
+    m_environment.log.record("item", "yielded", m_item.id, {}, details);
     m_slot.noteLoss();
     countSlotTime();
     m_call.reset();
@@ -141,6 +150,10 @@
     m_head = m_environment.wire.decodeAnswerHead(status, headers);
     if (m_head.load)
         m_environment.broker.scheduler().observe(m_endpoint, *m_head.load, m_environment.clock.now());
+    if (m_head.isUnvouchedSuccess()) {
+        m_call.reset();
+        handleFailure("the answer has no signature of the endpoint");
+    }
 }
 
 void ItemRun::onData(const QByteArray& data)
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -49,9 +49,9 @@
     const JobItem& item() const { return m_item; }
 
 private:
-    void onSlot(const std::string& endpoint) override;
-    void onRefused(Milliseconds retryAfter) override;
-    void onYield() override;
+    void onSlot(const std::string& endpoint, const SlotView&) override;
+    void onRefused(Milliseconds retryAfter, const SlotView&) override;
+    void onYield(const SlotView&) override;
 
     void onHandedOver() override { }
     void onHeaders(int status, const HttpHeaders&) override;
--- a/Libraries/LibGateway/SlotBroker.cpp
+++ b/Libraries/LibGateway/SlotBroker.cpp
@@ -81,15 +81,15 @@
     SlotClient& client = *it->second;
     switch (decision.kind) {
     case SlotDecision::Kind::Start:
-        client.onSlot(decision.endpoint);
+        client.onSlot(decision.endpoint, decision.view);
         return;
     case SlotDecision::Kind::Refuse:
         m_clients.erase(it);
-        client.onRefused(decision.retryAfter);
+        client.onRefused(decision.retryAfter, decision.view);
         return;
     case SlotDecision::Kind::Yield:
         m_clients.erase(it);
-        client.onYield();
+        client.onYield(decision.view);
         return;
     }
 }
--- a/Libraries/LibGateway/SlotBroker.h
+++ b/Libraries/LibGateway/SlotBroker.h
@@ -18,10 +18,10 @@
     virtual ~SlotClient() = default;
 
     /// The work starts now; the client calls `SlotBroker::ended()` when it has ended.
-    virtual void onSlot(const std::string& endpoint) = 0;
-    virtual void onRefused(Milliseconds retryAfter) = 0;
+    virtual void onSlot(const std::string& endpoint, const SlotView&) = 0;
+    virtual void onRefused(Milliseconds retryAfter, const SlotView&) = 0;
     /// The running work must stop now. It has left its slot.
-    virtual void onYield() = 0;
+    virtual void onYield(const SlotView&) = 0;
 };
 
 /// Runs a `SlotScheduler` on the event loop and tells each client what was decided for it.
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -190,6 +190,12 @@
     return it == m_endpointsByKey.end() ? nullptr : it->second;
 }
 
+SlotView SlotScheduler::viewOf(const Endpoint& place, MonotonicTime now)
+{
+    return { place.online(), place.own.batch + place.peers.batch, place.record.slotCount,
+        std::chrono::duration_cast<Milliseconds>(now - place.changedAt), {} };
+}
+
 void SlotScheduler::noteBatchSlots(Endpoint& place, MonotonicTime now)
 {
     const bool isFree = place.total() < batchSlots(place.record.slotCount);
@@ -209,6 +215,7 @@
     Endpoint* place = endpoint(running.endpoint);
     if (place) {
         --(running.isBatch ? place->own.batch : place->own.online);
+        place->changedAt = now;
         if (!running.isBatch)
             place->ownEndedAt = place->onlineChangedAt = now;
         noteBatchSlots(*place, now);
@@ -279,6 +286,7 @@
         if (!place)
             return;
         noteBatchSlots(*place, now);
+        place->changedAt = now;
         if (from.online != to.online)
             place->onlineChangedAt = now;
     };
@@ -395,7 +403,8 @@
         }
         size_t& before = ahead[work.service];
         if (isHopeless(work, before, now)) {
-            decisions.push_back({ SlotDecision::Kind::Refuse, work.id, {}, retryAfter(work.service, before) });
+            const SlotView view { .expectedWait = expectedWait(work.service, before) };
+            decisions.push_back({ SlotDecision::Kind::Refuse, work.id, {}, retryAfter(work.service, before), view });
             continue;
         }
         ++before;
@@ -550,11 +559,13 @@
 void SlotScheduler::startWork(
     std::vector<SlotDecision>& decisions, uint64_t work, Endpoint& place, bool isBatch, MonotonicTime now)
 {
+    const SlotView view = viewOf(place, now);
     ++(isBatch ? place.own.batch : place.own.online);
     m_ownBatch += isBatch ? 1 : 0;
+    place.changedAt = now;
     noteBatchSlots(place, now);
     m_running[work] = { place.record.id, isBatch, place.record.service, now, {}, {} };
-    decisions.push_back({ SlotDecision::Kind::Start, work, place.record.id, {} });
+    decisions.push_back({ SlotDecision::Kind::Start, work, place.record.id, {}, view });
 }
 
 void SlotScheduler::startItem(
@@ -582,9 +593,10 @@
     if (!chosen)
         return;
     const uint64_t work = chosen->first;
-    decisions.push_back({ SlotDecision::Kind::Yield, work, place.record.id, {} });
+    decisions.push_back({ SlotDecision::Kind::Yield, work, place.record.id, {}, viewOf(place, now) });
     m_running.erase(work);
     --place.own.batch;
+    place.changedAt = now;
     --m_ownBatch;
     noteBatchSlots(place, now);
 }
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -52,6 +52,20 @@
     bool operator==(const BatchWork&) const = default;
 };
 
+/// What a decision about a piece of work went by.
+struct SlotView {
+    /// Use of the endpoint before the decision, by all nodes, as far as known.
+    uint32_t online { 0 };
+    uint32_t batch { 0 };
+    uint32_t slotCount { 0 };
+    /// Time since this node last learned of a change of that use.
+    Milliseconds age { 0 };
+    /// For refusals: the expected time in the queue.
+    Milliseconds expectedWait { 0 };
+
+    auto operator<=>(const SlotView&) const = default;
+};
+
 /// What to do with a piece of work.
 struct SlotDecision {
     enum class Kind : uint8_t {
@@ -68,6 +82,7 @@
     std::string endpoint;
     /// When the caller should come back, for a refusal.
     Milliseconds retryAfter { 0 };
+    SlotView view {};
 
     bool operator==(const SlotDecision&) const = default;
 };
@@ -185,6 +200,8 @@
         MonotonicTime avoidedUntil;
         /// When the online use by any node changed last.
         MonotonicTime onlineChangedAt;
+        /// When any use by any node changed last.
+        MonotonicTime changedAt;
         /// Whether there is a slot for items, and since when.
         bool isFreeForBatch { false };
         MonotonicTime freeForBatchSince;
@@ -230,6 +247,7 @@
     PeerDistance distanceTo(const std::string& failureDomain) const;
     Milliseconds turnTime(PeerDistance) const;
     static void noteBatchSlots(Endpoint&, MonotonicTime now);
+    static SlotView viewOf(const Endpoint&, MonotonicTime now);
     Endpoint* endpoint(const std::string& id);
     Endpoint* endpointOf(uint32_t key);
     void decideOnline(std::vector<SlotDecision>&, MonotonicTime now);
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -31,11 +31,14 @@
     bool isNotRun { false };
     /// Another endpoint has the address.
     bool isOtherEndpoint { false };
-    /// Whether the answer is a success that the endpoint vouches for.
+    /// Whether the endpoint vouches for the answer.
     bool isSigned { false };
     /// Load of the endpoint, if stated.
     std::optional<ObservedLoad> load;
 
+    /// Returns whether the answer claims a success for which no endpoint vouches.
+    bool isUnvouchedSuccess() const { return status >= 200 && status < 300 && !isSigned; }
+
     auto operator<=>(const EndpointAnswerHead&) const = default;
 };
 
--- a/Tests/LibGateway/JobWorld.cpp
+++ b/Tests/LibGateway/JobWorld.cpp
@@ -262,7 +262,7 @@
                 --it->second;
             call.observer->onHandedOver();
             if (!call.isCancelled)
-                call.observer->onHeaders(200, {});
+                call.observer->onHeaders(200, { { "Server-Signature", "s" } });
             continue;
         }
         const size_t event = it->second++;
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -16,7 +16,8 @@
     std::unique_ptr<ForwardedCall> call;
     int ends { 0 };
 
-    explicit CallFixture(const QByteArray& target, HttpHeaders extra = {})
+    explicit CallFixture(const QByteArray& target, HttpHeaders extra = {}, size_t endpoints = 3)
+        : GatewayFixture(endpoints)
     {
         HttpRequest request { "POST", target, {}, std::move(extra), "body", target };
         request.headers.add("Host", "h.example");
@@ -30,7 +31,7 @@
             environment, exchange, decoded, environment.configuration, *route, [this] { ++ends; });
         call->start();
         settle();
-        REQUIRE(http.count() == 1);
+        REQUIRE(http.count() == std::min<size_t>(endpoints, 1));
     }
 
     int status() const { return exchange->answered ? exchange->answered->status : 0; }
@@ -200,3 +201,54 @@
     CHECK_FALSE(fixture.directory.find(id));
     CHECK(fixture.http.count() == 2);
 }
+
+// Guards against a success that no endpoint vouches for, for example from another server at its address.
+TEST_CASE("a success without the endpoint's signature is not passed on")
+{
+    const QByteArray path = GENERATE(as<QByteArray> {}, "/s/1", "/i/1", "/u/1");
+    CallFixture fixture(path);
+    fixture.http.handOver();
+    fixture.http.headers(200, {});
+    // Nothing more is wanted of this answer.
+    CHECK(fixture.http.last().isCancelled);
+    CallFixture::settle();
+    if (path == "/u/1") {
+        CHECK(fixture.status() == 502);
+        return;
+    }
+    REQUIRE(fixture.http.count() == 2);
+    CHECK_FALSE(fixture.exchange->answered);
+    CHECK(fixture.log.count("moved") == 1);
+}
+
+// Guards against a log from which nobody can tell why a request went where it went or was refused.
+TEST_CASE("the log tells what a decision went by")
+{
+    CallFixture fixture("/i/1");
+    fixture.http.handOver();
+    fixture.http.headers(200);
+    fixture.http.finish();
+    const QJsonObject details = fixture.log.events.back().details;
+    CHECK(details["slots"].toInt() == 8);
+    CHECK(details["slots_online"].toInt() == 0);
+    CHECK(details["slots_batch"].toInt() == 0);
+    CHECK(details.contains("slots_age_ms"));
+    CHECK(details["configuration"].toInt() == 3);
+    CHECK(fixture.metrics.text().find("chicorydock_request_seconds_count{route=\"i\",phase=\"total\"} 1")
+        != std::string::npos);
+}
+
+// Guards against a refusal that nobody can explain afterwards.
+TEST_CASE("the log of a refused request tells the expected wait and when the caller was told to come back")
+{
+    CallFixture fixture("/i/1", {}, 0);
+    CallFixture::settle();
+    fixture.clock.advance(Milliseconds { 4'100 });
+    fixture.broker.schedulePoll();
+    CallFixture::settle();
+    REQUIRE(fixture.status() == 503);
+    const QJsonObject details = fixture.log.events.back().details;
+    CHECK(details.contains("expected_wait_ms"));
+    CHECK(details["retry_after_ms"].toInt() > 0);
+    CHECK(details["reason"].toString() == "no endpoint is free in time");
+}
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -467,3 +467,43 @@
         CHECK(std::get<QByteArray>(*result) == job.items[0].body);
     }
 }
+
+// Guards against an item that is completed with an answer for which no endpoint vouches.
+TEST_CASE("an item goes on elsewhere after a success without a signature")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j")));
+    REQUIRE(waitFor([&] { return node.http.count() == 1; }));
+    node.http.handOver();
+    node.http.headers(200, {});
+    CHECK(node.http.last().isCancelled);
+    REQUIRE(waitFor([&] { return node.http.count() == 2; }));
+    node.completeNext("whole");
+    node.commit();
+    CHECK(pageOf(node.read("j")).results.front().output == "whole");
+}
+
+// Guards against items that stop and start again with no trace of why.
+TEST_CASE("the log tells which use of the endpoint made an item yield")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j")));
+    REQUIRE(waitFor([&] { return node.http.count() == 1; }));
+    node.scheduler.setPeerUse("n2",
+        { "z1",
+            { { SlotScheduler::endpointKey("e0"), { 8, 0 } }, { SlotScheduler::endpointKey("e1"), { 8, 0 } },
+                { SlotScheduler::endpointKey("e2"), { 8, 0 } } },
+            0 },
+        node.clock.now());
+    node.broker.schedulePoll();
+    node.settle();
+    REQUIRE(node.log.count("yielded") == 1);
+    const auto it = std::ranges::find(node.log.events, "yielded", &Event::action);
+    CHECK(it->details["slots_online"].toInt() == 8);
+    CHECK(it->details["slots_batch"].toInt() == 1);
+    CHECK(it->details["slots"].toInt() == 8);
+}
--- a/Tests/LibGateway/TestSlotScheduler.cpp
+++ b/Tests/LibGateway/TestSlotScheduler.cpp
@@ -93,7 +93,7 @@
     const uint64_t online = fixture.submitOnline();
     const auto decisions = fixture.poll();
     REQUIRE(decisions.size() == 2);
-    CHECK(decisions[0] == SlotDecision { Kind::Yield, latest, "a", {} });
+    CHECK(decisions[0] == SlotDecision { Kind::Yield, latest, "a", {}, { 0, 2, 2 } });
     CHECK(decisions[1].kind == Kind::Start);
     CHECK(decisions[1].work == online);
 }
