LibGateway: Test that a handed-over request is not said not to have run

With the note of the hand-over taken out of ForwardedCall no test failed, although a request whose time ends at an endpoint was then refused with 503, a promise that it did not run. The new test plays the time limit on simulated time, before and after the hand-over, and fails without it.

--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -3,6 +3,7 @@
 #include "GatewayFixture.h"
 
 #include <Tests/Support/FakeExchange.h>
+#include <Tests/Support/SimulatedEventLoop.h>
 #include <catch2/catch.hpp>
 
 using namespace Chicorydock;
@@ -252,3 +253,19 @@
     CHECK(details["retry_after_ms"].toInt() > 0);
     CHECK(details["reason"].toString() == "no endpoint is free in time");
 }
+
+// Guards against a caller that sends a request again because it was told that the first one did not run, while an
+// endpoint works on it.
+TEST_CASE("a request whose time ends at an endpoint is not said not to have run")
+{
+    const bool isHandedOver = GENERATE(true, false);
+    int status = 0;
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        CallFixture fixture("/u/1");
+        if (isHandedOver)
+            fixture.http.handOver();
+        loop.advance(Milliseconds { 4'100 });
+        status = fixture.status();
+    });
+    CHECK(status == (isHandedOver ? 504 : 503));
+}
--- a/Tests/Support/SimulatedEventLoop.h
+++ b/Tests/Support/SimulatedEventLoop.h
@@ -36,7 +36,11 @@
     }
 
     // QAbstractEventDispatcher
-    bool processEvents(QEventLoop::ProcessEventsFlags) override { return false; }
+    bool processEvents(QEventLoop::ProcessEventsFlags) override
+    {
+        QCoreApplication::sendPostedEvents();
+        return true;
+    }
     void registerSocketNotifier(QSocketNotifier*) override { }
     void unregisterSocketNotifier(QSocketNotifier*) override { }
     void registerTimer(int id, qint64 interval, Qt::TimerType, QObject* object) override
