LibGateway: Log where a request is placed, before its end

A request now has a line when it gets its endpoint, with the use of the endpoint and its age, the configuration, the time in the queue and the time that is left; the finished line keeps what a refusal went by. `explain` adds when the log of a process ends that placed a request and wrote no end of it.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -104,8 +104,8 @@
 void ForwardedCall::onSlot(const std::string& endpoint, const SlotView& view)
 {
     m_slot.noteStart();
-    m_view = view;
     m_endpoint = endpoint;
+    logPlace(view);
     const auto record = m_environment.directory.find(endpoint);
     if (!record) {
         m_slot.release(EndpointOutcome::Cancelled);
@@ -115,6 +115,19 @@
     send(*record);
 }
 
+void ForwardedCall::logPlace(const SlotView& view) const
+{
+    // Also the only trace of a request whose node is lost before its end.
+    QJsonObject details {
+        { "endpoint", QString::fromStdString(m_endpoint) },
+        { "configuration", static_cast<qint64>(m_configuration->version) },
+        { "queued_ms", static_cast<qint64>(milliseconds(m_environment.clock.now() - m_arrival).count()) },
+        { "left_ms", static_cast<qint64>(timeLeft().count()) },
+    };
+    addView(details, view);
+    m_environment.log.record("request", "placed", m_request.id, {}, details);
+}
+
 void ForwardedCall::send(const EndpointRecord& endpoint)
 {
     const HttpRequest& request = m_exchange->request();
@@ -321,7 +334,7 @@
 void ForwardedCall::onRefused(Milliseconds retryAfter, const SlotView& view)
 {
     m_slot.noteLoss();
-    m_view = view;
+    m_refusal = view;
     m_retryAfter = retryAfter;
     if (m_mayHaveRun)
         refuse(ErrorKind::EndpointFailed, "no endpoint is free for another attempt");
@@ -382,8 +395,8 @@
         details["first_byte_ms"] = static_cast<qint64>(milliseconds(*m_firstByteAt - m_arrival).count());
     if (!reason.empty())
         details["reason"] = QString::fromStdString(reason);
-    if (m_view)
-        addView(details, *m_view);
+    if (m_refusal)
+        addView(details, *m_refusal);
     if (m_retryAfter)
         details["retry_after_ms"] = static_cast<qint64>(m_retryAfter->count());
     m_environment.log.record("request", "finished", m_request.id, {}, details);
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -57,6 +57,7 @@
     void armSilenceTimer();
     Milliseconds timeLeft() const;
     void refuse(ErrorKind, const std::string& reason, std::optional<Milliseconds> retryAfter = {});
+    void logPlace(const SlotView&) const;
     void finish(const std::string& outcome, const std::string& reason);
     /// Counts the time from the arrival to the end of a phase, if it has ended.
     void measure(const std::string& phase, const std::optional<MonotonicTime>& end);
@@ -94,8 +95,8 @@
     uint64_t m_lastEventId { 0 };
     std::optional<MonotonicTime> m_sentAt;
     std::optional<MonotonicTime> m_firstByteAt;
-    /// What the last decision about a slot went by.
-    std::optional<SlotView> m_view;
+    /// What the scheduler went by when it refused the request.
+    std::optional<SlotView> m_refusal;
     std::optional<Milliseconds> m_retryAfter;
     QTimer m_limitTimer;
     QTimer m_silenceTimer;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -35,7 +35,10 @@
 
     /// Answers the newest call as an endpoint does.
     void handOver() { last().observer->onHandedOver(); }
-    void headers(int status, HttpHeaders headers = { { "Server-Signature", "s" } }) { last().observer->onHeaders(status, headers); }
+    void headers(int status, HttpHeaders headers = { { "Server-Signature", "s" } })
+    {
+        last().observer->onHeaders(status, headers);
+    }
     void data(const QByteArray& bytes) { last().observer->onData(bytes); }
     void finish() { last().observer->onFinished(); }
     void fail(HttpFailure::Phase phase) { last().observer->onFailed({ phase, HttpFailure::Reason::Closed, "test" }); }
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -229,12 +229,15 @@
     fixture.http.handOver();
     fixture.http.headers(200);
     fixture.http.finish();
-    const QJsonObject details = fixture.log.events.back().details;
+    REQUIRE(fixture.log.count("placed") == 1);
+    const QJsonObject details = std::ranges::find(fixture.log.events, "placed", &Event::action)->details;
+    CHECK(details["endpoint"].toString().startsWith('e'));
     CHECK(details["slots"].toInt() == 8);
     CHECK(details["slots_online"].toInt() == 0);
     CHECK(details["slots_batch"].toInt() == 0);
     CHECK(details.contains("slots_age_ms"));
     CHECK(details["configuration"].toInt() == 3);
+    CHECK(fixture.log.events.back().details["outcome"].toString() == "answered");
     CHECK(fixture.metrics.text().find("chicorydock_request_seconds_count{route=\"i\",phase=\"total\"} 1")
         != std::string::npos);
 }
--- a/Tests/Utilities/chicorydock/TestExplain.cpp
+++ b/Tests/Utilities/chicorydock/TestExplain.cpp
@@ -61,3 +61,20 @@
     CHECK_THAT(err(), Catch::Contains("no line of 1 tells of \"nobody\""));
     CHECK(run({ "explain", "j1", file + ".none" }) == 2);
 }
+
+// Guards against a request that was lost with its node and leaves no explanation.
+TEST_CASE_METHOD(ToolFixture, "explain tells when the log of a process ends that wrote no end of a request")
+{
+    const auto file = writeFile("a.log",
+        (line(10, "n1", "request", "placed", "q1", { { "endpoint", "e1" } })
+            + line(20, "n1", "request", "finished", "q2") + line(30, "n2", "request", "placed", "q3")
+            + line(40, "n2", "request", "finished", "q3") + line(50, "n2", "request", "finished", "q4"))
+            .toStdString());
+    REQUIRE(run({ "explain", "q1", file, "--json" }) == 0);
+    const QJsonArray lines = outJson()["lines"].toArray();
+    REQUIRE(lines.size() == 2);
+    CHECK(lines[1].toObject()["action"] == "log_ends");
+    CHECK(lines[1].toObject()["wall_ms"].toInt() == 20);
+    REQUIRE(run({ "explain", "q3", file, "--json" }) == 0);
+    CHECK(outJson()["lines"].toArray().size() == 2);
+}
--- a/Utilities/chicorydock/LogStory.cpp
+++ b/Utilities/chicorydock/LogStory.cpp
@@ -3,6 +3,7 @@
 #include <QJsonDocument>
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace Chicorydock {
@@ -59,6 +60,30 @@
     return jobOf(line) == m_id;
 }
 
+std::vector<QJsonObject> LogStory::missingEnds(const std::vector<QJsonObject>& story) const
+{
+    std::set<std::string> open;
+    for (const QJsonObject& it : story) {
+        if (textOf(it, "subject") != "request")
+            continue;
+        if (textOf(it, "action") == "placed")
+            open.insert(textOf(it, "node"));
+        else if (textOf(it, "action") == "finished")
+            open.erase(textOf(it, "node"));
+    }
+    std::vector<QJsonObject> ends;
+    for (const std::string& node : open) {
+        const auto last = std::ranges::find_if(
+            m_lines.rbegin(), m_lines.rend(), [&](const QJsonObject& it) { return textOf(it, "node") == node; });
+        QJsonObject end { { "node", QString::fromStdString(node) }, { "subject", "node" }, { "action", "log_ends" },
+            { "id", QString::fromStdString(node) }, { "wall_ms", (*last)["wall_ms"] },
+            { "sequence", (*last)["sequence"] } };
+        end["details"] = QJsonObject { { "reason", "the process wrote no end of the request before its log ends" } };
+        ends.push_back(end);
+    }
+    return ends;
+}
+
 std::vector<QJsonObject> LogStory::lines() const
 {
     const std::set<std::string> ids = relatedIds();
@@ -67,6 +92,7 @@
         if (concerns(it, ids))
             story.push_back(it);
     }
+    std::ranges::copy(missingEnds(story), std::back_inserter(story));
     std::ranges::stable_sort(story, {}, [](const QJsonObject& it) {
         return std::tuple(it["wall_ms"].toInteger(), textOf(it, "node"), it["sequence"].toInteger());
     });
--- a/Utilities/chicorydock/LogStory.h
+++ b/Utilities/chicorydock/LogStory.h
@@ -22,7 +22,8 @@
     void read(std::istream&);
 
     /// Returns the lines in the order of their time, then of their process. Lines of the job of an item belong to the
-    /// story of the item, and lines of its items to that of a job.
+    /// story of the item, and lines of its items to that of a job. Where a process placed a request and told no end of
+    /// it, a line is added that says when its log ends.
     std::vector<QJsonObject> lines() const;
 
     uint64_t unreadableLines() const { return m_unreadableLines; }
@@ -31,6 +32,8 @@
 private:
     bool concerns(const QJsonObject&, const std::set<std::string>& ids) const;
     std::set<std::string> relatedIds() const;
+    /// Returns a line for each process whose part of the story has no end.
+    std::vector<QJsonObject> missingEnds(const std::vector<QJsonObject>& story) const;
 
     const std::string m_id;
     std::vector<QJsonObject> m_lines;
