LibHTTP: Remove a listener method that nobody needs

HttpResponseListener::onResponseEnd had one implementation, which was empty: the connection asks the reader whether the answer is whole. noteLifetime was one line with one caller. No change of behaviour.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -165,7 +165,7 @@
         return;
     }
     m_phase = HttpFailure::Phase::Answering;
-    noteLifetime(headers);
+    m_idleLimit = statedIdleTimeout(headers);
     if (m_observer)
         m_observer->onHeaders(status, headers);
 }
@@ -178,16 +178,12 @@
     return echo && echo != m_request.headers.find(m_request.echoedField);
 }
 
-void ClientConnection::noteLifetime(const HttpHeaders& headers) { m_idleLimit = statedIdleTimeout(headers); }
-
 void ClientConnection::onResponseBody(QByteArrayView data)
 {
     if (m_observer && !m_skipsAnswer)
         m_observer->onData(data.toByteArray());
 }
 
-void ClientConnection::onResponseEnd() { }
-
 void ClientConnection::finish(bool hasExtraBytes)
 {
     HttpCallObserver* observer = std::exchange(m_observer, nullptr);
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -54,12 +54,10 @@
 
     void onResponseHeaders(int status, const HttpHeaders&) override;
     void onResponseBody(QByteArrayView) override;
-    void onResponseEnd() override;
 
     void transmit();
     QByteArray formatRequest() const;
     bool belongsToEarlierRequest(const HttpHeaders&) const;
-    void noteLifetime(const HttpHeaders&);
     void finish(bool hasExtraBytes);
     void fail(HttpFailure::Reason, std::string message);
     void setState(State);
--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -115,7 +115,6 @@
     self.m_isComplete = true;
     self.m_keepsConnection = http_should_keep_alive(parser) != 0;
     http_parser_pause(parser, 1);
-    self.m_listener.onResponseEnd();
     return 0;
 }
 
--- a/Libraries/LibHTTP/HttpResponseReader.h
+++ b/Libraries/LibHTTP/HttpResponseReader.h
@@ -13,8 +13,6 @@
 
     virtual void onResponseHeaders(int status, const HttpHeaders&) = 0;
     virtual void onResponseBody(QByteArrayView) = 0;
-    /// The answer is whole.
-    virtual void onResponseEnd() = 0;
 };
 
 /// Splits the bytes of a connection into answers. It stops at the end of each answer, so that bytes behind it are seen.
