Tests: Share the fake peers, the listing of jobs and the end of two tests

The explorer had its own copies of the peers and the listing of TestJobController, and two tests there ended with the same eleven lines. The assertions are the same.

--- a/Tests/LibGateway/JobWorld.cpp
+++ b/Tests/LibGateway/JobWorld.cpp
@@ -105,18 +105,10 @@
     const Way m_way;
 };
 
-/// What a node believes of the others: sometimes wrong.
-class JobWorld::Peers final : public JobPeers {
-public:
-    std::set<std::string> alive;
-
-    bool canRunJobs(const std::string& node) const override { return alive.contains(node); }
-    std::vector<std::string> nodesForJobs() const override { return { alive.begin(), alive.end() }; }
-};
-
 struct JobWorld::Node : GatewayFixture {
     NodeStore store;
-    Peers peers;
+    /// What the node believes of the others: sometimes wrong.
+    FakeJobPeers peers;
     std::unique_ptr<JobController> jobs;
     size_t answeredCalls { 0 };
     /// Next event of each open call; calls before `answeredCalls` have ended.
@@ -230,14 +222,10 @@
         }
     }
     if (m_random.below(30) == 0) {
-        std::vector<StoredRow> rows;
-        for (const std::string& it : JobRows::partitions()) {
-            for (StoredRow& row : m_table.rowsIn({ JobRows::recordTable, it, {}, {} }))
-                rows.push_back(std::move(row));
-        }
         // A listing may be old when it arrives.
         const Milliseconds age { m_random.below(m_isFaulty ? 1'500 : 20) };
-        later(age, { owner, m_incarnations[n] }, [this, n, rows] { m_nodes[n]->jobs->onTableListed(rows); });
+        later(age, { owner, m_incarnations[n] },
+            [this, n, rows = jobHeadRows(m_table)] { m_nodes[n]->jobs->onTableListed(rows); });
     }
     if (m_random.below(25) == 0)
         node.jobs->tick();
--- a/Tests/LibGateway/JobWorld.h
+++ b/Tests/LibGateway/JobWorld.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FakeJobPeers.h"
 #include "GatewayFixture.h"
 
 #include <LibGateway/JobController.h>
@@ -52,7 +53,6 @@
 
 private:
     class NodeStore;
-    class Peers;
     struct Node;
 
     /// What the caller of a job knows.
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/JobController.h>
 
+#include "FakeJobPeers.h"
 #include "GatewayFixture.h"
 
 #include <Tests/Support/MemoryRowStore.h>
@@ -10,17 +11,9 @@
 
 namespace {
 
-class FakePeers final : public JobPeers {
-public:
-    std::set<std::string> alive;
-
-    bool canRunJobs(const std::string& node) const override { return alive.contains(node); }
-    std::vector<std::string> nodesForJobs() const override { return { alive.begin(), alive.end() }; }
-};
-
 /// A node with its own view, in front of a store that several nodes share.
 struct JobNode : GatewayFixture {
-    FakePeers peers;
+    FakeJobPeers peers;
     std::unique_ptr<JobController> jobs;
 
     JobNode(MemoryRowStore& store, const std::string& name)
@@ -31,15 +24,7 @@
     }
 
     /// Tells the controller all that is in the store.
-    void follow()
-    {
-        std::vector<StoredRow> rows;
-        for (const std::string& it : JobRows::partitions()) {
-            for (StoredRow& row : m_store.rowsIn({ JobRows::recordTable, it, {}, {} }))
-                rows.push_back(std::move(row));
-        }
-        jobs->onTableListed(rows);
-    }
+    void follow() { jobs->onTableListed(jobHeadRows(m_store)); }
 
     /// Lets time pass, so that orphans are claimed.
     void passTime(Milliseconds time)
@@ -106,6 +91,22 @@
     return std::get<JobResultPage>(result);
 }
 
+/// Lets the node take over job `j` and checks that its item goes on behind the events `a` and `b`.
+void checkGoesOnBehindSecondEvent(JobNode& next)
+{
+    next.follow();
+    next.passTime(std::chrono::seconds { 4 });
+    JobNode::settle();
+    REQUIRE(next.http.count() == 1);
+    CHECK(next.http.last().request.headers.find("Last-Event-Id") == "2");
+    next.http.handOver();
+    next.http.headers(200);
+    next.http.data("id: 3\ndata: c\n\n");
+    next.http.finish();
+    next.commit();
+    CHECK(pageOf(next.read("j")).results.at(0).output == "a\nb\nc");
+}
+
 }
 
 // Guards against a job that is accepted twice, or refused after it was accepted.
@@ -336,17 +337,7 @@
     store.deliver();
     CHECK(leaving.jobs->isReleased());
 
-    next.follow();
-    next.passTime(std::chrono::seconds { 4 });
-    JobNode::settle();
-    REQUIRE(next.http.count() == 1);
-    CHECK(next.http.last().request.headers.find("Last-Event-Id") == "2");
-    next.http.handOver();
-    next.http.headers(200);
-    next.http.data("id: 3\ndata: c\n\n");
-    next.http.finish();
-    next.commit();
-    CHECK(pageOf(next.read("j")).results.at(0).output == "a\nb\nc");
+    checkGoesOnBehindSecondEvent(next);
 }
 
 // Guards against whole runs that are lost with their node, and against output that a lost checkpoint leaves out.
@@ -368,17 +359,7 @@
     store.commitFault = MemoryRowStore::Fault::None;
     lost.http.data("id: 3\ndata: c\n\n");
 
-    next.follow();
-    next.passTime(std::chrono::seconds { 4 });
-    JobNode::settle();
-    REQUIRE(next.http.count() == 1);
-    CHECK(next.http.last().request.headers.find("Last-Event-Id") == "2");
-    next.http.handOver();
-    next.http.headers(200);
-    next.http.data("id: 3\ndata: c\n\n");
-    next.http.finish();
-    next.commit();
-    CHECK(pageOf(next.read("j")).results.at(0).output == "a\nb\nc");
+    checkGoesOnBehindSecondEvent(next);
 }
 
 // Guards against output with a hole when a part of the progress was not kept.
