LibGateway: Use one copy of distances, addresses and answer heads

PeerGroup, SlotScheduler and the load simulator each worked out how far two failure domains are apart. The scheduler waits by the reports that PeerGroup sends, so they have to agree; distanceBetween() serves all three. They differed in one case: without any region in the settings PeerGroup took all failure domains for one region and the scheduler each for its own. Both now do as PeerGroup did.

ClientSocket and PeerGroup parsed HOST:PORT anew. RpcAddress, which needs nothing of RPC, is now LibCore's SocketAddress and serves them; a call to an IPv6 address is possible with it, and a port with other characters behind it is refused. ListeningSocket keeps its parser, because it takes port 0 of its own form and names three reasons.

ForwardedCall and ItemRun decoded the head of an answer and noted its load with the same lines and had the same time limit for connecting; both are in GatewayEnvironment. EndpointDirectory says once which entries are usable. The slots near a node were summed, but only asked for being there.

--- a/Libraries/LibRPC/RpcAddress.cpp
+++ b/Libraries/LibCore/SocketAddress.cpp
@@ -1,4 +1,4 @@
-#include <LibRPC/RpcAddress.h>
+#include <LibCore/SocketAddress.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -19,17 +19,17 @@
         return port;
     }
 
-    template <typename SocketAddress> RpcAddress pack(const SocketAddress& socketAddress)
+    template <typename Native> SocketAddress pack(const Native& native)
     {
-        RpcAddress address;
-        std::memcpy(&address.storage, &socketAddress, sizeof(socketAddress));
-        address.length = sizeof(socketAddress);
+        SocketAddress address;
+        std::memcpy(&address.storage, &native, sizeof(native));
+        address.length = sizeof(native);
         return address;
     }
 
 }
 
-std::optional<RpcAddress> RpcAddress::parse(const std::string& text)
+std::optional<SocketAddress> SocketAddress::parse(const std::string& text)
 {
     const size_t colon = text.rfind(':');
     if (colon == std::string::npos)
--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -73,7 +73,7 @@
 {
     std::vector<EndpointRecord> records;
     for (const auto& [id, entry] : m_entries) {
-        if (!entry.record.isLeaving && !entry.isReplaced)
+        if (entry.isUsable())
             records.push_back(entry.record);
     }
     return records;
@@ -82,9 +82,7 @@
 std::optional<EndpointRecord> EndpointDirectory::find(const std::string& id) const
 {
     const auto it = m_entries.find(id);
-    if (it == m_entries.end() || it->second.record.isLeaving || it->second.isReplaced)
-        return {};
-    return it->second.record;
+    return it == m_entries.end() || !it->second.isUsable() ? std::nullopt : std::optional(it->second.record);
 }
 
 bool EndpointDirectory::isAroundOutage(MonotonicTime now) const
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -44,6 +44,8 @@
         EndpointRecord record;
         bool isReplaced { false };
         bool isMissing { false };
+
+        bool isUsable() const { return !record.isLeaving && !isReplaced; }
     };
 
     bool isAroundOutage(MonotonicTime now) const;
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -18,8 +18,6 @@
     /// A caller whose deadline is this much shorter than the route's timeout has used an attempt before.
     constexpr Milliseconds usedAttemptMargin { 60 };
 
-    /// Longest time to open a connection to an endpoint; the longest way there and back is below 20 ms.
-    constexpr Milliseconds connectTimeout { 400 };
     constexpr uint32_t maxFailedConnections = 4;
 
     /// Silence of an endpoint after which a repeatable stream goes on elsewhere: before the first event, in which a
@@ -140,8 +138,8 @@
         .headers = m_environment.wire.endpointHeaders(
             request.headers, endpoint.id, timeLeft(), m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt),
         .body = request.body,
-        .progressTimeout = timeLeft() + connectTimeout,
-        .connectTimeout = connectTimeout,
+        .progressTimeout = timeLeft() + endpointConnectTimeout,
+        .connectTimeout = endpointConnectTimeout,
         .echoedField = m_environment.wire.requestIdField() };
     m_call = m_environment.http.start(call, *this);
 }
@@ -168,9 +166,7 @@
 
 void ForwardedCall::onHeaders(int status, const HttpHeaders& headers)
 {
-    m_head = m_environment.wire.decodeAnswerHead(status, headers);
-    if (m_head.load)
-        m_environment.broker.scheduler().observe(m_endpoint, *m_head.load, m_environment.clock.now());
+    m_head = m_environment.takeAnswerHead(m_endpoint, status, headers);
     if (m_head.isUnvouchedSuccess()) {
         m_call.reset();
         handleFailedAttempt("the answer has no signature of the endpoint");
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -14,6 +14,9 @@
 
 namespace Chicorydock {
 
+/// Longest time to open a connection to an endpoint; the longest way there and back is below 20 ms.
+constexpr Milliseconds endpointConnectTimeout { 400 };
+
 /// What the parts of a gateway share. All members outlive those parts.
 struct GatewayEnvironment {
     const Clock& clock;
@@ -26,6 +29,15 @@
     MetricsRegistry& metrics;
     /// The configuration in force; version 0 until one is known.
     std::shared_ptr<const GatewayConfiguration> configuration;
+
+    /// Decodes the head of an endpoint's answer and notes the load that it states.
+    EndpointAnswerHead takeAnswerHead(const std::string& endpoint, int status, const HttpHeaders& headers) const
+    {
+        EndpointAnswerHead head = wire.decodeAnswerHead(status, headers);
+        if (head.load)
+            broker.scheduler().observe(endpoint, *head.load, clock.now());
+        return head;
+    }
 };
 
 }
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    constexpr Milliseconds connectTimeout { 400 };
-
     /// Silence after which the item goes on at another endpoint. Reading a prompt and a preempted run take less.
     constexpr Milliseconds silenceLimit { 1'500 };
 
@@ -113,7 +111,7 @@
             m_item, m_job.host, record->id, m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt),
         .body = m_item.body,
         .progressTimeout = silenceLimit,
-        .connectTimeout = connectTimeout,
+        .connectTimeout = endpointConnectTimeout,
         .echoedField = m_environment.wire.requestIdField() };
     m_call = m_environment.http.start(call, *this);
 }
@@ -147,9 +145,7 @@
 
 void ItemRun::onHeaders(int status, const HttpHeaders& headers)
 {
-    m_head = m_environment.wire.decodeAnswerHead(status, headers);
-    if (m_head.load)
-        m_environment.broker.scheduler().observe(m_endpoint, *m_head.load, m_environment.clock.now());
+    m_head = m_environment.takeAnswerHead(m_endpoint, status, headers);
     if (m_head.isUnvouchedSuccess()) {
         m_call.reset();
         handleFailure("the answer has no signature of the endpoint");
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -1,10 +1,13 @@
 #include <LibGateway/PeerGroup.h>
 
 #include <LibCore/Error.h>
+#include <LibCore/SocketAddress.h>
 
 #include <QNetworkDatagram>
 #include <glog/logging.h>
 
+#include <netinet/in.h>
+
 #include <algorithm>
 
 namespace Chicorydock {
@@ -19,11 +22,15 @@
     /// A node that was not heard for so long gets no more reports.
     constexpr Milliseconds forgetLimit { 30'000 };
 
+    /// Returns no host if the text is no address.
     std::pair<QHostAddress, uint16_t> parseAddress(const std::string& text)
     {
-        const size_t colon = text.rfind(':');
-        const QHostAddress host(QString::fromStdString(text.substr(0, colon)));
-        return { host, static_cast<uint16_t>(std::atoi(text.c_str() + colon + 1)) };
+        const auto address = SocketAddress::parse(text);
+        if (!address)
+            return {};
+        // The port stands at the same place in the addresses of both families.
+        const auto* native = reinterpret_cast<const sockaddr*>(&address->storage);
+        return { QHostAddress(native), ntohs(reinterpret_cast<const sockaddr_in*>(native)->sin_port) };
     }
 
 }
@@ -50,12 +57,6 @@
     m_sendTimer.start(heartbeatInterval(PeerDistance::FailureDomain, 0));
 }
 
-std::string PeerGroup::regionOf(const std::string& failureDomain) const
-{
-    const auto it = m_options.regions.find(failureDomain);
-    return it == m_options.regions.end() ? std::string() : it->second;
-}
-
 void PeerGroup::addAddress(const std::string& node, const std::string& address)
 {
     if (node == m_options.node || m_peers.contains(node))
@@ -71,14 +72,6 @@
         m_peers.erase(it);
 }
 
-PeerDistance PeerGroup::distanceOf(const std::string& failureDomain) const
-{
-    if (failureDomain == m_options.failureDomain)
-        return PeerDistance::FailureDomain;
-    const bool isOwnRegion = regionOf(failureDomain) == regionOf(m_options.failureDomain);
-    return isOwnRegion ? PeerDistance::Region : PeerDistance::OtherRegion;
-}
-
 void PeerGroup::countPeers()
 {
     m_peerCounts = {};
@@ -153,7 +146,7 @@
             LOG(INFO) << "heard of node " << report->node << " in " << report->failureDomain;
         peer.wasHeard = true;
         peer.heardAt = m_clock.now();
-        peer.distance = distanceOf(report->failureDomain);
+        peer.distance = distanceBetween(m_options.failureDomain, report->failureDomain, m_options.regions);
         peer.report = *report;
         m_onReport(*report, silenceLimit(peer.distance));
     }
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -79,13 +79,11 @@
     QByteArray nextDatagram();
     void send(Peer&, const QByteArray& datagram, MonotonicTime now);
     bool isHeard(const Peer&) const;
-    PeerDistance distanceOf(const std::string& failureDomain) const;
     size_t countAt(PeerDistance) const;
     Milliseconds interval(PeerDistance distance) const { return reportInterval(distance, countAt(distance)); }
     Milliseconds heartbeat(PeerDistance distance) const { return heartbeatInterval(distance, countAt(distance)); }
     Milliseconds silenceLimit(PeerDistance) const;
     void countPeers();
-    std::string regionOf(const std::string& failureDomain) const;
 
     const Options m_options;
     const Clock& m_clock;
--- a/Libraries/LibGateway/ReportPlan.cpp
+++ b/Libraries/LibGateway/ReportPlan.cpp
@@ -26,6 +26,20 @@
         { Milliseconds { 100 }, 40 },
     } };
 
+    std::string regionOf(const std::string& failureDomain, const std::map<std::string, std::string>& regions)
+    {
+        const auto it = regions.find(failureDomain);
+        return it == regions.end() ? std::string() : it->second;
+    }
+
+}
+
+PeerDistance distanceBetween(
+    const std::string& own, const std::string& other, const std::map<std::string, std::string>& regions)
+{
+    if (own == other)
+        return PeerDistance::FailureDomain;
+    return regionOf(own, regions) == regionOf(other, regions) ? PeerDistance::Region : PeerDistance::OtherRegion;
 }
 
 Milliseconds reportInterval(PeerDistance distance, size_t peers)
--- a/Libraries/LibGateway/ReportPlan.h
+++ b/Libraries/LibGateway/ReportPlan.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
 
 namespace Chicorydock {
 
@@ -16,6 +18,11 @@
 
 constexpr size_t peerDistanceCount = 3;
 
+/// Returns how far a failure domain is from the own one. `regions` holds the region of each failure domain; those
+/// without one are in one region. May be called from any thread.
+PeerDistance distanceBetween(
+    const std::string& own, const std::string& other, const std::map<std::string, std::string>& regions);
+
 /// Returns the shortest time between two reports to one peer at that distance while loads change, with so many peers
 /// there. The datagrams that a node sends in a second are bounded, so with more peers each hears less often. May be
 /// called from any thread.
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -101,10 +101,6 @@
 
 SlotScheduler::SlotScheduler(Place place, Random& random)
     : m_place(std::move(place))
-    , m_region([this] {
-        const auto it = m_place.regions.find(m_place.failureDomain);
-        return it == m_place.regions.end() ? std::string() : it->second;
-    }())
     , m_random(random)
 {
 }
@@ -154,13 +150,13 @@
 void SlotScheduler::countSlots()
 {
     m_serviceSlots.clear();
-    m_nearbySlots.clear();
+    m_nearbyServices.clear();
     for (const auto& [id, it] : m_endpoints) {
         if (!it.isUsable)
             continue;
         m_serviceSlots[it.record.service] += it.record.slotCount;
         if (it.record.failureDomain == m_place.failureDomain)
-            m_nearbySlots[it.record.service] += it.record.slotCount;
+            m_nearbyServices.insert(it.record.service);
     }
 }
 
@@ -302,11 +298,7 @@
 
 PeerDistance SlotScheduler::distanceTo(const std::string& failureDomain) const
 {
-    if (failureDomain == m_place.failureDomain)
-        return PeerDistance::FailureDomain;
-    const auto it = m_place.regions.find(failureDomain);
-    const bool isOwnRegion = it != m_place.regions.end() && it->second == m_region;
-    return isOwnRegion ? PeerDistance::Region : PeerDistance::OtherRegion;
+    return distanceBetween(m_place.failureDomain, failureDomain, m_place.regions);
 }
 
 void SlotScheduler::countPeers()
@@ -458,7 +450,7 @@
 bool SlotScheduler::isWithinReach(const Endpoint& place, const OnlineWork& work, MonotonicTime now) const
 {
     const PeerDistance distance = distanceTo(place.record.failureDomain);
-    if (distance == PeerDistance::FailureDomain || !m_nearbySlots.contains(work.service))
+    if (distance == PeerDistance::FailureDomain || !m_nearbyServices.contains(work.service))
         return true;
     // In a crest most slots that seem free elsewhere are taken before the request arrives there. A slot nearby usually
     // becomes free sooner than it takes to hear that.
@@ -489,11 +481,13 @@
     return now - place.freeForBatchSince >= std::min(turn, std::max(maxBatchTurnTime, ownTurn * maxReportsBehind));
 }
 
-Milliseconds SlotScheduler::turnTime(PeerDistance distance) const
+Milliseconds SlotScheduler::reportAge(PeerDistance distance) const
 {
-    return reportInterval(distance, m_peerCounts.at(static_cast<size_t>(distance))) + reportLatency;
+    return reportInterval(distance, m_peerCounts.at(static_cast<size_t>(distance)));
 }
 
+Milliseconds SlotScheduler::turnTime(PeerDistance distance) const { return reportAge(distance) + reportLatency; }
+
 const SlotScheduler::NodesBefore& SlotScheduler::nodesBefore(Endpoint& place) const
 {
     if (place.nodesBeforeGeneration == m_peerGeneration)
@@ -517,8 +511,8 @@
     const PeerDistance distance = distanceTo(place.record.failureDomain);
     if (distance == PeerDistance::FailureDomain)
         return 0;
-    const Milliseconds age = reportInterval(distance, m_peerCounts.at(static_cast<size_t>(distance)));
-    const double ageCost = std::min(static_cast<double>(age.count()) / reportAgeCostScale, maxReportAgeCost);
+    const double age = static_cast<double>(reportAge(distance).count());
+    const double ageCost = std::min(age / reportAgeCostScale, maxReportAgeCost);
     return ageCost + (distance == PeerDistance::Region ? otherDomainCost : otherRegionCost);
 }
 
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -245,6 +245,8 @@
     void expireObservations(MonotonicTime now);
     void countPeers();
     PeerDistance distanceTo(const std::string& failureDomain) const;
+    /// Returns how old reports over that distance may be.
+    Milliseconds reportAge(PeerDistance) const;
     Milliseconds turnTime(PeerDistance) const;
     static void noteBatchSlots(Endpoint&, MonotonicTime now);
     static SlotView viewOf(const Endpoint&, MonotonicTime now);
@@ -278,14 +280,14 @@
     bool isHopeless(const OnlineWork&, size_t ahead, MonotonicTime now) const;
 
     const Place m_place;
-    const std::string m_region;
     Random& m_random;
     std::map<std::string, Endpoint> m_endpoints;
     /// Pointers into `m_endpoints`.
     std::unordered_map<uint32_t, Endpoint*> m_endpointsByKey;
-    /// Slots of the usable endpoints of each service, and those of them in the own failure domain.
+    /// Slots of the usable endpoints of each service.
     std::map<std::string, uint32_t> m_serviceSlots;
-    std::map<std::string, uint32_t> m_nearbySlots;
+    /// Services with usable endpoints in the own failure domain.
+    std::set<std::string> m_nearbyServices;
     std::map<std::string, Peer> m_peers;
     /// Rises when a peer comes or goes.
     uint64_t m_peerGeneration { 1 };
--- a/Libraries/LibHTTP/ClientSocket.cpp
+++ b/Libraries/LibHTTP/ClientSocket.cpp
@@ -1,8 +1,9 @@
 #include <LibHTTP/ClientSocket.h>
 
+#include <LibCore/SocketAddress.h>
+
 #include <QPointer>
 
-#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <fcntl.h>
@@ -17,20 +18,6 @@
 
     constexpr size_t readBufferBytes = 16 * 1024;
 
-    /// Returns whether the text is `HOST:PORT` with an IPv4 number as host.
-    bool parseAddress(const std::string& text, sockaddr_in& address)
-    {
-        const size_t colon = text.rfind(':');
-        if (colon == std::string::npos)
-            return false;
-        address.sin_family = AF_INET;
-        const int port = std::atoi(text.c_str() + colon + 1);
-        if (port <= 0 || port > UINT16_MAX)
-            return false;
-        address.sin_port = htons(static_cast<uint16_t>(port));
-        return ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) == 1;
-    }
-
     void disableDelay(int descriptor)
     {
         const int on = 1;
@@ -49,12 +36,12 @@
 
 void ClientSocket::open(const std::string& text)
 {
-    sockaddr_in address {};
-    if (parseAddress(text, address)) {
-        m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (const auto address = SocketAddress::parse(text)) {
+        m_descriptor = ::socket(address->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
         if (m_descriptor >= 0) {
             disableDelay(m_descriptor);
-            const int ec = ::connect(m_descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+            const int ec
+                = ::connect(m_descriptor, reinterpret_cast<const sockaddr*>(&address->storage), address->length);
             if (ec != 0 && errno != EINPROGRESS)
                 close();
         }
--- a/Libraries/LibHTTP/ClientSocket.h
+++ b/Libraries/LibHTTP/ClientSocket.h
@@ -38,7 +38,7 @@
 /// Thread safety: used on the thread that created it, which runs a Qt event loop.
 class ClientSocket final : public QObject {
 public:
-    /// Starts to connect to `HOST:PORT`, with the host as an IPv4 number. No method of the listener is called before
+    /// Starts to connect to `HOST:PORT`, with the host as an IP number. No method of the listener is called before
     /// this returns; the listener outlives the socket.
     ClientSocket(const std::string& address, ClientSocketListener&);
     ~ClientSocket() override;
--- a/Libraries/LibRPC/RpcPeerLink.cpp
+++ b/Libraries/LibRPC/RpcPeerLink.cpp
@@ -1,7 +1,7 @@
 #include <LibRPC/RpcPeerLink.h>
 
+#include <LibCore/SocketAddress.h>
 #include <LibRPC/PeerSchema.h>
-#include <LibRPC/RpcAddress.h>
 #include <Schema/Node.capnp.h>
 
 #include <capnp/rpc-twoparty.h>
@@ -103,7 +103,7 @@
             it->second.lastUse = ++m_uses;
             return &it->second;
         }
-        const auto parsed = RpcAddress::parse(address);
+        const auto parsed = SocketAddress::parse(address);
         if (!parsed)
             return nullptr;
         closeUnusedConnection();
--- a/Libraries/LibRPC/RpcServer.cpp
+++ b/Libraries/LibRPC/RpcServer.cpp
@@ -1,7 +1,7 @@
 #include <LibRPC/RpcServer.h>
 
 #include <LibCore/Error.h>
-#include <LibRPC/RpcAddress.h>
+#include <LibCore/SocketAddress.h>
 
 #include <capnp/rpc-twoparty.h>
 
@@ -94,7 +94,7 @@
 RpcServer::RpcServer(RpcThread& thread, const std::string& address, PeerFactory peer, OperatorFactory operatorFactory)
     : m_thread(thread)
 {
-    const auto parsed = RpcAddress::parse(address);
+    const auto parsed = SocketAddress::parse(address);
     if (!parsed)
         throw Error { ErrorKind::InvalidConfiguration, "RPC address is not IP:PORT: " + address };
     m_thread.run([&] {
--- a/Tests/LibGateway/SlotWorld.h
+++ b/Tests/LibGateway/SlotWorld.h
@@ -79,7 +79,8 @@
             for (const auto& to : m_nodes) {
                 if (to == from)
                     continue;
-                from->outlets.at(static_cast<size_t>(distance(*from, *to, regions))).peers.push_back(to.get());
+                const PeerDistance distance = distanceBetween(from->failureDomain, to->failureDomain, regions);
+                from->outlets.at(static_cast<size_t>(distance)).peers.push_back(to.get());
                 to->scheduler->setPeerUse(from->name, { from->failureDomain, {}, 0, lifetime }, m_clock.now());
             }
         }
@@ -204,14 +205,6 @@
         return n;
     }
 
-    static PeerDistance distance(const Node& from, const Node& to, const std::map<std::string, std::string>& regions)
-    {
-        if (from.failureDomain == to.failureDomain)
-            return PeerDistance::FailureDomain;
-        const bool isOneRegion = regions.at(from.failureDomain) == regions.at(to.failureDomain);
-        return isOneRegion ? PeerDistance::Region : PeerDistance::OtherRegion;
-    }
-
     void deliverReports()
     {
         for (const auto& from : m_nodes) {
--- /dev/null
+++ b/Tests/LibGateway/TestReportPlan.cpp
@@ -0,0 +1,28 @@
+#include <LibGateway/ReportPlan.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+// Guards against nodes that send reports by one distance and wait for them by another.
+TEST_CASE("failure domains are as far apart as their regions say")
+{
+    const std::map<std::string, std::string> regions { { "z1", "r1" }, { "z2", "r1" }, { "z3", "r2" } };
+    CHECK(distanceBetween("z1", "z1", regions) == PeerDistance::FailureDomain);
+    CHECK(distanceBetween("z1", "z2", regions) == PeerDistance::Region);
+    CHECK(distanceBetween("z1", "z3", regions) == PeerDistance::OtherRegion);
+    CHECK(distanceBetween("z1", "unknown", regions) == PeerDistance::OtherRegion);
+    CHECK(distanceBetween("unknown", "z1", regions) == PeerDistance::OtherRegion);
+    CHECK(distanceBetween("z1", "z2", {}) == PeerDistance::Region);
+}
+
+// Guards against a cost of reports that grows with the deployment.
+TEST_CASE("with more peers each gets fewer reports, and all together a bounded number")
+{
+    for (const auto distance : { PeerDistance::FailureDomain, PeerDistance::Region, PeerDistance::OtherRegion }) {
+        const auto perSecond = [&](size_t peers) { return peers * 1'000.0 / reportInterval(distance, peers).count(); };
+        CHECK(reportInterval(distance, 300) > reportInterval(distance, 30));
+        CHECK(heartbeatInterval(distance, 300) >= reportInterval(distance, 300));
+        CHECK(perSecond(300) <= perSecond(100) * 1.05);
+    }
+}
