LibGateway: Separate the interface for slot decisions from the scheduler

Cause: requests and items got their slots from SlotScheduler itself, so another way to allocate slots (a coordinator for many nodes) had no place. SlotBroker now works with the interface SlotAllocator; the value types moved to SlotTypes.h, and adopt() counts work that another scheduler started. The decisions are unchanged.

--- a/Libraries/LibGateway/DecisionFields.h
+++ b/Libraries/LibGateway/DecisionFields.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibGateway/SlotScheduler.h>
+#include <LibGateway/SlotTypes.h>
 
 #include <QJsonObject>
 
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -35,7 +35,7 @@
     {
         EndpointAnswerHead head = wire.decodeAnswerHead(status, headers);
         if (head.load)
-            broker.scheduler().observe(endpoint, *head.load, clock.now());
+            broker.observe(endpoint, *head.load);
         return head;
     }
 };
--- a/Libraries/LibGateway/SlotBroker.cpp
+++ b/Libraries/LibGateway/SlotBroker.cpp
@@ -9,8 +9,8 @@
 
 }
 
-SlotBroker::SlotBroker(SlotScheduler& scheduler, const Clock& clock, std::function<void()> onUseChanged)
-    : m_scheduler(scheduler)
+SlotBroker::SlotBroker(SlotAllocator& allocator, const Clock& clock, std::function<void()> onUseChanged)
+    : m_allocator(allocator)
     , m_clock(clock)
     , m_onUseChanged(std::move(onUseChanged))
 {
@@ -22,7 +22,7 @@
 {
     work.id = ++m_lastWork;
     m_clients[work.id] = &client;
-    m_scheduler.submit(work, m_clock.now());
+    m_allocator.submit(work, m_clock.now());
     schedulePoll();
     return work.id;
 }
@@ -31,7 +31,7 @@
 {
     work.id = ++m_lastWork;
     m_clients[work.id] = &client;
-    m_scheduler.submit(work);
+    m_allocator.submit(work);
     schedulePoll();
     return work.id;
 }
@@ -39,17 +39,28 @@
 void SlotBroker::withdraw(uint64_t work)
 {
     m_clients.erase(work);
-    m_scheduler.withdraw(work);
+    m_allocator.withdraw(work);
 }
 
 void SlotBroker::finish(uint64_t work, EndpointOutcome outcome)
 {
     m_clients.erase(work);
-    m_scheduler.finish(work, outcome, m_clock.now());
+    m_allocator.finish(work, outcome, m_clock.now());
     m_onUseChanged();
     schedulePoll();
 }
 
+void SlotBroker::observe(const std::string& endpoint, const ObservedLoad& load)
+{
+    m_allocator.observe(endpoint, load, m_clock.now());
+}
+
+void SlotBroker::setEndpoints(const std::vector<EndpointRecord>& endpoints)
+{
+    m_allocator.setEndpoints(endpoints);
+    schedulePoll();
+}
+
 void SlotBroker::schedulePoll()
 {
     if (m_isPollScheduled)
@@ -61,12 +72,12 @@
 void SlotBroker::poll()
 {
     m_isPollScheduled = false;
-    const std::vector<SlotDecision> decisions = m_scheduler.poll(m_clock.now());
+    const std::vector<SlotDecision> decisions = m_allocator.poll(m_clock.now());
     for (const SlotDecision& it : decisions)
         deliver(it);
     if (!decisions.empty())
         m_onUseChanged();
-    if (m_scheduler.waitingOnline() + m_scheduler.waitingBatch() > 0)
+    if (m_allocator.needsPolling())
         m_queuePollTimer.start(queuePollInterval);
 }
 
@@ -75,7 +86,7 @@
     const auto it = m_clients.find(decision.work);
     if (it == m_clients.end()) {
         // The client has withdrawn the work since the decision was made.
-        m_scheduler.finish(decision.work, EndpointOutcome::Cancelled, m_clock.now());
+        m_allocator.finish(decision.work, EndpointOutcome::Cancelled, m_clock.now());
         return;
     }
     SlotClient& client = *it->second;
--- a/Libraries/LibGateway/SlotBroker.h
+++ b/Libraries/LibGateway/SlotBroker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
-#include <LibGateway/SlotScheduler.h>
+#include <LibGateway/SlotAllocator.h>
 
 #include <QObject>
 #include <QTimer>
@@ -24,13 +24,13 @@
     virtual void onYield(const SlotView&) = 0;
 };
 
-/// Runs a `SlotScheduler` on the event loop and delivers its decisions to the clients.
+/// Runs a `SlotAllocator` on the event loop and delivers its decisions to the clients.
 ///
 /// Thread safety: used on the thread that created it.
 class SlotBroker final : public QObject {
 public:
     /// `onUseChanged` is called after the slots in use by this node have changed.
-    SlotBroker(SlotScheduler&, const Clock&, std::function<void()> onUseChanged);
+    SlotBroker(SlotAllocator&, const Clock&, std::function<void()> onUseChanged);
 
     /// Queues the work and returns its identifier, which replaces the one in the work. The client must outlive the
     /// work.
@@ -43,16 +43,20 @@
     /// Frees the slot of started work.
     void finish(uint64_t work, EndpointOutcome);
 
-    /// Polls the scheduler from the event loop, because something that it depends on has changed.
+    /// Records the load that an endpoint reported.
+    void observe(const std::string& endpoint, const ObservedLoad&);
+
+    /// Polls the allocator from the event loop, because something that it depends on has changed.
     void schedulePoll();
 
-    SlotScheduler& scheduler() { return m_scheduler; }
+    /// Replaces the set of usable endpoints.
+    void setEndpoints(const std::vector<EndpointRecord>&);
 
 private:
     void poll();
     void deliver(const SlotDecision&);
 
-    SlotScheduler& m_scheduler;
+    SlotAllocator& m_allocator;
     const Clock& m_clock;
     const std::function<void()> m_onUseChanged;
     std::unordered_map<uint64_t, SlotClient*> m_clients;
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -179,6 +179,24 @@
     std::erase_if(m_batch, [&](const BatchWork& it) { return it.id == work; });
 }
 
+void SlotScheduler::adopt(const RunningWork& work, MonotonicTime now)
+{
+    Endpoint* endpoint = findEndpoint(work.endpoint);
+    if (!endpoint || m_running.contains(work.id))
+        return;
+    addOwnWork(work, *endpoint, now);
+}
+
+void SlotScheduler::addOwnWork(const RunningWork& work, Endpoint& endpoint, MonotonicTime now)
+{
+    ++(work.isBatch ? endpoint.own.batch : endpoint.own.online);
+    m_ownBatch += work.isBatch ? 1 : 0;
+    ++m_useVersion;
+    endpoint.changedAt = now;
+    updateBatchAvailability(endpoint, now);
+    m_running[work.id] = work;
+}
+
 SlotScheduler::Endpoint* SlotScheduler::findEndpoint(const std::string& id)
 {
     const auto it = m_endpoints.find(id);
@@ -210,8 +228,9 @@
     const auto it = m_running.find(work);
     if (it == m_running.end())
         return;
-    const Running running = it->second;
+    const RunningWork running = it->second;
     m_running.erase(it);
+    ++m_useVersion;
     m_ownBatch -= running.isBatch ? 1 : 0;
     Endpoint* endpoint = findEndpoint(running.endpoint);
     if (endpoint) {
@@ -395,7 +414,7 @@
         if (endpoint) {
             if (endpoint->total() >= endpoint->record.slotCount && endpoint->own.batch > 0)
                 yieldOne(decisions, *endpoint, now);
-            startWork(decisions, work.id, *endpoint, false, now);
+            startWork(decisions, { .id = work.id }, *endpoint, now);
             continue;
         }
         size_t& before = ahead[work.service];
@@ -557,33 +576,23 @@
 }
 
 void SlotScheduler::startWork(
-    std::vector<SlotDecision>& decisions, uint64_t work, Endpoint& endpoint, bool isBatch, MonotonicTime now)
+    std::vector<SlotDecision>& decisions, RunningWork work, Endpoint& endpoint, MonotonicTime now)
 {
     const SlotView view = viewOf(endpoint, now);
-    ++(isBatch ? endpoint.own.batch : endpoint.own.online);
-    m_ownBatch += isBatch ? 1 : 0;
-    endpoint.changedAt = now;
-    updateBatchAvailability(endpoint, now);
-    m_running[work] = { endpoint.record.id, isBatch, endpoint.record.service, now, {}, {} };
-    decisions.push_back({ SlotDecision::Kind::Start, work, endpoint.record.id, {}, view });
-}
-
-void SlotScheduler::startItem(
-    std::vector<SlotDecision>& decisions, const BatchWork& work, Endpoint& endpoint, MonotonicTime now)
-{
-    startWork(decisions, work.id, endpoint, true, now);
-    Running& running = m_running.at(work.id);
-    running.dueAt = work.dueAt;
-    running.slotTimeUsed = work.slotTimeUsed;
+    work.service = endpoint.record.service;
+    work.endpoint = endpoint.record.id;
+    work.startedAt = now;
+    addOwnWork(work, endpoint, now);
+    decisions.push_back({ SlotDecision::Kind::Start, work.id, endpoint.record.id, {}, view });
 }
 
 void SlotScheduler::yieldOne(std::vector<SlotDecision>& decisions, Endpoint& endpoint, MonotonicTime now)
 {
     // Items that will be late in any case yield first, then the one that is due last.
-    const auto order = [&](const Running& it) {
+    const auto order = [&](const RunningWork& it) {
         return std::tuple(isTooLate(it.service, it.dueAt, it.slotTimeUsed, it.startedAt), it.dueAt, it.startedAt);
     };
-    const std::pair<const uint64_t, Running>* chosen = nullptr;
+    const std::pair<const uint64_t, RunningWork>* chosen = nullptr;
     for (const auto& it : m_running) {
         if (!it.second.isBatch || it.second.endpoint != endpoint.record.id)
             continue;
@@ -598,6 +607,7 @@
     --endpoint.own.batch;
     endpoint.changedAt = now;
     --m_ownBatch;
+    ++m_useVersion;
     updateBatchAvailability(endpoint, now);
 }
 
@@ -662,7 +672,9 @@
         if (!endpoint && work.excluded.empty())
             fullServices.insert(work.service);
         if (endpoint)
-            startItem(decisions, work, *endpoint, now);
+            startWork(decisions,
+                { .id = work.id, .isBatch = true, .dueAt = work.dueAt, .slotTimeUsed = work.slotTimeUsed }, *endpoint,
+                now);
         else
             waiting.push_back(std::move(work));
     }
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -1,15 +1,11 @@
 #pragma once
 
-#include <LibCore/Clock.h>
 #include <LibCore/Random.h>
-#include <LibGateway/EndpointRecord.h>
 #include <LibGateway/ReportPlan.h>
+#include <LibGateway/SlotAllocator.h>
 
 #include <array>
-#include <compare>
-#include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -17,84 +13,6 @@
 
 namespace Chicorydock {
 
-/// An online request that is queued for a slot of an endpoint.
-struct OnlineWork {
-    uint64_t id { 0 };
-    std::string service;
-    /// 0 is the highest.
-    uint32_t priority { 0 };
-    /// Latest start that meets the latency target.
-    MonotonicTime startBy;
-    /// Time after which the response is of no use to the caller.
-    MonotonicTime deadline;
-    /// Whether the caller was probably refused before and will not retry again.
-    bool isLastAttempt { false };
-    /// Endpoints that must not be used because an earlier attempt failed there.
-    std::vector<std::string> excluded;
-    /// Whether the scheduler has admitted the request to the queue. Set by the scheduler.
-    bool isAccepted { false };
-    /// Set by the scheduler.
-    MonotonicTime submittedAt;
-
-    bool operator==(const OnlineWork&) const = default;
-};
-
-/// An item of a batch job that is queued for a slot.
-struct BatchWork {
-    uint64_t id { 0 };
-    std::string service;
-    /// Time by which the item should be completed to meet the completion target of its job.
-    MonotonicTime dueAt;
-    std::vector<std::string> excluded;
-    /// Total time for which earlier runs of the item held a slot.
-    Milliseconds slotTimeUsed { 0 };
-
-    bool operator==(const BatchWork&) const = default;
-};
-
-/// State of an endpoint's slots on which a decision was based.
-struct SlotView {
-    /// Slots in use by all nodes before the decision, as far as known to this node.
-    uint32_t online { 0 };
-    uint32_t batch { 0 };
-    uint32_t slotCount { 0 };
-    /// Time since the last change of those numbers that is known to this node.
-    Milliseconds age { 0 };
-    /// Expected time in the queue; set for refusals only.
-    Milliseconds expectedWait { 0 };
-
-    auto operator<=>(const SlotView&) const = default;
-};
-
-/// A scheduling decision about one request or item.
-struct SlotDecision {
-    enum class Kind : uint8_t {
-        /// Start the work at the endpoint.
-        Start,
-        /// Refuse the request.
-        Refuse,
-        /// Preempt the running item. It resumes later, at any endpoint.
-        Yield,
-    };
-
-    Kind kind { Kind::Start };
-    uint64_t work { 0 };
-    std::string endpoint;
-    /// Time after which the caller should retry; set for refusals only.
-    Milliseconds retryAfter { 0 };
-    SlotView view {};
-
-    bool operator==(const SlotDecision&) const = default;
-};
-
-/// Number of slots that one node uses at one endpoint.
-struct SlotUse {
-    uint32_t online { 0 };
-    uint32_t batch { 0 };
-
-    auto operator<=>(const SlotUse&) const = default;
-};
-
 /// Slot usage that a peer reported.
 struct PeerUse {
     std::string failureDomain;
@@ -108,25 +26,6 @@
     bool operator==(const PeerUse&) const = default;
 };
 
-/// Load that an endpoint reported in a response.
-struct ObservedLoad {
-    uint32_t running { 0 };
-    uint32_t waiting { 0 };
-    /// Current duration of work on the endpoint's machine, in percent of the normal duration.
-    uint32_t workTimePercent { 100 };
-
-    auto operator<=>(const ObservedLoad&) const = default;
-};
-
-/// Outcome of work at an endpoint, for health tracking.
-enum class EndpointOutcome : uint8_t {
-    Answered,
-    /// The endpoint did not respond, or the response broke off.
-    Failed,
-    /// The work was cancelled for reasons unrelated to the endpoint's health.
-    Cancelled,
-};
-
 /// Shares the slots of endpoints between the nodes of a deployment without a coordinator: each node adds the slots that
 /// it uses itself to those in the latest reports of its peers. Engines have no priorities and admit work in order of
 /// arrival, so work is queued at the nodes and not at the endpoints.
@@ -138,7 +37,7 @@
 /// Deterministic: the decisions depend only on the calls, the times passed in and the random numbers.
 ///
 /// Thread safety: none.
-class SlotScheduler {
+class SlotScheduler final : public SlotAllocator {
 public:
     struct Location {
         std::string node;
@@ -149,30 +48,30 @@
 
     SlotScheduler(Location, Random&);
 
-    /// Replaces the set of usable endpoints. Work that runs at other endpoints continues.
-    void setEndpoints(const std::vector<EndpointRecord>&);
+    void setEndpoints(const std::vector<EndpointRecord>&) override;
+    void submit(const OnlineWork&, MonotonicTime now) override;
+    void submit(const BatchWork&) override;
+    void withdraw(uint64_t work) override;
+    void finish(uint64_t work, EndpointOutcome, MonotonicTime now) override;
 
-    void submit(const OnlineWork&, MonotonicTime now);
-    void submit(const BatchWork&);
-    /// Removes queued work. Work that is already running is not affected.
-    void withdraw(uint64_t work);
-
-    /// Frees the slot of started work and records the outcome for its endpoint. Unknown identifiers are ignored.
-    void finish(uint64_t work, EndpointOutcome, MonotonicTime now);
+    /// Counts work that another scheduler has started. It holds its slot from now on. Work at an unknown endpoint is
+    /// ignored.
+    void adopt(const RunningWork&, MonotonicTime now);
 
     /// Replaces the slot usage of a peer by that of its latest report.
     void setPeerUse(const std::string& node, const PeerUse&, MonotonicTime now);
     void removePeer(const std::string& node);
 
-    /// Records the load that an endpoint reported. Work there that no node has reported yet counts as online work for a
-    /// short time.
-    void observe(const std::string& endpoint, const ObservedLoad&, MonotonicTime now);
+    /// Work at the endpoint that no node has reported yet counts as online work for a short time.
+    void observe(const std::string& endpoint, const ObservedLoad&, MonotonicTime now) override;
 
-    /// Returns the decisions that are due now. Started work holds its slot from now on; yielded work no longer does.
-    std::vector<SlotDecision> poll(MonotonicTime now);
+    std::vector<SlotDecision> poll(MonotonicTime now) override;
+    bool needsPolling() const override { return !m_online.empty() || !m_batch.empty(); }
 
     /// Returns the slots that this node uses, by endpoint key, without endpoints that it does not use.
     std::unordered_map<uint32_t, SlotUse> ownUse() const;
+    /// Returns a number that changes whenever the slots in use by this node change.
+    uint64_t useVersion() const { return m_useVersion; }
     uint32_t waitingOnline() const { return static_cast<uint32_t>(m_online.size()); }
     uint32_t waitingBatch() const { return static_cast<uint32_t>(m_batch.size()); }
 
@@ -222,16 +121,6 @@
         uint32_t total() const { return online() + own.batch + peers.batch; }
     };
 
-    struct Running {
-        std::string endpoint;
-        bool isBatch { false };
-        std::string service;
-        MonotonicTime startedAt;
-        /// Set for batch items only, see `BatchWork`.
-        MonotonicTime dueAt;
-        Milliseconds slotTimeUsed { 0 };
-    };
-
     struct Peer {
         PeerUse usage;
         MonotonicTime reportedAt;
@@ -271,8 +160,9 @@
     /// The costs are in units of the load of an endpoint (1 is full).
     double distanceCost(const Endpoint&) const;
     double slownessCost(const Endpoint&, MonotonicTime now) const;
-    void startWork(std::vector<SlotDecision>&, uint64_t work, Endpoint&, bool isBatch, MonotonicTime now);
-    void startItem(std::vector<SlotDecision>&, const BatchWork&, Endpoint&, MonotonicTime now);
+    /// Starts work of which the identifier and the fields of items are set.
+    void startWork(std::vector<SlotDecision>&, RunningWork, Endpoint&, MonotonicTime now);
+    void addOwnWork(const RunningWork&, Endpoint&, MonotonicTime now);
     void yieldOne(std::vector<SlotDecision>&, Endpoint&, MonotonicTime now);
     /// Returns whether an item can no longer be completed by the time it is due.
     bool isTooLate(const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const;
@@ -302,9 +192,10 @@
     std::array<size_t, peerDistanceCount> m_peerCounts {};
     MonotonicTime m_lastExpiryAt;
     uint32_t m_ownBatch { 0 };
+    uint64_t m_useVersion { 0 };
     std::vector<OnlineWork> m_online;
     std::vector<BatchWork> m_batch;
-    std::unordered_map<uint64_t, Running> m_running;
+    std::unordered_map<uint64_t, RunningWork> m_running;
     /// Mean time that online work holds a slot, by service.
     std::map<std::string, Milliseconds> m_holdTimes;
     /// Mean time that a batch item holds slots over all its runs, by service.
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -3,7 +3,7 @@
 #include <LibGateway/EndpointRecord.h>
 #include <LibGateway/GatewayConfiguration.h>
 #include <LibGateway/JobTypes.h>
-#include <LibGateway/SlotScheduler.h>
+#include <LibGateway/SlotTypes.h>
 #include <LibHTTP/HttpMessage.h>
 
 #include <optional>
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/SeededRandom.h>
 #include <LibGateway/GatewayEnvironment.h>
+#include <LibGateway/SlotScheduler.h>
 #include <Tests/Support/MemoryEventLog.h>
 #include <Tests/Support/SimulatedClock.h>
 #include <platform/PlatformWireFormat.h>
