LibGateway: Send nothing more to endpoints that say that they are leaving

Cause: endpoints announce in their responses (Server-Leaving: 1) that they are draining, often before their registration says so, and also while the store is away. Nothing read that field, so requests, resumed streams and items went on reaching such an endpoint until the store said so.

The announcement ends the use of that incarnation at this node at once, for requests, retries, resumed streams and items. It outlives the registration: a repeated, stale or returning one does not bring the endpoint back, only a later start does. It holds for any response head, failures and heads of streams included. It is kept for 10 minutes after the registration has gone. Other nodes follow what they see themselves or what the store says.

Tests: TestEndpointDirectory, TestForwardedCall, TestPlatformWireFormat; with the old code the header is not decoded and a stream that breaks off after it is resumed at the same endpoint.

--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -10,6 +10,10 @@
     /// store has recovered.
     constexpr Milliseconds registrationRecoveryTime { 2'200 };
 
+    /// Time for which the departure of an endpoint without a registration is remembered. No registration of the same
+    /// incarnation returns later.
+    constexpr std::chrono::minutes departureMemory { 10 };
+
 }
 
 void EndpointDirectory::replaceAll(const std::vector<EndpointRecord>& records, MonotonicTime now)
@@ -57,14 +61,42 @@
     m_isStoreReachable = isReachable;
 }
 
-void EndpointDirectory::markReplaced(const std::string& id)
+bool EndpointDirectory::markReplaced(const std::string& id)
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end())
+        return false;
+    const bool wasUsable = isUsable(it->second);
+    it->second.isReplaced = true;
+    return wasUsable;
+}
+
+bool EndpointDirectory::markLeaving(const std::string& id, MonotonicTime now)
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end() || !isUsable(it->second))
+        return false;
+    m_departures[id] = { it->second.record.startedAt, now };
+    return true;
+}
+
+bool EndpointDirectory::isUsable(const Entry& entry) const
+{
+    if (entry.record.isLeaving || entry.isReplaced)
+        return false;
+    const auto departure = m_departures.find(entry.record.id);
+    return departure == m_departures.end() || entry.record.startedAt > departure->second.startedAt;
+}
+
+void EndpointDirectory::forgetOldDepartures(MonotonicTime now)
 {
-    if (const auto it = m_entries.find(id); it != m_entries.end())
-        it->second.isReplaced = true;
+    std::erase_if(m_departures,
+        [&](const auto& it) { return !m_entries.contains(it.first) && now - it.second.announcedAt > departureMemory; });
 }
 
 bool EndpointDirectory::applyRemovals(MonotonicTime now)
 {
+    forgetOldDepartures(now);
     if (areRemovalsDeferred(now))
         return false;
     return std::erase_if(m_entries, [](const auto& it) { return it.second.isRemovalPending; }) > 0;
@@ -74,7 +106,7 @@
 {
     std::vector<EndpointRecord> records;
     for (const auto& [id, entry] : m_entries) {
-        if (entry.isUsable())
+        if (isUsable(entry))
             records.push_back(entry.record);
     }
     return records;
@@ -83,7 +115,7 @@
 std::optional<EndpointRecord> EndpointDirectory::find(const std::string& id) const
 {
     const auto it = m_entries.find(id);
-    return it == m_entries.end() || !it->second.isUsable() ? std::nullopt : std::optional(it->second.record);
+    return it == m_entries.end() || !isUsable(it->second) ? std::nullopt : std::optional(it->second.record);
 }
 
 bool EndpointDirectory::areRemovalsDeferred(MonotonicTime now) const
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -16,6 +16,10 @@
 /// after the store has recovered, so a removal that is seen during an outage or shortly after it is deferred until
 /// then.
 ///
+/// An endpoint also announces in its responses that it is leaving, often before its registration says so and also while
+/// the store is away. Such an announcement holds for the incarnation of the endpoint, whatever its registration says
+/// and also if the registration disappears and returns: only a later start makes the endpoint usable again.
+///
 /// Thread safety: none.
 class EndpointDirectory {
 public:
@@ -28,8 +32,13 @@
     /// Records whether the store responds.
     void setStoreReachable(bool, MonotonicTime now);
 
-    /// Excludes an endpoint whose address now belongs to another one, until its registration changes.
-    void markReplaced(const std::string& id);
+    /// Excludes an endpoint whose address now belongs to another one, until its registration changes. Returns whether
+    /// the endpoint was usable before.
+    bool markReplaced(const std::string& id);
+
+    /// Excludes an endpoint that has announced in a response that it is leaving, until it has been started again.
+    /// Returns whether the endpoint was usable before.
+    bool markLeaving(const std::string& id, MonotonicTime now);
 
     /// Applies deferred removals that are due. Returns whether anything changed.
     bool applyRemovals(MonotonicTime now);
@@ -45,14 +54,25 @@
         EndpointRecord record;
         bool isReplaced { false };
         bool isRemovalPending { false };
+    };
 
-        bool isUsable() const { return !record.isLeaving && !isReplaced; }
+    /// Announcement of an endpoint that it is leaving.
+    struct Departure {
+        /// Identifies the incarnation that is leaving.
+        int64_t startedAt { 0 };
+        MonotonicTime announcedAt;
     };
 
+    bool isUsable(const Entry&) const;
+    /// Removes the announcements of endpoints that have been gone for a long time.
+    void forgetOldDepartures(MonotonicTime now);
+
     /// Returns whether the store is unreachable or has recovered only recently.
     bool areRemovalsDeferred(MonotonicTime now) const;
 
     std::map<std::string, Entry> m_entries;
+    /// By endpoint; outlives the registration.
+    std::map<std::string, Departure> m_departures;
     bool m_isStoreReachable { true };
     MonotonicTime m_reachableSince;
 };
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -109,6 +109,7 @@
     const auto record = m_environment.directory.find(endpoint);
     if (!record) {
         m_slot.release(EndpointOutcome::Cancelled);
+        m_excluded.push_back(endpoint);
         requestSlot();
         return;
     }
@@ -234,8 +235,6 @@
     m_mayHaveRun = m_mayHaveRunBefore;
     m_environment.log.record("request", "not_run", m_request.id, {},
         { { "endpoint", QString::fromStdString(m_endpoint) }, { "status", m_head.status } });
-    if (m_head.isMisdirected)
-        m_environment.directory.markReplaced(m_endpoint);
     m_slot.release(EndpointOutcome::Cancelled);
     m_excluded.push_back(m_endpoint);
     if (m_attempts < m_route.maxAttempts && timeLeft() > minTimeForAttempt) {
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -177,8 +177,6 @@
     m_call.reset();
     if (m_head.isNotRun) {
         logStep("not_run", "the endpoint answered " + std::to_string(m_head.status));
-        if (m_head.isMisdirected)
-            m_environment.directory.markReplaced(m_endpoint);
         releaseSlot(EndpointOutcome::Cancelled);
         requestSlotLater();
         return;
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -33,6 +33,8 @@
     bool isMisdirected { false };
     /// Whether the response carries the endpoint's signature.
     bool isSigned { false };
+    /// Whether the endpoint states that it is draining and should be sent no further requests.
+    bool isLeaving { false };
     /// Load of the endpoint, if reported.
     std::optional<ObservedLoad> load;
 
--- a/Tests/LibGateway/TestEndpointDirectory.cpp
+++ b/Tests/LibGateway/TestEndpointDirectory.cpp
@@ -76,3 +76,36 @@
     directory.put(restarted);
     CHECK(directory.find("a") == restarted);
 }
+
+// Guards against requests to an endpoint that announced its departure in a response: its registration may still say
+// that it is ready, be repeated, or expire and return around an outage of the store.
+TEST_CASE("an endpoint that announced in a response that it is leaving is not used before its next start")
+{
+    SimulatedClock clock;
+    EndpointDirectory directory;
+    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, clock.now());
+    CHECK(directory.markLeaving("a", clock.now()));
+    CHECK_FALSE(directory.markLeaving("a", clock.now()));
+    CHECK_FALSE(directory.markLeaving("unknown", clock.now()));
+    CHECK_FALSE(directory.find("a"));
+    CHECK(directory.find("b"));
+
+    EndpointRecord changed = makeRecord("a");
+    changed.slotCount = 4;
+    directory.put(changed);
+    CHECK_FALSE(directory.find("a"));
+
+    clock.advance(std::chrono::seconds { 30 });
+    directory.remove("a", clock.now());
+    directory.applyRemovals(clock.now());
+    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, clock.now());
+    CHECK(directory.usable().size() == 1);
+
+    EndpointRecord restarted = makeRecord("a");
+    restarted.startedAt = 2;
+    directory.put(restarted);
+    CHECK(directory.find("a") == restarted);
+    // An older listing must not bring the departed incarnation back.
+    directory.put(makeRecord("a"));
+    CHECK_FALSE(directory.find("a"));
+}
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -273,3 +273,44 @@
     });
     CHECK(status == (isHandedOver ? 504 : 503));
 }
+
+// Guards against requests to an endpoint after a response in which it announced that it is leaving: on the head of a
+// stream, on a failure, and for requests that were queued before. The store may be away, so the registration still
+// says that the endpoint is ready.
+TEST_CASE("no request is sent to an endpoint after it announced in a response that it is leaving")
+{
+    const bool isFailure = GENERATE(true, false);
+    CallFixture fixture("/s/1", {}, 1);
+    fixture.http.handOver();
+    if (isFailure) {
+        fixture.http.headers(503, { { "Not-Executed", "1" }, { "Server-Leaving", "1" } });
+        fixture.http.finish();
+    } else {
+        fixture.http.headers(
+            200, { { "Content-Type", "text/event-stream" }, { "Server-Signature", "s" }, { "Server-Leaving", "1" } });
+        fixture.http.data(event(1));
+        // The stream breaks off; resuming it would be a new request to the endpoint.
+        fixture.http.fail(Phase::Answering);
+    }
+    for (int n = 0; n < 20; ++n) {
+        fixture.clock.advance(Milliseconds { 100 });
+        fixture.broker.schedulePoll();
+        CallFixture::settle();
+    }
+    CHECK(fixture.http.count() == 1);
+    CHECK(fixture.scheduler.ownUse().empty());
+}
+
+// Guards against a request that is granted the same unusable endpoint again and again.
+TEST_CASE("a request whose endpoint left between the grant and the start is sent elsewhere")
+{
+    CallFixture fixture("/s/1", {}, 2);
+    const std::string first = fixture.http.last().request.headers.find("Expect-Instance")->toStdString();
+    fixture.http.handOver();
+    fixture.http.headers(503, { { "Not-Executed", "1" } });
+    const std::string second = first == "e0" ? "e1" : "e0";
+    fixture.directory.markLeaving(second, fixture.clock.now());
+    fixture.http.finish();
+    CallFixture::settle();
+    CHECK(fixture.http.count() == 1);
+}
--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -134,6 +134,9 @@
     const PlatformWireFormat wire;
     CHECK(wire.decodeAnswerHead(503, { { "Not-Executed", "1" } }).isNotRun);
     CHECK_FALSE(wire.decodeAnswerHead(503, {}).isNotRun);
+    CHECK(wire.decodeAnswerHead(200, { { "Server-Leaving", "1" } }).isLeaving);
+    CHECK_FALSE(wire.decodeAnswerHead(200, { { "Server-Leaving", "0" } }).isLeaving);
+    CHECK_FALSE(wire.decodeAnswerHead(200, {}).isLeaving);
     CHECK(wire.decodeAnswerHead(421, {}).isNotRun);
     CHECK(wire.decodeAnswerHead(421, {}).isMisdirected);
     CHECK(wire.decodeAnswerHead(200, { { "Server-Load", "3,1,8,250" } }).load == ObservedLoad { 3, 1, 250 });
