LibHTTP, LibGateway: Bound the bytes and the time of endpoints in trouble

Cause: an endpoint in trouble may send bytes that are no response without end, in a head or a body. Read in the code: the head itself was bounded by the parser (80 KB), but interim responses and late responses to earlier requests were skipped without a bound and each byte of them extended the time limit; a body that is collected, and an event without an end, grew until the caller's deadline; an item had no deadline at all, so bytes that were no new event kept it at a stalled endpoint for ever.

Bytes before the response are limited to 1 MB and are no progress; a response of an endpoint to 8 MB and one event to 1 MB; an item moves on 1.5 s after the latest new event, whatever else arrives. The caller is told that the request may have run.

Ruled out: chunk sizes and chunk extensions count as head in the parser and end there (tested).

Tests: TestHttpClient (endless field, fields, interim responses, earlier responses, chunk size and extension; slow heads), TestForwardedCall, TestJobController; a sound call is served meanwhile.

--- a/Libraries/LibGateway/EventStreamReader.h
+++ b/Libraries/LibGateway/EventStreamReader.h
@@ -27,10 +27,16 @@
     /// Appends bytes and returns the events that they complete.
     std::vector<StreamEvent> consume(const QByteArray&);
 
+    /// Returns whether the incomplete event is larger than any sound endpoint sends. The reader must not be used then.
+    bool isOversized() const { return m_bytes.size() > maxEventBytes; }
+
     /// Returns whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !m_bytes.isEmpty(); }
 
 private:
+    /// A faulty endpoint may send bytes without the end of an event.
+    static constexpr qsizetype maxEventBytes = 1024 * 1024;
+
     /// Removes the first `size` bytes from the buffer and parses them as one event.
     StreamEvent extractEvent(qsizetype size);
 
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -135,6 +135,7 @@
     m_events = {};
     m_head = {};
     m_body.clear();
+    m_receivedBytes = 0;
     HttpCallRequest call { .address = endpoint.address,
         .method = request.method,
         .target = request.target,
@@ -183,6 +184,12 @@
 
 void ForwardedCall::onData(const QByteArray& data)
 {
+    m_receivedBytes += data.size();
+    if (m_receivedBytes > maxAnswerBytes) {
+        m_call.reset();
+        handleFailedAttempt("the answer of the endpoint has no end");
+        return;
+    }
     if (!isStreaming()) {
         m_body += data;
         return;
@@ -195,6 +202,10 @@
         }
         forwardEvent(it);
     }
+    if (m_events.isOversized()) {
+        m_call.reset();
+        handleFailedAttempt("an event of the endpoint has no end");
+    }
 }
 
 void ForwardedCall::forwardEvent(const StreamEvent& event)
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -94,6 +94,8 @@
     HttpHeaders m_headers;
     QByteArray m_body;
     EventStreamReader m_events;
+    /// Bytes of the body that this attempt has received.
+    qsizetype m_receivedBytes { 0 };
     bool m_hasStreamBegun { false };
     uint64_t m_lastEventId { 0 };
     std::optional<MonotonicTime> m_sentAt;
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -17,6 +17,10 @@
 /// Maximum time to open a connection to an endpoint; the longest round trip takes less than 20 ms.
 constexpr Milliseconds endpointConnectTimeout { 400 };
 
+/// Limit on the size of one response of an endpoint. A response is held in memory until it is complete, and a faulty
+/// endpoint may send bytes without end.
+constexpr qsizetype maxAnswerBytes = 8 * 1024 * 1024;
+
 /// Dependencies shared by the components of a gateway. All members outlive those components.
 struct GatewayEnvironment {
     const Clock& clock;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -29,6 +29,9 @@
 {
     m_retryTimer.setSingleShot(true);
     QObject::connect(&m_retryTimer, &QTimer::timeout, &m_retryTimer, [this] { requestSlot(); });
+    m_idleTimer.setSingleShot(true);
+    QObject::connect(
+        &m_idleTimer, &QTimer::timeout, &m_idleTimer, [this] { abandonCall("the endpoint sent no event in time"); });
 }
 
 ItemRun::~ItemRun() { stop(); }
@@ -57,7 +60,7 @@
 void ItemRun::suspend()
 {
     m_retryTimer.stop();
-    m_call.reset();
+    endCall();
     releaseSlot(EndpointOutcome::Cancelled);
 }
 
@@ -105,6 +108,7 @@
     }
     m_events = {};
     m_head = {};
+    m_receivedBytes = 0;
     const HttpCallRequest call { .address = record->address,
         .method = "POST",
         .target = m_item.path,
@@ -115,6 +119,19 @@
         .connectTimeout = endpointConnectTimeout,
         .echoedField = m_environment.wire.requestIdField() };
     m_call = m_environment.http.start(call, *this);
+    m_idleTimer.start(endpointConnectTimeout + endpointIdleTimeout);
+}
+
+void ItemRun::abandonCall(const std::string& reason)
+{
+    endCall();
+    handleFailure(reason);
+}
+
+void ItemRun::endCall()
+{
+    m_idleTimer.stop();
+    m_call.reset();
 }
 
 // A refused item keeps waiting for a slot until it expires.
@@ -140,41 +157,47 @@
     m_environment.log.record("item", "yielded", m_item.id, {}, details);
     m_slot.markReleased();
     countSlotTime();
-    m_call.reset();
+    endCall();
     requestSlot();
 }
 
 void ItemRun::onHeaders(int status, const HttpHeaders& headers)
 {
     m_head = m_environment.processAnswerHead(m_endpoint, status, headers);
-    if (m_head.isUnsignedSuccess()) {
-        m_call.reset();
-        handleFailure("the response lacks the endpoint's signature");
-    }
+    m_idleTimer.start(endpointIdleTimeout);
+    if (m_head.isUnsignedSuccess())
+        abandonCall("the response lacks the endpoint's signature");
 }
 
 void ItemRun::onData(const QByteArray& data)
 {
-    if (m_head.status != 200)
+    m_receivedBytes += data.size();
+    if (m_head.status != 200 && m_receivedBytes > maxAnswerBytes)
+        abandonCall("the answer of the endpoint has no end");
+    if (m_head.status != 200 || !m_call)
         return;
     for (const StreamEvent& it : m_events.consume(data)) {
         if (!it.id || *it.id <= m_lastEventId)
             continue;
         if (m_lastEventId > 0 && *it.id > m_lastEventId + 1) {
-            m_call.reset();
-            handleFailure("the event stream of the endpoint has a gap");
+            abandonCall("the event stream of the endpoint has a gap");
             return;
         }
         m_lastEventId = *it.id;
+        m_idleTimer.start(endpointIdleTimeout);
         if (std::exchange(m_hasOutput, true))
             m_output += '\n';
         m_output += it.data;
     }
+    if (m_events.isOversized())
+        abandonCall("an event of the endpoint has no end");
+    else if (m_receivedBytes > maxAnswerBytes)
+        abandonCall("the answer of the endpoint has no end");
 }
 
 void ItemRun::onFinished()
 {
-    m_call.reset();
+    endCall();
     if (m_head.isNotRun) {
         logStep("not_run", "the endpoint answered " + std::to_string(m_head.status));
         releaseSlot(EndpointOutcome::Cancelled);
@@ -202,7 +225,7 @@
 
 void ItemRun::onFailed(const HttpFailure& failure)
 {
-    m_call.reset();
+    endCall();
     handleFailure(failure.message);
 }
 
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -63,6 +63,9 @@
 
     void requestSlot();
     void requestSlotLater();
+    void endCall();
+    /// Ends the call because the endpoint is not sound, and retries elsewhere.
+    void abandonCall(const std::string& reason);
     void releaseSlot(EndpointOutcome);
     void countSlotTime();
     void handleFailure(const std::string& reason);
@@ -81,6 +84,8 @@
     EventStreamReader m_events;
     QByteArray m_output;
     bool m_hasOutput { false };
+    /// Bytes of the body that this run has received.
+    qsizetype m_receivedBytes { 0 };
     uint64_t m_lastEventId { 0 };
     /// Last event and size of the output that `collectProgress()` has returned.
     uint64_t m_collectedEventId { 0 };
@@ -91,6 +96,8 @@
     /// Total time for which runs of the item have held a slot.
     Milliseconds m_slotTimeUsed { 0 };
     QTimer m_retryTimer;
+    /// Runs while the endpoint has not sent the next event.
+    QTimer m_idleTimer;
 };
 
 }
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -15,6 +15,10 @@
     /// sent while the server closes the connection.
     constexpr double reusableFractionOfIdleTimeout = 0.6;
 
+    /// Limit on the bytes between a request and the body of its response: the head, interim responses, and late
+    /// responses to earlier requests on the connection. A faulty server may send such bytes without end.
+    constexpr qsizetype maxBytesBeforeResponse = 1024 * 1024;
+
     MonotonicTime now() { return std::chrono::steady_clock::now(); }
 
     bool isReservedField(const QByteArray& name)
@@ -61,6 +65,7 @@
     m_observer = &observer;
     m_phase = HttpFailure::Phase::NotSent;
     m_lastProgress = now();
+    m_bytesBeforeResponse = 0;
     m_reader.reset();
     const bool isOpen = m_socket->isConnected();
     m_timer.start(isOpen ? m_request.progressTimeout : std::min(m_request.connectTimeout, m_request.progressTimeout));
@@ -121,7 +126,11 @@
         setState(State::Closed);
         return;
     }
-    m_lastProgress = now();
+    // Bytes before the response are no progress, so that a server that sends them slowly does not keep the call.
+    if (m_phase == HttpFailure::Phase::Answering)
+        m_lastProgress = now();
+    else
+        m_bytesBeforeResponse += input.size();
     while (!input.empty() && m_observer && m_state == State::Busy) {
         const bool isHttp = m_reader.consume(input);
         // The observer may have cancelled the call meanwhile.
@@ -131,6 +140,10 @@
             fail(HttpFailure::Reason::Protocol, "the bytes that arrived are not an HTTP answer");
             return;
         }
+        if (hasTooManyBytesBeforeResponse()) {
+            fail(HttpFailure::Reason::Protocol, "the server sends bytes without end before its answer");
+            return;
+        }
         if (!m_reader.isComplete())
             return;
         if (!std::exchange(m_skipsResponse, false)) {
@@ -166,11 +179,17 @@
         return;
     }
     m_phase = HttpFailure::Phase::Answering;
+    m_lastProgress = now();
     m_idleReuseLimit = idleReuseLimit(headers);
     if (m_observer)
         m_observer->onHeaders(status, headers);
 }
 
+bool ClientConnection::hasTooManyBytesBeforeResponse() const
+{
+    return m_phase != HttpFailure::Phase::Answering && m_bytesBeforeResponse > maxBytesBeforeResponse;
+}
+
 bool ClientConnection::belongsToEarlierRequest(const HttpHeaders& headers) const
 {
     if (m_request.echoedField.isEmpty())
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -59,6 +59,8 @@
     void transmit();
     QByteArray formatRequest() const;
     bool belongsToEarlierRequest(const HttpHeaders&) const;
+    /// Returns whether the server has sent more bytes before the response than any response in time would need.
+    bool hasTooManyBytesBeforeResponse() const;
     void finish(bool hasExtraBytes);
     void fail(HttpFailure::Reason, std::string message);
     void setState(State);
@@ -74,6 +76,8 @@
     HttpCallObserver* m_observer { nullptr };
     HttpFailure::Phase m_phase { HttpFailure::Phase::NotSent };
     bool m_skipsResponse { false };
+    /// Bytes received since the request was sent and before the body of its response.
+    qsizetype m_bytesBeforeResponse { 0 };
     bool m_hasTimedOut { false };
     MonotonicTime m_lastProgress;
     MonotonicTime m_usableUntil;
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -314,3 +314,28 @@
     CallFixture::settle();
     CHECK(fixture.http.count() == 1);
 }
+
+// Guards against memory that is filled by an endpoint in trouble: a body without a length that never ends, or an event
+// that never ends. The caller is told that the request may have run.
+TEST_CASE("an answer without end fails the attempt within a bound of memory")
+{
+    const bool isStream = GENERATE(true, false);
+    CallFixture fixture(isStream ? "/u/1" : "/i/7");
+    const QByteArray piece(64 * 1024, 'x');
+    // The idempotent request is tried again, with the same outcome.
+    for (size_t attempt = 1; attempt <= (isStream ? 1 : 2); ++attempt) {
+        REQUIRE(fixture.http.count() == attempt);
+        fixture.http.handOver();
+        fixture.http.headers(200, isStream ? streamHeaders : HttpHeaders { { "Server-Signature", "s" } });
+        qsizetype sent = 0;
+        while (!fixture.http.last().isCancelled && sent < 2 * maxAnswerBytes) {
+            fixture.http.data(piece);
+            sent += piece.size();
+        }
+        CHECK(fixture.http.last().isCancelled);
+        CHECK(sent <= maxAnswerBytes + piece.size());
+        CallFixture::settle();
+    }
+    CHECK(fixture.status() == 502);
+    CHECK(fixture.scheduler.ownUse().empty());
+}
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -489,3 +489,27 @@
     CHECK(it->details["slots_batch"].toInt() == 1);
     CHECK(it->details["slots"].toInt() == 8);
 }
+
+// Guards against an item that stays with a stalled endpoint because bytes that are no event arrive now and then, and
+// against memory that an endless event fills.
+TEST_CASE("an item moves to another endpoint if bytes without a new event keep arriving")
+{
+    const bool isFast = GENERATE(true, false);
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j")));
+    REQUIRE(waitFor([&] { return node.http.count() == 1; }));
+    node.http.handOver();
+    node.http.headers(200);
+    node.http.data("id: 1\ndata: a\n\n");
+    const QByteArray piece = isFast ? QByteArray(64 * 1024, 'x') : QByteArray(":\n\nid: 1\ndata: a\n\n");
+    const auto stalled = node.http.last().observer;
+    REQUIRE(waitFor([&] {
+        if (!node.http.call(0).isCancelled)
+            stalled->onData(piece);
+        return node.http.count() == 2;
+    }));
+    CHECK(node.http.call(0).isCancelled);
+    CHECK(node.http.last().request.headers.find("Last-Event-Id") == "1");
+}
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -353,3 +353,103 @@
     CHECK(observer.failure->reason == Reason::Protocol);
     CHECK(observer.failure->phase == Phase::Sent);
 }
+
+namespace {
+
+/// Sends a piece again and again while the connection is open, in bursts.
+class EndlessServer final {
+public:
+    EndlessServer(QByteArray start, QByteArray piece)
+        : m_server([this, start](QTcpSocket& socket, const QByteArray&) {
+            socket.write(start);
+            m_sockets.emplace_back(&socket);
+        })
+        , m_burst(piece.repeated(static_cast<int>(burstBytes / piece.size())))
+    {
+        QObject::connect(&m_timer, &QTimer::timeout, &m_timer, [this] { sendBursts(); });
+        m_timer.start(Milliseconds { 1 });
+    }
+
+    std::string address() const { return m_server.address(); }
+    qsizetype sentBytes() const { return m_sentBytes; }
+    bool hasOpenConnections() const
+    {
+        return std::ranges::any_of(
+            m_sockets, [](const auto& it) { return it && it->state() == QAbstractSocket::ConnectedState; });
+    }
+
+private:
+    static constexpr qsizetype burstBytes = 64 * 1024;
+
+    void sendBursts()
+    {
+        for (const auto& it : m_sockets) {
+            if (!it || it->state() != QAbstractSocket::ConnectedState || it->bytesToWrite() > burstBytes)
+                continue;
+            it->write(m_burst);
+            m_sentBytes += m_burst.size();
+        }
+    }
+
+    ScriptedServer m_server;
+    const QByteArray m_burst;
+    std::vector<QPointer<QTcpSocket>> m_sockets;
+    qsizetype m_sentBytes { 0 };
+    QTimer m_timer;
+};
+
+}
+
+// Guards against a server in trouble that fills the memory of the client, or holds a call for ever, with bytes that are
+// no answer: an endless header field, endless fields, endless interim responses, endless responses to an earlier
+// request, and an endless chunk size.
+TEST_CASE("bytes without end before the body fail the call and close the connection")
+{
+    const QByteArray head = "HTTP/1.1 200 OK\r\n";
+    const auto [start, piece] = GENERATE_COPY(table<QByteArray, QByteArray>({
+        { head + "X-Field: ", "x" },
+        { head, "X-Field: x\r\n" },
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "", "HTTP/1.1 200 OK\r\nX-Call-Id: 6\r\nContent-Length: 2\r\n\r\nno" },
+        { head + "Transfer-Encoding: chunked\r\n\r\n", "0" },
+        { head + "Transfer-Encoding: chunked\r\n\r\n1;x=", "x" },
+    }));
+    EndlessServer server(start, piece);
+    ScriptedServer sound(respondOk);
+    PooledHttpClient client;
+    HttpCallRequest request = makeRequest(server.address());
+    request.echoedField = "X-Call-Id";
+    RecordingObserver observer;
+    const auto call = client.start(request, observer);
+    // Other calls are served meanwhile.
+    CHECK(run(client, makeRequest(sound.address())).body == "ok");
+    REQUIRE(waitFor([&] { return observer.hasEnded(); }));
+    REQUIRE(observer.failure);
+    CHECK(observer.failure->reason == Reason::Protocol);
+    CHECK(observer.body.isEmpty());
+    CHECK(server.sentBytes() < 8 * 1024 * 1024);
+    CHECK(waitFor([&] { return !server.hasOpenConnections(); }));
+}
+
+// Guards against a call that never ends because its server sends a byte of the head now and then.
+TEST_CASE("a head that arrives slowly does not extend the time limit of the call")
+{
+    const QByteArray head = GENERATE("HTTP/1.1 200 OK\r\nX-Field: ", "HTTP/1.1 100 Continue\r\n\r\n");
+    QPointer<QTcpSocket> connection;
+    QTimer timer;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write(head);
+        connection = &socket;
+        timer.start(Milliseconds { 20 });
+    });
+    QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
+        if (connection)
+            connection->write(head.endsWith("\n") ? head : QByteArray("x"));
+    });
+    PooledHttpClient client;
+    HttpCallRequest request = makeRequest(server.address());
+    request.progressTimeout = Milliseconds { 300 };
+    const RecordingObserver observer = run(client, request);
+    REQUIRE(observer.failure);
+    CHECK(observer.failure->reason == Reason::TimedOut);
+}
