LibHTTP: Let a planned stop wait for requests on connections just accepted

Cause: a node that stops accepts what waits in the backlog of its listening socket and in the same step ends if no request is in progress. A connection accepted in that step, or one on which part of a request has arrived, had no request in progress yet, so the process ended and cut it without an answer.

The server now says whether it expects requests: part of one has arrived, or a connection is younger than 0.5 s and has served none.

Test: TestHttpServer; without the new condition the process was free to end between the accept and the first request.

--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -20,6 +20,9 @@
     /// response that the caller has not read yet.
     constexpr Milliseconds lingerTime { 2000 };
 
+    /// Time in which the first request on a new connection arrives if the caller has one to send.
+    constexpr Milliseconds firstRequestTime { 500 };
+
     MonotonicTime now() { return std::chrono::steady_clock::now(); }
 
     QByteArray toPath(const QByteArray& target)
@@ -69,7 +72,7 @@
     // Queued, because a write can detect the end of the connection, and the disconnect handler must not be called from
     // within the call that wrote.
     connect(m_socket, &QTcpSocket::disconnected, this, &HttpConnection::onDisconnected, Qt::QueuedConnection);
-    m_lastWriteProgress = now();
+    m_acceptedAt = m_lastWriteProgress = now();
     updateDeadline();
 }
 
@@ -197,6 +200,15 @@
         m_socket->disconnectFromHost();
 }
 
+bool HttpConnection::isExpectingRequest(MonotonicTime time) const
+{
+    if (m_stage != Stage::Reading || !isOpen())
+        return false;
+    if (m_reader.isStarted() || !m_input.isEmpty() || m_socket->bytesAvailable() > 0)
+        return true;
+    return !m_hasServed && time < m_acceptedAt + firstRequestTime;
+}
+
 void HttpConnection::updateActivity()
 {
     const bool isWriting = m_stage != Stage::Closed && isOpen() && m_socket->bytesToWrite() > 0;
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -55,6 +55,10 @@
     /// Closes the connection if it has served a request and waits for the next one.
     void closeIfIdle();
 
+    /// Returns whether a request has arrived in part, or whether the connection is so new that its first request is
+    /// probably on its way.
+    bool isExpectingRequest(MonotonicTime) const;
+
     /// Sets the function to call, once, when the connection has been closed; the connection then deletes itself.
     void setClosedHandler(std::function<void()> handler) { m_closedHandler = std::move(handler); }
 
@@ -104,6 +108,7 @@
     FramedRequest m_request;
     std::weak_ptr<ConnectionExchange> m_exchange;
     Stage m_stage { Stage::Reading };
+    MonotonicTime m_acceptedAt;
     MonotonicTime m_deadline;
     MonotonicTime m_requestStart;
     MonotonicTime m_lastWriteProgress;
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -69,6 +69,12 @@
         connection->closeIfIdle();
 }
 
+bool HttpServer::isExpectingRequests() const
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    return std::ranges::any_of(m_connections, [&](const auto& it) { return it.second->isExpectingRequest(now); });
+}
+
 QTcpSocket* HttpServer::addConnection(qintptr descriptor)
 {
     auto* connection = new HttpConnection(m_context, descriptor, this);
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -57,6 +57,10 @@
     /// thread.
     int activeExchanges() const { return m_context.activeExchanges; }
 
+    /// Returns whether an open connection is about to deliver a request: part of it has arrived, or the connection has
+    /// just been accepted. A server that stops waits for these, because their callers count on a response.
+    bool isExpectingRequests() const;
+
 protected:
     bool handleRequest(const QHttpServerRequest&, QTcpSocket*) override;
     void missingHandler(const QHttpServerRequest&, QTcpSocket*) override;
--- a/Services/chicorydockd/Daemon.cpp
+++ b/Services/chicorydockd/Daemon.cpp
@@ -228,7 +228,7 @@
 bool Daemon::hasWorkInFlight() const
 {
     for (const auto& thread : m_ioThreads) {
-        if (thread->activeExchanges() > 0)
+        if (thread->activeExchanges() > 0 || thread->isExpectingRequests())
             return true;
     }
     return !m_batch->isReleased() || !m_cluster->areUrgentUpdatesDelivered();
--- a/Services/chicorydockd/IoThread.cpp
+++ b/Services/chicorydockd/IoThread.cpp
@@ -32,6 +32,13 @@
     m_thread.run([this] { m_server->setDraining(true); });
 }
 
+bool IoThread::isExpectingRequests()
+{
+    bool isExpecting = false;
+    m_thread.run([&] { isExpecting = m_server->isExpectingRequests(); });
+    return isExpecting;
+}
+
 void IoThread::stopListening()
 {
     m_thread.run([this] {
--- a/Services/chicorydockd/IoThread.h
+++ b/Services/chicorydockd/IoThread.h
@@ -23,6 +23,8 @@
     void drain();
     /// Stops accepting connections and closes idle ones.
     void stopListening();
+    /// See `HttpServer::isExpectingRequests()`.
+    bool isExpectingRequests();
     int activeExchanges() const { return m_server->activeExchanges(); }
 
 private:
--- a/Tests/LibHTTP/TestHttpServer.cpp
+++ b/Tests/LibHTTP/TestHttpServer.cpp
@@ -347,3 +347,31 @@
     for (const char* address : { "127.0.0.1", "127.0.0.1:x", "localhost:1", "127.0.0.1:70000", "192.0.2.1:1" })
         CHECK_THROWS_AS(third.listen(address), Error);
 }
+
+// Guards against a process that ends while a request is on its way on a connection that it has just accepted.
+TEST_CASE("a server that stops expects the requests of connections that it has just accepted")
+{
+    Fixture fixture;
+    RawCaller quick(fixture.port);
+    RawCaller slow(fixture.port);
+    RawCaller silent(fixture.port);
+    fixture.server.setDraining(true);
+    // The kernel has accepted the connections; the event loop of the server has not run since.
+    fixture.server.stopListening();
+    fixture.server.closeIdleConnections();
+    CHECK(fixture.server.activeExchanges() == 0);
+    CHECK(fixture.server.isExpectingRequests());
+    quick.send("GET / HTTP/1.1\r\n\r\n");
+    slow.send("GET / HT");
+    REQUIRE(fixture.waitForExchanges(1));
+    fixture.handler.exchanges[0]->answer(plain("quick"));
+    REQUIRE(waitFor([&] { return quick.received().endsWith("quick"); }));
+    CHECK(fixture.server.isExpectingRequests());
+    slow.send("TP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(2));
+    fixture.handler.exchanges[1]->answer(plain("slow"));
+    // A connection without any request is waited for only briefly.
+    CHECK(waitFor([&] { return !fixture.server.isExpectingRequests() && fixture.server.activeExchanges() == 0; }));
+    CHECK_FALSE(silent.isClosed());
+    CHECK(slow.received().endsWith("slow"));
+}
