--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -9,17 +9,19 @@
 #include <netinet/in.h>
 
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace Chicorydock {
 
 namespace {
 
-    /// Number of missed heartbeats after which a node is considered dead.
-    constexpr int maxMissedHeartbeats = 4;
-
     /// Changes within this time are sent in one report.
     constexpr Milliseconds minSendDelay { 10 };
 
+    /// Interval at which a member and its coordinator exchange messages at least, with some margin.
+    constexpr Milliseconds messageInterval { 400 };
+
     /// A node is removed and sent no more reports after this time without a report from it.
     constexpr Milliseconds removalTimeout { 30'000 };
 
@@ -76,18 +78,51 @@
 void PeerGroup::countPeers()
 {
     m_peerCounts = {};
-    for (const auto& [node, peer] : m_peers)
+    m_coordinatorCounts = {};
+    for (const auto& [node, peer] : m_peers) {
         ++m_peerCounts.at(static_cast<size_t>(peer.distance));
+        m_coordinatorCounts.at(static_cast<size_t>(peer.distance)) += peer.report.isCoordinating ? 1 : 0;
+    }
 }
 
-size_t PeerGroup::peerCount(PeerDistance distance) const { return m_peerCounts.at(static_cast<size_t>(distance)); }
+Milliseconds PeerGroup::heartbeat(const Peer& peer) const
+{
+    const auto distance = static_cast<size_t>(peer.distance);
+    if (m_isCoordinating && peer.report.isCoordinating)
+        return heartbeatInterval(peer.distance, m_coordinatorCounts.at(distance));
+    return livenessInterval(peer.distance, m_peerCounts.at(distance));
+}
 
-Milliseconds PeerGroup::reportTimeout(PeerDistance distance) const { return heartbeat(distance) * maxMissedHeartbeats; }
+Milliseconds PeerGroup::pauseAfterReport(const Peer& peer) const
+{
+    if (peer.hasUnsentChange)
+        return reportInterval(peer.distance, m_coordinatorCounts.at(static_cast<size_t>(peer.distance)));
+    const Milliseconds pause = heartbeat(peer);
+    return peer.promised.count() > 0 ? std::min(pause, peer.promised) : pause;
+}
 
-void PeerGroup::scheduleReports()
+void PeerGroup::setCoordinating(bool isCoordinating)
+{
+    if (std::exchange(m_isCoordinating, isCoordinating) != isCoordinating)
+        scheduleReports();
+}
+
+void PeerGroup::announce()
 {
     for (auto& [node, peer] : m_peers)
-        peer.hasUnsentChange = true;
+        peer.sentAt = {};
+    sendReports();
+}
+
+void PeerGroup::scheduleReports()
+{
+    bool hasReceivers = false;
+    for (auto& [node, peer] : m_peers) {
+        peer.hasUnsentChange = peer.hasUnsentChange || peer.report.isCoordinating;
+        hasReceivers = hasReceivers || peer.hasUnsentChange;
+    }
+    if (!hasReceivers)
+        return;
     if (!m_sendTimer.isActive() || m_sendTimer.remainingTimeAsDuration() > minSendDelay)
         m_sendTimer.start(minSendDelay);
 }
@@ -97,32 +132,67 @@
     const MonotonicTime now = m_clock.now();
     std::erase_if(m_peers, [&](const auto& it) { return now - it.second.lastReportAt > removalTimeout; });
     countPeers();
-    QByteArray datagram;
+    std::optional<PeerReport> report;
+    // Reports that promise the next one within the same time are the same.
+    std::map<Milliseconds, QByteArray> datagrams;
     MonotonicTime next = now + heartbeatInterval(PeerDistance::FailureDomain, 0);
     for (auto& [node, peer] : m_peers) {
-        const Milliseconds pause = peer.hasUnsentChange ? interval(peer.distance) : heartbeat(peer.distance);
-        if (peer.sentAt + pause <= now) {
+        if (peer.sentAt + pauseAfterReport(peer) <= now) {
+            if (!report)
+                report = nextReport();
+            report->nextWithin = heartbeat(peer);
+            QByteArray& datagram = datagrams[report->nextWithin];
             if (datagram.isEmpty())
-                datagram = nextDatagram();
-            send(peer, datagram, now);
+                datagram = encodePeerReport(*report);
+            send(peer, datagram, report->nextWithin, now);
         }
-        next = std::min(next, peer.sentAt + (peer.hasUnsentChange ? pause : heartbeat(peer.distance)));
+        next = std::min(next, peer.sentAt + pauseAfterReport(peer));
     }
     m_sendTimer.start(std::max(minSendDelay, std::chrono::ceil<Milliseconds>(next - now)));
 }
 
-QByteArray PeerGroup::nextDatagram()
+PeerReport PeerGroup::nextReport()
 {
     PeerReport report = m_makeReport();
     report.node = m_options.node;
     report.failureDomain = m_options.failureDomain;
     report.sequence = ++m_sequence;
-    return encodePeerReport(report);
+    report.isCoordinating = m_isCoordinating;
+    return report;
 }
 
-void PeerGroup::send(Peer& peer, const QByteArray& datagram, MonotonicTime now)
+void PeerGroup::send(const std::string& node, const SlotReport& message)
+{
+    const auto it = m_peers.find(node);
+    if (it == m_peers.end())
+        return;
+    PeerReport report = nextReport();
+    report.slotReport = message;
+    // A member that leaves its coordinator sends it no further messages.
+    report.nextWithin = message.isLeaving ? heartbeat(it->second) : messageInterval;
+    sendMessage(it->second, std::move(report));
+}
+
+void PeerGroup::send(const std::string& node, const SlotReply& message)
+{
+    const auto it = m_peers.find(node);
+    if (it == m_peers.end())
+        return;
+    PeerReport report = nextReport();
+    report.slotReply = message;
+    report.nextWithin = messageInterval;
+    sendMessage(it->second, std::move(report));
+}
+
+void PeerGroup::sendMessage(Peer& peer, PeerReport report)
+{
+    send(peer, encodePeerReport(report), report.nextWithin, m_clock.now());
+}
+
+void PeerGroup::send(Peer& peer, const QByteArray& datagram, Milliseconds promised, MonotonicTime now)
 {
     peer.sentAt = now;
+    peer.promised = promised;
     peer.hasUnsentChange = false;
     m_socket.writeDatagram(datagram, peer.host, peer.port);
 }
@@ -147,14 +217,19 @@
         peer.hasReported = true;
         peer.lastReportAt = m_clock.now();
         peer.distance = distanceBetween(m_options.failureDomain, report->failureDomain, m_options.regions);
-        peer.report = *report;
-        m_onReport(*report, reportTimeout(peer.distance));
+        // A node of an earlier version makes no promise and sends reports to all peers.
+        const Milliseconds nextWithin = report->nextWithin.count() > 0
+            ? report->nextWithin
+            : heartbeatInterval(peer.distance, m_peerCounts.at(static_cast<size_t>(peer.distance)));
+        peer.timeout = livenessTimeout(nextWithin);
+        peer.report = std::move(*report);
+        m_onReport(peer.report, peer.timeout);
     }
 }
 
 bool PeerGroup::isReporting(const Peer& peer) const
 {
-    return peer.hasReported && m_clock.now() - peer.lastReportAt <= reportTimeout(peer.distance);
+    return peer.hasReported && m_clock.now() - peer.lastReportAt <= peer.timeout;
 }
 
 bool PeerGroup::isAlive(const std::string& node) const
@@ -180,6 +255,16 @@
     return nodes;
 }
 
+std::vector<CoordinatorCandidate> PeerGroup::domainPeers() const
+{
+    std::vector<CoordinatorCandidate> nodes;
+    for (const auto& [node, peer] : m_peers) {
+        if (peer.distance == PeerDistance::FailureDomain && isReporting(peer) && !peer.report.isLeaving)
+            nodes.push_back({ node, peer.report.capacityPercent });
+    }
+    return nodes;
+}
+
 size_t PeerGroup::aliveCount() const
 {
     return static_cast<size_t>(std::ranges::count_if(m_peers, [&](const auto& it) { return isReporting(it.second); }));
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibGateway/CoordinatorChoice.h>
 #include <LibGateway/JobController.h>
 #include <LibGateway/PeerReport.h>
 #include <LibGateway/ReportPlan.h>
@@ -45,9 +46,19 @@
     /// Removes a node unless it is alive.
     void removeAddress(const std::string& node);
 
-    /// Schedules reports to all peers, because the report of this node has changed.
+    /// Records whether this node allocates slots. Only such nodes send each other the changes of their slot use.
+    void setCoordinating(bool);
+
+    /// Schedules reports to the peers that allocate slots, because the slot use of this node has changed.
     void scheduleReports();
 
+    /// Sends a report to all peers at once, because this node is leaving.
+    void announce();
+
+    /// Sends a slot message to a peer at once. Nothing is sent to an unknown peer.
+    void send(const std::string& node, const SlotReport&);
+    void send(const std::string& node, const SlotReply&);
+
     /// Returns whether a recent report of the node was received.
     bool isAlive(const std::string& node) const;
 
@@ -59,6 +70,9 @@
 
     size_t aliveCount() const;
 
+    /// Returns the other nodes of this node's failure domain that are alive and not leaving.
+    std::vector<CoordinatorCandidate> domainPeers() const;
+
     /// Returns whether the node is unknown or was removed because no report was received from it for a long time. It is
     /// sent no reports.
     bool isForgotten(const std::string& node) const { return !m_peers.contains(node); }
@@ -71,21 +85,26 @@
         /// Whether this node's report has changed since it was last sent to the peer.
         bool hasUnsentChange { false };
         MonotonicTime lastReportAt;
+        /// Time without a report after which the peer is considered dead.
+        Milliseconds timeout { 0 };
         MonotonicTime sentAt;
+        /// Time within which the peer was promised the next report, 0 if it has been sent none.
+        Milliseconds promised { 0 };
         bool hasReported { false };
         PeerReport report;
     };
 
     void receive();
     void sendReports();
-    QByteArray nextDatagram();
-    void send(Peer&, const QByteArray& datagram, MonotonicTime now);
+    PeerReport nextReport();
+    /// Sends a slot message as part of a report.
+    void sendMessage(Peer&, PeerReport);
+    void send(Peer&, const QByteArray& datagram, Milliseconds promised, MonotonicTime now);
     bool isReporting(const Peer&) const;
-    size_t peerCount(PeerDistance) const;
-    Milliseconds interval(PeerDistance distance) const { return reportInterval(distance, peerCount(distance)); }
-    Milliseconds heartbeat(PeerDistance distance) const { return heartbeatInterval(distance, peerCount(distance)); }
-    /// Returns the time without a report after which a peer at that distance is considered dead.
-    Milliseconds reportTimeout(PeerDistance) const;
+    /// Returns the interval of reports to the peer while nothing changes.
+    Milliseconds heartbeat(const Peer&) const;
+    /// Returns the time from the latest report to the peer until the next one.
+    Milliseconds pauseAfterReport(const Peer&) const;
     void countPeers();
 
     const Options m_options;
@@ -95,6 +114,8 @@
     QUdpSocket m_socket;
     std::map<std::string, Peer> m_peers;
     std::array<size_t, peerDistanceCount> m_peerCounts {};
+    std::array<size_t, peerDistanceCount> m_coordinatorCounts {};
+    bool m_isCoordinating { false };
     uint64_t m_sequence { 0 };
     QTimer m_sendTimer;
 };
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/PeerReport.h>
 
+#include <LibGateway/SlotMessageFormat.h>
 #include <Schema/Load.capnp.h>
 
 #include <capnp/message.h>
@@ -9,6 +10,20 @@
 
 namespace Chicorydock {
 
+namespace {
+
+    /// A datagram whose decoded form is larger than this is not a report; its claimed size must not be allocated.
+    constexpr uint64_t maxDecodedWords = 64 * 1024;
+
+    capnp::ReaderOptions readerOptions()
+    {
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = maxDecodedWords;
+        return options;
+    }
+
+}
+
 QByteArray encodePeerReport(const PeerReport& report)
 {
     capnp::MallocMessageBuilder message;
@@ -19,6 +34,9 @@
     root.setWaiting(report.waiting);
     root.setIsStoreReachable(report.isStoreReachable);
     root.setIsLeaving(report.isLeaving);
+    root.setIsCoordinating(report.isCoordinating);
+    root.setCapacityPercent(report.capacityPercent);
+    root.setNextWithinMs(static_cast<uint32_t>(report.nextWithin.count()));
     auto uses = root.initUses(static_cast<uint32_t>(report.use.size()));
     uint32_t n = 0;
     for (const auto& [endpoint, use] : report.use) {
@@ -27,6 +45,10 @@
         it.setOnline(static_cast<uint16_t>(use.online));
         it.setBatch(static_cast<uint16_t>(use.batch));
     }
+    if (report.slotReport)
+        writeSlotReport(*report.slotReport, root.initSlotReport());
+    if (report.slotReply)
+        writeSlotReply(*report.slotReply, root.initSlotReply());
     kj::VectorOutputStream stream;
     capnp::writePackedMessage(stream, message);
     const auto bytes = stream.getArray();
@@ -38,7 +60,7 @@
     try {
         kj::ArrayInputStream stream(
             kj::arrayPtr(reinterpret_cast<const kj::byte*>(bytes.constData()), static_cast<size_t>(bytes.size())));
-        capnp::PackedMessageReader message(stream);
+        capnp::PackedMessageReader message(stream, readerOptions());
         const auto root = message.getRoot<Schema::LoadReport>();
         PeerReport report;
         report.node = root.getNode();
@@ -47,8 +69,15 @@
         report.waiting = root.getWaiting();
         report.isStoreReachable = root.getIsStoreReachable();
         report.isLeaving = root.getIsLeaving();
+        report.isCoordinating = root.getIsCoordinating();
+        report.capacityPercent = root.getCapacityPercent();
+        report.nextWithin = Milliseconds { root.getNextWithinMs() };
         for (const auto it : root.getUses())
             report.use[it.getEndpoint()] = { it.getOnline(), it.getBatch() };
+        if (root.hasSlotReport())
+            report.slotReport = readSlotReport(root.getSlotReport());
+        if (root.hasSlotReply())
+            report.slotReply = readSlotReply(root.getSlotReply());
         return report;
     } catch (const kj::Exception& exception) {
         LOG(WARNING) << "ignored a datagram that is not a load report: " << exception.getDescription().cStr();
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibGateway/SlotScheduler.h>
+#include <LibGateway/SlotMessages.h>
 
 #include <QByteArray>
 
@@ -10,7 +10,7 @@
 
 namespace Chicorydock {
 
-/// Load report that a node sends to its peers.
+/// Report that a node sends to a peer.
 struct PeerReport {
     std::string node;
     std::string failureDomain;
@@ -20,8 +20,18 @@
     uint32_t waiting { 0 };
     bool isStoreReachable { false };
     bool isLeaving { false };
-    /// Slots that the node uses, by `SlotScheduler::endpointKey()`.
+    /// Whether the node allocates slots, for itself or for others, so that its slot use concerns all other nodes that
+    /// do so.
+    bool isCoordinating { false };
+    /// Processor capacity of the node's VM in percent of a core, 0 if unknown.
+    uint32_t capacityPercent { 0 };
+    /// Time within which the node sends the peer its next report, 0 if unknown.
+    Milliseconds nextWithin { 0 };
+    /// Slots that the node has allocated, by `SlotScheduler::endpointKey()`.
     std::unordered_map<uint32_t, SlotUse> use;
+    /// Message to the peer as coordinator or as member.
+    std::optional<SlotReport> slotReport;
+    std::optional<SlotReply> slotReply;
 
     bool operator==(const PeerReport&) const = default;
 };
--- a/Libraries/LibGateway/ReportPlan.cpp
+++ b/Libraries/LibGateway/ReportPlan.cpp
@@ -26,6 +26,19 @@
         { Milliseconds { 100 }, 40 },
     } };
 
+    /// Maximum number of reports per second to all peers at a distance that only show that this node is alive.
+    constexpr std::array<size_t, peerDistanceCount> livenessReportsPerSecond { 30, 25, 25 };
+
+    /// Upper limit of the interval between such reports, so that the jobs of a lost node are taken over in time.
+    constexpr Milliseconds maxLivenessInterval { 5'000 };
+
+    /// Number of missed heartbeats after which a node is considered dead.
+    constexpr int maxMissedHeartbeats = 4;
+
+    /// With intervals above `longInterval`, a node is considered dead after fewer missed heartbeats.
+    constexpr Milliseconds longInterval { 1'000 };
+    constexpr int maxMissedLongHeartbeats = 2;
+
     std::string regionOf(const std::string& failureDomain, const std::map<std::string, std::string>& regions)
     {
         const auto it = regions.find(failureDomain);
@@ -53,4 +66,17 @@
     return std::max(minHeartbeatInterval, reportInterval(distance, peers));
 }
 
+Milliseconds livenessInterval(PeerDistance distance, size_t peers)
+{
+    const size_t perSecond = livenessReportsPerSecond.at(static_cast<size_t>(distance));
+    return std::clamp(Milliseconds { peers * 1000 / perSecond }, minHeartbeatInterval, maxLivenessInterval);
+}
+
+Milliseconds livenessTimeout(Milliseconds nextWithin)
+{
+    return nextWithin <= longInterval
+        ? nextWithin * maxMissedHeartbeats
+        : std::max(longInterval * maxMissedHeartbeats, nextWithin * maxMissedLongHeartbeats);
+}
+
 }
--- a/Libraries/LibGateway/ReportPlan.h
+++ b/Libraries/LibGateway/ReportPlan.h
@@ -31,4 +31,12 @@
 /// Returns the time between two reports to one peer while nothing changes. May be called from any thread.
 Milliseconds heartbeatInterval(PeerDistance, size_t peers);
 
+/// Returns the time between two reports to one peer that only show that this node is alive, because one of the two does
+/// not allocate slots. `peers` is the number of all peers at that distance. May be called from any thread.
+Milliseconds livenessInterval(PeerDistance, size_t peers);
+
+/// Returns the time without a report after which a node is considered dead that announced its next report within
+/// `nextWithin`. May be called from any thread.
+Milliseconds livenessTimeout(Milliseconds nextWithin);
+
 }
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -115,6 +115,9 @@
         /// Region of each failure domain.
         std::map<std::string, std::string> regions;
 
+        /// Share of a processor core that the VM provides. VMs with more take on more of the work for others.
+        double cpuShare { 1 };
+
         auto operator<=>(const Gateway&) const = default;
     };
 
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -81,12 +81,17 @@
         table.number("batch_gap_allowance", scheduler.batchGapAllowance, 0.0, maxBatchGapAllowance);
     }
 
+    /// Limits on the processor cores of a VM.
+    constexpr double minCpuShare = 0.01;
+    constexpr double maxCpuShare = 1'024;
+
     void readGateway(TomlTable& table, std::optional<Settings::Gateway>& gateway)
     {
         gateway.emplace();
         table.text("status_address", gateway->statusAddress, TextRule::listenAddress(), Presence::Required);
         table.text("peer_address", gateway->peerAddress, TextRule::address(), Presence::Required);
         table.textMap("regions", gateway->regions, TextRule::identifier());
+        table.number("cpu_share", gateway->cpuShare, minCpuShare, maxCpuShare);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -3,7 +3,7 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("Chicorydock::Schema");
 
-# The report that a node sends to its peers many times a second, in one datagram.
+# The report that a node sends to a peer, in one datagram.
 struct LoadReport {
   node @0 :Text;
   failureDomain @1 :Text;
@@ -15,11 +15,109 @@
   isStoreReachable @4 :Bool;
   isLeaving @5 :Bool;
   uses @6 :List(EndpointUse);
+  # Whether the node allocates slots, for itself or for others.
+  isCoordinating @7 :Bool;
+  # Time within which the peer is sent the next report; 0 if unknown.
+  nextWithinMs @8 :UInt32;
+  slotReport @9 :SlotReport;
+  slotReply @10 :SlotReply;
+  # Processor capacity of the node in percent of a core; 0 if unknown.
+  capacityPercent @11 :UInt32;
 }
 
-# The number of slots of one endpoint that the node uses.
+# The number of slots of one endpoint that the node has allocated.
 struct EndpointUse {
   endpoint @0 :UInt32;
   online @1 :UInt16;
   batch @2 :UInt16;
 }
+
+# An online request that waits for a slot. Times are relative to the sending of the message.
+struct QueuedRequest {
+  work @0 :UInt64;
+  service @1 :Text;
+  priority @2 :UInt32;
+  startInMs @3 :Int32;
+  deadlineInMs @4 :Int32;
+  isLastAttempt @5 :Bool;
+  excluded @6 :List(Text);
+}
+
+# An item of a job that waits for a slot.
+struct QueuedItem {
+  work @0 :UInt64;
+  service @1 :Text;
+  dueInMs @2 :Int32;
+  slotTimeUsedMs @3 :UInt32;
+  excluded @4 :List(Text);
+}
+
+# Work that holds a slot.
+struct HeldSlot {
+  work @0 :UInt64;
+  service @1 :Text;
+  endpoint @2 :Text;
+  isBatch @3 :Bool;
+  heldForMs @4 :UInt32;
+  dueInMs @5 :Int32;
+  slotTimeUsedMs @6 :UInt32;
+}
+
+struct FinishedWork {
+  work @0 :UInt64;
+  outcome @1 :UInt8;
+}
+
+struct EndpointLoad {
+  endpoint @0 :Text;
+  running @1 :UInt32;
+  waiting @2 :UInt32;
+  workTimePercent @3 :UInt32;
+}
+
+# The work of a node, sent to the node that allocates slots for it.
+struct SlotReport {
+  # Increases with each report of a member; an older report is ignored.
+  sequence @0 :UInt64;
+  # Sequence of the latest reply that the member has processed.
+  acknowledged @1 :UInt64;
+  isLeaving @2 :Bool;
+  expectsReply @3 :Bool;
+  # Work that the coordinator has not acknowledged.
+  requests @4 :List(QueuedRequest);
+  items @5 :List(QueuedItem);
+  slots @6 :List(HeldSlot);
+  # All other work.
+  queued @7 :List(UInt64);
+  running @8 :List(UInt64);
+  finished @9 :List(FinishedWork);
+  loads @10 :List(EndpointLoad);
+}
+
+# A decision of the coordinator about the work of a member, with the slot use on which it was based.
+struct SlotDecision {
+  enum Kind {
+    start @0;
+    refuse @1;
+    yield @2;
+  }
+  kind @0 :Kind;
+  work @1 :UInt64;
+  endpoint @2 :Text;
+  retryAfterMs @3 :UInt32;
+  online @4 :UInt32;
+  batch @5 :UInt32;
+  slotCount @6 :UInt32;
+  ageMs @7 :UInt32;
+  expectedWaitMs @8 :UInt32;
+}
+
+struct SlotReply {
+  # Increases with each reply of a coordinator; an older reply is ignored.
+  sequence @0 :UInt64;
+  # Sequence of the latest report that the coordinator has processed.
+  acknowledged @1 :UInt64;
+  needsAllWork @2 :Bool;
+  # All decisions that the member has not acknowledged.
+  decisions @3 :List(SlotDecision);
+}
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -18,6 +18,21 @@
 
 CAPNP_DECLARE_SCHEMA(ca1cfc419c8cf854);
 CAPNP_DECLARE_SCHEMA(9d0b3d3267602205);
+CAPNP_DECLARE_SCHEMA(de3e1e40e741e0c9);
+CAPNP_DECLARE_SCHEMA(a70855ffea23f2e1);
+CAPNP_DECLARE_SCHEMA(a3ebfefe72b00ee1);
+CAPNP_DECLARE_SCHEMA(df0217528766a04e);
+CAPNP_DECLARE_SCHEMA(de8235eccfbee4ca);
+CAPNP_DECLARE_SCHEMA(80c9a74129406902);
+CAPNP_DECLARE_SCHEMA(e2bf7f63f245a9fc);
+CAPNP_DECLARE_SCHEMA(fdb0cfa10af25a60);
+enum class Kind_fdb0cfa10af25a60: uint16_t {
+  START,
+  REFUSE,
+  YIELD,
+};
+CAPNP_DECLARE_ENUM(Kind, fdb0cfa10af25a60);
+CAPNP_DECLARE_SCHEMA(a9593048a30c3086);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -33,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 3, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -55,6 +70,128 @@
   };
 };
 
+struct QueuedRequest {
+  QueuedRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de3e1e40e741e0c9, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QueuedItem {
+  QueuedItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a70855ffea23f2e1, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct HeldSlot {
+  HeldSlot() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a3ebfefe72b00ee1, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct FinishedWork {
+  FinishedWork() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(df0217528766a04e, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndpointLoad {
+  EndpointLoad() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(de8235eccfbee4ca, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotReport {
+  SlotReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(80c9a74129406902, 3, 7)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotDecision {
+  SlotDecision() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  typedef ::capnp::schemas::Kind_fdb0cfa10af25a60 Kind;
+
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e2bf7f63f245a9fc, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SlotReply {
+  SlotReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a9593048a30c3086, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class LoadReport::Reader {
@@ -91,6 +228,18 @@
   inline bool hasUses() const;
   inline  ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Reader getUses() const;
 
+  inline bool getIsCoordinating() const;
+
+  inline  ::uint32_t getNextWithinMs() const;
+
+  inline bool hasSlotReport() const;
+  inline  ::Chicorydock::Schema::SlotReport::Reader getSlotReport() const;
+
+  inline bool hasSlotReply() const;
+  inline  ::Chicorydock::Schema::SlotReply::Reader getSlotReply() const;
+
+  inline  ::uint32_t getCapacityPercent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -152,6 +301,29 @@
   inline void adoptUses(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>> disownUses();
 
+  inline bool getIsCoordinating();
+  inline void setIsCoordinating(bool value);
+
+  inline  ::uint32_t getNextWithinMs();
+  inline void setNextWithinMs( ::uint32_t value);
+
+  inline bool hasSlotReport();
+  inline  ::Chicorydock::Schema::SlotReport::Builder getSlotReport();
+  inline void setSlotReport( ::Chicorydock::Schema::SlotReport::Reader value);
+  inline  ::Chicorydock::Schema::SlotReport::Builder initSlotReport();
+  inline void adoptSlotReport(::capnp::Orphan< ::Chicorydock::Schema::SlotReport>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::SlotReport> disownSlotReport();
+
+  inline bool hasSlotReply();
+  inline  ::Chicorydock::Schema::SlotReply::Builder getSlotReply();
+  inline void setSlotReply( ::Chicorydock::Schema::SlotReply::Reader value);
+  inline  ::Chicorydock::Schema::SlotReply::Builder initSlotReply();
+  inline void adoptSlotReply(::capnp::Orphan< ::Chicorydock::Schema::SlotReply>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::SlotReply> disownSlotReply();
+
+  inline  ::uint32_t getCapacityPercent();
+  inline void setCapacityPercent( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -170,6 +342,8 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::SlotReport::Pipeline getSlotReport();
+  inline  ::Chicorydock::Schema::SlotReply::Pipeline getSlotReply();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -264,206 +438,2245 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class QueuedRequest::Reader {
+public:
+  typedef QueuedRequest Reads;
 
-inline bool LoadReport::Reader::hasNode() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool LoadReport::Builder::hasNode() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LoadReport::Reader::getNode() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LoadReport::Builder::getNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void LoadReport::Builder::setNode( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LoadReport::Builder::initNode(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void LoadReport::Builder::adoptNode(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownNode() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool LoadReport::Reader::hasFailureDomain() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool LoadReport::Builder::hasFailureDomain() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader LoadReport::Reader::getFailureDomain() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder LoadReport::Builder::getFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void LoadReport::Builder::setFailureDomain( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder LoadReport::Builder::initFailureDomain(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void LoadReport::Builder::adoptFailureDomain(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownFailureDomain() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline  ::uint64_t LoadReport::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint64_t LoadReport::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void LoadReport::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint64_t getWork() const;
 
-inline  ::uint32_t LoadReport::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-inline  ::uint32_t LoadReport::Builder::getWaiting() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void LoadReport::Builder::setWaiting( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::uint32_t getPriority() const;
 
-inline bool LoadReport::Reader::getIsStoreReachable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
+  inline  ::int32_t getStartInMs() const;
 
-inline bool LoadReport::Builder::getIsStoreReachable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
-}
-inline void LoadReport::Builder::setIsStoreReachable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
-}
+  inline  ::int32_t getDeadlineInMs() const;
 
-inline bool LoadReport::Reader::getIsLeaving() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
-}
+  inline bool getIsLastAttempt() const;
 
-inline bool LoadReport::Builder::getIsLeaving() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
-}
-inline void LoadReport::Builder::setIsLeaving(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
-}
+  inline bool hasExcluded() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getExcluded() const;
 
-inline bool LoadReport::Reader::hasUses() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool LoadReport::Builder::hasUses() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getUses() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getUses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void LoadReport::Builder::setUses( ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initUses(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QueuedRequest::Builder {
+public:
+  typedef QueuedRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWork();
+  inline void setWork( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::int32_t getStartInMs();
+  inline void setStartInMs( ::int32_t value);
+
+  inline  ::int32_t getDeadlineInMs();
+  inline void setDeadlineInMs( ::int32_t value);
+
+  inline bool getIsLastAttempt();
+  inline void setIsLastAttempt(bool value);
+
+  inline bool hasExcluded();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getExcluded();
+  inline void setExcluded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setExcluded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initExcluded(unsigned int size);
+  inline void adoptExcluded(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownExcluded();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QueuedRequest::Pipeline {
+public:
+  typedef QueuedRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QueuedItem::Reader {
+public:
+  typedef QueuedItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWork() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::int32_t getDueInMs() const;
+
+  inline  ::uint32_t getSlotTimeUsedMs() const;
+
+  inline bool hasExcluded() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getExcluded() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QueuedItem::Builder {
+public:
+  typedef QueuedItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWork();
+  inline void setWork( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::int32_t getDueInMs();
+  inline void setDueInMs( ::int32_t value);
+
+  inline  ::uint32_t getSlotTimeUsedMs();
+  inline void setSlotTimeUsedMs( ::uint32_t value);
+
+  inline bool hasExcluded();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getExcluded();
+  inline void setExcluded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setExcluded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initExcluded(unsigned int size);
+  inline void adoptExcluded(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownExcluded();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QueuedItem::Pipeline {
+public:
+  typedef QueuedItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class HeldSlot::Reader {
+public:
+  typedef HeldSlot Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWork() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline bool getIsBatch() const;
+
+  inline  ::uint32_t getHeldForMs() const;
+
+  inline  ::int32_t getDueInMs() const;
+
+  inline  ::uint32_t getSlotTimeUsedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class HeldSlot::Builder {
+public:
+  typedef HeldSlot Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWork();
+  inline void setWork( ::uint64_t value);
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline bool getIsBatch();
+  inline void setIsBatch(bool value);
+
+  inline  ::uint32_t getHeldForMs();
+  inline void setHeldForMs( ::uint32_t value);
+
+  inline  ::int32_t getDueInMs();
+  inline void setDueInMs( ::int32_t value);
+
+  inline  ::uint32_t getSlotTimeUsedMs();
+  inline void setSlotTimeUsedMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class HeldSlot::Pipeline {
+public:
+  typedef HeldSlot Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FinishedWork::Reader {
+public:
+  typedef FinishedWork Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWork() const;
+
+  inline  ::uint8_t getOutcome() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FinishedWork::Builder {
+public:
+  typedef FinishedWork Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWork();
+  inline void setWork( ::uint64_t value);
+
+  inline  ::uint8_t getOutcome();
+  inline void setOutcome( ::uint8_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FinishedWork::Pipeline {
+public:
+  typedef FinishedWork Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EndpointLoad::Reader {
+public:
+  typedef EndpointLoad Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::uint32_t getRunning() const;
+
+  inline  ::uint32_t getWaiting() const;
+
+  inline  ::uint32_t getWorkTimePercent() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointLoad::Builder {
+public:
+  typedef EndpointLoad Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::uint32_t getRunning();
+  inline void setRunning( ::uint32_t value);
+
+  inline  ::uint32_t getWaiting();
+  inline void setWaiting( ::uint32_t value);
+
+  inline  ::uint32_t getWorkTimePercent();
+  inline void setWorkTimePercent( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointLoad::Pipeline {
+public:
+  typedef EndpointLoad Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SlotReport::Reader {
+public:
+  typedef SlotReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getAcknowledged() const;
+
+  inline bool getIsLeaving() const;
+
+  inline bool getExpectsReply() const;
+
+  inline bool hasRequests() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>::Reader getRequests() const;
+
+  inline bool hasItems() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>::Reader getItems() const;
+
+  inline bool hasSlots() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>::Reader getSlots() const;
+
+  inline bool hasQueued() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getQueued() const;
+
+  inline bool hasRunning() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRunning() const;
+
+  inline bool hasFinished() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>::Reader getFinished() const;
+
+  inline bool hasLoads() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SlotReport::Builder {
+public:
+  typedef SlotReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getAcknowledged();
+  inline void setAcknowledged( ::uint64_t value);
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
+  inline bool getExpectsReply();
+  inline void setExpectsReply(bool value);
+
+  inline bool hasRequests();
+  inline  ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>::Builder getRequests();
+  inline void setRequests( ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>::Builder initRequests(unsigned int size);
+  inline void adoptRequests(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>> disownRequests();
+
+  inline bool hasItems();
+  inline  ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>::Builder getItems();
+  inline void setItems( ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>::Builder initItems(unsigned int size);
+  inline void adoptItems(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>> disownItems();
+
+  inline bool hasSlots();
+  inline  ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>::Builder getSlots();
+  inline void setSlots( ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>::Builder initSlots(unsigned int size);
+  inline void adoptSlots(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>> disownSlots();
+
+  inline bool hasQueued();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getQueued();
+  inline void setQueued( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setQueued(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initQueued(unsigned int size);
+  inline void adoptQueued(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownQueued();
+
+  inline bool hasRunning();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRunning();
+  inline void setRunning( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRunning(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRunning(unsigned int size);
+  inline void adoptRunning(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRunning();
+
+  inline bool hasFinished();
+  inline  ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>::Builder getFinished();
+  inline void setFinished( ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>::Builder initFinished(unsigned int size);
+  inline void adoptFinished(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>> disownFinished();
+
+  inline bool hasLoads();
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Builder getLoads();
+  inline void setLoads( ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Builder initLoads(unsigned int size);
+  inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>> disownLoads();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotReport::Pipeline {
+public:
+  typedef SlotReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SlotDecision::Reader {
+public:
+  typedef SlotDecision Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::Chicorydock::Schema::SlotDecision::Kind getKind() const;
+
+  inline  ::uint64_t getWork() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline  ::uint32_t getRetryAfterMs() const;
+
+  inline  ::uint32_t getOnline() const;
+
+  inline  ::uint32_t getBatch() const;
+
+  inline  ::uint32_t getSlotCount() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint32_t getExpectedWaitMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SlotDecision::Builder {
+public:
+  typedef SlotDecision Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::Chicorydock::Schema::SlotDecision::Kind getKind();
+  inline void setKind( ::Chicorydock::Schema::SlotDecision::Kind value);
+
+  inline  ::uint64_t getWork();
+  inline void setWork( ::uint64_t value);
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline  ::uint32_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::uint32_t value);
+
+  inline  ::uint32_t getOnline();
+  inline void setOnline( ::uint32_t value);
+
+  inline  ::uint32_t getBatch();
+  inline void setBatch( ::uint32_t value);
+
+  inline  ::uint32_t getSlotCount();
+  inline void setSlotCount( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getExpectedWaitMs();
+  inline void setExpectedWaitMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotDecision::Pipeline {
+public:
+  typedef SlotDecision Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class SlotReply::Reader {
+public:
+  typedef SlotReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence() const;
+
+  inline  ::uint64_t getAcknowledged() const;
+
+  inline bool getNeedsAllWork() const;
+
+  inline bool hasDecisions() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>::Reader getDecisions() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SlotReply::Builder {
+public:
+  typedef SlotReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
+  inline  ::uint64_t getAcknowledged();
+  inline void setAcknowledged( ::uint64_t value);
+
+  inline bool getNeedsAllWork();
+  inline void setNeedsAllWork(bool value);
+
+  inline bool hasDecisions();
+  inline  ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>::Builder getDecisions();
+  inline void setDecisions( ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>::Builder initDecisions(unsigned int size);
+  inline void adoptDecisions(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>> disownDecisions();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SlotReply::Pipeline {
+public:
+  typedef SlotReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool LoadReport::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadReport::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool LoadReport::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadReport::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t LoadReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadReport::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadReport::Reader::getIsStoreReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadReport::Builder::getIsStoreReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setIsStoreReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadReport::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadReport::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadReport::Reader::hasUses() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasUses() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getUses() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setUses( ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initUses(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptUses(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownUses() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool LoadReport::Reader::getIsCoordinating() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<98>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadReport::Builder::getIsCoordinating() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<98>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setIsCoordinating(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<98>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t LoadReport::Reader::getNextWithinMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getNextWithinMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setNextWithinMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadReport::Reader::hasSlotReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasSlotReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::SlotReport::Reader LoadReport::Reader::getSlotReport() const {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReport>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::SlotReport::Builder LoadReport::Builder::getSlotReport() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReport>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chicorydock::Schema::SlotReport::Pipeline LoadReport::Pipeline::getSlotReport() {
+  return  ::Chicorydock::Schema::SlotReport::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void LoadReport::Builder::setSlotReport( ::Chicorydock::Schema::SlotReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReport>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::SlotReport::Builder LoadReport::Builder::initSlotReport() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReport>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::adoptSlotReport(
+    ::capnp::Orphan< ::Chicorydock::Schema::SlotReport>&& value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::SlotReport> LoadReport::Builder::disownSlotReport() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool LoadReport::Reader::hasSlotReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasSlotReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::SlotReply::Reader LoadReport::Reader::getSlotReply() const {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReply>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::SlotReply::Builder LoadReport::Builder::getSlotReply() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReply>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chicorydock::Schema::SlotReply::Pipeline LoadReport::Pipeline::getSlotReply() {
+  return  ::Chicorydock::Schema::SlotReply::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void LoadReport::Builder::setSlotReply( ::Chicorydock::Schema::SlotReply::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReply>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::SlotReply::Builder LoadReport::Builder::initSlotReply() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReply>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::adoptSlotReply(
+    ::capnp::Orphan< ::Chicorydock::Schema::SlotReply>&& value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReply>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::SlotReply> LoadReport::Builder::disownSlotReply() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::SlotReply>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t LoadReport::Reader::getCapacityPercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getCapacityPercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setCapacityPercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointUse::Reader::getEndpoint() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointUse::Builder::getEndpoint() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointUse::Builder::setEndpoint( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t EndpointUse::Reader::getOnline() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t EndpointUse::Builder::getOnline() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointUse::Builder::setOnline( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t EndpointUse::Reader::getBatch() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t EndpointUse::Builder::getBatch() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void EndpointUse::Builder::setBatch( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QueuedRequest::Reader::getWork() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QueuedRequest::Builder::getWork() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QueuedRequest::Builder::setWork( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueuedRequest::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueuedRequest::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QueuedRequest::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QueuedRequest::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QueuedRequest::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QueuedRequest::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QueuedRequest::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QueuedRequest::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t QueuedRequest::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QueuedRequest::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QueuedRequest::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t QueuedRequest::Reader::getStartInMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t QueuedRequest::Builder::getStartInMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QueuedRequest::Builder::setStartInMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t QueuedRequest::Reader::getDeadlineInMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t QueuedRequest::Builder::getDeadlineInMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QueuedRequest::Builder::setDeadlineInMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueuedRequest::Reader::getIsLastAttempt() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+
+inline bool QueuedRequest::Builder::getIsLastAttempt() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS);
+}
+inline void QueuedRequest::Builder::setIsLastAttempt(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<160>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueuedRequest::Reader::hasExcluded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueuedRequest::Builder::hasExcluded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader QueuedRequest::Reader::getExcluded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder QueuedRequest::Builder::getExcluded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QueuedRequest::Builder::setExcluded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void QueuedRequest::Builder::setExcluded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder QueuedRequest::Builder::initExcluded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QueuedRequest::Builder::adoptExcluded(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> QueuedRequest::Builder::disownExcluded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QueuedItem::Reader::getWork() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QueuedItem::Builder::getWork() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QueuedItem::Builder::setWork( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueuedItem::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueuedItem::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QueuedItem::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QueuedItem::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QueuedItem::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QueuedItem::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QueuedItem::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QueuedItem::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t QueuedItem::Reader::getDueInMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t QueuedItem::Builder::getDueInMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QueuedItem::Builder::setDueInMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t QueuedItem::Reader::getSlotTimeUsedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t QueuedItem::Builder::getSlotTimeUsedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QueuedItem::Builder::setSlotTimeUsedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueuedItem::Reader::hasExcluded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueuedItem::Builder::hasExcluded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader QueuedItem::Reader::getExcluded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder QueuedItem::Builder::getExcluded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void QueuedItem::Builder::setExcluded( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void QueuedItem::Builder::setExcluded(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder QueuedItem::Builder::initExcluded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void QueuedItem::Builder::adoptExcluded(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> QueuedItem::Builder::disownExcluded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t HeldSlot::Reader::getWork() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldSlot::Builder::getWork() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void HeldSlot::Builder::setWork( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HeldSlot::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldSlot::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HeldSlot::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HeldSlot::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HeldSlot::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HeldSlot::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void HeldSlot::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HeldSlot::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool HeldSlot::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldSlot::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HeldSlot::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HeldSlot::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void HeldSlot::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HeldSlot::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void HeldSlot::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> HeldSlot::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool HeldSlot::Reader::getIsBatch() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool HeldSlot::Builder::getIsBatch() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void HeldSlot::Builder::setIsBatch(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HeldSlot::Reader::getHeldForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HeldSlot::Builder::getHeldForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void HeldSlot::Builder::setHeldForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t HeldSlot::Reader::getDueInMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t HeldSlot::Builder::getDueInMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HeldSlot::Builder::setDueInMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t HeldSlot::Reader::getSlotTimeUsedMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HeldSlot::Builder::getSlotTimeUsedMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void HeldSlot::Builder::setSlotTimeUsedMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FinishedWork::Reader::getWork() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FinishedWork::Builder::getWork() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void FinishedWork::Builder::setWork( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t FinishedWork::Reader::getOutcome() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t FinishedWork::Builder::getOutcome() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void FinishedWork::Builder::setOutcome( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndpointLoad::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointLoad::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EndpointLoad::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EndpointLoad::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointLoad::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EndpointLoad::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointLoad::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EndpointLoad::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t EndpointLoad::Reader::getRunning() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointLoad::Builder::getRunning() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointLoad::Builder::setRunning( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointLoad::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointLoad::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EndpointLoad::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointLoad::Reader::getWorkTimePercent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointLoad::Builder::getWorkTimePercent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointLoad::Builder::setWorkTimePercent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotReport::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotReport::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotReport::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotReport::Reader::getAcknowledged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotReport::Builder::getAcknowledged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotReport::Builder::setAcknowledged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotReport::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotReport::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void SlotReport::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotReport::Reader::getExpectsReply() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool SlotReport::Builder::getExpectsReply() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void SlotReport::Builder::setExpectsReply(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotReport::Reader::hasRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>::Reader SlotReport::Reader::getRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::getRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setRequests( ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::initRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotReport::Builder::adoptRequests(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>> SlotReport::Builder::disownRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedRequest,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SlotReport::Reader::hasItems() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasItems() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>::Reader SlotReport::Reader::getItems() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::getItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setItems( ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::initItems(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SlotReport::Builder::adoptItems(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>> SlotReport::Builder::disownItems() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::QueuedItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool SlotReport::Reader::hasSlots() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasSlots() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>::Reader SlotReport::Reader::getSlots() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::getSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setSlots( ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::initSlots(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void LoadReport::Builder::adoptUses(
-    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void SlotReport::Builder::adoptSlots(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownUses() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointUse,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>> SlotReport::Builder::disownSlots() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::HeldSlot,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EndpointUse::Reader::getEndpoint() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool SlotReport::Reader::hasQueued() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasQueued() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotReport::Reader::getQueued() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotReport::Builder::getQueued() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setQueued( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void SlotReport::Builder::setQueued(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotReport::Builder::initQueued(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void SlotReport::Builder::adoptQueued(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotReport::Builder::disownQueued() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool SlotReport::Reader::hasRunning() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasRunning() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader SlotReport::Reader::getRunning() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotReport::Builder::getRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setRunning( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void SlotReport::Builder::setRunning(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder SlotReport::Builder::initRunning(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void SlotReport::Builder::adoptRunning(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> SlotReport::Builder::disownRunning() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool SlotReport::Reader::hasFinished() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasFinished() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>::Reader SlotReport::Reader::getFinished() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::getFinished() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setFinished( ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::initFinished(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void SlotReport::Builder::adoptFinished(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>> SlotReport::Builder::disownFinished() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::FinishedWork,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool SlotReport::Reader::hasLoads() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasLoads() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader SlotReport::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setLoads( ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::initLoads(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void SlotReport::Builder::adoptLoads(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>> SlotReport::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::Chicorydock::Schema::SlotDecision::Kind SlotDecision::Reader::getKind() const {
+  return _reader.getDataField< ::Chicorydock::Schema::SlotDecision::Kind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointUse::Builder::getEndpoint() {
-  return _builder.getDataField< ::uint32_t>(
+inline  ::Chicorydock::Schema::SlotDecision::Kind SlotDecision::Builder::getKind() {
+  return _builder.getDataField< ::Chicorydock::Schema::SlotDecision::Kind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EndpointUse::Builder::setEndpoint( ::uint32_t value) {
+inline void SlotDecision::Builder::setKind( ::Chicorydock::Schema::SlotDecision::Kind value) {
+  _builder.setDataField< ::Chicorydock::Schema::SlotDecision::Kind>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotDecision::Reader::getWork() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotDecision::Builder::getWork() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setWork( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotDecision::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotDecision::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SlotDecision::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SlotDecision::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotDecision::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SlotDecision::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotDecision::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SlotDecision::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SlotDecision::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotDecision::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setRetryAfterMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotDecision::Reader::getOnline() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotDecision::Builder::getOnline() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setOnline( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotDecision::Reader::getBatch() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotDecision::Builder::getBatch() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setBatch( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotDecision::Reader::getSlotCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotDecision::Builder::getSlotCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setSlotCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotDecision::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotDecision::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SlotDecision::Reader::getExpectedWaitMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotDecision::Builder::getExpectedWaitMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setExpectedWaitMs( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t SlotReply::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t SlotReply::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SlotReply::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t EndpointUse::Reader::getOnline() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SlotReply::Reader::getAcknowledged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t EndpointUse::Builder::getOnline() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t SlotReply::Builder::getAcknowledged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EndpointUse::Builder::setOnline( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void SlotReply::Builder::setAcknowledged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint16_t EndpointUse::Reader::getBatch() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool SlotReply::Reader::getNeedsAllWork() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint16_t EndpointUse::Builder::getBatch() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline bool SlotReply::Builder::getNeedsAllWork() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void EndpointUse::Builder::setBatch( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void SlotReply::Builder::setNeedsAllWork(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SlotReply::Reader::hasDecisions() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReply::Builder::hasDecisions() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>::Reader SlotReply::Reader::getDecisions() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>::Builder SlotReply::Builder::getDecisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SlotReply::Builder::setDecisions( ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>::Builder SlotReply::Builder::initDecisions(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SlotReply::Builder::adoptDecisions(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>> SlotReply::Builder::disownDecisions() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SlotDecision,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 }  // namespace
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -1,8 +1,12 @@
 #include "Gateway.h"
 
+#include <LibGateway/CoordinatorChoice.h>
+
 #include <QJsonDocument>
 #include <glog/logging.h>
 
+#include <cmath>
+
 namespace Chicorydock {
 
 namespace {
@@ -32,6 +36,11 @@
         return { node, settings.node.failureDomain, settings.gateway->regions };
     }
 
+    uint32_t capacityPercent(const Settings& settings)
+    {
+        return static_cast<uint32_t>(std::lround(settings.gateway->cpuShare * 100));
+    }
+
     HttpServerLimits serverLimits(const Settings& settings)
     {
         HttpServerLimits limits;
@@ -150,13 +159,16 @@
     , m_log({ m_node, settings.node.failureDomain }, m_clock)
     , m_store(m_storeClient, settings.platform.address, storeTimeout)
     , m_scheduler(makeLocation(settings, m_node), m_random)
-    , m_broker(m_scheduler, m_clock, [this] { m_peers.scheduleReports(); })
+    , m_coordinator(m_scheduler)
+    , m_member(m_node, m_coordinator)
+    , m_broker(m_member, m_clock, [this] { m_exchange.schedule(); })
     , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_log, m_metrics,
         std::make_shared<const GatewayConfiguration>() }
     , m_peers(
           { m_node, settings.node.failureDomain, settings.gateway->peerAddress, settings.gateway->regions }, m_clock,
           [this] { return makeReport(); },
           [this](const PeerReport& report, Milliseconds lifetime) { processPeerReport(report, lifetime); })
+    , m_exchange(m_node, m_member, m_coordinator, m_clock, exchangeHandlers())
     , m_jobs(m_environment, m_store, m_peers, m_node)
     , m_handler(m_environment, m_jobs)
     , m_configurationListener(std::make_unique<ConfigurationListener>(*this))
@@ -214,16 +226,13 @@
     m_broker.schedulePoll();
 }
 
-void Gateway::updateSchedulerEndpoints()
-{
-    m_scheduler.setEndpoints(m_directory.usable());
-    m_broker.schedulePoll();
-}
+void Gateway::updateSchedulerEndpoints() { m_broker.setEndpoints(m_directory.usable()); }
 
 void Gateway::tick()
 {
     if (m_directory.applyRemovals(m_clock.now()))
         updateSchedulerEndpoints();
+    updateCoordinator();
     m_jobs.tick();
 }
 
@@ -238,16 +247,62 @@
     report.waiting = m_scheduler.waitingOnline();
     report.isStoreReachable = m_jobFollower->isReachable();
     report.isLeaving = m_isStopping;
+    report.capacityPercent = capacityPercent(m_settings);
     report.use = m_scheduler.ownUse();
     return report;
 }
 
+SlotExchange::Handlers Gateway::exchangeHandlers()
+{
+    SlotExchange::Handlers handlers;
+    handlers.sendReport = [this](const std::string& node, const SlotReport& report) { m_peers.send(node, report); };
+    handlers.sendReply = [this](const std::string& node, const SlotReply& reply) { m_peers.send(node, reply); };
+    handlers.onDecisions = [this] { m_broker.schedulePoll(); };
+    handlers.onUseChanged = [this] { reportSlotUse(); };
+    return handlers;
+}
+
+void Gateway::reportSlotUse()
+{
+    m_peers.setCoordinating(m_member.isIndependent() || m_coordinator.isActive());
+    if (std::exchange(m_reportedUse, m_scheduler.useVersion()) != m_scheduler.useVersion())
+        m_peers.scheduleReports();
+}
+
+void Gateway::updateCoordinator()
+{
+    const CoordinatorCandidate self { m_node, capacityPercent(m_settings) };
+    m_member.setCandidates(
+        chooseCoordinators(self, m_settings.node.failureDomain, m_peers.domainPeers()), m_clock.now());
+    recordCoordinator();
+    reportSlotUse();
+    m_exchange.schedule();
+}
+
+void Gateway::recordCoordinator()
+{
+    const std::string previous = std::exchange(m_loggedCoordinator, m_member.coordinator());
+    if (previous == m_loggedCoordinator)
+        return;
+    m_log.record("coordinator", "changed", m_loggedCoordinator, {},
+        { { "previous", QString::fromStdString(previous) },
+            { "domain_peers", static_cast<qint64>(m_peers.domainPeers().size()) } });
+}
+
 void Gateway::processPeerReport(const PeerReport& report, Milliseconds lifetime)
 {
-    m_scheduler.setPeerUse(report.node, { report.failureDomain, report.use, report.waiting, lifetime }, m_clock.now());
-    // Most reports arrive while no local work depends on what the peers use.
-    if (m_scheduler.dependsOnPeers())
-        m_broker.schedulePoll();
+    const MonotonicTime now = m_clock.now();
+    if (report.isCoordinating)
+        m_scheduler.setPeerUse(report.node, { report.failureDomain, report.use, report.waiting, lifetime }, now);
+    else
+        m_scheduler.removePeer(report.node);
+    if (report.slotReport)
+        m_exchange.receive(report.node, *report.slotReport);
+    if (report.slotReply)
+        m_exchange.receive(report.node, *report.slotReply);
+    // Most reports arrive while no work depends on what the peers use.
+    if (report.isCoordinating && m_scheduler.dependsOnPeers())
+        m_exchange.schedule();
 }
 
 void Gateway::recordReload() { m_log.record("node", "reloaded", m_node); }
@@ -263,7 +318,7 @@
     m_server.setDraining(true);
     m_jobs.release();
     m_registry.leave();
-    m_peers.scheduleReports();
+    m_peers.announce();
     m_stopTimer.start(stopCheckInterval);
 }
 
@@ -274,7 +329,7 @@
         return;
     m_server.stopListening();
     m_server.closeIdleConnections();
-    const bool isIdle = m_server.activeExchanges() == 0 && m_jobs.isReleased();
+    const bool isIdle = m_server.activeExchanges() == 0 && !m_server.isExpectingRequests() && m_jobs.isReleased();
     if (!isIdle && elapsed < m_settings.http.drainTimeoutMs)
         return;
     m_stopTimer.stop();
@@ -288,7 +343,7 @@
     set("chicorydock_ready", "Whether the balancer should send requests.", isReady());
     set("chicorydock_configuration_version", "Version in force.",
         static_cast<double>(m_environment.configuration->version));
-    set("chicorydock_online_waiting", "Online requests that wait for a slot.", m_scheduler.waitingOnline());
+    set("chicorydock_online_waiting", "Online requests that wait for a slot.", m_member.waitingOnline());
     set("chicorydock_batch_waiting", "Items that wait for a slot.", m_scheduler.waitingBatch());
     set("chicorydock_peers", "Nodes heard of lately.", static_cast<double>(m_peers.aliveCount()));
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -6,6 +6,7 @@
 #include <LibCore/SystemClock.h>
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/PeerGroup.h>
+#include <LibGateway/SlotExchange.h>
 #include <LibHTTP/HttpServer.h>
 #include <LibHTTP/PooledHttpClient.h>
 #include <LibLog/StreamEventLog.h>
@@ -54,6 +55,10 @@
     void tick();
     bool isReady() const;
     PeerReport makeReport() const;
+    SlotExchange::Handlers exchangeHandlers();
+    void reportSlotUse();
+    void updateCoordinator();
+    void recordCoordinator();
     void processPeerReport(const PeerReport&, Milliseconds lifetime);
     void checkStopped();
     QByteArray metricsText();
@@ -70,9 +75,12 @@
     PlatformRowStore m_store;
     EndpointDirectory m_directory;
     SlotScheduler m_scheduler;
+    SlotCoordinator m_coordinator;
+    SlotMember m_member;
     SlotBroker m_broker;
     GatewayEnvironment m_environment;
     PeerGroup m_peers;
+    SlotExchange m_exchange;
     JobController m_jobs;
     GatewayHandler m_handler;
     std::unique_ptr<ConfigurationListener> m_configurationListener;
@@ -86,6 +94,9 @@
     HttpServer m_statusServer;
     QTimer m_tickTimer;
     QTimer m_stopTimer;
+    /// Coordinator in the latest log line about it.
+    std::string m_loggedCoordinator;
+    uint64_t m_reportedUse { 0 };
     bool m_isStopping { false };
     MonotonicTime m_stopStartedAt;
     std::function<void()> m_onStopped;
--- a/Tests/LibGateway/SlotSimulation.h
+++ b/Tests/LibGateway/SlotSimulation.h
@@ -1,21 +1,27 @@
 #pragma once
 
 #include <LibCore/SeededRandom.h>
+#include <LibGateway/CoordinatorChoice.h>
 #include <LibGateway/ReportPlan.h>
-#include <LibGateway/SlotScheduler.h>
+#include <LibGateway/SlotCoordinator.h>
+#include <LibGateway/SlotMember.h>
 #include <Tests/Support/SimulatedClock.h>
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace Chicorydock {
 
 /// Discrete-time simulation of several nodes that share endpoints. The endpoints admit work in order of arrival, and
-/// the reports between the nodes arrive with a delay.
+/// the reports between the nodes arrive with a delay. The nodes allocate their own slots, or coordinators of the
+/// failure domains do so.
 class SlotSimulation final {
 public:
     struct Options {
@@ -32,6 +38,10 @@
         size_t domainsPerRegion { 2 };
         /// Transfer time of a report.
         Milliseconds reportLatency { 5 };
+        /// Whether coordinators allocate the slots where a failure domain has enough nodes.
+        bool isCoordinated { false };
+        /// Share of the messages between members and coordinators that are lost.
+        double messageLoss { 0 };
         uint64_t seed { 1 };
     };
 
@@ -74,6 +84,8 @@
                 SlotScheduler::Location { m_nodes.back()->name, m_nodes.back()->failureDomain, regions },
                 m_nodes.back()->random);
             m_nodes.back()->scheduler->setEndpoints(records);
+            m_nodes.back()->coordinator = std::make_unique<SlotCoordinator>(*m_nodes.back()->scheduler);
+            m_nodes.back()->member = std::make_unique<SlotMember>(m_nodes.back()->name, *m_nodes.back()->coordinator);
         }
         for (const auto& from : m_nodes) {
             for (const auto& to : m_nodes) {
@@ -81,9 +93,58 @@
                     continue;
                 const PeerDistance distance = distanceBetween(from->failureDomain, to->failureDomain, regions);
                 from->channels.at(static_cast<size_t>(distance)).peers.push_back(to.get());
-                to->scheduler->setPeerUse(from->name, { from->failureDomain, {}, 0, lifetime }, m_clock.now());
+                if (!options.isCoordinated)
+                    to->scheduler->setPeerUse(from->name, { from->failureDomain, {}, 0, lifetime }, m_clock.now());
             }
         }
+        if (options.isCoordinated)
+            updateCandidates();
+    }
+
+    /// Stops a node. Its work ends, and the messages to it are lost.
+    void stopNode(size_t n)
+    {
+        m_nodes[n]->isStopped = true;
+        for (auto& [id, endpoint] : m_endpoints) {
+            std::erase_if(endpoint.running, [&](const Work& it) { return it.node == n; });
+            std::erase_if(endpoint.queue, [&](const Work& it) { return it.node == n; });
+        }
+    }
+
+    /// Lets all nodes know which nodes have stopped.
+    void updateCandidates()
+    {
+        for (const auto& node : m_nodes) {
+            std::vector<CoordinatorCandidate> peers;
+            for (const auto& it : m_nodes) {
+                if (it != node && !it->isStopped && it->failureDomain == node->failureDomain)
+                    peers.push_back({ it->name });
+            }
+            node->member->setCandidates(chooseCoordinators({ node->name }, node->failureDomain, peers), m_clock.now());
+        }
+    }
+
+    /// Returns a node that allocates slots for others.
+    size_t findCoordinator() const
+    {
+        for (size_t n = 0; n < m_nodes.size(); ++n) {
+            if (!m_nodes[n]->isStopped && m_nodes[n]->coordinator->members().size() > 1)
+                return n;
+        }
+        return m_nodes.size();
+    }
+
+    /// Returns the number of slots that the schedulers of all nodes count as used.
+    size_t allocatedSlots() const
+    {
+        size_t slotCount = 0;
+        for (const auto& node : m_nodes) {
+            if (node->isStopped)
+                continue;
+            for (const auto& [endpoint, use] : node->scheduler->ownUse())
+                slotCount += use.online + use.batch;
+        }
+        return slotCount;
     }
 
     /// Simulates the duration with a rate of online requests and at least `queuedItems` items queued at each node.
@@ -91,7 +152,7 @@
     {
         simulate(duration, onlinePerSecond, [&] {
             for (const auto& node : m_nodes) {
-                while (node->scheduler->waitingBatch() < queuedItems)
+                while (!node->isStopped && node->queuedItems < queuedItems)
                     submitItem(*node);
             }
         });
@@ -102,7 +163,7 @@
     {
         simulate(duration, onlinePerSecond, [&] {
             if (m_random.unit() < itemsPerSecond * toSeconds(step))
-                submitItem(*m_nodes[m_random.below(m_nodes.size())]);
+                submitItem(*m_nodes[randomNode()]);
         });
     }
 
@@ -122,8 +183,11 @@
                 submitOnline();
             addItems();
             deliverReports();
-            for (size_t n = 0; n < m_nodes.size(); ++n)
-                decide(n);
+            deliverMessages();
+            for (size_t n = 0; n < m_nodes.size(); ++n) {
+                if (!m_nodes[n]->isStopped)
+                    decide(n);
+            }
             advanceEndpoints();
             m_clock.advance(step);
         }
@@ -166,23 +230,55 @@
         std::string failureDomain;
         SeededRandom random;
         std::unique_ptr<SlotScheduler> scheduler;
+        std::unique_ptr<SlotCoordinator> coordinator;
+        std::unique_ptr<SlotMember> member;
+        bool isStopped { false };
+        size_t queuedItems { 0 };
         std::map<uint64_t, Work> work;
         std::array<ReportChannel, peerDistanceCount> channels;
     };
 
+    /// A slot message between a member and its coordinator.
+    struct Message {
+        MonotonicTime arrivesAt;
+        std::string from;
+        Node* to { nullptr };
+        std::variant<SlotReport, SlotReply> content;
+    };
+
     struct Endpoint {
         std::vector<Work> running;
         std::deque<Work> queue;
     };
 
+    SlotAllocator& allocatorOf(Node& node) const
+    {
+        return m_options.isCoordinated ? static_cast<SlotAllocator&>(*node.member) : *node.scheduler;
+    }
+
+    bool isCoordinating(const Node& node) const
+    {
+        if (node.isStopped)
+            return false;
+        return !m_options.isCoordinated || node.member->isIndependent() || node.coordinator->isActive();
+    }
+
+    size_t randomNode()
+    {
+        size_t n = m_random.below(m_nodes.size());
+        while (m_nodes[n]->isStopped)
+            n = m_random.below(m_nodes.size());
+        return n;
+    }
+
     void submitOnline()
     {
-        const size_t n = m_random.below(m_nodes.size());
+        const size_t n = randomNode();
         const MonotonicTime now = m_clock.now();
         Node& node = *m_nodes[n];
         const uint64_t id = ++m_lastWork;
         node.work[id] = { n, id, false, now, m_options.onlineHold, {} };
-        node.scheduler->submit(
+        allocatorOf(node).submit(
             OnlineWork { id, "lm", 0, now + m_options.onlineTarget, now + std::chrono::seconds { 5 }, false, {} }, now);
         ++m_totals.onlineArrivals;
     }
@@ -193,7 +289,8 @@
         const size_t n = indexOf(node);
         const MonotonicTime dueAt = m_clock.now() + m_options.itemTarget;
         node.work[id] = { n, id, true, m_clock.now(), m_options.batchHold, dueAt };
-        node.scheduler->submit(BatchWork { id, "lm", dueAt, {} });
+        ++node.queuedItems;
+        allocatorOf(node).submit(BatchWork { id, "lm", dueAt, {} });
     }
 
     size_t indexOf(const Node& node) const
@@ -207,11 +304,14 @@
     void deliverReports()
     {
         for (const auto& from : m_nodes) {
+            if (!isCoordinating(*from))
+                continue;
             const Report report { from->scheduler->ownUse(), from->scheduler->waitingOnline() };
             for (size_t n = 0; n < peerDistanceCount; ++n) {
                 const auto distance = static_cast<PeerDistance>(n);
                 ReportChannel& channel = from->channels.at(n);
-                const size_t peers = channel.peers.size();
+                const size_t peers = static_cast<size_t>(
+                    std::ranges::count_if(channel.peers, [&](const Node* it) { return isCoordinating(*it); }));
                 const bool isChanged = report != channel.sent;
                 const Milliseconds interval
                     = isChanged ? reportInterval(distance, peers) : heartbeatInterval(distance, peers);
@@ -230,21 +330,65 @@
     {
         while (!channel.inTransit.empty() && channel.inTransit.front().first <= m_clock.now()) {
             const Report& report = channel.inTransit.front().second;
-            for (Node* to : channel.peers)
-                to->scheduler->setPeerUse(
-                    from.name, { from.failureDomain, report.use, report.waiting, lifetime }, m_clock.now());
+            for (Node* to : channel.peers) {
+                if (isCoordinating(*to))
+                    to->scheduler->setPeerUse(
+                        from.name, { from.failureDomain, report.use, report.waiting, lifetime }, m_clock.now());
+            }
             channel.inTransit.pop_front();
         }
     }
 
+    void send(const Node& from, const std::string& to, std::variant<SlotReport, SlotReply> content)
+    {
+        ++m_totals.datagrams;
+        if (m_random.unit() < m_options.messageLoss)
+            return;
+        const auto node = std::ranges::find_if(m_nodes, [&](const auto& it) { return it->name == to; });
+        m_messages.push_back({ m_clock.now() + m_options.reportLatency, from.name, node->get(), std::move(content) });
+    }
+
+    void deliverMessages()
+    {
+        while (!m_messages.empty() && m_messages.front().arrivesAt <= m_clock.now()) {
+            const Message message = std::move(m_messages.front());
+            m_messages.pop_front();
+            if (message.to->isStopped)
+                continue;
+            if (const auto* report = std::get_if<SlotReport>(&message.content))
+                message.to->coordinator->receive(message.from, *report, m_clock.now());
+            else
+                message.to->member->receive(message.from, std::get<SlotReply>(message.content), m_clock.now());
+        }
+    }
+
+    void exchangeMessages(Node& node)
+    {
+        const MonotonicTime now = m_clock.now();
+        node.member->checkCoordinator(now);
+        if (node.coordinator->isActive())
+            node.coordinator->poll(now);
+        for (const auto& [to, reply] : node.coordinator->takeReplies(now)) {
+            if (to == node.name)
+                node.member->receive(to, reply, now);
+            else
+                send(node, to, reply);
+        }
+        for (const SlotMember::OutgoingReport& it : node.member->takeReports(now))
+            send(node, it.coordinator, it.report);
+    }
+
     void decide(size_t n)
     {
         Node& node = *m_nodes[n];
-        for (const SlotDecision& it : node.scheduler->poll(m_clock.now())) {
+        if (m_options.isCoordinated)
+            exchangeMessages(node);
+        for (const SlotDecision& it : allocatorOf(node).poll(m_clock.now())) {
             Work work = node.work.at(it.work);
             switch (it.kind) {
             case SlotDecision::Kind::Start:
                 m_totals.itemStarts += work.isBatch ? 1 : 0;
+                node.queuedItems -= work.isBatch ? 1 : 0;
                 m_endpoints.at(it.endpoint).queue.push_back(work);
                 break;
             case SlotDecision::Kind::Refuse:
@@ -269,8 +413,12 @@
         }
         std::erase_if(endpoint.running, [&](const Work& it) { return it.id == decision.work; });
         m_totals.wastedStarts += std::erase_if(endpoint.queue, [&](const Work& it) { return it.id == decision.work; });
-        const Work& work = node.work.at(decision.work);
-        node.scheduler->submit(BatchWork { decision.work, "lm", work.dueAt, {}, m_options.batchHold - work.remaining });
+        Work work = node.work.at(decision.work);
+        node.work.erase(decision.work);
+        work.id = ++m_lastWork;
+        node.work[work.id] = work;
+        ++node.queuedItems;
+        allocatorOf(node).submit(BatchWork { work.id, "lm", work.dueAt, {}, m_options.batchHold - work.remaining });
     }
 
     void advanceEndpoints()
@@ -283,7 +431,7 @@
                 if (it.remaining.count() <= 0) {
                     if (it.isBatch)
                         ++(m_clock.now() <= it.dueAt ? m_totals.itemsOnTime : m_totals.itemsLate);
-                    m_nodes[it.node]->scheduler->finish(it.id, EndpointOutcome::Answered, m_clock.now());
+                    allocatorOf(*m_nodes[it.node]).finish(it.id, EndpointOutcome::Answered, m_clock.now());
                     m_nodes[it.node]->work.erase(it.id);
                 }
             }
@@ -293,9 +441,11 @@
                 endpoint.running.push_back(endpoint.queue.front());
                 endpoint.queue.pop_front();
                 // The head of the response reports the load.
-                m_nodes[endpoint.running.back().node]->scheduler->observe(id,
-                    { static_cast<uint32_t>(endpoint.running.size()), static_cast<uint32_t>(endpoint.queue.size()) },
-                    m_clock.now());
+                allocatorOf(*m_nodes[endpoint.running.back().node])
+                    .observe(id,
+                        { static_cast<uint32_t>(endpoint.running.size()),
+                            static_cast<uint32_t>(endpoint.queue.size()) },
+                        m_clock.now());
             }
         }
     }
@@ -314,6 +464,7 @@
     SimulatedClock m_clock;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::map<std::string, Endpoint> m_endpoints;
+    std::deque<Message> m_messages;
     uint64_t m_lastWork { 0 };
     Totals m_totals;
 };
--- a/Tests/LibGateway/TestPeerGroup.cpp
+++ b/Tests/LibGateway/TestPeerGroup.cpp
@@ -81,3 +81,34 @@
     CHECK_FALSE(first.group.isAlive("n2"));
     CHECK_FALSE(first.group.canRunJobs("n2"));
 }
+
+// Guards against reports of slot use that grow with the square of the number of nodes: a node that does not allocate
+// slots is sent signs of life and slot messages only.
+TEST_CASE("changes of the slot use are sent to nodes that allocate slots")
+{
+    SystemClock clock;
+    PeerNode first("n1", "z1", clock);
+    PeerNode second("n2", "z1", clock);
+    PeerNode third("n3", "z1", clock);
+    first.group.setCoordinating(true);
+    second.group.setCoordinating(true);
+    first.group.addAddress("n2", second.address);
+    first.group.addAddress("n3", third.address);
+    REQUIRE(waitFor([&] {
+        return first.group.domainPeers().size() == 2 && first.received["n2"].isCoordinating
+            && second.group.isAlive("n1") && third.group.isAlive("n1");
+    }));
+    first.ownReport.waiting = 9;
+    first.group.scheduleReports();
+    const uint64_t before = third.received["n1"].sequence;
+    REQUIRE(waitFor([&] { return second.received["n1"].waiting == 9; }));
+    CHECK(third.received["n1"].sequence == before);
+
+    first.group.send("n3", SlotReply { 4, 3, false, {} });
+    REQUIRE(waitFor([&] { return third.received["n1"].slotReply.has_value(); }));
+    CHECK(third.received["n1"].slotReply->sequence == 4);
+    first.ownReport.isLeaving = true;
+    first.group.announce();
+    CHECK(waitFor([&] { return third.received["n1"].isLeaving && second.received["n1"].isLeaving; }));
+    CHECK(third.group.domainPeers().empty());
+}
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -6,6 +6,36 @@
 
 using namespace Chicorydock;
 
+namespace {
+
+SlotReport makeSlotReport()
+{
+    SlotReport report;
+    report.sequence = 12;
+    report.acknowledged = 11;
+    report.isLeaving = true;
+    report.expectsReply = true;
+    report.requests = { { 1, "lm", 2, Milliseconds { -5 }, Milliseconds { 4'000 }, true, { "e1", "e2" } } };
+    report.items = { { 2, "lm", Milliseconds { 18'000 }, Milliseconds { 300 }, { "e3" } } };
+    report.held = { { 3, "lm", "e4", true, Milliseconds { 7 }, Milliseconds { -9 }, Milliseconds { 20 } } };
+    report.queued = { 4, uint64_t { 1 } << 40U };
+    report.running = { 5 };
+    report.finished = { { 6, EndpointOutcome::Failed }, { 7, EndpointOutcome::Answered } };
+    report.loads = { { "e5", { 3, 1, 250 } } };
+    return report;
+}
+
+SlotReply makeSlotReply()
+{
+    const SlotView view { 5, 1, 7, Milliseconds { 30 }, Milliseconds { 90 } };
+    return { 8, 12, true,
+        { { SlotDecision::Kind::Start, 1, "e1", {}, view },
+            { SlotDecision::Kind::Refuse, 2, {}, Milliseconds { 450 }, view },
+            { SlotDecision::Kind::Yield, 3, "e2", {}, view } } };
+}
+
+}
+
 // Guards against a field that is not sent to the peers.
 TEST_CASE("a decoded report equals the encoded one")
 {
@@ -16,8 +46,14 @@
     report.waiting = 3;
     report.isStoreReachable = true;
     report.isLeaving = true;
+    report.isCoordinating = true;
+    report.capacityPercent = 12;
+    report.nextWithin = Milliseconds { 400 };
     report.use = { { 5, { 1, 2 } }, { 0xffffffffU, { 8, 0 } } };
     CHECK(decodePeerReport(encodePeerReport(report)) == report);
+    report.slotReport = makeSlotReport();
+    report.slotReply = makeSlotReply();
+    CHECK(decodePeerReport(encodePeerReport(report)) == report);
 }
 
 // Guards against a node that crashes because of a foreign or damaged datagram.
@@ -26,6 +62,8 @@
     PeerReport report;
     report.node = "n1";
     report.use = { { 5, { 1, 2 } } };
+    report.slotReport = makeSlotReport();
+    report.slotReply = makeSlotReply();
     const QByteArray bytes = encodePeerReport(report);
     SeededRandom random(7);
     for (int n = 0; n < 2000; ++n) {
@@ -39,3 +77,10 @@
     }
     SUCCEED();
 }
+
+// Guards against a node that allocates the size that a foreign datagram of a few bytes claims.
+TEST_CASE("a datagram that claims a large message is ignored")
+{
+    // A packed message with one segment of 1,000,000 words.
+    CHECK_FALSE(decodePeerReport(QByteArray::fromHex("7040420f")));
+}
--- a/Tests/LibGateway/TestReportPlan.cpp
+++ b/Tests/LibGateway/TestReportPlan.cpp
@@ -26,3 +26,18 @@
         CHECK(perSecond(300) <= perSecond(100) * 1.05);
     }
 }
+
+// Guards against signs of life whose cost grows with the deployment until their upper interval, and against nodes that
+// are considered dead because of one lost datagram.
+TEST_CASE("signs of life are bounded in rate and interval")
+{
+    for (const auto distance : { PeerDistance::FailureDomain, PeerDistance::Region, PeerDistance::OtherRegion }) {
+        CHECK(livenessInterval(distance, 3) == Milliseconds { 300 });
+        CHECK(livenessInterval(distance, 60) > livenessInterval(distance, 30));
+        CHECK(livenessInterval(distance, 10'000) == Milliseconds { 5'000 });
+    }
+    CHECK(livenessTimeout(Milliseconds { 300 }) == Milliseconds { 1'200 });
+    CHECK(livenessTimeout(Milliseconds { 5'000 }) == Milliseconds { 10'000 });
+    for (int n = 300; n < 5'000; n += 100)
+        CHECK(livenessTimeout(Milliseconds { n + 100 }) >= livenessTimeout(Milliseconds { n }));
+}
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -66,6 +66,7 @@
 status_address = "127.0.0.1:0"
 peer_address = "127.0.0.1:7001"
 regions = { bajio-1 = "bajio", noroeste-1 = "noroeste" }
+cpu_share = 2
 )",
         "s.toml");
     CHECK(settings.rpc == Settings::Rpc { "[::1]:8081", { "127.0.0.1:1" } });
@@ -74,7 +75,7 @@
     CHECK(settings.scheduler == Settings::Scheduling { "naive", 0, 0.5 });
     CHECK(settings.gateway
         == Settings::Gateway {
-            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } } });
+            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0 });
     CHECK(settings.http.defaultDeadlineMs == Milliseconds { 60'000 });
 }
 
@@ -153,4 +154,5 @@
     CHECK(problems.find("gateway.status_address") != std::string::npos);
     CHECK(problems.find("gateway.peer_address") != std::string::npos);
     CHECK(problems.find("gateway.regions.a") != std::string::npos);
+    CHECK(problemsOf(validText + "[gateway]\ncpu_share = 0\n").find("gateway.cpu_share") != std::string::npos);
 }
