LibGateway: Send fewer signs of life between nodes

Cause: with slot use reported to coordinators only, most datagrams of a node at 295 nodes are reports that only show that it is alive (about 80 a second each way), and each received one wakes the process. A coordinator learns of the loss of its members from their reports (1.6 s) and the members of the loss of the coordinator from its replies, so the others may take longer: 20, 10 and 10 a second at most to the own domain, the region and other regions, at most 8 s apart. Price: the loss of a whole failure domain is noticed elsewhere after 16 s instead of 10 s.

--- a/Libraries/LibGateway/ReportPlan.cpp
+++ b/Libraries/LibGateway/ReportPlan.cpp
@@ -27,10 +27,10 @@
     } };
 
     /// Maximum number of reports per second to all peers at a distance that only show that this node is alive.
-    constexpr std::array<size_t, peerDistanceCount> livenessReportsPerSecond { 30, 25, 25 };
+    constexpr std::array<size_t, peerDistanceCount> livenessReportsPerSecond { 20, 10, 10 };
 
     /// Upper limit of the interval between such reports, so that the jobs of a lost node are taken over in time.
-    constexpr Milliseconds maxLivenessInterval { 5'000 };
+    constexpr Milliseconds maxLivenessInterval { 8'000 };
 
     /// Number of missed heartbeats after which a node is considered dead.
     constexpr int maxMissedHeartbeats = 4;
