LibGateway: Report queued work to the coordinator at once

The broker announced decisions and ends of work, but not new work, so a request waited for the node's next periodic report (up to 0.3 s).

The broker now announces all changes of its work.

--- a/Libraries/LibGateway/SlotBroker.cpp
+++ b/Libraries/LibGateway/SlotBroker.cpp
@@ -9,10 +9,10 @@
 
 }
 
-SlotBroker::SlotBroker(SlotAllocator& allocator, const Clock& clock, std::function<void()> onUseChanged)
+SlotBroker::SlotBroker(SlotAllocator& allocator, const Clock& clock, std::function<void()> onWorkChanged)
     : m_allocator(allocator)
     , m_clock(clock)
-    , m_onUseChanged(std::move(onUseChanged))
+    , m_onWorkChanged(std::move(onWorkChanged))
 {
     m_queuePollTimer.setSingleShot(true);
     connect(&m_queuePollTimer, &QTimer::timeout, this, &SlotBroker::poll);
@@ -23,6 +23,7 @@
     work.id = ++m_lastWork;
     m_clients[work.id] = &client;
     m_allocator.submit(work, m_clock.now());
+    m_onWorkChanged();
     schedulePoll();
     return work.id;
 }
@@ -32,6 +33,7 @@
     work.id = ++m_lastWork;
     m_clients[work.id] = &client;
     m_allocator.submit(work);
+    m_onWorkChanged();
     schedulePoll();
     return work.id;
 }
@@ -40,13 +42,14 @@
 {
     m_clients.erase(work);
     m_allocator.withdraw(work);
+    m_onWorkChanged();
 }
 
 void SlotBroker::finish(uint64_t work, EndpointOutcome outcome)
 {
     m_clients.erase(work);
     m_allocator.finish(work, outcome, m_clock.now());
-    m_onUseChanged();
+    m_onWorkChanged();
     schedulePoll();
 }
 
@@ -76,7 +79,7 @@
     for (const SlotDecision& it : decisions)
         deliver(it);
     if (!decisions.empty())
-        m_onUseChanged();
+        m_onWorkChanged();
     if (m_allocator.needsPolling())
         m_queuePollTimer.start(queuePollInterval);
 }
--- a/Libraries/LibGateway/SlotBroker.h
+++ b/Libraries/LibGateway/SlotBroker.h
@@ -29,8 +29,8 @@
 /// Thread safety: used on the thread that created it.
 class SlotBroker final : public QObject {
 public:
-    /// `onUseChanged` is called after the slots in use by this node have changed.
-    SlotBroker(SlotAllocator&, const Clock&, std::function<void()> onUseChanged);
+    /// `onWorkChanged` is called after work of this node was queued, started, finished or withdrawn.
+    SlotBroker(SlotAllocator&, const Clock&, std::function<void()> onWorkChanged);
 
     /// Queues the work and returns its identifier, which replaces the one in the work. The client must outlive the
     /// work.
@@ -58,7 +58,7 @@
 
     SlotAllocator& m_allocator;
     const Clock& m_clock;
-    const std::function<void()> m_onUseChanged;
+    const std::function<void()> m_onWorkChanged;
     std::unordered_map<uint64_t, SlotClient*> m_clients;
     uint64_t m_lastWork { 0 };
     bool m_isPollScheduled { false };
