LibGateway: Split peers and hold times from SlotScheduler

What the peers reported, how old their reports may be and the order in which nodes claim slots are SlotPeers now; the moving averages of hold times are HoldTimeEstimator.

--- a/Libraries/LibGateway/JobHead.cpp
+++ b/Libraries/LibGateway/JobHead.cpp
@@ -199,7 +199,7 @@
 
     std::string partition(const std::string& jobId)
     {
-        return "p" + std::to_string(SlotScheduler::endpointKey(jobId) % partitionCount);
+        return "p" + std::to_string(SlotPeers::endpointKey(jobId) % partitionCount);
     }
 
     std::vector<std::string> partitions()
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -27,7 +27,7 @@
     uint32_t capacityPercent { 0 };
     /// Time within which the node sends the peer its next report, 0 if unknown.
     Milliseconds nextWithin { 0 };
-    /// Slots that the node has allocated, by `SlotScheduler::endpointKey()`.
+    /// Slots that the node has allocated, by `SlotPeers::endpointKey()`.
     std::unordered_map<uint32_t, SlotUse> use;
     /// Message to the peer as coordinator or as member.
     std::optional<SlotReport> slotReport;
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -59,9 +60,6 @@
     /// Turns after which a slot that stays free is open to the online requests of all nodes, however many there are.
     constexpr uint32_t maxOnlineTurns = 4;
 
-    /// Time for the transfer and processing of a report, in addition to the interval between two reports.
-    constexpr Milliseconds reportLatency { 10 };
-
     /// A slot that stays free for this long, and for this many turns at the node's distance from the endpoint, is open
     /// to the items of all nodes. Items can wait for seconds.
     constexpr Milliseconds maxBatchTurnTime { 1'000 };
@@ -74,12 +72,6 @@
     /// not know yet that the slot is free.
     constexpr Milliseconds slotReuseTime { 10 };
 
-    /// Assumed hold time of a slot until the first request of the service has been answered.
-    constexpr Milliseconds defaultHoldTime { 500 };
-
-    /// Weight of a new sample in the moving averages of hold times.
-    constexpr double holdTimeWeight = 0.1;
-
     /// Random cost of an endpoint, in slots. It makes nodes that see the same loads choose different endpoints.
     constexpr double randomSlots = 0.5;
 
@@ -97,32 +89,12 @@
         return slotCount >= minSlotsForReserve ? slotCount - batchReserve : slotCount;
     }
 
-    /// Returns the rank of a node in the order for an endpoint; a lower rank comes first. The order differs between
-    /// endpoints (rendezvous hashing).
-    uint32_t nodeRank(const std::string& endpoint, const std::string& node)
-    {
-        // The finalizer of MurmurHash3 gives unrelated ranks to names that differ only in the last character.
-        uint32_t hash = SlotScheduler::endpointKey(endpoint + '/' + node);
-        hash = (hash ^ (hash >> 16)) * 0x85ebca6bU;
-        hash = (hash ^ (hash >> 13)) * 0xc2b2ae35U;
-        return hash ^ (hash >> 16);
-    }
-
 }
 
 SlotScheduler::SlotScheduler(Location location, Random& random)
-    : m_location(std::move(location))
-    , m_random(random)
-{
-}
-
-uint32_t SlotScheduler::endpointKey(const std::string& id)
+    : m_random(random)
+    , m_peers(std::move(location))
 {
-    // FNV-1a, because std::hash may differ between the standard libraries of the nodes.
-    uint32_t hash = 2166136261U;
-    for (const char c : id)
-        hash = (hash ^ static_cast<uint8_t>(c)) * 16777619U;
-    return hash;
 }
 
 void SlotScheduler::setEndpoints(const std::vector<EndpointRecord>& records)
@@ -138,15 +110,10 @@
         endpoint.isUsable = true;
         if (!isNew)
             continue;
-        endpoint.key = endpointKey(record.id);
+        endpoint.key = SlotPeers::endpointKey(record.id);
         m_endpointsByKey[endpoint.key] = &endpoint;
-        endpoint.preference = nodeRank(record.id, m_location.node) / 4294967296.0;
-        for (const auto& [node, peer] : m_peers) {
-            if (const auto use = peer.usage.use.find(endpoint.key); use != peer.usage.use.end()) {
-                endpoint.peers.online += use->second.online;
-                endpoint.peers.batch += use->second.batch;
-            }
-        }
+        endpoint.preference = SlotPeers::nodeRank(record.id, m_peers.location().node) / 4294967296.0;
+        endpoint.peers = m_peers.useOf(endpoint.key);
     }
     std::erase_if(m_endpoints, [&](const auto& it) {
         const Endpoint& endpoint = it.second;
@@ -166,7 +133,7 @@
         if (!it.isUsable)
             continue;
         m_serviceSlots[it.record.service] += it.record.slotCount;
-        if (it.record.failureDomain == m_location.failureDomain)
+        if (it.record.failureDomain == m_peers.location().failureDomain)
             m_domainSlots[it.record.service] += it.record.slotCount;
     }
 }
@@ -223,7 +190,7 @@
 
 bool SlotScheduler::hasPooledReserve(const Endpoint& endpoint) const
 {
-    if (!isSoleInDomain() || endpoint.record.failureDomain != m_location.failureDomain)
+    if (!isSoleInDomain() || endpoint.record.failureDomain != m_peers.location().failureDomain)
         return false;
     const auto slotCount = m_domainSlots.find(endpoint.record.service);
     return slotCount != m_domainSlots.end() && slotCount->second >= minSlotsForPooledReserve;
@@ -239,7 +206,7 @@
     uint32_t slotCount = 0;
     uint32_t free = 0;
     for (const auto& [id, it] : m_endpoints) {
-        if (!it.isUsable || it.record.service != service || it.record.failureDomain != m_location.failureDomain)
+        if (!it.isUsable || it.record.service != service || it.record.failureDomain != m_peers.location().failureDomain)
             continue;
         slotCount += it.record.slotCount;
         free += it.record.slotCount - std::min(it.record.slotCount, it.total());
@@ -282,25 +249,15 @@
         endpoint->failures = 0;
     const auto held = std::chrono::duration_cast<Milliseconds>(now - running.startedAt);
     if (running.isBatch)
-        updateMeanHoldTime(m_itemTimes, running.service, held + running.slotTimeUsed);
+        m_holdTimes.addItem(running.service, held + running.slotTimeUsed);
     else
-        updateMeanHoldTime(m_holdTimes, running.service, held);
-}
-
-void SlotScheduler::updateMeanHoldTime(
-    std::map<std::string, Milliseconds>& means, const std::string& service, Milliseconds held)
-{
-    Milliseconds& mean = means.try_emplace(service, held).first->second;
-    const double old = static_cast<double>(mean.count());
-    mean = Milliseconds { std::lround(old + (static_cast<double>(held.count()) - old) * holdTimeWeight) };
+        m_holdTimes.addRequest(running.service, held);
 }
 
 bool SlotScheduler::isTooLate(
     const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const
 {
-    const auto it = m_itemTimes.find(service);
-    const Milliseconds itemTime = it == m_itemTimes.end() ? Milliseconds { 0 } : it->second;
-    return now + std::max(itemTime - slotTimeUsed, Milliseconds { 0 }) > dueAt;
+    return now + std::max(m_holdTimes.itemTime(service) - slotTimeUsed, Milliseconds { 0 }) > dueAt;
 }
 
 void SlotScheduler::addPeerUse(const PeerUse& usage, bool isAdded)
@@ -312,23 +269,16 @@
         endpoint->peers.online += isAdded ? use.online : -use.online;
         endpoint->peers.batch += isAdded ? use.batch : -use.batch;
     }
-    m_peersWaiting += isAdded ? usage.waiting : -usage.waiting;
 }
 
 void SlotScheduler::setPeerUse(const std::string& node, const PeerUse& usage, MonotonicTime now)
 {
-    const auto [it, isNew] = m_peers.try_emplace(node);
-    Peer& peer = it->second;
-    peer.reportedAt = now;
-    const bool isMoved = isNew || peer.usage.failureDomain != usage.failureDomain;
-    if (peer.usage != usage) {
-        const PeerUse before = std::exchange(peer.usage, usage);
-        addPeerUse(before, false);
-        addPeerUse(usage, true);
-        recordChanges(before, usage, now);
-    }
-    if (isMoved)
-        countPeers();
+    const PeerUse before = m_peers.set(node, usage, now);
+    if (before == usage)
+        return;
+    addPeerUse(before, false);
+    addPeerUse(usage, true);
+    recordChanges(before, usage, now);
 }
 
 void SlotScheduler::recordChanges(const PeerUse& before, const PeerUse& after, MonotonicTime now)
@@ -352,37 +302,15 @@
     }
 }
 
-PeerDistance SlotScheduler::distanceTo(const std::string& failureDomain) const
-{
-    return distanceBetween(m_location.failureDomain, failureDomain, m_location.regions);
-}
-
-void SlotScheduler::countPeers()
-{
-    ++m_peerGeneration;
-    m_peerCounts = {};
-    for (const auto& [node, peer] : m_peers)
-        ++m_peerCounts.at(static_cast<size_t>(distanceTo(peer.usage.failureDomain)));
-}
-
 void SlotScheduler::removePeer(const std::string& node)
 {
-    const auto it = m_peers.find(node);
-    if (it == m_peers.end())
-        return;
-    addPeerUse(it->second.usage, false);
-    m_peers.erase(it);
-    countPeers();
+    if (const auto usage = m_peers.remove(node))
+        addPeerUse(*usage, false);
 }
 
 void SlotScheduler::expirePeers(MonotonicTime now)
 {
-    std::vector<std::string> expired;
-    for (const auto& [node, peer] : m_peers) {
-        if (now - peer.reportedAt > peer.usage.lifetime)
-            expired.push_back(node);
-    }
-    for (const std::string& it : expired)
+    for (const std::string& it : m_peers.silentPeers(now))
         removePeer(it);
 }
 
@@ -489,12 +417,11 @@
 
 Milliseconds SlotScheduler::expectedWait(const std::string& service, size_t ahead) const
 {
-    const auto it = m_holdTimes.find(service);
-    const Milliseconds hold = it == m_holdTimes.end() ? defaultHoldTime : it->second;
+    const Milliseconds hold = m_holdTimes.requestTime(service);
     const auto slotCount = m_serviceSlots.find(service);
     const uint32_t n = slotCount == m_serviceSlots.end() ? 1 : std::max(1U, slotCount->second);
     // Requests queued at peers compete for the same slots.
-    const double queue = static_cast<double>(ahead + m_peersWaiting);
+    const double queue = static_cast<double>(ahead + m_peers.waiting());
     return Milliseconds { std::lround(queue * static_cast<double>(hold.count()) / n) };
 }
 
@@ -511,14 +438,14 @@
 
 bool SlotScheduler::isSpilloverAllowed(const Endpoint& endpoint, const OnlineWork& work, MonotonicTime now) const
 {
-    const PeerDistance distance = distanceTo(endpoint.record.failureDomain);
+    const PeerDistance distance = m_peers.distanceTo(endpoint.record.failureDomain);
     if (distance == PeerDistance::FailureDomain || !m_domainSlots.contains(work.service))
         return true;
     // At peak load, most slots that appear free in another failure domain are taken before the request arrives there,
     // and a local slot usually becomes free sooner than the report of that.
     if (endpoint.total() * 2 <= endpoint.record.slotCount)
         return true;
-    return now - work.submittedAt >= turnTime(distance);
+    return now - work.submittedAt >= m_peers.turnTime(distance);
 }
 
 bool SlotScheduler::isOnlineTurn(Endpoint& endpoint, uint32_t free, MonotonicTime now) const
@@ -533,9 +460,9 @@
 bool SlotScheduler::isBatchTurn(Endpoint& endpoint, uint32_t free, MonotonicTime now) const
 {
     const PrecedingNodes& before = precedingNodes(endpoint);
-    const PeerDistance distance = distanceTo(endpoint.record.failureDomain);
-    const Milliseconds domainTurn = turnTime(PeerDistance::FailureDomain);
-    const Milliseconds ownTurn = turnTime(distance);
+    const PeerDistance distance = m_peers.distanceTo(endpoint.record.failureDomain);
+    const Milliseconds domainTurn = m_peers.turnTime(PeerDistance::FailureDomain);
+    const Milliseconds ownTurn = m_peers.turnTime(distance);
     Milliseconds turn = domainTurn * (before.inDomain / free) + ownTurn * (before.elsewhere / free);
     // A node in another domain first waits until a claim by a node of the endpoint's domain would have been reported.
     if (distance != PeerDistance::FailureDomain)
@@ -543,37 +470,21 @@
     return now - endpoint.freeForBatchSince >= std::min(turn, std::max(maxBatchTurnTime, ownTurn * maxBatchTurns));
 }
 
-Milliseconds SlotScheduler::reportAge(PeerDistance distance) const
+const PrecedingNodes& SlotScheduler::precedingNodes(Endpoint& endpoint) const
 {
-    return reportInterval(distance, m_peerCounts.at(static_cast<size_t>(distance)));
-}
-
-Milliseconds SlotScheduler::turnTime(PeerDistance distance) const { return reportAge(distance) + reportLatency; }
-
-const SlotScheduler::PrecedingNodes& SlotScheduler::precedingNodes(Endpoint& endpoint) const
-{
-    if (endpoint.precedingNodesGeneration == m_peerGeneration)
-        return endpoint.precedingNodes;
-    // The nodes of the endpoint's failure domain come first, because they receive each other's reports soonest.
-    const bool isOwnDomain = endpoint.record.failureDomain == m_location.failureDomain;
-    const uint32_t own = nodeRank(endpoint.record.id, m_location.node);
-    endpoint.precedingNodes = {};
-    for (const auto& [node, peer] : m_peers) {
-        const bool isPeerOfDomain = peer.usage.failureDomain == endpoint.record.failureDomain;
-        const bool isBefore = isPeerOfDomain == isOwnDomain ? nodeRank(endpoint.record.id, node) < own : isPeerOfDomain;
-        if (isBefore)
-            ++(isPeerOfDomain ? endpoint.precedingNodes.inDomain : endpoint.precedingNodes.elsewhere);
+    if (endpoint.precedingNodesGeneration != m_peers.generation()) {
+        endpoint.precedingNodes = m_peers.precedingNodes(endpoint.record.id, endpoint.record.failureDomain);
+        endpoint.precedingNodesGeneration = m_peers.generation();
     }
-    endpoint.precedingNodesGeneration = m_peerGeneration;
     return endpoint.precedingNodes;
 }
 
 double SlotScheduler::distanceCost(const Endpoint& endpoint) const
 {
-    const PeerDistance distance = distanceTo(endpoint.record.failureDomain);
+    const PeerDistance distance = m_peers.distanceTo(endpoint.record.failureDomain);
     if (distance == PeerDistance::FailureDomain)
         return 0;
-    const double age = static_cast<double>(reportAge(distance).count());
+    const double age = static_cast<double>(m_peers.reportAge(distance).count());
     const double ageCost = std::min(age / reportAgeCostScale, maxReportAgeCost);
     return ageCost + (distance == PeerDistance::Region ? otherDomainCost : otherRegionCost);
 }
@@ -650,14 +561,7 @@
 
 uint32_t SlotScheduler::ownShareOfYields(const Endpoint& endpoint, uint32_t excess) const
 {
-    // All nodes assign the yields to nodes in the same order, so that together they stop as many items as needed.
-    for (const auto& [node, peer] : m_peers) {
-        if (node > m_location.node)
-            break;
-        if (const auto use = peer.usage.use.find(endpoint.key); use != peer.usage.use.end())
-            excess -= std::min(excess, use->second.batch);
-    }
-    return std::min(excess, endpoint.own.batch);
+    return std::min(m_peers.excessAfterPeers(endpoint.key, excess), endpoint.own.batch);
 }
 
 void SlotScheduler::decideYields(std::vector<SlotDecision>& decisions, MonotonicTime now)
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -1,31 +1,17 @@
 #pragma once
 
 #include <LibCore/Random.h>
-#include <LibGateway/ReportPlan.h>
+#include <LibGateway/HoldTimeEstimator.h>
 #include <LibGateway/SlotAllocator.h>
+#include <LibGateway/SlotPeers.h>
 
-#include <array>
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace Chicorydock {
 
-/// Slot usage that a peer reported.
-struct PeerUse {
-    std::string failureDomain;
-    /// Slots that the peer uses, by endpoint key.
-    std::unordered_map<uint32_t, SlotUse> use;
-    /// Online requests queued at the peer.
-    uint32_t waiting { 0 };
-    /// Time after which the peer and its usage are removed if it sends no further report.
-    Milliseconds lifetime { 1'500 };
-
-    bool operator==(const PeerUse&) const = default;
-};
-
 /// Shares the slots of endpoints between the nodes of a deployment without a coordinator: each node adds the slots that
 /// it uses itself to those in the latest reports of its peers. Engines have no priorities and admit work in order of
 /// arrival, so work is queued at the nodes and not at the endpoints.
@@ -42,12 +28,7 @@
 /// Thread safety: none.
 class SlotScheduler final : public SlotAllocator {
 public:
-    struct Location {
-        std::string node;
-        std::string failureDomain;
-        /// Region of each failure domain of the deployment.
-        std::map<std::string, std::string> regions;
-    };
+    using Location = SlotPeers::Location;
 
     SlotScheduler(Location, Random&);
 
@@ -81,17 +62,7 @@
     /// Returns whether work is queued or may have to yield, so that a change of the peers' usage can lead to decisions.
     bool dependsOnPeers() const { return !m_online.empty() || !m_batch.empty() || m_ownBatch > 0; }
 
-    /// Returns the key that identifies an endpoint in the reports between nodes.
-    static uint32_t endpointKey(const std::string& id);
-
 private:
-    /// Number of nodes that rank before this one in the order for an endpoint.
-    struct PrecedingNodes {
-        /// Nodes in the failure domain of the endpoint.
-        uint32_t inDomain { 0 };
-        uint32_t elsewhere { 0 };
-    };
-
     struct Endpoint {
         EndpointRecord record;
         uint32_t key { 0 };
@@ -107,7 +78,7 @@
         /// Whether a slot is free for batch items, and since when.
         bool isFreeForBatch { false };
         MonotonicTime freeForBatchSince;
-        /// Cached for the generation of the peers in `precedingNodesGeneration`.
+        /// Cached for the generation of the peers in `precedingNodesGeneration`; 0 if not yet.
         PrecedingNodes precedingNodes;
         uint64_t precedingNodesGeneration { 0 };
         /// Preference of this node for the endpoint, from 0 to 1; lower is preferred.
@@ -124,11 +95,6 @@
         uint32_t total() const { return online() + own.batch + peers.batch; }
     };
 
-    struct Peer {
-        PeerUse usage;
-        MonotonicTime reportedAt;
-    };
-
     /// Adds the usage of a peer to the totals of the endpoints, or subtracts it if `isAdded` is false.
     void addPeerUse(const PeerUse&, bool isAdded);
     void recordChanges(const PeerUse& before, const PeerUse& after, MonotonicTime now);
@@ -136,12 +102,6 @@
     void expire(MonotonicTime now);
     void expirePeers(MonotonicTime now);
     void expireObservations(MonotonicTime now);
-    void countPeers();
-    PeerDistance distanceTo(const std::string& failureDomain) const;
-    /// Returns how old the reports of peers at that distance may be.
-    Milliseconds reportAge(PeerDistance) const;
-    /// Returns the time within which the claim of a slot by a node at that distance is reported here.
-    Milliseconds turnTime(PeerDistance) const;
     void updateBatchAvailability(Endpoint&, MonotonicTime now) const;
     static SlotView viewOf(const Endpoint&, MonotonicTime now);
     Endpoint* findEndpoint(const std::string& id);
@@ -156,7 +116,7 @@
     bool isSpilloverAllowed(const Endpoint&, const OnlineWork&, MonotonicTime now) const;
     /// Returns whether this scheduler is the only one in its failure domain, so that it knows the use of the slots
     /// there exactly and at once.
-    bool isSoleInDomain() const { return m_peerCounts.at(static_cast<size_t>(PeerDistance::FailureDomain)) == 0; }
+    bool isSoleInDomain() const { return m_peers.countAt(PeerDistance::FailureDomain) == 0; }
     /// Returns whether the reserve of the endpoint is a share of all slots of its service in this failure domain.
     bool hasPooledReserve(const Endpoint&) const;
     /// Returns the slots of the endpoint that items may use.
@@ -178,8 +138,6 @@
     void yieldOne(std::vector<SlotDecision>&, Endpoint&, MonotonicTime now);
     /// Returns whether an item can no longer be completed by the time it is due.
     bool isTooLate(const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const;
-    /// Updates the moving average of the time that work of a service holds a slot.
-    void updateMeanHoldTime(std::map<std::string, Milliseconds>&, const std::string& service, Milliseconds held);
     /// Returns how many items of this node have to yield so that all nodes together free `excess` slots.
     uint32_t ownShareOfYields(const Endpoint&, uint32_t excess) const;
     /// Returns the expected time in the queue behind `ahead` requests of this node.
@@ -188,7 +146,6 @@
     Milliseconds retryAfter(const std::string& service, size_t ahead);
     bool shouldRefuse(const OnlineWork&, size_t ahead, MonotonicTime now) const;
 
-    const Location m_location;
     Random& m_random;
     std::map<std::string, Endpoint> m_endpoints;
     /// Pointers into `m_endpoints`.
@@ -197,21 +154,14 @@
     std::map<std::string, uint32_t> m_serviceSlots;
     /// Slots of the usable endpoints of each service in this node's failure domain.
     std::map<std::string, uint32_t> m_domainSlots;
-    std::map<std::string, Peer> m_peers;
-    /// Incremented when a peer is added, removed or changes its failure domain.
-    uint64_t m_peerGeneration { 1 };
-    uint32_t m_peersWaiting { 0 };
-    std::array<size_t, peerDistanceCount> m_peerCounts {};
+    SlotPeers m_peers;
     MonotonicTime m_lastExpiryAt;
     uint32_t m_ownBatch { 0 };
     uint64_t m_useVersion { 0 };
     std::vector<OnlineWork> m_online;
     std::vector<BatchWork> m_batch;
     std::unordered_map<uint64_t, RunningWork> m_running;
-    /// Mean time that online work holds a slot, by service.
-    std::map<std::string, Milliseconds> m_holdTimes;
-    /// Mean time that a batch item holds slots over all its runs, by service.
-    std::map<std::string, Milliseconds> m_itemTimes;
+    HoldTimeEstimator m_holdTimes;
 };
 
 }
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -477,8 +477,8 @@
     REQUIRE(waitFor([&] { return node.http.count() == 1; }));
     node.scheduler.setPeerUse("n2",
         { "z1",
-            { { SlotScheduler::endpointKey("e0"), { 8, 0 } }, { SlotScheduler::endpointKey("e1"), { 8, 0 } },
-                { SlotScheduler::endpointKey("e2"), { 8, 0 } } },
+            { { SlotPeers::endpointKey("e0"), { 8, 0 } }, { SlotPeers::endpointKey("e1"), { 8, 0 } },
+                { SlotPeers::endpointKey("e2"), { 8, 0 } } },
             0 },
         node.clock.now());
     node.broker.schedulePoll();
--- a/Tests/LibGateway/TestSlotScheduler.cpp
+++ b/Tests/LibGateway/TestSlotScheduler.cpp
@@ -42,7 +42,7 @@
 
     void setPeer(const std::string& node, SlotUse use, const std::string& endpoint = "a", uint32_t waiting = 0)
     {
-        scheduler.setPeerUse(node, { "z1", { { SlotScheduler::endpointKey(endpoint), use } }, waiting }, clock.now());
+        scheduler.setPeerUse(node, { "z1", { { SlotPeers::endpointKey(endpoint), use } }, waiting }, clock.now());
     }
 };
 
@@ -116,7 +116,7 @@
             nodes[name]->submit(BatchWork { n, "lm", clock.now() + std::chrono::seconds { 9 }, {} });
         CHECK(nodes[name]->poll(clock.now()).size() == 2);
     }
-    const uint32_t key = SlotScheduler::endpointKey("a");
+    const uint32_t key = SlotPeers::endpointKey("a");
     nodes["n1"]->setPeerUse("n2", { "z1", { { key, { 0, 2 } } } }, clock.now());
     nodes["n1"]->setPeerUse("n3", { "z1", { { key, { 4, 0 } } } }, clock.now());
     nodes["n2"]->setPeerUse("n1", { "z1", { { key, { 0, 2 } } } }, clock.now());
