LibSettings: Read the gateway's table into a value of its own

Cause: clang-tidy's front end rejects emplace() on an optional of a nested type with a default member initializer, which cpu_share brought in.

--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -85,13 +85,12 @@
     constexpr double minCpuShare = 0.01;
     constexpr double maxCpuShare = 1'024;
 
-    void readGateway(TomlTable& table, std::optional<Settings::Gateway>& gateway)
+    void readGateway(TomlTable& table, Settings::Gateway& gateway)
     {
-        gateway.emplace();
-        table.text("status_address", gateway->statusAddress, TextRule::listenAddress(), Presence::Required);
-        table.text("peer_address", gateway->peerAddress, TextRule::address(), Presence::Required);
-        table.textMap("regions", gateway->regions, TextRule::identifier());
-        table.number("cpu_share", gateway->cpuShare, minCpuShare, maxCpuShare);
+        table.text("status_address", gateway.statusAddress, TextRule::listenAddress(), Presence::Required);
+        table.text("peer_address", gateway.peerAddress, TextRule::address(), Presence::Required);
+        table.textMap("regions", gateway.regions, TextRule::identifier());
+        table.number("cpu_share", gateway.cpuShare, minCpuShare, maxCpuShare);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
@@ -129,8 +128,11 @@
         file.table("batch", [&](TomlTable& it) { readBatch(it, settings.batch); });
         file.table("log", [&](TomlTable& it) { readLog(it, settings.log); });
         file.table("scheduler", [&](TomlTable& it) { readScheduling(it, settings.scheduler); });
-        if (file.hasTable("gateway"))
-            file.table("gateway", [&](TomlTable& it) { readGateway(it, settings.gateway); });
+        if (file.hasTable("gateway")) {
+            Settings::Gateway gateway;
+            file.table("gateway", [&](TomlTable& it) { readGateway(it, gateway); });
+            settings.gateway = gateway;
+        }
         readEndpoints(file, settings.endpoints);
     });
     return settings;
