LibGateway: Do not cut streams that are slow but sound

Cause: a repeatable stream moved to another endpoint after 0.7 s without an event (0.9 s before the second one, because the limit was set before the first event counted), an item after 1.5 s, whatever pause the route allows. On a deployment with long events or slow engines a sound stream would be moved again and again. The other way round, repeated events kept a stalled stream for ever.

Test: TestForwardedCall, seen failing before the change.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -21,10 +21,15 @@
 
     constexpr uint32_t maxFailedConnections = 4;
 
-    /// Time without data after which a repeatable stream moves to another endpoint. The first event takes longer,
-    /// because the endpoint reads the prompt before it.
-    constexpr Milliseconds firstEventTimeout { 900 };
-    constexpr Milliseconds eventIdleTimeout { 700 };
+    /// Minimum time without data after which a repeatable stream moves to another endpoint. The first event takes
+    /// longer, because the endpoint reads the prompt before it.
+    constexpr Milliseconds minFirstEventTimeout { 900 };
+    constexpr Milliseconds minEventIdleTimeout { 700 };
+
+    /// The same times as multiples of the route's targets: a stream that is slow but sound must not be moved, because
+    /// the next endpoint may be as slow.
+    constexpr int firstEventTimeoutFactor = 3;
+    constexpr int eventIdleTimeoutFactor = 2;
 
     /// Time without a response after which a repeatable request is sent to another endpoint, as a multiple of the
     /// route's latency target.
@@ -161,7 +166,9 @@
     if (!m_route.isRepeatable())
         return;
     if (m_route.kind == RouteKind::Stream)
-        m_idleTimer.start(m_firstByteAt ? eventIdleTimeout : firstEventTimeout);
+        m_idleTimer.start(m_firstByteAt
+                ? std::max(minEventIdleTimeout, m_route.gapTarget * eventIdleTimeoutFactor)
+                : std::max(minFirstEventTimeout, m_route.latencyTarget * firstEventTimeoutFactor));
     else
         m_idleTimer.start(
             Milliseconds { static_cast<int64_t>(m_route.latencyTarget.count() * answerIdleTimeoutFactor) });
@@ -210,11 +217,11 @@
 
 void ForwardedCall::forwardEvent(const StreamEvent& event)
 {
-    restartIdleTimer();
-    // After a resume, the endpoint may repeat events that the caller has already received.
+    // After a resume, the endpoint may repeat events that the caller has already received. They are no progress.
     if (event.id && *event.id <= m_lastEventId)
         return;
     beginStream();
+    restartIdleTimer();
     m_exchange->sendChunk(event.bytes);
     if (event.id)
         m_lastEventId = *event.id;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -2,15 +2,20 @@
 
 #include <LibGateway/DecisionFields.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Chicorydock {
 
 namespace {
 
-    /// Time without data after which the item moves to another endpoint. Reading a prompt takes less, and so does
-    /// a preemption on the endpoint.
-    constexpr Milliseconds endpointIdleTimeout { 1'500 };
+    /// Minimum time without a new event after which the item moves to another endpoint. Reading a prompt takes less,
+    /// and so does a preemption on the endpoint.
+    constexpr Milliseconds minEventIdleTimeout { 1'500 };
+
+    /// The same time as a multiple of the route's target for the pause between two events, so that a run that is slow
+    /// but sound is not moved.
+    constexpr int eventIdleTimeoutFactor = 4;
 
     constexpr Milliseconds retryDelay { 100 };
 
@@ -86,6 +91,7 @@
         finish(false, "the item reached the maximum wait of the route");
         return;
     }
+    m_idleTimeout = std::max(minEventIdleTimeout, route->gapTarget * eventIdleTimeoutFactor);
     BatchWork work;
     work.service = chooseService(*route, m_environment.random.unit());
     work.dueAt = m_job.dueAt;
@@ -115,11 +121,11 @@
         .headers = m_environment.wire.itemHeaders(
             m_item, m_job.host, record->id, m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt),
         .body = m_item.body,
-        .progressTimeout = endpointIdleTimeout,
+        .progressTimeout = m_idleTimeout,
         .connectTimeout = endpointConnectTimeout,
         .echoedField = m_environment.wire.requestIdField() };
     m_call = m_environment.http.start(call, *this);
-    m_idleTimer.start(endpointConnectTimeout + endpointIdleTimeout);
+    m_idleTimer.start(endpointConnectTimeout + m_idleTimeout);
 }
 
 void ItemRun::abandonCall(const std::string& reason)
@@ -164,7 +170,7 @@
 void ItemRun::onHeaders(int status, const HttpHeaders& headers)
 {
     m_head = m_environment.processAnswerHead(m_endpoint, status, headers);
-    m_idleTimer.start(endpointIdleTimeout);
+    m_idleTimer.start(m_idleTimeout);
     if (m_head.isUnsignedSuccess())
         abandonCall("the response lacks the endpoint's signature");
 }
@@ -184,7 +190,7 @@
             return;
         }
         m_lastEventId = *it.id;
-        m_idleTimer.start(endpointIdleTimeout);
+        m_idleTimer.start(m_idleTimeout);
         if (std::exchange(m_hasOutput, true))
             m_output += '\n';
         m_output += it.data;
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -98,6 +98,8 @@
     QTimer m_retryTimer;
     /// Runs while the endpoint has not sent the next event.
     QTimer m_idleTimer;
+    /// Time without a new event after which the item moves to another endpoint.
+    Milliseconds m_idleTimeout { 0 };
 };
 
 }
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -75,7 +75,7 @@
     GatewayEnvironment environment { clock, random, wire, http, broker, directory, log, metrics,
         std::make_shared<const GatewayConfiguration>() };
 
-    explicit GatewayFixture(size_t endpoints = 3)
+    explicit GatewayFixture(size_t endpoints = 3, Milliseconds gapTarget = Milliseconds { 0 })
     {
         std::vector<EndpointRecord> records;
         for (size_t n = 0; n < endpoints; ++n)
@@ -87,6 +87,8 @@
         configuration.version = 3;
         configuration.routes = { makeRoute("s", RouteKind::Stream, true), makeRoute("u", RouteKind::Stream, false),
             makeRoute("i", RouteKind::Idempotent, false), makeRoute("b", RouteKind::Batch, true) };
+        for (GatewayRoute& it : configuration.routes)
+            it.gapTarget = gapTarget;
         environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
     }
 
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -17,8 +17,9 @@
     std::unique_ptr<ForwardedCall> call;
     int doneCalls { 0 };
 
-    explicit CallFixture(const QByteArray& target, HttpHeaders extra = {}, size_t endpoints = 3)
-        : GatewayFixture(endpoints)
+    explicit CallFixture(const QByteArray& target, HttpHeaders extra = {}, size_t endpoints = 3,
+        Milliseconds gapTarget = Milliseconds { 0 })
+        : GatewayFixture(endpoints, gapTarget)
     {
         HttpRequest request { "POST", target, {}, std::move(extra), "body", target };
         request.headers.add("Host", "h.example");
@@ -339,3 +340,30 @@
     CHECK(fixture.status() == 502);
     CHECK(fixture.scheduler.ownUse().empty());
 }
+
+// Guards against sound streams that are cut because their endpoints are slow, and against stalled ones that never end.
+TEST_CASE("a stream moves to another endpoint only after a pause well above the route's target")
+{
+    size_t callsAfterSlowEvents = 0;
+    size_t callsAfterPause = 0;
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        CallFixture fixture("/s/1", {}, 3, Milliseconds { 600 });
+        fixture.http.handOver();
+        fixture.http.headers(200, streamHeaders);
+        for (int id = 1; id <= 3; ++id) {
+            fixture.http.data(event(id));
+            loop.advance(Milliseconds { 900 });
+            CallFixture::settle();
+        }
+        callsAfterSlowEvents = fixture.http.count();
+        // Bytes that are no event are no progress.
+        for (int n = 0; n < 4 && fixture.http.count() == 1; ++n) {
+            fixture.http.data(":");
+            loop.advance(Milliseconds { 200 });
+            CallFixture::settle();
+        }
+        callsAfterPause = fixture.http.count();
+    });
+    CHECK(callsAfterSlowEvents == 1);
+    CHECK(callsAfterPause == 2);
+}
