LibGateway: Keep work from endpoints that the coordinator wrongly finds free

Cause, read in the code: an endpoint that said to one node that it is leaving, or whose address another one has taken over, is excluded at that node at once, but its coordinator learns of it from the store only. Until then it finds that endpoint the emptiest of all and grants it again and again; while the store is away, items of that node would wait for the whole outage.

A node now excludes such endpoints in all work that it queues.

Test: TestJobController, TestEndpointDirectory; the first one runs into the 0.1 s retry for every item without the exclusion.

--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -39,7 +39,7 @@
     if (entry.record == record)
         return;
     entry.record = record;
-    entry.isReplaced = false;
+    m_replaced.erase(record.id);
 }
 
 void EndpointDirectory::remove(const std::string& id, MonotonicTime now)
@@ -67,7 +67,7 @@
     if (it == m_entries.end())
         return false;
     const bool wasUsable = isUsable(it->second);
-    it->second.isReplaced = true;
+    m_replaced.insert(id);
     return wasUsable;
 }
 
@@ -82,21 +82,36 @@
 
 bool EndpointDirectory::isUsable(const Entry& entry) const
 {
-    if (entry.record.isLeaving || entry.isReplaced)
-        return false;
-    const auto departure = m_departures.find(entry.record.id);
-    return departure == m_departures.end() || entry.record.startedAt > departure->second.startedAt;
+    return !entry.record.isLeaving && !m_replaced.contains(entry.record.id) && !hasDeparted(entry.record);
+}
+
+bool EndpointDirectory::hasDeparted(const EndpointRecord& record) const
+{
+    const auto departure = m_departures.find(record.id);
+    return departure != m_departures.end() && record.startedAt <= departure->second.startedAt;
+}
+
+std::vector<std::string> EndpointDirectory::excluded() const
+{
+    std::vector<std::string> ids(m_replaced.begin(), m_replaced.end());
+    for (const auto& [id, departure] : m_departures) {
+        const auto it = m_entries.find(id);
+        if (it != m_entries.end() && !it->second.record.isLeaving && hasDeparted(it->second.record))
+            ids.push_back(id);
+    }
+    return ids;
 }
 
-void EndpointDirectory::forgetOldDepartures(MonotonicTime now)
+void EndpointDirectory::forgetOldExclusions(MonotonicTime now)
 {
+    std::erase_if(m_replaced, [&](const std::string& it) { return !m_entries.contains(it); });
     std::erase_if(m_departures,
         [&](const auto& it) { return !m_entries.contains(it.first) && now - it.second.announcedAt > departureMemory; });
 }
 
 bool EndpointDirectory::applyRemovals(MonotonicTime now)
 {
-    forgetOldDepartures(now);
+    forgetOldExclusions(now);
     if (areRemovalsDeferred(now))
         return false;
     return std::erase_if(m_entries, [](const auto& it) { return it.second.isRemovalPending; }) > 0;
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,13 +47,16 @@
     /// Returns the endpoints that accept new work.
     std::vector<EndpointRecord> usable() const;
 
+    /// Returns the endpoints that this node excludes although their registrations say that they are ready. Other nodes
+    /// may still consider them usable.
+    std::vector<std::string> excluded() const;
+
     /// Returns the endpoint if it accepts new work.
     std::optional<EndpointRecord> find(const std::string& id) const;
 
 private:
     struct Entry {
         EndpointRecord record;
-        bool isReplaced { false };
         bool isRemovalPending { false };
     };
 
@@ -64,8 +68,9 @@
     };
 
     bool isUsable(const Entry&) const;
-    /// Removes the announcements of endpoints that have been gone for a long time.
-    void forgetOldDepartures(MonotonicTime now);
+    bool hasDeparted(const EndpointRecord&) const;
+    /// Removes what is known about endpoints that have been gone for a long time.
+    void forgetOldExclusions(MonotonicTime now);
 
     /// Returns whether the store is unreachable or has recovered only recently.
     bool areRemovalsDeferred(MonotonicTime now) const;
@@ -73,6 +78,8 @@
     std::map<std::string, Entry> m_entries;
     /// By endpoint; outlives the registration.
     std::map<std::string, Departure> m_departures;
+    /// Endpoints whose addresses belong to others.
+    std::set<std::string> m_replaced;
     bool m_isStoreReachable { true };
     MonotonicTime m_reachableSince;
 };
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/DecisionFields.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Chicorydock {
@@ -103,6 +104,8 @@
     const bool isRetry = m_request.deadline && *m_request.deadline + retryDetectionMargin < m_route.timeout;
     work.isLastAttempt = isRetry || m_mayHaveRun || m_hasStreamBegun;
     work.excluded = m_excluded;
+    // The coordinator may not know yet that these endpoints are leaving or have been replaced.
+    std::ranges::copy(m_environment.directory.excluded(), std::back_inserter(work.excluded));
     m_slot.request(std::move(work), *this);
 }
 
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -96,6 +96,8 @@
     work.service = chooseService(*route, m_environment.random.unit());
     work.dueAt = m_job.dueAt;
     work.slotTimeUsed = m_slotTimeUsed;
+    // The coordinator may not know yet that these endpoints are leaving or have been replaced.
+    work.excluded = m_environment.directory.excluded();
     m_slot.request(std::move(work), *this);
 }
 
--- a/Tests/LibGateway/TestEndpointDirectory.cpp
+++ b/Tests/LibGateway/TestEndpointDirectory.cpp
@@ -67,8 +67,10 @@
     SimulatedClock clock;
     EndpointDirectory directory;
     directory.replaceAll({ makeRecord("a") }, clock.now());
-    directory.markReplaced("a");
+    CHECK(directory.markReplaced("a"));
+    CHECK_FALSE(directory.markReplaced("a"));
     CHECK_FALSE(directory.find("a"));
+    CHECK(directory.excluded() == std::vector<std::string> { "a" });
     directory.put(makeRecord("a"));
     CHECK_FALSE(directory.find("a"));
     EndpointRecord restarted = makeRecord("a");
@@ -87,6 +89,7 @@
     CHECK(directory.markLeaving("a", clock.now()));
     CHECK_FALSE(directory.markLeaving("a", clock.now()));
     CHECK_FALSE(directory.markLeaving("unknown", clock.now()));
+    CHECK(directory.excluded() == std::vector<std::string> { "a" });
     CHECK_FALSE(directory.find("a"));
     CHECK(directory.find("b"));
 
@@ -105,6 +108,7 @@
     restarted.startedAt = 2;
     directory.put(restarted);
     CHECK(directory.find("a") == restarted);
+    CHECK(directory.excluded().empty());
     // An older listing must not bring the departed incarnation back.
     directory.put(makeRecord("a"));
     CHECK_FALSE(directory.find("a"));
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -513,3 +513,23 @@
     CHECK(node.http.call(0).isCancelled);
     CHECK(node.http.last().request.headers.find("Last-Event-Id") == "1");
 }
+
+// Guards against items that are granted an endpoint again and again that only this node knows to be leaving: while the
+// store is away, the coordinator has not heard of it and finds it the emptiest of all.
+TEST_CASE("items are not started at an endpoint that only this node knows to be leaving or replaced")
+{
+    const bool isLeaving = GENERATE(true, false);
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    // The scheduler, which stands for the coordinator, is not told.
+    if (isLeaving)
+        REQUIRE(node.directory.markLeaving("e0", node.clock.now()));
+    else
+        REQUIRE(node.directory.markReplaced("e0"));
+    REQUIRE_FALSE(node.submit(makeJob("j", 6)));
+    JobNode::settle();
+    CHECK(node.http.count() == 6);
+    for (size_t n = 0; n < node.http.count(); ++n)
+        CHECK(node.http.call(n).request.headers.find("Expect-Instance") != "e0");
+}
