PlatformRowStore: Limit the silence of the store and not the whole response

Each call had 0.7 s in all (after the wait of a feed), and the new row of about half a megabyte, sent to some 35 nodes over one link at once, takes longer; each node gave up and asked again, so the link carried the same bytes again and again and none arrived.

Ruled out: coordinators (the old code fails too), the store itself (nodes in its region had the configuration at once).

Not mended altogether: the transfer itself over the shared link takes longer than the 4 s allowed. Nodes of a domain should get the configuration from one of them; listed as open.

Tests: TestPlatformRowStore, on simulated time; the first fails with the old limit.

--- a/Tests/Platform/TestPlatformRowStore.cpp
+++ b/Tests/Platform/TestPlatformRowStore.cpp
@@ -1,7 +1,9 @@
 #include <platform/PlatformRowStore.h>
 
 #include <LibHTTP/PooledHttpClient.h>
+#include <Tests/Support/FakeHttpClient.h>
 #include <Tests/Support/ScriptedServer.h>
+#include <Tests/Support/SimulatedEventLoop.h>
 #include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
 
@@ -111,3 +113,52 @@
     StoreFixture lost(answer(410));
     CHECK(std::get<StoreFailure>(lost.changes()).kind == StoreFailure::Kind::HistoryLost);
 }
+
+// Guards against a configuration of 1,400 routes that a node never receives: over a link that all nodes of a region
+// share, the response takes longer than a call may be silent, and a node that gives up starts again from nothing.
+TEST_CASE("a response that keeps arriving is received, and one that stops arriving fails")
+{
+    const bool stops = GENERATE(true, false);
+    std::optional<StoreResult<RowPage>> result;
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        FakeHttpClient client;
+        PlatformRowStore store(client, "10.0.0.1:80", Milliseconds { 700 });
+        store.changes("t", 5, Milliseconds { 1'200 }, [&](const StoreResult<RowPage>& it) { result = it; });
+        client.handOver();
+        loop.advance(Milliseconds { 1'800 });
+        client.headers(200, {});
+        const QByteArray body = "{\"rows\":[],\"ver\":9,\"now_ms\":5,\"more_pages\":false}";
+        for (qsizetype n = 0; n + 10 < body.size(); n += 10) {
+            client.data(body.mid(n, 10));
+            loop.advance(Milliseconds { 600 });
+        }
+        CHECK_FALSE(result);
+        if (stops) {
+            loop.advance(Milliseconds { 200 });
+        } else {
+            client.data(body.mid((body.size() - 1) / 10 * 10));
+            client.finish();
+        }
+    });
+    REQUIRE(result);
+    CHECK(std::holds_alternative<RowPage>(*result) != stops);
+}
+
+// Guards against a call that never ends because its response arrives in drops.
+TEST_CASE("a response that arrives too slowly fails in the end")
+{
+    std::optional<StoreResult<RowPage>> result;
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        FakeHttpClient client;
+        PlatformRowStore store(client, "10.0.0.1:80", Milliseconds { 700 });
+        store.changes("t", 5, Milliseconds { 1'200 }, [&](const StoreResult<RowPage>& it) { result = it; });
+        client.handOver();
+        client.headers(200, {});
+        for (int n = 0; n < 100 && !result; ++n) {
+            client.data(" ");
+            loop.advance(Milliseconds { 500 });
+        }
+    });
+    REQUIRE(result);
+    CHECK(std::holds_alternative<StoreFailure>(*result));
+}
