TestLibGateway: Say plainly when a decision arrives after a repeated reply

A test had two ways to the same check, of which only one was ever taken. The exchange until a decision is a function of the fixture now; checks unchanged.

--- a/Tests/LibGateway/TestSlotMember.cpp
+++ b/Tests/LibGateway/TestSlotMember.cpp
@@ -92,6 +92,15 @@
             at(node).member.receive(from, reply, clock.now());
         return at(node).member.poll(clock.now());
     }
+
+    /// Exchanges messages until there is a decision about the work of the node, for up to a second.
+    std::vector<SlotDecision> exchangeUntilDecision(const std::string& node)
+    {
+        std::vector<SlotDecision> decisions;
+        for (int n = 0; n < 100 && decisions.empty(); ++n)
+            decisions = exchange(node);
+        return decisions;
+    }
 };
 
 }
@@ -110,12 +119,8 @@
     CHECK(fixture.exchange("b").empty());
     fixture.at("a").member.finish(first, EndpointOutcome::Answered, fixture.clock.now());
     fixture.exchange("a");
-    decisions = fixture.exchange("b");
-    if (decisions.empty()) {
-        // The decision was made when the report of `a` arrived; it is sent again until `b` acknowledges it.
-        fixture.clock.advance(Milliseconds { 300 });
-        decisions = fixture.exchange("b");
-    }
+    // The coordinator decides when the report of `a` arrives; its reply to `b` is not delivered here but sent again.
+    decisions = fixture.exchangeUntilDecision("b");
     REQUIRE(decisions.size() == 1);
     CHECK(decisions[0].kind == Kind::Start);
 }
@@ -139,9 +144,7 @@
             fixture.at("b").member.finish(it, EndpointOutcome::Answered, fixture.clock.now());
         fixture.exchange("b");
     }
-    std::vector<SlotDecision> decisions;
-    for (int n = 0; n < 100 && decisions.empty(); ++n)
-        decisions = fixture.exchange("a");
+    const std::vector<SlotDecision> decisions = fixture.exchangeUntilDecision("a");
     REQUIRE(decisions.size() == 1);
     CHECK(decisions[0].kind == Kind::Start);
     CHECK(decisions[0].work == item);
