LibGateway: Say once when a report is due and how a call is abandoned

SlotMember had the rule for the next report twice, as a condition and as a delay; the condition is the delay being 0. ForwardedCall reset its call and failed the attempt in five places, for which ItemRun has abandonCall(); it has one now too. Nodes that are not the only scheduler of their domain looked at all endpoints once more for each item, for a reserve that they do not use.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -183,8 +183,7 @@
 {
     m_head = m_environment.processAnswerHead(m_endpoint, status, headers);
     if (m_head.isUnsignedSuccess()) {
-        m_call.reset();
-        handleFailedAttempt("the response lacks the endpoint's signature");
+        abandonCall("the response lacks the endpoint's signature");
         return;
     }
     // A resumed stream keeps the headers of its first endpoint.
@@ -196,8 +195,7 @@
 {
     m_receivedBytes += data.size();
     if (m_receivedBytes > maxAnswerBytes) {
-        m_call.reset();
-        handleFailedAttempt("the answer of the endpoint has no end");
+        abandonCall("the answer of the endpoint has no end");
         return;
     }
     if (!isStreaming()) {
@@ -206,15 +204,13 @@
     }
     for (const StreamEvent& it : m_events.consume(data)) {
         if (it.id && m_lastEventId > 0 && *it.id > m_lastEventId + 1) {
-            m_call.reset();
-            handleFailedAttempt("the event stream of the endpoint has a gap");
+            abandonCall("the event stream of the endpoint has a gap");
             return;
         }
         forwardEvent(it);
     }
     if (m_events.isOversized()) {
-        m_call.reset();
-        handleFailedAttempt("an event of the endpoint has no end");
+        abandonCall("an event of the endpoint has no end");
     }
 }
 
@@ -323,6 +319,12 @@
     refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::NoEndpoint, failure.message, m_route.latencyTarget);
 }
 
+void ForwardedCall::abandonCall(const std::string& reason)
+{
+    m_call.reset();
+    handleFailedAttempt(reason);
+}
+
 bool ForwardedCall::canRetryElsewhere() const
 {
     return m_route.isRepeatable() && m_attempts < m_route.maxAttempts && timeLeft() > minTimeForAttempt;
@@ -347,8 +349,7 @@
 {
     if (!m_call || !canRetryElsewhere())
         return;
-    m_call.reset();
-    handleFailedAttempt("the endpoint sent no data in time");
+    abandonCall("the endpoint sent no data in time");
 }
 
 void ForwardedCall::onRefused(Milliseconds retryAfter, const SlotView& view)
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -51,6 +51,8 @@
     void handleNotRun();
     /// Handles a failure after the request was sent to the endpoint: retries it or reports the error.
     void handleFailedAttempt(const std::string& reason);
+    /// Ends the call because the endpoint is not sound, and retries the request or reports the error.
+    void abandonCall(const std::string& reason);
     bool canRetryElsewhere() const;
     void handleIdleTimeout();
     void handleDeadline();
--- a/Libraries/LibGateway/SlotMember.cpp
+++ b/Libraries/LibGateway/SlotMember.cpp
@@ -188,16 +188,6 @@
         m_work, [](const auto& it) { return it.second.sentIn > 0 && !it.second.isAcknowledged; });
 }
 
-bool SlotMember::isReportDue(MonotonicTime now) const
-{
-    const auto elapsed = now - m_reportedAt;
-    if (m_hasChange)
-        return elapsed >= minReportInterval;
-    if (elapsed >= reportRetryInterval && (hasUnacknowledgedWork() || now - m_repliedAt >= memberHeartbeat))
-        return true;
-    return elapsed >= memberHeartbeat;
-}
-
 Milliseconds SlotMember::nextReportIn(MonotonicTime now) const
 {
     Milliseconds interval = memberHeartbeat;
@@ -220,7 +210,7 @@
     if (isIndependent()) {
         if (now - m_reportedAt >= memberHeartbeat)
             exchangeLocally(now);
-    } else if (isReportDue(now)) {
+    } else if (nextReportIn(now).count() == 0) {
         reports.push_back({ m_coordinator, makeReport(now) });
         if (reports.back().report.expectsReply && !m_unansweredSince)
             m_unansweredSince = now;
--- a/Libraries/LibGateway/SlotMember.h
+++ b/Libraries/LibGateway/SlotMember.h
@@ -50,7 +50,7 @@
     /// with its own coordinator instead.
     std::vector<OutgoingReport> takeReports(MonotonicTime now);
 
-    /// Returns the time until the next report or check may be due.
+    /// Returns the time until the next report is due, 0 if one is due now.
     Milliseconds nextReportIn(MonotonicTime now) const;
 
     /// Processes the reply of a coordinator. Replies of other nodes and old ones are ignored.
@@ -87,7 +87,6 @@
     void suspect(const std::string& node, MonotonicTime now);
     bool hasUnacknowledgedWork() const;
     Milliseconds replyTimeout() const;
-    bool isReportDue(MonotonicTime now) const;
     SlotReport makeReport(MonotonicTime now);
     void addWork(SlotReport&, uint64_t id, Work&, MonotonicTime now) const;
     void addLoads(SlotReport&, MonotonicTime now);
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -580,7 +580,7 @@
 {
     Endpoint* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    const bool isDomainFull = !hasSlotsAboveReserve(work.service);
+    const bool isDomainFull = isSoleInDomain() && !hasSlotsAboveReserve(work.service);
     for (auto& [id, it] : m_endpoints) {
         if (it.record.service != work.service || isAvoided(it, work.excluded, now))
             continue;
