Gateway: Log whether the removal of an endpoint is deferred

The line did not say whether the removal had taken effect, and there was none when it did, so a deferred removal and a registration that a stale listing brought back looked the same.

No decision changes.

--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -42,16 +42,18 @@
     m_replaced.erase(record.id);
 }
 
-void EndpointDirectory::remove(const std::string& id, MonotonicTime now)
+bool EndpointDirectory::remove(const std::string& id, MonotonicTime now)
 {
     const auto it = m_entries.find(id);
     if (it == m_entries.end())
-        return;
+        return true;
     // An endpoint that has announced that it is leaving does not register again.
-    if (areRemovalsDeferred(now) && !it->second.record.isLeaving)
+    if (areRemovalsDeferred(now) && !it->second.record.isLeaving) {
         it->second.isRemovalPending = true;
-    else
-        m_entries.erase(it);
+        return false;
+    }
+    m_entries.erase(it);
+    return true;
 }
 
 void EndpointDirectory::setStoreReachable(bool isReachable, MonotonicTime now)
@@ -109,12 +111,19 @@
         [&](const auto& it) { return !m_entries.contains(it.first) && now - it.second.announcedAt > departureMemory; });
 }
 
-bool EndpointDirectory::applyRemovals(MonotonicTime now)
+std::vector<std::string> EndpointDirectory::applyRemovals(MonotonicTime now)
 {
     forgetOldExclusions(now);
     if (areRemovalsDeferred(now))
-        return false;
-    return std::erase_if(m_entries, [](const auto& it) { return it.second.isRemovalPending; }) > 0;
+        return {};
+    std::vector<std::string> removed;
+    for (const auto& [id, entry] : m_entries) {
+        if (entry.isRemovalPending)
+            removed.push_back(id);
+    }
+    for (const std::string& it : removed)
+        m_entries.erase(it);
+    return removed;
 }
 
 std::vector<EndpointRecord> EndpointDirectory::usable() const
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -28,7 +28,8 @@
     void replaceAll(const std::vector<EndpointRecord>&, MonotonicTime now);
 
     void put(const EndpointRecord&);
-    void remove(const std::string& id, MonotonicTime now);
+    /// Returns whether the removal took effect; otherwise it is deferred.
+    bool remove(const std::string& id, MonotonicTime now);
 
     /// Records whether the store responds.
     void setStoreReachable(bool, MonotonicTime now);
@@ -41,8 +42,8 @@
     /// Returns whether the endpoint was usable before.
     bool markLeaving(const std::string& id, MonotonicTime now);
 
-    /// Applies deferred removals that are due. Returns whether anything changed.
-    bool applyRemovals(MonotonicTime now);
+    /// Applies deferred removals that are due. Returns the endpoints that were removed.
+    std::vector<std::string> applyRemovals(MonotonicTime now);
 
     /// Returns the endpoints that accept new work.
     std::vector<EndpointRecord> usable() const;
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -100,8 +100,9 @@
     {
         for (const StoredRow& it : rows) {
             if (it.isRemoved) {
-                m_gateway.m_log.record("endpoint", "removed", it.address.key);
-                m_gateway.m_directory.remove(it.address.key, m_gateway.m_clock.now());
+                const bool isRemoved = m_gateway.m_directory.remove(it.address.key, m_gateway.m_clock.now());
+                m_gateway.m_log.record("endpoint", isRemoved ? "removed" : "removal_deferred", it.address.key, {},
+                    { { "version", static_cast<qint64>(it.version) } });
             } else if (const auto record = decode(it)) {
                 m_gateway.m_log.record("endpoint", record->isLeaving ? "leaving" : "changed", record->id, {},
                     { { "version", static_cast<qint64>(it.version) } });
@@ -230,13 +231,21 @@
 
 void Gateway::tick()
 {
-    if (m_directory.applyRemovals(m_clock.now()))
-        updateSchedulerEndpoints();
+    applyRemovals();
     updateCoordinator();
     reportStoreReachability();
     m_jobs.tick();
 }
 
+void Gateway::applyRemovals()
+{
+    const std::vector<std::string> removed = m_directory.applyRemovals(m_clock.now());
+    for (const std::string& it : removed)
+        m_log.record("endpoint", "removed", it, {}, { { "deferred", true } });
+    if (!removed.empty())
+        updateSchedulerEndpoints();
+}
+
 bool Gateway::isReady() const
 {
     return !m_isStopping && m_environment.configuration->version > 0 && m_endpointFollower->isListed();
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -53,6 +53,7 @@
     void applyConfiguration(const QByteArray& document);
     void updateSchedulerEndpoints();
     void tick();
+    void applyRemovals();
     bool isReady() const;
     PeerReport makeReport() const;
     SlotExchange::Handlers exchangeHandlers();
--- a/Tests/LibGateway/TestEndpointDirectory.cpp
+++ b/Tests/LibGateway/TestEndpointDirectory.cpp
@@ -25,11 +25,11 @@
     CHECK(directory.usable().size() == 2);
 
     clock.advance(Milliseconds { 1'500 });
-    CHECK_FALSE(directory.applyRemovals(clock.now()));
+    CHECK(directory.applyRemovals(clock.now()).empty());
     directory.put(makeRecord("a"));
     // Requests may go to a dead endpoint for at most 2.5 s.
     clock.advance(Milliseconds { 900 });
-    CHECK(directory.applyRemovals(clock.now()));
+    CHECK(directory.applyRemovals(clock.now()) == std::vector<std::string> { "b" });
     REQUIRE(directory.usable().size() == 1);
     CHECK(directory.usable().front().id == "a");
 }
