EndpointDirectory: Tell an outage of the store from the separation of a node

A registration that is missing may have expired while the store was away, so a removal that is seen within 2.2 s of the return of the store is deferred. The node measured this from its own return: it was cut off alone for 12 s, saw the removal 1.4 s after the cut had healed, and used the endpoint for 2.3 s more, although the store had been available all the time.

Ruled out: a stale listing (no listing on that node, and the use ended by itself 2.3 s later), and another node that decides (failure domains of four nodes have no coordinator).

Nodes now report for how long they have reached the store without interruption. If a quarter of the live peers have, the grace time counts from then. One node that was paused during an outage and did not notice it is not enough, because all registrations that expired in it would be dropped at once.

--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/EndpointDirectory.h>
 
+#include <algorithm>
 #include <set>
 
 namespace Chicorydock {
@@ -63,7 +64,11 @@
     m_isStoreReachable = isReachable;
 }
 
-void EndpointDirectory::recordStoreAvailable(MonotonicTime) { }
+void EndpointDirectory::recordStoreAvailable(MonotonicTime since)
+{
+    if (m_isStoreReachable)
+        m_reachableSince = std::min(m_reachableSince, since);
+}
 
 bool EndpointDirectory::markReplaced(const std::string& id)
 {
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -34,8 +34,8 @@
     /// Records whether the store responds.
     void setStoreReachable(bool, MonotonicTime now);
 
-    /// Records that the store has been available since then according to other nodes, so that this node was only cut off
-    /// from it. Registrations that are missing were removed while their endpoints could renew them.
+    /// Records that the store has been available since then according to other nodes, so that this node was only cut
+    /// off from it. Registrations that are missing were removed while their endpoints could renew them.
     void recordStoreAvailable(MonotonicTime since);
 
     /// Excludes an endpoint whose address now belongs to another one, until its registration changes. Returns whether
@@ -86,6 +86,7 @@
     /// Endpoints whose addresses belong to others.
     std::set<std::string> m_replaced;
     bool m_isStoreReachable { true };
+    /// Time since which the store is known to be available.
     MonotonicTime m_reachableSince;
 };
 
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Error.h>
 #include <LibCore/SocketAddress.h>
+#include <LibGateway/StoreAvailability.h>
 
 #include <QNetworkDatagram>
 #include <glog/logging.h>
@@ -270,6 +271,18 @@
     return nodes;
 }
 
+std::optional<MonotonicTime> PeerGroup::storeAvailableSincePeers() const
+{
+    std::vector<std::optional<MonotonicTime>> reachableSince;
+    for (const auto& [node, peer] : m_peers) {
+        if (!isReporting(peer))
+            continue;
+        const Milliseconds time = peer.report.storeReachableFor;
+        reachableSince.push_back(time.count() > 0 ? std::optional(peer.lastReportAt - time) : std::nullopt);
+    }
+    return storeAvailableSince(std::move(reachableSince));
+}
+
 size_t PeerGroup::aliveCount() const
 {
     return static_cast<size_t>(std::ranges::count_if(m_peers, [&](const auto& it) { return isReporting(it.second); }));
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -73,6 +74,9 @@
     /// Returns the other nodes of this node's failure domain that are alive and not leaving.
     std::vector<CoordinatorCandidate> domainPeers() const;
 
+    /// Returns the time since which the store has been available according to the peers, see `storeAvailableSince()`.
+    std::optional<MonotonicTime> storeAvailableSincePeers() const;
+
     /// Returns whether the node is unknown or was removed because no report was received from it for a long time. It is
     /// sent no reports.
     bool isForgotten(const std::string& node) const { return !m_peers.contains(node); }
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -33,6 +33,7 @@
     root.setSequence(report.sequence);
     root.setWaiting(report.waiting);
     root.setIsStoreReachable(report.isStoreReachable);
+    root.setStoreReachableForMs(static_cast<uint32_t>(report.storeReachableFor.count()));
     root.setIsLeaving(report.isLeaving);
     root.setIsCoordinating(report.isCoordinating);
     root.setCapacityPercent(report.capacityPercent);
@@ -68,6 +69,7 @@
         report.sequence = root.getSequence();
         report.waiting = root.getWaiting();
         report.isStoreReachable = root.getIsStoreReachable();
+        report.storeReachableFor = Milliseconds { root.getStoreReachableForMs() };
         report.isLeaving = root.getIsLeaving();
         report.isCoordinating = root.getIsCoordinating();
         report.capacityPercent = root.getCapacityPercent();
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -19,6 +19,8 @@
     /// Number of online requests that are queued for a slot.
     uint32_t waiting { 0 };
     bool isStoreReachable { false };
+    /// Time for which the node has reached the store without interruption, 0 if it does not reach it or does not say.
+    Milliseconds storeReachableFor { 0 };
     bool isLeaving { false };
     /// Whether the node allocates slots, for itself or for others, so that its slot use concerns all other nodes that
     /// do so.
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -23,6 +23,8 @@
   slotReply @10 :SlotReply;
   # Processor capacity of the node in percent of a core; 0 if unknown.
   capacityPercent @11 :UInt32;
+  # Time for which the node has reached the store without interruption; 0 if it does not reach it or does not say.
+  storeReachableForMs @12 :UInt32;
 }
 
 # The number of slots of one endpoint that the node has allocated.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -240,6 +240,8 @@
 
   inline  ::uint32_t getCapacityPercent() const;
 
+  inline  ::uint32_t getStoreReachableForMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -324,6 +326,9 @@
   inline  ::uint32_t getCapacityPercent();
   inline void setCapacityPercent( ::uint32_t value);
 
+  inline  ::uint32_t getStoreReachableForMs();
+  inline void setStoreReachableForMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1615,6 +1620,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LoadReport::Reader::getStoreReachableForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getStoreReachableForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setStoreReachableForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t EndpointUse::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -114,8 +114,18 @@
 
     void onReachableChanged(bool isReachable) override
     {
+        const MonotonicTime now = m_gateway.m_clock.now();
         m_gateway.m_log.record("store", isReachable ? "regained" : "lost", "endpoints");
-        m_gateway.m_directory.setStoreReachable(isReachable, m_gateway.m_clock.now());
+        m_gateway.m_directory.setStoreReachable(isReachable, now);
+        m_reachableSince = isReachable ? std::optional(now) : std::nullopt;
+    }
+
+    /// Returns the time for which the registrations have been followed without interruption, 0 if they are not.
+    Milliseconds reachableFor() const
+    {
+        if (!m_reachableSince)
+            return Milliseconds { 0 };
+        return std::chrono::ceil<Milliseconds>(m_gateway.m_clock.now() - *m_reachableSince);
     }
 
 private:
@@ -128,6 +138,7 @@
     }
 
     Gateway& m_gateway;
+    std::optional<MonotonicTime> m_reachableSince;
 };
 
 class Gateway::StatusHandler final : public HttpHandler {
@@ -239,6 +250,8 @@
 
 void Gateway::applyRemovals()
 {
+    if (const auto since = m_peers.storeAvailableSincePeers())
+        m_directory.recordStoreAvailable(*since);
     const std::vector<std::string> removed = m_directory.applyRemovals(m_clock.now());
     for (const std::string& it : removed)
         m_log.record("endpoint", "removed", it, {}, { { "deferred", true } });
@@ -256,6 +269,7 @@
     PeerReport report;
     report.waiting = m_scheduler.waitingOnline();
     report.isStoreReachable = m_jobFollower->isReachable();
+    report.storeReachableFor = m_endpointListener->reachableFor();
     report.isLeaving = m_isStopping;
     report.capacityPercent = capacityPercent(m_settings);
     report.use = m_scheduler.ownUse();
@@ -292,7 +306,9 @@
 void Gateway::reportStoreReachability()
 {
     // After an outage of the store, a peer that does not hear soon that this node is back takes over its jobs.
-    if (std::exchange(m_reportedReachable, m_jobFollower->isReachable()) != m_reportedReachable)
+    // Peers that were cut off themselves conclude from it that the store was available.
+    const std::pair reachable { m_jobFollower->isReachable(), m_endpointFollower->isReachable() };
+    if (std::exchange(m_reportedReachable, reachable) != reachable)
         m_peers.announce();
 }
 
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -99,7 +99,8 @@
     /// Coordinator in the latest log line about it.
     std::string m_loggedCoordinator;
     uint64_t m_reportedUse { 0 };
-    bool m_reportedReachable { false };
+    /// Whether the feeds of jobs and of endpoints reached the store in the latest announcement.
+    std::pair<bool, bool> m_reportedReachable { false, false };
     bool m_isStopping { false };
     MonotonicTime m_stopStartedAt;
     std::function<void()> m_onStopped;
--- a/Tests/LibGateway/TestPeerGroup.cpp
+++ b/Tests/LibGateway/TestPeerGroup.cpp
@@ -48,6 +48,7 @@
     PeerNode second("n2", "z3", clock);
     second.ownReport.waiting = 7;
     second.ownReport.isStoreReachable = true;
+    second.ownReport.storeReachableFor = Milliseconds { 60'000 };
     first.group.addAddress("n2", second.address);
     REQUIRE(waitFor([&] { return first.group.isAlive("n2") && second.group.isAlive("n1"); }));
     CHECK(first.received["n2"].waiting == 7);
@@ -55,6 +56,8 @@
     CHECK(first.group.canRunJobs("n2"));
     CHECK(first.group.nodesForJobs() == std::vector<std::string> { "n2" });
     CHECK_FALSE(second.group.canRunJobs("n1"));
+    CHECK(first.group.storeAvailableSincePeers() < clock.now() - Milliseconds { 30'000 });
+    CHECK_FALSE(second.group.storeAvailableSincePeers());
 
     // A change is reported without waiting for the next heartbeat.
     second.ownReport.isLeaving = true;
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -45,6 +45,7 @@
     report.sequence = 77;
     report.waiting = 3;
     report.isStoreReachable = true;
+    report.storeReachableFor = Milliseconds { 4'200 };
     report.isLeaving = true;
     report.isCoordinating = true;
     report.capacityPercent = 12;
