TableFollower: Ask for an immediate response while the store is out of reach

While the store is out of reach, the feed is asked with no wait, so that a call fails after 0.7 s and the worst case is 1.2 s (both derived). The test fails without the change: the call waits for changes.

--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -82,7 +82,9 @@
 
 void TableFollower::follow()
 {
-    m_store.changes(m_options.table, m_version, m_options.wait, [this](const StoreResult<RowPage>& result) {
+    // Without contact to the store, a call that waits would also take that much longer to fail.
+    const Milliseconds wait = m_isReachable ? m_options.wait : Milliseconds { 0 };
+    m_store.changes(m_options.table, m_version, wait, [this](const StoreResult<RowPage>& result) {
         if (const auto* page = std::get_if<RowPage>(&result))
             handleChanges(*page);
         else
--- a/Tests/LibPlatform/TestTableFollower.cpp
+++ b/Tests/LibPlatform/TestTableFollower.cpp
@@ -88,3 +88,20 @@
     CHECK(fixture.listener.isReachable);
     CHECK(fixture.listener.listings == (isHistoryLost ? 2 : 1));
 }
+
+// Guards against a node that notices long after a separation that it reaches the store again, because a call that was
+// started during the separation waits for changes (incident a23f).
+TEST_CASE("a follower that has lost the store asks it for an immediate response")
+{
+    Fixture fixture;
+    fixture.follower.start();
+    REQUIRE(fixture.deliverUntil([&] { return fixture.listener.listings == 1; }));
+    CHECK(fixture.store.feedWait > Milliseconds { 0 });
+    fixture.store.isDown = true;
+    REQUIRE(fixture.deliverUntil([&] { return !fixture.listener.isReachable; }));
+    REQUIRE(waitFor([&] { return fixture.store.waitingCalls() > 0; }));
+    CHECK(fixture.store.feedWait == Milliseconds { 0 });
+    fixture.store.isDown = false;
+    REQUIRE(fixture.deliverUntil([&] { return fixture.listener.isReachable; }));
+    CHECK(fixture.store.feedWait > Milliseconds { 0 });
+}
--- a/Tests/Support/MemoryRowStore.h
+++ b/Tests/Support/MemoryRowStore.h
@@ -36,6 +36,8 @@
     Fault commitFault { Fault::None };
     bool isDown { false };
     uint64_t commits { 0 };
+    /// Time for which the latest call waits for changes.
+    Milliseconds feedWait { 0 };
 
     void read(const RowRange& range, Reply<RowPage> reply) override
     {
@@ -68,8 +70,9 @@
         return std::chrono::duration_cast<Milliseconds>(m_clock.now().time_since_epoch());
     }
 
-    void changes(const std::string& table, uint64_t after, Milliseconds, Reply<RowPage> reply) override
+    void changes(const std::string& table, uint64_t after, Milliseconds wait, Reply<RowPage> reply) override
     {
+        feedWait = wait;
         post([this, table, after, reply] {
             if (isDown)
                 return reply(downFailure());
