--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -227,7 +227,8 @@
         return;
     m_log.record("configuration", "in_force", std::to_string(configuration->version), {},
         { { "previous", static_cast<qint64>(m_environment.configuration->version) },
-            { "routes", static_cast<qint64>(configuration->routes.size()) } });
+            { "routes", static_cast<qint64>(configuration->routes.size()) },
+            { "bytes", static_cast<qint64>(document.size()) } });
     HttpServerLimits limits = serverLimits(m_settings);
     limits.maxBodyBytes = static_cast<qint64>(configuration->limits.maxBodyBytes);
     limits.maxHeaderBytes = static_cast<qint64>(configuration->limits.maxHeaderBytes);
