LibGateway: Let two nodes of a failure domain read the configuration for all

Each node read the whole document from the store: 44 nodes, 330 KB each, two versions within 1.1 s, over one link of 60 Mbit/s. Evidence: the far nodes received 41 MB in 4 s, five times what they receive otherwise, only they are late, their other feeds time out meanwhile, and some 40 endpoints of the region lose their registrations because their own writes do not get through. After the loss of all power with 4,200 routes the same nodes are not ready for 20 to 39 s.

Ruled out: the store and the operator (the nodes of the near region have the version 0.1 s after it is accepted), and decoding on weak VMs (the weak VMs of the near region are not late).

In a failure domain of more than six nodes, the two nodes that may coordinate it are now its sources: they follow the row in the store, report which version they have, and the others get it from them, compressed to a tenth. A node reads the store itself if no source of its failure domain is alive and in touch with the store, or if it has not got a newer version from peers for 0.8 s. In a deployment of more than 24 nodes the ones that start together read the store one after the other, and ask peers first. ConfigurationPlan has the decisions, ConfigurationFollower carries them out; Gateway keeps only what it does with a new configuration.

--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -41,6 +41,13 @@
         return { QHostAddress(native), ntohs(reinterpret_cast<const sockaddr_in*>(native)->sin_port) };
     }
 
+    std::string formatAddress(const QHostAddress& host, uint16_t port)
+    {
+        const std::string text = host.toString().toStdString();
+        const bool isIPv6 = host.protocol() == QAbstractSocket::IPv6Protocol;
+        return (isIPv6 ? "[" + text + "]" : text) + ":" + std::to_string(port);
+    }
+
 }
 
 PeerGroup::PeerGroup(
@@ -95,7 +102,9 @@
     const auto distance = static_cast<size_t>(peer.distance);
     if (m_isCoordinating && peer.report.isCoordinating)
         return heartbeatInterval(peer.distance, m_coordinatorCounts.at(distance));
-    return livenessInterval(peer.distance, m_peerCounts.at(distance));
+    const Milliseconds interval = livenessInterval(peer.distance, m_peerCounts.at(distance));
+    const bool isSourceOfPeer = m_isConfigurationSource && peer.distance == PeerDistance::FailureDomain;
+    return isSourceOfPeer ? std::min(interval, messageInterval) : interval;
 }
 
 Milliseconds PeerGroup::pauseAfterReport(const Peer& peer) const
@@ -119,6 +128,15 @@
     sendReports();
 }
 
+void PeerGroup::announceToDomain()
+{
+    for (auto& [node, peer] : m_peers) {
+        if (peer.distance == PeerDistance::FailureDomain)
+            peer.sentAt = {};
+    }
+    sendReports();
+}
+
 void PeerGroup::scheduleReports()
 {
     bool hasReceivers = false;
@@ -283,6 +301,18 @@
     return storeAvailableSince(std::move(reachableSince));
 }
 
+std::vector<ConfigurationOffer> PeerGroup::configurationOffers() const
+{
+    std::vector<ConfigurationOffer> offers;
+    for (const auto& [node, peer] : m_peers) {
+        if (!isReporting(peer) || peer.report.isLeaving || peer.report.configurationVersion == 0)
+            continue;
+        offers.push_back({ node, formatAddress(peer.host, peer.port), peer.distance, peer.report.configurationVersion,
+            peer.report.isConfigurationSource });
+    }
+    return offers;
+}
+
 size_t PeerGroup::aliveCount() const
 {
     return static_cast<size_t>(std::ranges::count_if(m_peers, [&](const auto& it) { return isReporting(it.second); }));
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibGateway/ConfigurationOffer.h>
 #include <LibGateway/CoordinatorChoice.h>
 #include <LibGateway/JobController.h>
 #include <LibGateway/PeerReport.h>
@@ -23,7 +24,7 @@
 /// datagrams: each replaces the previous one, so a lost report is made up for by the next.
 ///
 /// Thread safety: used on the thread that created it.
-class PeerGroup final : public QObject, public JobPeers {
+class PeerGroup final : public QObject, public JobPeers, public ConfigurationPeers {
 public:
     struct Options {
         std::string node;
@@ -50,12 +51,19 @@
     /// Records whether this node allocates slots. Only such nodes send each other the changes of their slot use.
     void setCoordinating(bool);
 
+    /// Records whether the other nodes of the failure domain rely on this one for the configuration, so that they must
+    /// notice soon if it fails.
+    void setConfigurationSource(bool isSource) { m_isConfigurationSource = isSource; }
+
     /// Schedules reports to the peers that allocate slots, because the slot use of this node has changed.
     void scheduleReports();
 
     /// Sends a report to all peers at once, because this node is leaving, or has lost or regained the store.
     void announce();
 
+    /// Sends a report to the peers of the failure domain at once, because this node has a newer configuration.
+    void announceToDomain();
+
     /// Sends a slot message to a peer at once. Nothing is sent to an unknown peer.
     void send(const std::string& node, const SlotReport&);
     void send(const std::string& node, const SlotReply&);
@@ -69,6 +77,8 @@
     /// Returns the other nodes that can run jobs.
     std::vector<std::string> nodesForJobs() const override;
 
+    std::vector<ConfigurationOffer> configurationOffers() const override;
+
     size_t aliveCount() const;
 
     /// Returns the other nodes of this node's failure domain that are alive and not leaving.
@@ -120,6 +130,7 @@
     std::array<size_t, peerDistanceCount> m_peerCounts {};
     std::array<size_t, peerDistanceCount> m_coordinatorCounts {};
     bool m_isCoordinating { false };
+    bool m_isConfigurationSource { false };
     uint64_t m_sequence { 0 };
     QTimer m_sendTimer;
 };
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -34,6 +34,8 @@
     root.setWaiting(report.waiting);
     root.setIsStoreReachable(report.isStoreReachable);
     root.setStoreReachableForMs(static_cast<uint32_t>(report.storeReachableFor.count()));
+    root.setConfigurationVersion(report.configurationVersion);
+    root.setIsConfigurationSource(report.isConfigurationSource);
     root.setIsLeaving(report.isLeaving);
     root.setIsCoordinating(report.isCoordinating);
     root.setCapacityPercent(report.capacityPercent);
@@ -70,6 +72,8 @@
         report.waiting = root.getWaiting();
         report.isStoreReachable = root.getIsStoreReachable();
         report.storeReachableFor = Milliseconds { root.getStoreReachableForMs() };
+        report.configurationVersion = root.getConfigurationVersion();
+        report.isConfigurationSource = root.getIsConfigurationSource();
         report.isLeaving = root.getIsLeaving();
         report.isCoordinating = root.getIsCoordinating();
         report.capacityPercent = root.getCapacityPercent();
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -27,6 +27,10 @@
     bool isCoordinating { false };
     /// Processor capacity of the node's VM in percent of a core, 0 if unknown.
     uint32_t capacityPercent { 0 };
+    /// Version of the configuration in force, 0 if there is none.
+    uint64_t configurationVersion { 0 };
+    /// Whether the node reads the configuration from the store for its failure domain, and reaches the store.
+    bool isConfigurationSource { false };
     /// Time within which the node sends the peer its next report, 0 if unknown.
     Milliseconds nextWithin { 0 };
     /// Slots that the node has allocated, by `SlotPeers::endpointKey()`.
--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -24,7 +24,7 @@
 {
     m_timer.setSingleShot(true);
     m_relistTimer.setSingleShot(true);
-    connect(&m_timer, &QTimer::timeout, this, [this] { m_isListed ? follow() : list(); });
+    connect(&m_timer, &QTimer::timeout, this, [this] { proceed(); });
     connect(&m_relistTimer, &QTimer::timeout, this, [this] {
         --m_pendingRelistings;
         // The pending feed call ends by itself; its changes are older than the listing or will be reported again.
@@ -33,7 +33,32 @@
     });
 }
 
-void TableFollower::start() { list(); }
+void TableFollower::start() { proceed(); }
+
+void TableFollower::pause() { m_isPaused = true; }
+
+void TableFollower::resume()
+{
+    m_isPaused = false;
+    if (std::exchange(m_isCallDue, false))
+        proceed();
+}
+
+void TableFollower::skipTo(uint64_t version)
+{
+    m_version = std::max(m_version, version);
+    m_isListed = true;
+}
+
+void TableFollower::proceed()
+{
+    if (m_isPaused)
+        m_isCallDue = true;
+    else if (m_isListed)
+        follow();
+    else
+        list();
+}
 
 void TableFollower::list()
 {
@@ -77,7 +102,7 @@
     m_version = m_listedVersion;
     m_retryDelay = Milliseconds { 0 };
     m_listener.onTableListed(std::exchange(m_listing, {}));
-    follow();
+    proceed();
 }
 
 void TableFollower::follow()
@@ -103,7 +128,7 @@
         m_timer.start(m_isListed ? m_options.changeDelay : Milliseconds { 0 });
         return;
     }
-    follow();
+    proceed();
 }
 
 void TableFollower::handleFailure(const StoreFailure& failure)
--- a/Libraries/LibPlatform/TableFollower.h
+++ b/Libraries/LibPlatform/TableFollower.h
@@ -45,12 +45,26 @@
     /// Starts with the listing. Called once.
     void start();
 
+    /// Makes no further calls until `resume()`. A call in progress ends as usual.
+    void pause();
+
+    /// Continues after `pause()`.
+    void resume();
+
+    bool isPaused() const { return m_isPaused; }
+
+    /// Makes the follower continue after this version, because the caller has got all earlier rows from elsewhere.
+    /// Replaces the listing if there has been none yet.
+    void skipTo(uint64_t version);
+
     bool isListed() const { return m_isListed; }
 
     /// Whether the store responded to the last call.
     bool isReachable() const { return m_isReachable; }
 
 private:
+    /// Makes the next call, unless paused.
+    void proceed();
     void list();
     void listPartition(size_t n, const std::string& from);
     void handleListing(size_t n, const RowPage&);
@@ -69,6 +83,9 @@
     uint64_t m_version { 0 };
     uint64_t m_listedVersion { 0 };
     bool m_isListed { false };
+    bool m_isPaused { false };
+    /// Whether a call was due while paused.
+    bool m_isCallDue { false };
     bool m_isReachable { false };
     Milliseconds m_retryDelay { 0 };
     QTimer m_timer;
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -110,7 +110,7 @@
     struct Gateway {
         /// `HOST:PORT` for the load balancer's readiness checks and for metrics.
         std::string statusAddress;
-        /// `HOST:PORT` on which other nodes report their load, over UDP.
+        /// `HOST:PORT` on which other nodes report their load, over UDP, and get the configuration, over TCP.
         std::string peerAddress;
         /// Region of each failure domain.
         std::map<std::string, std::string> regions;
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -25,6 +25,10 @@
   capacityPercent @11 :UInt32;
   # Time for which the node has reached the store without interruption; 0 if it does not reach it or does not say.
   storeReachableForMs @12 :UInt32;
+  # Version of the configuration in force; 0 if there is none.
+  configurationVersion @13 :UInt64;
+  # Whether the node reads the configuration from the store for its failure domain.
+  isConfigurationSource @14 :Bool;
 }
 
 # The number of slots of one endpoint that the node has allocated.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -48,7 +48,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -242,6 +242,10 @@
 
   inline  ::uint32_t getStoreReachableForMs() const;
 
+  inline  ::uint64_t getConfigurationVersion() const;
+
+  inline bool getIsConfigurationSource() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -329,6 +333,12 @@
   inline  ::uint32_t getStoreReachableForMs();
   inline void setStoreReachableForMs( ::uint32_t value);
 
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
+  inline bool getIsConfigurationSource();
+  inline void setIsConfigurationSource(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1634,6 +1644,34 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t LoadReport::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t LoadReport::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool LoadReport::Reader::getIsConfigurationSource() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<99>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadReport::Builder::getIsConfigurationSource() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<99>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setIsConfigurationSource(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<99>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t EndpointUse::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -1,10 +1,12 @@
 #include "Gateway.h"
 
+#include <LibGateway/ConfigurationPlan.h>
 #include <LibGateway/CoordinatorChoice.h>
 
 #include <QJsonDocument>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace Chicorydock {
@@ -14,13 +16,15 @@
     /// The store usually responds within 5 ms. A feed without responses must be detected within the time in which a
     /// configuration has to take effect.
     constexpr Milliseconds storeTimeout { 700 };
-    constexpr Milliseconds configurationWait { 1'200 };
     constexpr Milliseconds endpointWait { 1'200 };
     constexpr Milliseconds jobWait { 4'000 };
     constexpr Milliseconds jobPace { 700 };
 
     constexpr Milliseconds tickInterval { 250 };
 
+    /// Longest time for which the configuration waits for the list of nodes at the start.
+    constexpr Milliseconds nodeListTimeout { 300 };
+
     /// The load balancer checks readiness once a second, and detects within two checks that a node is not ready.
     constexpr Milliseconds drainDelay { 2'300 };
     constexpr Milliseconds stopCheckInterval { 50 };
@@ -52,24 +56,18 @@
 
 }
 
-class Gateway::ConfigurationListener final : public TableListener {
+class Gateway::ConfigurationApplier final : public ConfigurationListener {
 public:
-    explicit ConfigurationListener(Gateway& gateway)
+    explicit ConfigurationApplier(Gateway& gateway)
         : m_gateway(gateway)
     {
     }
 
-    void onTableListed(const std::vector<StoredRow>& rows) override { onRowsChanged(rows); }
+    void onConfiguration(const ReceivedConfiguration& received) override { m_gateway.applyConfiguration(received); }
 
-    void onRowsChanged(const std::vector<StoredRow>& rows) override
-    {
-        for (const StoredRow& it : rows) {
-            if (it.address.key == m_gateway.m_wire.configurationKey() && !it.isRemoved)
-                m_gateway.applyConfiguration(it.value);
-        }
-    }
+    void onUnreadableConfiguration() override { m_gateway.m_log.record("configuration", "unreadable", ""); }
 
-    void onReachableChanged(bool isReachable) override
+    void onConfigurationStoreReachable(bool isReachable) override
     {
         m_gateway.m_log.record("store", isReachable ? "regained" : "lost", "configuration");
     }
@@ -183,18 +181,21 @@
     , m_exchange(m_node, m_member, m_coordinator, m_clock, exchangeHandlers())
     , m_jobs(m_environment, m_store, m_peers, m_node)
     , m_handler(m_environment, m_jobs)
-    , m_configurationListener(std::make_unique<ConfigurationListener>(*this))
+    , m_configurationApplier(std::make_unique<ConfigurationApplier>(*this))
     , m_endpointListener(std::make_unique<EndpointListener>(*this))
     , m_statusHandler(std::make_unique<StatusHandler>(*this))
-    , m_configurationFollower(std::make_unique<TableFollower>(m_store,
-          TableFollower::Options { m_wire.configurationTable(), { "" }, configurationWait }, *m_configurationListener))
+    , m_configuration(m_store, m_wire, m_peers, m_peerClient, m_clock, m_random, *m_configurationApplier)
     , m_endpointFollower(std::make_unique<TableFollower>(
           m_store, TableFollower::Options { m_wire.endpointTable(), { "" }, endpointWait }, *m_endpointListener))
     , m_jobFollower(std::make_unique<TableFollower>(
           m_store, TableFollower::Options { JobRows::recordTable, JobRows::partitions(), jobWait, jobPace }, m_jobs))
-    , m_registry(m_store, m_peers, m_node, settings.gateway->peerAddress)
+    , m_registry(m_store, m_peers, m_node, settings.gateway->peerAddress,
+          [this](const std::set<std::string>& addresses) {
+              m_configuration.start(storeReadDelay(m_settings.gateway->peerAddress, addresses));
+          })
     , m_server(m_handler, serverLimits(settings), [this](const Error& error) { return m_wire.errorAnswer(error, {}); })
     , m_statusServer(*m_statusHandler)
+    , m_peerServer(m_configuration)
 {
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
@@ -207,7 +208,8 @@
     m_peers.start();
     m_server.listen(m_settings.http.address);
     m_statusServer.listen(m_settings.gateway->statusAddress);
-    m_configurationFollower->start();
+    m_peerServer.listen(m_settings.gateway->peerAddress);
+    m_configuration.start(nodeListTimeout);
     m_endpointFollower->start();
     m_jobFollower->start();
     m_registry.start();
@@ -215,28 +217,24 @@
     m_log.record("node", "started", m_node);
 }
 
-void Gateway::applyConfiguration(const QByteArray& document)
+void Gateway::applyConfiguration(const ReceivedConfiguration& received)
 {
-    auto configuration = m_wire.decodeConfiguration(document);
-    if (!configuration) {
-        m_log.record("configuration", "unreadable", "");
-        return;
-    }
-    // A listing may be older than the version in force, which must never be replaced by an earlier one.
-    if (configuration->version <= m_environment.configuration->version)
-        return;
-    m_log.record("configuration", "in_force", std::to_string(configuration->version), {},
+    const GatewayConfiguration& configuration = received.configuration;
+    m_log.record("configuration", "in_force", std::to_string(configuration.version), {},
         { { "previous", static_cast<qint64>(m_environment.configuration->version) },
-            { "routes", static_cast<qint64>(configuration->routes.size()) },
-            { "bytes", static_cast<qint64>(document.size()) } });
+            { "routes", static_cast<qint64>(configuration.routes.size()) },
+            { "bytes", static_cast<qint64>(received.bytes) }, { "peer", QString::fromStdString(received.peer) } });
     HttpServerLimits limits = serverLimits(m_settings);
-    limits.maxBodyBytes = static_cast<qint64>(configuration->limits.maxBodyBytes);
-    limits.maxHeaderBytes = static_cast<qint64>(configuration->limits.maxHeaderBytes);
-    limits.requestTimeout = configuration->limits.headerTimeout;
-    limits.idleTimeout = configuration->limits.idleTimeout;
+    limits.maxBodyBytes = static_cast<qint64>(configuration.limits.maxBodyBytes);
+    limits.maxHeaderBytes = static_cast<qint64>(configuration.limits.maxHeaderBytes);
+    limits.requestTimeout = configuration.limits.headerTimeout;
+    limits.idleTimeout = configuration.limits.idleTimeout;
     m_server.setLimits(limits);
-    m_environment.configuration = std::make_shared<const GatewayConfiguration>(std::move(*configuration));
+    m_environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
     m_broker.schedulePoll();
+    // Other nodes may wait for this one to read it from the store.
+    if (received.peer.empty())
+        m_peers.announceToDomain();
 }
 
 void Gateway::updateSchedulerEndpoints() { m_broker.setEndpoints(m_directory.usable()); }
@@ -245,6 +243,7 @@
 {
     applyRemovals();
     updateCoordinator();
+    m_configuration.update();
     reportStoreReachability();
     m_jobs.tick();
 }
@@ -271,6 +270,8 @@
     report.waiting = m_scheduler.waitingOnline();
     report.isStoreReachable = m_jobFollower->isReachable();
     report.storeReachableFor = m_endpointListener->reachableFor();
+    report.configurationVersion = m_configuration.version();
+    report.isConfigurationSource = m_configuration.isActiveSource();
     report.isLeaving = m_isStopping;
     report.capacityPercent = capacityPercent(m_settings);
     report.use = m_scheduler.ownUse();
@@ -297,8 +298,13 @@
 void Gateway::updateCoordinator()
 {
     const CoordinatorCandidate self { m_node, capacityPercent(m_settings) };
-    m_member.setCandidates(
-        chooseCoordinators(self, m_settings.node.failureDomain, m_peers.domainPeers()), m_clock.now());
+    const std::vector<std::string> coordinators
+        = chooseCoordinators(self, m_settings.node.failureDomain, m_peers.domainPeers());
+    m_member.setCandidates(coordinators, m_clock.now());
+    // The nodes that may allocate the slots of a failure domain are also its sources of the configuration.
+    const bool isSource = std::ranges::find(coordinators, m_node) != coordinators.end();
+    m_configuration.setSource(isSource);
+    m_peers.setConfigurationSource(isSource);
     recordCoordinator();
     reportSlotUse();
     m_exchange.schedule();
@@ -330,6 +336,8 @@
         m_scheduler.setPeerUse(report.node, { report.failureDomain, report.use, report.waiting, lifetime }, now);
     else
         m_scheduler.removePeer(report.node);
+    if (report.configurationVersion > m_configuration.version())
+        m_configuration.update();
     if (report.slotReport)
         m_exchange.receive(report.node, *report.slotReport);
     if (report.slotReply)
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -4,6 +4,7 @@
 
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
+#include <LibGateway/ConfigurationFollower.h>
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/PeerGroup.h>
 #include <LibGateway/SlotExchange.h>
@@ -43,14 +44,14 @@
     void recordReload();
 
 private:
-    /// Applies the operator's configuration when its row in the store changes.
-    class ConfigurationListener;
+    /// Applies the operator's configuration when it changes.
+    class ConfigurationApplier;
     /// Updates the endpoint directory when registrations in the store change.
     class EndpointListener;
     /// Serves the load balancer's readiness checks and the metrics.
     class StatusHandler;
 
-    void applyConfiguration(const QByteArray& document);
+    void applyConfiguration(const ReceivedConfiguration&);
     void updateSchedulerEndpoints();
     void tick();
     void applyRemovals();
@@ -74,6 +75,7 @@
     MetricsRegistry m_metrics;
     PooledHttpClient m_endpointClient;
     PooledHttpClient m_storeClient;
+    PooledHttpClient m_peerClient;
     PlatformRowStore m_store;
     EndpointDirectory m_directory;
     SlotScheduler m_scheduler;
@@ -85,15 +87,17 @@
     SlotExchange m_exchange;
     JobController m_jobs;
     GatewayHandler m_handler;
-    std::unique_ptr<ConfigurationListener> m_configurationListener;
+    std::unique_ptr<ConfigurationApplier> m_configurationApplier;
     std::unique_ptr<EndpointListener> m_endpointListener;
     std::unique_ptr<StatusHandler> m_statusHandler;
-    std::unique_ptr<TableFollower> m_configurationFollower;
+    ConfigurationFollower m_configuration;
     std::unique_ptr<TableFollower> m_endpointFollower;
     std::unique_ptr<TableFollower> m_jobFollower;
     NodeRegistry m_registry;
     HttpServer m_server;
     HttpServer m_statusServer;
+    /// Serves the configuration to other nodes.
+    HttpServer m_peerServer;
     QTimer m_tickTimer;
     QTimer m_stopTimer;
     /// Coordinator in the latest log line about it.
--- a/Services/chicorydockd/NodeRegistry.cpp
+++ b/Services/chicorydockd/NodeRegistry.cpp
@@ -20,11 +20,13 @@
 
 }
 
-NodeRegistry::NodeRegistry(RowStore& store, PeerGroup& peers, std::string node, std::string address)
+NodeRegistry::NodeRegistry(
+    RowStore& store, PeerGroup& peers, std::string node, std::string address, ListingHandler onListed)
     : m_store(store)
     , m_peers(peers)
     , m_node(std::move(node))
     , m_address(std::move(address))
+    , m_onListed(std::move(onListed))
     , m_follower(store, { nodeTable, { "" }, followWait, followPace }, *this)
 {
     m_writeTimer.setSingleShot(true);
@@ -62,7 +64,14 @@
     });
 }
 
-void NodeRegistry::onTableListed(const std::vector<StoredRow>& rows) { onRowsChanged(rows); }
+void NodeRegistry::onTableListed(const std::vector<StoredRow>& rows)
+{
+    onRowsChanged(rows);
+    std::set<std::string> addresses { m_address };
+    for (const StoredRow& it : rows)
+        addresses.insert(it.value.toStdString());
+    m_onListed(addresses);
+}
 
 void NodeRegistry::onRowsChanged(const std::vector<StoredRow>& rows)
 {
--- a/Services/chicorydockd/NodeRegistry.h
+++ b/Services/chicorydockd/NodeRegistry.h
@@ -3,7 +3,9 @@
 #include <LibGateway/PeerGroup.h>
 #include <LibPlatform/TableFollower.h>
 
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace Chicorydock {
@@ -13,8 +15,11 @@
 /// Thread safety: used on the main thread.
 class NodeRegistry final : public QObject, private TableListener {
 public:
+    /// Receives the addresses of all registered nodes, this one included. Some nodes may be gone.
+    using ListingHandler = std::function<void(const std::set<std::string>& addresses)>;
+
     /// The store and the peers must outlive the registry. `address` is where this node receives the reports of peers.
-    NodeRegistry(RowStore&, PeerGroup&, std::string node, std::string address);
+    NodeRegistry(RowStore&, PeerGroup&, std::string node, std::string address, ListingHandler);
 
     void start();
 
@@ -33,6 +38,7 @@
     PeerGroup& m_peers;
     const std::string m_node;
     const std::string m_address;
+    const ListingHandler m_onListed;
     /// Versions of the rows of other nodes.
     std::map<std::string, uint64_t> m_nodes;
     bool m_isLeaving { false };
--- a/Tests/LibGateway/ConfigurationWorld.h
+++ b/Tests/LibGateway/ConfigurationWorld.h
@@ -1,6 +1,9 @@
 #pragma once
 
-#include <LibPlatform/TableFollower.h>
+#include <LibCore/SeededRandom.h>
+#include <LibGateway/ConfigurationFollower.h>
+#include <LibGateway/ConfigurationPlan.h>
+#include <Tests/Support/FakeExchange.h>
 #include <Tests/Support/SimulatedClock.h>
 #include <Tests/Support/SimulatedEventLoop.h>
 #include <platform/PlatformWireFormat.h>
@@ -12,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -92,6 +96,67 @@
     QObject m_timers;
 };
 
+/// Calls between the nodes of a failure domain, which have links of 30 Mbit/s.
+class DomainHttpClient final : public HttpClient {
+public:
+    /// Returns the handler of the node at an address, null if the node is down.
+    using FindHandler = std::function<HttpHandler*(const std::string& address)>;
+
+    explicit DomainHttpClient(FindHandler find)
+        : m_find(std::move(find))
+    {
+    }
+
+    std::unique_ptr<HttpCall> start(const HttpCallRequest& request, HttpCallObserver& observer) override
+    {
+        auto call = std::make_unique<Call>(observer);
+        HttpHandler* const handler = m_find(request.address);
+        if (!handler) {
+            call->failAfter(request.connectTimeout);
+            return call;
+        }
+        const auto exchange = std::make_shared<FakeExchange>(
+            HttpRequest { .method = request.method, .path = request.target, .target = request.target });
+        handler->handle(exchange);
+        call->answerAfter(
+            Milliseconds { 2 + exchange->response->body.size() / bytesPerMillisecond }, *exchange->response);
+        return call;
+    }
+
+private:
+    static constexpr qsizetype bytesPerMillisecond = 30'000'000 / 8 / 1'000;
+
+    class Call final : public HttpCall {
+    public:
+        explicit Call(HttpCallObserver& observer)
+            : m_observer(observer)
+        {
+        }
+
+        void failAfter(Milliseconds time)
+        {
+            QTimer::singleShot(time, &m_timers, [this] {
+                m_observer.onFailed({ HttpFailure::Phase::NotSent, HttpFailure::Reason::TimedOut, "node is down" });
+            });
+        }
+
+        void answerAfter(Milliseconds time, const HttpResponse& response)
+        {
+            QTimer::singleShot(time, &m_timers, [this, response] {
+                m_observer.onHeaders(response.status, response.headers);
+                m_observer.onData(response.body);
+                m_observer.onFinished();
+            });
+        }
+
+    private:
+        HttpCallObserver& m_observer;
+        QObject m_timers;
+    };
+
+    const FindHandler m_find;
+};
+
 /// Nodes of one region that share a link to the store.
 class ConfigurationWorld {
 public:
@@ -103,17 +168,30 @@
     {
         for (size_t domain = 0; domain < nodes.size(); ++domain) {
             for (size_t n = 0; n < nodes[domain]; ++n)
-                m_nodes.push_back(std::make_unique<Node>(*this));
+                m_nodes.push_back(std::make_unique<Node>(*this, domain, std::to_string(m_nodes.size())));
         }
     }
 
     /// Accepts a version of the configuration with that many routes.
     void put(uint64_t version, size_t routes) { store.put(document(version, routes)); }
 
+    /// Starts all nodes at the same time.
     void start()
     {
+        std::set<std::string> addresses;
         for (const auto& it : m_nodes)
-            it->follower.start();
+            addresses.insert(it->name);
+        for (const auto& it : m_nodes)
+            it->follower.start(storeReadDelay(it->name, addresses));
+    }
+
+    /// Stops the nodes of a failure domain that read the store for it.
+    void stopSources(size_t domain)
+    {
+        for (const auto& it : m_nodes) {
+            if (it->domain == domain && it->follower.isActiveSource())
+                it->stoppedAt = clock.now();
+        }
     }
 
     void run(Milliseconds time)
@@ -121,14 +199,16 @@
         for (Milliseconds n { 0 }; n < time; ++n) {
             clock.advance(Milliseconds { 1 });
             m_loop.advance(Milliseconds { 1 });
+            if (n.count() % reportInterval.count() == 0)
+                exchangeReports();
         }
     }
 
-    /// Returns the number of nodes that have at least that version in force.
+    /// Returns the number of running nodes that have at least that version in force.
     size_t nodesWith(uint64_t version) const
     {
-        return static_cast<size_t>(
-            std::ranges::count_if(m_nodes, [&](const auto& it) { return it->version >= version; }));
+        return static_cast<size_t>(std::ranges::count_if(
+            m_nodes, [&](const auto& it) { return !it->stoppedAt && it->follower.version() >= version; }));
     }
 
     SimulatedClock clock;
@@ -136,30 +216,76 @@
     RemoteConfigurationStore store { link };
 
 private:
-    struct Node final : TableListener {
-        explicit Node(ConfigurationWorld& world)
-            : follower(world.store, { world.m_wire.configurationTable(), { "" }, Milliseconds { 1'200 } }, *this)
+    /// Interval at which nodes notice changes of others.
+    static constexpr Milliseconds reportInterval { 50 };
+
+    /// Time after which a stopped node is considered dead.
+    static constexpr Milliseconds livenessTimeout { 1'600 };
+
+    static constexpr size_t sourcesPerDomain = 2;
+
+    struct Node final : ConfigurationPeers, ConfigurationListener {
+        Node(ConfigurationWorld& world, size_t domainNumber, std::string nodeName)
+            : domain(domainNumber)
+            , name(std::move(nodeName))
             , m_world(world)
+            , m_client([&world](const std::string& address) { return world.findHandler(address); })
+            , follower(world.store, world.m_wire, *this, m_client, world.clock, world.m_random, *this)
         {
         }
 
-        void onTableListed(const std::vector<StoredRow>& rows) override { onRowsChanged(rows); }
-        void onRowsChanged(const std::vector<StoredRow>& rows) override
-        {
-            for (const StoredRow& it : rows) {
-                if (const auto configuration = m_world.m_wire.decodeConfiguration(it.value))
-                    version = std::max(version, configuration->version);
-            }
-        }
-        void onReachableChanged(bool) override { }
+        std::vector<ConfigurationOffer> configurationOffers() const override { return m_world.offersTo(*this); }
+        void onConfiguration(const ReceivedConfiguration&) override { }
+        void onUnreadableConfiguration() override { }
+        void onConfigurationStoreReachable(bool) override { }
 
-        TableFollower follower;
-        uint64_t version { 0 };
+        const size_t domain;
+        const std::string name;
+        std::optional<MonotonicTime> stoppedAt;
 
     private:
         ConfigurationWorld& m_world;
+        DomainHttpClient m_client;
+
+    public:
+        ConfigurationFollower follower;
     };
 
+    bool isConsideredAlive(const Node& node) const
+    {
+        return !node.stoppedAt || clock.now() < *node.stoppedAt + livenessTimeout;
+    }
+
+    HttpHandler* findHandler(const std::string& address)
+    {
+        const auto it = std::ranges::find(m_nodes, address, [](const auto& node) { return node->name; });
+        return (*it)->stoppedAt ? nullptr : &(*it)->follower;
+    }
+
+    std::vector<ConfigurationOffer> offersTo(const Node& node) const
+    {
+        std::vector<ConfigurationOffer> offers;
+        for (const auto& it : m_nodes) {
+            if (it.get() == &node || !isConsideredAlive(*it) || it->follower.version() == 0)
+                continue;
+            const PeerDistance distance
+                = it->domain == node.domain ? PeerDistance::FailureDomain : PeerDistance::Region;
+            offers.push_back({ it->name, it->name, distance, it->follower.version(), it->follower.isActiveSource() });
+        }
+        return offers;
+    }
+
+    void exchangeReports()
+    {
+        std::map<size_t, size_t> sources;
+        for (const auto& it : m_nodes) {
+            if (isConsideredAlive(*it) && sources[it->domain]++ < sourcesPerDomain)
+                it->follower.setSource(true);
+            if (!it->stoppedAt)
+                it->follower.update();
+        }
+    }
+
     static QByteArray document(uint64_t version, size_t routes)
     {
         QByteArray text = "{\"version\":" + QByteArray::number(static_cast<qulonglong>(version)) + ",\"routes\":[";
@@ -175,6 +301,7 @@
 
     SimulatedEventLoop& m_loop;
     PlatformWireFormat m_wire;
+    SeededRandom m_random { 1 };
     std::vector<std::unique_ptr<Node>> m_nodes;
 };
 
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -46,6 +46,8 @@
     report.waiting = 3;
     report.isStoreReachable = true;
     report.storeReachableFor = Milliseconds { 4'200 };
+    report.configurationVersion = uint64_t { 1 } << 40U;
+    report.isConfigurationSource = true;
     report.isLeaving = true;
     report.isCoordinating = true;
     report.capacityPercent = 12;
--- a/Tests/LibPlatform/TestTableFollower.cpp
+++ b/Tests/LibPlatform/TestTableFollower.cpp
@@ -105,3 +105,22 @@
     REQUIRE(fixture.deliverUntil([&] { return fixture.listener.isReachable; }));
     CHECK(fixture.store.feedWait > Milliseconds { 0 });
 }
+
+// Guards against calls of a paused follower, and against changes that it misses after the pause.
+TEST_CASE("a paused follower makes no calls, and afterwards reports what changed meanwhile")
+{
+    Fixture fixture;
+    fixture.follower.start();
+    REQUIRE(fixture.deliverUntil([&] { return fixture.listener.listings == 1; }));
+    fixture.follower.pause();
+    fixture.store.deliver();
+    CHECK(fixture.store.waitingCalls() == 0);
+    fixture.store.put({ "t", "p0", "a" }, "1");
+    fixture.store.put({ "t", "p0", "b" }, "2");
+    // The caller got the first change from elsewhere.
+    fixture.follower.skipTo(fixture.store.find({ "t", "p0", "a" })->version);
+    fixture.follower.resume();
+    REQUIRE(fixture.store.deliverOne());
+    CHECK(fixture.listener.rows == std::map<std::string, QByteArray> { { "b", "2" } });
+    CHECK(fixture.listener.listings == 1);
+}
