--- a/Libraries/LibCore/ErrorKind.h
+++ b/Libraries/LibCore/ErrorKind.h
@@ -22,6 +22,7 @@
     NotReady,
     ShuttingDown,
     PlatformUnavailable,
+    PromptQuarantined,
     InvalidConfiguration,
     Conflict,
     CallInProgress,
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -69,6 +69,7 @@
     , m_arrival(environment.clock.now())
     , m_deadline(callDeadline(m_request, route, m_arrival))
     , m_slot(environment.broker)
+    , m_prompt(environment.quarantine, environment.clock, m_request.promptParts)
     , m_lastEventId(m_request.lastEventId.value_or(0))
 {
     for (QTimer* it : { &m_deadlineTimer, &m_idleTimer })
@@ -88,10 +89,22 @@
 {
     m_service = chooseService(m_route, m_environment.random.unit());
     m_exchange->setCallerDisconnectedHandler([this] { handleCallerDisconnected(); });
+    if (refuseIfQuarantined())
+        return;
     m_deadlineTimer.start(std::max(Milliseconds { 0 }, timeLeft()));
     requestSlot();
 }
 
+bool ForwardedCall::refuseIfQuarantined()
+{
+    const auto retryAfter = m_prompt.refusal();
+    if (!retryAfter)
+        return false;
+    refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::PromptQuarantined,
+        "endpoints crash on a part of the prompt", retryAfter);
+    return true;
+}
+
 Milliseconds ForwardedCall::timeLeft() const { return milliseconds(m_deadline - m_environment.clock.now()); }
 
 void ForwardedCall::requestSlot()
@@ -121,6 +134,11 @@
         requestSlot();
         return;
     }
+    // The part may have been quarantined while the request was queued.
+    if (refuseIfQuarantined()) {
+        m_slot.release(EndpointOutcome::Cancelled);
+        return;
+    }
     send(*record);
 }
 
@@ -144,6 +162,7 @@
     m_head = {};
     m_body.clear();
     m_receivedBytes = 0;
+    m_prompt.begin(endpoint);
     HttpCallRequest call { .address = endpoint.address,
         .method = request.method,
         .target = request.target,
@@ -203,6 +222,7 @@
         return;
     }
     for (const StreamEvent& it : m_events.consume(data)) {
+        m_prompt.recordEvent();
         if (it.id && m_lastEventId > 0 && *it.id > m_lastEventId + 1) {
             abandonCall("the event stream of the endpoint has a gap");
             return;
@@ -270,6 +290,7 @@
         handleFailedAttempt("the event stream of the endpoint ended within an event");
         return;
     }
+    m_prompt.recordAnswer();
     m_slot.release(EndpointOutcome::Answered);
     beginStream();
     m_exchange->finishStream();
@@ -283,6 +304,8 @@
         handleFailedAttempt("the endpoint answered " + std::to_string(m_head.status));
         return;
     }
+    if (!isFailure)
+        m_prompt.recordAnswer();
     m_slot.release(EndpointOutcome::Answered);
     m_firstByteAt = m_environment.clock.now();
     if (m_hasStreamBegun) {
@@ -306,6 +329,7 @@
     m_idleTimer.stop();
     m_call.reset();
     if (failure.phase != HttpFailure::Phase::NotSent) {
+        m_prompt.recordFailure(failure);
         handleFailedAttempt(failure.message);
         return;
     }
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/EventStreamReader.h>
 #include <LibGateway/GatewayEnvironment.h>
+#include <LibGateway/PromptAttempts.h>
 #include <LibGateway/SlotHandle.h>
 #include <LibHTTP/HttpExchange.h>
 
@@ -54,6 +55,8 @@
     /// Ends the call because the endpoint is not sound, and retries the request or reports the error.
     void abandonCall(const std::string& reason);
     bool canRetryElsewhere() const;
+    /// Refuses the request if endpoints crash on a part of its prompt. Returns whether it did.
+    bool refuseIfQuarantined();
     void handleIdleTimeout();
     void handleDeadline();
     void handleCallerDisconnected();
@@ -79,6 +82,7 @@
     std::string m_service;
 
     SlotHandle m_slot;
+    PromptAttempts m_prompt;
     std::string m_endpoint;
     std::vector<std::string> m_excluded;
     std::unique_ptr<HttpCall> m_call;
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -4,6 +4,7 @@
 #include <LibCore/Random.h>
 #include <LibGateway/EndpointDirectory.h>
 #include <LibGateway/GatewayConfiguration.h>
+#include <LibGateway/PromptQuarantine.h>
 #include <LibGateway/SlotBroker.h>
 #include <LibGateway/WireFormat.h>
 #include <LibHTTP/HttpClient.h>
@@ -29,6 +30,7 @@
     HttpClient& http;
     SlotBroker& broker;
     EndpointDirectory& directory;
+    PromptQuarantine& quarantine;
     EventLog& log;
     MetricsRegistry& metrics;
     /// The current configuration; its version is 0 until one has been received.
@@ -39,6 +41,7 @@
     EndpointAnswerHead processAnswerHead(const std::string& endpoint, int status, const HttpHeaders& headers) const
     {
         EndpointAnswerHead head = wire.decodeAnswerHead(status, headers);
+        quarantine.recordResponse(endpoint, clock.now());
         if (head.load)
             broker.observe(endpoint, *head.load);
         const bool isExcluded = head.isLeaving && directory.markLeaving(endpoint, clock.now());
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -19,6 +19,9 @@
 
     constexpr Milliseconds retryDelay { 100 };
 
+    /// A quarantine may end early, and the item may expire during it.
+    constexpr Milliseconds maxQuarantineCheckInterval { 1'000 };
+
     /// Statuses with which the endpoint reports that this run of the item failed, or that no run can succeed.
     constexpr int failedRunStatus = 500;
     constexpr int permanentFailureStatus = 422;
@@ -31,6 +34,7 @@
     , m_item(std::move(item))
     , m_onDone(std::move(onDone))
     , m_slot(environment.broker)
+    , m_prompt(environment.quarantine, environment.clock, environment.wire.promptParts(m_item.headers))
 {
     m_retryTimer.setSingleShot(true);
     QObject::connect(&m_retryTimer, &QTimer::timeout, &m_retryTimer, [this] { requestSlot(); });
@@ -91,6 +95,11 @@
         finish(false, "the item reached the maximum wait of the route");
         return;
     }
+    // An item on which endpoints crash waits until it may be tried again, or until it expires.
+    if (const auto retryAfter = m_prompt.refusal()) {
+        m_retryTimer.start(std::min(*retryAfter, maxQuarantineCheckInterval));
+        return;
+    }
     m_idleTimeout = std::max(minEventIdleTimeout, route->gapTarget * eventIdleTimeoutFactor);
     BatchWork work;
     work.service = chooseService(*route, m_environment.random.unit());
@@ -117,6 +126,7 @@
     m_events = {};
     m_head = {};
     m_receivedBytes = 0;
+    m_prompt.begin(*record);
     const HttpCallRequest call { .address = record->address,
         .method = "POST",
         .target = m_item.path,
@@ -185,6 +195,7 @@
     if (m_head.status != 200 || !m_call)
         return;
     for (const StreamEvent& it : m_events.consume(data)) {
+        m_prompt.recordEvent();
         if (!it.id || *it.id <= m_lastEventId)
             continue;
         if (m_lastEventId > 0 && *it.id > m_lastEventId + 1) {
@@ -213,6 +224,7 @@
         return;
     }
     if (m_head.status == 200 && !m_events.hasPartialEvent()) {
+        m_prompt.recordAnswer();
         releaseSlot(EndpointOutcome::Answered);
         finish(true, "");
         return;
@@ -234,6 +246,8 @@
 void ItemRun::onFailed(const HttpFailure& failure)
 {
     endCall();
+    if (failure.phase != HttpFailure::Phase::NotSent)
+        m_prompt.recordFailure(failure);
     handleFailure(failure.message);
 }
 
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -3,6 +3,7 @@
 #include <LibGateway/EventStreamReader.h>
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/JobTypes.h>
+#include <LibGateway/PromptAttempts.h>
 #include <LibGateway/SlotHandle.h>
 
 #include <QTimer>
@@ -77,6 +78,7 @@
     const JobItem m_item;
     const std::function<void(JobResult)> m_onDone;
     SlotHandle m_slot;
+    PromptAttempts m_prompt;
     bool m_isDone { false };
     std::string m_endpoint;
     std::unique_ptr<HttpCall> m_call;
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -313,6 +313,16 @@
     return offers;
 }
 
+std::vector<std::string> PeerGroup::aliveNodes() const
+{
+    std::vector<std::string> nodes;
+    for (const auto& [node, peer] : m_peers) {
+        if (isReporting(peer) && !peer.report.isLeaving)
+            nodes.push_back(node);
+    }
+    return nodes;
+}
+
 size_t PeerGroup::aliveCount() const
 {
     return static_cast<size_t>(std::ranges::count_if(m_peers, [&](const auto& it) { return isReporting(it.second); }));
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -81,6 +81,9 @@
 
     size_t aliveCount() const;
 
+    /// Returns the other nodes that are alive and not leaving.
+    std::vector<std::string> aliveNodes() const;
+
     /// Returns the other nodes of this node's failure domain that are alive and not leaving.
     std::vector<CoordinatorCandidate> domainPeers() const;
 
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -22,6 +22,35 @@
         return options;
     }
 
+    void writeSuspectParts(const std::vector<SuspectPart>& parts, Schema::LoadReport::Builder root)
+    {
+        auto list = root.initSuspectParts(static_cast<uint32_t>(parts.size()));
+        for (uint32_t n = 0; n < list.size(); ++n) {
+            list[n].setPart(parts[n].part);
+            if (parts[n].answeredAgo)
+                list[n].setAnsweredAgoMs(static_cast<int32_t>(parts[n].answeredAgo->count()));
+            auto crashes = list[n].initCrashes(static_cast<uint32_t>(parts[n].crashes.size()));
+            for (uint32_t k = 0; k < crashes.size(); ++k) {
+                crashes[k].setIncarnation(parts[n].crashes[k].incarnation);
+                crashes[k].setAgeMs(static_cast<uint32_t>(parts[n].crashes[k].age.count()));
+            }
+        }
+    }
+
+    std::vector<SuspectPart> readSuspectParts(Schema::LoadReport::Reader root)
+    {
+        std::vector<SuspectPart> parts;
+        for (const auto it : root.getSuspectParts()) {
+            SuspectPart& part = parts.emplace_back();
+            part.part = it.getPart();
+            if (it.getAnsweredAgoMs() >= 0)
+                part.answeredAgo = Milliseconds { it.getAnsweredAgoMs() };
+            for (const auto crash : it.getCrashes())
+                part.crashes.push_back({ crash.getIncarnation(), Milliseconds { crash.getAgeMs() } });
+        }
+        return parts;
+    }
+
 }
 
 QByteArray encodePeerReport(const PeerReport& report)
@@ -48,6 +77,8 @@
         it.setOnline(static_cast<uint16_t>(use.online));
         it.setBatch(static_cast<uint16_t>(use.batch));
     }
+    if (!report.suspectParts.empty())
+        writeSuspectParts(report.suspectParts, root);
     if (report.slotReport)
         writeSlotReport(*report.slotReport, root.initSlotReport());
     if (report.slotReply)
@@ -80,6 +111,7 @@
         report.nextWithin = Milliseconds { root.getNextWithinMs() };
         for (const auto it : root.getUses())
             report.use[it.getEndpoint()] = { it.getOnline(), it.getBatch() };
+        report.suspectParts = readSuspectParts(root);
         if (root.hasSlotReport())
             report.slotReport = readSlotReport(root.getSlotReport());
         if (root.hasSlotReply())
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <LibGateway/SlotMessages.h>
+#include <LibGateway/SuspectPart.h>
 
 #include <QByteArray>
 
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace Chicorydock {
 
@@ -35,6 +37,8 @@
     Milliseconds nextWithin { 0 };
     /// Slots that the node has allocated, by `SlotPeers::endpointKey()`.
     std::unordered_map<uint32_t, SlotUse> use;
+    /// Parts of prompts that may crash endpoints.
+    std::vector<SuspectPart> suspectParts;
     /// Message to the peer as coordinator or as member.
     std::optional<SlotReport> slotReport;
     std::optional<SlotReply> slotReply;
--- /dev/null
+++ b/Libraries/LibGateway/PromptQuarantine.cpp
@@ -0,0 +1,262 @@
+#include <LibGateway/PromptQuarantine.h>
+
+#include <LibCore/Digest.h>
+#include <LibRouting/Rendezvous.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// An endpoint may also crash or lose a connection by chance while it runs a request with a sound part.
+    constexpr size_t crashesBeforeQuarantine = 3;
+
+    /// Time within which an endpoint that still runs responds to another request, if it has any.
+    constexpr Milliseconds crashConfirmationTime { 200 };
+
+    /// Responses that were on their way when the connections were closed arrive within this time.
+    constexpr Milliseconds responseTransitTime { 50 };
+
+    constexpr std::chrono::seconds firstQuarantineTime { 90 };
+    constexpr std::chrono::minutes maxQuarantineTime { 30 };
+
+    /// Limit on the time that a request with a part on trial may take.
+    constexpr std::chrono::seconds trialTime { 10 };
+
+    /// Retry delay for requests that come while another one is on trial.
+    constexpr Milliseconds trialRetryDelay { 1'000 };
+
+    /// Time for which a part that was answered counts as sound. Parts that endpoints answer all the time must not be
+    /// suspected for the requests in which they occur together with a crashing one.
+    constexpr std::chrono::seconds answerMemory { 60 };
+    constexpr size_t maxAnsweredParts = 16'384;
+
+    /// Time for which a few crashes without a quarantine, and a part that was cleared, are remembered.
+    constexpr std::chrono::minutes suspicionMemory { 3 };
+
+    /// Age up to which a crash without a quarantine, or an answer, is reported. Other nodes have it by then.
+    constexpr std::chrono::seconds newsAge { 10 };
+
+    /// Limits on a report, which has to fit into a datagram.
+    constexpr size_t maxReportedParts = 16;
+    constexpr size_t maxReportedCrashes = 6;
+
+    constexpr size_t maxSuspects = 512;
+
+    Milliseconds milliseconds(MonotonicTime::duration duration)
+    {
+        return std::chrono::duration_cast<Milliseconds>(duration);
+    }
+
+    using Crashes = std::map<uint64_t, MonotonicTime>;
+
+    MonotonicTime latestCrash(const Crashes& crashes)
+    {
+        MonotonicTime latest;
+        for (const auto& [incarnation, at] : crashes)
+            latest = std::max(latest, at);
+        return latest;
+    }
+
+    std::vector<EndpointCrash> reportedCrashes(const Crashes& crashes, MonotonicTime now)
+    {
+        std::vector<EndpointCrash> result;
+        for (const auto& [incarnation, at] : crashes)
+            result.push_back({ incarnation, milliseconds(now - at) });
+        std::ranges::sort(result, {}, &EndpointCrash::age);
+        result.resize(std::min(result.size(), maxReportedCrashes));
+        return result;
+    }
+
+}
+
+PromptQuarantine::PromptQuarantine(std::string node)
+    : m_node(std::move(node))
+    , m_nodes { m_node }
+{
+}
+
+uint64_t PromptQuarantine::incarnationKey(const EndpointRecord& endpoint)
+{
+    return stableHash(endpoint.id, static_cast<uint64_t>(endpoint.startedAt));
+}
+
+void PromptQuarantine::setPeers(std::vector<std::string> peers)
+{
+    m_nodes = std::move(peers);
+    m_nodes.push_back(m_node);
+}
+
+bool PromptQuarantine::isQuarantined(const Suspect& suspect)
+{
+    return suspect.crashes.size() >= crashesBeforeQuarantine;
+}
+
+MonotonicTime PromptQuarantine::quarantineEnd(const Suspect& suspect)
+{
+    std::chrono::seconds time = firstQuarantineTime;
+    for (size_t n = crashesBeforeQuarantine; n < suspect.crashes.size() && time < maxQuarantineTime; ++n)
+        time *= 2;
+    return latestCrash(suspect.crashes) + std::min<std::chrono::seconds>(time, maxQuarantineTime);
+}
+
+PromptDecision PromptQuarantine::decide(const std::vector<std::string>& parts, MonotonicTime now)
+{
+    confirmCrashes(now);
+    std::vector<Suspect*> onTrial;
+    Milliseconds longest { 0 };
+    for (const std::string& part : parts) {
+        const auto it = m_suspects.find(part);
+        if (it == m_suspects.end() || !isQuarantined(it->second))
+            continue;
+        longest = std::max(longest, refusalTime(part, it->second, now));
+        onTrial.push_back(&it->second);
+    }
+    if (longest.count() > 0)
+        return { PromptDecision::Kind::Refuse, longest };
+    for (Suspect* it : onTrial)
+        it->trialStartedAt = now;
+    return { onTrial.empty() ? PromptDecision::Kind::Send : PromptDecision::Kind::SendOnTrial };
+}
+
+Milliseconds PromptQuarantine::refusalTime(const std::string& part, const Suspect& suspect, MonotonicTime now) const
+{
+    const MonotonicTime end = quarantineEnd(suspect);
+    if (now < end)
+        return std::chrono::ceil<Milliseconds>(end - now);
+    const bool isOnTrial = suspect.trialStartedAt && now - *suspect.trialStartedAt < trialTime;
+    return isOnTrial || rendezvousOwner(part, m_nodes) != m_node ? trialRetryDelay : Milliseconds { 0 };
+}
+
+bool PromptQuarantine::isAnswered(const std::string& part) const
+{
+    const uint64_t key = stableHash(part);
+    return m_answered.contains(key) || m_previouslyAnswered.contains(key);
+}
+
+void PromptQuarantine::clear(Suspect& suspect, MonotonicTime answeredAt)
+{
+    suspect.crashes.clear();
+    suspect.trialStartedAt.reset();
+    suspect.answeredAt = std::max(suspect.answeredAt.value_or(answeredAt), answeredAt);
+}
+
+void PromptQuarantine::addCrash(Suspect& suspect, uint64_t incarnation, MonotonicTime at)
+{
+    // Reports of crashes before the answer may still be on their way.
+    if (!suspect.answeredAt || at > *suspect.answeredAt)
+        suspect.crashes.try_emplace(incarnation, at);
+}
+
+void PromptQuarantine::recordAnswer(const std::vector<std::string>& parts, MonotonicTime now)
+{
+    rotateAnsweredParts(now);
+    for (const std::string& part : parts) {
+        m_answered.insert(stableHash(part));
+        if (const auto it = m_suspects.find(part); it != m_suspects.end())
+            clear(it->second, now);
+    }
+}
+
+void PromptQuarantine::recordBrokenConnection(
+    const std::vector<std::string>& parts, const EndpointRecord& endpoint, MonotonicTime now)
+{
+    if (!parts.empty())
+        m_brokenConnections.push_back({ endpoint.id, incarnationKey(endpoint), parts, now });
+}
+
+void PromptQuarantine::recordResponse(const std::string& endpoint, MonotonicTime now)
+{
+    std::erase_if(m_brokenConnections,
+        [&](const auto& it) { return it.endpoint == endpoint && now - it.at > responseTransitTime; });
+}
+
+void PromptQuarantine::confirmCrashes(MonotonicTime now)
+{
+    const auto isConfirmed = [&](const BrokenConnection& it) { return now - it.at >= crashConfirmationTime; };
+    for (const BrokenConnection& broken : m_brokenConnections) {
+        if (!isConfirmed(broken))
+            continue;
+        for (const std::string& part : broken.parts) {
+            if (!isAnswered(part) && m_suspects.size() < maxSuspects)
+                addCrash(m_suspects[part], broken.incarnation, broken.at);
+        }
+    }
+    std::erase_if(m_brokenConnections, isConfirmed);
+}
+
+std::vector<std::string> PromptQuarantine::update(MonotonicTime now)
+{
+    rotateAnsweredParts(now);
+    confirmCrashes(now);
+    forgetOldSuspects(now);
+    std::vector<std::string> quarantined;
+    for (auto& [part, suspect] : m_suspects) {
+        if (std::exchange(suspect.isReported, isQuarantined(suspect)) < isQuarantined(suspect))
+            quarantined.push_back(part);
+    }
+    return quarantined;
+}
+
+void PromptQuarantine::forgetOldSuspects(MonotonicTime now)
+{
+    std::erase_if(m_suspects, [&](const auto& it) {
+        const Suspect& suspect = it.second;
+        if (isQuarantined(suspect))
+            return now > quarantineEnd(suspect) + maxQuarantineTime;
+        const MonotonicTime latest
+            = std::max(latestCrash(suspect.crashes), suspect.answeredAt.value_or(MonotonicTime {}));
+        return now - latest > suspicionMemory;
+    });
+}
+
+void PromptQuarantine::rotateAnsweredParts(MonotonicTime now)
+{
+    if (now - m_periodStartedAt < answerMemory && m_answered.size() < maxAnsweredParts)
+        return;
+    m_previouslyAnswered = std::exchange(m_answered, {});
+    m_periodStartedAt = now;
+}
+
+std::vector<SuspectPart> PromptQuarantine::report(MonotonicTime now) const
+{
+    std::vector<SuspectPart> parts;
+    for (const auto& [part, suspect] : m_suspects) {
+        SuspectPart entry { part, {}, {} };
+        if (isQuarantined(suspect) || now - latestCrash(suspect.crashes) < newsAge)
+            entry.crashes = reportedCrashes(suspect.crashes, now);
+        if (suspect.answeredAt && now - *suspect.answeredAt < newsAge)
+            entry.answeredAgo = milliseconds(now - *suspect.answeredAt);
+        if (!entry.crashes.empty() || entry.answeredAgo)
+            parts.push_back(std::move(entry));
+    }
+    std::ranges::sort(parts, std::ranges::greater {}, [](const SuspectPart& it) { return it.crashes.size(); });
+    parts.resize(std::min(parts.size(), maxReportedParts));
+    return parts;
+}
+
+void PromptQuarantine::merge(const std::vector<SuspectPart>& parts, MonotonicTime now)
+{
+    for (const SuspectPart& it : parts) {
+        const bool isKnown = m_suspects.contains(it.part);
+        if (!isKnown && m_suspects.size() >= maxSuspects)
+            continue;
+        // Other nodes may not have seen that endpoints answer requests with the part.
+        if (it.answeredAgo || isAnswered(it.part)) {
+            clear(m_suspects[it.part], now - it.answeredAgo.value_or(Milliseconds { 0 }));
+            continue;
+        }
+        for (const EndpointCrash& crash : it.crashes)
+            addCrash(m_suspects[it.part], crash.incarnation, now - crash.age);
+    }
+}
+
+size_t PromptQuarantine::quarantinedParts(MonotonicTime now) const
+{
+    return static_cast<size_t>(std::ranges::count_if(
+        m_suspects, [&](const auto& it) { return isQuarantined(it.second) && now < quarantineEnd(it.second); }));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/PromptQuarantine.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+#include <LibGateway/EndpointRecord.h>
+#include <LibGateway/SuspectPart.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace Chicorydock {
+
+/// Whether a request may be sent to an endpoint.
+struct PromptDecision {
+    enum class Kind : uint8_t {
+        Send,
+        /// The request may be sent, and shows whether a part still crashes endpoints.
+        SendOnTrial,
+        Refuse,
+    };
+
+    Kind kind { Kind::Send };
+    /// Time after which the caller may try again; set for refusals only.
+    Milliseconds retryAfter { 0 };
+
+    auto operator<=>(const PromptDecision&) const = default;
+};
+
+/// Keeps requests away from the endpoints that contain a part of a prompt under which endpoints crash.
+///
+/// The load that it answers: requests with such a part arrive at all nodes, each with other parts beside it, and each
+/// of them would take down an endpoint with all requests that it runs. A part is suspected if an endpoint closed the
+/// connection of a request with it before the answer had properly begun, and did not respond to anything soon after
+/// that. It is quarantined after the crash of `crashesBeforeQuarantine` endpoints, counted over all nodes. An answer to
+/// any request with the part clears it, so the parts that sound requests share with a crashing one stay in use.
+///
+/// When a quarantine ends, one node lets one request with the part through. If it crashes its endpoint too, the next
+/// quarantine is twice as long.
+///
+/// Thread safety: none.
+class PromptQuarantine {
+public:
+    /// `node` identifies this node among its peers.
+    explicit PromptQuarantine(std::string node);
+
+    /// Decides whether a request with these parts may be sent to an endpoint now.
+    PromptDecision decide(const std::vector<std::string>& parts, MonotonicTime now);
+
+    /// Records that an endpoint answers a request with these parts.
+    void recordAnswer(const std::vector<std::string>& parts, MonotonicTime now);
+
+    /// Records that an endpoint closed the connection of a request with these parts before it answered.
+    void recordBrokenConnection(const std::vector<std::string>& parts, const EndpointRecord&, MonotonicTime now);
+
+    /// Records that an endpoint responds, so that connections which it closed just before are no sign of a crash.
+    void recordResponse(const std::string& endpoint, MonotonicTime now);
+
+    /// Replaces the set of live peers.
+    void setPeers(std::vector<std::string> peers);
+
+    /// Returns what other nodes should know, the parts with most crashes first.
+    std::vector<SuspectPart> report(MonotonicTime now) const;
+
+    /// Adds what another node knows.
+    void merge(const std::vector<SuspectPart>&, MonotonicTime now);
+
+    /// Applies what is due, and forgets what is old. Must be called several times a second. Returns the parts that have
+    /// been quarantined since the last call.
+    std::vector<std::string> update(MonotonicTime now);
+
+    /// Returns the number of parts that are in quarantine.
+    size_t quarantinedParts(MonotonicTime now) const;
+
+    static uint64_t incarnationKey(const EndpointRecord&);
+
+private:
+    struct Suspect {
+        /// Times of the crashes by incarnation.
+        std::map<uint64_t, MonotonicTime> crashes;
+        std::optional<MonotonicTime> answeredAt;
+        /// Set while a request tries whether the part still crashes endpoints.
+        std::optional<MonotonicTime> trialStartedAt;
+        bool isReported { false };
+    };
+
+    /// A closed connection that may be the sign of a crash.
+    struct BrokenConnection {
+        std::string endpoint;
+        uint64_t incarnation { 0 };
+        std::vector<std::string> parts;
+        MonotonicTime at;
+    };
+
+    static bool isQuarantined(const Suspect&);
+    /// Returns when the quarantine ends. Precondition: the part is quarantined.
+    static MonotonicTime quarantineEnd(const Suspect&);
+    static void addCrash(Suspect&, uint64_t incarnation, MonotonicTime at);
+    /// Returns the time for which requests with the part are refused, 0 if one may be sent on trial. Precondition: the
+    /// part is quarantined.
+    Milliseconds refusalTime(const std::string& part, const Suspect&, MonotonicTime now) const;
+    bool isAnswered(const std::string& part) const;
+    static void clear(Suspect&, MonotonicTime answeredAt);
+    void confirmCrashes(MonotonicTime now);
+    void forgetOldSuspects(MonotonicTime now);
+    void rotateAnsweredParts(MonotonicTime now);
+
+    const std::string m_node;
+    std::vector<std::string> m_nodes;
+    std::map<std::string, Suspect> m_suspects;
+    std::vector<BrokenConnection> m_brokenConnections;
+    /// Hashes of the parts that were answered lately, in this and in the previous period.
+    std::unordered_set<uint64_t> m_answered;
+    std::unordered_set<uint64_t> m_previouslyAnswered;
+    MonotonicTime m_periodStartedAt;
+};
+
+}
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Chicorydock {
 
@@ -22,6 +23,8 @@
     std::optional<Milliseconds> deadline;
     /// Last event that the caller has received, after which the stream should resume.
     std::optional<uint64_t> lastEventId;
+    /// Identifiers of the parts of the prompt that other requests may have too, in order. Empty if there is no prompt.
+    std::vector<std::string> promptParts;
 };
 
 /// Status line and header fields of an endpoint's response, decoded.
@@ -82,6 +85,10 @@
     virtual std::optional<JobCall> decodeJobCall(const HttpRequest&) const = 0;
     virtual ForwardRequest decodeRequest(const HttpRequest&) const = 0;
 
+    /// Returns the identifiers of the parts of a prompt that other requests may have too, from the fields of a request
+    /// or an item.
+    virtual std::vector<std::string> promptParts(const HttpHeaders&) const = 0;
+
     /// Returns the items of a submitted job, or nothing if the body is malformed.
     virtual std::optional<SubmittedJob> decodeSubmission(const HttpRequest&) const = 0;
 
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -29,6 +29,21 @@
   configurationVersion @13 :UInt64;
   # Whether the node reads the configuration from the store for its failure domain.
   isConfigurationSource @14 :Bool;
+  suspectParts @15 :List(SuspectPart);
+}
+
+# A part of prompts that may crash endpoints.
+struct SuspectPart {
+  part @0 :Text;
+  crashes @1 :List(EndpointCrash);
+  # Time since an endpoint answered a request with the part; negative if unknown.
+  answeredAgoMs @2 :Int32 = -1;
+}
+
+# The crash of an endpoint while it ran a request with the part.
+struct EndpointCrash {
+  incarnation @0 :UInt64;
+  ageMs @1 :UInt32;
 }
 
 # The number of slots of one endpoint that the node has allocated.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -17,6 +17,8 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(ca1cfc419c8cf854);
+CAPNP_DECLARE_SCHEMA(fbfc1343aa20f8f4);
+CAPNP_DECLARE_SCHEMA(d064fcb13d4d7e14);
 CAPNP_DECLARE_SCHEMA(9d0b3d3267602205);
 CAPNP_DECLARE_SCHEMA(de3e1e40e741e0c9);
 CAPNP_DECLARE_SCHEMA(a70855ffea23f2e1);
@@ -48,7 +50,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 5, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectPart {
+  SuspectPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fbfc1343aa20f8f4, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndpointCrash {
+  EndpointCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d064fcb13d4d7e14, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -246,6 +278,9 @@
 
   inline bool getIsConfigurationSource() const;
 
+  inline bool hasSuspectParts() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectParts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -339,6 +374,13 @@
   inline bool getIsConfigurationSource();
   inline void setIsConfigurationSource(bool value);
 
+  inline bool hasSuspectParts();
+  inline  ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getSuspectParts();
+  inline void setSuspectParts( ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initSuspectParts(unsigned int size);
+  inline void adoptSuspectParts(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspectParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -367,6 +409,183 @@
 };
 #endif  // !CAPNP_LITE
 
+class SuspectPart::Reader {
+public:
+  typedef SuspectPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPart() const;
+  inline  ::capnp::Text::Reader getPart() const;
+
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
+
+  inline  ::int32_t getAnsweredAgoMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SuspectPart::Builder {
+public:
+  typedef SuspectPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasPart();
+  inline  ::capnp::Text::Builder getPart();
+  inline void setPart( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPart(unsigned int size);
+  inline void adoptPart(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPart();
+
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline  ::int32_t getAnsweredAgoMs();
+  inline void setAnsweredAgoMs( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SuspectPart::Pipeline {
+public:
+  typedef SuspectPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EndpointCrash::Reader {
+public:
+  typedef EndpointCrash Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointCrash::Builder {
+public:
+  typedef EndpointCrash Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointCrash::Pipeline {
+public:
+  typedef EndpointCrash Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class EndpointUse::Reader {
 public:
   typedef EndpointUse Reads;
@@ -1672,6 +1891,150 @@
       ::capnp::bounded<99>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadReport::Reader::hasSuspectParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasSuspectParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getSuspectParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getSuspectParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setSuspectParts( ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initSuspectParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptSuspectParts(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownSuspectParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool SuspectPart::Reader::hasPart() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectPart::Builder::hasPart() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SuspectPart::Reader::getPart() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SuspectPart::Builder::getPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void SuspectPart::Builder::setPart( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SuspectPart::Builder::initPart(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void SuspectPart::Builder::adoptPart(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SuspectPart::Builder::disownPart() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool SuspectPart::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectPart::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>::Reader SuspectPart::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void SuspectPart::Builder::setCrashes( ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>::Builder SuspectPart::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void SuspectPart::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>> SuspectPart::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t SuspectPart::Reader::getAnsweredAgoMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, -1);
+}
+
+inline  ::int32_t SuspectPart::Builder::getAnsweredAgoMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, -1);
+}
+inline void SuspectPart::Builder::setAnsweredAgoMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, -1);
+}
+
+inline  ::uint64_t EndpointCrash::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EndpointCrash::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointCrash::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointCrash::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointCrash::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EndpointCrash::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t EndpointUse::Reader::getEndpoint() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -168,12 +168,13 @@
     , m_node(makeNodeId(settings, m_random))
     , m_log({ m_node, settings.node.failureDomain }, m_clock)
     , m_store(m_storeClient, settings.platform.address, storeTimeout)
+    , m_quarantine(m_node)
     , m_scheduler(makeLocation(settings, m_node), m_random)
     , m_coordinator(m_scheduler)
     , m_member(m_node, m_coordinator)
     , m_broker(m_member, m_clock, [this] { m_exchange.schedule(); })
-    , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_log, m_metrics,
-        std::make_shared<const GatewayConfiguration>() }
+    , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_quarantine, m_log,
+        m_metrics, std::make_shared<const GatewayConfiguration>() }
     , m_peers(
           { m_node, settings.node.failureDomain, settings.gateway->peerAddress, settings.gateway->regions }, m_clock,
           [this] { return makeReport(); },
@@ -244,6 +245,7 @@
     applyRemovals();
     updateCoordinator();
     m_configuration.update();
+    updateQuarantine();
     reportStoreReachability();
     m_jobs.tick();
 }
@@ -270,6 +272,7 @@
     report.waiting = m_scheduler.waitingOnline();
     report.isStoreReachable = m_jobFollower->isReachable();
     report.storeReachableFor = m_endpointListener->reachableFor();
+    report.suspectParts = m_quarantine.report(m_clock.now());
     report.configurationVersion = m_configuration.version();
     report.isConfigurationSource = m_configuration.isActiveSource();
     report.isLeaving = m_isStopping;
@@ -319,6 +322,14 @@
         m_peers.announce();
 }
 
+void Gateway::updateQuarantine()
+{
+    const MonotonicTime now = m_clock.now();
+    m_quarantine.setPeers(m_peers.aliveNodes());
+    for (const std::string& it : m_quarantine.update(now))
+        m_log.record("prompt_part", "quarantined", it);
+}
+
 void Gateway::recordCoordinator()
 {
     const std::string previous = std::exchange(m_loggedCoordinator, m_member.coordinator());
@@ -336,6 +347,7 @@
         m_scheduler.setPeerUse(report.node, { report.failureDomain, report.use, report.waiting, lifetime }, now);
     else
         m_scheduler.removePeer(report.node);
+    m_quarantine.merge(report.suspectParts, now);
     if (report.configurationVersion > m_configuration.version())
         m_configuration.update();
     if (report.slotReport)
@@ -388,6 +400,8 @@
     set("chicorydock_online_waiting", "Online requests that wait for a slot.", m_member.waitingOnline());
     set("chicorydock_batch_waiting", "Items that wait for a slot.", m_scheduler.waitingBatch());
     set("chicorydock_peers", "Nodes heard of lately.", static_cast<double>(m_peers.aliveCount()));
+    set("chicorydock_prompt_parts_quarantined", "Parts of prompts on which endpoints crash.",
+        static_cast<double>(m_quarantine.quarantinedParts(m_clock.now())));
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
     set("chicorydock_jobs_owned", "Jobs that this node runs.", static_cast<double>(m_jobs.ownedJobs()));
     set("chicorydock_store_calls", "Calls to the store since the start.", static_cast<double>(m_store.calls()));
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -61,6 +61,7 @@
     void reportSlotUse();
     void updateCoordinator();
     void recordCoordinator();
+    void updateQuarantine();
     void reportStoreReachability();
     void processPeerReport(const PeerReport&, Milliseconds lifetime);
     void checkStopped();
@@ -78,6 +79,7 @@
     PooledHttpClient m_peerClient;
     PlatformRowStore m_store;
     EndpointDirectory m_directory;
+    PromptQuarantine m_quarantine;
     SlotScheduler m_scheduler;
     SlotCoordinator m_coordinator;
     SlotMember m_member;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -26,9 +26,10 @@
     MemoryEventLog log;
     MetricsRegistry metrics;
     EndpointDirectory directory;
+    PromptQuarantine quarantine { "n1" };
     SlotScheduler scheduler { { "n1", "z1", { { "z1", "r1" } } }, random };
     SlotBroker broker { scheduler, clock, [] {} };
-    GatewayEnvironment environment { clock, random, wire, http, broker, directory, log, metrics,
+    GatewayEnvironment environment { clock, random, wire, http, broker, directory, quarantine, log, metrics,
         std::make_shared<const GatewayConfiguration>() };
 
     explicit GatewayFixture(size_t endpoints = 3, Milliseconds gapTarget = Milliseconds { 0 })
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -53,6 +53,8 @@
     report.capacityPercent = 12;
     report.nextWithin = Milliseconds { 400 };
     report.use = { { 5, { 1, 2 } }, { 0xffffffffU, { 8, 0 } } };
+    report.suspectParts
+        = { { "5c1e07a2", { { 0xffffffffffffffffU, Milliseconds { 900 } } }, {} }, { "91bd", {}, Milliseconds { 0 } } };
     CHECK(decodePeerReport(encodePeerReport(report)) == report);
     report.slotReport = makeSlotReport();
     report.slotReply = makeSlotReply();
--- a/Tests/LibGateway/TestPromptQuarantine.cpp
+++ b/Tests/LibGateway/TestPromptQuarantine.cpp
@@ -1,3 +1,5 @@
+#include <LibGateway/PromptQuarantine.h>
+
 #include <LibGateway/ForwardedCall.h>
 
 #include "GatewayFixture.h"
@@ -79,3 +81,210 @@
     CHECK(fixture.request(withOwnPart("first:200,sound:50", ++own)) == 0);
     CHECK(fixture.request(withOwnPart("first:200", ++own)) == 0);
 }
+
+namespace {
+
+EndpointRecord endpoint(int n) { return { "e" + std::to_string(n), "10.0.0.1:80", "lm", "z1", 8, false, 1 }; }
+
+/// Nodes that report to each other, endpoints that crash under one part of the prompts, and the requests of a crest.
+class PromptLoad {
+public:
+    static constexpr size_t nodeCount = 12;
+    static constexpr int endpointCount = 18;
+    static constexpr int soundRequestsPerStep = 4;
+    static constexpr int soundParts = 600;
+
+    explicit PromptLoad(uint64_t seed)
+        : m_random(seed)
+    {
+        for (size_t n = 0; n < nodeCount; ++n)
+            m_nodes.push_back(std::make_unique<PromptQuarantine>("n" + std::to_string(n)));
+    }
+
+    /// Runs for a tenth of a second; `crashing` is the number of requests with the crashing part.
+    void step(int crashing)
+    {
+        m_now += Milliseconds { 100 };
+        for (int n = 0; n < soundRequestsPerStep; ++n)
+            sendSound();
+        for (int n = 0; n < crashing; ++n)
+            sendCrashing();
+        if (++m_steps % 3 == 0)
+            exchangeReports();
+    }
+
+    /// All endpoints of a seventh of the fleet crash, each with some requests that had no answer yet.
+    void crashSomeEndpoints()
+    {
+        for (int n = 0; n < endpointCount; n += 7)
+            crashEndpoint(n);
+    }
+
+    void restartNode(size_t n) { m_nodes.at(n) = std::make_unique<PromptQuarantine>("n" + std::to_string(n)); }
+
+    size_t quarantinedParts() const
+    {
+        size_t count = 0;
+        for (const auto& it : m_nodes)
+            count = std::max(count, it->quarantinedParts(m_now));
+        return count;
+    }
+
+    int crashes { 0 };
+    int soundSent { 0 };
+    int soundRefused { 0 };
+
+private:
+    PromptQuarantine& anyNode() { return *m_nodes[m_random.below(nodeCount)]; }
+
+    std::vector<std::string> soundPrompt() { return { "first", "sound" + std::to_string(m_random.below(soundParts)) }; }
+
+    void sendSound()
+    {
+        PromptQuarantine& node = anyNode();
+        const std::vector<std::string> parts = soundPrompt();
+        if (node.decide(parts, m_now).kind == PromptDecision::Kind::Refuse) {
+            ++soundRefused;
+            return;
+        }
+        ++soundSent;
+        node.recordAnswer(parts, m_now);
+    }
+
+    void sendCrashing()
+    {
+        PromptQuarantine& node = anyNode();
+        const std::vector<std::string> parts { "first", "sound" + std::to_string(m_random.below(soundParts)),
+            "crashing" };
+        if (node.decide(parts, m_now).kind == PromptDecision::Kind::Refuse)
+            return;
+        ++crashes;
+        const int n = static_cast<int>(m_random.below(endpointCount));
+        node.recordBrokenConnection(parts, endpoint(n + m_starts[n] * endpointCount), m_now);
+        crashEndpoint(n);
+    }
+
+    void crashEndpoint(int n)
+    {
+        const EndpointRecord record = endpoint(n + m_starts[n] * endpointCount);
+        ++m_starts[n];
+        for (int k = 0; k < 2; ++k)
+            anyNode().recordBrokenConnection(soundPrompt(), record, m_now);
+    }
+
+    void exchangeReports()
+    {
+        std::vector<std::vector<SuspectPart>> reports;
+        for (const auto& it : m_nodes) {
+            it->update(m_now);
+            reports.push_back(it->report(m_now));
+        }
+        for (const auto& it : m_nodes) {
+            for (const auto& report : reports)
+                it->merge(report, m_now);
+        }
+    }
+
+    SeededRandom m_random;
+    MonotonicTime m_now { std::chrono::hours { 1 } };
+    std::vector<std::unique_ptr<PromptQuarantine>> m_nodes;
+    std::map<int, int> m_starts;
+    int m_steps { 0 };
+};
+
+}
+
+// Guards against endpoints that keep crashing because the requests arrive at many nodes, and against sound requests
+// that are refused because they share parts with them.
+TEST_CASE("all nodes stop sending requests with a crashing part after a few crashes, and send all sound ones")
+{
+    PromptLoad load(GENERATE(1, 2, 3));
+    for (int n = 0; n < 300; ++n)
+        load.step(0);
+    // The load may go on for 3 s after the fifth crash; then three more are allowed.
+    constexpr int crashesBeforeBound = 5;
+    constexpr int allowedCrashes = 3;
+    constexpr int stepsUntilBound = 30;
+    int stepsAfterFifth = 0;
+    int crashesAtBound = 0;
+    for (int n = 0; n < 800; ++n) {
+        load.step(n % 5 == 0 ? 1 : 0);
+        if (n == 300)
+            load.restartNode(4);
+        if (load.crashes >= crashesBeforeBound && ++stepsAfterFifth == stepsUntilBound)
+            crashesAtBound = load.crashes;
+    }
+    INFO("crashes " << load.crashes);
+    CHECK((crashesAtBound == 0 || load.crashes - crashesAtBound <= allowedCrashes));
+    CHECK(load.soundSent > 4'000);
+    CHECK(load.soundRefused == 0);
+}
+
+// Guards against callers that are refused because endpoints crash for other reasons.
+TEST_CASE("no part is quarantined when many endpoints crash together")
+{
+    PromptLoad load(GENERATE(1, 2, 3));
+    for (int n = 0; n < 300; ++n) {
+        load.step(0);
+        if (n % 50 == 0)
+            load.crashSomeEndpoints();
+        CHECK(load.quarantinedParts() == 0);
+    }
+    CHECK(load.soundRefused == 0);
+}
+
+// Guards against a part that is refused forever although it no longer crashes endpoints, and against all nodes trying
+// it.
+TEST_CASE("after the quarantine one node sends one request, and its answer clears the part on all nodes")
+{
+    MonotonicTime now { std::chrono::hours { 1 } };
+    PromptQuarantine first("n1");
+    PromptQuarantine second("n2");
+    first.setPeers({ "n2" });
+    second.setPeers({ "n1" });
+    const std::vector<std::string> parts { "p" };
+    for (int n = 0; n < 3; ++n)
+        first.recordBrokenConnection(parts, endpoint(n), now);
+    now += Milliseconds { 300 };
+    CHECK(first.update(now) == parts);
+    second.merge(first.report(now), now);
+    CHECK(second.update(now) == parts);
+    const PromptDecision refused = second.decide(parts, now);
+    CHECK(refused.kind == PromptDecision::Kind::Refuse);
+    now += refused.retryAfter;
+
+    const bool isFirstChosen = first.decide(parts, now).kind == PromptDecision::Kind::SendOnTrial;
+    PromptQuarantine& chosen = isFirstChosen ? first : second;
+    PromptQuarantine& other = isFirstChosen ? second : first;
+    if (!isFirstChosen)
+        CHECK(chosen.decide(parts, now).kind == PromptDecision::Kind::SendOnTrial);
+    CHECK(chosen.decide(parts, now).kind == PromptDecision::Kind::Refuse);
+    CHECK(other.decide(parts, now).kind == PromptDecision::Kind::Refuse);
+
+    if (GENERATE(true, false)) {
+        chosen.recordAnswer(parts, now);
+        other.merge(chosen.report(now), now);
+        // A report from before the answer arrives late.
+        chosen.merge({ { "p", { { 1, Milliseconds { 100'000 } }, { 2, Milliseconds { 100'000 } } }, {} } }, now);
+        CHECK(chosen.decide(parts, now).kind == PromptDecision::Kind::Send);
+        CHECK(other.decide(parts, now).kind == PromptDecision::Kind::Send);
+    } else {
+        chosen.recordBrokenConnection(parts, endpoint(9), now);
+        now += Milliseconds { 300 };
+        CHECK(chosen.decide(parts, now).retryAfter > refused.retryAfter);
+    }
+}
+
+// Guards against a part that is suspected because of lost connections of endpoints that are alive.
+TEST_CASE("an endpoint that responds after it closed a connection has not crashed")
+{
+    MonotonicTime now { std::chrono::hours { 1 } };
+    PromptQuarantine quarantine("n1");
+    for (int n = 0; n < 5; ++n) {
+        quarantine.recordBrokenConnection({ "p" }, endpoint(n), now);
+        now += Milliseconds { 100 };
+        quarantine.recordResponse("e" + std::to_string(n), now);
+        now += Milliseconds { 300 };
+    }
+    CHECK(quarantine.decide({ "p" }, now).kind == PromptDecision::Kind::Send);
+}
