LibGateway: Take a stream that ends without an event for broken off

A response without a length ends with its connection, also when its endpoint crashes before the first event. A caller then got an empty stream that looked complete, and an item of a job was completed with an empty text.

A stream of which no event is known, neither from this attempt nor from an earlier one, is a failed attempt now, and counts as the sign of a crash for the quarantine of prompt parts, like one that ends within an event.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -286,8 +286,11 @@
 
 void ForwardedCall::handleStreamEnd()
 {
-    if (m_events.hasPartialEvent()) {
-        handleFailedAttempt("the event stream of the endpoint ended within an event");
+    // A response without a length ends with its connection, also if the endpoint crashes.
+    if (m_events.hasPartialEvent() || m_lastEventId == 0) {
+        m_prompt.recordBrokenStream();
+        handleFailedAttempt(m_events.hasPartialEvent() ? "the event stream of the endpoint ended within an event"
+                                                       : "the event stream of the endpoint has no event");
         return;
     }
     m_prompt.recordAnswer();
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -223,7 +223,14 @@
         requestSlotLater();
         return;
     }
-    if (m_head.status == 200 && !m_events.hasPartialEvent()) {
+    // A response without a length ends with its connection, also if the endpoint crashes.
+    const bool isComplete = !m_events.hasPartialEvent() && m_hasOutput;
+    if (m_head.status == 200 && !isComplete) {
+        m_prompt.recordBrokenStream();
+        handleFailure("the event stream of the endpoint ended early");
+        return;
+    }
+    if (m_head.status == 200) {
         m_prompt.recordAnswer();
         releaseSlot(EndpointOutcome::Answered);
         finish(true, "");
--- a/Libraries/LibGateway/PromptAttempts.cpp
+++ b/Libraries/LibGateway/PromptAttempts.cpp
@@ -50,7 +50,14 @@
 void PromptAttempts::recordFailure(const HttpFailure& failure)
 {
     m_isTrial = false;
-    if (!m_isAnswered && failure.reason == HttpFailure::Reason::Closed)
+    if (failure.reason == HttpFailure::Reason::Closed)
+        recordBrokenStream();
+}
+
+void PromptAttempts::recordBrokenStream()
+{
+    m_isTrial = false;
+    if (!m_isAnswered)
         m_quarantine.recordBrokenConnection(m_parts, m_endpoint, m_clock.now());
 }
 
--- a/Libraries/LibGateway/PromptAttempts.h
+++ b/Libraries/LibGateway/PromptAttempts.h
@@ -30,6 +30,9 @@
     /// Records that the response to the attempt is complete and no failure.
     void recordAnswer();
 
+    /// Records that the response to the attempt broke off, so that its endpoint may have crashed.
+    void recordBrokenStream();
+
     /// Records that the attempt failed after the request was sent.
     void recordFailure(const HttpFailure&);
 
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -467,6 +467,23 @@
     CHECK(pageOf(node.read("j")).results.front().output == "whole");
 }
 
+// Guards against an item that is completed with an empty text because its endpoint crashed.
+TEST_CASE("an item moves to another endpoint if the stream ends before its first event")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j")));
+    REQUIRE(waitFor([&] { return node.http.count() == 1; }));
+    node.http.handOver();
+    node.http.headers(200);
+    node.http.finish();
+    REQUIRE(waitFor([&] { return node.http.count() == 2; }));
+    node.completeNewestRun("whole");
+    node.commit();
+    CHECK(pageOf(node.read("j")).results.front().output == "whole");
+}
+
 // Guards against a log that does not explain why an item stopped and restarted.
 TEST_CASE("the log has the slot use that made an item yield")
 {
--- a/Tests/LibGateway/TestPromptQuarantine.cpp
+++ b/Tests/LibGateway/TestPromptQuarantine.cpp
@@ -42,7 +42,17 @@
         http.handOver();
         http.headers(200, streamHeaders);
         http.fail(HttpFailure::Phase::Answering);
-        clock.advance(Milliseconds { 400 });
+        removeEndpoint();
+    }
+
+    /// The endpoint accepts the latest request and crashes, so that a response without a length seems to end.
+    void crashWithin(const QByteArray& body)
+    {
+        http.handOver();
+        http.headers(200, streamHeaders);
+        http.data(body);
+        http.finish();
+        removeEndpoint();
     }
 
     void answer()
@@ -55,6 +65,16 @@
 
     std::shared_ptr<FakeExchange> exchange;
     std::unique_ptr<ForwardedCall> call;
+
+private:
+    /// Removes the endpoint of the latest request.
+    void removeEndpoint()
+    {
+        directory.remove(http.last().request.headers.find("Expect-Instance")->toStdString(), clock.now());
+        broker.setEndpoints(directory.usable());
+        settle();
+        clock.advance(Milliseconds { 400 });
+    }
 };
 
 QByteArray withOwnPart(const QByteArray& prompt, int n) { return prompt + ",own" + QByteArray::number(n) + ":250"; }
@@ -194,6 +214,20 @@
 
 }
 
+// Guards against a crash that looks like a complete answer, because the answer has no length and ends with its
+// connection.
+TEST_CASE("a stream that ends before its first event or within an event has been broken off")
+{
+    const QByteArray body = GENERATE(QByteArray(), QByteArray("id: 1\ndata: a"));
+    PromptFixture fixture(12);
+    for (int n = 0; n < 3; ++n) {
+        REQUIRE(fixture.request(withOwnPart("first:200,crashing:50", n)) == 0);
+        fixture.crashWithin(body);
+        CHECK(fixture.exchange->response->status == 502);
+    }
+    CHECK(fixture.request(withOwnPart("first:200,crashing:50", 3)) == 503);
+}
+
 // Guards against endpoints that keep crashing because the requests arrive at many nodes, and against sound requests
 // that are refused because they share parts with them.
 TEST_CASE("all nodes stop sending requests with a crashing part after a few crashes, and send all sound ones")
