EndpointDirectory: Ignore registrations that are older than what is known

After the store has lost its history a listing may return state of some seconds before. A node that had seen an endpoint leave or vanish used it again then, and forgot endpoints that had just registered, until the next listing or change.

Rows carry the version at which they changed, and listings the version as of which they were read; both are now compared with what is known. A registration that a listing lacks may return at the same version, because it is not sure that a listing that is behind says so.

The test fails on three of its checks without the comparison.

--- a/Libraries/LibGateway/ConfigurationFollower.cpp
+++ b/Libraries/LibGateway/ConfigurationFollower.cpp
@@ -167,7 +167,7 @@
     m_retryTimer.start(fetchRetryDelay);
 }
 
-void ConfigurationFollower::onTableListed(const std::vector<StoredRow>& rows) { onRowsChanged(rows); }
+void ConfigurationFollower::onTableListed(const TableListing& listing) { onRowsChanged(listing.rows); }
 
 void ConfigurationFollower::onRowsChanged(const std::vector<StoredRow>& rows)
 {
--- a/Libraries/LibGateway/ConfigurationFollower.h
+++ b/Libraries/LibGateway/ConfigurationFollower.h
@@ -77,7 +77,7 @@
 
 private:
     // TableListener
-    void onTableListed(const std::vector<StoredRow>&) override;
+    void onTableListed(const TableListing&) override;
     void onRowsChanged(const std::vector<StoredRow>&) override;
     void onReachableChanged(bool) override;
 
--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Chicorydock {
 
@@ -17,7 +18,7 @@
 
 }
 
-void EndpointDirectory::replaceAll(const std::vector<EndpointRecord>& records, MonotonicTime now)
+void EndpointDirectory::replaceAll(const std::vector<EndpointRecord>& records, uint64_t storeVersion, MonotonicTime now)
 {
     std::set<std::string> listed;
     for (const EndpointRecord& it : records) {
@@ -26,28 +27,41 @@
     }
     std::vector<std::string> missing;
     for (const auto& [id, entry] : m_entries) {
-        if (!listed.contains(id))
+        if (!listed.contains(id) && entry.record.version <= storeVersion)
             missing.push_back(id);
     }
+    // The version of the removal is unknown; the listing may be older than it claims.
     for (const std::string& it : missing)
-        remove(it, now);
+        remove(it, m_entries.at(it).record.version, now);
 }
 
 void EndpointDirectory::put(const EndpointRecord& record)
 {
+    if (record.version < newestVersion(record.id))
+        return;
+    m_removals.erase(record.id);
     Entry& entry = m_entries[record.id];
     entry.isRemovalPending = false;
-    if (entry.record == record)
-        return;
-    entry.record = record;
-    m_replaced.erase(record.id);
+    EndpointRecord known = std::exchange(entry.record, record);
+    known.version = record.version;
+    if (known != record)
+        m_replaced.erase(record.id);
+}
+
+uint64_t EndpointDirectory::newestVersion(const std::string& id) const
+{
+    const auto entry = m_entries.find(id);
+    const auto removal = m_removals.find(id);
+    return std::max(entry == m_entries.end() ? 0 : entry->second.record.version,
+        removal == m_removals.end() ? 0 : removal->second.version);
 }
 
-bool EndpointDirectory::remove(const std::string& id, MonotonicTime now)
+bool EndpointDirectory::remove(const std::string& id, uint64_t version, MonotonicTime now)
 {
     const auto it = m_entries.find(id);
-    if (it == m_entries.end())
+    if (it == m_entries.end() || version < it->second.record.version)
         return true;
+    m_removals[id] = { version, now };
     // An endpoint that has announced that it is leaving does not register again.
     if (areRemovalsDeferred(now) && !it->second.record.isLeaving) {
         it->second.isRemovalPending = true;
@@ -114,6 +128,7 @@
 void EndpointDirectory::forgetOldExclusions(MonotonicTime now)
 {
     std::erase_if(m_replaced, [&](const std::string& it) { return !m_entries.contains(it); });
+    std::erase_if(m_removals, [&](const auto& it) { return now - it.second.at > departureMemory; });
     std::erase_if(m_departures,
         [&](const auto& it) { return !m_entries.contains(it.first) && now - it.second.announcedAt > departureMemory; });
 }
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -24,12 +24,15 @@
 /// Thread safety: none.
 class EndpointDirectory {
 public:
-    /// Replaces all registrations by a complete listing of the store.
-    void replaceAll(const std::vector<EndpointRecord>&, MonotonicTime now);
+    /// Replaces all registrations by a complete listing of the store as of that version. Registrations that changed
+    /// later are kept.
+    void replaceAll(const std::vector<EndpointRecord>&, uint64_t storeVersion, MonotonicTime now);
 
+    /// Ignores a registration that is older than what is known about the endpoint.
     void put(const EndpointRecord&);
-    /// Returns whether the removal took effect; otherwise it is deferred.
-    bool remove(const std::string& id, MonotonicTime now);
+    /// Records that the registration was removed at that version. Returns whether the removal took effect; otherwise it
+    /// is deferred.
+    bool remove(const std::string& id, uint64_t version, MonotonicTime now);
 
     /// Records whether the store responds.
     void setStoreReachable(bool, MonotonicTime now);
@@ -72,7 +75,15 @@
         MonotonicTime announcedAt;
     };
 
+    /// Removal of a registration.
+    struct Removal {
+        uint64_t version { 0 };
+        MonotonicTime at;
+    };
+
     bool isUsable(const Entry&) const;
+    /// Returns the version of the newest change of the registration, 0 if none is known.
+    uint64_t newestVersion(const std::string& id) const;
     bool hasDeparted(const EndpointRecord&) const;
     /// Removes what is known about endpoints that have been gone for a long time.
     void forgetOldExclusions(MonotonicTime now);
@@ -83,6 +94,8 @@
     std::map<std::string, Entry> m_entries;
     /// By endpoint; outlives the registration.
     std::map<std::string, Departure> m_departures;
+    /// By endpoint. A listing that is behind may still contain a registration that was removed.
+    std::map<std::string, Removal> m_removals;
     /// Endpoints whose addresses belong to others.
     std::set<std::string> m_replaced;
     bool m_isStoreReachable { true };
--- a/Libraries/LibGateway/EndpointRecord.h
+++ b/Libraries/LibGateway/EndpointRecord.h
@@ -19,6 +19,8 @@
     bool isLeaving { false };
     /// Start time in milliseconds since the Unix epoch, 0 if unknown. An endpoint may restart under the same id.
     int64_t startedAt { 0 };
+    /// Version of the registration in the store, 0 if unknown.
+    uint64_t version { 0 };
 
     auto operator<=>(const EndpointRecord&) const = default;
 };
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -211,7 +211,7 @@
     started.start();
 }
 
-void JobController::onTableListed(const std::vector<StoredRow>& rows) { onRowsChanged(rows); }
+void JobController::onTableListed(const TableListing& listing) { onRowsChanged(listing.rows); }
 
 void JobController::onRowsChanged(const std::vector<StoredRow>& rows)
 {
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -70,7 +70,7 @@
     size_t openJobs() const;
 
     // TableListener
-    void onTableListed(const std::vector<StoredRow>&) override;
+    void onTableListed(const TableListing&) override;
     void onRowsChanged(const std::vector<StoredRow>&) override;
     void onReachableChanged(bool) override;
 
--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -101,7 +101,7 @@
     m_isListed = true;
     m_version = m_listedVersion;
     m_retryDelay = Milliseconds { 0 };
-    m_listener.onTableListed(std::exchange(m_listing, {}));
+    m_listener.onTableListed({ std::exchange(m_listing, {}), m_listedVersion });
     proceed();
 }
 
--- a/Libraries/LibPlatform/TableFollower.h
+++ b/Libraries/LibPlatform/TableFollower.h
@@ -11,13 +11,22 @@
 
 namespace Chicorydock {
 
+/// All rows of a table at one time.
+struct TableListing {
+    std::vector<StoredRow> rows;
+    /// Version of the newest change that the listing contains. Rows that changed later may be included too.
+    uint64_t storeVersion { 0 };
+
+    bool operator==(const TableListing&) const = default;
+};
+
 /// Receives the rows of one table and their changes.
 class TableListener {
 public:
     virtual ~TableListener() = default;
 
     /// Receives all rows of the table. They may be older than changes reported before, if the store lagged.
-    virtual void onTableListed(const std::vector<StoredRow>&) = 0;
+    virtual void onTableListed(const TableListing&) = 0;
     /// Receives rows that changed, in order.
     virtual void onRowsChanged(const std::vector<StoredRow>&) = 0;
     /// Receives whether the store responded to the last call; called when that changes.
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -83,14 +83,14 @@
     {
     }
 
-    void onTableListed(const std::vector<StoredRow>& rows) override
+    void onTableListed(const TableListing& listing) override
     {
         std::vector<EndpointRecord> records;
-        for (const StoredRow& it : rows) {
+        for (const StoredRow& it : listing.rows) {
             if (auto record = decode(it))
                 records.push_back(std::move(*record));
         }
-        m_gateway.m_directory.replaceAll(records, m_gateway.m_clock.now());
+        m_gateway.m_directory.replaceAll(records, listing.storeVersion, m_gateway.m_clock.now());
         m_gateway.updateSchedulerEndpoints();
     }
 
@@ -98,7 +98,8 @@
     {
         for (const StoredRow& it : rows) {
             if (it.isRemoved) {
-                const bool isRemoved = m_gateway.m_directory.remove(it.address.key, m_gateway.m_clock.now());
+                const bool isRemoved
+                    = m_gateway.m_directory.remove(it.address.key, it.version, m_gateway.m_clock.now());
                 m_gateway.m_log.record("endpoint", isRemoved ? "removed" : "removal_deferred", it.address.key, {},
                     { { "version", static_cast<qint64>(it.version) } });
             } else if (const auto record = decode(it)) {
@@ -130,7 +131,9 @@
     std::optional<EndpointRecord> decode(const StoredRow& row) const
     {
         auto record = m_gateway.m_wire.decodeEndpoint(row.address.key, row.value);
-        if (!record)
+        if (record)
+            record->version = row.version;
+        else
             m_gateway.m_log.record("endpoint", "unreadable", row.address.key);
         return record;
     }
--- a/Services/chicorydockd/NodeRegistry.cpp
+++ b/Services/chicorydockd/NodeRegistry.cpp
@@ -64,11 +64,11 @@
     });
 }
 
-void NodeRegistry::onTableListed(const std::vector<StoredRow>& rows)
+void NodeRegistry::onTableListed(const TableListing& listing)
 {
-    onRowsChanged(rows);
+    onRowsChanged(listing.rows);
     std::set<std::string> addresses { m_address };
-    for (const StoredRow& it : rows)
+    for (const StoredRow& it : listing.rows)
         addresses.insert(it.value.toStdString());
     m_onListed(addresses);
 }
--- a/Services/chicorydockd/NodeRegistry.h
+++ b/Services/chicorydockd/NodeRegistry.h
@@ -27,7 +27,7 @@
     void leave();
 
 private:
-    void onTableListed(const std::vector<StoredRow>&) override;
+    void onTableListed(const TableListing&) override;
     void onRowsChanged(const std::vector<StoredRow>&) override;
     void onReachableChanged(bool) override { }
 
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -38,7 +38,7 @@
         for (size_t n = 0; n < endpoints; ++n)
             records.push_back(
                 { "e" + std::to_string(n), "10.0.0." + std::to_string(n) + ":80", "lm", "z1", 8, false, 1 });
-        directory.replaceAll(records, clock.now());
+        directory.replaceAll(records, 0, clock.now());
         scheduler.setEndpoints(records);
         GatewayConfiguration configuration;
         configuration.version = 3;
--- a/Tests/LibGateway/JobWorld.cpp
+++ b/Tests/LibGateway/JobWorld.cpp
@@ -225,7 +225,7 @@
         // A listing may be outdated when it arrives.
         const Milliseconds age { m_random.below(m_isFaulty ? 1'500 : 20) };
         schedule(age, { owner, m_incarnations[n] },
-            [this, n, rows = jobHeadRows(m_table)] { m_nodes[n]->jobs->onTableListed(rows); });
+            [this, n, rows = jobHeadRows(m_table)] { m_nodes[n]->jobs->onTableListed({ rows }); });
     }
     if (m_random.below(25) == 0)
         node.jobs->tick();
--- a/Tests/LibGateway/TestEndpointDirectory.cpp
+++ b/Tests/LibGateway/TestEndpointDirectory.cpp
@@ -17,12 +17,12 @@
 {
     SimulatedClock clock;
     EndpointDirectory directory;
-    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, clock.now());
+    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, 0, clock.now());
     clock.advance(std::chrono::seconds { 10 });
     directory.setStoreReachable(false, clock.now());
     clock.advance(std::chrono::seconds { 5 });
     directory.setStoreReachable(true, clock.now());
-    directory.replaceAll({}, clock.now());
+    directory.replaceAll({}, 0, clock.now());
     CHECK(directory.usable().size() == 2);
 
     clock.advance(Milliseconds { 1'500 });
@@ -40,9 +40,9 @@
 {
     SimulatedClock clock;
     EndpointDirectory directory;
-    directory.replaceAll({ makeRecord("a") }, clock.now());
+    directory.replaceAll({ makeRecord("a") }, 0, clock.now());
     clock.advance(std::chrono::seconds { 10 });
-    directory.remove("a", clock.now());
+    directory.remove("a", 0, clock.now());
     CHECK(directory.usable().empty());
 }
 
@@ -51,14 +51,14 @@
 {
     SimulatedClock clock;
     EndpointDirectory directory;
-    directory.replaceAll({ makeRecord("a") }, clock.now());
+    directory.replaceAll({ makeRecord("a") }, 0, clock.now());
     EndpointRecord leaving = makeRecord("a");
     leaving.isLeaving = true;
     directory.put(leaving);
     CHECK(directory.usable().empty());
     CHECK_FALSE(directory.find("a"));
     directory.setStoreReachable(false, clock.now());
-    directory.remove("a", clock.now());
+    directory.remove("a", 0, clock.now());
     CHECK(directory.usable().empty());
 }
 
@@ -67,7 +67,7 @@
 {
     SimulatedClock clock;
     EndpointDirectory directory;
-    directory.replaceAll({ makeRecord("a") }, clock.now());
+    directory.replaceAll({ makeRecord("a") }, 0, clock.now());
     CHECK(directory.markReplaced("a"));
     CHECK_FALSE(directory.markReplaced("a"));
     CHECK_FALSE(directory.find("a"));
@@ -86,7 +86,7 @@
 {
     SimulatedClock clock;
     EndpointDirectory directory;
-    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, clock.now());
+    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, 0, clock.now());
     CHECK(directory.markLeaving("a", clock.now()));
     CHECK_FALSE(directory.markLeaving("a", clock.now()));
     CHECK_FALSE(directory.markLeaving("unknown", clock.now()));
@@ -100,9 +100,9 @@
     CHECK_FALSE(directory.find("a"));
 
     clock.advance(std::chrono::seconds { 30 });
-    directory.remove("a", clock.now());
+    directory.remove("a", 0, clock.now());
     directory.applyRemovals(clock.now());
-    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, clock.now());
+    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, 0, clock.now());
     CHECK(directory.usable().size() == 1);
 
     EndpointRecord restarted = makeRecord("a");
@@ -121,11 +121,11 @@
     SimulatedClock clock;
     const MonotonicTime start = clock.now();
     EndpointDirectory directory;
-    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, start);
+    directory.replaceAll({ makeRecord("a"), makeRecord("b") }, 0, start);
     directory.setStoreReachable(false, start + Milliseconds { 2'500 });
     const MonotonicTime back = start + Milliseconds { 14'364 };
     directory.setStoreReachable(true, back);
-    directory.remove("a", back);
+    directory.remove("a", 0, back);
 
     // Eight peers reached the store all the time; three were cut off as well.
     std::vector<std::optional<MonotonicTime>> peers(8, start);
@@ -143,11 +143,11 @@
     SimulatedClock clock;
     const MonotonicTime start = clock.now();
     EndpointDirectory directory;
-    directory.replaceAll({ makeRecord("a") }, start);
+    directory.replaceAll({ makeRecord("a") }, 0, start);
     directory.setStoreReachable(false, start + Milliseconds { 2'500 });
     const MonotonicTime back = start + Milliseconds { 14'364 };
     directory.setStoreReachable(true, back);
-    directory.remove("a", back);
+    directory.remove("a", 0, back);
 
     std::vector<std::optional<MonotonicTime>> peers(10, back - Milliseconds { 200 });
     peers.push_back(start);
@@ -157,3 +157,37 @@
     CHECK(directory.find("a"));
     CHECK(directory.applyRemovals(back + Milliseconds { 2'100 }) == std::vector<std::string> { "a" });
 }
+
+// Guards against an endpoint that is used although it has left, because the store returned old state after it had lost
+// its history.
+TEST_CASE("a listing that is behind brings no endpoint back and removes none")
+{
+    SimulatedClock clock;
+    EndpointDirectory directory;
+    const auto record = [](const std::string& id, uint64_t version, bool isLeaving = false) {
+        EndpointRecord it = makeRecord(id);
+        it.version = version;
+        it.isLeaving = isLeaving;
+        return it;
+    };
+    directory.replaceAll({ record("a", 1), record("b", 2), record("c", 3) }, 3, clock.now());
+    clock.advance(std::chrono::seconds { 10 });
+    directory.put(record("a", 4, true));
+    directory.remove("b", 5, clock.now());
+    directory.put(record("d", 6));
+    directory.replaceAll({ record("a", 1), record("b", 2), record("c", 3) }, 3, clock.now());
+    CHECK_FALSE(directory.find("a"));
+    CHECK_FALSE(directory.find("b"));
+    CHECK(directory.find("c"));
+    CHECK(directory.find("d"));
+    // Both register again.
+    directory.put(record("b", 7));
+    directory.replaceAll({ record("a", 8), record("b", 7) }, 8, clock.now());
+    CHECK(directory.find("a"));
+    CHECK(directory.find("b"));
+    CHECK_FALSE(directory.find("c"));
+    CHECK_FALSE(directory.find("d"));
+    // The listing was behind although it claimed to be newer.
+    directory.replaceAll({ record("a", 8), record("b", 7), record("c", 3), record("d", 6) }, 9, clock.now());
+    CHECK(directory.usable().size() == 4);
+}
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -24,7 +24,7 @@
     }
 
     /// Delivers the current job heads of the store to the controller.
-    void syncFromStore() { jobs->onTableListed(jobHeadRows(m_store)); }
+    void syncFromStore() { jobs->onTableListed({ jobHeadRows(m_store) }); }
 
     /// Advances the clock in steps with a tick each, so that orphaned jobs are claimed.
     void advanceTime(Milliseconds time)
--- a/Tests/LibGateway/TestPromptQuarantine.cpp
+++ b/Tests/LibGateway/TestPromptQuarantine.cpp
@@ -70,7 +70,7 @@
     /// Removes the endpoint of the latest request.
     void removeEndpoint()
     {
-        directory.remove(http.last().request.headers.find("Expect-Instance")->toStdString(), clock.now());
+        directory.remove(http.last().request.headers.find("Expect-Instance")->toStdString(), 0, clock.now());
         broker.setEndpoints(directory.usable());
         settle();
         clock.advance(Milliseconds { 400 });
--- a/Tests/LibPlatform/TestTableFollower.cpp
+++ b/Tests/LibPlatform/TestTableFollower.cpp
@@ -15,11 +15,11 @@
     int listings { 0 };
     bool isReachable { false };
 
-    void onTableListed(const std::vector<StoredRow>& listed) override
+    void onTableListed(const TableListing& listing) override
     {
         ++listings;
         rows.clear();
-        onRowsChanged(listed);
+        onRowsChanged(listing.rows);
     }
 
     void onRowsChanged(const std::vector<StoredRow>& changed) override
