LibGateway: Give a node that starts its peers and the configuration sooner

A node sent its first reports 0.3 s after its start, so in a deployment of more than 24 nodes, where it now waits for the offer of a peer, it would not be ready for about that time after each restart. A newly known peer is now sent a report at once, and a node that gets the configuration from a peer keeps the bytes as they came instead of compressing them again.

--- a/Libraries/LibGateway/ConfigurationFollower.cpp
+++ b/Libraries/LibGateway/ConfigurationFollower.cpp
@@ -145,12 +145,13 @@
 
 void ConfigurationFollower::onFinished()
 {
-    const QByteArray document = m_status == 200 ? uncompress(std::exchange(m_body, {})) : QByteArray();
+    const QByteArray document = m_status == 200 ? uncompress(m_body) : QByteArray();
     if (document.isEmpty() || !receive(document, m_receivedRowVersion, m_calledPeer)) {
         handleFailedFetch();
         return;
     }
     m_call.reset();
+    m_document = std::exchange(m_body, {});
     m_failedPeers.clear();
     m_follower.skipTo(m_rowVersion);
     update();
@@ -195,7 +196,8 @@
         return false;
     m_version = configuration->version;
     m_rowVersion = rowVersion;
-    m_document = qCompress(document, compressionLevel);
+    if (peer.empty())
+        m_document = qCompress(document, compressionLevel);
     m_listener.onConfiguration({ std::move(*configuration), document.size(), peer });
     return true;
 }
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -100,6 +100,7 @@
     const auto retryAfter = m_prompt.refusal();
     if (!retryAfter)
         return false;
+    m_retryAfter = retryAfter;
     refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::PromptQuarantined,
         "endpoints crash on a part of the prompt", retryAfter);
     return true;
@@ -427,6 +428,19 @@
     m_deadlineTimer.stop();
     m_idleTimer.stop();
     const MonotonicTime now = m_environment.clock.now();
+    logEnd(outcome, reason, now);
+    m_environment.metrics
+        .counter("chicorydock_requests_total", "Requests by route and outcome.",
+            { { "route", m_route.name }, { "outcome", outcome } })
+        .add(1);
+    recordPhaseDuration("queue", m_sentAt);
+    recordPhaseDuration("first_byte", m_firstByteAt);
+    recordPhaseDuration("total", now);
+    m_onDone();
+}
+
+void ForwardedCall::logEnd(const std::string& outcome, const std::string& reason, MonotonicTime now) const
+{
     QJsonObject details {
         { "outcome", QString::fromStdString(outcome) },
         { "route", QString::fromStdString(m_route.name) },
@@ -448,14 +462,6 @@
     if (m_retryAfter)
         details["retry_after_ms"] = static_cast<qint64>(m_retryAfter->count());
     m_environment.log.record("request", "finished", m_request.id, {}, details);
-    m_environment.metrics
-        .counter("chicorydock_requests_total", "Requests by route and outcome.",
-            { { "route", m_route.name }, { "outcome", outcome } })
-        .add(1);
-    recordPhaseDuration("queue", m_sentAt);
-    recordPhaseDuration("first_byte", m_firstByteAt);
-    recordPhaseDuration("total", now);
-    m_onDone();
 }
 
 void ForwardedCall::recordPhaseDuration(const std::string& phase, const std::optional<MonotonicTime>& end)
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -67,6 +67,7 @@
     void refuse(ErrorKind, const std::string& reason, std::optional<Milliseconds> retryAfter = {});
     void logPlacement(const SlotView&) const;
     void finish(const std::string& outcome, const std::string& reason);
+    void logEnd(const std::string& outcome, const std::string& reason, MonotonicTime now) const;
     /// Adds the time from the arrival to the end of a phase to the metrics, if the phase has ended.
     void recordPhaseDuration(const std::string& phase, const std::optional<MonotonicTime>& end);
 
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -79,6 +79,13 @@
     Peer& peer = m_peers[node];
     std::tie(peer.host, peer.port) = parseAddress(address);
     peer.lastReportAt = m_clock.now();
+    sendSoon();
+}
+
+void PeerGroup::sendSoon()
+{
+    if (!m_sendTimer.isActive() || m_sendTimer.remainingTimeAsDuration() > minSendDelay)
+        m_sendTimer.start(minSendDelay);
 }
 
 void PeerGroup::removeAddress(const std::string& node)
@@ -144,10 +151,8 @@
         peer.hasUnsentChange = peer.hasUnsentChange || peer.report.isCoordinating;
         hasReceivers = hasReceivers || peer.hasUnsentChange;
     }
-    if (!hasReceivers)
-        return;
-    if (!m_sendTimer.isActive() || m_sendTimer.remainingTimeAsDuration() > minSendDelay)
-        m_sendTimer.start(minSendDelay);
+    if (hasReceivers)
+        sendSoon();
 }
 
 void PeerGroup::sendReports()
@@ -187,30 +192,27 @@
 
 void PeerGroup::send(const std::string& node, const SlotReport& message)
 {
-    const auto it = m_peers.find(node);
-    if (it == m_peers.end())
-        return;
     PeerReport report = nextReport();
     report.slotReport = message;
-    // A member that leaves its coordinator sends it no further messages.
-    report.nextWithin = message.isLeaving ? heartbeat(it->second) : messageInterval;
-    sendMessage(it->second, std::move(report));
+    sendMessage(node, std::move(report));
 }
 
 void PeerGroup::send(const std::string& node, const SlotReply& message)
 {
-    const auto it = m_peers.find(node);
-    if (it == m_peers.end())
-        return;
     PeerReport report = nextReport();
     report.slotReply = message;
-    report.nextWithin = messageInterval;
-    sendMessage(it->second, std::move(report));
+    sendMessage(node, std::move(report));
 }
 
-void PeerGroup::sendMessage(Peer& peer, PeerReport report)
+void PeerGroup::sendMessage(const std::string& node, PeerReport report)
 {
-    send(peer, encodePeerReport(report), report.nextWithin, m_clock.now());
+    const auto it = m_peers.find(node);
+    if (it == m_peers.end())
+        return;
+    // A member that leaves its coordinator sends it no further messages.
+    const bool isLast = report.slotReport && report.slotReport->isLeaving;
+    report.nextWithin = isLast ? heartbeat(it->second) : messageInterval;
+    send(it->second, encodePeerReport(report), report.nextWithin, m_clock.now());
 }
 
 void PeerGroup::send(Peer& peer, const QByteArray& datagram, Milliseconds promised, MonotonicTime now)
@@ -233,6 +235,8 @@
         if (isNew) {
             peer.host = datagram.senderAddress();
             peer.port = static_cast<uint16_t>(datagram.senderPort());
+            // The node has just started and needs to know its peers before it is of use.
+            sendSoon();
         }
         if (peer.hasReported && report->sequence <= peer.report.sequence)
             continue;
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -113,9 +113,11 @@
 
     void receive();
     void sendReports();
+    /// Sends the reports that are due after a short delay, in which others may become due.
+    void sendSoon();
     PeerReport nextReport();
     /// Sends a slot message as part of a report.
-    void sendMessage(Peer&, PeerReport);
+    void sendMessage(const std::string& node, PeerReport);
     void send(Peer&, const QByteArray& datagram, Milliseconds promised, MonotonicTime now);
     bool isReporting(const Peer&) const;
     /// Returns the interval of reports to the peer while nothing changes.
