ForwardedCall: Accept streams whose events have no identifiers

An event without an identifier does not move the position in the stream, so a stream of such events would have been taken for one without events since. Found when reading the change; the platform's streams have identifiers.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -288,7 +288,8 @@
 void ForwardedCall::handleStreamEnd()
 {
     // A response without a length ends with its connection, also if the endpoint crashes.
-    if (m_events.hasPartialEvent() || m_lastEventId == 0) {
+    const bool hasEvents = m_hasStreamBegun || m_lastEventId > 0;
+    if (m_events.hasPartialEvent() || !hasEvents) {
         m_prompt.recordBrokenStream();
         handleFailedAttempt(m_events.hasPartialEvent() ? "the event stream of the endpoint ended within an event"
                                                        : "the event stream of the endpoint has no event");
