--- a/Libraries/LibGateway/ConfigurationFollower.h
+++ b/Libraries/LibGateway/ConfigurationFollower.h
@@ -55,8 +55,8 @@
         Random&, ConfigurationListener&);
     ~ConfigurationFollower() override;
 
-    /// Starts; the store is not read before `storeDelay` has passed, unless called again with a shorter one. Peers are
-    /// asked at once. Has no effect once the store may be read.
+    /// Allows the store to be read after `storeDelay`; peers are asked at once. A further call replaces the delay, and
+    /// has no effect when it has passed.
     void start(Milliseconds storeDelay);
 
     /// Sets whether this node reads the store for its failure domain.
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -293,7 +293,7 @@
     return nodes;
 }
 
-std::optional<MonotonicTime> PeerGroup::storeAvailableSincePeers() const
+std::optional<MonotonicTime> PeerGroup::storeAvailableSince() const
 {
     std::vector<std::optional<MonotonicTime>> reachableSince;
     for (const auto& [node, peer] : m_peers) {
@@ -302,7 +302,7 @@
         const Milliseconds time = peer.report.storeReachableFor;
         reachableSince.push_back(time.count() > 0 ? std::optional(peer.lastReportAt - time) : std::nullopt);
     }
-    return storeAvailableSince(std::move(reachableSince));
+    return Chicorydock::storeAvailableSince(std::move(reachableSince));
 }
 
 std::vector<ConfigurationOffer> PeerGroup::configurationOffers() const
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -87,8 +87,9 @@
     /// Returns the other nodes of this node's failure domain that are alive and not leaving.
     std::vector<CoordinatorCandidate> domainPeers() const;
 
-    /// Returns the time since which the store has been available according to the peers, see `storeAvailableSince()`.
-    std::optional<MonotonicTime> storeAvailableSincePeers() const;
+    /// Returns the time since which the store has been available according to the live peers, or nothing if too few of
+    /// them reach it.
+    std::optional<MonotonicTime> storeAvailableSince() const;
 
     /// Returns whether the node is unknown or was removed because no report was received from it for a long time. It is
     /// sent no reports.
--- a/Libraries/LibGateway/PromptQuarantine.cpp
+++ b/Libraries/LibGateway/PromptQuarantine.cpp
@@ -194,7 +194,8 @@
     forgetOldSuspects(now);
     std::vector<std::string> quarantined;
     for (auto& [part, suspect] : m_suspects) {
-        if (std::exchange(suspect.isReported, isQuarantined(suspect)) < isQuarantined(suspect))
+        const bool wasQuarantined = std::exchange(suspect.wasQuarantined, isQuarantined(suspect));
+        if (suspect.wasQuarantined && !wasQuarantined)
             quarantined.push_back(part);
     }
     return quarantined;
--- a/Libraries/LibGateway/PromptQuarantine.h
+++ b/Libraries/LibGateway/PromptQuarantine.h
@@ -34,8 +34,8 @@
 /// The load that it answers: requests with such a part arrive at all nodes, each with other parts beside it, and each
 /// of them would take down an endpoint with all requests that it runs. A part is suspected if an endpoint closed the
 /// connection of a request with it before the answer had properly begun, and did not respond to anything soon after
-/// that. It is quarantined after the crash of `crashesBeforeQuarantine` endpoints, counted over all nodes. An answer to
-/// any request with the part clears it, so the parts that sound requests share with a crashing one stay in use.
+/// that. It is quarantined after a few such crashes of different endpoints, counted over all nodes. An answer to any
+/// request with the part clears it, so the parts that sound requests share with a crashing one stay in use.
 ///
 /// When a quarantine ends, one node lets one request with the part through. If it crashes its endpoint too, the next
 /// quarantine is twice as long.
@@ -74,6 +74,7 @@
     /// Returns the number of parts that are in quarantine.
     size_t quarantinedParts(MonotonicTime now) const;
 
+    /// Returns the number by which nodes tell incarnations of endpoints apart. May be called from any thread.
     static uint64_t incarnationKey(const EndpointRecord&);
 
 private:
@@ -83,7 +84,8 @@
         std::optional<MonotonicTime> answeredAt;
         /// Set while a request tries whether the part still crashes endpoints.
         std::optional<MonotonicTime> trialStartedAt;
-        bool isReported { false };
+        /// Whether the part was in quarantine at the last update.
+        bool wasQuarantined { false };
     };
 
     /// A closed connection that may be the sign of a crash.
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -255,7 +255,7 @@
 
 void Gateway::applyRemovals()
 {
-    if (const auto since = m_peers.storeAvailableSincePeers())
+    if (const auto since = m_peers.storeAvailableSince())
         m_directory.recordStoreAvailable(*since);
     const std::vector<std::string> removed = m_directory.applyRemovals(m_clock.now());
     for (const std::string& it : removed)
--- a/Tests/LibGateway/TestPeerGroup.cpp
+++ b/Tests/LibGateway/TestPeerGroup.cpp
@@ -56,8 +56,8 @@
     CHECK(first.group.canRunJobs("n2"));
     CHECK(first.group.nodesForJobs() == std::vector<std::string> { "n2" });
     CHECK_FALSE(second.group.canRunJobs("n1"));
-    CHECK(first.group.storeAvailableSincePeers() < clock.now() - Milliseconds { 30'000 });
-    CHECK_FALSE(second.group.storeAvailableSincePeers());
+    CHECK(first.group.storeAvailableSince() < clock.now() - Milliseconds { 30'000 });
+    CHECK_FALSE(second.group.storeAvailableSince());
 
     // A change is reported without waiting for the next heartbeat.
     second.ownReport.isLeaving = true;
