LibGateway: Format the addresses of peers once, and share a client and a check

Four times a second each node formatted the addresses of all peers, of which it uses one after a change of the configuration; the address is kept with the peer now. Calls to peers had an HTTP client of their own, with a timer of its own, beside the one for the store. "Alive and not leaving" stood four times. The compressed document was set under a condition in one place and outside in another.

--- a/Libraries/LibGateway/ConfigurationFollower.cpp
+++ b/Libraries/LibGateway/ConfigurationFollower.cpp
@@ -174,8 +174,10 @@
     // Of several versions, only the newest one takes effect.
     for (auto it = rows.rbegin(); it != rows.rend(); ++it) {
         const bool isConfiguration = it->address.key == m_wire.configurationKey() && !it->isRemoved;
-        if (isConfiguration && receive(it->value, it->version, {}))
+        if (isConfiguration && receive(it->value, it->version, {})) {
+            m_document = qCompress(it->value, compressionLevel);
             return;
+        }
     }
 }
 
@@ -196,8 +198,6 @@
         return false;
     m_version = configuration->version;
     m_rowVersion = rowVersion;
-    if (peer.empty())
-        m_document = qCompress(document, compressionLevel);
     m_listener.onConfiguration({ std::move(*configuration), document.size(), peer });
     return true;
 }
--- a/Libraries/LibGateway/ConfigurationFollower.h
+++ b/Libraries/LibGateway/ConfigurationFollower.h
@@ -91,7 +91,8 @@
     bool isStoreNeeded(const std::vector<ConfigurationOffer>&);
     void fetch(const ConfigurationOffer&);
     void handleFailedFetch();
-    /// Returns whether the configuration is newer than the one in force.
+    /// Puts a configuration into force if it is newer than the one in force, and returns whether it is. The caller then
+    /// keeps the compressed document.
     bool receive(const QByteArray& document, uint64_t rowVersion, const std::string& peer);
 
     const WireFormat& m_wire;
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -77,6 +77,7 @@
     if (node == m_options.node || m_peers.contains(node))
         return;
     Peer& peer = m_peers[node];
+    peer.address = address;
     std::tie(peer.host, peer.port) = parseAddress(address);
     peer.lastReportAt = m_clock.now();
     sendSoon();
@@ -235,6 +236,7 @@
         if (isNew) {
             peer.host = datagram.senderAddress();
             peer.port = static_cast<uint16_t>(datagram.senderPort());
+            peer.address = formatAddress(peer.host, peer.port);
             // The node has just started and needs to know its peers before it is of use.
             sendSoon();
         }
@@ -260,6 +262,8 @@
     return peer.hasReported && m_clock.now() - peer.lastReportAt <= peer.timeout;
 }
 
+bool PeerGroup::isServing(const Peer& peer) const { return isReporting(peer) && !peer.report.isLeaving; }
+
 bool PeerGroup::isAlive(const std::string& node) const
 {
     const auto it = m_peers.find(node);
@@ -269,8 +273,7 @@
 bool PeerGroup::canRunJobs(const std::string& node) const
 {
     const auto it = m_peers.find(node);
-    return it != m_peers.end() && isReporting(it->second) && it->second.report.isStoreReachable
-        && !it->second.report.isLeaving;
+    return it != m_peers.end() && isServing(it->second) && it->second.report.isStoreReachable;
 }
 
 std::vector<std::string> PeerGroup::nodesForJobs() const
@@ -287,7 +290,7 @@
 {
     std::vector<CoordinatorCandidate> nodes;
     for (const auto& [node, peer] : m_peers) {
-        if (peer.distance == PeerDistance::FailureDomain && isReporting(peer) && !peer.report.isLeaving)
+        if (peer.distance == PeerDistance::FailureDomain && isServing(peer))
             nodes.push_back({ node, peer.report.capacityPercent });
     }
     return nodes;
@@ -309,10 +312,9 @@
 {
     std::vector<ConfigurationOffer> offers;
     for (const auto& [node, peer] : m_peers) {
-        if (!isReporting(peer) || peer.report.isLeaving || peer.report.configurationVersion == 0)
-            continue;
-        offers.push_back({ node, formatAddress(peer.host, peer.port), peer.distance, peer.report.configurationVersion,
-            peer.report.isConfigurationSource });
+        if (isServing(peer) && peer.report.configurationVersion > 0)
+            offers.push_back({ node, peer.address, peer.distance, peer.report.configurationVersion,
+                peer.report.isConfigurationSource });
     }
     return offers;
 }
@@ -321,7 +323,7 @@
 {
     std::vector<std::string> nodes;
     for (const auto& [node, peer] : m_peers) {
-        if (isReporting(peer) && !peer.report.isLeaving)
+        if (isServing(peer))
             nodes.push_back(node);
     }
     return nodes;
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -97,6 +97,8 @@
 
 private:
     struct Peer {
+        /// `HOST:PORT`.
+        std::string address;
         QHostAddress host;
         uint16_t port { 0 };
         PeerDistance distance { PeerDistance::OtherRegion };
@@ -121,6 +123,8 @@
     void sendMessage(const std::string& node, PeerReport);
     void send(Peer&, const QByteArray& datagram, Milliseconds promised, MonotonicTime now);
     bool isReporting(const Peer&) const;
+    /// Returns whether the peer is alive and not leaving.
+    bool isServing(const Peer&) const;
     /// Returns the interval of reports to the peer while nothing changes.
     Milliseconds heartbeat(const Peer&) const;
     /// Returns the time from the latest report to the peer until the next one.
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -75,8 +75,8 @@
     StreamEventLog m_log;
     MetricsRegistry m_metrics;
     PooledHttpClient m_endpointClient;
-    PooledHttpClient m_storeClient;
-    PooledHttpClient m_peerClient;
+    /// For calls to the store and to other nodes.
+    PooledHttpClient m_controlClient;
     PlatformRowStore m_store;
     EndpointDirectory m_directory;
     PromptQuarantine m_quarantine;
