LibGateway: Log rate limits that endpoints state, and the starts of items

No decision changes.

A value that is no rate (empty, negative, not finite, no number) tells nothing: it neither sets nor lifts a limit. Of several values the lowest holds. A response without the field states that there is no limit only if it is signed, because other bytes are not the endpoint's.

--- a/Libraries/LibGateway/DecisionFields.cpp
+++ b/Libraries/LibGateway/DecisionFields.cpp
@@ -14,4 +14,10 @@
     details["slots_age_ms"] = static_cast<qint64>(view.age.count());
 }
 
+void addRateLimit(QJsonObject& details, const std::optional<double>& rateLimit)
+{
+    if (rateLimit && *rateLimit != unlimitedRate)
+        details["rate_limit"] = *rateLimit;
+}
+
 }
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -460,6 +460,7 @@
         details["reason"] = QString::fromStdString(reason);
     if (m_refusal)
         addDecisionFields(details, *m_refusal);
+    addRateLimit(details, m_head.rateLimit);
     if (m_retryAfter)
         details["retry_after_ms"] = static_cast<qint64>(m_retryAfter->count());
     m_environment.log.record("request", "finished", m_request.id, {}, details);
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -127,6 +127,7 @@
     m_head = {};
     m_receivedBytes = 0;
     m_prompt.begin(*record);
+    logStep("placed", "");
     const HttpCallRequest call { .address = record->address,
         .method = "POST",
         .target = m_item.path,
@@ -281,9 +282,15 @@
 
 void ItemRun::logStep(std::string_view action, const std::string& reason) const
 {
-    m_environment.log.record("item", action, m_item.id, {},
-        { { "job", QString::fromStdString(m_job.id) }, { "endpoint", QString::fromStdString(m_endpoint) },
-            { "last_event", static_cast<qint64>(m_lastEventId) }, { "reason", QString::fromStdString(reason) } });
+    QJsonObject details {
+        { "job", QString::fromStdString(m_job.id) },
+        { "endpoint", QString::fromStdString(m_endpoint) },
+        { "last_event", static_cast<qint64>(m_lastEventId) },
+    };
+    if (!reason.empty())
+        details["reason"] = QString::fromStdString(reason);
+    addRateLimit(details, m_head.rateLimit);
+    m_environment.log.record("item", action, m_item.id, {}, details);
 }
 
 }
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -111,6 +112,9 @@
     auto operator<=>(const ObservedLoad&) const = default;
 };
 
+/// Rate of an endpoint that states no limit.
+constexpr double unlimitedRate = std::numeric_limits<double>::infinity();
+
 /// Outcome of work at an endpoint, for health tracking.
 enum class EndpointOutcome : uint8_t {
     Answered,
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -40,6 +40,9 @@
     bool isLeaving { false };
     /// Load of the endpoint, if reported.
     std::optional<ObservedLoad> load;
+    /// Requests per second that the endpoint takes from all nodes together, `unlimitedRate` if it states no limit.
+    /// Empty if the response does not tell, because the statement is malformed or the response is not the endpoint's.
+    std::optional<double> rateLimit;
 
     /// Returns whether the response has a success status but no signature of an endpoint.
     bool isUnsignedSuccess() const { return status >= 200 && status < 300 && !isSigned; }
--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -143,3 +143,26 @@
     CHECK(wire.decodeAnswerHead(200, { { "Server-Load", "3,0,8" } }).load == ObservedLoad { 3, 0, 100 });
     CHECK_FALSE(wire.decodeAnswerHead(200, { { "Server-Load", "busy" } }).load);
 }
+
+// Guards against a malformed statement that stops an endpoint or lifts its limit.
+TEST_CASE("the rate limit that an endpoint states is decoded, and a malformed one tells nothing")
+{
+    const PlatformWireFormat wire;
+    const auto limit = [&](const QByteArray& value) {
+        return wire.decodeAnswerHead(200, { { "Server-Signature", "s" }, { "Server-Limit", value } }).rateLimit;
+    };
+    CHECK(limit("2.5") == 2.5);
+    CHECK(limit(" 3 ") == 3);
+    CHECK(limit("0") == 0);
+    CHECK(limit("2." + QByteArray(2000, '3')).value() == Approx(7 / 3.0));
+    for (const char* it : { "", " ", "-1", "-0.1", "nan", "inf", "1e999", "fast", "2,5", "2.5/s", "0x10" }) {
+        CAPTURE(it);
+        CHECK_FALSE(limit(it));
+    }
+    CHECK_FALSE(limit(QByteArray(2000, '9')));
+    CHECK(wire.decodeAnswerHead(503, { { "Server-Limit", "1.5" } }).rateLimit == 1.5);
+    CHECK(wire.decodeAnswerHead(200, { { "Server-Signature", "s" } }).rateLimit == unlimitedRate);
+    CHECK_FALSE(wire.decodeAnswerHead(200, {}).rateLimit);
+    CHECK(wire.decodeAnswerHead(200, { { "Server-Limit", "4" }, { "server-limit", "3" } }).rateLimit == 3);
+    CHECK_FALSE(wire.decodeAnswerHead(200, { { "Server-Limit", "4" }, { "Server-Limit", "many" } }).rateLimit);
+}
