TestLibGateway: Show that endpoints get more requests than the limit that they state

The interface for what endpoints state (observeRate) is declared without effect, since the old one could not state the fault.

--- a/Libraries/LibGateway/SlotAllocator.h
+++ b/Libraries/LibGateway/SlotAllocator.h
@@ -30,6 +30,9 @@
     /// Records the load that an endpoint reported.
     virtual void observe(const std::string& endpoint, const ObservedLoad&, MonotonicTime now) = 0;
 
+    /// Records the rate limit that an endpoint stated. Of several statements the latest one holds.
+    virtual void observeRate(const std::string& endpoint, const RateStatement&, MonotonicTime now) = 0;
+
     /// Returns the decisions that are due now. Started work holds its slot from now on; yielded work no longer does.
     virtual std::vector<SlotDecision> poll(MonotonicTime now) = 0;
 
--- a/Libraries/LibGateway/SlotMember.cpp
+++ b/Libraries/LibGateway/SlotMember.cpp
@@ -163,6 +163,8 @@
     m_loads[endpoint] = { load, now };
 }
 
+void SlotMember::observeRate(const std::string&, const RateStatement&, MonotonicTime) { }
+
 std::vector<SlotDecision> SlotMember::poll(MonotonicTime now)
 {
     if (isIndependent())
--- a/Libraries/LibGateway/SlotMember.h
+++ b/Libraries/LibGateway/SlotMember.h
@@ -40,6 +40,7 @@
     void withdraw(uint64_t work) override;
     void finish(uint64_t work, EndpointOutcome, MonotonicTime now) override;
     void observe(const std::string& endpoint, const ObservedLoad&, MonotonicTime now) override;
+    void observeRate(const std::string& endpoint, const RateStatement&, MonotonicTime now) override;
     std::vector<SlotDecision> poll(MonotonicTime now) override;
     bool needsPolling() const override;
 
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -327,6 +327,8 @@
     endpoint->observedAt = now;
 }
 
+void SlotScheduler::observeRate(const std::string&, const RateStatement&, MonotonicTime) { }
+
 void SlotScheduler::expireObservations(MonotonicTime now)
 {
     for (auto& [id, it] : m_endpoints) {
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -49,6 +49,8 @@
     /// Work at the endpoint that no node has reported yet counts as online work for a short time.
     void observe(const std::string& endpoint, const ObservedLoad&, MonotonicTime now) override;
 
+    void observeRate(const std::string& endpoint, const RateStatement&, MonotonicTime now) override;
+
     std::vector<SlotDecision> poll(MonotonicTime now) override;
     bool needsPolling() const override { return !m_online.empty() || !m_batch.empty(); }
 
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -115,6 +115,17 @@
 /// Rate of an endpoint that states no limit.
 constexpr double unlimitedRate = std::numeric_limits<double>::infinity();
 
+/// Rate limit that an endpoint states in a response.
+struct RateStatement {
+    /// Requests per second that the endpoint takes from all nodes together, `unlimitedRate` if it states no limit.
+    double perSecond { unlimitedRate };
+    /// Time for which the statement holds: the arrival of the response. If the response states no limit, the time at
+    /// which its request was sent, because the endpoint may have stated a limit since then in other responses.
+    MonotonicTime at;
+
+    auto operator<=>(const RateStatement&) const = default;
+};
+
 /// Outcome of work at an endpoint, for health tracking.
 enum class EndpointOutcome : uint8_t {
     Answered,
--- a/Tests/LibGateway/SlotSimulation.h
+++ b/Tests/LibGateway/SlotSimulation.h
@@ -42,6 +42,9 @@
         bool isCoordinated { false };
         /// Share of the messages between members and coordinators that are lost.
         double messageLoss { 0 };
+        /// Number of endpoints that state a rate limit in their responses, and the limit in requests per second.
+        size_t limitedEndpoints { 0 };
+        double rateLimit { 0 };
         uint64_t seed { 1 };
     };
 
@@ -74,7 +77,7 @@
         for (size_t n = 0; n < options.endpoints; ++n) {
             records.push_back({ "e" + std::to_string(n), "10.0.0.1:80", "lm", "z" + std::to_string(n % options.domains),
                 options.slotCount, false, 1 });
-            m_endpoints[records.back().id];
+            m_endpoints[records.back().id].rateLimit = n < options.limitedEndpoints ? options.rateLimit : unlimitedRate;
         }
         for (size_t n = 0; n < options.nodes; ++n) {
             m_nodes.push_back(std::make_unique<Node>(options.seed * 100 + n));
@@ -167,8 +170,38 @@
         });
     }
 
+    /// Changes the limit of the limited endpoints.
+    void setRateLimit(double perSecond)
+    {
+        for (auto& [id, endpoint] : m_endpoints) {
+            if (endpoint.rateLimit != unlimitedRate)
+                endpoint.rateLimit = perSecond;
+        }
+    }
+
+    /// Returns the number of requests that a limited endpoint got in the busiest `window` since the last reset of the
+    /// totals, the largest one over all limited endpoints.
+    size_t mostArrivalsWithin(Milliseconds window) const
+    {
+        size_t most = 0;
+        for (const auto& [id, endpoint] : m_endpoints) {
+            const std::vector<MonotonicTime>& arrivals = endpoint.limitedArrivals;
+            for (size_t first = 0, last = 0; last < arrivals.size(); ++last) {
+                while (arrivals[last] - arrivals[first] > window)
+                    ++first;
+                most = std::max(most, last - first + 1);
+            }
+        }
+        return most;
+    }
+
     const Totals& totals() const { return m_totals; }
-    void resetTotals() { m_totals = {}; }
+    void resetTotals()
+    {
+        m_totals = {};
+        for (auto& [id, endpoint] : m_endpoints)
+            endpoint.limitedArrivals.clear();
+    }
 
 private:
     static constexpr Milliseconds step { 5 };
@@ -201,6 +234,8 @@
         Milliseconds remaining { 0 };
         /// Set for items only.
         MonotonicTime dueAt;
+        /// Time at which it was sent to its endpoint.
+        MonotonicTime startedAt {};
     };
 
     struct Report {
@@ -249,6 +284,9 @@
     struct Endpoint {
         std::vector<Work> running;
         std::deque<Work> queue;
+        double rateLimit { unlimitedRate };
+        /// Times of the requests that arrived while the endpoint had a limit.
+        std::vector<MonotonicTime> limitedArrivals;
     };
 
     SlotAllocator& allocatorOf(Node& node) const
@@ -389,7 +427,8 @@
             case SlotDecision::Kind::Start:
                 m_totals.itemStarts += work.isBatch ? 1 : 0;
                 node.queuedItems -= work.isBatch ? 1 : 0;
-                m_endpoints.at(it.endpoint).queue.push_back(work);
+                work.startedAt = m_clock.now();
+                enqueue(m_endpoints.at(it.endpoint), work);
                 break;
             case SlotDecision::Kind::Refuse:
                 ++m_totals.onlineRefused;
@@ -403,6 +442,13 @@
         }
     }
 
+    void enqueue(Endpoint& endpoint, const Work& work)
+    {
+        endpoint.queue.push_back(work);
+        if (endpoint.rateLimit != unlimitedRate)
+            endpoint.limitedArrivals.push_back(m_clock.now());
+    }
+
     /// Queues a preempted item again. It keeps the progress it has made.
     void requeueItem(Node& node, const SlotDecision& decision)
     {
@@ -440,16 +486,23 @@
                 admit(endpoint.queue.front());
                 endpoint.running.push_back(endpoint.queue.front());
                 endpoint.queue.pop_front();
-                // The head of the response reports the load.
-                allocatorOf(*m_nodes[endpoint.running.back().node])
-                    .observe(id,
-                        { static_cast<uint32_t>(endpoint.running.size()),
-                            static_cast<uint32_t>(endpoint.queue.size()) },
-                        m_clock.now());
+                sendHead(id, endpoint);
             }
         }
     }
 
+    /// The head of the latest response reports the load and the rate limit.
+    void sendHead(const std::string& id, const Endpoint& endpoint)
+    {
+        const Work& work = endpoint.running.back();
+        SlotAllocator& allocator = allocatorOf(*m_nodes[work.node]);
+        const ObservedLoad load { static_cast<uint32_t>(endpoint.running.size()),
+            static_cast<uint32_t>(endpoint.queue.size()) };
+        allocator.observe(id, load, m_clock.now());
+        const bool isLimited = endpoint.rateLimit != unlimitedRate;
+        allocator.observeRate(id, { endpoint.rateLimit, isLimited ? m_clock.now() : work.startedAt }, m_clock.now());
+    }
+
     void admit(const Work& work)
     {
         if (work.isBatch)
