--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -201,7 +201,7 @@
 
 void ForwardedCall::onHeaders(int status, const HttpHeaders& headers)
 {
-    m_head = m_environment.processAnswerHead(m_endpoint, status, headers);
+    m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_sentAt.value_or(m_arrival));
     if (m_head.isUnsignedSuccess()) {
         abandonCall("the response lacks the endpoint's signature");
         return;
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -36,14 +36,18 @@
     /// The current configuration; its version is 0 until one has been received.
     std::shared_ptr<const GatewayConfiguration> configuration;
 
-    /// Decodes the head of an endpoint's response and records what the endpoint reports about itself: its load, and
-    /// that it is leaving or is not the intended one. No new work starts at an endpoint of the latter two kinds.
-    EndpointAnswerHead processAnswerHead(const std::string& endpoint, int status, const HttpHeaders& headers) const
+    /// Decodes the head of an endpoint's response to a request that was sent at that time, and records what the
+    /// endpoint reports about itself: its load, its rate limit, and that it is leaving or is not the intended one. No
+    /// new work starts at an endpoint of the latter two kinds.
+    EndpointAnswerHead processAnswerHead(
+        const std::string& endpoint, int status, const HttpHeaders& headers, MonotonicTime sentAt) const
     {
         EndpointAnswerHead head = wire.decodeAnswerHead(status, headers);
         quarantine.recordResponse(endpoint, clock.now());
         if (head.load)
             broker.observe(endpoint, *head.load);
+        if (head.rateLimit && !head.isMisdirected)
+            broker.observeRate(endpoint, { *head.rateLimit, *head.rateLimit == unlimitedRate ? sentAt : clock.now() });
         const bool isExcluded = head.isLeaving && directory.markLeaving(endpoint, clock.now());
         if ((head.isMisdirected && directory.markReplaced(endpoint)) || isExcluded)
             broker.setEndpoints(directory.usable());
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -22,6 +22,19 @@
         return options;
     }
 
+    void writeRates(const std::unordered_map<uint32_t, ReportedRate>& rates, Schema::LoadReport::Builder root)
+    {
+        auto list = root.initRates(static_cast<uint32_t>(rates.size()));
+        uint32_t n = 0;
+        for (const auto& [endpoint, rate] : rates) {
+            auto it = list[n++];
+            it.setEndpoint(endpoint);
+            it.setPerSecond(rate.perSecond);
+            it.setAgeMs(static_cast<uint32_t>(rate.age.count()));
+            it.setStarts(rate.starts);
+        }
+    }
+
     void writeSuspectParts(const std::vector<SuspectPart>& parts, Schema::LoadReport::Builder root)
     {
         auto list = root.initSuspectParts(static_cast<uint32_t>(parts.size()));
@@ -77,6 +90,8 @@
         it.setOnline(static_cast<uint16_t>(use.online));
         it.setBatch(static_cast<uint16_t>(use.batch));
     }
+    if (!report.rates.empty())
+        writeRates(report.rates, root);
     if (!report.suspectParts.empty())
         writeSuspectParts(report.suspectParts, root);
     if (report.slotReport)
@@ -111,6 +126,10 @@
         report.nextWithin = Milliseconds { root.getNextWithinMs() };
         for (const auto it : root.getUses())
             report.use[it.getEndpoint()] = { it.getOnline(), it.getBatch() };
+        for (const auto it : root.getRates()) {
+            if (isRate(it.getPerSecond()))
+                report.rates[it.getEndpoint()] = { it.getPerSecond(), Milliseconds { it.getAgeMs() }, it.getStarts() };
+        }
         report.suspectParts = readSuspectParts(root);
         if (root.hasSlotReport())
             report.slotReport = readSlotReport(root.getSlotReport());
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/SlotMessages.h>
+#include <LibGateway/SlotPeers.h>
 #include <LibGateway/SuspectPart.h>
 
 #include <QByteArray>
@@ -37,6 +38,9 @@
     Milliseconds nextWithin { 0 };
     /// Slots that the node has allocated, by `SlotPeers::endpointKey()`.
     std::unordered_map<uint32_t, SlotUse> use;
+    /// Endpoints whose rate is limited, or was until lately, by `SlotPeers::endpointKey()`. Only nodes that allocate
+    /// slots report them.
+    std::unordered_map<uint32_t, ReportedRate> rates;
     /// Parts of prompts that may crash endpoints.
     std::vector<SuspectPart> suspectParts;
     /// Message to the peer as coordinator or as member.
--- a/Libraries/LibGateway/SlotBroker.cpp
+++ b/Libraries/LibGateway/SlotBroker.cpp
@@ -58,6 +58,11 @@
     m_allocator.observe(endpoint, load, m_clock.now());
 }
 
+void SlotBroker::observeRate(const std::string& endpoint, const RateStatement& statement)
+{
+    m_allocator.observeRate(endpoint, statement, m_clock.now());
+}
+
 void SlotBroker::setEndpoints(const std::vector<EndpointRecord>& endpoints)
 {
     m_allocator.setEndpoints(endpoints);
--- a/Libraries/LibGateway/SlotBroker.h
+++ b/Libraries/LibGateway/SlotBroker.h
@@ -46,6 +46,9 @@
     /// Records the load that an endpoint reported.
     void observe(const std::string& endpoint, const ObservedLoad&);
 
+    /// Records the rate limit that an endpoint stated.
+    void observeRate(const std::string& endpoint, const RateStatement&);
+
     /// Polls the allocator from the event loop, because something that it depends on has changed.
     void schedulePoll();
 
--- a/Libraries/LibGateway/SlotCoordinator.cpp
+++ b/Libraries/LibGateway/SlotCoordinator.cpp
@@ -47,6 +47,8 @@
     removeMissingWork(member, report, now);
     for (const EndpointLoad& it : report.loads)
         m_scheduler.observe(it.endpoint, it.load, now);
+    for (const EndpointRate& it : report.rates)
+        m_scheduler.observeRate(it.endpoint, { it.perSecond, now - it.age }, now);
 }
 
 void SlotCoordinator::settleDecisions(Member& member, uint64_t acknowledged)
--- a/Libraries/LibGateway/SlotCoordinator.h
+++ b/Libraries/LibGateway/SlotCoordinator.h
@@ -50,6 +50,9 @@
     /// decisions or repeated replies.
     bool needsPolling() const;
 
+    /// Returns whether the endpoint has a rate limit, according to the members or to the other coordinators.
+    bool isRateLimited(const std::string& endpoint) const { return m_scheduler.isRateLimited(endpoint); }
+
     /// Returns the members that have reported recently.
     std::vector<std::string> members() const;
 
--- a/Libraries/LibGateway/SlotMember.cpp
+++ b/Libraries/LibGateway/SlotMember.cpp
@@ -38,6 +38,12 @@
     /// Age up to which the load of an endpoint is reported. The coordinator's own counts are newer than older loads.
     constexpr Milliseconds maxLoadAge { 30 };
 
+    /// Age up to which a statement of an endpoint is repeated in each report, in case one is lost.
+    constexpr Milliseconds rateRepetitionTime { 1'000 };
+
+    /// Age up to which a limit is remembered, so that its end is noticed.
+    constexpr std::chrono::minutes maxRateAge { 1 };
+
     Milliseconds milliseconds(MonotonicTime::duration duration)
     {
         return std::chrono::duration_cast<Milliseconds>(duration);
@@ -163,7 +169,18 @@
     m_loads[endpoint] = { load, now };
 }
 
-void SlotMember::observeRate(const std::string&, const RateStatement&, MonotonicTime) { }
+void SlotMember::observeRate(const std::string& endpoint, const RateStatement& statement, MonotonicTime)
+{
+    const auto known = m_rates.find(endpoint);
+    // Most endpoints have no limit and say so in each response.
+    const bool wasUnlimited = known == m_rates.end() || known->second.perSecond == unlimitedRate;
+    if (statement.perSecond == unlimitedRate && wasUnlimited && !m_local.isRateLimited(endpoint))
+        return;
+    if (known != m_rates.end() && statement.at < known->second.at)
+        return;
+    m_hasChange = m_hasChange || known == m_rates.end() || known->second.perSecond != statement.perSecond;
+    m_rates[endpoint] = statement;
+}
 
 std::vector<SlotDecision> SlotMember::poll(MonotonicTime now)
 {
@@ -235,6 +252,7 @@
         report.finished.push_back(it.work);
     }
     addLoads(report, now);
+    addRates(report, now);
     report.expectsReply
         = report.expectsReply || !report.requests.empty() || !report.items.empty() || !report.held.empty();
     return report;
@@ -272,6 +290,15 @@
     m_loads.clear();
 }
 
+void SlotMember::addRates(SlotReport& report, MonotonicTime now)
+{
+    std::erase_if(m_rates, [&](const auto& it) { return now - it.second.at > maxRateAge; });
+    for (const auto& [endpoint, statement] : m_rates) {
+        if (now - statement.at <= rateRepetitionTime)
+            report.rates.push_back({ endpoint, statement.perSecond, milliseconds(now - statement.at) });
+    }
+}
+
 void SlotMember::receive(const std::string& node, const SlotReply& reply, MonotonicTime now)
 {
     if (node != m_coordinator || reply.sequence <= m_lastReply)
--- a/Libraries/LibGateway/SlotMember.h
+++ b/Libraries/LibGateway/SlotMember.h
@@ -91,6 +91,7 @@
     SlotReport makeReport(MonotonicTime now);
     void addWork(SlotReport&, uint64_t id, Work&, MonotonicTime now) const;
     void addLoads(SlotReport&, MonotonicTime now);
+    void addRates(SlotReport&, MonotonicTime now);
     void exchangeLocally(MonotonicTime now);
     void apply(const SlotDecision&, MonotonicTime now);
     void start(Work&, const SlotDecision&, MonotonicTime now);
@@ -107,6 +108,8 @@
     std::map<uint64_t, Work> m_work;
     std::vector<Finished> m_finished;
     std::map<std::string, std::pair<ObservedLoad, MonotonicTime>> m_loads;
+    /// Latest statements of endpoints that have a rate limit or had one.
+    std::map<std::string, RateStatement> m_rates;
     std::vector<SlotDecision> m_decisions;
     uint64_t m_lastReport { 0 };
     uint64_t m_lastReply { 0 };
--- a/Libraries/LibGateway/SlotMessageFormat.cpp
+++ b/Libraries/LibGateway/SlotMessageFormat.cpp
@@ -167,6 +167,12 @@
         it.setWorkTimePercent(load.load.workTimePercent);
     };
     writeList(report.loads, builder.initLoads(listSize(report.loads)), writeLoad);
+    const auto writeRate = [](const EndpointRate& rate, Schema::StatedRate::Builder it) {
+        it.setEndpoint(rate.endpoint);
+        it.setPerSecond(rate.perSecond);
+        it.setAgeMs(toNumber<uint32_t>(rate.age));
+    };
+    writeList(report.rates, builder.initRates(listSize(report.rates)), writeRate);
 }
 
 SlotReport readSlotReport(Schema::SlotReport::Reader reader)
@@ -185,6 +191,10 @@
     report.loads = readList<EndpointLoad>(reader.getLoads(), [](Schema::EndpointLoad::Reader it) {
         return EndpointLoad { it.getEndpoint(), { it.getRunning(), it.getWaiting(), it.getWorkTimePercent() } };
     });
+    report.rates = readList<EndpointRate>(reader.getRates(), [](Schema::StatedRate::Reader it) {
+        return EndpointRate { it.getEndpoint(), it.getPerSecond(), Milliseconds { it.getAgeMs() } };
+    });
+    std::erase_if(report.rates, [](const EndpointRate& it) { return !isRate(it.perSecond); });
     return report;
 }
 
--- a/Libraries/LibGateway/SlotMessages.h
+++ b/Libraries/LibGateway/SlotMessages.h
@@ -65,6 +65,15 @@
     auto operator<=>(const EndpointLoad&) const = default;
 };
 
+/// Rate limit that an endpoint stated to a member, see `RateStatement`.
+struct EndpointRate {
+    std::string endpoint;
+    double perSecond { unlimitedRate };
+    Milliseconds age { 0 };
+
+    auto operator<=>(const EndpointRate&) const = default;
+};
+
 /// State of a member.
 struct SlotReport {
     /// Incremented with each report of the member.
@@ -83,6 +92,7 @@
     std::vector<uint64_t> running;
     std::vector<FinishedWork> finished;
     std::vector<EndpointLoad> loads;
+    std::vector<EndpointRate> rates;
 
     bool operator==(const SlotReport&) const = default;
 };
--- a/Libraries/LibGateway/SlotPeers.h
+++ b/Libraries/LibGateway/SlotPeers.h
@@ -12,6 +12,18 @@
 
 namespace Chicorydock {
 
+/// What a node knows about an endpoint with a rate limit.
+struct ReportedRate {
+    /// Requests per second, `unlimitedRate` if the limit has ended.
+    double perSecond { unlimitedRate };
+    /// Time since the endpoint stated it.
+    Milliseconds age { 0 };
+    /// Requests that the node has sent to the endpoint, counted since its start.
+    uint32_t starts { 0 };
+
+    auto operator<=>(const ReportedRate&) const = default;
+};
+
 /// Slot usage that a peer reported.
 struct PeerUse {
     std::string failureDomain;
@@ -21,6 +33,8 @@
     uint32_t waiting { 0 };
     /// Time after which the peer and its usage are removed if it sends no further report.
     Milliseconds lifetime { 1'500 };
+    /// Endpoints with rate limits, by endpoint key.
+    std::unordered_map<uint32_t, ReportedRate> rates;
 
     bool operator==(const PeerUse&) const = default;
 };
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -38,6 +38,16 @@
     constexpr double ownYieldCost = 0.5;
     constexpr double peerYieldCost = 0.7;
 
+    /// Cost for online work, and advantage for items, of an endpoint with a rate limit. An item uses one request for
+    /// several seconds of work, so it loses least by the limit.
+    constexpr double limitedRateCost = 1;
+
+    /// Requests within a rate limit that items leave to online work.
+    constexpr uint32_t rateReserve = 1;
+
+    /// Time for which the end of a limit is reported. Other nodes know of it by then.
+    constexpr std::chrono::seconds rateNewsAge { 10 };
+
     /// Time for which the reported work time of an endpoint is used. Phases of slow work last about this long.
     constexpr Milliseconds workTimeLifetime { 600 };
     /// Cost of an endpoint where work takes twice the normal time.
@@ -104,8 +114,10 @@
     for (const EndpointRecord& record : records) {
         const auto [it, isNew] = m_endpoints.try_emplace(record.id);
         Endpoint& endpoint = it->second;
-        if (!isNew && endpoint.record.startedAt != record.startedAt)
+        if (!isNew && endpoint.record.startedAt != record.startedAt) {
             endpoint.failures = 0;
+            endpoint.limiter.reset();
+        }
         endpoint.record = record;
         endpoint.isUsable = true;
         if (!isNew)
@@ -138,6 +150,26 @@
     }
 }
 
+void SlotScheduler::updateLimitedCapacity(MonotonicTime now)
+{
+    m_limitedCapacity.clear();
+    for (const auto& [id, it] : m_endpoints) {
+        if (!it.isUsable || !it.limiter.isLimited())
+            continue;
+        LimitedCapacity& capacity = m_limitedCapacity[it.record.service];
+        const double usable = it.limiter.concurrency(m_holdTimes.requestTime(it.record.service));
+        capacity.unusableSlots += std::max(0.0, it.record.slotCount - usable);
+        capacity.nextRequestIn = std::min(capacity.nextRequestIn, it.limiter.nextIn(now));
+    }
+    if (m_limitedCapacity.empty())
+        return;
+    for (const auto& [id, it] : m_endpoints) {
+        const auto capacity = m_limitedCapacity.find(it.record.service);
+        if (it.isUsable && !it.limiter.isLimited() && capacity != m_limitedCapacity.end())
+            capacity->second.nextRequestIn = Milliseconds { 0 };
+    }
+}
+
 void SlotScheduler::submit(const OnlineWork& work, MonotonicTime now)
 {
     m_online.push_back(work);
@@ -201,7 +233,7 @@
     return hasPooledReserve(endpoint) ? endpoint.record.slotCount : batchSlots(endpoint.record.slotCount);
 }
 
-bool SlotScheduler::hasSlotsAboveReserve(const std::string& service) const
+bool SlotScheduler::hasSlotsAboveReserve(const std::string& service, MonotonicTime now) const
 {
     uint32_t slotCount = 0;
     uint32_t free = 0;
@@ -209,7 +241,7 @@
         if (!it.isUsable || it.record.service != service || it.record.failureDomain != m_peers.location().failureDomain)
             continue;
         slotCount += it.record.slotCount;
-        free += it.record.slotCount - std::min(it.record.slotCount, it.total());
+        free += std::min(it.record.slotCount - std::min(it.record.slotCount, it.total()), it.limiter.available(now));
     }
     return free > std::lround(slotCount * pooledReserveShare);
 }
@@ -271,6 +303,20 @@
     }
 }
 
+void SlotScheduler::addPeerRates(const PeerUse& before, const PeerUse& after, MonotonicTime now)
+{
+    for (const auto& [key, rate] : after.rates) {
+        Endpoint* endpoint = findEndpointByKey(key);
+        if (!endpoint)
+            continue;
+        endpoint->limiter.update({ rate.perSecond, now - rate.age }, now);
+        // Without an earlier report, or after a restart of the peer, it is unknown when its requests were sent.
+        const auto known = before.rates.find(key);
+        if (known != before.rates.end() && rate.starts > known->second.starts)
+            endpoint->limiter.recordStarts(rate.starts - known->second.starts, now);
+    }
+}
+
 void SlotScheduler::setPeerUse(const std::string& node, const PeerUse& usage, MonotonicTime now)
 {
     const PeerUse before = m_peers.set(node, usage, now);
@@ -278,6 +324,7 @@
         return;
     addPeerUse(before, false);
     addPeerUse(usage, true);
+    addPeerRates(before, usage, now);
     recordChanges(before, usage, now);
 }
 
@@ -327,7 +374,17 @@
     endpoint->observedAt = now;
 }
 
-void SlotScheduler::observeRate(const std::string&, const RateStatement&, MonotonicTime) { }
+void SlotScheduler::observeRate(const std::string& id, const RateStatement& statement, MonotonicTime now)
+{
+    Endpoint* endpoint = findEndpoint(id);
+    if (!endpoint)
+        return;
+    const double before = endpoint->limiter.statement().perSecond;
+    endpoint->limiter.update(statement, now);
+    // The peers send requests there too.
+    if (endpoint->limiter.statement().perSecond != before)
+        ++m_useVersion;
+}
 
 void SlotScheduler::expireObservations(MonotonicTime now)
 {
@@ -350,6 +407,7 @@
 {
     std::vector<SlotDecision> decisions;
     expire(now);
+    updateLimitedCapacity(now);
     decideOnline(decisions, now);
     decideYields(decisions, now);
     decideBatch(decisions, now);
@@ -421,10 +479,15 @@
 {
     const Milliseconds hold = m_holdTimes.requestTime(service);
     const auto slotCount = m_serviceSlots.find(service);
-    const uint32_t n = slotCount == m_serviceSlots.end() ? 1 : std::max(1U, slotCount->second);
+    const auto limited = m_limitedCapacity.find(service);
+    const LimitedCapacity capacity
+        = limited == m_limitedCapacity.end() ? LimitedCapacity { 0, Milliseconds { 0 } } : limited->second;
+    const double usable = (slotCount == m_serviceSlots.end() ? 0 : slotCount->second) - capacity.unusableSlots;
+    const double n = std::max(1.0, usable);
     // Requests queued at peers compete for the same slots.
     const double queue = static_cast<double>(ahead + m_peers.waiting());
-    return Milliseconds { std::lround(queue * static_cast<double>(hold.count()) / n) };
+    const Milliseconds queueTime { std::lround(queue * static_cast<double>(hold.count()) / n) };
+    return std::max(queueTime, capacity.nextRequestIn);
 }
 
 bool SlotScheduler::isAvoided(
@@ -455,8 +518,12 @@
     // All nodes compute the same order for this endpoint. As many nodes as there are free slots may claim one
     // immediately. The next ones may follow if the slots are still free when those claims would have been reported.
     const PrecedingNodes& before = precedingNodes(endpoint);
-    const uint32_t turns = std::min((before.inDomain + before.elsewhere) / free, maxOnlineTurns);
-    return now - endpoint.onlineChangedAt >= onlineTurnTime * turns;
+    uint32_t turns = std::min((before.inDomain + before.elsewhere) / free, maxOnlineTurns);
+    if (!endpoint.limiter.isLimited())
+        return now - endpoint.onlineChangedAt >= onlineTurnTime * turns;
+    // The requests that a limit allows are few, so a node leaves a turn to the others after each of its own.
+    turns += endpoint.limiter.isSlowerThan(onlineTurnTime) ? 1 : 0;
+    return now - endpoint.limiter.availableSince(1, now) >= onlineTurnTime * turns;
 }
 
 bool SlotScheduler::isBatchTurn(Endpoint& endpoint, uint32_t free, MonotonicTime now) const
@@ -469,7 +536,10 @@
     // A node in another domain first waits until a claim by a node of the endpoint's domain would have been reported.
     if (distance != PeerDistance::FailureDomain)
         turn += ownTurn;
-    return now - endpoint.freeForBatchSince >= std::min(turn, std::max(maxBatchTurnTime, ownTurn * maxBatchTurns));
+    MonotonicTime since = endpoint.freeForBatchSince;
+    if (endpoint.limiter.isLimited())
+        since = std::max(since, endpoint.limiter.availableSince(1 + rateReserve, now));
+    return now - since >= std::min(turn, std::max(maxBatchTurnTime, ownTurn * maxBatchTurns));
 }
 
 const PrecedingNodes& SlotScheduler::precedingNodes(Endpoint& endpoint) const
@@ -481,6 +551,19 @@
     return endpoint.precedingNodes;
 }
 
+uint32_t SlotScheduler::freeForOnline(const Endpoint& endpoint, MonotonicTime now)
+{
+    const uint32_t capacity = endpoint.record.slotCount;
+    return std::min(capacity - std::min(capacity, endpoint.online()), endpoint.limiter.available(now));
+}
+
+uint32_t SlotScheduler::freeForBatch(const Endpoint& endpoint, MonotonicTime now) const
+{
+    const uint32_t capacity = batchCapacity(endpoint);
+    const uint32_t available = endpoint.limiter.available(now);
+    return std::min(capacity - std::min(capacity, endpoint.total()), available - std::min(available, rateReserve));
+}
+
 double SlotScheduler::distanceCost(const Endpoint& endpoint) const
 {
     const PeerDistance distance = m_peers.distanceTo(endpoint.record.failureDomain);
@@ -506,17 +589,20 @@
         if (it.record.service != work.service || isAvoided(it, work.excluded, now))
             continue;
         const uint32_t capacity = it.record.slotCount;
-        if (it.online() >= capacity || !isSpilloverAllowed(it, work, now))
+        const uint32_t free = freeForOnline(it, now);
+        if (free == 0 || !isSpilloverAllowed(it, work, now))
             continue;
         // The node whose work has just ended knows of the free slot before its peers do.
-        const bool hasJustFreedSlot = now - it.ownEndedAt < slotReuseTime;
-        if (!hasJustFreedSlot && !isOnlineTurn(it, capacity - it.online(), now))
+        const bool hasJustFreedSlot = !it.limiter.isLimited() && now - it.ownEndedAt < slotReuseTime;
+        if (!hasJustFreedSlot && !isOnlineTurn(it, free, now))
             continue;
         // The random part spreads the requests of nodes that see the same loads.
         double cost = static_cast<double>(it.total()) / capacity + distanceCost(it) + slownessCost(it, now)
             + (m_random.unit() * randomSlots + it.preference * preferredSlots) / capacity;
         if (it.total() >= capacity)
             cost += it.own.batch > 0 ? ownYieldCost : peerYieldCost;
+        if (it.limiter.isLimited())
+            cost += limitedRateCost * (1 + it.preference);
         if (cost < bestCost) {
             bestCost = cost;
             best = &it;
@@ -533,6 +619,8 @@
     work.endpoint = endpoint.record.id;
     work.startedAt = now;
     addOwnWork(work, endpoint, now);
+    ++endpoint.starts;
+    endpoint.limiter.recordStarts(1, now);
     decisions.push_back({ SlotDecision::Kind::Start, work.id, endpoint.record.id, {}, view });
 }
 
@@ -582,18 +670,19 @@
 {
     Endpoint* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    const bool isDomainFull = isSoleInDomain() && !hasSlotsAboveReserve(work.service);
+    const bool isDomainFull = isSoleInDomain() && !hasSlotsAboveReserve(work.service, now);
     for (auto& [id, it] : m_endpoints) {
         if (it.record.service != work.service || isAvoided(it, work.excluded, now))
             continue;
         if (isDomainFull && hasPooledReserve(it))
             continue;
         updateBatchAvailability(it, now);
-        const uint32_t capacity = batchCapacity(it);
-        if (it.total() >= capacity || !isBatchTurn(it, capacity - it.total(), now))
+        const uint32_t free = freeForBatch(it, now);
+        if (free == 0 || !isBatchTurn(it, free, now))
             continue;
         const double cost = static_cast<double>(it.total()) / it.record.slotCount + distanceCost(it)
-            + slownessCost(it, now) + m_random.unit() * randomSlots / it.record.slotCount;
+            + slownessCost(it, now) + m_random.unit() * randomSlots / it.record.slotCount
+            - (it.limiter.isLimited() ? limitedRateCost : 0);
         if (cost < bestCost) {
             bestCost = cost;
             best = &it;
@@ -637,4 +726,28 @@
     return use;
 }
 
+std::unordered_map<uint32_t, ReportedRate> SlotScheduler::ownRates(MonotonicTime now) const
+{
+    std::unordered_map<uint32_t, ReportedRate> rates;
+    for (const auto& [id, it] : m_endpoints) {
+        const RateStatement& statement = it.limiter.statement();
+        const auto age = std::chrono::duration_cast<Milliseconds>(now - statement.at);
+        if (it.limiter.isLimited() || (it.limiter.hasBeenLimited() && age < rateNewsAge))
+            rates[it.key] = { statement.perSecond, age, it.starts };
+    }
+    return rates;
+}
+
+bool SlotScheduler::isRateLimited(const std::string& endpoint) const
+{
+    const auto it = m_endpoints.find(endpoint);
+    return it != m_endpoints.end() && it->second.limiter.isLimited();
+}
+
+size_t SlotScheduler::limitedEndpoints() const
+{
+    return static_cast<size_t>(std::ranges::count_if(
+        m_endpoints, [](const auto& it) { return it.second.isUsable && it.second.limiter.isLimited(); }));
+}
+
 }
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Random.h>
 #include <LibGateway/HoldTimeEstimator.h>
+#include <LibGateway/RateLimiter.h>
 #include <LibGateway/SlotAllocator.h>
 #include <LibGateway/SlotPeers.h>
 
@@ -23,6 +24,10 @@
 /// there exactly, so it needs only a small share of all slots together; with hundreds of slots, one of each endpoint
 /// would leave a seventh of the fleet idle between the peaks of online load.
 ///
+/// Endpoints that state a rate limit are sent no more requests than it allows, by all nodes together: the nodes report
+/// the work that they start there. Items go to such endpoints first, because they make the most of each request, and
+/// online work goes to the others while these have slots.
+///
 /// Deterministic: the decisions depend only on the calls, the times passed in and the random numbers.
 ///
 /// Thread safety: none.
@@ -56,6 +61,12 @@
 
     /// Returns the slots that this node uses, by endpoint key, without endpoints that it does not use.
     std::unordered_map<uint32_t, SlotUse> ownUse() const;
+    /// Returns the endpoints whose rate is limited, or was until lately, by endpoint key.
+    std::unordered_map<uint32_t, ReportedRate> ownRates(MonotonicTime now) const;
+    /// Returns whether the endpoint is known and has a rate limit.
+    bool isRateLimited(const std::string& endpoint) const;
+    /// Returns the number of usable endpoints with a rate limit.
+    size_t limitedEndpoints() const;
     /// Returns a number that changes whenever the slots in use by this node change.
     uint64_t useVersion() const { return m_useVersion; }
     uint32_t waitingOnline() const { return static_cast<uint32_t>(m_online.size()); }
@@ -93,12 +104,26 @@
         /// Work that the endpoint reported in excess of the usage known from the nodes.
         uint32_t unattributed { 0 };
 
+        RateLimiter limiter;
+        /// Work that this scheduler has started here.
+        uint32_t starts { 0 };
+
         uint32_t online() const { return own.online + peers.online + unattributed; }
         uint32_t total() const { return online() + own.batch + peers.batch; }
     };
 
+    /// What rate limits leave of the capacity of a service.
+    struct LimitedCapacity {
+        /// Slots that stay unused while all others are in use.
+        double unusableSlots { 0 };
+        /// Time until the limits allow the next request, 0 if there are endpoints without a limit.
+        Milliseconds nextRequestIn { Milliseconds::max() };
+    };
+
     /// Adds the usage of a peer to the totals of the endpoints, or subtracts it if `isAdded` is false.
     void addPeerUse(const PeerUse&, bool isAdded);
+    /// Applies the rate limits that a peer reported, and counts the work that it has started since its previous report.
+    void addPeerRates(const PeerUse& before, const PeerUse& after, MonotonicTime now);
     void recordChanges(const PeerUse& before, const PeerUse& after, MonotonicTime now);
     /// Removes peers without recent reports and outdated load reports of endpoints.
     void expire(MonotonicTime now);
@@ -124,13 +149,17 @@
     /// Returns the slots of the endpoint that items may use.
     uint32_t batchCapacity(const Endpoint&) const;
     /// Returns whether so many slots of the service are free in this failure domain that items may take more of them.
-    bool hasSlotsAboveReserve(const std::string& service) const;
+    bool hasSlotsAboveReserve(const std::string& service, MonotonicTime now) const;
     bool isAvoided(const Endpoint&, const std::vector<std::string>& excluded, MonotonicTime now) const;
     /// Returns whether it is this node's turn to claim a free slot. Nodes claim in turns so that they do not claim the
     /// same slot before they know of each other's claims.
     bool isOnlineTurn(Endpoint&, uint32_t free, MonotonicTime now) const;
     bool isBatchTurn(Endpoint&, uint32_t free, MonotonicTime now) const;
     const PrecedingNodes& precedingNodes(Endpoint&) const;
+    /// Returns the number of slots that online work may take now. They may be in use by items.
+    static uint32_t freeForOnline(const Endpoint&, MonotonicTime now);
+    /// Returns the number of items that may start now.
+    uint32_t freeForBatch(const Endpoint&, MonotonicTime now) const;
     /// The costs are in units of the load of an endpoint (1 is full).
     double distanceCost(const Endpoint&) const;
     double slownessCost(const Endpoint&, MonotonicTime now) const;
@@ -145,6 +174,8 @@
     /// Returns the expected time in the queue behind `ahead` requests of this node.
     Milliseconds expectedWait(const std::string& service, size_t ahead) const;
     void countSlots();
+    /// Updates what the rate limits leave of the capacity of each service.
+    void updateLimitedCapacity(MonotonicTime now);
     Milliseconds retryAfter(const std::string& service, size_t ahead);
     bool shouldRefuse(const OnlineWork&, size_t ahead, MonotonicTime now) const;
 
@@ -156,6 +187,8 @@
     std::map<std::string, uint32_t> m_serviceSlots;
     /// Slots of the usable endpoints of each service in this node's failure domain.
     std::map<std::string, uint32_t> m_domainSlots;
+    /// Services with rate-limited endpoints.
+    std::map<std::string, LimitedCapacity> m_limitedCapacity;
     SlotPeers m_peers;
     MonotonicTime m_lastExpiryAt;
     uint32_t m_ownBatch { 0 };
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -115,6 +115,9 @@
 /// Rate of an endpoint that states no limit.
 constexpr double unlimitedRate = std::numeric_limits<double>::infinity();
 
+/// Returns whether the number is a rate limit, which includes `unlimitedRate`.
+constexpr bool isRate(double perSecond) { return perSecond >= 0; }
+
 /// Rate limit that an endpoint states in a response.
 struct RateStatement {
     /// Requests per second that the endpoint takes from all nodes together, `unlimitedRate` if it states no limit.
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -30,6 +30,8 @@
   # Whether the node reads the configuration from the store for its failure domain.
   isConfigurationSource @14 :Bool;
   suspectParts @15 :List(SuspectPart);
+  # Endpoints whose rate is limited, or was until lately.
+  rates @16 :List(EndpointRate);
 }
 
 # A part of prompts that may crash endpoints.
@@ -53,6 +55,17 @@
   batch @2 :UInt16;
 }
 
+# The rate limit of one endpoint, and the requests that the node has sent to it.
+struct EndpointRate {
+  endpoint @0 :UInt32;
+  # Requests per second; infinite if the limit has ended.
+  perSecond @1 :Float64;
+  # Time since the endpoint stated the limit.
+  ageMs @2 :UInt32;
+  # Number of requests that the node has sent to the endpoint since its start.
+  starts @3 :UInt32;
+}
+
 # An online request that waits for a slot. Times are relative to the sending of the message.
 struct QueuedRequest {
   work @0 :UInt64;
@@ -96,6 +109,14 @@
   workTimePercent @3 :UInt32;
 }
 
+# A rate limit that an endpoint stated to a member.
+struct StatedRate {
+  endpoint @0 :Text;
+  # Requests per second; infinite if the endpoint stated that there is no limit.
+  perSecond @1 :Float64;
+  ageMs @2 :UInt32;
+}
+
 # The work of a node, sent to the node that allocates slots for it.
 struct SlotReport {
   # Increases with each report of a member; an older report is ignored.
@@ -113,6 +134,7 @@
   running @8 :List(UInt64);
   finished @9 :List(FinishedWork);
   loads @10 :List(EndpointLoad);
+  rates @11 :List(StatedRate);
 }
 
 # A decision of the coordinator about the work of a member, with the slot use on which it was based.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -20,11 +20,13 @@
 CAPNP_DECLARE_SCHEMA(fbfc1343aa20f8f4);
 CAPNP_DECLARE_SCHEMA(d064fcb13d4d7e14);
 CAPNP_DECLARE_SCHEMA(9d0b3d3267602205);
+CAPNP_DECLARE_SCHEMA(fbc9dab2957d087c);
 CAPNP_DECLARE_SCHEMA(de3e1e40e741e0c9);
 CAPNP_DECLARE_SCHEMA(a70855ffea23f2e1);
 CAPNP_DECLARE_SCHEMA(a3ebfefe72b00ee1);
 CAPNP_DECLARE_SCHEMA(df0217528766a04e);
 CAPNP_DECLARE_SCHEMA(de8235eccfbee4ca);
+CAPNP_DECLARE_SCHEMA(c9000651a1d47cd8);
 CAPNP_DECLARE_SCHEMA(80c9a74129406902);
 CAPNP_DECLARE_SCHEMA(e2bf7f63f245a9fc);
 CAPNP_DECLARE_SCHEMA(fdb0cfa10af25a60);
@@ -50,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 5, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -102,6 +104,21 @@
   };
 };
 
+struct EndpointRate {
+  EndpointRate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fbc9dab2957d087c, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct QueuedRequest {
   QueuedRequest() = delete;
 
@@ -177,6 +194,21 @@
   };
 };
 
+struct StatedRate {
+  StatedRate() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c9000651a1d47cd8, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct SlotReport {
   SlotReport() = delete;
 
@@ -185,7 +217,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(80c9a74129406902, 3, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(80c9a74129406902, 3, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -281,6 +313,9 @@
   inline bool hasSuspectParts() const;
   inline  ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectParts() const;
 
+  inline bool hasRates() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Reader getRates() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -381,6 +416,13 @@
   inline void adoptSuspectParts(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspectParts();
 
+  inline bool hasRates();
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Builder getRates();
+  inline void setRates( ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Builder initRates(unsigned int size);
+  inline void adoptRates(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>> disownRates();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -672,6 +714,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class EndpointRate::Reader {
+public:
+  typedef EndpointRate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEndpoint() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline  ::uint32_t getStarts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EndpointRate::Builder {
+public:
+  typedef EndpointRate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getEndpoint();
+  inline void setEndpoint( ::uint32_t value);
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline  ::uint32_t getStarts();
+  inline void setStarts( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EndpointRate::Pipeline {
+public:
+  typedef EndpointRate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class QueuedRequest::Reader {
 public:
   typedef QueuedRequest Reads;
@@ -1189,6 +1322,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class StatedRate::Reader {
+public:
+  typedef StatedRate Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline double getPerSecond() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class StatedRate::Builder {
+public:
+  typedef StatedRate Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline double getPerSecond();
+  inline void setPerSecond(double value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class StatedRate::Pipeline {
+public:
+  typedef StatedRate Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SlotReport::Reader {
 public:
   typedef SlotReport Reads;
@@ -1235,6 +1459,9 @@
   inline bool hasLoads() const;
   inline  ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>::Reader getLoads() const;
 
+  inline bool hasRates() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>::Reader getRates() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1326,6 +1553,13 @@
   inline void adoptLoads(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointLoad,  ::capnp::Kind::STRUCT>> disownLoads();
 
+  inline bool hasRates();
+  inline  ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>::Builder getRates();
+  inline void setRates( ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>::Builder initRates(unsigned int size);
+  inline void adoptRates(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>> disownRates();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1925,6 +2159,40 @@
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
+inline bool LoadReport::Reader::hasRates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasRates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getRates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setRates( ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initRates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptRates(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool SuspectPart::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2077,6 +2345,62 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t EndpointRate::Reader::getEndpoint() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointRate::Builder::getEndpoint() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EndpointRate::Builder::setEndpoint( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline double EndpointRate::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline double EndpointRate::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EndpointRate::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointRate::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointRate::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EndpointRate::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointRate::Reader::getStarts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointRate::Builder::getStarts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void EndpointRate::Builder::setStarts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t QueuedRequest::Reader::getWork() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2575,6 +2899,68 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StatedRate::Reader::hasEndpoint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool StatedRate::Builder::hasEndpoint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader StatedRate::Reader::getEndpoint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder StatedRate::Builder::getEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void StatedRate::Builder::setEndpoint( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder StatedRate::Builder::initEndpoint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void StatedRate::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> StatedRate::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double StatedRate::Reader::getPerSecond() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline double StatedRate::Builder::getPerSecond() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void StatedRate::Builder::setPerSecond(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t StatedRate::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t StatedRate::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void StatedRate::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SlotReport::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2877,6 +3263,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool SlotReport::Reader::hasRates() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool SlotReport::Builder::hasRates() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>::Reader SlotReport::Reader::getRates() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::getRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void SlotReport::Builder::setRates( ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>::Builder SlotReport::Builder::initRates(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void SlotReport::Builder::adoptRates(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>> SlotReport::Builder::disownRates() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::StatedRate,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline  ::Chicorydock::Schema::SlotDecision::Kind SlotDecision::Reader::getKind() const {
   return _reader.getDataField< ::Chicorydock::Schema::SlotDecision::Kind>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -281,6 +281,8 @@
     report.isLeaving = m_isStopping;
     report.capacityPercent = capacityPercent(m_settings);
     report.use = m_scheduler.ownUse();
+    if (isCoordinating())
+        report.rates = m_scheduler.ownRates(m_clock.now());
     return report;
 }
 
@@ -296,7 +298,7 @@
 
 void Gateway::reportSlotUse()
 {
-    m_peers.setCoordinating(m_member.isIndependent() || m_coordinator.isActive());
+    m_peers.setCoordinating(isCoordinating());
     if (std::exchange(m_reportedUse, m_scheduler.useVersion()) != m_scheduler.useVersion())
         m_peers.scheduleReports();
 }
@@ -347,7 +349,8 @@
 {
     const MonotonicTime now = m_clock.now();
     if (report.isCoordinating)
-        m_scheduler.setPeerUse(report.node, { report.failureDomain, report.use, report.waiting, lifetime }, now);
+        m_scheduler.setPeerUse(
+            report.node, { report.failureDomain, report.use, report.waiting, lifetime, report.rates }, now);
     else
         m_scheduler.removePeer(report.node);
     m_quarantine.merge(report.suspectParts, now);
@@ -403,6 +406,8 @@
     set("chicorydock_online_waiting", "Online requests that wait for a slot.", m_member.waitingOnline());
     set("chicorydock_batch_waiting", "Items that wait for a slot.", m_scheduler.waitingBatch());
     set("chicorydock_peers", "Nodes heard of lately.", static_cast<double>(m_peers.aliveCount()));
+    set("chicorydock_endpoints_rate_limited", "Endpoints that limit their rate, as far as this node knows.",
+        static_cast<double>(m_scheduler.limitedEndpoints()));
     set("chicorydock_prompt_parts_quarantined", "Parts of prompts on which endpoints crash.",
         static_cast<double>(m_quarantine.quarantinedParts(m_clock.now())));
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -56,6 +56,8 @@
     void tick();
     void applyRemovals();
     bool isReady() const;
+    /// Returns whether this node allocates slots, for itself or for others.
+    bool isCoordinating() const { return m_member.isIndependent() || m_coordinator.isActive(); }
     PeerReport makeReport() const;
     SlotExchange::Handlers exchangeHandlers();
     void reportSlotUse();
--- a/Tests/LibGateway/SlotSimulation.h
+++ b/Tests/LibGateway/SlotSimulation.h
@@ -241,6 +241,7 @@
     struct Report {
         std::unordered_map<uint32_t, SlotUse> use;
         uint32_t waiting { 0 };
+        std::unordered_map<uint32_t, ReportedRate> rates {};
 
         bool operator==(const Report&) const = default;
     };
@@ -357,6 +358,7 @@
                     channel.sentAt = m_clock.now();
                     channel.sent = report;
                     channel.inTransit.emplace_back(m_clock.now() + m_options.reportLatency, report);
+                    channel.inTransit.back().second.rates = from->scheduler->ownRates(m_clock.now());
                     m_totals.datagrams += peers;
                 }
                 deliver(*from, channel);
@@ -370,8 +372,8 @@
             const Report& report = channel.inTransit.front().second;
             for (Node* to : channel.peers) {
                 if (isCoordinating(*to))
-                    to->scheduler->setPeerUse(
-                        from.name, { from.failureDomain, report.use, report.waiting, lifetime }, m_clock.now());
+                    to->scheduler->setPeerUse(from.name,
+                        { from.failureDomain, report.use, report.waiting, lifetime, report.rates }, m_clock.now());
             }
             channel.inTransit.pop_front();
         }
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -22,6 +22,7 @@
     report.running = { 5 };
     report.finished = { { 6, EndpointOutcome::Failed }, { 7, EndpointOutcome::Answered } };
     report.loads = { { "e5", { 3, 1, 250 } } };
+    report.rates = { { "e6", 2.5, Milliseconds { 40 } }, { "e7", unlimitedRate, Milliseconds { 0 } } };
     return report;
 }
 
@@ -53,6 +54,7 @@
     report.capacityPercent = 12;
     report.nextWithin = Milliseconds { 400 };
     report.use = { { 5, { 1, 2 } }, { 0xffffffffU, { 8, 0 } } };
+    report.rates = { { 5, { 2.5, Milliseconds { 300 }, 7 } }, { 6, { unlimitedRate, Milliseconds { 1 }, 0 } } };
     report.suspectParts
         = { { "5c1e07a2", { { 0xffffffffffffffffU, Milliseconds { 900 } } }, {} }, { "91bd", {}, Milliseconds { 0 } } };
     CHECK(decodePeerReport(encodePeerReport(report)) == report);
