LibGateway: Log what failed requests have in common

Lines about failed attempts now carry a fingerprint of method, host, target, body and credentials, which reveals none of them. No decision changes.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/ForwardedCall.h>
 
 #include <LibGateway/DecisionFields.h>
+#include <LibGateway/RequestFingerprint.h>
 
 #include <algorithm>
 #include <iterator>
@@ -367,7 +368,8 @@
     if (canRetryElsewhere()) {
         m_environment.log.record("request", "moved", m_request.id, {},
             { { "endpoint", QString::fromStdString(m_endpoint) }, { "reason", QString::fromStdString(reason) },
-                { "last_event", static_cast<qint64>(m_lastEventId) } });
+                { "last_event", static_cast<qint64>(m_lastEventId) },
+                { "fingerprint", QString::fromStdString(requestFingerprint(m_exchange->request())) } });
         requestSlot();
         return;
     }
@@ -458,6 +460,9 @@
         details["first_byte_ms"] = static_cast<qint64>(milliseconds(*m_firstByteAt - m_arrival).count());
     if (!reason.empty())
         details["reason"] = QString::fromStdString(reason);
+    // Shows whether requests that failed one after the other were the same.
+    if (m_attempts > 0 && m_head.status == 0)
+        details["fingerprint"] = QString::fromStdString(requestFingerprint(m_exchange->request()));
     if (m_refusal)
         addDecisionFields(details, *m_refusal);
     addRateLimit(details, m_head.rateLimit);
--- /dev/null
+++ b/Libraries/LibGateway/RequestFingerprint.cpp
@@ -0,0 +1,19 @@
+#include <LibGateway/RequestFingerprint.h>
+
+#include <LibCore/Digest.h>
+
+#include <QByteArrayList>
+
+namespace Chicorydock {
+
+std::string requestFingerprint(const HttpRequest& request)
+{
+    const QByteArrayList fields { request.method, request.headers.find("Host").value_or(QByteArray()).toLower(),
+        request.target, request.headers.find("Authorization").value_or(QByteArray()), request.body };
+    uint64_t hash = 0;
+    for (const QByteArray& it : fields)
+        hash = stableHash({ it.constData(), static_cast<size_t>(it.size()) }, hash);
+    return "request:" + QByteArray::number(static_cast<qulonglong>(hash), 16).toStdString();
+}
+
+}
