LibGateway: Keep requests under which endpoints crash from the endpoints

Cause: nothing connected its attempts. Each has a new identifier, the node's own second attempt, the caller's retry and later callers reach other nodes, and the service has no prompts, which is all that the quarantine looked at.

Ruled out: shared parts of prompts (the requests have none), and endpoints that end by themselves (the record names the same request at each ending).

The fingerprint of a request is now one of its parts for the same quarantine: after crashes of three endpoints, counted over all nodes, it is refused at once, unsent, with the time after which one node will try it again. Only a complete answer clears it, because a stream may break off after some events. Items have no fingerprint and stay owed. Each crash makes suspects of all requests that ran at the endpoint, so reports pass on what others observed for 2 s only, name the latest first, and the weakest evidence gives way when there is no room (new evidence was dropped before).

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -70,7 +70,8 @@
     , m_arrival(environment.clock.now())
     , m_deadline(callDeadline(m_request, route, m_arrival))
     , m_slot(environment.broker)
-    , m_prompt(environment.quarantine, environment.clock, m_request.promptParts)
+    , m_fingerprint(requestFingerprint(m_exchange->request()))
+    , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
     , m_lastEventId(m_request.lastEventId.value_or(0))
 {
     for (QTimer* it : { &m_deadlineTimer, &m_idleTimer })
@@ -103,7 +104,7 @@
         return false;
     m_retryAfter = retryAfter;
     refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::PromptQuarantined,
-        "endpoints crash on a part of the prompt", retryAfter);
+        "endpoints crash on the request or on a part of its prompt", retryAfter);
     return true;
 }
 
@@ -369,7 +370,7 @@
         m_environment.log.record("request", "moved", m_request.id, {},
             { { "endpoint", QString::fromStdString(m_endpoint) }, { "reason", QString::fromStdString(reason) },
                 { "last_event", static_cast<qint64>(m_lastEventId) },
-                { "fingerprint", QString::fromStdString(requestFingerprint(m_exchange->request())) } });
+                { "fingerprint", QString::fromStdString(m_fingerprint) } });
         requestSlot();
         return;
     }
@@ -462,7 +463,7 @@
         details["reason"] = QString::fromStdString(reason);
     // Shows whether requests that failed one after the other were the same.
     if (m_attempts > 0 && m_head.status == 0)
-        details["fingerprint"] = QString::fromStdString(requestFingerprint(m_exchange->request()));
+        details["fingerprint"] = QString::fromStdString(m_fingerprint);
     if (m_refusal)
         addDecisionFields(details, *m_refusal);
     addRateLimit(details, m_head.rateLimit);
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -83,6 +83,7 @@
     std::string m_service;
 
     SlotHandle m_slot;
+    const std::string m_fingerprint;
     PromptAttempts m_prompt;
     std::string m_endpoint;
     std::vector<std::string> m_excluded;
--- a/Libraries/LibGateway/PromptAttempts.cpp
+++ b/Libraries/LibGateway/PromptAttempts.cpp
@@ -12,18 +12,23 @@
 
 }
 
-PromptAttempts::PromptAttempts(PromptQuarantine& quarantine, const Clock& clock, std::vector<std::string> parts)
+PromptAttempts::PromptAttempts(
+    PromptQuarantine& quarantine, const Clock& clock, std::vector<std::string> parts, std::string fingerprint)
     : m_quarantine(quarantine)
     , m_clock(clock)
     , m_parts(std::move(parts))
+    , m_fingerprint(std::move(fingerprint))
+    , m_suspects(m_parts)
 {
+    if (!m_fingerprint.empty())
+        m_suspects.push_back(m_fingerprint);
 }
 
 std::optional<Milliseconds> PromptAttempts::refusal()
 {
-    if (m_parts.empty() || m_isTrial)
+    if (m_suspects.empty() || m_isTrial)
         return {};
-    const PromptDecision decision = m_quarantine.decide(m_parts, m_clock.now());
+    const PromptDecision decision = m_quarantine.decide(m_suspects, m_clock.now());
     m_isTrial = decision.kind == PromptDecision::Kind::SendOnTrial;
     return decision.kind == PromptDecision::Kind::Refuse ? std::optional(decision.retryAfter) : std::nullopt;
 }
@@ -32,21 +37,28 @@
 {
     m_endpoint = endpoint;
     m_events = 0;
-    m_isAnswered = false;
+    m_isPromptSound = false;
 }
 
 void PromptAttempts::recordEvent()
 {
     if (++m_events == eventsOfAnswer)
-        recordAnswer();
+        recordSoundPrompt();
 }
 
-void PromptAttempts::recordAnswer()
+void PromptAttempts::recordSoundPrompt()
 {
-    if (!m_parts.empty() && !std::exchange(m_isAnswered, true))
+    if (!m_parts.empty() && !std::exchange(m_isPromptSound, true))
         m_quarantine.recordAnswer(m_parts, m_clock.now());
 }
 
+void PromptAttempts::recordAnswer()
+{
+    recordSoundPrompt();
+    if (!m_fingerprint.empty())
+        m_quarantine.recordAnswer({ m_fingerprint }, m_clock.now());
+}
+
 void PromptAttempts::recordFailure(const HttpFailure& failure)
 {
     m_isTrial = false;
@@ -57,8 +69,10 @@
 void PromptAttempts::recordBrokenStream()
 {
     m_isTrial = false;
-    if (!m_isAnswered)
-        m_quarantine.recordBrokenConnection(m_parts, m_endpoint, m_clock.now());
+    if (!m_isPromptSound)
+        m_quarantine.recordBrokenConnection(m_suspects, m_endpoint, m_clock.now());
+    else if (!m_fingerprint.empty())
+        m_quarantine.recordBrokenConnection({ m_fingerprint }, m_endpoint, m_clock.now());
 }
 
 }
--- a/Libraries/LibGateway/PromptAttempts.h
+++ b/Libraries/LibGateway/PromptAttempts.h
@@ -15,8 +15,10 @@
 /// Thread safety: none.
 class PromptAttempts {
 public:
-    /// The quarantine and the clock outlive this object. `parts` is empty for requests without a prompt.
-    PromptAttempts(PromptQuarantine&, const Clock&, std::vector<std::string> parts);
+    /// The quarantine and the clock outlive this object. `parts` is empty for requests without a prompt. `fingerprint`
+    /// identifies the request as a whole (see `requestFingerprint()`); it is empty for work that must be done whatever
+    /// happens to its endpoints.
+    PromptAttempts(PromptQuarantine&, const Clock&, std::vector<std::string> parts, std::string fingerprint = {});
 
     /// Returns nothing if the request may be sent now, otherwise the time after which it may be tried again.
     std::optional<Milliseconds> refusal();
@@ -37,13 +39,19 @@
     void recordFailure(const HttpFailure&);
 
 private:
+    /// Records that the parts of the prompt are sound, which says nothing about the request as a whole.
+    void recordSoundPrompt();
+
     PromptQuarantine& m_quarantine;
     const Clock& m_clock;
     const std::vector<std::string> m_parts;
+    const std::string m_fingerprint;
+    /// The parts and, if there is one, the fingerprint.
+    std::vector<std::string> m_suspects;
     EndpointRecord m_endpoint;
     /// Whether the attempt is the one that shows whether a part still crashes endpoints.
     bool m_isTrial { false };
-    bool m_isAnswered { false };
+    bool m_isPromptSound { false };
     unsigned m_events { 0 };
 };
 
--- a/Libraries/LibGateway/PromptQuarantine.cpp
+++ b/Libraries/LibGateway/PromptQuarantine.cpp
@@ -39,6 +39,10 @@
     /// Age up to which a crash without a quarantine, or an answer, is reported. Other nodes have it by then.
     constexpr std::chrono::seconds newsAge { 10 };
 
+    /// Age up to which a crash that another node has observed is passed on. With each crash of an endpoint there are as
+    /// many suspects as it ran requests, and most of them never become more.
+    constexpr std::chrono::seconds relayAge { 2 };
+
     /// Limits on a report, which has to fit into a datagram.
     constexpr size_t maxReportedParts = 16;
     constexpr size_t maxReportedCrashes = 6;
@@ -139,6 +143,7 @@
 void PromptQuarantine::clear(Suspect& suspect, MonotonicTime answeredAt)
 {
     suspect.crashes.clear();
+    suspect.ownCrashAt.reset();
     suspect.trialStartedAt.reset();
     suspect.answeredAt = std::max(suspect.answeredAt.value_or(answeredAt), answeredAt);
 }
@@ -180,8 +185,12 @@
         if (!isConfirmed(broken))
             continue;
         for (const std::string& part : broken.parts) {
-            if (!isAnswered(part) && m_suspects.size() < maxSuspects)
-                addCrash(m_suspects[part], broken.incarnation, broken.at);
+            if (isAnswered(part))
+                continue;
+            makeRoom();
+            Suspect& suspect = m_suspects[part];
+            addCrash(suspect, broken.incarnation, broken.at);
+            suspect.ownCrashAt = broken.at;
         }
     }
     std::erase_if(m_brokenConnections, isConfirmed);
@@ -213,6 +222,14 @@
     });
 }
 
+void PromptQuarantine::makeRoom()
+{
+    if (m_suspects.size() < maxSuspects)
+        return;
+    m_suspects.erase(std::ranges::min_element(m_suspects, {},
+        [](const auto& it) { return std::pair(it.second.crashes.size(), latestCrash(it.second.crashes)); }));
+}
+
 void PromptQuarantine::rotateAnsweredParts(MonotonicTime now)
 {
     if (now - m_periodStartedAt < answerMemory && m_answered.size() < maxAnsweredParts)
@@ -221,19 +238,31 @@
     m_periodStartedAt = now;
 }
 
+bool PromptQuarantine::isNews(const Suspect& suspect, MonotonicTime now)
+{
+    if (isQuarantined(suspect))
+        return true;
+    const bool isOwnNews = suspect.ownCrashAt && now - *suspect.ownCrashAt < newsAge;
+    return isOwnNews || now - latestCrash(suspect.crashes) < relayAge;
+}
+
 std::vector<SuspectPart> PromptQuarantine::report(MonotonicTime now) const
 {
     std::vector<SuspectPart> parts;
     for (const auto& [part, suspect] : m_suspects) {
         SuspectPart entry { part, {}, {} };
-        if (isQuarantined(suspect) || now - latestCrash(suspect.crashes) < newsAge)
+        if (isNews(suspect, now))
             entry.crashes = reportedCrashes(suspect.crashes, now);
         if (suspect.answeredAt && now - *suspect.answeredAt < newsAge)
             entry.answeredAgo = milliseconds(now - *suspect.answeredAt);
         if (!entry.crashes.empty() || entry.answeredAgo)
             parts.push_back(std::move(entry));
     }
-    std::ranges::sort(parts, std::ranges::greater {}, [](const SuspectPart& it) { return it.crashes.size(); });
+    // Of parts with as many crashes, those with the latest one are news to most nodes.
+    std::ranges::sort(parts, {}, [](const SuspectPart& it) {
+        const Milliseconds age = it.crashes.empty() ? Milliseconds::max() : it.crashes.front().age;
+        return std::pair(-static_cast<int>(it.crashes.size()), age);
+    });
     parts.resize(std::min(parts.size(), maxReportedParts));
     return parts;
 }
@@ -241,9 +270,8 @@
 void PromptQuarantine::merge(const std::vector<SuspectPart>& parts, MonotonicTime now)
 {
     for (const SuspectPart& it : parts) {
-        const bool isKnown = m_suspects.contains(it.part);
-        if (!isKnown && m_suspects.size() >= maxSuspects)
-            continue;
+        if (!m_suspects.contains(it.part))
+            makeRoom();
         // Other nodes may not have seen that endpoints answer requests with the part.
         if (it.answeredAgo || isAnswered(it.part)) {
             clear(m_suspects[it.part], now - it.answeredAgo.value_or(Milliseconds { 0 }));
--- a/Libraries/LibGateway/PromptQuarantine.h
+++ b/Libraries/LibGateway/PromptQuarantine.h
@@ -29,13 +29,15 @@
     auto operator<=>(const PromptDecision&) const = default;
 };
 
-/// Keeps requests away from the endpoints that contain a part of a prompt under which endpoints crash.
+/// Keeps requests away from the endpoints that contain a part of a prompt under which endpoints crash, or that crash
+/// endpoints by themselves. The fingerprint of a request counts as one of its parts.
 ///
-/// The load that it answers: requests with such a part arrive at all nodes, each with other parts beside it, and each
-/// of them would take down an endpoint with all requests that it runs. A part is suspected if an endpoint closed the
-/// connection of a request with it before the answer had properly begun, and did not respond to anything soon after
-/// that. It is quarantined after a few such crashes of different endpoints, counted over all nodes. An answer to any
-/// request with the part clears it, so the parts that sound requests share with a crashing one stay in use.
+/// The load that it answers: requests with such a part arrive at all nodes, each with other parts beside it, or the
+/// same request comes again and again at any node, and each of them would take down an endpoint with all requests that
+/// it runs. A part is suspected if an endpoint closed the connection of a request with it before the answer had
+/// properly begun, and did not respond to anything soon after that. It is quarantined after a few such crashes of
+/// different endpoints, counted over all nodes. An answer to any request with the part clears it, so the parts that
+/// sound requests share with a crashing one stay in use.
 ///
 /// When a quarantine ends, one node lets one request with the part through. If it crashes its endpoint too, the next
 /// quarantine is twice as long.
@@ -81,6 +83,8 @@
     struct Suspect {
         /// Times of the crashes by incarnation.
         std::map<uint64_t, MonotonicTime> crashes;
+        /// Latest crash that this node has observed itself.
+        std::optional<MonotonicTime> ownCrashAt;
         std::optional<MonotonicTime> answeredAt;
         /// Set while a request tries whether the part still crashes endpoints.
         std::optional<MonotonicTime> trialStartedAt;
@@ -104,6 +108,10 @@
     /// part is quarantined.
     Milliseconds refusalTime(const std::string& part, const Suspect&, MonotonicTime now) const;
     bool isAnswered(const std::string& part) const;
+    /// Returns whether the other nodes may not know the crashes yet.
+    static bool isNews(const Suspect&, MonotonicTime now);
+    /// Forgets the suspect with the weakest evidence if there are too many.
+    void makeRoom();
     static void clear(Suspect&, MonotonicTime answeredAt);
     void confirmCrashes(MonotonicTime now);
     void forgetOldSuspects(MonotonicTime now);
