platform: Take no rate limit from a success without a signature

Such bytes are not the endpoint's response (they are given up on for the same reason), and a limit of 0 in them would have slowed a sound endpoint down until its next response. Shown by a case of the test that decodes limits.

--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -163,6 +163,8 @@
     CHECK(wire.decodeAnswerHead(503, { { "Server-Limit", "1.5" } }).rateLimit == 1.5);
     CHECK(wire.decodeAnswerHead(200, { { "Server-Signature", "s" } }).rateLimit == unlimitedRate);
     CHECK_FALSE(wire.decodeAnswerHead(200, {}).rateLimit);
-    CHECK(wire.decodeAnswerHead(200, { { "Server-Limit", "4" }, { "server-limit", "3" } }).rateLimit == 3);
-    CHECK_FALSE(wire.decodeAnswerHead(200, { { "Server-Limit", "4" }, { "Server-Limit", "many" } }).rateLimit);
+    CHECK_FALSE(wire.decodeAnswerHead(200, { { "Server-Limit", "0" } }).rateLimit);
+    CHECK_FALSE(wire.decodeAnswerHead(503, {}).rateLimit);
+    CHECK(wire.decodeAnswerHead(503, { { "Server-Limit", "4" }, { "server-limit", "3" } }).rateLimit == 3);
+    CHECK_FALSE(wire.decodeAnswerHead(503, { { "Server-Limit", "4" }, { "Server-Limit", "many" } }).rateLimit);
 }
