LibGateway: Report the end of a rate limit however long the response took

A member repeats statements of endpoints for 1 s, counted from the time for which they hold. For the end of a limit that is when the request was sent, so an endpoint whose responses take longer would have kept its limit.

--- a/Libraries/LibGateway/SlotMember.cpp
+++ b/Libraries/LibGateway/SlotMember.cpp
@@ -38,10 +38,10 @@
     /// Age up to which the load of an endpoint is reported. The coordinator's own counts are newer than older loads.
     constexpr Milliseconds maxLoadAge { 30 };
 
-    /// Age up to which a statement of an endpoint is repeated in each report, in case one is lost.
+    /// Time for which a statement of an endpoint is repeated in each report, in case one is lost.
     constexpr Milliseconds rateRepetitionTime { 1'000 };
 
-    /// Age up to which a limit is remembered, so that its end is noticed.
+    /// Time for which a limit is remembered, so that its end is noticed.
     constexpr std::chrono::minutes maxRateAge { 1 };
 
     Milliseconds milliseconds(MonotonicTime::duration duration)
@@ -169,17 +169,18 @@
     m_loads[endpoint] = { load, now };
 }
 
-void SlotMember::observeRate(const std::string& endpoint, const RateStatement& statement, MonotonicTime)
+void SlotMember::observeRate(const std::string& endpoint, const RateStatement& statement, MonotonicTime now)
 {
     const auto known = m_rates.find(endpoint);
     // Most endpoints have no limit and say so in each response.
-    const bool wasUnlimited = known == m_rates.end() || known->second.perSecond == unlimitedRate;
+    const bool wasUnlimited = known == m_rates.end() || known->second.statement.perSecond == unlimitedRate;
     if (statement.perSecond == unlimitedRate && wasUnlimited && !m_local.isRateLimited(endpoint))
         return;
-    if (known != m_rates.end() && statement.at < known->second.at)
+    if (known != m_rates.end() && statement.at < known->second.statement.at)
         return;
-    m_hasChange = m_hasChange || known == m_rates.end() || known->second.perSecond != statement.perSecond;
-    m_rates[endpoint] = statement;
+    const bool isNew = known == m_rates.end() || known->second.statement.perSecond != statement.perSecond;
+    m_hasChange = m_hasChange || isNew;
+    m_rates[endpoint] = { statement, now };
 }
 
 std::vector<SlotDecision> SlotMember::poll(MonotonicTime now)
@@ -292,10 +293,10 @@
 
 void SlotMember::addRates(SlotReport& report, MonotonicTime now)
 {
-    std::erase_if(m_rates, [&](const auto& it) { return now - it.second.at > maxRateAge; });
-    for (const auto& [endpoint, statement] : m_rates) {
-        if (now - statement.at <= rateRepetitionTime)
-            report.rates.push_back({ endpoint, statement.perSecond, milliseconds(now - statement.at) });
+    std::erase_if(m_rates, [&](const auto& it) { return now - it.second.heardAt > maxRateAge; });
+    for (const auto& [endpoint, rate] : m_rates) {
+        if (now - rate.heardAt <= rateRepetitionTime)
+            report.rates.push_back({ endpoint, rate.statement.perSecond, milliseconds(now - rate.statement.at) });
     }
 }
 
--- a/Libraries/LibGateway/SlotMember.h
+++ b/Libraries/LibGateway/SlotMember.h
@@ -77,6 +77,11 @@
         MonotonicTime until;
     };
 
+    struct HeardRate {
+        RateStatement statement;
+        MonotonicTime heardAt;
+    };
+
     struct Finished {
         FinishedWork work;
         uint64_t sentIn { 0 };
@@ -109,7 +114,7 @@
     std::vector<Finished> m_finished;
     std::map<std::string, std::pair<ObservedLoad, MonotonicTime>> m_loads;
     /// Latest statements of endpoints that have a rate limit or had one.
-    std::map<std::string, RateStatement> m_rates;
+    std::map<std::string, HeardRate> m_rates;
     std::vector<SlotDecision> m_decisions;
     uint64_t m_lastReport { 0 };
     uint64_t m_lastReply { 0 };
--- a/Tests/LibGateway/TestRateLimits.cpp
+++ b/Tests/LibGateway/TestRateLimits.cpp
@@ -184,3 +184,22 @@
     fixture.clock.advance(Milliseconds { 1'500 });
     CHECK(count(fixture.scheduler.poll(fixture.clock.now()), SlotDecision::Kind::Start) == 1);
 }
+
+// Guards against a limit that never ends for an endpoint whose responses take longer than a report is repeated.
+TEST_CASE("a member reports the end of a limit although its request was sent long ago")
+{
+    SchedulerFixture fixture;
+    SlotCoordinator coordinator(fixture.scheduler);
+    SlotMember member("n1", coordinator);
+    const auto state = [&](double perSecond, MonotonicTime at) {
+        member.observeRate("a", { perSecond, at }, fixture.clock.now());
+        member.poll(fixture.clock.now());
+    };
+    state(2, fixture.clock.now());
+    CHECK(fixture.scheduler.isRateLimited("a"));
+    fixture.clock.advance(Milliseconds { 500 });
+    const MonotonicTime sentAt = fixture.clock.now();
+    fixture.clock.advance(Milliseconds { 2'500 });
+    state(unlimitedRate, sentAt);
+    CHECK_FALSE(fixture.scheduler.isRateLimited("a"));
+}
