--- a/Tests/LibGateway/TestCrashingRequests.cpp
+++ b/Tests/LibGateway/TestCrashingRequests.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/RequestFingerprint.h>
 
 #include "GatewayFixture.h"
+#include "QuarantineExchange.h"
 
 #include <Tests/Support/FakeExchange.h>
 #include <catch2/catch.hpp>
@@ -184,7 +185,7 @@
         for (int n = 0; hasCrashing && n < 4; ++n)
             sendCrashing();
         if (++m_steps % 3 == 0)
-            exchangeReports();
+            exchangeReports(m_nodes, m_now);
     }
 
     int crashes { 0 };
@@ -230,19 +231,6 @@
             anyNode().recordBrokenConnection({ soundRequest() }, record, m_now);
     }
 
-    void exchangeReports()
-    {
-        std::vector<std::vector<SuspectPart>> reports;
-        for (const auto& it : m_nodes) {
-            it->update(m_now);
-            reports.push_back(it->report(m_now));
-        }
-        for (const auto& it : m_nodes) {
-            for (const auto& report : reports)
-                it->merge(report, m_now);
-        }
-    }
-
     SeededRandom m_random;
     MonotonicTime m_now { std::chrono::hours { 1 } };
     std::vector<std::unique_ptr<PromptQuarantine>> m_nodes;
