LibGateway: Count with any rate limit, however large

An endpoint may state more requests a second than a counter holds ("endless digits"). The conversion of the tokens to a number of requests overflowed, so an endpoint that stated 1e13 a second, which is no limit, got nothing for good. The bucket now has an upper limit of a million.

--- a/Libraries/LibGateway/RateLimiter.cpp
+++ b/Libraries/LibGateway/RateLimiter.cpp
@@ -11,6 +11,9 @@
     constexpr double minBurst = 3;
     constexpr Milliseconds minBurstTime { 100 };
 
+    /// Upper limit of the size of the bucket. No node sends as many requests at once.
+    constexpr double maxBurst = 1'000'000;
+
     /// An endpoint that takes fewer requests, or none, is still sent one every few seconds. Only a response shows that
     /// the limit has ended.
     constexpr double minRatePerSecond = 0.2;
@@ -45,7 +48,10 @@
 
 double RateLimiter::refillPerSecond() const { return std::max(m_statement.perSecond, minRatePerSecond); }
 
-double RateLimiter::maxTokens() const { return std::max(minBurst, refillPerSecond() * toSeconds(minBurstTime)); }
+double RateLimiter::maxTokens() const
+{
+    return std::clamp(refillPerSecond() * toSeconds(minBurstTime), minBurst, maxBurst);
+}
 
 double RateLimiter::tokens(MonotonicTime now) const
 {
--- a/Tests/LibGateway/TestRateLimits.cpp
+++ b/Tests/LibGateway/TestRateLimits.cpp
@@ -203,3 +203,14 @@
     state(unlimitedRate, sentAt);
     CHECK_FALSE(fixture.scheduler.isRateLimited("a"));
 }
+
+// Guards against a number that is too large to count with and stops the endpoint for good.
+TEST_CASE("a limit above every load does not limit")
+{
+    SchedulerFixture fixture;
+    fixture.state(GENERATE(5e9, 1e13, 1e300));
+    for (int n = 0; n < 8; ++n) {
+        fixture.clock.advance(Milliseconds { 40 });
+        CHECK(count(fixture.request(1), SlotDecision::Kind::Start) == 1);
+    }
+}
