LibGateway: Move the capacity of services out of the scheduler

What services have and what limits leave of it is a class of its own now, with one pass over the limited endpoints instead of two.

--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -139,34 +139,21 @@
 
 void SlotScheduler::countSlots()
 {
-    m_serviceSlots.clear();
-    m_domainSlots.clear();
+    m_capacity.clear();
     for (const auto& [id, it] : m_endpoints) {
-        if (!it.isUsable)
-            continue;
-        m_serviceSlots[it.record.service] += it.record.slotCount;
-        if (it.record.failureDomain == m_peers.location().failureDomain)
-            m_domainSlots[it.record.service] += it.record.slotCount;
+        const bool isInDomain = it.record.failureDomain == m_peers.location().failureDomain;
+        if (it.isUsable)
+            m_capacity.addEndpoint(it.record.service, it.record.slotCount, isInDomain);
     }
 }
 
-void SlotScheduler::updateLimitedCapacity(MonotonicTime now)
+void SlotScheduler::updateLimits(MonotonicTime now)
 {
-    m_limitedCapacity.clear();
-    for (const auto& [id, it] : m_endpoints) {
-        if (!it.isUsable || !it.limiter.isLimited())
-            continue;
-        LimitedCapacity& capacity = m_limitedCapacity[it.record.service];
-        const double usable = it.limiter.concurrency(m_holdTimes.requestTime(it.record.service));
-        capacity.unusableSlots += std::max(0.0, it.record.slotCount - usable);
-        capacity.nextRequestIn = std::min(capacity.nextRequestIn, it.limiter.nextIn(now));
-    }
-    if (m_limitedCapacity.empty())
-        return;
+    m_capacity.clearLimits();
     for (const auto& [id, it] : m_endpoints) {
-        const auto capacity = m_limitedCapacity.find(it.record.service);
-        if (it.isUsable && !it.limiter.isLimited() && capacity != m_limitedCapacity.end())
-            capacity->second.nextRequestIn = Milliseconds { 0 };
+        const std::string& service = it.record.service;
+        if (it.isUsable && it.limiter.isLimited())
+            m_capacity.addLimit(service, it.record.slotCount, it.limiter, m_holdTimes.requestTime(service), now);
     }
 }
 
@@ -224,8 +211,7 @@
 {
     if (!isSoleInDomain() || endpoint.record.failureDomain != m_peers.location().failureDomain)
         return false;
-    const auto slotCount = m_domainSlots.find(endpoint.record.service);
-    return slotCount != m_domainSlots.end() && slotCount->second >= minSlotsForPooledReserve;
+    return m_capacity.domainSlots(endpoint.record.service) >= minSlotsForPooledReserve;
 }
 
 uint32_t SlotScheduler::batchCapacity(const Endpoint& endpoint) const
@@ -407,7 +393,7 @@
 {
     std::vector<SlotDecision> decisions;
     expire(now);
-    updateLimitedCapacity(now);
+    updateLimits(now);
     decideOnline(decisions, now);
     decideYields(decisions, now);
     decideBatch(decisions, now);
@@ -478,16 +464,10 @@
 Milliseconds SlotScheduler::expectedWait(const std::string& service, size_t ahead) const
 {
     const Milliseconds hold = m_holdTimes.requestTime(service);
-    const auto slotCount = m_serviceSlots.find(service);
-    const auto limited = m_limitedCapacity.find(service);
-    const LimitedCapacity capacity
-        = limited == m_limitedCapacity.end() ? LimitedCapacity { 0, Milliseconds { 0 } } : limited->second;
-    const double usable = (slotCount == m_serviceSlots.end() ? 0 : slotCount->second) - capacity.unusableSlots;
-    const double n = std::max(1.0, usable);
     // Requests queued at peers compete for the same slots.
     const double queue = static_cast<double>(ahead + m_peers.waiting());
-    const Milliseconds queueTime { std::lround(queue * static_cast<double>(hold.count()) / n) };
-    return std::max(queueTime, capacity.nextRequestIn);
+    const double queueTime = queue * static_cast<double>(hold.count()) / m_capacity.usableSlots(service);
+    return std::max(Milliseconds { std::lround(queueTime) }, m_capacity.nextRequestIn(service));
 }
 
 bool SlotScheduler::isAvoided(
@@ -504,7 +484,7 @@
 bool SlotScheduler::isSpilloverAllowed(const Endpoint& endpoint, const OnlineWork& work, MonotonicTime now) const
 {
     const PeerDistance distance = m_peers.distanceTo(endpoint.record.failureDomain);
-    if (distance == PeerDistance::FailureDomain || !m_domainSlots.contains(work.service))
+    if (distance == PeerDistance::FailureDomain || m_capacity.domainSlots(work.service) == 0)
         return true;
     // At peak load, most slots that appear free in another failure domain are taken before the request arrives there,
     // and a local slot usually becomes free sooner than the report of that.
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -3,6 +3,7 @@
 #include <LibCore/Random.h>
 #include <LibGateway/HoldTimeEstimator.h>
 #include <LibGateway/RateLimiter.h>
+#include <LibGateway/ServiceCapacity.h>
 #include <LibGateway/SlotAllocator.h>
 #include <LibGateway/SlotPeers.h>
 
@@ -112,14 +113,6 @@
         uint32_t total() const { return online() + own.batch + peers.batch; }
     };
 
-    /// What rate limits leave of the capacity of a service.
-    struct LimitedCapacity {
-        /// Slots that stay unused while all others are in use.
-        double unusableSlots { 0 };
-        /// Time until the limits allow the next request, 0 if there are endpoints without a limit.
-        Milliseconds nextRequestIn { Milliseconds::max() };
-    };
-
     /// Adds the usage of a peer to the totals of the endpoints, or subtracts it if `isAdded` is false.
     void addPeerUse(const PeerUse&, bool isAdded);
     /// Applies the rate limits that a peer reported, and counts the work that it has started since its previous report.
@@ -174,8 +167,8 @@
     /// Returns the expected time in the queue behind `ahead` requests of this node.
     Milliseconds expectedWait(const std::string& service, size_t ahead) const;
     void countSlots();
-    /// Updates what the rate limits leave of the capacity of each service.
-    void updateLimitedCapacity(MonotonicTime now);
+    /// Updates what the rate limits leave of the capacity.
+    void updateLimits(MonotonicTime now);
     Milliseconds retryAfter(const std::string& service, size_t ahead);
     bool shouldRefuse(const OnlineWork&, size_t ahead, MonotonicTime now) const;
 
@@ -183,12 +176,7 @@
     std::map<std::string, Endpoint> m_endpoints;
     /// Pointers into `m_endpoints`.
     std::unordered_map<uint32_t, Endpoint*> m_endpointsByKey;
-    /// Slots of the usable endpoints of each service.
-    std::map<std::string, uint32_t> m_serviceSlots;
-    /// Slots of the usable endpoints of each service in this node's failure domain.
-    std::map<std::string, uint32_t> m_domainSlots;
-    /// Services with rate-limited endpoints.
-    std::map<std::string, LimitedCapacity> m_limitedCapacity;
+    ServiceCapacity m_capacity;
     SlotPeers m_peers;
     MonotonicTime m_lastExpiryAt;
     uint32_t m_ownBatch { 0 };
