LibGateway: Log the software version at which requests and items run

The node logs could not tell at which version a run was placed, nor that a request takes up a stream. An entry whose version is not a text names no endpoint, as for the other fields; one without a version stays usable.

--- a/Libraries/LibGateway/EndpointRecord.h
+++ b/Libraries/LibGateway/EndpointRecord.h
@@ -21,6 +21,9 @@
     int64_t startedAt { 0 };
     /// Version of the registration in the store, 0 if unknown.
     uint64_t version { 0 };
+    /// Version of the endpoint's software, empty if it states none. A stream that one version began must not continue
+    /// at another one.
+    std::string softwareVersion {};
 
     auto operator<=>(const EndpointRecord&) const = default;
 };
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -129,8 +129,8 @@
 {
     m_slot.markStarted();
     m_endpoint = endpoint;
-    logPlacement(view);
     const auto record = m_environment.directory.find(endpoint);
+    logPlacement(record ? &*record : nullptr, view);
     if (!record) {
         m_slot.release(EndpointOutcome::Cancelled);
         m_excluded.push_back(endpoint);
@@ -145,7 +145,7 @@
     send(*record);
 }
 
-void ForwardedCall::logPlacement(const SlotView& view) const
+void ForwardedCall::logPlacement(const EndpointRecord* record, const SlotView& view) const
 {
     // If the node fails before the request ends, this line is the only record of the request.
     QJsonObject details {
@@ -154,6 +154,12 @@
         { "queued_ms", static_cast<qint64>(milliseconds(m_environment.clock.now() - m_arrival).count()) },
         { "left_ms", static_cast<qint64>(timeLeft().count()) },
     };
+    if (record && !record->softwareVersion.empty())
+        details["software_version"] = QString::fromStdString(record->softwareVersion);
+    if (m_lastEventId > 0)
+        details["last_event"] = static_cast<qint64>(m_lastEventId);
+    if (!m_request.resumes.empty())
+        details["resumes"] = QString::fromStdString(m_request.resumes);
     addDecisionFields(details, view);
     m_environment.log.record("request", "placed", m_request.id, {}, details);
 }
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -65,7 +65,7 @@
     Milliseconds timeLeft() const;
     /// Ends the call with an error, or aborts the stream if it has begun.
     void refuse(ErrorKind, const std::string& reason, std::optional<Milliseconds> retryAfter = {});
-    void logPlacement(const SlotView&) const;
+    void logPlacement(const EndpointRecord*, const SlotView&) const;
     void finish(const std::string& outcome, const std::string& reason);
     void logEnd(const std::string& outcome, const std::string& reason, MonotonicTime now) const;
     /// Adds the time from the arrival to the end of a phase to the metrics, if the phase has ended.
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -126,6 +126,7 @@
     m_events = {};
     m_head = {};
     m_receivedBytes = 0;
+    m_softwareVersion = record->softwareVersion;
     m_prompt.begin(*record);
     logStep("placed", "");
     const HttpCallRequest call { .address = record->address,
@@ -287,6 +288,8 @@
         { "endpoint", QString::fromStdString(m_endpoint) },
         { "last_event", static_cast<qint64>(m_lastEventId) },
     };
+    if (!m_softwareVersion.empty())
+        details["software_version"] = QString::fromStdString(m_softwareVersion);
     if (!reason.empty())
         details["reason"] = QString::fromStdString(reason);
     addRateLimit(details, m_head.rateLimit);
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -81,6 +81,8 @@
     PromptAttempts m_prompt;
     bool m_isDone { false };
     std::string m_endpoint;
+    /// Version of the software at the endpoint of the latest run.
+    std::string m_softwareVersion;
     std::unique_ptr<HttpCall> m_call;
     EndpointAnswerHead m_head;
     EventStreamReader m_events;
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -23,6 +23,8 @@
     std::optional<Milliseconds> deadline;
     /// Last event that the caller has received, after which the stream should resume.
     std::optional<uint64_t> lastEventId;
+    /// Identifier of the attempt that brought the first event of the stream to resume, empty if the caller names none.
+    std::string resumes;
     /// Identifiers of the parts of the prompt that other requests may have too, in order. Empty if there is no prompt.
     std::vector<std::string> promptParts;
 };
--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -69,7 +69,7 @@
     const PlatformWireFormat wire;
     const auto record = wire.decodeEndpoint("i-1", endpointDocument());
     REQUIRE(record);
-    CHECK(*record == EndpointRecord { "i-1", "10.0.0.1:80", "lm", "z1", 8, false, 1700000000123 });
+    CHECK(*record == EndpointRecord { "i-1", "10.0.0.1:80", "lm", "z1", 8, false, 1700000000123, 0, "v1" });
     CHECK(wire.decodeEndpoint("i-1", endpointDocument("state", "draining"))->isLeaving);
     for (const char* it : { "service", "address", "zone", "slots", "state" }) {
         CAPTURE(it);
@@ -80,6 +80,9 @@
     CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("slots", 0)));
     CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("born", "yesterday")));
     CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("born", 1.5)));
+    CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("version", 2)));
+    CHECK(wire.decodeEndpoint("i-1", endpointDocument("version", QJsonValue(QJsonValue::Undefined)))
+              ->softwareVersion.empty());
     CHECK_FALSE(wire.decodeEndpoint("i-1", "\xff\xfe"));
 }
 
