LibGateway: Take failures of members without endpoints for their own

Cause: a coordinator avoids an endpoint for all its members as soon as one of them reports a failure there. Cut members report failures at all endpoints without end.

Change: a member whose attempts fail at three endpoints or more, and more often than they succeed, has lost its own connections; its failures do not count against an endpoint that responded to a member in the last 2 s. An endpoint that responds to nobody is avoided as before, so that endpoints which crash together do not attract requests.

--- a/Libraries/LibGateway/SlotCoordinator.cpp
+++ b/Libraries/LibGateway/SlotCoordinator.cpp
@@ -11,6 +11,9 @@
     /// of a member, and longer than a pause of a busy node.
     constexpr Milliseconds memberTimeout { 1'500 };
 
+    /// Time for which a response of an endpoint shows that failures of one member are not those of the endpoint.
+    constexpr Milliseconds endpointResponseMemory { 2'000 };
+
     /// Time after which decisions that the member has not acknowledged are sent again; several times a round trip
     /// within a failure domain.
     constexpr Milliseconds replyRetryInterval { 40 };
@@ -75,12 +78,26 @@
         const auto found = member.work.find(it.work);
         if (found == member.work.end() || found->second.state != State::Running)
             continue;
-        m_scheduler.finish(found->second.id, it.outcome, now);
-        m_owners.erase(found->second.id);
+        const uint64_t id = found->second.id;
+        const RunningWork* running = m_scheduler.findRunning(id);
+        m_scheduler.finish(id, running ? judge(member, *running, it.outcome, now) : it.outcome, now);
+        m_owners.erase(id);
         member.work.erase(found);
     }
 }
 
+EndpointOutcome SlotCoordinator::judge(
+    Member& member, const RunningWork& running, EndpointOutcome outcome, MonotonicTime now) const
+{
+    if (outcome == EndpointOutcome::Answered)
+        member.links.recordResponse(running.startedAt, now);
+    if (outcome != EndpointOutcome::Failed)
+        return outcome;
+    member.links.recordFailure(running.endpoint, running.startedAt, now);
+    const bool hasResponded = now - m_scheduler.lastResponse(running.endpoint) <= endpointResponseMemory;
+    return hasResponded && member.links.areLost(now) ? EndpointOutcome::Cancelled : outcome;
+}
+
 SlotCoordinator::Work& SlotCoordinator::addWork(const std::string& node, Member& member, uint64_t work)
 {
     Work& added = member.work[work];
--- a/Libraries/LibGateway/SlotCoordinator.h
+++ b/Libraries/LibGateway/SlotCoordinator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/EndpointLinks.h>
 #include <LibGateway/SlotMessages.h>
 #include <LibGateway/SlotScheduler.h>
 
@@ -81,6 +82,7 @@
         bool isReplyDue { false };
         bool needsAllWork { false };
         size_t unacknowledged { 0 };
+        EndpointLinks links;
         /// By the member's identifier.
         std::unordered_map<uint64_t, Work> work;
     };
@@ -92,6 +94,9 @@
 
     void settleDecisions(Member&, uint64_t acknowledged);
     void finishWork(Member&, const std::vector<FinishedWork>&, MonotonicTime now);
+    /// Returns what an outcome says about the endpoint. The failures of a member that has lost its connections to the
+    /// endpoints are its own, as long as the endpoint has responded to others.
+    EndpointOutcome judge(Member&, const RunningWork&, EndpointOutcome, MonotonicTime now) const;
     void addRequests(const std::string& node, Member&, const std::vector<QueuedRequest>&, MonotonicTime now);
     void addItems(const std::string& node, Member&, const std::vector<QueuedItem>&, MonotonicTime now);
     void addSlots(const std::string& node, Member&, const std::vector<HeldSlot>&, MonotonicTime now);
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -263,8 +263,10 @@
     }
     if (outcome != EndpointOutcome::Answered)
         return;
-    if (endpoint)
+    if (endpoint) {
         endpoint->failures = 0;
+        endpoint->respondedAt = now;
+    }
     const auto held = std::chrono::duration_cast<Milliseconds>(now - running.startedAt);
     if (running.isBatch)
         m_holdTimes.addItem(running.service, held + running.slotTimeUsed);
@@ -272,6 +274,18 @@
         m_holdTimes.addRequest(running.service, held);
 }
 
+const RunningWork* SlotScheduler::findRunning(uint64_t work) const
+{
+    const auto it = m_running.find(work);
+    return it == m_running.end() ? nullptr : &it->second;
+}
+
+MonotonicTime SlotScheduler::lastResponse(const std::string& endpoint) const
+{
+    const auto it = m_endpoints.find(endpoint);
+    return it == m_endpoints.end() ? MonotonicTime {} : std::max(it->second.respondedAt, it->second.observedAt);
+}
+
 bool SlotScheduler::isTooLate(
     const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const
 {
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -60,6 +60,11 @@
     std::vector<SlotDecision> poll(MonotonicTime now) override;
     bool needsPolling() const override { return !m_online.empty() || !m_batch.empty(); }
 
+    /// Returns the work if it holds a slot, or null. Valid until the next call of another method.
+    const RunningWork* findRunning(uint64_t work) const;
+    /// Returns when the endpoint last responded to a node that this scheduler works for.
+    MonotonicTime lastResponse(const std::string& endpoint) const;
+
     /// Returns the slots that this node uses, by endpoint key, without endpoints that it does not use.
     std::unordered_map<uint32_t, SlotUse> ownUse() const;
     /// Returns the endpoints whose rate is limited, or was until lately, by endpoint key.
@@ -101,6 +106,7 @@
         MonotonicTime ownEndedAt;
         uint32_t workTimePercent { 100 };
         MonotonicTime observedAt;
+        MonotonicTime respondedAt;
 
         /// Work that the endpoint reported in excess of the usage known from the nodes.
         uint32_t unattributed { 0 };
