LibGateway: Have peers forward the requests of a node that lost the endpoints

Cause: a node tried its dead connections for each request, 0.4 s at a time, and had no other way to an endpoint. Nothing distinguished an endpoint that fails from a node that has lost its own connections.

Ruled out: readiness alone. It does nothing for kept connections, takes the balancer two seconds, and is ignored when more than half of a zone is cut off, as here.

Change: EndpointLinks tells from the outcome of the latest attempts whether a node has lost the endpoints; then a nearest peer forwards its requests and takes the place of the endpoint in ForwardedCall, so that events, resumption, cancellation and deadlines work as before. Its jobs pass to peers. It probes the endpoints until they can be reached again.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -44,6 +44,15 @@
     /// Delay after which the store may be reachable again, or another node that reaches it is asked.
     constexpr Milliseconds originRetryAfter { 300 };
 
+    /// Number of endpoints that could not be connected to after which a peer is asked.
+    constexpr uint32_t maxFailedConnectionsBeforeRelay = 2;
+
+    /// A peer may queue the request for an endpoint, and moves it to another one by itself if that is silent.
+    constexpr Milliseconds relayedIdleAllowance { 1'000 };
+
+    /// Time without data after which a stream no longer occupies a slot, if this node has lost the endpoints.
+    constexpr Milliseconds lostStreamTimeout { 500 };
+
     /// Another attempt is made only if more than this is left before the deadline.
     constexpr Milliseconds minTimeForAttempt { 50 };
 
@@ -79,6 +88,7 @@
     , m_slot(environment.broker)
     , m_fingerprint(requestFingerprint(m_exchange->request()))
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
+    , m_isFromPeer(m_exchange->request().headers.find(relayField).has_value())
     , m_lastEventId(m_request.lastEventId.value_or(0))
 {
     for (QTimer* it : { &m_deadlineTimer, &m_idleTimer, &m_holdTimer })
@@ -103,10 +113,7 @@
     if (refuseIfQuarantined())
         return;
     m_deadlineTimer.start(std::max(Milliseconds { 0 }, timeLeft()));
-    if (resumesStream())
-        findOrigin();
-    else
-        requestSlot();
+    requestSlot();
 }
 
 bool ForwardedCall::resumesStream() const
@@ -115,15 +122,24 @@
     return hasBegun && m_route.kind == RouteKind::Stream && m_route.isResumable;
 }
 
+std::string ForwardedCall::firstAttempt() const
+{
+    if (!m_request.resumes.empty())
+        return m_request.resumes;
+    const bool hasBegun = m_lastEventId > m_request.lastEventId.value_or(0);
+    return hasBegun ? m_request.id : std::string();
+}
+
 void ForwardedCall::findOrigin()
 {
-    if (m_request.resumes.empty()) {
+    const std::string first = firstAttempt();
+    if (first.empty()) {
         handleOrigin(onlyPossibleOrigin());
         return;
     }
     // Without a record, a stream of a route with several services may have begun at any of them.
     const bool isOneService = m_route.shares.size() == 1;
-    m_environment.origins.find(m_request.resumes, isOneService ? std::optional(m_service) : std::nullopt,
+    m_environment.origins.find(first, isOneService ? std::optional(m_service) : std::nullopt,
         [this, lifetime = m_lifetime](const StoreResult<std::optional<StreamOrigin>>& result) {
             if (*lifetime && !m_isDone)
                 handleOrigin(result);
@@ -188,8 +204,84 @@
     return since + std::max(Milliseconds { 0 }, target - typicalFirstByteTime);
 }
 
+bool ForwardedCall::relayIfEndpointsAreLost()
+{
+    const bool areLost = m_environment.links.areLost() || m_failedConnections >= maxFailedConnectionsBeforeRelay;
+    if (m_isFromPeer || !areLost)
+        return false;
+    const auto peer = chooseRelayPeer(
+        m_environment.relayPeers.relayPeers(), m_configuration->version, m_failedPeers, m_environment.random);
+    if (!peer)
+        return false;
+    relay(*peer);
+    return true;
+}
+
+void ForwardedCall::relay(const RelayPeer& peer)
+{
+    beginAttempt(peer.node, true);
+    m_wasRelayed = true;
+    m_environment.log.record("request", "relayed", m_request.id, {},
+        { { "peer", QString::fromStdString(peer.node) }, { "left_ms", static_cast<qint64>(timeLeft().count()) },
+            { "last_event", static_cast<qint64>(m_lastEventId) } });
+    const HttpRequest& request = m_exchange->request();
+    m_call = m_environment.http.start(
+        { .address = peer.address,
+            .method = request.method,
+            .target = request.target,
+            .headers = m_environment.wire.peerHeaders(request.headers, timeLeft(),
+                m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt, firstAttempt()),
+            .body = request.body,
+            .progressTimeout = timeLeft() + endpointConnectTimeout,
+            .connectTimeout = endpointConnectTimeout,
+            .echoedField = m_environment.wire.requestIdField() },
+        *this);
+}
+
+void ForwardedCall::beginAttempt(const std::string& target, bool isRelayed)
+{
+    m_endpoint = target;
+    m_isRelayed = isRelayed;
+    m_isHandedOver = false;
+    m_attemptedAt = m_environment.clock.now();
+    m_events = {};
+    m_head = {};
+    m_body.clear();
+    m_receivedBytes = 0;
+}
+
+void ForwardedCall::handleLostEndpoints()
+{
+    if (m_isDone || m_isRelayed || m_isFromPeer || !m_environment.shouldDeferToPeers())
+        return;
+    const bool isQueued = !m_call && m_slot.isQueued();
+    const bool isConnecting = m_call && !m_isHandedOver;
+    if (isQueued || isConnecting) {
+        m_call.reset();
+        m_slot.release(EndpointOutcome::Cancelled);
+        requestSlot();
+        return;
+    }
+    if (!m_call)
+        return;
+    if (m_head.status == 0 && canRetryElsewhere()) {
+        abandonCall("this node has lost the endpoints");
+        return;
+    }
+    const bool isSilent = m_head.status == 0 || m_environment.clock.now() - m_receivedAt > lostStreamTimeout;
+    if (isSilent)
+        m_slot.release(EndpointOutcome::Cancelled);
+}
+
 void ForwardedCall::requestSlot()
 {
+    if (relayIfEndpointsAreLost())
+        return;
+    const bool hasBegun = resumesStream();
+    if (hasBegun && !m_origin) {
+        findOrigin();
+        return;
+    }
     if (m_origin && !m_environment.directory.canResume(*m_origin)) {
         refuseToResume("no endpoint has the software version that began the stream");
         return;
@@ -252,11 +344,8 @@
 void ForwardedCall::send(const EndpointRecord& endpoint)
 {
     const HttpRequest& request = m_exchange->request();
+    beginAttempt(endpoint.id, false);
     m_softwareVersion = endpoint.softwareVersion;
-    m_events = {};
-    m_head = {};
-    m_body.clear();
-    m_receivedBytes = 0;
     m_prompt.begin(endpoint);
     HttpCallRequest call { .address = endpoint.address,
         .method = request.method,
@@ -273,6 +362,7 @@
 void ForwardedCall::onHandedOver()
 {
     ++m_attempts;
+    m_isHandedOver = true;
     m_mayHaveRun = true;
     m_sentAt = m_environment.clock.now();
     restartIdleTimer();
@@ -280,22 +370,33 @@
 
 void ForwardedCall::restartIdleTimer()
 {
-    if (!m_route.isRepeatable())
+    // The silence of an endpoint is of interest also if the request cannot be moved.
+    if (!m_route.isRepeatable() && m_firstByteAt)
         return;
-    if (m_route.kind == RouteKind::Stream)
-        m_idleTimer.start(m_firstByteAt
-                ? std::max(minEventIdleTimeout, m_route.gapTarget * eventIdleTimeoutFactor)
-                : std::max(minFirstEventTimeout, m_route.latencyTarget * firstEventTimeoutFactor));
-    else
-        m_idleTimer.start(
-            Milliseconds { static_cast<int64_t>(m_route.latencyTarget.count() * answerIdleTimeoutFactor) });
+    m_idleTimer.start(idleTimeout() + (m_isRelayed ? relayedIdleAllowance : Milliseconds { 0 }));
+}
+
+Milliseconds ForwardedCall::idleTimeout() const
+{
+    if (m_route.kind != RouteKind::Stream)
+        return Milliseconds { static_cast<int64_t>(m_route.latencyTarget.count() * answerIdleTimeoutFactor) };
+    return m_firstByteAt ? std::max(minEventIdleTimeout, m_route.gapTarget * eventIdleTimeoutFactor)
+                         : std::max(minFirstEventTimeout, m_route.latencyTarget * firstEventTimeoutFactor);
 }
 
 bool ForwardedCall::isStreaming() const { return m_route.kind == RouteKind::Stream && m_head.status == 200; }
 
 void ForwardedCall::onHeaders(int status, const HttpHeaders& headers)
 {
-    m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_sentAt.value_or(m_arrival));
+    m_receivedAt = m_environment.clock.now();
+    if (m_isRelayed) {
+        m_head = m_environment.wire.decodeAnswerHead(status, headers);
+    } else {
+        m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_sentAt.value_or(m_arrival));
+        m_environment.links.recordResponse(m_attemptedAt);
+    }
+    if (!m_route.isRepeatable())
+        m_idleTimer.stop();
     if (m_head.isUnsignedSuccess()) {
         abandonCall("the response lacks the endpoint's signature");
         return;
@@ -308,6 +409,7 @@
 void ForwardedCall::onData(const QByteArray& data)
 {
     m_receivedBytes += data.size();
+    m_receivedAt = m_environment.clock.now();
     if (m_receivedBytes > maxAnswerBytes) {
         abandonCall("the answer of the endpoint has no end");
         return;
@@ -421,7 +523,8 @@
     // A response without a length ends with its connection, also if the endpoint crashes.
     const bool hasEvents = m_hasStreamBegun || m_lastEventId > 0;
     if (m_events.hasPartialEvent() || !hasEvents) {
-        m_prompt.recordBrokenStream();
+        if (!m_isRelayed)
+            m_prompt.recordBrokenStream();
         handleFailedAttempt(m_events.hasPartialEvent() ? "the event stream of the endpoint ended within an event"
                                                        : "the event stream of the endpoint has no event");
         return;
@@ -441,8 +544,23 @@
     finish("answered", "");
 }
 
+void ForwardedCall::handlePeerRefusal()
+{
+    m_mayHaveRun = m_mayHaveRunBefore;
+    if (m_mayHaveRun || m_hasStreamBegun) {
+        refuse(ErrorKind::EndpointFailed, "the peer refused another attempt");
+        return;
+    }
+    m_exchange->answer({ .status = m_head.status, .headers = m_headers, .body = m_body });
+    finish("refused_by_peer", "the peer answered " + std::to_string(m_head.status));
+}
+
 void ForwardedCall::handleCompleteAnswer()
 {
+    if (m_isRelayed && impliesNotExecuted(m_head.status)) {
+        handlePeerRefusal();
+        return;
+    }
     const bool isFailure = m_head.status >= 500;
     if (isFailure && m_head.status != 504 && canRetryElsewhere()) {
         handleFailedAttempt("the endpoint answered " + std::to_string(m_head.status));
@@ -472,14 +590,17 @@
 {
     m_idleTimer.stop();
     m_call.reset();
+    if (failure.phase != HttpFailure::Phase::Answering)
+        recordSilentEndpoint();
     if (failure.phase != HttpFailure::Phase::NotSent) {
-        m_prompt.recordFailure(failure);
+        if (!m_isRelayed)
+            m_prompt.recordFailure(failure);
         handleFailedAttempt(failure.message);
         return;
     }
     // The request was not sent, so this does not count as an attempt.
     m_slot.release(EndpointOutcome::Failed);
-    m_excluded.push_back(m_endpoint);
+    (m_isRelayed ? m_failedPeers : m_excluded).push_back(m_endpoint);
     if (++m_failedConnections < maxFailedConnections && timeLeft() > minTimeForAttempt) {
         requestSlot();
         return;
@@ -487,6 +608,12 @@
     refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::NoEndpoint, failure.message, m_route.latencyTarget);
 }
 
+void ForwardedCall::recordSilentEndpoint()
+{
+    if (!m_isRelayed)
+        m_environment.links.recordFailure(m_endpoint, m_attemptedAt);
+}
+
 void ForwardedCall::abandonCall(const std::string& reason)
 {
     m_call.reset();
@@ -516,7 +643,12 @@
 
 void ForwardedCall::handleIdleTimeout()
 {
-    if (!m_call || !canRetryElsewhere())
+    if (!m_call)
+        return;
+    if (m_head.status == 0)
+        recordSilentEndpoint();
+    // The endpoints may have been found to be lost, and the request moved.
+    if (!m_call || m_idleTimer.isActive() || !canRetryElsewhere())
         return;
     abandonCall("the endpoint sent no data in time");
 }
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -15,6 +15,7 @@
 
 /// Forwards one request of a caller: waits for a slot, sends the request to an endpoint and returns the response to the
 /// caller. If the route allows it, the request is retried, or its stream resumed, at another endpoint after a failure.
+/// While this node does not reach the endpoints, a peer forwards the request and takes the place of the endpoint.
 ///
 /// Thread safety: used on the I/O thread.
 class ForwardedCall final : private SlotClient, private HttpCallObserver {
@@ -28,6 +29,10 @@
 
     void start();
 
+    /// Moves the request to a peer if it waits for an endpoint, because this node has lost the endpoints. Frees the
+    /// slot of a request that gets no response.
+    void handleLostEndpoints();
+
 private:
     // SlotClient
     void onSlotGranted(const std::string& endpoint, const SlotView&) override;
@@ -43,6 +48,8 @@
 
     /// Returns whether the caller resumes a stream that an earlier attempt began.
     bool resumesStream() const;
+    /// Returns the attempt that brought the first event of the stream to other nodes, empty if there has been none.
+    std::string firstAttempt() const;
     /// Finds out where the stream began that the caller resumes, and requests a slot there.
     void findOrigin();
     void handleOrigin(const StoreResult<std::optional<StreamOrigin>>&);
@@ -54,6 +61,15 @@
     /// Returns the latest start that keeps the latency target of the route.
     MonotonicTime latestStart() const;
     void send(const EndpointRecord&);
+    /// Has a peer forward the request if this node cannot reach the endpoints. Returns whether it does.
+    bool relayIfEndpointsAreLost();
+    void relay(const RelayPeer&);
+    /// Resets what belongs to an earlier attempt.
+    void beginAttempt(const std::string& target, bool isRelayed);
+    /// Records that no byte has come from the endpoint.
+    void recordSilentEndpoint();
+    /// Passes on that a peer did not run the request.
+    void handlePeerRefusal();
     bool isStreaming() const;
     void forwardEvent(const StreamEvent&);
     /// Records where the stream began, now that its first event has arrived. Events are held back meanwhile.
@@ -77,6 +93,7 @@
     void handleCallerDisconnected();
     /// Restarts the timer that moves the request to another endpoint when this one sends nothing.
     void restartIdleTimer();
+    Milliseconds idleTimeout() const;
     Milliseconds timeLeft() const;
     /// Ends the call with an error, or aborts the stream if it has begun.
     void refuse(ErrorKind, const std::string& reason, std::optional<Milliseconds> retryAfter = {});
@@ -107,7 +124,14 @@
     std::optional<StreamOrigin> m_origin;
     std::vector<std::string> m_excluded;
     std::unique_ptr<HttpCall> m_call;
-    /// Number of times that the request was sent to an endpoint.
+    /// Whether the request comes from a peer that has lost the endpoints.
+    const bool m_isFromPeer;
+    /// Whether the latest attempt was made through a peer, and whether any was.
+    bool m_isRelayed { false };
+    bool m_wasRelayed { false };
+    /// Peers that could not be reached.
+    std::vector<std::string> m_failedPeers;
+    /// Number of times that the request was sent to an endpoint or a peer.
     uint32_t m_attempts { 0 };
     /// Number of connections that could not be opened.
     uint32_t m_failedConnections { 0 };
@@ -132,6 +156,10 @@
     /// Whether the stream is complete but for the events held back.
     bool m_isEndHeld { false };
     std::optional<MonotonicTime> m_sentAt;
+    /// When the latest attempt began, and whether its request was handed to a connection.
+    MonotonicTime m_attemptedAt;
+    bool m_isHandedOver { false };
+    MonotonicTime m_receivedAt;
     std::optional<MonotonicTime> m_firstByteAt;
     /// State of the slots on which the scheduler based its refusal.
     std::optional<SlotView> m_refusal;
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -3,8 +3,10 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Random.h>
 #include <LibGateway/EndpointDirectory.h>
+#include <LibGateway/EndpointLinkMonitor.h>
 #include <LibGateway/GatewayConfiguration.h>
 #include <LibGateway/PromptQuarantine.h>
+#include <LibGateway/RelayPeers.h>
 #include <LibGateway/SlotBroker.h>
 #include <LibGateway/StreamOrigins.h>
 #include <LibGateway/WireFormat.h>
@@ -33,11 +35,16 @@
     EndpointDirectory& directory;
     PromptQuarantine& quarantine;
     StreamOrigins& origins;
+    EndpointLinkMonitor& links;
+    const RelayPeers& relayPeers;
     EventLog& log;
     MetricsRegistry& metrics;
     /// The current configuration; its version is 0 until one has been received.
     std::shared_ptr<const GatewayConfiguration> configuration;
 
+    /// Returns whether this node has lost the endpoints while a peer reaches them.
+    bool shouldDeferToPeers() const { return links.areLost() && !relayPeers.relayPeers().empty(); }
+
     /// Decodes the head of an endpoint's response to a request that was sent at that time, and records what the
     /// endpoint reports about itself: its load, its rate limit, and that it is leaving or is not the intended one. No
     /// new work starts at an endpoint of the latter two kinds.
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -56,6 +56,27 @@
         forward(exchange, request, *route);
 }
 
+void GatewayHandler::handleRelayed(const std::shared_ptr<HttpExchange>& exchange)
+{
+    const ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
+    const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
+    // The peer found the route, so its configuration is newer than the one here.
+    if (!route || route->kind == RouteKind::Batch)
+        answerError(
+            exchange, Error(ErrorKind::NotReady, "the route is not known here yet", notReadyRetryAfter), request.id);
+    else
+        forward(exchange, request, *route);
+}
+
+void GatewayHandler::handleLostEndpoints()
+{
+    std::vector<ForwardedCall*> calls;
+    for (const auto& [number, call] : m_calls)
+        calls.push_back(call.get());
+    for (ForwardedCall* it : calls)
+        it->handleLostEndpoints();
+}
+
 void GatewayHandler::answerError(
     const std::shared_ptr<HttpExchange>& exchange, const Error& error, const std::string& id)
 {
--- a/Libraries/LibGateway/GatewayHandler.h
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -25,6 +25,13 @@
 
     void handle(std::shared_ptr<HttpExchange>) override;
 
+    /// Handles a request that a peer hands over because it has lost the endpoints.
+    void handleRelayed(const std::shared_ptr<HttpExchange>&);
+
+    /// Moves requests to peers while this node has lost the endpoints. Must be called when it loses them and several
+    /// times a second after that.
+    void handleLostEndpoints();
+
     size_t callsInProgress() const { return m_calls.size(); }
 
 private:
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -100,6 +100,11 @@
         finish(false, "the item reached the maximum wait of the route");
         return;
     }
+    // The job passes to a node that reaches the endpoints.
+    if (m_environment.shouldDeferToPeers()) {
+        requestSlotLater();
+        return;
+    }
     // An item on which endpoints crash waits until it may be tried again, or until it expires.
     if (const auto retryAfter = m_prompt.refusal()) {
         m_retryTimer.start(std::min(*retryAfter, maxQuarantineCheckInterval));
@@ -213,6 +218,7 @@
 void ItemRun::onHeaders(int status, const HttpHeaders& headers)
 {
     m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_slotAcquiredAt);
+    m_environment.links.recordResponse(m_slotAcquiredAt);
     m_idleTimer.start(m_idleTimeout);
     if (m_head.isUnsignedSuccess())
         abandonCall("the response lacks the endpoint's signature");
@@ -293,6 +299,8 @@
 
 void ItemRun::handleFailure(const std::string& reason)
 {
+    if (m_head.status == 0)
+        m_environment.links.recordFailure(m_endpoint, m_slotAcquiredAt);
     logStep("moved", reason);
     releaseSlot(EndpointOutcome::Failed);
     requestSlotLater();
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -251,6 +251,9 @@
     updateSuspension(now);
     if (m_isLeaving || !m_isStoreReachable || now < m_reachableSince + claimGracePeriod)
         return;
+    // A peer that reaches the endpoints claims the jobs.
+    if (m_environment.links.areLost() && !m_peers.nodesForJobs().empty())
+        return;
     std::optional<std::vector<std::string>> peers;
     for (const auto& [id, record] : m_records) {
         if (record.state != JobHead::State::Open || m_loading.contains(id) || m_owned.contains(id))
@@ -271,7 +274,7 @@
 {
     const bool isLost = !m_isStoreReachable && now >= m_unreachableSince + suspendDelay;
     // While no node can reach the store, nobody claims the jobs; they keep running and commit their results later.
-    const bool isSuspended = isLost && !m_peers.nodesForJobs().empty();
+    const bool isSuspended = (isLost || m_environment.links.areLost()) && !m_peers.nodesForJobs().empty();
     for (const auto& [id, job] : m_owned)
         job->setSuspended(isSuspended);
 }
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -273,7 +273,8 @@
 bool PeerGroup::canRunJobs(const std::string& node) const
 {
     const auto it = m_peers.find(node);
-    return it != m_peers.end() && isServing(it->second) && it->second.report.isStoreReachable;
+    return it != m_peers.end() && isServing(it->second) && it->second.report.isStoreReachable
+        && !it->second.report.hasLostEndpoints;
 }
 
 std::vector<std::string> PeerGroup::nodesForJobs() const
@@ -319,6 +320,16 @@
     return offers;
 }
 
+std::vector<RelayPeer> PeerGroup::relayPeers() const
+{
+    std::vector<RelayPeer> peers;
+    for (const auto& [node, peer] : m_peers) {
+        if (isServing(peer) && !peer.report.hasLostEndpoints && peer.report.configurationVersion > 0)
+            peers.push_back({ node, peer.address, peer.distance, peer.report.configurationVersion });
+    }
+    return peers;
+}
+
 std::vector<std::string> PeerGroup::aliveNodes() const
 {
     std::vector<std::string> nodes;
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -5,6 +5,7 @@
 #include <LibGateway/CoordinatorChoice.h>
 #include <LibGateway/JobController.h>
 #include <LibGateway/PeerReport.h>
+#include <LibGateway/RelayPeers.h>
 #include <LibGateway/ReportPlan.h>
 
 #include <QObject>
@@ -24,7 +25,7 @@
 /// datagrams: each replaces the previous one, so a lost report is made up for by the next.
 ///
 /// Thread safety: used on the thread that created it.
-class PeerGroup final : public QObject, public JobPeers, public ConfigurationPeers {
+class PeerGroup final : public QObject, public JobPeers, public ConfigurationPeers, public RelayPeers {
 public:
     struct Options {
         std::string node;
@@ -58,7 +59,8 @@
     /// Schedules reports to the peers that allocate slots, because the slot use of this node has changed.
     void scheduleReports();
 
-    /// Sends a report to all peers at once, because this node is leaving, or has lost or regained the store.
+    /// Sends a report to all peers at once, because this node is leaving, or has lost or regained the store or the
+    /// endpoints.
     void announce();
 
     /// Sends a report to the peers of the failure domain at once, because this node has a newer configuration.
@@ -71,7 +73,7 @@
     /// Returns whether a recent report of the node was received.
     bool isAlive(const std::string& node) const;
 
-    /// Returns whether the node can run jobs: it is alive, is not leaving and reaches the store.
+    /// Returns whether the node can run jobs: it is alive, is not leaving, and reaches the store and the endpoints.
     bool canRunJobs(const std::string& node) const override;
 
     /// Returns the other nodes that can run jobs.
@@ -79,6 +81,8 @@
 
     std::vector<ConfigurationOffer> configurationOffers() const override;
 
+    std::vector<RelayPeer> relayPeers() const override;
+
     size_t aliveCount() const;
 
     /// Returns the other nodes that are alive and not leaving.
--- a/Libraries/LibGateway/SlotHandle.h
+++ b/Libraries/LibGateway/SlotHandle.h
@@ -37,6 +37,9 @@
         m_isStarted = false;
     }
 
+    /// Returns whether the work is queued for a slot.
+    bool isQueued() const { return m_work != 0 && !m_isStarted; }
+
     /// Returns whether the work has a slot.
     bool isStarted() const { return m_isStarted; }
 
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -12,6 +12,9 @@
 
 namespace Chicorydock {
 
+/// Header field of a request that a node has a peer forward. Such a request is not handed over once more.
+inline const QByteArray relayField = "Chicorydock-Relay";
+
 /// A request of a caller that is to be forwarded.
 struct ForwardRequest {
     /// Identifier that the caller gave this attempt.
@@ -102,6 +105,11 @@
     virtual HttpHeaders endpointHeaders(const HttpHeaders& caller, const std::string& endpointId,
         std::optional<Milliseconds> deadline, std::optional<uint64_t> lastEventId) const = 0;
 
+    /// Returns the header fields of a request that a peer forwards for this node. `resumes` names the attempt that
+    /// brought the first event of the stream, empty if there has been none.
+    virtual HttpHeaders peerHeaders(const HttpHeaders& caller, Milliseconds deadline,
+        std::optional<uint64_t> lastEventId, const std::string& resumes) const = 0;
+
     /// Returns the header fields of a request that runs an item at an endpoint. The parameters are those of
     /// `endpointHeaders()`.
     virtual HttpHeaders itemHeaders(const JobItem&, const std::string& host, const std::string& endpointId,
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -32,6 +32,8 @@
   suspectParts @15 :List(SuspectPart);
   # Endpoints whose rate is limited, or was until lately.
   rates @16 :List(EndpointRate);
+  # Whether the node has lost its connections to the endpoints, so that it runs nothing itself.
+  hasLostEndpoints @17 :Bool;
 }
 
 # A part of prompts that may crash endpoints.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -316,6 +316,8 @@
   inline bool hasRates() const;
   inline  ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Reader getRates() const;
 
+  inline bool getHasLostEndpoints() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -423,6 +425,9 @@
   inline void adoptRates(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>> disownRates();
 
+  inline bool getHasLostEndpoints();
+  inline void setHasLostEndpoints(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2213,6 +2218,20 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool LoadReport::Reader::getHasLostEndpoints() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<100>() * ::capnp::ELEMENTS);
+}
+
+inline bool LoadReport::Builder::getHasLostEndpoints() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<100>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setHasLostEndpoints(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<100>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool SuspectPart::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -166,11 +166,31 @@
     Gateway& m_gateway;
 };
 
+class Gateway::PeerHandler final : public HttpHandler {
+public:
+    explicit PeerHandler(Gateway& gateway)
+        : m_gateway(gateway)
+    {
+    }
+
+    void handle(std::shared_ptr<HttpExchange> exchange) override
+    {
+        if (exchange->request().headers.find(relayField))
+            m_gateway.m_handler.handleRelayed(exchange);
+        else
+            m_gateway.m_configuration.handle(std::move(exchange));
+    }
+
+private:
+    Gateway& m_gateway;
+};
+
 Gateway::Gateway(const Settings& settings)
     : m_settings(settings)
     , m_node(makeNodeId(settings, m_random))
     , m_log({ m_node, settings.node.failureDomain }, m_clock)
     , m_store(m_controlClient, settings.platform.address, storeTimeout)
+    , m_links(m_clock, m_random, m_directory, m_prober, m_log)
     , m_quarantine(m_node)
     , m_origins(m_store, m_clock)
     , m_scheduler(makeLocation(settings, m_node), m_random)
@@ -178,7 +198,7 @@
     , m_member(m_node, m_coordinator)
     , m_broker(m_member, m_clock, [this] { m_exchange.schedule(); })
     , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_quarantine, m_origins,
-        m_log, m_metrics, std::make_shared<const GatewayConfiguration>() }
+        m_links, m_peers, m_log, m_metrics, std::make_shared<const GatewayConfiguration>() }
     , m_peers(
           { m_node, settings.node.failureDomain, settings.gateway->peerAddress, settings.gateway->regions }, m_clock,
           [this] { return makeReport(); },
@@ -189,6 +209,7 @@
     , m_configurationApplier(std::make_unique<ConfigurationApplier>(*this))
     , m_endpointListener(std::make_unique<EndpointListener>(*this))
     , m_statusHandler(std::make_unique<StatusHandler>(*this))
+    , m_peerHandler(std::make_unique<PeerHandler>(*this))
     , m_configuration(m_store, m_wire, m_peers, m_controlClient, m_clock, m_random, *m_configurationApplier)
     , m_endpointFollower(std::make_unique<TableFollower>(
           m_store, TableFollower::Options { m_wire.endpointTable(), { "" }, endpointWait }, *m_endpointListener))
@@ -200,8 +221,12 @@
           })
     , m_server(m_handler, serverLimits(settings), [this](const Error& error) { return m_wire.errorAnswer(error, {}); })
     , m_statusServer(*m_statusHandler)
-    , m_peerServer(m_configuration)
+    , m_peerServer(*m_peerHandler, serverLimits(settings))
 {
+    m_links.setChangedHandler([this] {
+        // A request has just failed and is on the stack.
+        QMetaObject::invokeMethod(this, &Gateway::handleLinksChanged, Qt::QueuedConnection);
+    });
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
 }
@@ -235,7 +260,8 @@
     limits.maxHeaderBytes = static_cast<qint64>(configuration.limits.maxHeaderBytes);
     limits.requestTimeout = configuration.limits.headerTimeout;
     limits.idleTimeout = configuration.limits.idleTimeout;
-    m_server.setLimits(limits);
+    for (HttpServer* it : { &m_server, &m_peerServer })
+        it->setLimits(limits);
     m_environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
     m_broker.schedulePoll();
     // Other nodes may wait for this one to read it from the store.
@@ -252,6 +278,7 @@
     m_configuration.update();
     updateQuarantine();
     reportStoreReachability();
+    updateLinks();
     updateStreamOrigins();
     m_jobs.tick();
 }
@@ -283,6 +310,7 @@
     report.configurationVersion = m_configuration.version();
     report.isConfigurationSource = m_configuration.isActiveSource();
     report.isLeaving = m_isStopping;
+    report.hasLostEndpoints = m_links.areLost();
     report.capacityPercent = capacityPercent(m_settings);
     report.use = m_scheduler.ownUse();
     if (isCoordinating())
@@ -331,6 +359,20 @@
         m_peers.announce();
 }
 
+void Gateway::updateLinks()
+{
+    m_links.tick();
+    if (m_links.areLost())
+        m_handler.handleLostEndpoints();
+}
+
+void Gateway::handleLinksChanged()
+{
+    // The peers must know before they hand over requests or run jobs.
+    m_peers.announce();
+    updateLinks();
+}
+
 void Gateway::updateStreamOrigins()
 {
     m_origins.removeOldRecords();
@@ -403,7 +445,8 @@
         return;
     m_server.stopListening();
     m_server.closeIdleConnections();
-    const bool isIdle = m_server.activeExchanges() == 0 && !m_server.isExpectingRequests() && m_jobs.isReleased();
+    const bool isIdle = m_server.activeExchanges() == 0 && m_peerServer.activeExchanges() == 0
+        && !m_server.isExpectingRequests() && m_jobs.isReleased();
     if (!isIdle && elapsed < m_settings.http.drainTimeoutMs)
         return;
     m_stopTimer.stop();
@@ -420,6 +463,8 @@
     set("chicorydock_online_waiting", "Online requests that wait for a slot.", m_member.waitingOnline());
     set("chicorydock_batch_waiting", "Items that wait for a slot.", m_scheduler.waitingBatch());
     set("chicorydock_peers", "Nodes heard of lately.", static_cast<double>(m_peers.aliveCount()));
+    set("chicorydock_endpoints_lost", "Whether this node has lost its connections to the endpoints.",
+        m_links.areLost());
     set("chicorydock_endpoints_rate_limited", "Endpoints that limit their rate, as far as this node knows.",
         static_cast<double>(m_scheduler.limitedEndpoints()));
     set("chicorydock_prompt_parts_quarantined", "Parts of prompts on which endpoints crash.",
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -8,6 +8,7 @@
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/PeerGroup.h>
 #include <LibGateway/SlotExchange.h>
+#include <LibGateway/TcpEndpointProber.h>
 #include <LibHTTP/HttpServer.h>
 #include <LibHTTP/PooledHttpClient.h>
 #include <LibLog/StreamEventLog.h>
@@ -50,6 +51,8 @@
     class EndpointListener;
     /// Serves the load balancer's readiness checks and the metrics.
     class StatusHandler;
+    /// Serves the calls of other nodes: for the configuration, and with requests that they hand over.
+    class PeerHandler;
 
     void applyConfiguration(const ReceivedConfiguration&);
     void updateSchedulerEndpoints();
@@ -64,6 +67,8 @@
     void updateCoordinator();
     void recordCoordinator();
     void updateQuarantine();
+    void updateLinks();
+    void handleLinksChanged();
     /// Keeps what the store holds about the software versions of streams up to date.
     void updateStreamOrigins();
     void reportStoreReachability();
@@ -83,6 +88,8 @@
     PooledHttpClient m_controlClient;
     PlatformRowStore m_store;
     EndpointDirectory m_directory;
+    TcpEndpointProber m_prober;
+    EndpointLinkMonitor m_links;
     PromptQuarantine m_quarantine;
     StreamOrigins m_origins;
     SlotScheduler m_scheduler;
@@ -97,13 +104,13 @@
     std::unique_ptr<ConfigurationApplier> m_configurationApplier;
     std::unique_ptr<EndpointListener> m_endpointListener;
     std::unique_ptr<StatusHandler> m_statusHandler;
+    std::unique_ptr<PeerHandler> m_peerHandler;
     ConfigurationFollower m_configuration;
     std::unique_ptr<TableFollower> m_endpointFollower;
     std::unique_ptr<TableFollower> m_jobFollower;
     NodeRegistry m_registry;
     HttpServer m_server;
     HttpServer m_statusServer;
-    /// Serves the configuration to other nodes.
     HttpServer m_peerServer;
     QTimer m_tickTimer;
     QTimer m_stopTimer;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -17,6 +17,24 @@
 
 namespace Chicorydock {
 
+/// Probes whose results the test sets.
+struct FakeProber final : EndpointProber {
+    bool isReachable { false };
+    size_t probes { 0 };
+
+    void probe(const std::string&, std::function<void(bool isReachable)> onDone) override
+    {
+        ++probes;
+        onDone(isReachable);
+    }
+};
+
+struct FakeRelayPeers final : RelayPeers {
+    std::vector<RelayPeer> peers;
+
+    std::vector<RelayPeer> relayPeers() const override { return peers; }
+};
+
 /// The dependencies of a gateway, with one service `lm` of several endpoints and four routes: `/s/` (resumable stream),
 /// `/u/` (stream that is not resumable), `/i/` (idempotent) and `/b/` (jobs).
 struct GatewayFixture {
@@ -30,10 +48,13 @@
     PromptQuarantine quarantine { "n1" };
     MemoryRowStore rows { clock };
     StreamOrigins origins { rows, clock };
+    FakeProber prober;
+    EndpointLinkMonitor links { clock, random, directory, prober, log };
+    FakeRelayPeers relayPeers;
     SlotScheduler scheduler { { "n1", "z1", { { "z1", "r1" } } }, random };
     SlotBroker broker { scheduler, clock, [] {} };
-    GatewayEnvironment environment { clock, random, wire, http, broker, directory, quarantine, origins, log, metrics,
-        std::make_shared<const GatewayConfiguration>() };
+    GatewayEnvironment environment { clock, random, wire, http, broker, directory, quarantine, origins, links,
+        relayPeers, log, metrics, std::make_shared<const GatewayConfiguration>() };
 
     explicit GatewayFixture(size_t endpoints = 3, Milliseconds gapTarget = Milliseconds { 0 })
     {
