--- a/Libraries/LibGateway/EndpointLinkMonitor.cpp
+++ b/Libraries/LibGateway/EndpointLinkMonitor.cpp
@@ -32,7 +32,10 @@
         setLost(true);
 }
 
-void EndpointLinkMonitor::recordResponse(MonotonicTime sentAt) { m_links.recordResponse(sentAt, m_clock.now()); }
+void EndpointLinkMonitor::recordResponse(const std::string& endpoint, MonotonicTime sentAt)
+{
+    m_links.recordResponse(endpoint, sentAt, m_clock.now());
+}
 
 void EndpointLinkMonitor::tick()
 {
--- a/Libraries/LibGateway/EndpointLinkMonitor.h
+++ b/Libraries/LibGateway/EndpointLinkMonitor.h
@@ -26,7 +26,7 @@
     void recordFailure(const std::string& endpoint, MonotonicTime sentAt);
 
     /// Records an attempt that was sent at that time and to which the endpoint responded.
-    void recordResponse(MonotonicTime sentAt);
+    void recordResponse(const std::string& endpoint, MonotonicTime sentAt);
 
     bool areLost() const { return m_areLost; }
 
--- a/Libraries/LibGateway/EndpointLinks.cpp
+++ b/Libraries/LibGateway/EndpointLinks.cpp
@@ -24,7 +24,11 @@
     add({ sentAt, now, endpoint });
 }
 
-void EndpointLinks::recordResponse(MonotonicTime sentAt, MonotonicTime now) { add({ sentAt, now, {} }); }
+void EndpointLinks::recordResponse(const std::string& endpoint, MonotonicTime sentAt, MonotonicTime now)
+{
+    std::erase_if(m_attempts, [&](const Attempt& it) { return it.failedEndpoint == endpoint && it.sentAt <= sentAt; });
+    add({ sentAt, now, {} });
+}
 
 void EndpointLinks::add(Attempt attempt)
 {
--- a/Libraries/LibGateway/EndpointLinks.h
+++ b/Libraries/LibGateway/EndpointLinks.h
@@ -18,8 +18,9 @@
     /// Records an attempt at which no byte came from the endpoint.
     void recordFailure(const std::string& endpoint, MonotonicTime sentAt, MonotonicTime now);
 
-    /// Records an attempt to which an endpoint responded.
-    void recordResponse(MonotonicTime sentAt, MonotonicTime now);
+    /// Records an attempt to which an endpoint responded. Failures of the same or earlier attempts there no longer
+    /// count: the endpoint was only slow.
+    void recordResponse(const std::string& endpoint, MonotonicTime sentAt, MonotonicTime now);
 
     /// Forgets all attempts, because the endpoints can be reached again.
     void reset() { m_attempts.clear(); }
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -390,10 +390,10 @@
 {
     m_receivedAt = m_environment.clock.now();
     if (m_isRelayed) {
-        m_head = m_environment.wire.decodeAnswerHead(status, headers);
+        m_head = m_environment.processRelayedAnswerHead(status, headers);
     } else {
         m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_sentAt.value_or(m_arrival));
-        m_environment.links.recordResponse(m_attemptedAt);
+        m_environment.links.recordResponse(m_endpoint, m_attemptedAt);
     }
     if (!m_route.isRepeatable())
         m_idleTimer.stop();
@@ -402,8 +402,11 @@
         return;
     }
     // A resumed stream keeps the headers of its first endpoint.
-    if (!m_hasStreamBegun && m_heldEvents.isEmpty())
-        m_headers = headers;
+    if (m_hasStreamBegun || !m_heldEvents.isEmpty())
+        return;
+    m_headers = headers.without(relayedEndpointField);
+    if (m_isFromPeer)
+        m_headers.add(relayedEndpointField, QByteArray::fromStdString(m_endpoint));
 }
 
 void ForwardedCall::onData(const QByteArray& data)
@@ -441,7 +444,8 @@
     restartIdleTimer();
     if (event.id)
         m_lastEventId = *event.id;
-    if (!m_origin)
+    // The peer that forwards the request records where the stream began.
+    if (!m_origin && !m_isRelayed)
         recordOrigin();
     if (m_isHolding) {
         m_heldEvents += event.bytes;
@@ -562,7 +566,8 @@
         return;
     }
     const bool isFailure = m_head.status >= 500;
-    if (isFailure && m_head.status != 504 && canRetryElsewhere()) {
+    // A peer has used the attempts of the route itself.
+    if (isFailure && m_head.status != 504 && !m_isRelayed && canRetryElsewhere()) {
         handleFailedAttempt("the endpoint answered " + std::to_string(m_head.status));
         return;
     }
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -62,6 +62,17 @@
             broker.setEndpoints(directory.usable());
         return head;
     }
+
+    /// Decodes the head of a response that a peer passes on. Records only that the endpoint is leaving; the rest is the
+    /// peer's to act on.
+    EndpointAnswerHead processRelayedAnswerHead(int status, const HttpHeaders& headers) const
+    {
+        EndpointAnswerHead head = wire.decodeAnswerHead(status, headers);
+        const auto endpoint = headers.find(relayedEndpointField);
+        if (head.isLeaving && endpoint && directory.markLeaving(endpoint->toStdString(), clock.now()))
+            broker.setEndpoints(directory.usable());
+        return head;
+    }
 };
 
 }
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -218,7 +218,7 @@
 void ItemRun::onHeaders(int status, const HttpHeaders& headers)
 {
     m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_slotAcquiredAt);
-    m_environment.links.recordResponse(m_slotAcquiredAt);
+    m_environment.links.recordResponse(m_endpoint, m_slotAcquiredAt);
     m_idleTimer.start(m_idleTimeout);
     if (m_head.isUnsignedSuccess())
         abandonCall("the response lacks the endpoint's signature");
--- a/Libraries/LibGateway/SlotCoordinator.cpp
+++ b/Libraries/LibGateway/SlotCoordinator.cpp
@@ -90,7 +90,7 @@
     Member& member, const RunningWork& running, EndpointOutcome outcome, MonotonicTime now) const
 {
     if (outcome == EndpointOutcome::Answered)
-        member.links.recordResponse(running.startedAt, now);
+        member.links.recordResponse(running.endpoint, running.startedAt, now);
     if (outcome != EndpointOutcome::Failed)
         return outcome;
     member.links.recordFailure(running.endpoint, running.startedAt, now);
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -15,6 +15,9 @@
 /// Header field of a request that a node has a peer forward. Such a request is not handed over once more.
 inline const QByteArray relayField = "Chicorydock-Relay";
 
+/// Header field of the response to such a request: the endpoint that it comes from.
+inline const QByteArray relayedEndpointField = "Chicorydock-Endpoint";
+
 /// A request of a caller that is to be forwarded.
 struct ForwardRequest {
     /// Identifier that the caller gave this attempt.
--- a/Libraries/LibHTTP/HttpMessage.h
+++ b/Libraries/LibHTTP/HttpMessage.h
@@ -30,6 +30,17 @@
         return {};
     }
 
+    /// Returns the fields except those of that name.
+    HttpHeaders without(QByteArrayView name) const
+    {
+        HttpHeaders others;
+        for (const auto& [key, value] : m_fields) {
+            if (key.compare(name, Qt::CaseInsensitive) != 0)
+                others.add(key, value);
+        }
+        return others;
+    }
+
     const std::vector<std::pair<QByteArray, QByteArray>>& fields() const { return m_fields; }
 
     bool operator==(const HttpHeaders&) const = default;
--- a/Tests/LibGateway/TestRelayedCall.cpp
+++ b/Tests/LibGateway/TestRelayedCall.cpp
@@ -177,6 +177,63 @@
     CHECK(node.exchange->isFinished);
 }
 
+// Guards against a stream that a peer began and that is continued at the version that this node used before (ORDER).
+TEST_CASE("a stream that a peer began is continued where the peer began it")
+{
+    LostNode node;
+    node.origins.record("q1", { "lm", "v2" }, [] {});
+    node.request("/s/1");
+    node.http.handOver();
+    node.http.headers(200, { { "Server-Signature", "s" } });
+    node.http.data(event(1));
+    CHECK(node.rows.waitingCalls() == 1);
+    node.rows.deliver();
+    CHECK(node.exchange->response->body == event(1));
+    node.prober.isReachable = true;
+    node.links.tick();
+    node.links.tick();
+    node.http.fail(Phase::Answering);
+    node.rows.deliver();
+    LostNode::settle();
+    // Only endpoints without a version are in service.
+    CHECK(node.http.count() == 1);
+    CHECK(node.exchange->isAborted);
+}
+
+// Guards against work that is sent to an endpoint after a response that passed through here said that it is leaving.
+TEST_CASE("a node learns from a relayed response that its endpoint is leaving, and callers do not see the endpoint")
+{
+    LostNode node;
+    node.request("/u/1");
+    node.http.handOver();
+    node.http.headers(200, { { "Server-Signature", "s" }, { "Server-Leaving", "1" }, { relayedEndpointField, "e5" } });
+    node.http.data(event(1));
+    node.http.finish();
+    CHECK_FALSE(node.directory.find("e5"));
+    CHECK_FALSE(node.exchange->response->headers.find(relayedEndpointField));
+    // The peer names it.
+    LostNode peer(false);
+    peer.request("/u/1", { { relayField, "1" } });
+    const auto endpoint = peer.http.last().request.headers.find("Expect-Instance");
+    peer.http.handOver();
+    peer.http.headers(200, { { "Server-Signature", "s" } });
+    peer.http.data(event(1));
+    CHECK(peer.exchange->response->headers.find(relayedEndpointField) == endpoint);
+}
+
+// Guards against more attempts than the route allows, because a peer has already made them.
+TEST_CASE("a failure that a peer reports is not attempted again")
+{
+    LostNode node;
+    node.request("/i/1");
+    node.http.handOver();
+    node.http.headers(502, {});
+    node.http.finish();
+    LostNode::settle();
+    CHECK(node.http.count() == 1);
+    CHECK(node.exchange->response->status == 502);
+}
+
 // Guards against a node that goes on without its endpoints after it reaches them again, or that never tries.
 TEST_CASE("a node that has lost the endpoints probes them and uses them again")
 {
@@ -214,16 +271,23 @@
         if (n % 3 == 0)
             fail("e" + std::to_string(n));
         else
-            links.recordResponse(now, now);
+            links.recordResponse("r", now, now);
     }
     CHECK_FALSE(links.areLost(now));
+    // Endpoints that are slow respond in the end.
+    links.reset();
+    for (int n = 0; n < 6; ++n)
+        fail("e" + std::to_string(n));
+    for (int n = 0; n < 4; ++n)
+        links.recordResponse("e" + std::to_string(n), now, now);
+    CHECK_FALSE(links.areLost(now));
     // Responses to earlier requests may still arrive after the loss.
     links.reset();
     const MonotonicTime before = now - std::chrono::milliseconds { 100 };
     for (int n = 0; n < 3; ++n) {
         fail("e" + std::to_string(n));
-        links.recordResponse(before, now);
-        links.recordResponse(before, now);
+        links.recordResponse("r", before, now);
+        links.recordResponse("r", before, now);
     }
     CHECK(links.areLost(now));
 }
