--- a/Libraries/LibGateway/DecisionFields.cpp
+++ b/Libraries/LibGateway/DecisionFields.cpp
@@ -11,7 +11,8 @@
     details["slots"] = static_cast<qint64>(view.slotCount);
     details["slots_online"] = static_cast<qint64>(view.online);
     details["slots_batch"] = static_cast<qint64>(view.batch);
-    details["slots_age_ms"] = static_cast<qint64>(view.age.count());
+    if (view.age)
+        details["slots_age_ms"] = static_cast<qint64>(view.age->count());
 }
 
 void addRateLimit(QJsonObject& details, const std::optional<double>& rateLimit)
--- a/Libraries/LibGateway/SlotMessageFormat.cpp
+++ b/Libraries/LibGateway/SlotMessageFormat.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+    constexpr uint32_t unknownAge = std::numeric_limits<uint32_t>::max();
+
     /// Converts a duration to the number type of a field. Longer durations than the type holds mean the same.
     template <typename Number> Number toNumber(Milliseconds duration)
     {
@@ -114,7 +116,7 @@
         builder.setOnline(decision.view.online);
         builder.setBatch(decision.view.batch);
         builder.setSlotCount(decision.view.slotCount);
-        builder.setAgeMs(toNumber<uint32_t>(decision.view.age));
+        builder.setAgeMs(decision.view.age ? toNumber<uint32_t>(*decision.view.age) : unknownAge);
         builder.setExpectedWaitMs(toNumber<uint32_t>(decision.view.expectedWait));
     }
 
@@ -123,8 +125,10 @@
     {
         if (reader.getKind() > Schema::SlotDecision::Kind::YIELD)
             return {};
+        const bool isAgeKnown = reader.getAgeMs() != unknownAge;
         const SlotView view { reader.getOnline(), reader.getBatch(), reader.getSlotCount(),
-            Milliseconds { reader.getAgeMs() }, Milliseconds { reader.getExpectedWaitMs() } };
+            isAgeKnown ? std::optional(Milliseconds { reader.getAgeMs() }) : std::nullopt,
+            Milliseconds { reader.getExpectedWaitMs() } };
         return SlotDecision { static_cast<SlotDecision::Kind>(reader.getKind()), reader.getWork(), reader.getEndpoint(),
             Milliseconds { reader.getRetryAfterMs() }, view };
     }
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -203,8 +203,10 @@
 
 SlotView SlotScheduler::viewOf(const Endpoint& endpoint, MonotonicTime now)
 {
-    return { endpoint.online(), endpoint.own.batch + endpoint.peers.batch, endpoint.record.slotCount,
-        std::chrono::duration_cast<Milliseconds>(now - endpoint.changedAt), {} };
+    SlotView view { endpoint.online(), endpoint.own.batch + endpoint.peers.batch, endpoint.record.slotCount };
+    if (endpoint.changedAt != MonotonicTime {})
+        view.age = std::chrono::duration_cast<Milliseconds>(now - endpoint.changedAt);
+    return view;
 }
 
 bool SlotScheduler::hasPooledReserve(const Endpoint& endpoint) const
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -70,8 +70,8 @@
     uint32_t online { 0 };
     uint32_t batch { 0 };
     uint32_t slotCount { 0 };
-    /// Time since the last change of those numbers that is known to this node.
-    Milliseconds age { 0 };
+    /// Time since the last change of those numbers that is known to this node, nothing if none is.
+    std::optional<Milliseconds> age {};
     /// Expected time in the queue; set for refusals only.
     Milliseconds expectedWait { 0 };
 
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -157,6 +157,7 @@
   online @4 :UInt32;
   batch @5 :UInt32;
   slotCount @6 :UInt32;
+  # Time since the last known change; the maximum if none is known.
   ageMs @7 :UInt32;
   expectedWaitMs @8 :UInt32;
 }
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -35,7 +35,8 @@
     return { 8, 12, true,
         { { SlotDecision::Kind::Start, 1, "e1", {}, view },
             { SlotDecision::Kind::Refuse, 2, {}, Milliseconds { 450 }, view },
-            { SlotDecision::Kind::Yield, 3, "e2", {}, view } } };
+            { SlotDecision::Kind::Yield, 3, "e2", {}, view },
+            { SlotDecision::Kind::Start, 4, "e2", {}, { 0, 0, 7 } } } };
 }
 
 }
