LibGateway: Keep the jobs of a node that loses the endpoints for a moment

That costs its callers nothing, as peers forward their requests, but its running items were stopped and its jobs passed on (a machine that only seems to fail had its work given up). Jobs now pass to others after 1.5 s.

Beside it: an idle timer of an earlier attempt could fire during the next one and count against its endpoint; a member that nothing read is gone. The explorer of jobs now plays the probes, without which a node that froze stays without endpoints in the simulation.

--- a/Libraries/LibGateway/EndpointLinkMonitor.cpp
+++ b/Libraries/LibGateway/EndpointLinkMonitor.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/EndpointLinkMonitor.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -37,6 +38,13 @@
     m_links.recordResponse(endpoint, sentAt, m_clock.now());
 }
 
+Milliseconds EndpointLinkMonitor::lostFor() const
+{
+    if (!m_areLost)
+        return Milliseconds { 0 };
+    return std::max(Milliseconds { 1 }, std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_lostAt));
+}
+
 void EndpointLinkMonitor::tick()
 {
     if (!m_areLost || m_isProbing)
--- a/Libraries/LibGateway/EndpointLinkMonitor.h
+++ b/Libraries/LibGateway/EndpointLinkMonitor.h
@@ -30,6 +30,9 @@
 
     bool areLost() const { return m_areLost; }
 
+    /// Returns the time for which the endpoints have been lost, 0 if they are not.
+    Milliseconds lostFor() const;
+
     /// Sets the function to call when the endpoints were lost or can be reached again. It may be called from any method
     /// that records an attempt.
     void setChangedHandler(std::function<void()> handler) { m_onChanged = std::move(handler); }
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -220,7 +220,6 @@
 void ForwardedCall::relay(const RelayPeer& peer)
 {
     beginAttempt(peer.node, true);
-    m_wasRelayed = true;
     m_environment.log.record("request", "relayed", m_request.id, {},
         { { "peer", QString::fromStdString(peer.node) }, { "left_ms", static_cast<qint64>(timeLeft().count()) },
             { "last_event", static_cast<qint64>(m_lastEventId) } });
@@ -240,6 +239,7 @@
 
 void ForwardedCall::beginAttempt(const std::string& target, bool isRelayed)
 {
+    m_idleTimer.stop();
     m_endpoint = target;
     m_isRelayed = isRelayed;
     m_isHandedOver = false;
@@ -277,8 +277,7 @@
 {
     if (relayIfEndpointsAreLost())
         return;
-    const bool hasBegun = resumesStream();
-    if (hasBegun && !m_origin) {
+    if (resumesStream() && !m_origin) {
         findOrigin();
         return;
     }
@@ -652,8 +651,7 @@
         return;
     if (m_head.status == 0)
         recordSilentEndpoint();
-    // The endpoints may have been found to be lost, and the request moved.
-    if (!m_call || m_idleTimer.isActive() || !canRetryElsewhere())
+    if (!canRetryElsewhere())
         return;
     abandonCall("the endpoint sent no data in time");
 }
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -126,9 +126,8 @@
     std::unique_ptr<HttpCall> m_call;
     /// Whether the request comes from a peer that has lost the endpoints.
     const bool m_isFromPeer;
-    /// Whether the latest attempt was made through a peer, and whether any was.
+    /// Whether the latest attempt was made through a peer.
     bool m_isRelayed { false };
-    bool m_wasRelayed { false };
     /// Peers that could not be reached.
     std::vector<std::string> m_failedPeers;
     /// Number of times that the request was sent to an endpoint or a peer.
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -252,7 +252,7 @@
     if (m_isLeaving || !m_isStoreReachable || now < m_reachableSince + claimGracePeriod)
         return;
     // A peer that reaches the endpoints claims the jobs.
-    if (m_environment.links.areLost() && !m_peers.nodesForJobs().empty())
+    if (hasLostEndpoints() && !m_peers.nodesForJobs().empty())
         return;
     std::optional<std::vector<std::string>> peers;
     for (const auto& [id, record] : m_records) {
@@ -270,11 +270,13 @@
     }
 }
 
+bool JobController::hasLostEndpoints() const { return m_environment.links.lostFor() >= jobEndpointLossTolerance; }
+
 void JobController::updateSuspension(MonotonicTime now)
 {
     const bool isLost = !m_isStoreReachable && now >= m_unreachableSince + suspendDelay;
     // While no node can reach the store, nobody claims the jobs; they keep running and commit their results later.
-    const bool isSuspended = (isLost || m_environment.links.areLost()) && !m_peers.nodesForJobs().empty();
+    const bool isSuspended = (isLost || hasLostEndpoints()) && !m_peers.nodesForJobs().empty();
     for (const auto& [id, job] : m_owned)
         job->setSuspended(isSuspended);
 }
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -15,6 +15,10 @@
 
 namespace Chicorydock {
 
+/// Time for which a node may lose its connections to the endpoints before its jobs pass to others. Items wait for such
+/// a time without harm, and endpoints that crash together look like such a loss for a moment.
+constexpr Milliseconds jobEndpointLossTolerance { 1'500 };
+
 /// Reports which other nodes can run jobs.
 class JobPeers {
 public:
@@ -84,6 +88,8 @@
     /// Returns whether the job has no owner that can run it.
     bool isOrphan(const JobHead&) const;
     /// Suspends this node's jobs while the store is unreachable from here but not from other nodes.
+    /// Returns whether this node has not reached the endpoints for so long that its jobs pass to others.
+    bool hasLostEndpoints() const;
     void updateSuspension(MonotonicTime now);
     /// Returns how long a job must have been an orphan before this node claims it.
     Milliseconds claimDelay(const std::string& jobId, const std::vector<std::string>& peers) const;
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -273,8 +273,11 @@
 bool PeerGroup::canRunJobs(const std::string& node) const
 {
     const auto it = m_peers.find(node);
-    return it != m_peers.end() && isServing(it->second) && it->second.report.isStoreReachable
-        && !it->second.report.hasLostEndpoints;
+    if (it == m_peers.end() || !isServing(it->second) || !it->second.report.isStoreReachable)
+        return false;
+    const PeerReport& report = it->second.report;
+    const auto sinceReport = m_clock.now() - it->second.lastReportAt;
+    return report.endpointsLostFor.count() == 0 || report.endpointsLostFor + sinceReport < jobEndpointLossTolerance;
 }
 
 std::vector<std::string> PeerGroup::nodesForJobs() const
@@ -324,7 +327,7 @@
 {
     std::vector<RelayPeer> peers;
     for (const auto& [node, peer] : m_peers) {
-        if (isServing(peer) && !peer.report.hasLostEndpoints && peer.report.configurationVersion > 0)
+        if (isServing(peer) && peer.report.endpointsLostFor.count() == 0 && peer.report.configurationVersion > 0)
             peers.push_back({ node, peer.address, peer.distance, peer.report.configurationVersion });
     }
     return peers;
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -79,7 +79,7 @@
     root.setConfigurationVersion(report.configurationVersion);
     root.setIsConfigurationSource(report.isConfigurationSource);
     root.setIsLeaving(report.isLeaving);
-    root.setHasLostEndpoints(report.hasLostEndpoints);
+    root.setEndpointsLostForMs(static_cast<uint32_t>(report.endpointsLostFor.count()));
     root.setIsCoordinating(report.isCoordinating);
     root.setCapacityPercent(report.capacityPercent);
     root.setNextWithinMs(static_cast<uint32_t>(report.nextWithin.count()));
@@ -122,7 +122,7 @@
         report.configurationVersion = root.getConfigurationVersion();
         report.isConfigurationSource = root.getIsConfigurationSource();
         report.isLeaving = root.getIsLeaving();
-        report.hasLostEndpoints = root.getHasLostEndpoints();
+        report.endpointsLostFor = Milliseconds { root.getEndpointsLostForMs() };
         report.isCoordinating = root.getIsCoordinating();
         report.capacityPercent = root.getCapacityPercent();
         report.nextWithin = Milliseconds { root.getNextWithinMs() };
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -25,8 +25,8 @@
     /// Time for which the node has reached the store without interruption, 0 if it does not reach it or does not say.
     Milliseconds storeReachableFor { 0 };
     bool isLeaving { false };
-    /// Whether the node has lost its connections to the endpoints. It can run no jobs and forward no requests.
-    bool hasLostEndpoints { false };
+    /// Time for which the node has lost its connections to the endpoints, 0 if it has not. It cannot forward requests.
+    Milliseconds endpointsLostFor { 0 };
     /// Whether the node allocates slots, for itself or for others, so that its slot use concerns all other nodes that
     /// do so.
     bool isCoordinating { false };
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -32,8 +32,8 @@
   suspectParts @15 :List(SuspectPart);
   # Endpoints whose rate is limited, or was until lately.
   rates @16 :List(EndpointRate);
-  # Whether the node has lost its connections to the endpoints, so that it runs nothing itself.
-  hasLostEndpoints @17 :Bool;
+  # Time for which the node has not reached the endpoints, so that it runs nothing itself; 0 if it reaches them.
+  endpointsLostForMs @17 :UInt32;
 }
 
 # A part of prompts that may crash endpoints.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -316,7 +316,7 @@
   inline bool hasRates() const;
   inline  ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>::Reader getRates() const;
 
-  inline bool getHasLostEndpoints() const;
+  inline  ::uint32_t getEndpointsLostForMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -425,8 +425,8 @@
   inline void adoptRates(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointRate,  ::capnp::Kind::STRUCT>> disownRates();
 
-  inline bool getHasLostEndpoints();
-  inline void setHasLostEndpoints(bool value);
+  inline  ::uint32_t getEndpointsLostForMs();
+  inline void setEndpointsLostForMs( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2218,18 +2218,18 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
-inline bool LoadReport::Reader::getHasLostEndpoints() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<100>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadReport::Reader::getEndpointsLostForMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
 
-inline bool LoadReport::Builder::getHasLostEndpoints() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<100>() * ::capnp::ELEMENTS);
+inline  ::uint32_t LoadReport::Builder::getEndpointsLostForMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void LoadReport::Builder::setHasLostEndpoints(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<100>() * ::capnp::ELEMENTS, value);
+inline void LoadReport::Builder::setEndpointsLostForMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool SuspectPart::Reader::hasPart() const {
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -310,7 +310,7 @@
     report.configurationVersion = m_configuration.version();
     report.isConfigurationSource = m_configuration.isActiveSource();
     report.isLeaving = m_isStopping;
-    report.hasLostEndpoints = m_links.areLost();
+    report.endpointsLostFor = m_links.lostFor();
     report.capacityPercent = capacityPercent(m_settings);
     report.use = m_scheduler.ownUse();
     if (isCoordinating())
--- a/Tests/LibGateway/JobWorld.cpp
+++ b/Tests/LibGateway/JobWorld.cpp
@@ -118,6 +118,8 @@
         : store(world, n)
         , jobs(std::make_unique<JobController>(environment, store, peers, nodeName(n)))
     {
+        // A node that froze takes the silence of its endpoints for a loss, until it probes them.
+        prober.isReachable = true;
     }
 };
 
@@ -227,8 +229,10 @@
         schedule(age, { owner, m_incarnations[n] },
             [this, n, rows = jobHeadRows(m_table)] { m_nodes[n]->jobs->onTableListed({ rows }); });
     }
-    if (m_random.below(25) == 0)
+    if (m_random.below(25) == 0) {
+        node.links.tick();
         node.jobs->tick();
+    }
     QCoreApplication::sendPostedEvents();
     stepEndpoints(node);
     QCoreApplication::sendPostedEvents();
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -363,6 +363,25 @@
     checkResumesAfterSecondEvent(next);
 }
 
+// Guards against running items that are given up because their node seems to have lost the endpoints for a moment, and
+// against items that wait at a node that has.
+TEST_CASE("a node that has lost the endpoints stops its items after a while, if other nodes reach them")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j")));
+    REQUIRE(node.http.count() == 1);
+    for (const char* it : { "e0", "e1", "e2" })
+        node.links.recordFailure(it, node.clock.now());
+    REQUIRE(node.links.areLost());
+    node.peers.alive = { "n2" };
+    node.advanceTime(std::chrono::seconds { 1 });
+    CHECK_FALSE(node.http.call(0).isCancelled);
+    node.advanceTime(std::chrono::seconds { 1 });
+    CHECK(node.http.call(0).isCancelled);
+}
+
 // Guards against gaps in the output when a checkpoint is missing.
 TEST_CASE("progress after a missing checkpoint is ignored")
 {
--- a/Tests/LibGateway/TestPeerGroup.cpp
+++ b/Tests/LibGateway/TestPeerGroup.cpp
@@ -59,6 +59,19 @@
     CHECK(first.group.storeAvailableSince() < clock.now() - Milliseconds { 30'000 });
     CHECK_FALSE(second.group.storeAvailableSince());
 
+    // A node that has just lost the endpoints forwards nothing, and keeps its jobs for a while.
+    second.ownReport.configurationVersion = 3;
+    second.group.announce();
+    CHECK(waitFor([&] { return first.group.relayPeers().size() == 1; }));
+    second.ownReport.endpointsLostFor = Milliseconds { 1 };
+    second.group.announce();
+    CHECK(waitFor([&] { return first.group.relayPeers().empty(); }));
+    CHECK(first.group.canRunJobs("n2"));
+    second.ownReport.endpointsLostFor = jobEndpointLossTolerance;
+    second.group.announce();
+    CHECK(waitFor([&] { return !first.group.canRunJobs("n2"); }));
+    second.ownReport.endpointsLostFor = {};
+
     // A change is reported without waiting for the next heartbeat.
     second.ownReport.isLeaving = true;
     second.group.scheduleReports();
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -56,6 +56,7 @@
     report.isLeaving = true;
     report.isCoordinating = true;
     report.capacityPercent = 12;
+    report.endpointsLostFor = Milliseconds { 1'700 };
     report.nextWithin = Milliseconds { 400 };
     report.use = { { 5, { 1, 2 } }, { 0xffffffffU, { 8, 0 } } };
     report.rates = { { 5, { 2.5, Milliseconds { 300 }, 7 } }, { 6, { unlimitedRate, Milliseconds { 1 }, 0 } } };
