TestLibGateway: Forward requests through one fixture

The same 12 lines stood in TestForwardedCall, TestPromptQuarantine and TestCrashingRequests, and twice in new tests. The check that a relayed stream leads to no record of this node's own now expects no pending call instead of the one of the test's own record, which the fixture has delivered by then.

--- a/Tests/LibGateway/TestCrashingRequests.cpp
+++ b/Tests/LibGateway/TestCrashingRequests.cpp
@@ -2,10 +2,9 @@
 #include <LibGateway/ItemRun.h>
 #include <LibGateway/RequestFingerprint.h>
 
-#include "GatewayFixture.h"
+#include "ForwardingFixture.h"
 #include "QuarantineExchange.h"
 
-#include <Tests/Support/FakeExchange.h>
 #include <catch2/catch.hpp>
 
 #include <array>
@@ -16,26 +15,17 @@
 namespace {
 
 /// Idempotent requests without a prompt to the endpoints of one node.
-struct CrashFixture : GatewayFixture {
+struct CrashFixture : ForwardingFixture {
     CrashFixture()
-        : GatewayFixture(12)
+        : ForwardingFixture(12)
     {
     }
 
     /// Forwards a request. Returns the status, 0 if the request was sent and has no response yet.
     int request(const QByteArray& path, const QByteArray& body)
     {
-        const HttpRequest request { "POST", path, {},
-            { { "Host", "h.example" }, { "Request-Id", QByteArray::number(++lastRequest) }, { "Deadline-Ms", "4000" } },
-            body, path };
-        exchange = std::make_shared<FakeExchange>(request);
-        const ForwardRequest decoded = wire.decodeRequest(request);
-        const GatewayRoute* route = environment.configuration->findRoute(decoded.host, decoded.path);
-        call
-            = std::make_unique<ForwardedCall>(environment, exchange, decoded, environment.configuration, *route, [] {});
-        call->start();
-        settle();
-        return exchange->response ? exchange->response->status : 0;
+        forward(makeRequest(path, QByteArray::number(++lastRequest), {}, body));
+        return status();
     }
 
     /// The endpoint accepts the latest request, crashes and starts again under another name.
@@ -56,8 +46,6 @@
         http.finish();
     }
 
-    std::shared_ptr<FakeExchange> exchange;
-    std::unique_ptr<ForwardedCall> call;
     int lastRequest { 0 };
 
 private:
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -1,8 +1,7 @@
 #include <LibGateway/ForwardedCall.h>
 
-#include "GatewayFixture.h"
+#include "ForwardingFixture.h"
 
-#include <Tests/Support/FakeExchange.h>
 #include <Tests/Support/SimulatedEventLoop.h>
 #include <catch2/catch.hpp>
 
@@ -12,35 +11,19 @@
 namespace {
 
 /// A request that is being forwarded.
-struct CallFixture : GatewayFixture {
-    std::shared_ptr<FakeExchange> exchange;
-    std::unique_ptr<ForwardedCall> call;
-    int doneCalls { 0 };
-
+struct CallFixture : ForwardingFixture {
     explicit CallFixture(const QByteArray& target, HttpHeaders extra = {}, size_t endpoints = 3,
         Milliseconds gapTarget = Milliseconds { 0 })
-        : GatewayFixture(endpoints, gapTarget)
+        : ForwardingFixture(endpoints, gapTarget)
     {
-        HttpRequest request { "POST", target, {}, std::move(extra), "body", target };
-        request.headers.add("Host", "h.example");
-        request.headers.add("Request-Id", "q1");
-        request.headers.add("Deadline-Ms", "4000");
-        exchange = std::make_shared<FakeExchange>(request);
-        const ForwardRequest decoded = wire.decodeRequest(request);
-        const GatewayRoute* route = environment.configuration->findRoute(decoded.host, decoded.path);
-        REQUIRE(route);
-        call = std::make_unique<ForwardedCall>(
-            environment, exchange, decoded, environment.configuration, *route, [this] { ++doneCalls; });
-        call->start();
-        settle();
+        forward(makeRequest(target, "q1", std::move(extra)));
         REQUIRE(http.count() == std::min<size_t>(endpoints, 1));
     }
 
-    int status() const { return exchange->response ? exchange->response->status : 0; }
     bool impliesNotExecuted() const { return status() == 503 || status() == 429 || status() == 408 || status() == 421; }
 };
 
-QByteArray event(int id) { return "id: " + QByteArray::number(id) + "\ndata: d" + QByteArray::number(id) + "\n\n"; }
+QByteArray event(int id) { return ForwardingFixture::event(id); }
 
 const HttpHeaders streamHeaders { { "Content-Type", "text/event-stream" }, { "Server-Signature", "s" } };
 
--- a/Tests/LibGateway/TestPromptQuarantine.cpp
+++ b/Tests/LibGateway/TestPromptQuarantine.cpp
@@ -2,10 +2,9 @@
 
 #include <LibGateway/ForwardedCall.h>
 
-#include "GatewayFixture.h"
+#include "ForwardingFixture.h"
 #include "QuarantineExchange.h"
 
-#include <Tests/Support/FakeExchange.h>
 #include <catch2/catch.hpp>
 
 using namespace Chicorydock;
@@ -15,26 +14,17 @@
 const HttpHeaders streamHeaders { { "Content-Type", "text/event-stream" }, { "Server-Signature", "s" } };
 
 /// Requests to the endpoints of one node, each with the parts of its prompt.
-struct PromptFixture : GatewayFixture {
+struct PromptFixture : ForwardingFixture {
     explicit PromptFixture(size_t endpoints)
-        : GatewayFixture(endpoints)
+        : ForwardingFixture(endpoints)
     {
     }
 
     /// Forwards a request on a route that allows one attempt. Returns the status, 0 if the request was sent.
     int request(const QByteArray& prompt)
     {
-        HttpRequest request { "POST", "/u/1", {},
-            { { "Host", "h.example" }, { "Request-Id", "q" }, { "Deadline-Ms", "4000" }, { "Prompt-Prefix", prompt } },
-            "body", "/u/1" };
-        exchange = std::make_shared<FakeExchange>(request);
-        const ForwardRequest decoded = wire.decodeRequest(request);
-        const GatewayRoute* route = environment.configuration->findRoute(decoded.host, decoded.path);
-        call
-            = std::make_unique<ForwardedCall>(environment, exchange, decoded, environment.configuration, *route, [] {});
-        call->start();
-        settle();
-        return exchange->response ? exchange->response->status : 0;
+        forward(makeRequest("/u/1", "q", { { "Prompt-Prefix", prompt } }));
+        return status();
     }
 
     /// The endpoint accepts the latest request, begins its response and closes all connections.
@@ -64,9 +54,6 @@
         http.finish();
     }
 
-    std::shared_ptr<FakeExchange> exchange;
-    std::unique_ptr<ForwardedCall> call;
-
 private:
     /// Removes the endpoint of the latest request.
     void removeEndpoint()
--- a/Tests/LibGateway/TestRelayedCall.cpp
+++ b/Tests/LibGateway/TestRelayedCall.cpp
@@ -2,9 +2,8 @@
 #include <LibGateway/GatewayHandler.h>
 
 #include "FakeJobPeers.h"
-#include "GatewayFixture.h"
+#include "ForwardingFixture.h"
 
-#include <Tests/Support/FakeExchange.h>
 #include <catch2/catch.hpp>
 
 using namespace Chicorydock;
@@ -12,13 +11,13 @@
 
 namespace {
 
-QByteArray event(int id) { return "id: " + QByteArray::number(id) + "\ndata: d" + QByteArray::number(id) + "\n\n"; }
+QByteArray event(int id) { return ForwardingFixture::event(id); }
 
 /// A node that has lost its connections to all endpoints, with two peers that have not, the nearer one at
 /// `peerAddress`.
-struct LostNode : GatewayFixture {
+struct LostNode : ForwardingFixture {
     explicit LostNode(bool isLost = true)
-        : GatewayFixture(12)
+        : ForwardingFixture(12)
     {
         relayPeers.peers = { { "far", "10.1.0.2:7660", PeerDistance::Region, 3 },
             { "near", peerAddress, PeerDistance::FailureDomain, 3 } };
@@ -35,24 +34,12 @@
 
     void request(const QByteArray& target, HttpHeaders extra = {})
     {
-        HttpRequest request { "POST", target, {}, std::move(extra), "body", target };
-        request.headers.add("Host", "h.example");
-        request.headers.add("Request-Id", "q1");
-        request.headers.add("Deadline-Ms", "4000");
-        exchange = std::make_shared<FakeExchange>(request);
-        const ForwardRequest decoded = wire.decodeRequest(request);
-        const GatewayRoute* route = environment.configuration->findRoute(decoded.host, decoded.path);
-        call
-            = std::make_unique<ForwardedCall>(environment, exchange, decoded, environment.configuration, *route, [] {});
-        call->start();
-        settle();
+        forward(makeRequest(target, "q1", std::move(extra)));
     }
 
     bool isAtPeer() { return http.last().request.address == peerAddress; }
 
     static constexpr const char* peerAddress = "10.0.0.99:7660";
-    std::shared_ptr<FakeExchange> exchange;
-    std::unique_ptr<ForwardedCall> call;
 };
 
 }
@@ -186,8 +173,7 @@
     node.http.handOver();
     node.http.headers(200, { { "Server-Signature", "s" } });
     node.http.data(event(1));
-    CHECK(node.rows.waitingCalls() == 1);
-    node.rows.deliver();
+    CHECK(node.rows.waitingCalls() == 0);
     CHECK(node.exchange->response->body == event(1));
     node.prober.isReachable = true;
     node.links.tick();
--- a/Tests/LibGateway/TestSoftwareVersions.cpp
+++ b/Tests/LibGateway/TestSoftwareVersions.cpp
@@ -1,9 +1,8 @@
 #include <LibGateway/ForwardedCall.h>
 #include <LibGateway/ItemRun.h>
 
-#include "GatewayFixture.h"
+#include "ForwardingFixture.h"
 
-#include <Tests/Support/FakeExchange.h>
 #include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
 
@@ -11,12 +10,12 @@
 
 namespace {
 
-QByteArray event(int id) { return "id: " + QByteArray::number(id) + "\ndata: d" + QByteArray::number(id) + "\n\n"; }
+QByteArray event(int id) { return ForwardingFixture::event(id); }
 
 /// A node with six endpoints: the first three run version v1, the others v2.
-struct VersionFixture : GatewayFixture {
+struct VersionFixture : ForwardingFixture {
     VersionFixture()
-        : GatewayFixture(6)
+        : ForwardingFixture(6)
     {
         for (int n = 0; n < 6; ++n) {
             EndpointRecord record = *directory.find("e" + std::to_string(n));
@@ -27,21 +26,7 @@
     }
 
     /// Forwards a request for a stream.
-    void request(const QByteArray& id, HttpHeaders extra = {})
-    {
-        HttpRequest request { "POST", "/s/1", {}, std::move(extra), "body", "/s/1" };
-        request.headers.add("Host", "h.example");
-        request.headers.add("Request-Id", id);
-        request.headers.add("Deadline-Ms", "4000");
-        exchange = std::make_shared<FakeExchange>(request);
-        const ForwardRequest decoded = wire.decodeRequest(request);
-        const GatewayRoute* route = environment.configuration->findRoute(decoded.host, decoded.path);
-        call
-            = std::make_unique<ForwardedCall>(environment, exchange, decoded, environment.configuration, *route, [] {});
-        call->start();
-        rows.deliver();
-        settle();
-    }
+    void request(const QByteArray& id, HttpHeaders extra = {}) { forward(makeRequest("/s/1", id, std::move(extra))); }
 
     /// Returns the version of the software at the endpoint of the latest call.
     std::string calledVersion()
@@ -68,9 +53,6 @@
         http.fail(HttpFailure::Phase::Answering);
         settle();
     }
-
-    std::shared_ptr<FakeExchange> exchange;
-    std::unique_ptr<ForwardedCall> call;
 };
 
 }
