--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -41,9 +41,6 @@
     /// be resumed by its caller, which is better than one that is late.
     constexpr Milliseconds maxHoldTime { 200 };
 
-    /// Delay after which the store may be reachable again, or another node that reaches it is asked.
-    constexpr Milliseconds originRetryAfter { 300 };
-
     /// Number of endpoints that could not be connected to after which a peer is asked.
     constexpr uint32_t maxFailedConnectionsBeforeRelay = 2;
 
@@ -132,57 +129,24 @@
 
 void ForwardedCall::findOrigin()
 {
-    const std::string first = firstAttempt();
-    if (first.empty()) {
-        handleOrigin(onlyPossibleOrigin());
-        return;
-    }
-    // Without a record, a stream of a route with several services may have begun at any of them.
-    const bool isOneService = m_route.shares.size() == 1;
-    m_environment.origins.find(first, isOneService ? std::optional(m_service) : std::nullopt,
-        [this, lifetime = m_lifetime](const StoreResult<std::optional<StreamOrigin>>& result) {
-            if (*lifetime && !m_isDone)
-                handleOrigin(result);
-        });
-}
-
-std::optional<StreamOrigin> ForwardedCall::onlyPossibleOrigin() const
-{
-    const auto services = m_environment.directory.softwareVersions();
-    const auto versions = services.find(m_service);
-    const auto softwareVersion = m_environment.origins.defaultVersion(m_service);
-    if (m_route.shares.size() != 1 || versions == services.end() || versions->second.size() != 1)
-        return {};
-    if (softwareVersion != versions->second.begin()->first)
-        return {};
-    return StreamOrigin { m_service, *softwareVersion };
+    lookUpOrigin(m_environment, m_route, m_service, firstAttempt(), [this, lifetime = m_lifetime](const auto& result) {
+        if (*lifetime && !m_isDone)
+            handleOrigin(result);
+    });
 }
 
-void ForwardedCall::handleOrigin(const StoreResult<std::optional<StreamOrigin>>& result)
+void ForwardedCall::handleOrigin(const OriginResult& result)
 {
-    if (std::holds_alternative<StoreFailure>(result)) {
-        m_retryAfter = originRetryAfter;
-        refuse(ErrorKind::PlatformUnavailable, "the store does not tell where the stream began", originRetryAfter);
-        return;
-    }
-    m_origin = std::get<std::optional<StreamOrigin>>(result);
-    if (!m_origin) {
-        refuseToResume("it is not known which software version began the stream");
+    if (const auto* error = std::get_if<Error>(&result)) {
+        m_retryAfter = error->retryAfter();
+        refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : error->kind(), error->message(), error->retryAfter());
         return;
     }
+    m_origin = std::get<StreamOrigin>(result);
     m_service = m_origin->service;
-    if (std::ranges::find(m_route.shares, m_service, &ServiceShare::service) == m_route.shares.end()) {
-        refuseToResume("the route no longer leads to the service that began the stream");
-        return;
-    }
     requestSlot();
 }
 
-void ForwardedCall::refuseToResume(const std::string& reason)
-{
-    refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::StreamNotResumable, reason);
-}
-
 bool ForwardedCall::refuseIfQuarantined()
 {
     const auto retryAfter = m_prompt.refusal();
@@ -282,7 +246,8 @@
         return;
     }
     if (m_origin && !m_environment.directory.canResume(*m_origin)) {
-        refuseToResume("no endpoint has the software version that began the stream");
+        refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::StreamNotResumable,
+            "no endpoint has the software version that began the stream");
         return;
     }
     OnlineWork work;
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/EventStreamReader.h>
 #include <LibGateway/GatewayEnvironment.h>
+#include <LibGateway/OriginLookup.h>
 #include <LibGateway/PromptAttempts.h>
 #include <LibGateway/SlotHandle.h>
 #include <LibHTTP/HttpExchange.h>
@@ -52,11 +53,7 @@
     std::string firstAttempt() const;
     /// Finds out where the stream began that the caller resumes, and requests a slot there.
     void findOrigin();
-    void handleOrigin(const StoreResult<std::optional<StreamOrigin>>&);
-    /// Returns where a stream began that the caller resumes without naming the attempt that began it.
-    std::optional<StreamOrigin> onlyPossibleOrigin() const;
-    /// Refuses the request, or ends its stream, because it cannot be resumed where it began.
-    void refuseToResume(const std::string& reason);
+    void handleOrigin(const OriginResult&);
     void requestSlot();
     /// Returns the latest start that keeps the latency target of the route.
     MonotonicTime latestStart() const;
--- /dev/null
+++ b/Libraries/LibGateway/OriginLookup.cpp
@@ -0,0 +1,59 @@
+#include <LibGateway/OriginLookup.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Delay after which the store may be reachable again, or another node that reaches it is asked.
+    constexpr Milliseconds originRetryAfter { 300 };
+
+    /// Returns where a stream began if only one origin is possible.
+    std::optional<StreamOrigin> onlyPossibleOrigin(
+        const GatewayEnvironment& environment, const GatewayRoute& route, const std::string& service)
+    {
+        const auto services = environment.directory.softwareVersions();
+        const auto versions = services.find(service);
+        if (route.shares.size() != 1 || versions == services.end() || versions->second.size() != 1)
+            return {};
+        const std::string& softwareVersion = versions->second.begin()->first;
+        if (environment.origins.defaultVersion(service) != softwareVersion)
+            return {};
+        return StreamOrigin { service, softwareVersion };
+    }
+
+    OriginResult checkOrigin(const GatewayRoute& route, const std::optional<StreamOrigin>& origin)
+    {
+        if (!origin)
+            return Error(ErrorKind::StreamNotResumable, "it is not known which software version began the stream");
+        if (std::ranges::find(route.shares, origin->service, &ServiceShare::service) == route.shares.end())
+            return Error(
+                ErrorKind::StreamNotResumable, "the route no longer leads to the service that began the stream");
+        return *origin;
+    }
+
+}
+
+void lookUpOrigin(GatewayEnvironment& environment, const GatewayRoute& route, const std::string& service,
+    const std::string& firstAttempt, std::function<void(const OriginResult&)> reply)
+{
+    if (firstAttempt.empty()) {
+        reply(checkOrigin(route, onlyPossibleOrigin(environment, route, service)));
+        return;
+    }
+    // Without a record, a stream of a route with several services may have begun at any of them.
+    const bool isOneService = route.shares.size() == 1;
+    environment.origins.find(firstAttempt, isOneService ? std::optional(service) : std::nullopt,
+        [route, reply = std::move(reply)](const StoreResult<std::optional<StreamOrigin>>& result) {
+            if (std::holds_alternative<StoreFailure>(result))
+                reply(Error(ErrorKind::PlatformUnavailable, "the store does not tell where the stream began",
+                    originRetryAfter));
+            else
+                reply(checkOrigin(route, std::get<std::optional<StreamOrigin>>(result)));
+        });
+}
+
+}
