LibGateway: Begin no stream that would be taken for another version without its record

Cause: while the store is away, streams at another than the default version were delivered without a record. If all nodes end before the record can be written and the store is back when callers resume, such a stream counts as one of the default version.

Change: while records cannot be written, streams that can be resumed begin only at the default version, if endpoints have it; one that began elsewhere just before is given up without an event sent, so that its caller begins anew. Without a default version in service a stream without a record is refused when it is resumed, so nothing is held up then.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -41,6 +41,9 @@
     /// be resumed by its caller, which is better than one that is late.
     constexpr Milliseconds maxHoldTime { 200 };
 
+    /// The same time if the stream would be resumed at another version without the record. It must then not begin.
+    constexpr Milliseconds maxRequiredHoldTime { 800 };
+
     /// Number of endpoints that could not be connected to after which a peer is asked.
     constexpr uint32_t maxFailedConnectionsBeforeRelay = 2;
 
@@ -92,7 +95,7 @@
         it->setSingleShot(true);
     QObject::connect(&m_deadlineTimer, &QTimer::timeout, &m_deadlineTimer, [this] { handleDeadline(); });
     QObject::connect(&m_idleTimer, &QTimer::timeout, &m_idleTimer, [this] { handleIdleTimeout(); });
-    QObject::connect(&m_holdTimer, &QTimer::timeout, &m_holdTimer, [this] { releaseEvents(); });
+    QObject::connect(&m_holdTimer, &QTimer::timeout, &m_holdTimer, [this] { handleHoldTimeout(); });
 }
 
 ForwardedCall::~ForwardedCall()
@@ -260,8 +263,7 @@
     work.excluded = m_excluded;
     // The coordinator may not know yet that these endpoints are leaving or have been replaced.
     std::ranges::copy(m_environment.directory.excluded(), std::back_inserter(work.excluded));
-    if (m_origin)
-        work.softwareVersion = m_origin->softwareVersion;
+    work.softwareVersion = requiredVersion();
     m_slot.request(std::move(work), *this);
 }
 
@@ -419,6 +421,35 @@
     m_exchange->sendChunk(event.bytes);
 }
 
+std::optional<std::string> ForwardedCall::defaultVersion() const
+{
+    const auto version = m_environment.origins.defaultVersion(m_service);
+    const bool isInService = version && m_environment.directory.canResume({ m_service, *version });
+    return isInService ? version : std::nullopt;
+}
+
+std::optional<std::string> ForwardedCall::requiredVersion() const
+{
+    if (m_origin)
+        return m_origin->softwareVersion;
+    const bool canBeResumed = m_route.kind == RouteKind::Stream && m_route.isResumable;
+    // A stream at another version could not be recorded now.
+    return canBeResumed && m_environment.origins.isFailing() ? defaultVersion() : std::nullopt;
+}
+
+void ForwardedCall::handleHoldTimeout()
+{
+    // A complete stream is not resumed.
+    if (m_isEndHeld || !defaultVersion()) {
+        releaseEvents();
+        return;
+    }
+    m_call.reset();
+    m_slot.release(EndpointOutcome::Cancelled);
+    m_isHolding = false;
+    refuse(ErrorKind::EndpointFailed, "the store does not record where the stream began");
+}
+
 void ForwardedCall::recordOrigin()
 {
     m_origin = { m_service, m_softwareVersion };
@@ -426,9 +457,10 @@
         return;
     if (m_route.shares.size() == 1 && !m_environment.origins.needsRecord(*m_origin))
         return;
-    m_isHolding = !m_environment.origins.isFailing();
+    const bool isRequired = defaultVersion().has_value();
+    m_isHolding = isRequired || !m_environment.origins.isFailing();
     if (m_isHolding)
-        m_holdTimer.start(maxHoldTime);
+        m_holdTimer.start(isRequired ? maxRequiredHoldTime : maxHoldTime);
     m_environment.origins.record(m_request.id, *m_origin, [this, lifetime = m_lifetime] {
         if (*lifetime)
             releaseEvents();
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -71,6 +71,12 @@
     void forwardEvent(const StreamEvent&);
     /// Records where the stream began, now that its first event has arrived. Events are held back meanwhile.
     void recordOrigin();
+    /// Returns the default version of the service if endpoints have it: a stream without a record is taken for one of
+    /// it.
+    std::optional<std::string> defaultVersion() const;
+    /// Returns the version at which the request must run although no stream has begun. Empty for any.
+    std::optional<std::string> requiredVersion() const;
+    void handleHoldTimeout();
     void releaseEvents();
     void beginStream();
     void finishStream();
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -74,6 +74,13 @@
     }
 }
 
+void StreamOrigins::setStoreReachable(bool isReachable)
+{
+    m_isStoreReachable = isReachable;
+    // The next record shows whether the store takes writes as well.
+    m_isFailing = m_isFailing && !isReachable;
+}
+
 bool StreamOrigins::needsRecord(const StreamOrigin& origin) const
 {
     return m_defaults.find(origin.service) != origin.softwareVersion;
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -35,8 +35,11 @@
     /// Returns whether a stream that begins there has to be recorded.
     bool needsRecord(const StreamOrigin&) const;
 
-    /// Returns whether the latest attempt to write a record failed, so that there is no use in waiting for one.
-    bool isFailing() const { return m_isFailing; }
+    /// Returns whether records cannot be written at the moment: the latest attempt failed, or the store is unreachable.
+    bool isFailing() const { return m_isFailing || !m_isStoreReachable; }
+
+    /// Records whether the store responds to other calls.
+    void setStoreReachable(bool);
 
     /// Writes the record of a stream. `onRecorded` is called once it is in the store; not at all if that fails for too
     /// long.
@@ -85,6 +88,7 @@
     DefaultVersions m_defaults;
     TableFollower m_follower;
     bool m_isFailing { false };
+    bool m_isStoreReachable { true };
     /// In the order in which they were written.
     std::deque<WrittenRecord> m_written;
     std::shared_ptr<bool> m_lifetime { std::make_shared<bool>(true) };
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -116,6 +116,7 @@
         const MonotonicTime now = m_gateway.m_clock.now();
         m_gateway.m_log.record("store", isReachable ? "regained" : "lost", "endpoints");
         m_gateway.m_directory.setStoreReachable(isReachable, now);
+        m_gateway.m_origins.setStoreReachable(isReachable);
         m_reachableSince = isReachable ? std::optional(now) : std::nullopt;
     }
 
--- a/Tests/LibGateway/TestSoftwareVersions.cpp
+++ b/Tests/LibGateway/TestSoftwareVersions.cpp
@@ -166,6 +166,45 @@
     CHECK(fixture.exchange->isFinished);
 }
 
+// Guards against streams that are taken for the default version because the store was away when they began (ORDER).
+TEST_CASE("while the store takes no records, streams begin at the default version, if endpoints have it")
+{
+    VersionFixture fixture;
+    fixture.origins.setDefault({ "lm", "v1" });
+    fixture.origins.setStoreReachable(false);
+    for (int n = 0; n < 10; ++n) {
+        fixture.request("q" + QByteArray::number(n));
+        CHECK(fixture.calledVersion() == "v1");
+    }
+    fixture.removeEndpoints("v1");
+    fixture.request("q10");
+    CHECK(fixture.calledVersion() == "v2");
+    fixture.http.handOver();
+    fixture.http.headers(200);
+    fixture.http.data(event(1));
+    CHECK(fixture.exchange->response->body == event(1));
+}
+
+// Guards against the same in the moment in which the store fails.
+TEST_CASE("a stream that could be taken for another version does not begin without its record")
+{
+    VersionFixture fixture;
+    fixture.origins.setDefault({ "lm", "v1" });
+    for (int n = 0; n < 50 && (n == 0 || fixture.calledVersion() != "v2"); ++n)
+        fixture.request("q" + QByteArray::number(n));
+    REQUIRE(fixture.calledVersion() == "v2");
+    fixture.http.handOver();
+    fixture.http.headers(200);
+    fixture.http.data(event(1));
+    const bool isComplete = GENERATE(false, true);
+    if (isComplete)
+        fixture.http.finish();
+    REQUIRE(waitFor([&] { return fixture.exchange->response.has_value(); }));
+    // A complete stream is not resumed, so it is delivered.
+    CHECK(fixture.status() == (isComplete ? 200 : 502));
+    CHECK(fixture.exchange->response->body.contains("d1") == isComplete);
+}
+
 // Guards against streams that are delayed by records that nobody needs.
 TEST_CASE("a stream at the default version of its service is not recorded")
 {
