LibGateway: Count the failed runs of an item over all owners of its job

Cause: each owner counted the failed runs of its items in memory; the job changed hands between bellville-a-2, midrand-b-1 and midrand-a-1 during a rolling restart, outages of the store and a loss of all power.

Change: the number is written with the checkpoints, and an item that has used its attempts is not run once more. The new test expects one run at the second owner, which began to count at none before.

--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -49,6 +49,8 @@
 
 void ItemRun::resume(const ItemProgress& progress)
 {
+    m_failedRuns = progress.failedRuns;
+    m_collectedFailedRuns = progress.failedRuns;
     // Output of unknown origin cannot be continued.
     if (progress.origin.service.empty())
         return;
@@ -62,12 +64,14 @@
 
 std::optional<ItemProgress> ItemRun::collectProgress()
 {
-    if (m_isDone || m_lastEventId == m_collectedEventId)
+    const bool hasChanged = m_lastEventId != m_collectedEventId || m_failedRuns != m_collectedFailedRuns;
+    if (m_isDone || !hasChanged)
         return {};
     ItemProgress progress { m_item.id, m_collectedEventId, m_lastEventId, m_output.mid(m_collectedBytes),
-        m_origin.value_or(StreamOrigin {}) };
+        m_origin.value_or(StreamOrigin {}), m_failedRuns };
     m_collectedEventId = m_lastEventId;
     m_collectedBytes = m_output.size();
+    m_collectedFailedRuns = m_failedRuns;
     return progress;
 }
 
@@ -100,6 +104,11 @@
         finish(false, "the item reached the maximum wait of the route");
         return;
     }
+    // The last run may have failed at a node that ended before it could record the result.
+    if (m_failedRuns >= route->maxAttempts) {
+        finishFailedItem();
+        return;
+    }
     // The job passes to a node that reaches the endpoints.
     if (m_environment.shouldDeferToPeers()) {
         requestSlotLater();
@@ -284,7 +293,7 @@
     if (m_head.status == permanentFailureStatus)
         finish(false, "the endpoint reports that the item can never succeed");
     else if (++m_failedRuns >= (route ? route->maxAttempts : 1))
-        finish(false, "the item failed in " + std::to_string(m_failedRuns) + " runs");
+        finishFailedItem();
     else
         requestSlotLater();
 }
@@ -313,6 +322,8 @@
     m_slot.release(outcome);
 }
 
+void ItemRun::finishFailedItem() { finish(false, "the item failed in " + std::to_string(m_failedRuns) + " runs"); }
+
 void ItemRun::finish(bool isCompleted, const std::string& reason)
 {
     m_isDone = true;
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -38,7 +38,7 @@
     /// Continues after the output that another node received. Must be called before `start()`.
     void resume(const ItemProgress&);
 
-    /// Returns the output received since the last call, or nothing if there was none.
+    /// Returns the output received and the runs that have failed since the last call, or nothing if there were none.
     std::optional<ItemProgress> collectProgress();
 
     /// Cancels the call in progress and releases the slot or the position in the queue, until `start()` is called
@@ -74,6 +74,7 @@
     void releaseSlot(EndpointOutcome);
     void countSlotTime();
     void handleFailure(const std::string& reason);
+    void finishFailedItem();
     void finish(bool isCompleted, const std::string& reason);
     void logStep(std::string_view action, const std::string& reason) const;
 
@@ -102,7 +103,9 @@
     /// Last event and size of the output that `collectProgress()` has returned.
     uint64_t m_collectedEventId { 0 };
     qsizetype m_collectedBytes { 0 };
-    /// Runs that endpoints reported as failed.
+    /// Failed runs that `collectProgress()` has returned.
+    uint32_t m_collectedFailedRuns { 0 };
+    /// Runs that endpoints reported as failed, at all nodes.
     uint32_t m_failedRuns { 0 };
     MonotonicTime m_slotAcquiredAt;
     /// Total time for which runs of the item have held a slot.
--- a/Libraries/LibGateway/JobHead.cpp
+++ b/Libraries/LibGateway/JobHead.cpp
@@ -152,7 +152,8 @@
                << static_cast<quint64>(it.lastEventId) << it.output;
     // Earlier builds end here and ignore what follows.
     for (const ItemProgress& it : items)
-        stream << QByteArray::fromStdString(it.origin.service) << QByteArray::fromStdString(it.origin.softwareVersion);
+        stream << QByteArray::fromStdString(it.origin.service) << QByteArray::fromStdString(it.origin.softwareVersion)
+               << static_cast<quint32>(it.failedRuns);
     return bytes;
 }
 
@@ -178,7 +179,9 @@
             break;
         QByteArray service;
         QByteArray softwareVersion;
-        stream >> service >> softwareVersion;
+        quint32 failedRuns = 0;
+        stream >> service >> softwareVersion >> failedRuns;
+        it.failedRuns = failedRuns;
         it.origin = { service.toStdString(), softwareVersion.toStdString() };
     }
     if (stream.status() != QDataStream::Ok)
--- a/Libraries/LibGateway/JobLoader.cpp
+++ b/Libraries/LibGateway/JobLoader.cpp
@@ -56,6 +56,8 @@
                 items.push_back(std::move(part));
             return;
         }
+        part.failedRuns = std::max(part.failedRuns, it->failedRuns);
+        it->failedRuns = part.failedRuns;
         if (part.fromEventId == 0) {
             *it = std::move(part);
             return;
--- a/Libraries/LibGateway/JobTypes.h
+++ b/Libraries/LibGateway/JobTypes.h
@@ -32,8 +32,8 @@
     bool operator==(const SubmittedJob&) const = default;
 };
 
-/// Partial output of an item that is still running: the data of the events after `fromEventId` up to and including
-/// `lastEventId`.
+/// What has become of an item that is still running: the data of the events after `fromEventId` up to and including
+/// `lastEventId`, and its failures.
 struct ItemProgress {
     std::string itemId;
     uint64_t fromEventId { 0 };
@@ -41,6 +41,8 @@
     QByteArray output;
     /// Where all of the item's output comes from. Its service is empty if that is unknown.
     StreamOrigin origin {};
+    /// Runs that endpoints reported as failed, at all nodes so far.
+    uint32_t failedRuns { 0 };
 
     bool operator==(const ItemProgress&) const = default;
 };
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -470,6 +470,32 @@
     CHECK(node.http.count() == runs);
 }
 
+// Guards against an item that fails at each run and is sent again and again because its owner changes (BUDGET).
+TEST_CASE("the failed runs of an item count over all its owners")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode lost(store, "n1");
+    JobNode next(store, "n2");
+    REQUIRE_FALSE(lost.submit(makeJob("j")));
+    lost.http.handOver();
+    lost.http.headers(500);
+    lost.http.finish();
+    // The checkpoint.
+    lost.commit();
+    next.syncFromStore();
+    next.advanceTime(std::chrono::seconds { 5 });
+    REQUIRE(waitFor([&] { return next.http.count() == 1; }));
+    next.http.handOver();
+    next.http.headers(500);
+    next.http.finish();
+    next.commit();
+    const JobResultPage page = pageOf(next.read("j"));
+    REQUIRE(page.results.size() == 1);
+    CHECK_FALSE(page.results[0].isCompleted);
+    CHECK(next.http.count() == 1);
+}
+
 // Guards against a body that cannot be read while its item waits.
 TEST_CASE("the body of an item can be read at any node")
 {
--- a/Tests/LibGateway/TestJobHead.cpp
+++ b/Tests/LibGateway/TestJobHead.cpp
@@ -38,12 +38,13 @@
     CHECK(decodeJobResult(encodeJobResult(result)) == result);
     CHECK_FALSE(decodeJobResult("x"));
 
-    std::vector<ItemProgress> progress { { "i1", 4, 9, "one", { "lm", "v1" } } };
+    std::vector<ItemProgress> progress { { "i1", 4, 9, "one", { "lm", "v1" }, 2 } };
     const QByteArray encoded = encodeJobProgress(progress);
     CHECK(decodeJobProgress(encoded) == progress);
-    // Earlier builds wrote no origin: two texts, each with its length.
+    // Earlier builds wrote no origin (two texts, each with its length) and no number of failed runs.
     progress[0].origin = {};
-    CHECK(decodeJobProgress(encoded.chopped(4 + 2 + 4 + 2)) == progress);
+    progress[0].failedRuns = 0;
+    CHECK(decodeJobProgress(encoded.chopped(4 + 2 + 4 + 2 + 4)) == progress);
 }
 
 // Guards against outputs that are too large for one row, and against pages that end between the rows of one content.
