LibGateway: Log where placed work was sent and slot messages for another process

The line of a placed request or item now has its route, its service, the address, and the endpoint's service if that is another one. A slot message names the process that it is for, and one that arrives at another process is logged (`peer misdelivered`). Nothing is decided by it yet.

The new field of the report is absent in messages of earlier builds, and they ignore it.

--- a/Libraries/LibGateway/DecisionFields.cpp
+++ b/Libraries/LibGateway/DecisionFields.cpp
@@ -15,6 +15,18 @@
         details["slots_age_ms"] = static_cast<qint64>(view.age->count());
 }
 
+void addPlacement(QJsonObject& details, const std::string& service, const EndpointRecord* endpoint)
+{
+    details["service"] = QString::fromStdString(service);
+    if (!endpoint)
+        return;
+    details["address"] = QString::fromStdString(endpoint->address);
+    if (!endpoint->softwareVersion.empty())
+        details["software_version"] = QString::fromStdString(endpoint->softwareVersion);
+    if (endpoint->service != service)
+        details["endpoint_service"] = QString::fromStdString(endpoint->service);
+}
+
 void addRateLimit(QJsonObject& details, const std::optional<double>& rateLimit)
 {
     if (rateLimit && *rateLimit != unlimitedRate)
--- a/Libraries/LibGateway/DecisionFields.h
+++ b/Libraries/LibGateway/DecisionFields.h
@@ -1,16 +1,22 @@
 #pragma once
 
+#include <LibGateway/EndpointRecord.h>
 #include <LibGateway/SlotTypes.h>
 
 #include <QJsonObject>
 
 #include <optional>
+#include <string>
 
 namespace Chicorydock {
 
 /// Adds the slot state on which a decision was based to the details of a log event. May be called from any thread.
 void addDecisionFields(QJsonObject& details, const SlotView&);
 
+/// Adds the service of work and the endpoint that it was placed on to the details of a log event; null if this node
+/// does not know the endpoint. May be called from any thread.
+void addPlacement(QJsonObject& details, const std::string& service, const EndpointRecord*);
+
 /// Adds the rate limit that an endpoint states in a response, if it states one. May be called from any thread.
 void addRateLimit(QJsonObject& details, const std::optional<double>& rateLimit);
 
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -293,12 +293,12 @@
     // If the node fails before the request ends, this line is the only record of the request.
     QJsonObject details {
         { "endpoint", QString::fromStdString(m_endpoint) },
+        { "route", QString::fromStdString(m_route.name) },
         { "configuration", static_cast<qint64>(m_configuration->version) },
         { "queued_ms", static_cast<qint64>(milliseconds(m_environment.clock.now() - m_arrival).count()) },
         { "left_ms", static_cast<qint64>(timeLeft().count()) },
     };
-    if (record && !record->softwareVersion.empty())
-        details["software_version"] = QString::fromStdString(record->softwareVersion);
+    addPlacement(details, m_service, record);
     if (m_lastEventId > 0)
         details["last_event"] = static_cast<qint64>(m_lastEventId);
     if (!m_request.resumes.empty())
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -171,7 +171,7 @@
     m_receivedBytes = 0;
     m_softwareVersion = record->softwareVersion;
     m_prompt.begin(*record);
-    logStep("placed", "");
+    logPlacement(*record);
     const HttpCallRequest call { .address = record->address,
         .method = "POST",
         .target = m_item.path,
@@ -211,11 +211,7 @@
 
 void ItemRun::onYield(const SlotView& view)
 {
-    QJsonObject details {
-        { "job", QString::fromStdString(m_job.id) },
-        { "endpoint", QString::fromStdString(m_endpoint) },
-        { "last_event", static_cast<qint64>(m_lastEventId) },
-    };
+    QJsonObject details = logDetails();
     addDecisionFields(details, view);
     m_environment.log.record("item", "yielded", m_item.id, {}, details);
     m_slot.markReleased();
@@ -331,13 +327,26 @@
     m_onDone({ m_item.id, isCompleted, isCompleted ? m_output : QByteArray() });
 }
 
-void ItemRun::logStep(std::string_view action, const std::string& reason) const
+QJsonObject ItemRun::logDetails() const
 {
-    QJsonObject details {
+    return {
         { "job", QString::fromStdString(m_job.id) },
         { "endpoint", QString::fromStdString(m_endpoint) },
         { "last_event", static_cast<qint64>(m_lastEventId) },
     };
+}
+
+void ItemRun::logPlacement(const EndpointRecord& endpoint) const
+{
+    QJsonObject details = logDetails();
+    details["route"] = QString::fromStdString(m_job.route);
+    addPlacement(details, m_service, &endpoint);
+    m_environment.log.record("item", "placed", m_item.id, {}, details);
+}
+
+void ItemRun::logStep(std::string_view action, const std::string& reason) const
+{
+    QJsonObject details = logDetails();
     if (!m_softwareVersion.empty())
         details["software_version"] = QString::fromStdString(m_softwareVersion);
     if (!reason.empty())
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -6,6 +6,7 @@
 #include <LibGateway/PromptAttempts.h>
 #include <LibGateway/SlotHandle.h>
 
+#include <QJsonObject>
 #include <QTimer>
 
 #include <functional>
@@ -76,6 +77,9 @@
     void handleFailure(const std::string& reason);
     void finishFailedItem();
     void finish(bool isCompleted, const std::string& reason);
+    /// Returns the details that all log events of the item have.
+    QJsonObject logDetails() const;
+    void logPlacement(const EndpointRecord&) const;
     void logStep(std::string_view action, const std::string& reason) const;
 
     GatewayEnvironment& m_environment;
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -212,6 +212,7 @@
         return;
     // A member that leaves its coordinator sends it no further messages.
     const bool isLast = report.slotReport && report.slotReport->isLeaving;
+    report.recipient = node;
     report.nextWithin = isLast ? heartbeat(it->second) : messageInterval;
     send(it->second, encodePeerReport(report), report.nextWithin, m_clock.now());
 }
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -95,6 +95,8 @@
         writeRates(report.rates, root);
     if (!report.suspectParts.empty())
         writeSuspectParts(report.suspectParts, root);
+    if (!report.recipient.empty())
+        root.setRecipient(report.recipient);
     if (report.slotReport)
         writeSlotReport(*report.slotReport, root.initSlotReport());
     if (report.slotReply)
@@ -133,6 +135,7 @@
                 report.rates[it.getEndpoint()] = { it.getPerSecond(), Milliseconds { it.getAgeMs() }, it.getStarts() };
         }
         report.suspectParts = readSuspectParts(root);
+        report.recipient = root.getRecipient();
         if (root.hasSlotReport())
             report.slotReport = readSlotReport(root.getSlotReport());
         if (root.hasSlotReply())
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -45,6 +45,8 @@
     std::unordered_map<uint32_t, ReportedRate> rates;
     /// Parts of prompts that may crash endpoints.
     std::vector<SuspectPart> suspectParts;
+    /// Node that the slot message is for. Empty if there is none, or if an earlier version sent it.
+    std::string recipient {};
     /// Message to the peer as coordinator or as member.
     std::optional<SlotReport> slotReport;
     std::optional<SlotReply> slotReply;
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -34,6 +34,9 @@
   rates @16 :List(EndpointRate);
   # Time for which the node has not reached the endpoints, so that it runs nothing itself; 0 if it reaches them.
   endpointsLostForMs @17 :UInt32;
+  # Node that the slot message is for. Absent if there is no such message, or if an earlier version sent it. A node that
+  # has just started may get messages for its predecessor at the same address.
+  recipient @18 :Text;
 }
 
 # A part of prompts that may crash endpoints.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -52,7 +52,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 5, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 5, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -318,6 +318,9 @@
 
   inline  ::uint32_t getEndpointsLostForMs() const;
 
+  inline bool hasRecipient() const;
+  inline  ::capnp::Text::Reader getRecipient() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -428,6 +431,13 @@
   inline  ::uint32_t getEndpointsLostForMs();
   inline void setEndpointsLostForMs( ::uint32_t value);
 
+  inline bool hasRecipient();
+  inline  ::capnp::Text::Builder getRecipient();
+  inline void setRecipient( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRecipient(unsigned int size);
+  inline void adoptRecipient(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRecipient();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2232,6 +2242,40 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LoadReport::Reader::hasRecipient() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasRecipient() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader LoadReport::Reader::getRecipient() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::getRecipient() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setRecipient( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder LoadReport::Builder::initRecipient(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptRecipient(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> LoadReport::Builder::disownRecipient() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool SuspectPart::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -413,6 +413,10 @@
     m_quarantine.merge(report.suspectParts, now);
     if (report.configurationVersion > m_configuration.version())
         m_configuration.update();
+    if (!report.recipient.empty() && report.recipient != m_node)
+        m_log.record("peer", "misdelivered", report.node, {},
+            { { "recipient", QString::fromStdString(report.recipient) },
+                { "decisions", report.slotReply ? static_cast<qint64>(report.slotReply->decisions.size()) : 0 } });
     if (report.slotReport)
         m_exchange.receive(report.node, *report.slotReport);
     if (report.slotReply)
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -217,6 +217,10 @@
     REQUIRE(fixture.log.count("placed") == 1);
     const QJsonObject details = std::ranges::find(fixture.log.events, "placed", &Event::action)->details;
     CHECK(details["endpoint"].toString().startsWith('e'));
+    CHECK(details["service"].toString() == "lm");
+    CHECK(details["route"].toString() == "i");
+    CHECK(details["address"].toString().startsWith("10.0.0."));
+    CHECK_FALSE(details.contains("endpoint_service"));
     CHECK(details["slots"].toInt() == 8);
     CHECK(details["slots_online"].toInt() == 0);
     CHECK(details["slots_batch"].toInt() == 0);
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -63,6 +63,7 @@
     report.suspectParts
         = { { "5c1e07a2", { { 0xffffffffffffffffU, Milliseconds { 900 } } }, {} }, { "91bd", {}, Milliseconds { 0 } } };
     CHECK(decodePeerReport(encodePeerReport(report)) == report);
+    report.recipient = "n2.cd";
     report.slotReport = makeSlotReport();
     report.slotReply = makeSlotReply();
     CHECK(decodePeerReport(encodePeerReport(report)) == report);
