--- a/Tests/LibGateway/TestPeerGroup.cpp
+++ b/Tests/LibGateway/TestPeerGroup.cpp
@@ -19,23 +19,34 @@
 
 /// A node that stores the reports it receives.
 struct PeerNode {
-    std::string address { "127.0.0.1:" + std::to_string(freePort()) };
+    std::string address;
     PeerReport ownReport;
     std::map<std::string, PeerReport> received;
     std::map<std::string, Milliseconds> lifetimes;
+    std::vector<SlotReport> slotReports;
+    std::vector<SlotReply> replies;
     PeerGroup group;
 
-    PeerNode(const std::string& name, const std::string& domain, const Clock& clock)
-        : group(
-            { name, domain, address, { { "z1", "r1" }, { "z2", "r1" }, { "z3", "r2" } } }, clock,
-            [this] { return ownReport; },
-            [this](const PeerReport& report, Milliseconds lifetime) {
-                received[report.node] = report;
-                lifetimes[report.node] = lifetime;
-            })
+    PeerNode(
+        const std::string& name, const std::string& domain, const Clock& clock, const std::string& usedAddress = {})
+        : address(usedAddress.empty() ? "127.0.0.1:" + std::to_string(freePort()) : usedAddress)
+        , group(
+              { name, domain, address, { { "z1", "r1" }, { "z2", "r1" }, { "z3", "r2" } } }, clock,
+              [this] { return ownReport; },
+              [this](const PeerReport& report, Milliseconds lifetime) { receive(report, lifetime); })
     {
         group.start();
     }
+
+    void receive(const PeerReport& report, Milliseconds lifetime)
+    {
+        received[report.node] = report;
+        lifetimes[report.node] = lifetime;
+        if (report.slotReport)
+            slotReports.push_back(*report.slotReport);
+        if (report.slotReply)
+            replies.push_back(*report.slotReply);
+    }
 };
 
 }
@@ -128,3 +139,26 @@
     CHECK(waitFor([&] { return third.received["n1"].isLeaving && second.received["n1"].isLeaving; }));
     CHECK(third.group.domainPeers().empty());
 }
+
+// Guards against decisions about the work of a process that has ended, which its successor would take for its own.
+TEST_CASE("a node that starts at the address of another one is given none of its slot messages")
+{
+    SystemClock clock;
+    PeerNode coordinator("c", "z1", clock);
+    auto predecessor = std::make_unique<PeerNode>("a.1", "z1", clock);
+    const std::string address = predecessor->address;
+    coordinator.group.addAddress("a.1", address);
+    REQUIRE(waitFor([&] { return coordinator.group.isAlive("a.1") && predecessor->group.isAlive("c"); }));
+    predecessor.reset();
+    PeerNode successor("a.2", "z1", clock, address);
+    successor.group.addAddress("c", coordinator.address);
+    REQUIRE(waitFor([&] { return successor.group.isAlive("c") && coordinator.group.isAlive("a.2"); }));
+
+    coordinator.group.send("a.1", SlotReply { 4, 3, false, {} });
+    coordinator.group.send("a.1", SlotReport { .sequence = 4 });
+    coordinator.group.send("a.2", SlotReply { 5, 3, false, {} });
+    // Datagrams between two sockets of one machine keep their order.
+    REQUIRE(waitFor([&] { return !successor.replies.empty() && successor.replies.back().sequence == 5; }));
+    CHECK(successor.replies.size() == 1);
+    CHECK(successor.slotReports.empty());
+}
