LibGateway: Ignore slot messages for the process that used the address before

When a process is killed and starts again within 1.5 s, its coordinator still repeats the decisions that the old process had not acknowledged, and the new one at the same address took them for its own: work is numbered from 1 on by each process, so the decision started the work of the same number, at an endpoint that had been chosen for another request, also one of another service.

Ruled out for this: a restart that keeps its identifier (it gets a new one), an address of an endpoint that is used again (each request names its endpoint).

Coordinators of earlier builds name no recipient; each process therefore begins to number its work at a number of its own.

--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -35,7 +35,8 @@
         std::map<std::string, std::string> regions;
     };
 
-    /// Receives a report and the time for which it is valid if no further one follows.
+    /// Receives a report and the time for which it is valid if no further one follows. A slot message for another
+    /// process has been removed from it.
     using ReportHandler = std::function<void(const PeerReport&, Milliseconds lifetime)>;
 
     /// `makeReport` returns the current report of this node; `onReport` is called for each new report of a peer.
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -66,6 +66,12 @@
 
 }
 
+void PeerReport::removeSlotMessages()
+{
+    slotReport.reset();
+    slotReply.reset();
+}
+
 QByteArray encodePeerReport(const PeerReport& report)
 {
     capnp::MallocMessageBuilder message;
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -52,6 +52,11 @@
     std::optional<SlotReply> slotReply;
 
     bool operator==(const PeerReport&) const = default;
+
+    /// Returns whether the report has a slot message for another process than `process`.
+    bool isMisdelivered(const std::string& process) const { return !recipient.empty() && recipient != process; }
+    /// Removes the slot messages of a misdelivered report. What it says about its sender holds for every recipient.
+    void removeSlotMessages();
 };
 
 /// Encodes the report as one datagram. May be called from any thread.
--- a/Libraries/LibGateway/SlotBroker.cpp
+++ b/Libraries/LibGateway/SlotBroker.cpp
@@ -9,10 +9,12 @@
 
 }
 
-SlotBroker::SlotBroker(SlotAllocator& allocator, const Clock& clock, std::function<void()> onWorkChanged)
+SlotBroker::SlotBroker(
+    SlotAllocator& allocator, const Clock& clock, std::function<void()> onWorkChanged, uint64_t lastWork)
     : m_allocator(allocator)
     , m_clock(clock)
     , m_onWorkChanged(std::move(onWorkChanged))
+    , m_lastWork(lastWork)
 {
     m_queuePollTimer.setSingleShot(true);
     connect(&m_queuePollTimer, &QTimer::timeout, this, &SlotBroker::poll);
--- a/Libraries/LibGateway/SlotBroker.h
+++ b/Libraries/LibGateway/SlotBroker.h
@@ -29,8 +29,10 @@
 /// Thread safety: used on the thread that created it.
 class SlotBroker final : public QObject {
 public:
-    /// `onWorkChanged` is called after work of this node was queued, started, finished or withdrawn.
-    SlotBroker(SlotAllocator&, const Clock&, std::function<void()> onWorkChanged);
+    /// `onWorkChanged` is called after work of this node was queued, started, finished or withdrawn. Work is numbered
+    /// from `lastWork` + 1 on; each process should begin at another number, because coordinators of earlier versions do
+    /// not say which process their messages are for.
+    SlotBroker(SlotAllocator&, const Clock&, std::function<void()> onWorkChanged, uint64_t lastWork = 0);
 
     /// Queues the work and returns its identifier, which replaces the one in the work. The client must outlive the
     /// work.
@@ -63,7 +65,7 @@
     const Clock& m_clock;
     const std::function<void()> m_onWorkChanged;
     std::unordered_map<uint64_t, SlotClient*> m_clients;
-    uint64_t m_lastWork { 0 };
+    uint64_t m_lastWork;
     bool m_isPollScheduled { false };
     QTimer m_queuePollTimer;
 };
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -29,6 +29,9 @@
     constexpr Milliseconds drainDelay { 2'300 };
     constexpr Milliseconds stopCheckInterval { 50 };
 
+    /// Upper limit of the number at which a process begins to number its work; small numbers make short messages.
+    constexpr uint64_t maxFirstWork = uint64_t { 1 } << 32U;
+
     std::string makeNodeId(const Settings& settings, Random& random)
     {
         // A restarted node has lost its state, so it gets a new id, under which peers treat it as another node.
@@ -197,7 +200,8 @@
     , m_scheduler(makeLocation(settings, m_node), m_random)
     , m_coordinator(m_scheduler)
     , m_member(m_node, m_coordinator)
-    , m_broker(m_member, m_clock, [this] { m_exchange.schedule(); })
+    , m_broker(
+          m_member, m_clock, [this] { m_exchange.schedule(); }, m_random.below(maxFirstWork))
     , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_quarantine, m_origins,
         m_links, m_peers, m_log, m_metrics, std::make_shared<const GatewayConfiguration>() }
     , m_peers(
@@ -413,10 +417,9 @@
     m_quarantine.merge(report.suspectParts, now);
     if (report.configurationVersion > m_configuration.version())
         m_configuration.update();
-    if (!report.recipient.empty() && report.recipient != m_node)
-        m_log.record("peer", "misdelivered", report.node, {},
-            { { "recipient", QString::fromStdString(report.recipient) },
-                { "decisions", report.slotReply ? static_cast<qint64>(report.slotReply->decisions.size()) : 0 } });
+    if (report.isMisdelivered(m_node))
+        m_log.record(
+            "peer", "misdelivered", report.node, {}, { { "recipient", QString::fromStdString(report.recipient) } });
     if (report.slotReport)
         m_exchange.receive(report.node, *report.slotReport);
     if (report.slotReply)
