LibGateway: Check the service of an endpoint where a granted slot is used

A node took the endpoint of a granted slot as it came: it compared the software version with its own directory, but not the service. The caller's request then ran at a service that no configuration gives it, and the answer looked like a success.

Requests and items now ask the directory for an endpoint of their service and version (`findFor()`); without one the slot is freed and they are queued again.

--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -164,6 +164,17 @@
     return it == m_entries.end() || !isUsable(it->second) ? std::nullopt : std::optional(it->second.record);
 }
 
+std::optional<EndpointRecord> EndpointDirectory::findFor(
+    const std::string& id, const std::string& service, const std::optional<std::string>& softwareVersion) const
+{
+    auto record = find(id);
+    if (!record || record->service != service)
+        return {};
+    if (softwareVersion && record->softwareVersion != *softwareVersion)
+        return {};
+    return record;
+}
+
 bool EndpointDirectory::canResume(const StreamOrigin& origin) const
 {
     return std::ranges::any_of(m_entries, [&](const auto& it) {
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -64,6 +64,11 @@
     /// Returns the endpoint if it accepts new work.
     std::optional<EndpointRecord> find(const std::string& id) const;
 
+    /// Returns the endpoint if it accepts new work, offers the service, and has the software version if one is given.
+    /// The scheduler that chose the endpoint may be another node's, and know an older or a newer registration.
+    std::optional<EndpointRecord> findFor(
+        const std::string& id, const std::string& service, const std::optional<std::string>& softwareVersion) const;
+
     /// Returns whether an endpoint that accepts new work can resume streams that began there.
     bool canResume(const StreamOrigin&) const;
 
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -271,10 +271,10 @@
 {
     m_slot.markStarted();
     m_endpoint = endpoint;
-    const auto record = m_environment.directory.find(endpoint);
-    logPlacement(record ? &*record : nullptr, view);
-    // The endpoint may have been started again with another version.
-    if (!record || (m_origin && record->softwareVersion != m_origin->softwareVersion)) {
+    const auto known = m_environment.directory.find(endpoint);
+    logPlacement(known ? &*known : nullptr, view);
+    const auto record = m_environment.directory.findFor(endpoint, m_service, originVersion(m_origin));
+    if (!record) {
         m_slot.release(EndpointOutcome::Cancelled);
         m_excluded.push_back(endpoint);
         requestSlot();
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -125,8 +125,7 @@
     m_service = m_origin ? m_origin->service : chooseService(*route, m_environment.random.unit());
     BatchWork work;
     work.service = m_service;
-    if (m_origin)
-        work.softwareVersion = m_origin->softwareVersion;
+    work.softwareVersion = originVersion(m_origin);
     work.dueAt = m_job.dueAt;
     work.slotTimeUsed = m_slotTimeUsed;
     // The coordinator may not know yet that these endpoints are leaving or have been replaced.
@@ -159,9 +158,10 @@
     m_slot.markStarted();
     m_slotAcquiredAt = m_environment.clock.now();
     m_endpoint = endpoint;
-    const auto record = m_environment.directory.find(endpoint);
-    // The endpoint may have been started again with another version.
-    if (!record || (m_origin && record->softwareVersion != m_origin->softwareVersion)) {
+    const auto known = m_environment.directory.find(endpoint);
+    logPlacement(known ? &*known : nullptr);
+    const auto record = m_environment.directory.findFor(endpoint, m_service, originVersion(m_origin));
+    if (!record) {
         releaseSlot(EndpointOutcome::Cancelled);
         requestSlotLater();
         return;
@@ -171,7 +171,6 @@
     m_receivedBytes = 0;
     m_softwareVersion = record->softwareVersion;
     m_prompt.begin(*record);
-    logPlacement(*record);
     const HttpCallRequest call { .address = record->address,
         .method = "POST",
         .target = m_item.path,
@@ -336,11 +335,11 @@
     };
 }
 
-void ItemRun::logPlacement(const EndpointRecord& endpoint) const
+void ItemRun::logPlacement(const EndpointRecord* endpoint) const
 {
     QJsonObject details = logDetails();
     details["route"] = QString::fromStdString(m_job.route);
-    addPlacement(details, m_service, &endpoint);
+    addPlacement(details, m_service, endpoint);
     m_environment.log.record("item", "placed", m_item.id, {}, details);
 }
 
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -79,7 +79,7 @@
     void finish(bool isCompleted, const std::string& reason);
     /// Returns the details that all log events of the item have.
     QJsonObject logDetails() const;
-    void logPlacement(const EndpointRecord&) const;
+    void logPlacement(const EndpointRecord*) const;
     void logStep(std::string_view action, const std::string& reason) const;
 
     GatewayEnvironment& m_environment;
--- a/Libraries/LibGateway/StreamOrigin.h
+++ b/Libraries/LibGateway/StreamOrigin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <optional>
 #include <string>
 
 namespace Chicorydock {
@@ -15,4 +16,10 @@
     auto operator<=>(const StreamOrigin&) const = default;
 };
 
+/// Returns the software version at which a stream has to continue, nothing if it has not begun.
+inline std::optional<std::string> originVersion(const std::optional<StreamOrigin>& origin)
+{
+    return origin ? std::optional(origin->softwareVersion) : std::nullopt;
+}
+
 }
