LibRouting: Take no work from a slow endpoint that no others can replace

Cause, shown by log lines at the refusal: the one endpoint left was suspect for slowness, so it was open for probes only (one attempt at a time, half a second to four seconds apart) while all of its 8 slots were free. The queue then counted as too long (429), or work left it after a second (503). A few late tokens are enough for that. Slowness was to make at most a third of the endpoints suspect, but the check counted without the one in question and with endpoints that are leaving: one of one, one of two, two of three could be suspect. Suspects that had gone counted for good.

Change: the check includes the endpoint in question and counts only endpoints that accept new work. When others leave and too many suspects remain, slowness is dismissed; suspicion after failures is not. A slow endpoint still gets less work by its predicted times.

The new test, on the simulated clock, fails without the change in both of its cases (no request starts) and passes with it.

--- a/Libraries/LibRouting/EndpointModel.cpp
+++ b/Libraries/LibRouting/EndpointModel.cpp
@@ -122,6 +122,12 @@
         m_isSuspect = false;
 }
 
+void EndpointModel::dismissSlowness()
+{
+    if (m_consecutiveFailures < suspectAfterFailures)
+        m_isSuspect = false;
+}
+
 void EndpointModel::recordProbeStart(MonotonicTime now) { markSuspect(now); }
 
 void EndpointModel::updateOnlineMean(MonotonicTime now)
--- a/Libraries/LibRouting/EndpointModel.h
+++ b/Libraries/LibRouting/EndpointModel.h
@@ -67,13 +67,15 @@
     /// Predicts the time in seconds to complete an answer of `tokens` tokens that starts now.
     double predictedSeconds(double promptTokens, double tokens, MonotonicTime now) const;
 
-    /// Updates the concurrency limit and the suspect state after new estimates. `maySuspect` is false if so many
-    /// endpoints are suspect that slowness is no evidence against this one.
+    /// Updates the concurrency limit and the suspect state after new estimates. `maySuspect` is false if too many
+    /// endpoints would be suspect.
     void updateAfterSample(bool maySuspect, MonotonicTime now);
 
     void recordFailure(MonotonicTime now);
     void recordSuccess();
     void recordProbeStart(MonotonicTime now);
+    /// Ends a suspicion that no failures caused.
+    void dismissSlowness();
 
     bool isSuspect() const { return m_isSuspect; }
     /// Returns when the next probe may start. Precondition: `isSuspect()`.
--- a/Libraries/LibRouting/LearnedScheduler.cpp
+++ b/Libraries/LibRouting/LearnedScheduler.cpp
@@ -37,7 +37,8 @@
     // A yield request cancels one in this many batch attempts rather than a single one, because the requesting peer
     // does not know how many slots the other peers need.
     constexpr uint32_t yieldDivisor = 4;
-    // If more than this share of the endpoints is suspect, slowness is no evidence against a single endpoint.
+    // At most this share of the endpoints that accept new work is suspect for slowness. If more of them are slow, that
+    // is no evidence against a single one, and the others could not take its work.
     constexpr double maxSuspectShare = 0.34;
 
 }
@@ -130,7 +131,7 @@
         endpoint.isPresent = true;
         endpoint.locality = localityOf(it);
     }
-    m_presentCount = static_cast<uint32_t>(endpoints.size());
+    countUsableEndpoints();
     for (uint32_t n = 0; n < m_endpoints.size(); ++n) {
         for (uint32_t pool = 0; pool < m_pools.size(); ++pool)
             updateMembership(pool, n);
@@ -726,16 +727,38 @@
     }
 }
 
+double LearnedScheduler::maxSuspectCount() const { return maxSuspectShare * m_usableCount; }
+
+void LearnedScheduler::countUsableEndpoints()
+{
+    m_usableCount = 0;
+    m_suspectCount = 0;
+    for (const auto& endpoint : m_endpoints) {
+        m_usableCount += endpoint->acceptsNewWork() ? 1 : 0;
+        m_suspectCount += endpoint->acceptsNewWork() && endpoint->isSuspect() ? 1 : 0;
+    }
+    if (m_suspectCount <= maxSuspectCount())
+        return;
+    for (const auto& endpoint : m_endpoints) {
+        const bool wasSuspect = endpoint->isSuspect();
+        endpoint->dismissSlowness();
+        updateSuspectCount(*endpoint, wasSuspect);
+    }
+}
+
+void LearnedScheduler::updateSuspectCount(const EndpointModel& endpoint, bool wasSuspect)
+{
+    if (endpoint.acceptsNewWork())
+        m_suspectCount += (endpoint.isSuspect() ? 1 : 0) - (wasSuspect ? 1 : 0);
+}
+
 void LearnedScheduler::applySample(uint32_t index, MonotonicTime now)
 {
     EndpointModel& endpoint = *m_endpoints[index];
     const bool wasSuspect = endpoint.isSuspect();
-    const bool maySuspect = m_suspectCount < maxSuspectShare * m_presentCount;
+    const bool maySuspect = m_suspectCount + 1 <= maxSuspectCount();
     endpoint.updateAfterSample(maySuspect, now);
-    if (endpoint.isSuspect() && !wasSuspect)
-        ++m_suspectCount;
-    if (!endpoint.isSuspect() && wasSuspect)
-        --m_suspectCount;
+    updateSuspectCount(endpoint, wasSuspect);
     refreshEndpoint(index, now);
 }
 
@@ -836,7 +859,7 @@
     } else if (hasFailed && !attempt.isCancelled) {
         endpoint.recordFailure(now);
     }
-    m_suspectCount += (endpoint.isSuspect() ? 1 : 0) - (wasSuspect ? 1 : 0);
+    updateSuspectCount(endpoint, wasSuspect);
     applySample(*index, now);
 
     if (outcome == AttemptOutcome::Completed && entry.state != WorkEntry::State::Ended) {
--- a/Libraries/LibRouting/LearnedScheduler.h
+++ b/Libraries/LibRouting/LearnedScheduler.h
@@ -81,6 +81,12 @@
     void markBatchDirty();
     void setEndpointTimer(uint32_t endpoint, MonotonicTime);
     void applyPeerLoads(const std::vector<PeerLoads::Load>&, bool isAdded, MonotonicTime now);
+    /// Returns how many endpoints may be suspect for slowness.
+    double maxSuspectCount() const;
+    /// Counts the endpoints that accept new work, and dismisses slowness if too many of them are suspect.
+    void countUsableEndpoints();
+    /// Counts a change of whether the endpoint is suspect.
+    void updateSuspectCount(const EndpointModel&, bool wasSuspect);
     void applySample(uint32_t endpoint, MonotonicTime now);
 
     // Timers of queued and in-flight work, and of endpoints.
@@ -145,7 +151,8 @@
     ByteBudget m_regionByteBudget;
     WorthWindow m_recentWorths;
     SchedulerCounters m_counters;
-    uint32_t m_presentCount { 0 };
+    /// Endpoints that accept new work, and those of them that are suspect.
+    uint32_t m_usableCount { 0 };
     uint32_t m_suspectCount { 0 };
 };
 
--- a/Tests/LibRouting/TestLearnedScheduler.cpp
+++ b/Tests/LibRouting/TestLearnedScheduler.cpp
@@ -323,6 +323,43 @@
     CHECK(fixture.poll().at(0).endpoint == "e0");
 }
 
+// Guards against requests that are refused while the only endpoint has free slots, because it was slow for a moment.
+TEST_CASE("slowness takes no work from an endpoint that no others can replace")
+{
+    SchedulerFixture fixture;
+    fixture.setEndpoints(3);
+    Work work = fixture.online();
+    work.excludedEndpoints = { "e1", "e2" };
+    REQUIRE(fixture.submit(work).size() == 1);
+    const auto stream = [&](int tokens, Milliseconds gap) {
+        for (int n = 0; n < tokens; ++n) {
+            fixture.clock.advance(gap);
+            fixture.scheduler.recordTokens(work.id, "e0", 1, fixture.clock.now());
+        }
+        fixture.poll();
+    };
+    const auto drainOthers = [&] {
+        fixture.endpoints[1].isLeaving = fixture.endpoints[2].isLeaving = true;
+        fixture.update();
+    };
+    stream(200, Milliseconds { 10 });
+    const bool isSlowBefore = GENERATE(true, false);
+    if (!isSlowBefore)
+        drainOthers();
+    stream(20, Milliseconds { 100 });
+    if (isSlowBefore) {
+        for (int n = 0; n < 4; ++n)
+            CHECK(fixture.submit(fixture.online()).at(0).endpoint != "e0");
+        drainOthers();
+    }
+    for (int n = 0; n < 6; ++n) {
+        const auto decisions = fixture.submit(fixture.online());
+        REQUIRE(decisions.size() == 1);
+        CHECK(decisions[0].kind == Kind::Start);
+        CHECK(decisions[0].endpoint == "e0");
+    }
+}
+
 // Guards against traffic to other failure domains and regions that the node's own domain could serve, and against more
 // traffic than the link to other regions may carry.
 TEST_CASE("work spills to other domains only when its own is full, and to other regions within the byte budget")
