LibHTTP: Send no two requests with the same identifier on one connection

What callers would see: an endpoint refuses a request as not run, and the request comes to the same endpoint again on the same kept connection, because its caller sends it again under the same identifier or because it is an item of a job, which keeps its identifier. If the endpoint then writes the refusal once more, late, that copy was taken for the answer to the second request, which the endpoint runs: the caller was told 503, and a second endpoint ran the request or item as well. Items of different jobs may have the same identifier too, so one could also have got the output of another.

Cause: late responses are recognized by the identifier that they repeat, which tells them apart only if identifiers on a connection differ.

Change: a connection keeps a hash of the identifier of each request that it has carried, and is not used for a request with one of them; the request goes on another connection. After 256 identifiers a connection is closed, which bounds this memory to 2 KB.

Ruled out: closing a connection after each response that says not run. The client does not know which responses do, it costs a connection for each refusal although few refused requests come again at the same place, and it does not cover a second copy of another response, such as the failure of an item's run.

Tests, failing before: - TestLibHTTP "a request is not sent on a connection that has carried its identifier": status "503 (0x1f7) == 200" - TestLibGateway "a late second copy of a refusal is not taken for the answer to the request when it is sent again": status "503 (0x1f7) == 200", runs "2 == 1" - TestLibGateway "a late second copy of a refusal does not end the run of an item": runs "2 == 1" - "identifiers that come again cost one connection" ("1 == 2") and "a connection carries a limited number of identifiers" ("1 > 1") guard the price and the bound of the change.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -19,6 +19,9 @@
     /// responses to earlier requests on the connection. A faulty server may send such bytes without end.
     constexpr qsizetype maxBytesBeforeResponse = 1024 * 1024;
 
+    /// Number of requests with an echoed field after which a connection is closed, because it keeps a hash of each one.
+    constexpr size_t maxEchoedValues = 256;
+
     MonotonicTime now() { return std::chrono::steady_clock::now(); }
 
     bool isReservedField(const QByteArray& name)
@@ -33,6 +36,12 @@
         return !request.body.isEmpty() || request.method == "POST" || request.method == "PUT";
     }
 
+    /// Returns the value that the response to the request repeats.
+    std::optional<QByteArray> echoedValue(const HttpCallRequest& request)
+    {
+        return request.echoedField.isEmpty() ? std::nullopt : request.headers.find(request.echoedField);
+    }
+
     Milliseconds idleReuseLimit(const HttpHeaders& headers)
     {
         const auto value = headers.find("Keep-Alive");
@@ -59,6 +68,12 @@
     connect(&m_timer, &QTimer::timeout, this, &ClientConnection::handleTimer);
 }
 
+bool ClientConnection::canCarry(const HttpCallRequest& request) const
+{
+    const auto value = echoedValue(request);
+    return !value || std::ranges::find(m_echoedHashes, qHash(*value)) == m_echoedHashes.end();
+}
+
 uint64_t ClientConnection::send(HttpCallRequest request, HttpCallObserver& observer)
 {
     m_request = std::move(request);
@@ -98,6 +113,8 @@
     if (!m_observer || m_state != State::Busy)
         return;
     m_phase = HttpFailure::Phase::Sent;
+    if (const auto value = echoedValue(m_request))
+        m_echoedHashes.push_back(qHash(*value));
     m_lastProgress = now();
     m_timer.start(m_request.progressTimeout);
     m_observer->onHandedOver();
@@ -207,7 +224,8 @@
 void ClientConnection::finish(bool hasExtraBytes)
 {
     HttpCallObserver* observer = std::exchange(m_observer, nullptr);
-    const bool isReusable = m_reader.keepsConnection() && !hasExtraBytes && m_socket && !m_socket->hasUnsentBytes();
+    const bool isClean = !hasExtraBytes && m_socket && !m_socket->hasUnsentBytes();
+    const bool isReusable = m_reader.keepsConnection() && isClean && m_echoedHashes.size() < maxEchoedValues;
     m_usableUntil = now() + m_idleReuseLimit;
     setState(isReusable ? State::Idle : State::Closed);
     observer->onFinished();
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <optional>
+#include <vector>
 
 namespace Chicorydock {
 
@@ -28,8 +29,12 @@
     /// `onStateChanged` is called when the connection becomes idle or closed; it must not delete the connection.
     ClientConnection(const std::string& address, std::function<void(ClientConnection&)> onStateChanged);
 
+    /// Returns whether a response to the request could be told from late responses to the requests that the connection
+    /// has carried. Requests without an echoed field are not checked.
+    bool canCarry(const HttpCallRequest&) const;
+
     /// Sends the request as soon as the connection is open. Returns the number of the call for `cancel()`.
-    /// Precondition: no call is in progress.
+    /// Preconditions: no call is in progress; `canCarry()`.
     uint64_t send(HttpCallRequest, HttpCallObserver&);
 
     /// Cancels the call with that number if it has not ended: the observer is not called again and the connection is
@@ -81,6 +86,8 @@
     bool m_hasTimedOut { false };
     MonotonicTime m_lastProgress;
     MonotonicTime m_usableUntil;
+    /// Hashes of the echoed values of the requests that the connection has carried.
+    std::vector<size_t> m_echoedHashes;
     Milliseconds m_idleReuseLimit { 0 };
     QTimer m_timer;
 };
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -25,7 +25,9 @@
     /// Whether to open a new connection instead of reusing one, for example after another one timed out.
     bool freshConnection { false };
     /// Name of a field of this request that responses repeat. A response that carries it with another value belongs to
-    /// an earlier request of the connection and is skipped. Empty if responses repeat no field.
+    /// an earlier request of the connection and is skipped. A connection never carries two requests with the same
+    /// value, because a late second copy of the first response could not be told from the second one. Empty if
+    /// responses repeat no field.
     QByteArray echoedField;
 };
 
--- a/Libraries/LibHTTP/PooledHttpClient.cpp
+++ b/Libraries/LibHTTP/PooledHttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include <QPointer>
 
+#include <algorithm>
 #include <utility>
 
 namespace Chicorydock {
@@ -46,24 +47,25 @@
 
 std::unique_ptr<HttpCall> PooledHttpClient::start(const HttpCallRequest& request, HttpCallObserver& observer)
 {
-    ClientConnection& connection = acquire(request.address, request.freshConnection);
+    ClientConnection& connection = acquire(request);
     return std::make_unique<PooledCall>(connection, connection.send(request, observer));
 }
 
-ClientConnection& PooledHttpClient::acquire(const std::string& address, bool fresh)
+ClientConnection& PooledHttpClient::acquire(const HttpCallRequest& request)
 {
-    const auto it = m_idle.find(address);
-    if (fresh || it == m_idle.end())
-        return open(address);
+    const auto it = m_idle.find(request.address);
+    if (request.freshConnection || it == m_idle.end())
+        return open(request.address);
     const MonotonicTime now = std::chrono::steady_clock::now();
-    while (!it->second.empty()) {
-        ClientConnection* connection = it->second.back();
-        it->second.pop_back();
-        if (now < connection->usableUntil())
-            return *connection;
-        connection->close();
-    }
-    return open(address);
+    Connections& idle = it->second;
+    const auto found = std::find_if(idle.rbegin(), idle.rend(), [&](const ClientConnection* connection) {
+        return now < connection->usableUntil() && connection->canCarry(request);
+    });
+    if (found == idle.rend())
+        return open(request.address);
+    ClientConnection& connection = **found;
+    std::erase(idle, &connection);
+    return connection;
 }
 
 ClientConnection& PooledHttpClient::open(const std::string& address)
--- a/Libraries/LibHTTP/PooledHttpClient.h
+++ b/Libraries/LibHTTP/PooledHttpClient.h
@@ -10,7 +10,8 @@
 namespace Chicorydock {
 
 /// `HttpClient` that keeps open connections for further calls. A connection is reused only if the last response was
-/// complete, no bytes followed it and the peer keeps the connection open. A request is written once, to one connection.
+/// complete, no bytes followed it and the peer keeps the connection open, and only for requests that the connection can
+/// carry (`ClientConnection::canCarry()`). A request is written once, to one connection.
 ///
 /// A response without a length is complete if its connection ends in an orderly way.
 ///
@@ -29,7 +30,7 @@
 private:
     using Connections = std::vector<ClientConnection*>;
 
-    ClientConnection& acquire(const std::string& address, bool fresh);
+    ClientConnection& acquire(const HttpCallRequest&);
     ClientConnection& open(const std::string& address);
     void handleStateChange(ClientConnection&);
     void closeIdle(const std::string& address);
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -42,6 +42,8 @@
     SeededRandom random { 1 };
     PlatformWireFormat wire;
     FakeHttpClient http;
+    /// The client that the environment uses, `http` unless the test has one of its own.
+    HttpClient& client;
     MemoryEventLog log;
     MetricsRegistry metrics;
     EndpointDirectory directory;
@@ -53,10 +55,12 @@
     FakeRelayPeers relayPeers;
     SlotScheduler scheduler { { "n1", "z1", { { "z1", "r1" } } }, random };
     SlotBroker broker { scheduler, clock, [] {} };
-    GatewayEnvironment environment { clock, random, wire, http, broker, directory, quarantine, origins, links,
+    GatewayEnvironment environment { clock, random, wire, client, broker, directory, quarantine, origins, links,
         relayPeers, log, metrics, std::make_shared<const GatewayConfiguration>() };
 
-    explicit GatewayFixture(size_t endpoints = 3, Milliseconds gapTarget = Milliseconds { 0 })
+    explicit GatewayFixture(
+        size_t endpoints = 3, Milliseconds gapTarget = Milliseconds { 0 }, HttpClient* ownClient = nullptr)
+        : client(ownClient ? *ownClient : http)
     {
         std::vector<EndpointRecord> records;
         for (size_t n = 0; n < endpoints; ++n)
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -2,7 +2,11 @@
 
 #include "ForwardingFixture.h"
 
+#include <LibGateway/ItemRun.h>
+#include <LibHTTP/PooledHttpClient.h>
+#include <Tests/Support/ScriptedServer.h>
 #include <Tests/Support/SimulatedEventLoop.h>
+#include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
 
 using namespace Chicorydock;
@@ -355,3 +359,88 @@
     CHECK(callsAfterSlowEvents == 1);
     CHECK(callsAfterPause == 2);
 }
+
+namespace {
+
+/// An endpoint that refuses the first request of its first connection, and runs all others. It writes the refusal once
+/// more when the next request arrives on that connection.
+class RepeatingEndpoint final {
+public:
+    const std::string& address() const { return m_address; }
+    int runs() const { return m_runs; }
+
+private:
+    void respond(QTcpSocket& socket)
+    {
+        const bool isFirst = !m_refusedConnection;
+        if (isFirst)
+            m_refusedConnection = &socket;
+        if (&socket == m_refusedConnection)
+            socket.write("HTTP/1.1 503 Busy\r\nKeep-Alive: timeout=3600\r\nNot-Executed: 1\r\n"
+                         "Request-Id: q1\r\nContent-Length: 0\r\n\r\n");
+        if (isFirst)
+            return;
+        ++m_runs;
+        socket.write("HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: q1\r\nContent-Length: "
+            + QByteArray::number(event(1).size()) + "\r\n\r\n" + event(1));
+    }
+
+    const QTcpSocket* m_refusedConnection { nullptr };
+    int m_runs { 0 };
+    ScriptedServer m_server { [this](QTcpSocket& socket, const QByteArray&) { respond(socket); } };
+    const std::string m_address { m_server.address() };
+};
+
+struct ClientHolder {
+    PooledHttpClient pooledClient;
+};
+
+/// Forwards requests over real connections.
+struct ConnectedFixture : private ClientHolder, ForwardingFixture {
+    explicit ConnectedFixture(const std::vector<std::string>& addresses)
+        : ForwardingFixture(0, Milliseconds { 0 }, &pooledClient)
+    {
+        std::vector<EndpointRecord> records;
+        for (const std::string& it : addresses)
+            records.push_back({ "e" + it, it, "lm", "z1", 8, false, 1 });
+        directory.replaceAll(records, 0, clock.now());
+        scheduler.setEndpoints(records);
+    }
+
+    /// Forwards a request and returns the status of the response.
+    int run(const QByteArray& target, const QByteArray& id)
+    {
+        forward(makeRequest(target, id));
+        REQUIRE(waitFor([&] { return exchange->isFinished || exchange->isAborted; }));
+        return status();
+    }
+};
+
+}
+
+// Guards against a request that is reported as not run, or is run by a second endpoint, while an endpoint runs it.
+TEST_CASE("a late second copy of a refusal is not taken for the answer to the request when it is sent again")
+{
+    RepeatingEndpoint first;
+    RepeatingEndpoint second;
+    ConnectedFixture fixture({ first.address(), second.address() });
+    CHECK(fixture.run("/u/1", "q1") == 503);
+    CHECK(first.runs() + second.runs() == 0);
+    CHECK(fixture.run("/u/1", "q1") == 200);
+    CHECK(first.runs() + second.runs() == 1);
+}
+
+// Guards against an item that is run by a second endpoint, or once more by the same one, while an endpoint runs it.
+TEST_CASE("a late second copy of a refusal does not end the run of an item")
+{
+    RepeatingEndpoint endpoint;
+    ConnectedFixture fixture({ endpoint.address() });
+    const ItemRun::Job job { "j", "b", "h.example", fixture.clock.now() + std::chrono::seconds { 18 },
+        fixture.clock.now() + std::chrono::seconds { 60 } };
+    std::optional<JobResult> result;
+    ItemRun run(fixture.environment, job, { "q1", "/b/1", {}, "body", 10 }, [&](JobResult it) { result = it; });
+    run.start();
+    REQUIRE(waitFor([&] { return result.has_value(); }));
+    CHECK(result->isCompleted);
+    CHECK(endpoint.runs() == 1);
+}
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -279,6 +279,76 @@
     CHECK(observer.body == "new");
 }
 
+// Guards against a late second copy of a refusal that is taken for the answer to the same request, sent again.
+TEST_CASE("a request is not sent on a connection that has carried its identifier")
+{
+    const QByteArray refusal = "HTTP/1.1 503 Busy\r\nX-Call-Id: 7\r\nContent-Length: 3\r\n\r\nnot";
+    const QByteArray own = "HTTP/1.1 200 OK\r\nX-Call-Id: 7\r\nContent-Length: 3\r\n\r\nran";
+    const QTcpSocket* refused = nullptr;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        const bool isFirst = !refused;
+        if (isFirst)
+            refused = &socket;
+        if (&socket == refused)
+            socket.write(refusal);
+        if (!isFirst)
+            socket.write(own);
+    });
+    PooledHttpClient client;
+    HttpCallRequest request = makeRequest(server.address());
+    request.echoedField = "X-Call-Id";
+    CHECK(run(client, request).status == 503);
+    const RecordingObserver observer = run(client, request);
+    CHECK(observer.status == 200);
+    CHECK(observer.body == "ran");
+}
+
+namespace {
+
+/// Makes the client keep a connection for as long as a test may take.
+const QByteArray keepAlive = "Keep-Alive: timeout=3600\r\n";
+
+/// Responds with the identifier of the request.
+void respondWithId(QTcpSocket& socket, const QByteArray& received)
+{
+    const QByteArray field = "X-Call-Id: ";
+    const qsizetype start = received.indexOf(field);
+    const QByteArray line = received.sliced(start, received.indexOf('\r', start) - start);
+    socket.write("HTTP/1.1 200 OK\r\n" + keepAlive + line + "\r\nContent-Length: 2\r\n\r\nok");
+}
+
+HttpCallRequest makeIdentifiedRequest(const std::string& address, int id)
+{
+    HttpCallRequest request = makeRequest(address);
+    request.headers = { { "X-Call-Id", QByteArray::number(id) } };
+    request.echoedField = "X-Call-Id";
+    return request;
+}
+
+}
+
+// Guards against a connection for every call, or the loss of a sound one, because some identifiers come again.
+TEST_CASE("identifiers that come again cost one connection")
+{
+    ScriptedServer server(respondWithId);
+    PooledHttpClient client;
+    for (const int id : { 1, 2, 3, 1, 2, 3, 4 })
+        CHECK(run(client, makeIdentifiedRequest(server.address(), id)).body == "ok");
+    CHECK(server.connections() == 2);
+}
+
+// Guards against a connection whose memory of identifiers grows for as long as it is used.
+TEST_CASE("a connection carries a limited number of identifiers")
+{
+    constexpr int calls = 1'000;
+    ScriptedServer server(respondWithId);
+    PooledHttpClient client;
+    for (int id = 0; id < calls; ++id)
+        REQUIRE(run(client, makeIdentifiedRequest(server.address(), id)).finished == 1);
+    CHECK(server.connections() > 1);
+    CHECK(server.connections() < calls / 100);
+}
+
 // Guards against bytes after a response that are read as the beginning of the next one.
 TEST_CASE("a connection with bytes behind the answer is not used again")
 {
