LibHTTP: Believe no response without an identifier on a used connection

What callers would see: a response that lacks the identifier, on a connection that has carried an earlier request, was taken for the answer to whatever request came next. A refusal was reported as not run, or moved the request to another endpoint, while the endpoint ran it; a success went to the wrong caller. And if a request itself named no identifier, its answer was skipped when the endpoint put one into it, so that the call waited for its time limit.

Cause: only a different identifier was noticed, not a missing one. Endpoints always repeat it, so a response without it on a used connection is of unknown origin.

Change: such a response fails the call as one that was sent, and the connection is closed. A request without an identifier gets a connection of its own, which is not kept. On a connection that has carried no other request, responses without an identifier are taken as before, because no other request can be meant; calls to the store name no echoed field and are not affected.

Ruled out: skipping the response and waiting for another one. It may be the only one, and the caller then waits for its time limit.

Peers: a node puts the identifier into its own errors and passes on the one of the endpoint's response and of a stream; a test now says so. The errors of the HTTP server itself (requests that cannot be parsed or are late) lack it and close the connection; on a used connection they now count as a failed attempt.

Tests, failing before: - TestLibHTTP "an answer without the identifier fails the call if the connection has carried another request": no failure for 200, 421 and 503 - TestLibHTTP "a request without an identifier shares its connection with no other one": body "{ } == "ok"", connections "2 == 3" and "3 == 4" - TestLibGateway "a refusal without an identifier on a connection that has carried another request is not believed": status "503 (0x1f7) == 502 (0x1f6)"

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -36,10 +36,16 @@
         return !request.body.isEmpty() || request.method == "POST" || request.method == "PUT";
     }
 
-    /// Returns the value that the response to the request repeats.
-    std::optional<QByteArray> echoedValue(const HttpCallRequest& request)
+    /// Returns the value that the response to the request repeats, empty if there is none.
+    QByteArray echoedValue(const HttpCallRequest& request)
     {
-        return request.echoedField.isEmpty() ? std::nullopt : request.headers.find(request.echoedField);
+        return request.echoedField.isEmpty() ? QByteArray() : request.headers.find(request.echoedField).value_or("");
+    }
+
+    /// Returns whether the response to the request should carry an identifier, but the request names none.
+    bool lacksEchoedValue(const HttpCallRequest& request)
+    {
+        return !request.echoedField.isEmpty() && echoedValue(request).isEmpty();
     }
 
     Milliseconds idleReuseLimit(const HttpHeaders& headers)
@@ -70,8 +76,10 @@
 
 bool ClientConnection::canCarry(const HttpCallRequest& request) const
 {
-    const auto value = echoedValue(request);
-    return !value || std::ranges::find(m_echoedHashes, qHash(*value)) == m_echoedHashes.end();
+    if (lacksEchoedValue(request))
+        return m_carriedRequests == 0;
+    const QByteArray value = echoedValue(request);
+    return value.isEmpty() || std::ranges::find(m_echoedHashes, qHash(value)) == m_echoedHashes.end();
 }
 
 uint64_t ClientConnection::send(HttpCallRequest request, HttpCallObserver& observer)
@@ -113,8 +121,9 @@
     if (!m_observer || m_state != State::Busy)
         return;
     m_phase = HttpFailure::Phase::Sent;
-    if (const auto value = echoedValue(m_request))
-        m_echoedHashes.push_back(qHash(*value));
+    ++m_carriedRequests;
+    if (const QByteArray value = echoedValue(m_request); !value.isEmpty())
+        m_echoedHashes.push_back(qHash(value));
     m_lastProgress = now();
     m_timer.start(m_request.progressTimeout);
     m_observer->onHandedOver();
@@ -195,6 +204,10 @@
         m_skipsResponse = true;
         return;
     }
+    if (isUnidentified(headers)) {
+        fail(HttpFailure::Reason::Protocol, "the answer does not repeat the identifier of its request");
+        return;
+    }
     m_phase = HttpFailure::Phase::Answering;
     m_lastProgress = now();
     m_idleReuseLimit = idleReuseLimit(headers);
@@ -209,10 +222,17 @@
 
 bool ClientConnection::belongsToEarlierRequest(const HttpHeaders& headers) const
 {
-    if (m_request.echoedField.isEmpty())
+    const QByteArray value = echoedValue(m_request);
+    if (value.isEmpty())
         return false;
     const auto echo = headers.find(m_request.echoedField);
-    return echo && echo != m_request.headers.find(m_request.echoedField);
+    return echo && echo != value;
+}
+
+bool ClientConnection::isUnidentified(const HttpHeaders& headers) const
+{
+    const bool isReused = m_carriedRequests > 1;
+    return isReused && !m_request.echoedField.isEmpty() && !headers.find(m_request.echoedField);
 }
 
 void ClientConnection::onResponseBody(QByteArrayView data)
@@ -225,7 +245,8 @@
 {
     HttpCallObserver* observer = std::exchange(m_observer, nullptr);
     const bool isClean = !hasExtraBytes && m_socket && !m_socket->hasUnsentBytes();
-    const bool isReusable = m_reader.keepsConnection() && isClean && m_echoedHashes.size() < maxEchoedValues;
+    const bool isReusable = m_reader.keepsConnection() && isClean && !lacksEchoedValue(m_request)
+        && m_echoedHashes.size() < maxEchoedValues;
     m_usableUntil = now() + m_idleReuseLimit;
     setState(isReusable ? State::Idle : State::Closed);
     observer->onFinished();
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -64,6 +64,8 @@
     void transmit();
     QByteArray formatRequest() const;
     bool belongsToEarlierRequest(const HttpHeaders&) const;
+    /// Returns whether a response with these fields may belong to an earlier request, although nothing says so.
+    bool isUnidentified(const HttpHeaders&) const;
     /// Returns whether the server has sent more bytes before the response than any response in time would need.
     bool hasTooManyBytesBeforeResponse() const;
     void finish(bool hasExtraBytes);
@@ -86,7 +88,9 @@
     bool m_hasTimedOut { false };
     MonotonicTime m_lastProgress;
     MonotonicTime m_usableUntil;
-    /// Hashes of the echoed values of the requests that the connection has carried.
+    /// Number of requests that the connection has carried.
+    uint64_t m_carriedRequests { 0 };
+    /// Hashes of the echoed values of these requests.
     std::vector<size_t> m_echoedHashes;
     Milliseconds m_idleReuseLimit { 0 };
     QTimer m_timer;
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -26,8 +26,9 @@
     bool freshConnection { false };
     /// Name of a field of this request that responses repeat. A response that carries it with another value belongs to
     /// an earlier request of the connection and is skipped. A connection never carries two requests with the same
-    /// value, because a late second copy of the first response could not be told from the second one. Empty if
-    /// responses repeat no field.
+    /// value, because a late second copy of the first response could not be told from the second one. For the same
+    /// reason, a response without the field fails the call if the connection has carried another request, and a request
+    /// without a value gets a connection of its own. Empty if responses repeat no field.
     QByteArray echoedField;
 };
 
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -444,3 +444,47 @@
     CHECK(result->isCompleted);
     CHECK(endpoint.runs() == 1);
 }
+
+// Guards against a request that is reported as not run, or is run by a second endpoint, because a refusal of unknown
+// origin is believed.
+TEST_CASE("a refusal without an identifier on a connection that has carried another request is not believed")
+{
+    int runs = 0;
+    const ScriptedServer endpoint([&](QTcpSocket& socket, const QByteArray& received) {
+        if (++runs == 2)
+            socket.write("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        const QByteArray id = received.contains("Request-Id: q1") ? "q1" : "q2";
+        socket.write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=3600\r\nServer-Signature: s\r\nRequest-Id: " + id
+            + "\r\nContent-Length: " + QByteArray::number(event(1).size()) + "\r\n\r\n" + event(1));
+    });
+    ConnectedFixture fixture({ endpoint.address() });
+    CHECK(fixture.run("/u/1", "q1") == 200);
+    CHECK(fixture.run("/u/1", "q2") == 502);
+    CHECK(runs == 2);
+}
+
+// Guards against a response that a peer does not believe, because it could belong to another request.
+TEST_CASE("the responses of a node repeat the identifier of the request")
+{
+    CallFixture fixture("/u/1");
+    fixture.http.handOver();
+    SECTION("a refusal")
+    {
+        fixture.http.headers(503, { { "Server-Signature", "s" } });
+        fixture.http.finish();
+        CHECK(fixture.status() == 502);
+    }
+    SECTION("a complete response")
+    {
+        fixture.http.headers(404, { { "Request-Id", "q1" } });
+        fixture.http.finish();
+        CHECK(fixture.status() == 404);
+    }
+    SECTION("a stream")
+    {
+        fixture.http.headers(200, { { "Server-Signature", "s" }, { "Request-Id", "q1" } });
+        fixture.http.data(event(1));
+        CHECK(fixture.exchange->isStream);
+    }
+    CHECK(fixture.exchange->response->headers.find("Request-Id") == "q1");
+}
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -349,6 +349,56 @@
     CHECK(server.connections() < calls / 100);
 }
 
+// Guards against a refusal or a success of unknown origin that is believed to answer the request, which the server
+// runs.
+TEST_CASE("an answer without the identifier fails the call if the connection has carried another request")
+{
+    const QByteArray status = GENERATE("200 OK", "421 Misdirected", "503 Busy");
+    const QByteArray unidentified = "HTTP/1.1 " + status + "\r\nNot-Executed: 1\r\nContent-Length: 3\r\n\r\nold";
+    int arrivals = 0;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray& received) {
+        if (++arrivals == 2)
+            socket.write(unidentified);
+        respondWithId(socket, received);
+    });
+    PooledHttpClient client;
+    CHECK(run(client, makeIdentifiedRequest(server.address(), 1)).body == "ok");
+    const RecordingObserver observer = run(client, makeIdentifiedRequest(server.address(), 2));
+    REQUIRE(observer.failure);
+    CHECK(observer.failure->phase == Phase::Sent);
+    CHECK(observer.failure->reason == Reason::Protocol);
+    CHECK(observer.status == 0);
+    CHECK(observer.body.isEmpty());
+    CHECK(run(client, makeIdentifiedRequest(server.address(), 3)).body == "ok");
+    CHECK(server.connections() == 2);
+}
+
+// Guards against the loss of answers of servers that repeat no field, for example a refusal of a connection.
+TEST_CASE("an answer without the identifier is taken on a connection that has carried no other request")
+{
+    ScriptedServer server(respondOk);
+    PooledHttpClient client;
+    CHECK(run(client, makeIdentifiedRequest(server.address(), 1)).body == "ok");
+}
+
+// Guards against answers that nothing tells apart, and against an answer that is skipped although no other is to come.
+TEST_CASE("a request without an identifier shares its connection with no other one")
+{
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write("HTTP/1.1 200 OK\r\n" + keepAlive + "X-Call-Id: 9\r\nContent-Length: 2\r\n\r\nok");
+    });
+    PooledHttpClient client;
+    HttpCallRequest anonymous = makeIdentifiedRequest(server.address(), 0);
+    anonymous.headers = GENERATE(HttpHeaders(), HttpHeaders({ { "X-Call-Id", "" } }));
+    anonymous.progressTimeout = Milliseconds { 1500 };
+    CHECK(run(client, makeIdentifiedRequest(server.address(), 9)).body == "ok");
+    CHECK(run(client, anonymous).body == "ok");
+    CHECK(run(client, anonymous).body == "ok");
+    CHECK(server.connections() == 3);
+    CHECK(run(client, makeIdentifiedRequest(server.address(), 9)).body == "ok");
+    CHECK(server.connections() == 4);
+}
+
 // Guards against bytes after a response that are read as the beginning of the next one.
 TEST_CASE("a connection with bytes behind the answer is not used again")
 {
