LibHTTP: Take no bytes that arrive before a request for its answer

What callers would see: a late response that arrived on an idle connection shortly before the next request was written was taken for the answer to it. If it was read after the call had begun and before the request was written, the call even ended without its request having been sent; the next call that then began on the connection wrote its request twice, so that a request that may run only once ran twice. If the server had closed the connection, the request was written all the same and counted as one that may have run.

Cause: a call on an idle connection writes its request from the event loop. The bytes of the time before were consumed as its response, in whatever state it was; and a queued write belonged to no call in particular, so that it also served the next one.

Change: a connection is looked at once more before the request is written. If bytes or its end are there, or were read since the call began, a used connection is replaced by a new one, without its memory of identifiers, and the request is written there. On a new connection the call fails as not sent, because the server would probably do the same again. A queued write does nothing if the request has been written. The price is one system call for each request.

Not covered: bytes that the server sends before it has the request and that arrive after the request was written. These are told apart by identifiers only.

Tests, failing before (TestLibHTTP): - "bytes that arrive before a request is written are not its answer": status "503 (0x1f7) == 200", body "old"; with the last parts of a response, the call failed although the request could have been sent elsewhere - "bytes that are read between the start of a call and its hand-over are not its answer": handed over "0 == 1", body "old", the next request arrived twice ("2 == 1") - "a connection that was closed before a request is written is replaced": "{ } == "ok"" - "a server that sends bytes before the first request of a connection gets no request": no failure

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -91,7 +91,7 @@
     m_bytesBeforeResponse = 0;
     m_reader.reset();
     const bool isOpen = m_socket->isConnected();
-    m_timer.start(isOpen ? m_request.progressTimeout : std::min(m_request.connectTimeout, m_request.progressTimeout));
+    m_timer.start(isOpen ? m_request.progressTimeout : connectTimeLimit());
     if (isOpen) {
         m_state = State::Busy;
         // The observer must not be called before `HttpClient::start()` has returned.
@@ -118,8 +118,13 @@
 
 void ClientConnection::transmit()
 {
-    if (!m_observer || m_state != State::Busy)
+    if (!m_observer || m_state != State::Busy || m_phase != HttpFailure::Phase::NotSent)
         return;
+    if (m_socket->hasUnreadInput()) {
+        handleEarlyInput(
+            HttpFailure::Reason::Closed, "the server sent bytes, or closed the connection, before the request");
+        return;
+    }
     m_phase = HttpFailure::Phase::Sent;
     ++m_carriedRequests;
     if (const QByteArray value = echoedValue(m_request); !value.isEmpty())
@@ -131,6 +136,26 @@
         m_socket->write(formatRequest());
 }
 
+void ClientConnection::handleEarlyInput(HttpFailure::Reason reason, std::string message)
+{
+    // A server that does this on a new connection would probably do it again.
+    if (m_carriedRequests == 0) {
+        fail(reason, std::move(message));
+        return;
+    }
+    m_carriedRequests = 0;
+    m_echoedHashes.clear();
+    m_socket = std::make_unique<ClientSocket>(m_address, static_cast<ClientSocketListener&>(*this));
+    m_lastProgress = now();
+    setState(State::Connecting);
+    m_timer.start(connectTimeLimit());
+}
+
+Milliseconds ClientConnection::connectTimeLimit() const
+{
+    return std::min(m_request.connectTimeout, m_request.progressTimeout);
+}
+
 QByteArray ClientConnection::formatRequest() const
 {
     QByteArray text = m_request.method + ' ' + m_request.target + " HTTP/1.1\r\n";
@@ -152,6 +177,10 @@
         setState(State::Closed);
         return;
     }
+    if (m_phase == HttpFailure::Phase::NotSent) {
+        handleEarlyInput(HttpFailure::Reason::Protocol, "the server sent bytes before the request");
+        return;
+    }
     // Bytes before the response are no progress, so that a server that sends them slowly does not keep the call.
     if (m_phase == HttpFailure::Phase::Answering)
         m_lastProgress = now();
@@ -186,6 +215,11 @@
         setState(State::Closed);
         return;
     }
+    const bool isRefused = reason == SocketEnd::Refused;
+    if (m_phase == HttpFailure::Phase::NotSent && !isRefused) {
+        handleEarlyInput(HttpFailure::Reason::Closed, "the connection was closed before the request");
+        return;
+    }
     if (reason == SocketEnd::EndOfStream && m_phase == HttpFailure::Phase::Answering) {
         m_reader.finishInput();
         if (m_reader.isComplete() && !m_skipsResponse) {
@@ -194,8 +228,8 @@
         }
     }
     if (m_observer)
-        fail(reason == SocketEnd::Refused ? HttpFailure::Reason::Refused : HttpFailure::Reason::Closed,
-            reason == SocketEnd::Refused ? "the connection was refused" : "the connection was closed");
+        fail(isRefused ? HttpFailure::Reason::Refused : HttpFailure::Reason::Closed,
+            isRefused ? "the connection was refused" : "the connection was closed");
 }
 
 void ClientConnection::onResponseHeaders(int status, const HttpHeaders& headers)
@@ -274,9 +308,7 @@
 {
     if (!m_observer)
         return;
-    const Milliseconds limit = m_phase == HttpFailure::Phase::NotSent
-        ? std::min(m_request.connectTimeout, m_request.progressTimeout)
-        : m_request.progressTimeout;
+    const Milliseconds limit = m_phase == HttpFailure::Phase::NotSent ? connectTimeLimit() : m_request.progressTimeout;
     const auto inactivity = now() - m_lastProgress;
     if (inactivity < limit) {
         m_timer.start(std::chrono::ceil<Milliseconds>(limit - inactivity));
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -26,7 +26,8 @@
         Closed,
     };
 
-    /// `onStateChanged` is called when the connection becomes idle or closed; it must not delete the connection.
+    /// `onStateChanged` is called when the connection becomes idle or closed, or is opened once more; it must not
+    /// delete the connection.
     ClientConnection(const std::string& address, std::function<void(ClientConnection&)> onStateChanged);
 
     /// Returns whether a response to the request could be told from late responses to the requests that the connection
@@ -62,6 +63,9 @@
     void onResponseBody(QByteArrayView) override;
 
     void transmit();
+    /// Handles bytes, or the end of the connection, that arrive before the request is written.
+    void handleEarlyInput(HttpFailure::Reason, std::string message);
+    Milliseconds connectTimeLimit() const;
     QByteArray formatRequest() const;
     bool belongsToEarlierRequest(const HttpHeaders&) const;
     /// Returns whether a response with these fields may belong to an earlier request, although nothing says so.
--- a/Libraries/LibHTTP/ClientSocket.cpp
+++ b/Libraries/LibHTTP/ClientSocket.cpp
@@ -94,6 +94,13 @@
     m_writeNotifier->setEnabled(!m_output.isEmpty() && (errno == EAGAIN || errno == EWOULDBLOCK));
 }
 
+bool ClientSocket::hasUnreadInput() const
+{
+    char byte = 0;
+    const ssize_t n = ::recv(m_descriptor, &byte, sizeof(byte), MSG_PEEK);
+    return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void ClientSocket::readInput()
 {
     std::array<char, readBufferBytes> buf;
--- a/Libraries/LibHTTP/ClientSocket.h
+++ b/Libraries/LibHTTP/ClientSocket.h
@@ -48,6 +48,8 @@
 
     bool isConnected() const { return m_isConnected; }
     bool hasUnsentBytes() const { return !m_output.isEmpty(); }
+    /// Returns whether bytes, or the end of the connection, have arrived and have not been reported yet.
+    bool hasUnreadInput() const;
 
 private:
     void open(const std::string& address);
--- a/Libraries/LibHTTP/PooledHttpClient.cpp
+++ b/Libraries/LibHTTP/PooledHttpClient.cpp
@@ -78,6 +78,10 @@
 
 void PooledHttpClient::handleStateChange(ClientConnection& connection)
 {
+    if (connection.state() == ClientConnection::State::Connecting) {
+        ++m_openedConnections;
+        return;
+    }
     if (connection.state() == ClientConnection::State::Idle) {
         m_idle[connection.address()].push_back(&connection);
         return;
--- a/Libraries/LibHTTP/PooledHttpClient.h
+++ b/Libraries/LibHTTP/PooledHttpClient.h
@@ -11,7 +11,8 @@
 
 /// `HttpClient` that keeps open connections for further calls. A connection is reused only if the last response was
 /// complete, no bytes followed it and the peer keeps the connection open, and only for requests that the connection can
-/// carry (`ClientConnection::canCarry()`). A request is written once, to one connection.
+/// carry (`ClientConnection::canCarry()`). A request is written once, to one connection: bytes that arrive on an idle
+/// connection before that replace it by a new one.
 ///
 /// A response without a length is complete if its connection ends in an orderly way.
 ///
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -8,6 +8,9 @@
 #include <QPointer>
 #include <QTimer>
 
+#include <array>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 using namespace Chicorydock;
@@ -399,6 +402,122 @@
     CHECK(server.connections() == 4);
 }
 
+namespace {
+
+/// Writes the bytes and waits until they are in the receive buffer of the client.
+void deliver(QTcpSocket& socket, const QByteArray& bytes)
+{
+    socket.write(bytes);
+    socket.flush();
+    int unacknowledged = 1;
+    while (unacknowledged > 0)
+        REQUIRE(::ioctl(static_cast<int>(socket.socketDescriptor()), SIOCOUTQ, &unacknowledged) == 0);
+}
+
+}
+
+// Guards against a late response, or its end, that is taken for the answer to a request that was written after it.
+TEST_CASE("bytes that arrive before a request is written are not its answer")
+{
+    const QByteArray late = GENERATE("HTTP/1.1 503 Busy\r\nContent-Length: 3\r\n\r\nold",
+        "HTTP/1.1 503 Busy\r\nX-Call-Id: 2\r\nContent-Length: 3\r\n\r\nold", "HTTP/1.1 503 Busy\r\nX-Call-", "ld");
+    QPointer<QTcpSocket> kept;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray& received) {
+        kept = &socket;
+        respondWithId(socket, received);
+    });
+    PooledHttpClient client;
+    CHECK(run(client, makeIdentifiedRequest(server.address(), 1)).body == "ok");
+    deliver(*kept, late);
+    const RecordingObserver observer = run(client, makeIdentifiedRequest(server.address(), 2));
+    CHECK(observer.handedOver == 1);
+    CHECK(observer.status == 200);
+    CHECK(observer.body == "ok");
+    CHECK(server.arrivals("X-Call-Id: 2\r\n") == 1);
+    CHECK(server.connections() == 2);
+    CHECK(client.openedConnections() == 2);
+}
+
+// Guards against a request that counts as sent although the connection was closed before it was written.
+TEST_CASE("a connection that was closed before a request is written is replaced")
+{
+    QPointer<QTcpSocket> kept;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray& received) {
+        kept = &socket;
+        respondWithId(socket, received);
+    });
+    PooledHttpClient client;
+    CHECK(run(client, makeIdentifiedRequest(server.address(), 1)).body == "ok");
+    // SIOCOUTQ counts the end of the connection like a byte.
+    ::shutdown(static_cast<int>(kept->socketDescriptor()), SHUT_WR);
+    deliver(*kept, "");
+    CHECK(run(client, makeIdentifiedRequest(server.address(), 2)).body == "ok");
+    CHECK(server.connections() == 2);
+}
+
+// Guards against bytes that are taken for the answer although the server sent them before it had the request, and
+// against endless attempts to connect.
+TEST_CASE("a server that sends bytes before the first request of a connection gets no request")
+{
+    QTcpServer server;
+    REQUIRE(server.listen(QHostAddress::LocalHost));
+    const std::string address = "127.0.0.1:" + std::to_string(server.serverPort());
+    PooledHttpClient client;
+    RecordingObserver observer;
+    const auto call = client.start(makeRequest(address), observer);
+    REQUIRE(server.waitForNewConnection(60'000));
+    deliver(*server.nextPendingConnection(), "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(waitFor([&] { return observer.hasEnded(); }));
+    REQUIRE(observer.failure);
+    CHECK(observer.failure->phase == Phase::NotSent);
+    CHECK(observer.handedOver == 0);
+    CHECK(client.openedConnections() == 1);
+}
+
+// Guards against an answer that is reported before the request is written, and a later request that is written twice.
+TEST_CASE("bytes that are read between the start of a call and its hand-over are not its answer")
+{
+    const QByteArray late = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+    const QByteArray last = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+    // The order in which the event loop reports the two connections is not known.
+    const size_t keptIndex = GENERATE(0U, 1U);
+    std::vector<QTcpSocket*> waiting;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        if (server.connections() <= 2 && waiting.size() < 2)
+            waiting.push_back(&socket);
+        else
+            socket.write(okResponse);
+    });
+    PooledHttpClient client;
+    std::array<RecordingObserver, 2> observers;
+    std::array<std::unique_ptr<HttpCall>, 2> handles;
+    for (size_t n = 0; n < 2; ++n) {
+        handles[n] = client.start(makeRequest(server.address()), observers[n]);
+        REQUIRE(waitFor([&] { return waiting.size() == n + 1; }));
+    }
+    waiting[keptIndex]->write(okResponse);
+    REQUIRE(waitFor([&] { return observers[keptIndex].finished == 1; }));
+
+    HttpCallRequest request = makeRequest(server.address());
+    request.target = "/next";
+    HttpCallRequest lastRequest = request;
+    lastRequest.target = "/last";
+    RecordingObserver next;
+    RecordingObserver lastObserver;
+    std::unique_ptr<HttpCall> nextCall;
+    std::unique_ptr<HttpCall> lastCall;
+    next.finishedHook = [&] { lastCall = client.start(lastRequest, lastObserver); };
+    observers[1 - keptIndex].finishedHook = [&] { nextCall = client.start(request, next); };
+    deliver(*waiting[keptIndex], late);
+    deliver(*waiting[1 - keptIndex], last);
+    REQUIRE(waitFor([&] { return lastObserver.hasEnded(); }));
+    CHECK(next.handedOver == 1);
+    CHECK(next.body == "ok");
+    CHECK(lastObserver.body == "ok");
+    CHECK(server.arrivals("POST /next ") == 1);
+    CHECK(server.arrivals("POST /last ") == 1);
+}
+
 // Guards against bytes after a response that are read as the beginning of the next one.
 TEST_CASE("a connection with bytes behind the answer is not used again")
 {
--- a/Tests/Support/RecordingObserver.h
+++ b/Tests/Support/RecordingObserver.h
@@ -27,7 +27,12 @@
         if (dataHook)
             dataHook();
     }
-    void onFinished() override { ++finished; }
+    void onFinished() override
+    {
+        ++finished;
+        if (finishedHook)
+            finishedHook();
+    }
     void onFailed(const HttpFailure& newFailure) override
     {
         ++failed;
@@ -38,6 +43,7 @@
 
     std::function<void()> handedOverHook;
     std::function<void()> dataHook;
+    std::function<void()> finishedHook;
     int handedOver { 0 };
     int status { 0 };
     HttpHeaders headers;
