LibHTTP: Expect no body after an interim response

What callers would see: if a faulty server states a length in an interim response (1xx), or that it is chunked, the bytes that followed were passed on as the beginning of the answer, before its head. With such bytes in the stream the call succeeded with a body that is not the answer's ("oldok"); without them, the head of the answer was taken for them and the call failed.

Cause: the parser reads a body wherever a head announces one. An interim response never has one.

Change: the parser is told to read none. Bytes behind an interim response that are not HTTP fail the call as one that was sent.

Ruled out, by tests that passed before too: late responses and interim ones that arrive in pieces, several in series, chunked with trailers, or with fields that the answer must not inherit; a late response that is cut short, which fails the call.

--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -96,8 +96,10 @@
     HttpResponseReader& self = readerOf(parser);
     if (std::exchange(self.m_isInValue, false))
         self.addField();
-    if (!self.isInterim())
-        self.m_listener.onResponseHeaders(parser->status_code, self.m_headers);
+    constexpr int skipBody = 1;
+    if (self.isInterim())
+        return skipBody;
+    self.m_listener.onResponseHeaders(parser->status_code, self.m_headers);
     return 0;
 }
 
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -518,6 +518,73 @@
     CHECK(server.arrivals("POST /last ") == 1);
 }
 
+// Guards against late responses and interim ones that are joined with the answer when they arrive in pieces.
+TEST_CASE("late and interim answers before the answer are passed over, whatever the pieces in which they arrive")
+{
+    const QByteArray stale = "HTTP/1.1 503 Busy\r\nX-Call-Id: 6\r\nNot-Executed: 1\r\nContent-Length: 3\r\n\r\nold";
+    const QByteArray chunked = "HTTP/1.1 200 OK\r\nX-Call-Id: 5\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "3\r\nold\r\n0\r\nX-Trailer: x\r\n\r\n";
+    const QByteArray interim = "HTTP/1.1 103 Early Hints\r\nX-Call-Id: 6\r\nLink: x\r\n\r\n";
+    const QByteArray own = "HTTP/1.1 200 OK\r\nX-Call-Id: 7\r\nContent-Length: 3\r\n\r\nnew";
+    const QByteArray before = GENERATE_COPY(values<QByteArray>(
+        { stale, stale + stale, chunked + stale, interim + stale + interim + interim + chunked + interim }));
+    const qsizetype pieceBytes = GENERATE(1, 7, 1'000);
+    QByteArray output;
+    QPointer<QTcpSocket> connection;
+    QTimer timer;
+    QObject::connect(&timer, &QTimer::timeout, &timer, [&] {
+        if (connection && !output.isEmpty())
+            connection->write(output.first(std::min(pieceBytes, output.size())));
+        output.remove(0, pieceBytes);
+    });
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        connection = &socket;
+        output = before + own;
+        timer.start();
+    });
+    PooledHttpClient client;
+    HttpCallRequest request = makeRequest(server.address());
+    request.echoedField = "X-Call-Id";
+    const RecordingObserver observer = run(client, request);
+    CHECK(observer.finished == 1);
+    CHECK(observer.status == 200);
+    CHECK(observer.body == "new");
+    CHECK_FALSE(observer.headers.find("Link"));
+    CHECK_FALSE(observer.headers.find("Not-Executed"));
+}
+
+// Guards against a truncated late response whose missing bytes are taken from the answer.
+TEST_CASE("a late answer that is cut short fails the call")
+{
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write("HTTP/1.1 200 OK\r\nX-Call-Id: 6\r\nContent-Length: 9\r\n\r\nold"
+                     "HTTP/1.1 200 OK\r\nX-Call-Id: 7\r\nContent-Length: 3\r\n\r\nnew");
+    });
+    PooledHttpClient client;
+    HttpCallRequest request = makeRequest(server.address());
+    request.echoedField = "X-Call-Id";
+    const RecordingObserver observer = run(client, request);
+    REQUIRE(observer.failure);
+    CHECK(observer.failure->phase == Phase::Sent);
+    CHECK(observer.body.isEmpty());
+}
+
+// Guards against bytes that are joined with the answer, or taken from it, because an interim response states a length.
+TEST_CASE("an interim answer has no body, whatever it states")
+{
+    const QByteArray field = GENERATE("Content-Length: 3", "Transfer-Encoding: chunked");
+    const bool isFollowedByBody = GENERATE(false, true);
+    const QByteArray interim = "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n";
+    const QByteArray body = field.startsWith("Content") ? "old" : "3\r\nold\r\n0\r\n\r\n";
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write(interim + (isFollowedByBody ? body : QByteArray()) + okResponse);
+    });
+    PooledHttpClient client;
+    const RecordingObserver observer = run(client, makeRequest(server.address()));
+    CHECK(observer.finished == (isFollowedByBody ? 0 : 1));
+    CHECK(observer.body == (isFollowedByBody ? "" : "ok"));
+}
+
 // Guards against bytes after a response that are read as the beginning of the next one.
 TEST_CASE("a connection with bytes behind the answer is not used again")
 {
