LibGateway: Move the listener of registrations out of the daemon

The class that decodes the registrations of endpoints and updates the directory was a private class of the daemon, so no test could reach it: what a node does with an entry that it cannot read was untested. No change of behaviour.

--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -79,73 +79,6 @@
     Gateway& m_gateway;
 };
 
-class Gateway::EndpointListener final : public TableListener {
-public:
-    explicit EndpointListener(Gateway& gateway)
-        : m_gateway(gateway)
-    {
-    }
-
-    void onTableListed(const TableListing& listing) override
-    {
-        std::vector<EndpointRecord> records;
-        for (const StoredRow& it : listing.rows) {
-            if (auto record = decode(it))
-                records.push_back(std::move(*record));
-        }
-        m_gateway.m_directory.replaceAll(records, listing.storeVersion, m_gateway.m_clock.now());
-        m_gateway.updateSchedulerEndpoints();
-    }
-
-    void onRowsChanged(const std::vector<StoredRow>& rows) override
-    {
-        for (const StoredRow& it : rows) {
-            if (it.isRemoved) {
-                const bool isRemoved
-                    = m_gateway.m_directory.remove(it.address.key, it.version, m_gateway.m_clock.now());
-                m_gateway.m_log.record("endpoint", isRemoved ? "removed" : "removal_deferred", it.address.key, {},
-                    { { "version", static_cast<qint64>(it.version) } });
-            } else if (const auto record = decode(it)) {
-                m_gateway.m_log.record("endpoint", record->isLeaving ? "leaving" : "changed", record->id, {},
-                    { { "version", static_cast<qint64>(it.version) } });
-                m_gateway.m_directory.put(*record);
-            }
-        }
-        m_gateway.updateSchedulerEndpoints();
-    }
-
-    void onReachableChanged(bool isReachable) override
-    {
-        const MonotonicTime now = m_gateway.m_clock.now();
-        m_gateway.m_log.record("store", isReachable ? "regained" : "lost", "endpoints");
-        m_gateway.m_directory.setStoreReachable(isReachable, now);
-        m_gateway.m_origins.setStoreReachable(isReachable);
-        m_reachableSince = isReachable ? std::optional(now) : std::nullopt;
-    }
-
-    /// Returns the time for which the registrations have been followed without interruption, 0 if they are not.
-    Milliseconds reachableFor() const
-    {
-        if (!m_reachableSince)
-            return Milliseconds { 0 };
-        return std::chrono::ceil<Milliseconds>(m_gateway.m_clock.now() - *m_reachableSince);
-    }
-
-private:
-    std::optional<EndpointRecord> decode(const StoredRow& row) const
-    {
-        auto record = m_gateway.m_wire.decodeEndpoint(row.address.key, row.value);
-        if (record)
-            record->version = row.version;
-        else
-            m_gateway.m_log.record("endpoint", "unreadable", row.address.key);
-        return record;
-    }
-
-    Gateway& m_gateway;
-    std::optional<MonotonicTime> m_reachableSince;
-};
-
 class Gateway::StatusHandler final : public HttpHandler {
 public:
     explicit StatusHandler(Gateway& gateway)
@@ -212,12 +145,12 @@
     , m_jobs(m_environment, m_store, m_peers, m_node)
     , m_handler(m_environment, m_jobs)
     , m_configurationApplier(std::make_unique<ConfigurationApplier>(*this))
-    , m_endpointListener(std::make_unique<EndpointListener>(*this))
+    , m_registrations(m_wire, m_directory, m_origins, m_clock, m_log, [this] { updateSchedulerEndpoints(); })
     , m_statusHandler(std::make_unique<StatusHandler>(*this))
     , m_peerHandler(std::make_unique<PeerHandler>(*this))
     , m_configuration(m_store, m_wire, m_peers, m_controlClient, m_clock, m_random, *m_configurationApplier)
     , m_endpointFollower(std::make_unique<TableFollower>(
-          m_store, TableFollower::Options { m_wire.endpointTable(), { "" }, endpointWait }, *m_endpointListener))
+          m_store, TableFollower::Options { m_wire.endpointTable(), { "" }, endpointWait }, m_registrations))
     , m_jobFollower(std::make_unique<TableFollower>(
           m_store, TableFollower::Options { JobRows::recordTable, JobRows::partitions(), jobWait, jobPace }, m_jobs))
     , m_registry(m_store, m_peers, m_node, settings.gateway->peerAddress,
@@ -310,7 +243,7 @@
     PeerReport report;
     report.waiting = m_scheduler.waitingOnline();
     report.isStoreReachable = m_jobFollower->isReachable();
-    report.storeReachableFor = m_endpointListener->reachableFor();
+    report.storeReachableFor = m_registrations.reachableFor();
     report.suspectParts = m_quarantine.report(m_clock.now());
     report.configurationVersion = m_configuration.version();
     report.isConfigurationSource = m_configuration.isActiveSource();
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -5,6 +5,7 @@
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
 #include <LibGateway/ConfigurationFollower.h>
+#include <LibGateway/EndpointRegistrations.h>
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/PeerGroup.h>
 #include <LibGateway/SlotExchange.h>
@@ -47,8 +48,6 @@
 private:
     /// Applies the operator's configuration when it changes.
     class ConfigurationApplier;
-    /// Updates the endpoint directory when registrations in the store change.
-    class EndpointListener;
     /// Serves the load balancer's readiness checks and the metrics.
     class StatusHandler;
     /// Serves the calls of other nodes: for the configuration, and with requests that they hand over.
@@ -102,7 +101,7 @@
     JobController m_jobs;
     GatewayHandler m_handler;
     std::unique_ptr<ConfigurationApplier> m_configurationApplier;
-    std::unique_ptr<EndpointListener> m_endpointListener;
+    EndpointRegistrations m_registrations;
     std::unique_ptr<StatusHandler> m_statusHandler;
     std::unique_ptr<PeerHandler> m_peerHandler;
     ConfigurationFollower m_configuration;
