LibGateway: Use no endpoint whose registration cannot be read

An operator of a similar system reports an odd entry of another writer among the endpoints. Here requests would have gone on to an endpoint by its earlier entry, or not, depending on how the node learned of the odd one: nodes that had listed the table since gave the endpoint up, the others kept it.

Cause: an entry that could not be read was left out. As a change it therefore had no effect, and in a listing the endpoint counted as missing: removed, but only after the grace period around an outage of the store, and without the version of the odd entry. So a listing that was behind brought the earlier entry back, and an odd entry in a listing that was behind removed an endpoint that had a readable entry by then.

Change: an entry that cannot be read names no endpoint from its version on, however the node learns of it, and at once, because it has not expired. A later readable entry makes the endpoint usable again. The other entries hold. Requests that run at the endpoint continue.

The tests failed before in all four combinations of listing or change and outage or none, for example (changed, no outage):

TestEndpointRegistrations.cpp:74: FAILED: CHECK_FALSE( fixture.directory.find("a") ) TestEndpointRegistrations.cpp:91: FAILED: CHECK( fixture.directory.find("a") )

--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -18,9 +18,14 @@
 
 }
 
-void EndpointDirectory::replaceAll(const std::vector<EndpointRecord>& records, uint64_t storeVersion, MonotonicTime now)
+void EndpointDirectory::replaceAll(const std::vector<EndpointRecord>& records, uint64_t storeVersion, MonotonicTime now,
+    const std::vector<UnreadableRegistration>& unreadable)
 {
     std::set<std::string> listed;
+    for (const UnreadableRegistration& it : unreadable) {
+        listed.insert(it.id);
+        putUnreadable(it, now);
+    }
     for (const EndpointRecord& it : records) {
         listed.insert(it.id);
         put(it);
@@ -48,6 +53,15 @@
         m_replaced.erase(record.id);
 }
 
+void EndpointDirectory::putUnreadable(const UnreadableRegistration& registration, MonotonicTime now)
+{
+    if (registration.version < newestVersion(registration.id))
+        return;
+    // A listing that is behind may still contain the earlier registration.
+    m_removals[registration.id] = { registration.version, now };
+    m_entries.erase(registration.id);
+}
+
 uint64_t EndpointDirectory::newestVersion(const std::string& id) const
 {
     const auto entry = m_entries.find(id);
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -13,6 +13,14 @@
 
 namespace Chicorydock {
 
+/// A registration that cannot be read.
+struct UnreadableRegistration {
+    std::string id;
+    uint64_t version { 0 };
+
+    auto operator<=>(const UnreadableRegistration&) const = default;
+};
+
 /// The endpoints that a node may use, from their registrations in the platform's store.
 ///
 /// Registrations can expire during an outage of the store although the endpoints are alive. Endpoints renew them soon
@@ -23,15 +31,21 @@
 /// the store is away. Such an announcement holds for the incarnation of the endpoint, whatever its registration says
 /// and also if the registration disappears and returns: only a later start makes the endpoint usable again.
 ///
+/// A registration that cannot be read names no endpoint, until it changes.
+///
 /// Thread safety: none.
 class EndpointDirectory {
 public:
     /// Replaces all registrations by a complete listing of the store as of that version. Registrations that changed
     /// later are kept.
-    void replaceAll(const std::vector<EndpointRecord>&, uint64_t storeVersion, MonotonicTime now);
+    void replaceAll(const std::vector<EndpointRecord>&, uint64_t storeVersion, MonotonicTime now,
+        const std::vector<UnreadableRegistration>& = {});
 
     /// Ignores a registration that is older than what is known about the endpoint.
     void put(const EndpointRecord&);
+    /// Removes an endpoint whose registration can no longer be read, also around an outage of the store: the
+    /// registration has not expired. Ignores a registration that is older than what is known about the endpoint.
+    void putUnreadable(const UnreadableRegistration&, MonotonicTime now);
     /// Records that the registration was removed at that version. Returns whether the removal took effect; otherwise it
     /// is deferred.
     bool remove(const std::string& id, uint64_t version, MonotonicTime now);
--- a/Libraries/LibGateway/EndpointRegistrations.cpp
+++ b/Libraries/LibGateway/EndpointRegistrations.cpp
@@ -18,11 +18,14 @@
 void EndpointRegistrations::onTableListed(const TableListing& listing)
 {
     std::vector<EndpointRecord> records;
+    std::vector<UnreadableRegistration> unreadable;
     for (const StoredRow& it : listing.rows) {
         if (auto record = decode(it))
             records.push_back(std::move(*record));
+        else
+            unreadable.push_back({ it.address.key, it.version });
     }
-    m_directory.replaceAll(records, listing.storeVersion, m_clock.now());
+    m_directory.replaceAll(records, listing.storeVersion, m_clock.now(), unreadable);
     m_onChanged();
 }
 
@@ -33,6 +36,8 @@
             remove(it);
         else if (const auto record = decode(it))
             put(*record);
+        else
+            m_directory.putUnreadable({ it.address.key, it.version }, m_clock.now());
     }
     m_onChanged();
 }
