--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -171,3 +171,16 @@
     CHECK(wire.decodeAnswerHead(503, { { "Server-Limit", "4" }, { "server-limit", "3" } }).rateLimit == 3);
     CHECK_FALSE(wire.decodeAnswerHead(503, { { "Server-Limit", "4" }, { "Server-Limit", "many" } }).rateLimit);
 }
+
+// Guards against a number of slots that reads as 0, by which loads are divided, or as billions.
+TEST_CASE("a registration with more slots than an endpoint can have is rejected")
+{
+    const PlatformWireFormat wire;
+    const auto most = wire.decodeEndpoint("i-1", endpointDocument("slots", 65'536));
+    REQUIRE(most);
+    CHECK(most->slotCount == 65'536);
+    for (const double it : { 65'537.0, 4294967295.0, 4294967296.0, 4294967297.0, 9007199254740992.0, 1e300, -1.0 }) {
+        CAPTURE(it);
+        CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("slots", it)));
+    }
+}
