platform: Reject registrations without an IP address and a port

A registration with a port out of range (0, -1, 65536, a word) or with a host that is no IP address was used as an endpoint. It failed only when a connection was opened, where it looks like an endpoint that does not respond: requests lose an attempt, and as read in the code the failures count towards this node having lost its links, which it reports to its peers.

Cause: the decoder only looked for a colon.

An address with a zero byte is no longer parsed up to that byte.

The test failed before for all 17 bad addresses and for the zero byte, for example:

CHECK_FALSE( wire.decodeEndpoint("i-1", endpointDocument("address", it)) ) it := "10.0.0.1:65536"

--- a/Libraries/LibCore/SocketAddress.cpp
+++ b/Libraries/LibCore/SocketAddress.cpp
@@ -32,7 +32,8 @@
 std::optional<SocketAddress> SocketAddress::parse(const std::string& text)
 {
     const size_t colon = text.rfind(':');
-    if (colon == std::string::npos)
+    // The host would end at a zero byte.
+    if (colon == std::string::npos || text.find('\0') != std::string::npos)
         return {};
     const auto port = parsePort(std::string_view(text).substr(colon + 1));
     if (!port)
@@ -54,4 +55,16 @@
     return toSocketAddress(address);
 }
 
+uint16_t SocketAddress::port() const
+{
+    if (storage.ss_family == AF_INET6) {
+        sockaddr_in6 address {};
+        std::memcpy(&address, &storage, sizeof(address));
+        return ntohs(address.sin6_port);
+    }
+    sockaddr_in address {};
+    std::memcpy(&address, &storage, sizeof(address));
+    return ntohs(address.sin_port);
+}
+
 }
--- a/Libraries/LibCore/SocketAddress.h
+++ b/Libraries/LibCore/SocketAddress.h
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,9 @@
     /// Parses `HOST:PORT` with a numeric IP address as host (IPv6 in brackets); returns nothing if that fails. Host
     /// names are rejected, because resolving them would block. May be called from any thread.
     static std::optional<SocketAddress> parse(const std::string& text);
+
+    /// Returns the port in host byte order. Precondition: the address was parsed.
+    uint16_t port() const;
 };
 
 }
--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -184,3 +184,21 @@
         CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("slots", it)));
     }
 }
+
+// Guards against an entry that looks like a silent endpoint, because no connection to its address can be opened.
+TEST_CASE("a registration whose address is not an IP address with a port is rejected")
+{
+    const PlatformWireFormat wire;
+    for (const char* it : { "10.0.0.1:1", "10.0.0.1:65535", "[fe80::1]:80" }) {
+        CAPTURE(it);
+        CHECK(wire.decodeEndpoint("i-1", endpointDocument("address", it)));
+    }
+    for (const char* it : { "10.0.0.1:0", "10.0.0.1:00", "10.0.0.1:-1", "10.0.0.1:65536", "10.0.0.1:http",
+             "10.0.0.1:", "10.0.0.1: 80", "10.0.0.1:80x", "10.0.0.1:4294967376", "10.0.0.256:80", "endpoint.example:80",
+             ":80", ":", "[]:80", "[::1]", "::1:80", "[::g]:80" }) {
+        CAPTURE(it);
+        CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("address", it)));
+    }
+    const QString withZero = QString("10.0.0.1") + QChar(0) + "x:80";
+    CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("address", withZero)));
+}
