--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -202,3 +202,14 @@
     const QString withZero = QString("10.0.0.1") + QChar(0) + "x:80";
     CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("address", withZero)));
 }
+
+// Guards against a key that adds header fields to the requests to its endpoint.
+TEST_CASE("a registration whose key cannot be sent in a header field is rejected")
+{
+    const PlatformWireFormat wire;
+    for (const std::string& it : { std::string(), std::string("i-1\r\nPriority: 0"), std::string("i-1\n"),
+             std::string("i\0x", 3), std::string("i\x7f") }) {
+        CAPTURE(it);
+        CHECK_FALSE(wire.decodeEndpoint(it, endpointDocument()));
+    }
+}
