--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -213,3 +213,21 @@
         CHECK_FALSE(wire.decodeEndpoint(it, endpointDocument()));
     }
 }
+
+// Guards against an entry without a start time, which could not be told from the incarnation that has left.
+TEST_CASE("a registration whose start time is out of range or that is nested too deeply is rejected")
+{
+    const PlatformWireFormat wire;
+    for (const double it : { 1e300, -1.0, 9007199254740994.0, 0.5 }) {
+        CAPTURE(it);
+        CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("born", it)));
+    }
+    const QByteArray sound = endpointDocument().trimmed();
+    for (const int depth : { 100, 1'000, 100'000, 10'000'000 }) {
+        CAPTURE(depth);
+        const QByteArray nested = QByteArray("[").repeated(depth) + QByteArray("]").repeated(depth);
+        const auto record = wire.decodeEndpoint("i-1", sound.chopped(1) + ",\"other\":" + nested + '}');
+        CHECK(record.has_value() == (depth <= 1'000));
+        CHECK_FALSE(wire.decodeEndpoint("i-1", QByteArray("[").repeated(depth)));
+    }
+}
