platform: Give numbers of the configuration that are out of range defined values

Seen by reading, then by the test: a duration of 1e300 ms became 2^63 - 1 ms on this processor (the conversion is undefined) and overflowed when it was added to a time, so that an idle timeout would have closed every connection at once; `priority` -1 became the lowest priority and the highest; `max_attempts` -1 became four billion attempts; a negative body limit rejected every body. A configuration with version -1 got the highest version of all, after which no node takes any later one.

Cause: numbers were converted without regard to the range of the type.

A version that is not a whole number from 0 to 2^53 makes the document unreadable, so the version in force stays.

--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/SeededRandom.h>
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 #include <catch2/catch.hpp>
@@ -32,6 +33,13 @@
     return QJsonDocument(object).toJson();
 }
 
+std::optional<GatewayConfiguration> decodeWith(const char* field, const QJsonValue& value)
+{
+    QJsonObject object { { "version", 7 }, { "routes", QJsonArray() } };
+    object[QLatin1String(field)] = value;
+    return PlatformWireFormat().decodeConfiguration(QJsonDocument(object).toJson());
+}
+
 }
 
 // Guards against a field of the operator's configuration that is ignored or confused with another.
@@ -231,3 +239,60 @@
         CHECK_FALSE(wire.decodeEndpoint("i-1", QByteArray("[").repeated(depth)));
     }
 }
+
+// Guards against durations that overflow when they are added to a time, and numbers that wrap around.
+TEST_CASE("numbers of the configuration that are too large, negative or not whole have defined values")
+{
+    const auto routeWith = [](const char* field, double value) {
+        const QJsonObject route { { "name", "r" }, { "host", "h.example" }, { "prefix", "/a/" },
+            { "route_type", "batch" }, { "service", "lm" }, { field, value } };
+        const auto configuration = decodeWith("routes", QJsonArray { route });
+        REQUIRE(configuration);
+        REQUIRE(configuration->routes.size() == 1);
+        return configuration->routes[0];
+    };
+    const auto limitsWith = [](const char* field, double value) {
+        const auto configuration = decodeWith("limits", QJsonObject { { field, value } });
+        REQUIRE(configuration);
+        return configuration->limits;
+    };
+    constexpr Milliseconds longest = std::chrono::hours { 120 };
+    const std::pair<const char*, Milliseconds GatewayRoute::*> durations[]
+        = { { "timeout_ms", &GatewayRoute::timeout }, { "target_latency_ms", &GatewayRoute::latencyTarget },
+              { "gap_aim_ms", &GatewayRoute::gapTarget }, { "completion_target_ms", &GatewayRoute::completionTarget } };
+    for (const auto& [field, member] : durations) {
+        CAPTURE(field);
+        CHECK(routeWith(field, 1e300).*member == longest);
+        CHECK(routeWith(field, 9e18).*member == longest);
+        CHECK(routeWith(field, 1.9).*member == Milliseconds { 1 });
+        CHECK(routeWith(field, -5).*member == Milliseconds { 0 });
+        CHECK(routeWith(field, -1e300).*member == Milliseconds { 0 });
+    }
+    CHECK(routeWith("max_wait_s", 0.5).maxWait == Milliseconds { 500 });
+    CHECK(routeWith("max_wait_s", 1e308).maxWait == longest);
+    CHECK(routeWith("max_wait_s", -1).maxWait == Milliseconds { 0 });
+    CHECK(routeWith("cap", 1e300).maxWaitingTokens == 9'007'199'254'740'992);
+    CHECK(routeWith("cap", -1).maxWaitingTokens == 0);
+    CHECK(routeWith("priority", 4294967296.0).priority == 4'294'967'295);
+    CHECK(routeWith("priority", -1).priority == 0);
+    CHECK(routeWith("priority", 1.5).priority == 1);
+    CHECK(routeWith("max_attempts", 4294967296.0).maxAttempts == 4'294'967'295);
+    CHECK(routeWith("max_attempts", -1).maxAttempts == 1);
+    CHECK(routeWith("max_attempts", 2.5).maxAttempts == 2);
+    CHECK(limitsWith("idle_timeout_ms", 1e300).idleTimeout == longest);
+    CHECK(limitsWith("idle_timeout_ms", -1).idleTimeout == CallerLimits().idleTimeout);
+    CHECK(limitsWith("header_timeout_ms", 1e300).headerTimeout == longest);
+    CHECK(limitsWith("max_body_bytes", 1e300).maxBodyBytes == 1'073'741'824);
+    CHECK(limitsWith("max_body_bytes", -1).maxBodyBytes == CallerLimits().maxBodyBytes);
+    CHECK(limitsWith("max_header_bytes", 1e300).maxHeaderBytes == 1'073'741'824);
+}
+
+// Guards against a version after which every later one counts as older.
+TEST_CASE("a configuration whose version is negative, too large or not whole is rejected")
+{
+    CHECK(decodeWith("version", 9007199254740992.0));
+    for (const double it : { -1.0, -1e300, 9007199254740994.0, 1e19, 1e300, 1.5 }) {
+        CAPTURE(it);
+        CHECK_FALSE(decodeWith("version", it));
+    }
+}
