LibGateway: Choose no service with weight 0

The requests of a route whose weights are all 0 went to the last service of the split, although an operator gives weight 0 to a service that is to receive none.

Cause: the last service was the fallback for rounding. It is not needed for that: the sum of the weights is exact, and the draw is below 1, so the difference is negative at the latest at the last weight above 0.

The test failed before:

CHECK( chooseService(route, it).empty() ) it := 0.0, 0.5, 0.999

--- a/Libraries/LibGateway/GatewayConfiguration.cpp
+++ b/Libraries/LibGateway/GatewayConfiguration.cpp
@@ -33,7 +33,7 @@
         if (remaining < 0)
             return it.service;
     }
-    return route.shares.empty() ? std::string() : route.shares.back().service;
+    return {};
 }
 
 }
--- a/Tests/LibGateway/TestGatewayConfiguration.cpp
+++ b/Tests/LibGateway/TestGatewayConfiguration.cpp
@@ -58,3 +58,14 @@
     route.isResumable = true;
     CHECK(route.isRepeatable());
 }
+
+// Guards against requests to a service that is to receive none.
+TEST_CASE("a route whose weights are all 0 has no service")
+{
+    GatewayRoute route;
+    route.shares = { { "a", 0 }, { "b", 0 } };
+    for (const double it : { 0.0, 0.5, 0.999 }) {
+        CAPTURE(it);
+        CHECK(chooseService(route, it).empty());
+    }
+}
