LibGateway: Refuse the requests of a route that cannot be read

If an operator misspelt the kind of a route, the route was dropped, and the next shorter prefix of its host took its requests: they ran at a service that no configuration names for them. Items of accepted jobs of such a route were given up as failed ("the route is no longer in the configuration"). A weight that could not be read counted as 1, and a split that was no list left all requests to `service`. A route without a readable prefix matched every path of its host.

Ways weighed: rejecting the whole version stops all other changes of it, and a node that starts has no configuration at all; reading the rest of a split gives the requests to services in the wrong proportion.

Change: the route stays in the table without services. Its requests, also those that a peer hands over and submitted jobs, are refused as not run (503, `no_endpoint`, with Retry-After), and so are those of a route whose weights are all 0. Items of its jobs wait: the scheduler refuses work without a service, so that an item asks again. A route without a host or a prefix matches nothing.

The test of the decoder expected the unreadable route to be missing. It now expects it to be present and not servable, which is as strict.

An item that has output when its route becomes unreadable begins anew later, because its service is not among those of the route.

--- a/Libraries/LibGateway/GatewayConfiguration.cpp
+++ b/Libraries/LibGateway/GatewayConfiguration.cpp
@@ -4,10 +4,17 @@
 
 namespace Chicorydock {
 
+bool GatewayRoute::isServable() const
+{
+    return std::ranges::any_of(shares, [](const ServiceShare& it) { return it.weight > 0; });
+}
+
 const GatewayRoute* GatewayConfiguration::findRoute(std::string_view host, std::string_view path) const
 {
     const GatewayRoute* best = nullptr;
     for (const GatewayRoute& it : routes) {
+        if (it.host.empty() || it.prefix.empty())
+            continue;
         if (it.host != host || !path.starts_with(it.prefix))
             continue;
         if (!best || it.prefix.size() > best->prefix.size())
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -34,9 +34,10 @@
 struct GatewayRoute {
     std::string name;
     std::string host;
-    /// Begins and ends with a slash.
+    /// Begins and ends with a slash; empty if it could not be read.
     std::string prefix;
     RouteKind kind { RouteKind::NonIdempotent };
+    /// Empty if the kind or the services of the route could not be read.
     std::vector<ServiceShare> shares;
     /// Maximum time for which a caller is kept waiting.
     Milliseconds timeout { 0 };
@@ -59,6 +60,10 @@
 
     auto operator<=>(const GatewayRoute&) const = default;
 
+    /// Returns whether a service receives the requests. The requests of other routes are refused; they must not be
+    /// run by the service of a route with a shorter prefix.
+    bool isServable() const;
+
     /// Returns whether a request may run more than once.
     bool isRepeatable() const { return kind == RouteKind::Idempotent || (kind == RouteKind::Stream && isResumable); }
 };
@@ -94,7 +99,8 @@
 
     auto operator<=>(const GatewayConfiguration&) const = default;
 
-    /// Returns the route of the host with the longest prefix that matches the path, or null.
+    /// Returns the route of the host with the longest prefix that matches the path, or null. A route without a host or
+    /// a prefix matches nothing.
     const GatewayRoute* findRoute(std::string_view host, std::string_view path) const;
 
     /// Returns the route with that name, or null.
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -18,6 +18,9 @@
 
     constexpr Milliseconds notReadyRetryAfter { 500 };
 
+    /// A route that cannot be served becomes so only by a new configuration.
+    constexpr Milliseconds unservableRetryAfter { 1'500 };
+
 }
 
 GatewayHandler::GatewayHandler(GatewayEnvironment& environment, JobController& jobs)
@@ -50,6 +53,8 @@
     const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
     if (!route)
         answerError(exchange, Error(ErrorKind::UnknownRoute, "no route matches the request"), request.id);
+    else if (!route->isServable())
+        refuseUnservable(exchange, request.id);
     else if (route->kind == RouteKind::Batch)
         submitJob(exchange, request, *route);
     else
@@ -64,10 +69,18 @@
     if (!route || route->kind == RouteKind::Batch)
         answerError(
             exchange, Error(ErrorKind::NotReady, "the route is not known here yet", notReadyRetryAfter), request.id);
+    else if (!route->isServable())
+        refuseUnservable(exchange, request.id);
     else
         forward(exchange, request, *route);
 }
 
+void GatewayHandler::refuseUnservable(const std::shared_ptr<HttpExchange>& exchange, const std::string& id)
+{
+    answerError(exchange,
+        Error(ErrorKind::NoEndpoint, "the configuration of the route names no service", unservableRetryAfter), id);
+}
+
 void GatewayHandler::handleLostEndpoints()
 {
     std::vector<ForwardedCall*> calls;
--- a/Libraries/LibGateway/GatewayHandler.h
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -53,6 +53,8 @@
     void checkLongPolls();
     void handleResultsCommitted(const std::string& jobId);
     void answerError(const std::shared_ptr<HttpExchange>&, const Error&, const std::string& id);
+    /// Refuses a request whose route names no service.
+    void refuseUnservable(const std::shared_ptr<HttpExchange>&, const std::string& id);
     std::string requestId(const HttpExchange&) const;
 
     GatewayEnvironment& m_environment;
--- a/Libraries/LibGateway/SlotAllocator.h
+++ b/Libraries/LibGateway/SlotAllocator.h
@@ -17,7 +17,7 @@
     /// Replaces the set of usable endpoints. Work that runs at other endpoints continues.
     virtual void setEndpoints(const std::vector<EndpointRecord>&) = 0;
 
-    /// Queues work. Precondition: its identifier has not been used before.
+    /// Queues work. Work without a service is refused. Precondition: its identifier has not been used before.
     virtual void submit(const OnlineWork&, MonotonicTime now) = 0;
     virtual void submit(const BatchWork&) = 0;
 
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -445,7 +445,7 @@
             continue;
         }
         size_t& before = ahead[work.service];
-        if (isVersionGone(work) || shouldRefuse(work, before, now)) {
+        if (work.service.empty() || isVersionGone(work) || shouldRefuse(work, before, now)) {
             const SlotView view { .expectedWait = expectedWait(work.service, before) };
             decisions.push_back({ SlotDecision::Kind::Refuse, work.id, {}, retryAfter(work.service, before), view });
             continue;
@@ -730,7 +730,7 @@
             startWork(decisions,
                 { .id = work.id, .isBatch = true, .dueAt = work.dueAt, .slotTimeUsed = work.slotTimeUsed }, *endpoint,
                 now);
-        else if (isVersionGone(work))
+        else if (work.service.empty() || isVersionGone(work))
             decisions.push_back({ SlotDecision::Kind::Refuse, work.id });
         else
             waiting.push_back(std::move(work));
--- a/Tests/LibGateway/TestGatewayHandler.cpp
+++ b/Tests/LibGateway/TestGatewayHandler.cpp
@@ -104,3 +104,76 @@
     }));
     CHECK(reader->response->body.contains(R"("output":"text")"));
 }
+
+// Guards against requests that run at a service that no configuration names for them, because the route that they
+// belong to cannot be read and another one has a shorter prefix.
+TEST_CASE("a request whose route cannot be read is refused as not run")
+{
+    HandlerFixture fixture;
+    const auto configuration = fixture.wire.decodeConfiguration(R"({"version":4,"routes":[
+        {"name":"outer","host":"h.example","prefix":"/","route_type":"idempotent","service":"lm","max_attempts":1},
+        {"name":"k1","host":"h.example","prefix":"/k1/","route_type":"hologram","service":"lm"},
+        {"name":"k2","host":"h.example","prefix":"/k2/","route_type":7,"service":"lm"},
+        {"name":"k3","host":"h.example","prefix":"/k3/","service":"lm"},
+        {"name":"w1","host":"h.example","prefix":"/w1/","route_type":"idempotent",
+         "traffic_split":[{"service":"lm","weight":"many"}]},
+        {"name":"w2","host":"h.example","prefix":"/w2/","route_type":"idempotent",
+         "traffic_split":[{"service":"lm","weight":1.5}]},
+        {"name":"w3","host":"h.example","prefix":"/w3/","route_type":"batch",
+         "traffic_split":[{"service":"lm","weight":-1}]},
+        {"name":"w4","host":"h.example","prefix":"/w4/","route_type":"streaming",
+         "traffic_split":[{"service":"lm","weight":1},{"service":"lm2","weight":1e300}]},
+        {"name":"w5","host":"h.example","prefix":"/w5/","route_type":"idempotent",
+         "traffic_split":[{"service":"lm","weight":0},{"service":"lm2","weight":0}]},
+        {"name":"s1","host":"h.example","prefix":"/s1/","route_type":"idempotent","service":["lm"]},
+        {"name":"s2","host":"h.example","prefix":"/s2/","route_type":"idempotent","service":"lm","traffic_split":"lm"},
+        {"name":"s3","host":"h.example","prefix":"/s3/","route_type":"idempotent","service":"lm",
+         "traffic_split":[{"weight":1}]},
+        {"name":"s4","host":"h.example","prefix":"/s4/","route_type":"non_idempotent"}]})");
+    REQUIRE(configuration);
+    fixture.environment.configuration = std::make_shared<const GatewayConfiguration>(*configuration);
+    for (const char* it :
+        { "/k1/", "/k2/", "/k3/", "/w1/", "/w2/", "/w3/", "/w4/", "/w5/", "/s1/", "/s2/", "/s3/", "/s4/" }) {
+        CAPTURE(it);
+        const auto exchange = fixture.send("POST", QByteArray(it) + "1", job);
+        CHECK(statusOf(exchange) == 503);
+        CHECK(fixture.http.count() == 0);
+        if (exchange->response)
+            CHECK(exchange->response->headers.find("Retry-After"));
+    }
+    fixture.send("POST", "/1");
+    CHECK(fixture.http.count() == 1);
+}
+
+// Guards against a request that a peer hands over and that then runs at the service of another route.
+TEST_CASE("a relayed request whose route cannot be read is refused as not run")
+{
+    HandlerFixture fixture;
+    const auto configuration = fixture.wire.decodeConfiguration(R"({"version":4,"routes":[
+        {"name":"outer","host":"h.example","prefix":"/","route_type":"idempotent","service":"lm","max_attempts":1},
+        {"name":"inner","host":"h.example","prefix":"/k/","route_type":"hologram","service":"lm"}]})");
+    REQUIRE(configuration);
+    fixture.environment.configuration = std::make_shared<const GatewayConfiguration>(*configuration);
+    const HttpRequest request { "POST", "/k/1", {}, { { "Host", "h.example" }, { "Request-Id", "q1" } }, {}, "/k/1" };
+    auto exchange = std::make_shared<FakeExchange>(request);
+    fixture.handler.handleRelayed(exchange);
+    fixture.settle();
+    CHECK(statusOf(exchange) == 503);
+    CHECK(fixture.http.count() == 0);
+}
+
+// Guards against requests that run because a route without a prefix matches every path.
+TEST_CASE("a route whose host or prefix cannot be read takes no requests")
+{
+    HandlerFixture fixture;
+    const auto configuration = fixture.wire.decodeConfiguration(R"({"version":4,"routes":[
+        {"name":"r1","host":"h.example","route_type":"idempotent","service":"lm"},
+        {"name":"r2","host":"h.example","prefix":5,"route_type":"idempotent","service":"lm"},
+        {"name":"r3","host":"h.example","prefix":"","route_type":"idempotent","service":"lm"},
+        {"name":"r4","host":{},"prefix":"/","route_type":"idempotent","service":"lm"}, null, [], "route"]})");
+    REQUIRE(configuration);
+    fixture.environment.configuration = std::make_shared<const GatewayConfiguration>(*configuration);
+    CHECK(statusOf(fixture.send("POST", "/a/1")) == 404);
+    CHECK_FALSE(configuration->findRoute("", "/a/1"));
+    CHECK(fixture.http.count() == 0);
+}
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -5,6 +5,8 @@
 
 #include <Tests/Support/MemoryRowStore.h>
 #include <Tests/Support/WaitFor.h>
+
+#include <QElapsedTimer>
 #include <catch2/catch.hpp>
 
 using namespace Chicorydock;
@@ -604,3 +606,30 @@
     for (size_t n = 0; n < node.http.count(); ++n)
         CHECK(node.http.call(n).request.headers.find("Expect-Instance") != "e0");
 }
+
+// Guards against items of an accepted job that are given up because an operator misspelt the kind of their route.
+TEST_CASE("the items of a job wait while their route cannot be read")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    REQUIRE_FALSE(node.submit(makeJob("j")));
+    const auto served = node.environment.configuration;
+    const auto unreadable = node.wire.decodeConfiguration(
+        R"({"version":4,"routes":[{"name":"b","host":"h.example","prefix":"/b/","route_type":"bach","service":"lm"}]})");
+    REQUIRE(unreadable);
+    node.environment.configuration = std::make_shared<const GatewayConfiguration>(*unreadable);
+    REQUIRE(node.http.count() == 1);
+    node.http.fail(HttpFailure::Phase::NotSent);
+    QElapsedTimer timer;
+    timer.start();
+    REQUIRE(waitFor([&] { return timer.elapsed() > 600; }));
+    CHECK(node.http.count() == 1);
+    // No result has been committed.
+    CHECK(store.waitingCalls() == 0);
+    node.environment.configuration = served;
+    REQUIRE(waitFor([&] { return node.http.count() == 2; }));
+    node.completeNewestRun("text");
+    node.commit();
+    CHECK(pageOf(node.read("j")).results.at(0).isCompleted);
+}
--- a/Tests/LibGateway/TestSlotScheduler.cpp
+++ b/Tests/LibGateway/TestSlotScheduler.cpp
@@ -424,3 +424,17 @@
     CHECK(start->work == old);
     CHECK(start->endpoint == "far");
 }
+
+// Guards against work for which no service is known and that waits in the queue for ever.
+TEST_CASE("work without a service is refused")
+{
+    Fixture fixture;
+    fixture.scheduler.setEndpoints({ makeEndpoint("a") });
+    const MonotonicTime now = fixture.clock.now();
+    fixture.scheduler.submit(
+        OnlineWork { 1, "", 0, now + Milliseconds { 200 }, now + std::chrono::seconds { 5 }, true, {} }, now);
+    fixture.scheduler.submit(BatchWork { 2, "", now + std::chrono::seconds { 5 }, {} });
+    const auto decisions = fixture.poll();
+    CHECK(count(decisions, Kind::Refuse) == 2);
+    CHECK(decisions.size() == 2);
+}
--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -48,7 +48,9 @@
     const auto configuration = PlatformWireFormat().decodeConfiguration(configurationDocument);
     REQUIRE(configuration);
     CHECK(configuration->version == 7);
-    REQUIRE(configuration->routes.size() == 2);
+    REQUIRE(configuration->routes.size() == 3);
+    CHECK(configuration->routes[2].name == "r3");
+    CHECK_FALSE(configuration->routes[2].isServable());
     const GatewayRoute& stream = configuration->routes[0];
     CHECK(stream.kind == RouteKind::Stream);
     CHECK(stream.isResumable);
