LibGateway: Sum up slots and loads without overflow

The slots of a service were summed up in 32 bits.

Change: sums of slots and of reported loads have 64 bits, and the load that only the endpoint knows of is bounded, so that adding the nodes' own work to it does not overflow.

The tests failed before:

CHECK( capacity.domainSlots("lm") == 3 * most ) (0xfffffffd) == (0x2fffffffd) CHECK( count(fixture.poll(), Kind::Start) == 0 ) 1 == 0 (both loads)

--- a/Libraries/LibGateway/ServiceCapacity.cpp
+++ b/Libraries/LibGateway/ServiceCapacity.cpp
@@ -42,7 +42,7 @@
 double ServiceCapacity::usableSlots(const std::string& service) const
 {
     const Service& found = find(service);
-    return std::max(1.0, found.slotCount - found.unusableSlots);
+    return std::max(1.0, static_cast<double>(found.slotCount) - found.unusableSlots);
 }
 
 Milliseconds ServiceCapacity::nextRequestIn(const std::string& service) const
--- a/Libraries/LibGateway/ServiceCapacity.h
+++ b/Libraries/LibGateway/ServiceCapacity.h
@@ -27,7 +27,7 @@
         MonotonicTime now);
 
     /// Returns the slots of the service in this node's failure domain.
-    uint32_t domainSlots(const std::string& service) const { return find(service).domainSlotCount; }
+    uint64_t domainSlots(const std::string& service) const { return find(service).domainSlotCount; }
 
     /// Returns how many slots of the service can be in use at the same time within the limits, at least 1.
     double usableSlots(const std::string& service) const;
@@ -38,8 +38,8 @@
 private:
     struct Service {
         uint32_t endpoints { 0 };
-        uint32_t slotCount { 0 };
-        uint32_t domainSlotCount { 0 };
+        uint64_t slotCount { 0 };
+        uint64_t domainSlotCount { 0 };
         uint32_t limitedEndpoints { 0 };
         /// Slots that stay unused because of rate limits while all others are in use.
         double unusableSlots { 0 };
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -55,6 +55,8 @@
 
     /// Time within which work that only its endpoint has reported is also reported by the node that started it.
     constexpr Milliseconds unattributedLifetime { 150 };
+    /// Limit on that work; an endpoint with more is full in any case.
+    constexpr uint32_t maxUnattributed = 1'000'000;
 
     /// Time for which an endpoint is avoided after its first failure. It doubles with each further failure.
     constexpr Milliseconds firstAvoidance { 250 };
@@ -223,15 +225,15 @@
 
 bool SlotScheduler::hasSlotsAboveReserve(const std::string& service, MonotonicTime now) const
 {
-    uint32_t slotCount = 0;
-    uint32_t free = 0;
+    uint64_t slotCount = 0;
+    uint64_t free = 0;
     for (const auto& [id, it] : m_endpoints) {
         if (!it.isUsable || it.record.service != service || it.record.failureDomain != m_peers.location().failureDomain)
             continue;
         slotCount += it.record.slotCount;
         free += std::min(it.record.slotCount - std::min(it.record.slotCount, it.total()), it.limiter.available(now));
     }
-    return free > std::lround(slotCount * pooledReserveShare);
+    return static_cast<double>(free) > std::round(static_cast<double>(slotCount) * pooledReserveShare);
 }
 
 void SlotScheduler::updateBatchAvailability(Endpoint& endpoint, MonotonicTime now) const
@@ -370,8 +372,9 @@
         return;
     endpoint->unattributed = 0;
     const uint32_t known = endpoint->total();
-    const uint32_t reported = load.running + load.waiting;
-    endpoint->unattributed = reported > known ? reported - known : 0;
+    const uint64_t reported = uint64_t { load.running } + load.waiting;
+    const uint64_t excess = reported > known ? reported - known : 0;
+    endpoint->unattributed = static_cast<uint32_t>(std::min<uint64_t>(excess, maxUnattributed));
     endpoint->workTimePercent = load.workTimePercent;
     endpoint->observedAt = now;
 }
--- a/Tests/LibGateway/TestSlotScheduler.cpp
+++ b/Tests/LibGateway/TestSlotScheduler.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <set>
 
 using namespace Chicorydock;
@@ -438,3 +439,27 @@
     CHECK(count(decisions, Kind::Refuse) == 2);
     CHECK(decisions.size() == 2);
 }
+
+// Guards against services with many slots that seem to have few.
+TEST_CASE("the slots of a service are summed up without overflow")
+{
+    constexpr uint64_t most = std::numeric_limits<uint32_t>::max();
+    ServiceCapacity capacity;
+    for (int n = 0; n < 3; ++n)
+        capacity.addEndpoint("lm", most, true);
+    CHECK(capacity.domainSlots("lm") == 3 * most);
+    CHECK(capacity.usableSlots("lm") == Approx(3.0 * most));
+}
+
+// Guards against an endpoint that seems empty because the load that it reports overflows.
+TEST_CASE("no online work starts at an endpoint that reports an excessive load")
+{
+    const auto load = GENERATE(ObservedLoad { 4'294'967'295, 1, 100 }, ObservedLoad { 4'294'967'295, 0, 100 });
+    Fixture fixture;
+    fixture.scheduler.setEndpoints({ makeEndpoint("a") });
+    fixture.scheduler.observe("a", load, fixture.clock.now());
+    fixture.setPeer("n2", { 1, 0 });
+    fixture.clock.advance(Milliseconds { 60 });
+    fixture.submitOnline();
+    CHECK(count(fixture.poll(), Kind::Start) == 0);
+}
