platform: Report a page that cannot be read as a failure

A response of the store that is not a page (no JSON, nested deeper than the parser allows, rows that are no list, a version that is no number) counted as an empty page of version 0. A node that lists the endpoints then has none and says that it is ready; a feed is called again without a pause; a commit counts as applied with version 0, which is the condition that a row must not exist. A row without a readable key counted as the row with the empty key, and a listing whose page ends with it read the same page for ever.

Change: such a page is a failure with an unknown outcome, so a follower tries again after a pause and keeps what it knows, and a writer repeats its conditional transaction. A commit must state its version. Rows whose key or version cannot be read are left out, the others hold. A time that is no whole number, or beyond a century, does not set the clock.

A value that is not base64 is not a fault of the page: it decodes to bytes that are no entry.

--- a/Tests/Platform/TestPlatformRowStore.cpp
+++ b/Tests/Platform/TestPlatformRowStore.cpp
@@ -162,3 +162,43 @@
     REQUIRE(result);
     CHECK(std::holds_alternative<StoreFailure>(*result));
 }
+
+// Guards against endpoints and jobs that are given up, and calls without a pause, because a response cannot be read.
+TEST_CASE("a page that cannot be read is a failure, not an empty page")
+{
+    const auto body = GENERATE(as<QByteArray>(), "", "no json", "[]", R"({"rows":{},"ver":8})", R"({"rows":5,"ver":8})",
+        R"({"rows":[],"ver":"8"})", R"({"rows":[],"ver":-1})", R"({"rows":[],"ver":1e300})",
+        R"({"rows":[],"ver":8,"x":)" + QByteArray("[").repeated(5'000) + QByteArray("]").repeated(5'000) + "}");
+    CAPTURE(body.left(60).toStdString());
+    StoreFixture fixture(answer(200, body));
+    const auto result = fixture.changes();
+    REQUIRE(std::holds_alternative<StoreFailure>(result));
+    CHECK(std::get<StoreFailure>(result).kind == StoreFailure::Kind::OutcomeUnknown);
+}
+
+// Guards against a node that goes on with a version of a row that the store did not state.
+TEST_CASE("a commit whose response cannot be read has an unknown outcome")
+{
+    CHECK(failureOf(StoreFixture(answer(200, "no json")).commit()) == StoreFailure::Kind::OutcomeUnknown);
+    CHECK(failureOf(StoreFixture(answer(200, "{}")).commit()) == StoreFailure::Kind::OutcomeUnknown);
+    CHECK(failureOf(StoreFixture(answer(200, R"({"ver":"412"})")).commit()) == StoreFailure::Kind::OutcomeUnknown);
+    CHECK(failureOf(StoreFixture(answer(412, "no json")).commit()) == StoreFailure::Kind::OutcomeUnknown);
+}
+
+// Guards against an odd row that hides the others, or that counts as the row without a key.
+TEST_CASE("rows whose key or version cannot be read are left out")
+{
+    StoreFixture fixture(answer(200, R"({"rows":[{"table":"t","part":"","key":7,"value":"eA==","ver":3},
+        {"table":"t","part":"","value":"eA==","ver":3}, {"table":"t","part":"","key":"a","value":"eA==","ver":"3"},
+        {"table":"t","part":"","key":"b","value":"eA==","ver":-1}, {"table":"t","part":"","key":"c","value":"eA=="},
+        {"table":"t","part":"","key":"d","value":"eA==","ver":1e300}, 5, null, [[[]]],
+        {"table":"t","part":"","key":"e","value":{"x":1},"ver":4},
+        {"table":"t","part":"","key":"f","value":"?!?","ver":5},
+        {"table":"t","part":"","key":"g","value":"eA==","ver":6}],"ver":8,"now_ms":1e300})"));
+    const auto page = std::get<RowPage>(fixture.changes());
+    CHECK(page.rows
+        == std::vector<StoredRow> {
+            { { "t", "", "e" }, "", 4 }, { { "t", "", "f" }, "", 5 }, { { "t", "", "g" }, "x", 6 } });
+    CHECK(page.storeVersion == 8);
+    CHECK_FALSE(fixture.store.time());
+}
