LibPlatform: Stop a listing that does not proceed

If a page says that there are more rows and the next one ends with the same key, the follower read it again and again without a pause and kept its rows each time, until the memory would have been used up. A page without rows that says that there are more ended the listing, so that the missing rows would have counted as removed.

Change: both are failures; the listing begins anew after the usual pause.

The test failed before, after half a second:

CHECK( store.reads < 20 ) 79031 (0x134b7) < 20

--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -15,6 +15,9 @@
     constexpr int relistingsAfterHistoryLoss = 4;
     constexpr Milliseconds relistingInterval { 1'500 };
 
+    /// Returns the smallest key after the given one.
+    std::string keyAfter(const std::string& key) { return key + '\0'; }
+
 }
 
 TableFollower::TableFollower(RowStore& store, Options options, TableListener& listener)
@@ -69,24 +72,29 @@
 
 void TableFollower::listPartition(size_t n, const std::string& from)
 {
-    m_store.read({ m_options.table, m_options.partitions[n], from, {} }, [this, n](const StoreResult<RowPage>& result) {
-        if (const auto* page = std::get_if<RowPage>(&result))
-            handleListing(n, *page);
-        else
-            handleFailure(std::get<StoreFailure>(result));
-    });
+    m_store.read(
+        { m_options.table, m_options.partitions[n], from, {} }, [this, n, from](const StoreResult<RowPage>& result) {
+            if (const auto* page = std::get_if<RowPage>(&result))
+                handleListing(n, from, *page);
+            else
+                handleFailure(std::get<StoreFailure>(result));
+        });
 }
 
-void TableFollower::handleListing(size_t n, const RowPage& page)
+void TableFollower::handleListing(size_t n, const std::string& from, const RowPage& page)
 {
+    const std::string next = page.rows.empty() ? from : keyAfter(page.rows.back().address.key);
+    if (page.hasMore && next == from) {
+        handleFailure({ StoreFailure::Kind::NotExecuted, "the listing does not proceed after a page" });
+        return;
+    }
     setReachable(true);
     // Later changes may be missing from the listing, so the feed starts at the version of the first page.
     if (m_listedVersion == 0)
         m_listedVersion = page.storeVersion;
     m_listing.insert(m_listing.end(), page.rows.begin(), page.rows.end());
-    if (page.hasMore && !page.rows.empty()) {
-        // The smallest key after the last one.
-        listPartition(n, page.rows.back().address.key + '\0');
+    if (page.hasMore) {
+        listPartition(n, next);
         return;
     }
     if (n + 1 < m_options.partitions.size()) {
--- a/Libraries/LibPlatform/TableFollower.h
+++ b/Libraries/LibPlatform/TableFollower.h
@@ -76,7 +76,7 @@
     void proceed();
     void list();
     void listPartition(size_t n, const std::string& from);
-    void handleListing(size_t n, const RowPage&);
+    void handleListing(size_t n, const std::string& from, const RowPage&);
     void finishListing();
     void follow();
     void handleChanges(const RowPage&);
--- a/Tests/LibPlatform/TestTableFollower.cpp
+++ b/Tests/LibPlatform/TestTableFollower.cpp
@@ -3,6 +3,9 @@
 #include <Tests/Support/MemoryRowStore.h>
 #include <Tests/Support/SimulatedClock.h>
 #include <Tests/Support/WaitFor.h>
+
+#include <QElapsedTimer>
+#include <QMetaObject>
 #include <catch2/catch.hpp>
 
 using namespace Chicorydock;
@@ -124,3 +127,45 @@
     CHECK(fixture.listener.rows == std::map<std::string, QByteArray> { { "b", "2" } });
     CHECK(fixture.listener.listings == 1);
 }
+
+// Guards against a listing that reads the same page for ever and keeps its rows each time.
+TEST_CASE("a follower that gets the same page again starts the listing anew after a while")
+{
+    /// A store whose pages end with the same key.
+    class RepeatingStore final : public RowStore {
+    public:
+        int reads { 0 };
+        bool isRepeating { true };
+
+        void read(const RowRange&, Reply<RowPage> reply) override
+        {
+            ++reads;
+            QMetaObject::invokeMethod(
+                &m_context,
+                [this, reply] {
+                    reply(RowPage { { { { "t", "p0", "a" }, "1", 1 } }, isRepeating, 1 });
+                },
+                Qt::QueuedConnection);
+        }
+        void commit(const RowTransaction&, Reply<RowCommit>) override { }
+        std::optional<Milliseconds> time() const override { return {}; }
+        void changes(const std::string&, uint64_t, Milliseconds, Reply<RowPage>) override { }
+        void putObject(const std::string&, const QByteArray&, Reply<bool>) override { }
+        void getObject(const std::string&, Reply<QByteArray>) override { }
+
+    private:
+        QObject m_context;
+    };
+    RepeatingStore store;
+    RecordingListener listener;
+    TableFollower follower { store, { "t", { "p0" }, Milliseconds { 1 } }, listener };
+    follower.start();
+    QElapsedTimer timer;
+    timer.start();
+    REQUIRE(waitFor([&] { return timer.elapsed() > 500; }));
+    CHECK(store.reads < 20);
+    CHECK(listener.listings == 0);
+    store.isRepeating = false;
+    REQUIRE(waitFor([&] { return listener.listings == 1; }));
+    CHECK(listener.rows == std::map<std::string, QByteArray> { { "a", "1" } });
+}
