LibPlatform: Continue to follow a table when its listener throws

An exception of a listener left the event loop: the process ended, and since all nodes read the same rows, again and again. Looked for and not found: a row of the endpoints or the configuration for which a listener throws now.

Change: the follower logs the exception and goes on. Listing the table again instead was ruled out: the same row would throw again.

The test failed before:

REQUIRE( fixture.deliverUntil([&] { return fixture.listener.listings == 1; }) ) due to unexpected exception with message: test

--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -3,6 +3,8 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <exception>
+#include <utility>
 
 namespace Chicorydock {
 
@@ -36,6 +38,15 @@
     });
 }
 
+template <typename Call> void TableFollower::notify(Call call)
+{
+    try {
+        call();
+    } catch (const std::exception& exception) {
+        LOG(ERROR) << "the listener of table " << m_options.table << " failed: " << exception.what();
+    }
+}
+
 void TableFollower::start() { proceed(); }
 
 void TableFollower::pause() { m_isPaused = true; }
@@ -109,7 +120,7 @@
     m_isListed = true;
     m_version = m_listedVersion;
     m_retryDelay = Milliseconds { 0 };
-    m_listener.onTableListed({ std::exchange(m_listing, {}), m_listedVersion });
+    notify([this] { m_listener.onTableListed({ std::exchange(m_listing, {}), m_listedVersion }); });
     proceed();
 }
 
@@ -131,7 +142,7 @@
     m_retryDelay = Milliseconds { 0 };
     m_version = std::max(m_version, page.storeVersion);
     if (!page.rows.empty())
-        m_listener.onRowsChanged(page.rows);
+        notify([&] { m_listener.onRowsChanged(page.rows); });
     if (!m_isListed || (!page.rows.empty() && m_options.changeDelay.count() > 0)) {
         m_timer.start(m_isListed ? m_options.changeDelay : Milliseconds { 0 });
         return;
@@ -162,7 +173,7 @@
     if (m_isReachable == isReachable)
         return;
     m_isReachable = isReachable;
-    m_listener.onReachableChanged(isReachable);
+    notify([&] { m_listener.onReachableChanged(isReachable); });
 }
 
 void TableFollower::scheduleRelisting()
--- a/Libraries/LibPlatform/TableFollower.h
+++ b/Libraries/LibPlatform/TableFollower.h
@@ -20,7 +20,8 @@
     bool operator==(const TableListing&) const = default;
 };
 
-/// Receives the rows of one table and their changes.
+/// Receives the rows of one table and their changes. An exception of a method is logged, and the next rows are reported
+/// as usual.
 class TableListener {
 public:
     virtual ~TableListener() = default;
@@ -82,6 +83,8 @@
     void handleChanges(const RowPage&);
     void handleFailure(const StoreFailure&);
     void setReachable(bool);
+    /// Calls the listener. An exception must not end the process, nor the following of the table.
+    template <typename Call> void notify(Call);
     void scheduleRelisting();
 
     RowStore& m_store;
--- a/Tests/LibPlatform/TestTableFollower.cpp
+++ b/Tests/LibPlatform/TestTableFollower.cpp
@@ -8,6 +8,8 @@
 #include <QMetaObject>
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace Chicorydock;
 
 namespace {
@@ -17,6 +19,8 @@
     std::map<std::string, QByteArray> rows;
     int listings { 0 };
     bool isReachable { false };
+    /// Number of calls that are still to throw an exception.
+    int exceptions { 0 };
 
     void onTableListed(const TableListing& listing) override
     {
@@ -27,6 +31,10 @@
 
     void onRowsChanged(const std::vector<StoredRow>& changed) override
     {
+        if (exceptions > 0) {
+            --exceptions;
+            throw std::out_of_range("test");
+        }
         for (const StoredRow& it : changed) {
             if (it.isRemoved)
                 rows.erase(it.address.key);
@@ -169,3 +177,20 @@
     REQUIRE(waitFor([&] { return listener.listings == 1; }));
     CHECK(listener.rows == std::map<std::string, QByteArray> { { "a", "1" } });
 }
+
+// Guards against a process that ends, or a table that is not followed any more, because of one exception.
+TEST_CASE("a follower continues when its listener throws")
+{
+    Fixture fixture;
+    fixture.store.put({ "t", "p0", "a" }, "1");
+    fixture.listener.exceptions = 1;
+    fixture.follower.start();
+    REQUIRE(fixture.deliverUntil([&] { return fixture.listener.listings == 1; }));
+    fixture.listener.exceptions = 2;
+    fixture.store.put({ "t", "p0", "a" }, "2");
+    REQUIRE(fixture.deliverUntil([&] { return fixture.listener.exceptions == 1; }));
+    fixture.store.put({ "t", "p0", "a" }, "3");
+    REQUIRE(fixture.deliverUntil([&] { return fixture.listener.exceptions == 0; }));
+    fixture.store.put({ "t", "p0", "a" }, "4");
+    CHECK(fixture.deliverUntil([&] { return fixture.listener.rows["a"] == "4"; }));
+}
