--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -298,3 +298,20 @@
         CHECK_FALSE(decodeWith("version", it));
     }
 }
+
+// Guards against items whose numbers of tokens add up to a small number, so that their route has no limit.
+TEST_CASE("the number of tokens of a submitted item has bounds")
+{
+    const auto tokens = [](const QByteArray& number) {
+        HttpRequest request { "POST", "/b/1", {}, { { "Request-Id", "j1" } }, {}, "/b/1" };
+        request.body = R"({"items":[{"id":"i1","path":"/b/3","token_count":)" + number + "}]}";
+        const auto job = PlatformWireFormat().decodeSubmission(request);
+        REQUIRE(job);
+        return job->items[0].tokens;
+    };
+    CHECK(tokens("940.5") == 940);
+    CHECK(tokens("1e300") == 1'000'000'000);
+    CHECK(tokens("18446744073709551615") == 1'000'000'000);
+    CHECK(tokens("-1") == 0);
+    CHECK(tokens("\"many\"") == 0);
+}
