--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -315,3 +315,26 @@
     CHECK(tokens("-1") == 0);
     CHECK(tokens("\"many\"") == 0);
 }
+
+// Guards against a caller whose items add lines to the requests that are sent to endpoints.
+TEST_CASE("a submitted job whose items would break a request is rejected")
+{
+    const auto isAccepted = [](const char* field, const QJsonValue& value) {
+        QJsonObject item { { "id", "i1" }, { "path", "/b/3?x" }, { "headers", QJsonObject { { "Model", "m 1\t2" } } } };
+        item[QLatin1String(field)] = value;
+        HttpRequest request { "POST", "/b/1", {}, { { "Request-Id", "j1" } }, {}, "/b/1" };
+        request.body = QJsonDocument(QJsonObject { { "items", QJsonArray { item } } }).toJson();
+        return PlatformWireFormat().decodeSubmission(request).has_value();
+    };
+    CHECK(isAccepted("id", "i 1"));
+    CHECK_FALSE(isAccepted("id", "i1\r\nDeadline-Ms: 1"));
+    CHECK_FALSE(isAccepted("path", "/b/3 HTTP/1.1\r\nDeadline-Ms: 1"));
+    CHECK_FALSE(isAccepted("path", "/b/3 4"));
+    CHECK_FALSE(isAccepted("path", "/b/3\n"));
+    CHECK_FALSE(isAccepted("headers", QJsonObject { { "Model", "m\r\nDeadline-Ms: 1" } }));
+    CHECK_FALSE(isAccepted("headers", QJsonObject { { "Model", QString(QChar(0)) } }));
+    for (const char* it : { "", "Model\r\nDeadline-Ms", "Mo del", "Model:" }) {
+        CAPTURE(it);
+        CHECK_FALSE(isAccepted("headers", QJsonObject { { it, "m" } }));
+    }
+}
