LibGateway: Omit content that states more rows than there are

A row of a job that states 2^64 - 1 parts ended the process of the node that read it, and of the next owner of the job: its sum with the position of the row overflowed and passed the check.

Change: the number is compared with the rows that are left.

The test failed before:

CHECK( JobRows::join(rows).size() == 1 ) due to unexpected exception with message: std::bad_alloc

--- a/Libraries/LibGateway/JobHead.cpp
+++ b/Libraries/LibGateway/JobHead.cpp
@@ -271,7 +271,7 @@
         for (size_t n = 0; n < rows.size();) {
             const qsizetype end = rows[n].value.indexOf('\n');
             const size_t parts = end < 0 ? 0 : rows[n].value.first(end).toULongLong();
-            if (parts == 0 || n + parts > rows.size())
+            if (parts == 0 || parts > rows.size() - n)
                 break;
             QByteArray content = rows[n].value.mid(end + 1);
             for (size_t k = 1; k < parts; ++k)
--- a/Tests/LibGateway/TestJobHead.cpp
+++ b/Tests/LibGateway/TestJobHead.cpp
@@ -84,3 +84,11 @@
     CHECK_FALSE(contains(JobRows::inputRange("ab"), JobRows::input("ab0")));
     CHECK(JobRows::partition("ab") == JobRows::result("ab", 3).partition);
 }
+
+// Guards against a process that ends because another writer left a row that states more parts than there can be.
+TEST_CASE("content that states more rows than there are is omitted")
+{
+    std::vector<StoredRow> rows = toRows(JobRows::split(JobRows::result("j", 0), "first"));
+    rows.push_back({ JobRows::result("j", 1), "18446744073709551615\nsecond", 2, false });
+    CHECK(JobRows::join(rows).size() == 1);
+}
