LibGateway: Ignore rows that are not the head of a job

Any JSON object among the heads of jobs counted as an open job without an owner: a node would claim it, find no items, and claim it again, with a transaction each time. Numbers out of range wrapped around, and a time of submission near 2^63 overflows when durations are added to it.

Change: a head must state a known state and a route; its numbers have bounds.

The test failed before in 10 of 13 checks, for example:

CHECK_FALSE( decode("{}") ) CHECK( lowest->tokens == 0 ) (0xffffffffffffffff) == 0

That such a row is claimed again and again was read in the code, not played.

--- a/Libraries/LibGateway/JobHead.cpp
+++ b/Libraries/LibGateway/JobHead.cpp
@@ -8,6 +8,8 @@
 #include <QJsonObject>
 
 #include <algorithm>
+#include <limits>
+#include <optional>
 
 namespace Chicorydock {
 
@@ -16,6 +18,12 @@
     /// A partition applies 200 transactions a second, so this many partitions allow more than the whole store does.
     constexpr uint32_t partitionCount = 16;
 
+    /// Largest number of tokens of a job, so that those of all jobs can be summed up.
+    constexpr qint64 maxJobTokens = 1'000'000'000'000;
+
+    /// Latest time of the store, so that durations can be added to it.
+    constexpr Milliseconds maxStoreTime = std::chrono::hours { 24 * 365 * 100 };
+
     /// Positions are padded with zeros, so that keys sort in numerical order.
     constexpr int positionDigits = 6;
 
@@ -57,13 +65,18 @@
         }
     }
 
-    JobHead::State stateOf(const QString& name)
+    std::optional<JobHead::State> stateOf(const QString& name)
     {
-        if (name == "done")
-            return JobHead::State::Done;
-        return name == "ended" ? JobHead::State::Cancelled : JobHead::State::Open;
+        for (const JobHead::State it : { JobHead::State::Open, JobHead::State::Done, JobHead::State::Cancelled }) {
+            if (name == stateName(it))
+                return it;
+        }
+        return {};
     }
 
+    /// Returns the number, at least 0 and at most `max`; 0 if it is not a whole number of 64 bits.
+    qint64 bounded(const QJsonValue& number, qint64 max) { return std::clamp<qint64>(number.toInteger(), 0, max); }
+
 }
 
 QByteArray encodeJobHead(const JobHead& record)
@@ -87,15 +100,18 @@
     if (!document.isObject())
         return {};
     const QJsonObject object = document.object();
+    const auto state = stateOf(object["state"].toString());
+    if (!state || !object["route"].isString())
+        return {};
     JobHead record;
     record.id = row.address.key;
-    record.state = stateOf(object["state"].toString());
+    record.state = *state;
     record.owner = object["owner"].toString().toStdString();
     record.route = object["route"].toString().toStdString();
     record.host = object["host"].toString().toStdString();
-    record.tokens = static_cast<uint64_t>(object["tokens"].toInteger());
-    record.itemCount = static_cast<uint32_t>(object["items"].toInteger());
-    record.submittedAt = Milliseconds { object["submitted_at_ms"].toInteger() };
+    record.tokens = static_cast<uint64_t>(bounded(object["tokens"], maxJobTokens));
+    record.itemCount = static_cast<uint32_t>(bounded(object["items"], std::numeric_limits<uint32_t>::max()));
+    record.submittedAt = Milliseconds { bounded(object["submitted_at_ms"], maxStoreTime.count()) };
     record.inputObject = object["input_object"].toString().toStdString();
     record.version = row.version;
     return record;
--- a/Tests/LibGateway/TestJobHead.cpp
+++ b/Tests/LibGateway/TestJobHead.cpp
@@ -92,3 +92,27 @@
     rows.push_back({ JobRows::result("j", 1), "18446744073709551615\nsecond", 2, false });
     CHECK(JobRows::join(rows).size() == 1);
 }
+
+// Guards against rows of other writers that nodes claim again and again, and against numbers that wrap around.
+TEST_CASE("a row that is not the head of a job is ignored, and its numbers have bounds")
+{
+    const auto decode = [](const QByteArray& value) {
+        return decodeJobHead({ JobRows::record("j"), value, 3, false });
+    };
+    CHECK_FALSE(decode("{}"));
+    CHECK_FALSE(decode(R"({"state":"open"})"));
+    CHECK_FALSE(decode(R"({"state":"open","route":7})"));
+    CHECK_FALSE(decode(R"({"state":"dormant","route":"r"})"));
+    CHECK_FALSE(decode(QByteArray("[").repeated(100'000)));
+    const auto highest
+        = decode(R"({"state":"open","route":"r","tokens":9e18,"items":4294967296,"submitted_at_ms":9e18})");
+    REQUIRE(highest);
+    CHECK(highest->tokens == 1'000'000'000'000);
+    CHECK(highest->itemCount == 4'294'967'295);
+    CHECK(highest->submittedAt == std::chrono::hours { 24 * 365 * 100 });
+    const auto lowest = decode(R"({"state":"open","route":"r","tokens":-1,"items":-1,"submitted_at_ms":-9e18})");
+    REQUIRE(lowest);
+    CHECK(lowest->tokens == 0);
+    CHECK(lowest->itemCount == 0);
+    CHECK(lowest->submittedAt == Milliseconds { 0 });
+}
