--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -338,3 +338,13 @@
         CHECK_FALSE(isAccepted("headers", QJsonObject { { it, "m" } }));
     }
 }
+
+// Guards against an entry that sends requests to this machine itself, or to none.
+TEST_CASE("a registration whose address names no machine is rejected")
+{
+    const PlatformWireFormat wire;
+    for (const char* it : { "0.0.0.0:80", "[::]:80", "255.255.255.255:80", "224.0.0.1:80", "[ff02::1]:80" }) {
+        CAPTURE(it);
+        CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("address", it)));
+    }
+}
