--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -348,3 +348,18 @@
         CHECK_FALSE(wire.decodeEndpoint("i-1", endpointDocument("address", it)));
     }
 }
+
+// Guards against a deadline that overflows when it is added to a time, so that the request counts as late.
+TEST_CASE("the durations that a caller states have bounds")
+{
+    const PlatformWireFormat wire;
+    for (const char* it : { "18446744073709551615", "9223372036854775807", "9223372036854775808", "432000001" }) {
+        CAPTURE(it);
+        const HttpRequest request { "GET", "/api/lots/j1", {}, { { "Deadline-Ms", it }, { "Wait-Ms", it } }, {},
+            "/api/lots/j1" };
+        CHECK(wire.decodeRequest(request).deadline == std::chrono::hours { 120 });
+        CHECK(wire.decodeJobCall(request)->wait == std::chrono::hours { 120 });
+    }
+    const HttpRequest request { "GET", "/a/1", {}, { { "Deadline-Ms", "5000" } }, {}, "/a/1" };
+    CHECK(wire.decodeRequest(request).deadline == Milliseconds { 5'000 });
+}
