--- a/Tests/LibGateway/TestSlotRestarts.cpp
+++ b/Tests/LibGateway/TestSlotRestarts.cpp
@@ -198,9 +198,11 @@
     const std::vector<std::string>& violations() const { return m_violations; }
 
 private:
-    /// Returns whether the process processes the slot message in a report that it received. It is to refuse messages
-    /// for the previous process at its address, which reports do not tell apart yet.
-    static bool acceptsSlotMessage(const Process&, const PeerReport&) { return true; }
+    /// Returns whether the process processes the slot message in a report that it received, as `PeerGroup` does.
+    static bool acceptsSlotMessage(const Process& process, const PeerReport& report)
+    {
+        return !report.isMisdelivered(process.name);
+    }
 
     MonotonicTime now() const { return m_clock.now(); }
     Milliseconds randomTime(Milliseconds limit)
@@ -510,8 +512,9 @@
         return report;
     }
 
-    void sendSlotMessage(const Process& from, const std::string& to, const PeerReport& report)
+    void sendSlotMessage(const Process& from, const std::string& to, PeerReport report)
     {
+        report.recipient = to;
         if (const auto it = from.peers.find(to); it != from.peers.end())
             send({ it->second.address, from.address, to, encodePeerReport(report) });
     }
