--- a/Tests/Platform/TestPlatformRowStore.cpp
+++ b/Tests/Platform/TestPlatformRowStore.cpp
@@ -202,3 +202,13 @@
     CHECK(page.storeVersion == 8);
     CHECK_FALSE(fixture.store.time());
 }
+
+// Guards against a node that accepts no jobs because the store states its time with a fraction.
+TEST_CASE("the time of the store may have a fraction")
+{
+    StoreFixture fixture(answer(200, R"({"rows":[],"ver":8,"now_ms":51230.5})"));
+    fixture.changes();
+    REQUIRE(fixture.store.time());
+    CHECK(*fixture.store.time() >= Milliseconds { 51'230 });
+    CHECK(*fixture.store.time() < Milliseconds { 51'230 } + std::chrono::minutes { 5 });
+}
