TestLeaving: Check that every served request reached an endpoint

So far the check compared a number of arrivals with the number of served requests; if the hashes of prompts had not matched, "no refused attempt reached an endpoint" would have held for any product. Now each served prompt must be among the arrivals, found in the same way as the refused ones are looked for.

--- a/Tests/Processes/TestLeaving.cpp
+++ b/Tests/Processes/TestLeaving.cpp
@@ -60,17 +60,19 @@
     {
         INFO(m_firstFailure);
         CHECK(m_failed == 0);
-        std::set<QString> arrived;
+        std::set<QString> arrivals;
         for (const std::string& it : endpoints) {
-            const QStringList prompts = m_system.counters(it).value("arrivals_by_prompt").toObject().keys();
-            arrived.insert(prompts.begin(), prompts.end());
+            const QStringList hashes = m_system.counters(it).value("arrivals_by_prompt").toObject().keys();
+            arrivals.insert(hashes.begin(), hashes.end());
         }
-        CHECK(arrived.size() >= static_cast<size_t>(m_succeeded));
-        CHECK(std::ranges::none_of(m_refusedPrompts,
-            [&](const QString& it) { return arrived.contains(QString::fromStdString(sha256Hex(it.toStdString()))); }));
+        const auto hasArrived = [&](const QString& prompt) {
+            return arrivals.contains(QString::fromStdString(sha256Hex(prompt.toStdString())));
+        };
+        CHECK(std::ranges::all_of(m_servedPrompts, hasArrived));
+        CHECK(std::ranges::none_of(m_refusedPrompts, hasArrived));
     }
 
-    int succeeded() const { return m_succeeded; }
+    size_t succeeded() const { return m_servedPrompts.size(); }
 
 private:
     struct Request {
@@ -97,7 +99,7 @@
     {
         const std::unique_ptr<TestCall> call = std::move(request.call);
         if (call->isFinished() && call->status() == 200) {
-            ++m_succeeded;
+            m_servedPrompts.push_back(request.prompt);
         } else if (isRefusedInTime(*call)) {
             m_refusedPrompts.push_back(request.prompt);
             request.retryAt = QDeadlineTimer(errorOf(*call).value("retry_after_ms").toInteger());
@@ -124,10 +126,10 @@
     TestSystem& m_system;
     std::vector<std::string> m_nodes;
     std::vector<Request> m_requests;
+    std::vector<QString> m_servedPrompts;
     std::vector<QString> m_refusedPrompts;
     int m_started { 0 };
     int m_sent { 0 };
-    int m_succeeded { 0 };
     int m_failed { 0 };
     std::string m_firstFailure;
 };
@@ -166,7 +168,7 @@
         // Requests that were dispatched earlier may still be on their way to the endpoint.
         load.finish();
         const int arrivals = system.counters(endpoint).value("arrivals").toInt();
-        const int before = load.succeeded();
+        const size_t before = load.succeeded();
         REQUIRE(waitFor([&] {
             load.step(6);
             return load.succeeded() > before + 150;
