LibGateway: Send held events with the head of the endpoint that sent them

What callers would see: a stream whose first events were held back for the record of its origin, and whose endpoint broke off meanwhile, began with status 0, or with the status of the next endpoint's error, above the first endpoint's signature and events.

Cause: the header fields were kept from the first endpoint, the status was taken from the latest attempt at the time at which the events left.

Ruled out: streams that are not held back; their head leaves with their first event.

Change: the head (status and header fields together) is kept when the first event arrives. The head of the latest response is separate.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -213,6 +213,7 @@
     m_attemptedAt = m_environment.clock.now();
     m_events = {};
     m_head = {};
+    m_answer = {};
     m_body.clear();
     m_receivedBytes = 0;
 }
@@ -367,12 +368,9 @@
         abandonCall("the response lacks the endpoint's signature");
         return;
     }
-    // A resumed stream keeps the headers of its first endpoint.
-    if (m_hasStreamBegun || !m_heldEvents.isEmpty())
-        return;
-    m_headers = headers.without(relayedEndpointField);
+    m_answer = { status, headers.without(relayedEndpointField) };
     if (m_isFromPeer)
-        m_headers.add(relayedEndpointField, QByteArray::fromStdString(m_endpoint));
+        m_answer.headers.add(relayedEndpointField, QByteArray::fromStdString(m_endpoint));
 }
 
 void ForwardedCall::onData(const QByteArray& data)
@@ -413,6 +411,7 @@
     // The peer that forwards the request records where the stream began.
     if (!m_origin && !m_isRelayed)
         recordOrigin();
+    keepStreamHead();
     if (m_isHolding) {
         m_heldEvents += event.bytes;
         return;
@@ -421,6 +420,12 @@
     m_exchange->sendChunk(event.bytes);
 }
 
+void ForwardedCall::keepStreamHead()
+{
+    if (!hasStreamEvents())
+        m_streamHead = m_answer;
+}
+
 std::optional<std::string> ForwardedCall::defaultVersion() const
 {
     const auto version = m_environment.origins.defaultVersion(m_service);
@@ -486,7 +491,7 @@
         m_firstByteAt = m_environment.clock.now();
     if (std::exchange(m_hasStreamBegun, true))
         return;
-    m_exchange->startStream(m_head.status, m_headers);
+    m_exchange->startStream(m_streamHead.status, m_streamHead.headers);
 }
 
 void ForwardedCall::onFinished()
@@ -531,6 +536,7 @@
     }
     m_prompt.recordAnswer();
     m_slot.release(EndpointOutcome::Answered);
+    keepStreamHead();
     if (m_isHolding)
         m_isEndHeld = true;
     else
@@ -551,7 +557,7 @@
         refuse(ErrorKind::EndpointFailed, "the peer refused another attempt");
         return;
     }
-    m_exchange->answer({ .status = m_head.status, .headers = m_headers, .body = m_body });
+    m_exchange->answer({ .status = m_answer.status, .headers = m_answer.headers, .body = m_body });
     finish("refused_by_peer", "the peer answered " + std::to_string(m_head.status));
 }
 
@@ -583,7 +589,7 @@
         refuse(ErrorKind::EndpointFailed, "the endpoint answered " + std::to_string(m_head.status));
         return;
     }
-    m_exchange->answer({ .status = m_head.status, .headers = m_headers, .body = m_body });
+    m_exchange->answer({ .status = m_answer.status, .headers = m_answer.headers, .body = m_body });
     finish(isFailure ? "failed" : "answered", isFailure ? "the endpoint answered with a server error" : "");
 }
 
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -4,6 +4,7 @@
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/OriginLookup.h>
 #include <LibGateway/PromptAttempts.h>
+#include <LibGateway/ResponseHead.h>
 #include <LibGateway/SlotHandle.h>
 #include <LibHTTP/HttpExchange.h>
 
@@ -68,6 +69,10 @@
     /// Passes on that a peer did not run the request.
     void handlePeerRefusal();
     bool isStreaming() const;
+    /// Returns whether events have arrived, from any attempt of this call, that were passed on or are held back.
+    bool hasStreamEvents() const { return m_hasStreamBegun || !m_heldEvents.isEmpty(); }
+    /// Makes the head of the current response that of the stream, unless the stream has one.
+    void keepStreamHead();
     void forwardEvent(const StreamEvent&);
     /// Records where the stream began, now that its first event has arrived. Events are held back meanwhile.
     void recordOrigin();
@@ -144,7 +149,10 @@
     bool m_isDone { false };
 
     EndpointAnswerHead m_head;
-    HttpHeaders m_headers;
+    /// Head of the response to the latest attempt, as it is passed on to the caller.
+    ResponseHead m_answer;
+    /// Head of the response that brought the first event of the stream, also if that is held back.
+    ResponseHead m_streamHead;
     QByteArray m_body;
     EventStreamReader m_events;
     /// Bytes of the body that this attempt has received.
--- /dev/null
+++ b/Libraries/LibGateway/ResponseHead.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <LibHTTP/HttpMessage.h>
+
+namespace Chicorydock {
+
+/// Status and header fields of a response.
+struct ResponseHead {
+    int status { 0 };
+    HttpHeaders headers;
+
+    bool operator==(const ResponseHead&) const = default;
+};
+
+}
