LibGateway: Take no answer to a resumed stream for the answer to its caller

What callers would see: a stream broke off while its first events were held back, the next endpoint answered the request to resume with an error or a complete response, and the caller got that status and body under the first endpoint's head and signature; the held events were gone. After the first byte the stream was broken although the route allowed another attempt.

Cause: `handleCompleteAnswer()` asked only whether a byte had left.

Ruled out: an answer after an attempt without events (test added; it passed before), a peer's failure with 502 and its refusal with 503, and the statement that the request was not run.

Change: once events have arrived, a response that is no event stream is a failed attempt. The stream is resumed at another endpoint if the route allows it. Otherwise it is broken, or, before any byte has left, the caller gets 502 without a signature, because the request may have run. A peer has made its attempts, so none is added there.

The new tests failed before. A peer's 404: "404 == 502". Third endpoint: calls "2 == 3".

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -561,12 +561,26 @@
     finish("refused_by_peer", "the peer answered " + std::to_string(m_head.status));
 }
 
+void ForwardedCall::handleAnswerToResumedStream()
+{
+    const std::string reason = "the endpoint answered a resumed stream with " + std::to_string(m_head.status);
+    // A peer has used the attempts of the route itself.
+    if (m_isRelayed)
+        refuse(ErrorKind::EndpointFailed, reason);
+    else
+        handleFailedAttempt(reason);
+}
+
 void ForwardedCall::handleCompleteAnswer()
 {
     if (m_isRelayed && impliesNotExecuted(m_head.status)) {
         handlePeerRefusal();
         return;
     }
+    if (hasStreamEvents()) {
+        handleAnswerToResumedStream();
+        return;
+    }
     const bool isFailure = m_head.status >= 500;
     // A peer has used the attempts of the route itself.
     if (isFailure && m_head.status != 504 && !m_isRelayed && canRetryElsewhere()) {
@@ -577,12 +591,6 @@
         m_prompt.recordAnswer();
     m_slot.release(EndpointOutcome::Answered);
     m_firstByteAt = m_environment.clock.now();
-    if (m_hasStreamBegun) {
-        // The endpoint answered the request to resume with a complete response, so the stream cannot continue.
-        m_exchange->abortStream();
-        finish("broken", "the endpoint answered a resumed stream with " + std::to_string(m_head.status));
-        return;
-    }
     if (impliesNotExecuted(m_head.status)) {
         // The endpoint did not state that it did not run the request, so the caller must not conclude it from the
         // status.
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -86,6 +86,8 @@
     void beginStream();
     void finishStream();
     void handleCompleteAnswer();
+    /// Handles a complete response to the request to continue a stream that has events. It is no part of the stream.
+    void handleAnswerToResumedStream();
     void handleStreamEnd();
     /// Handles a response that states that the endpoint did not run the request.
     void handleNotRun();
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -39,6 +39,14 @@
         forward(makeRequest(target, "q1", std::move(extra)));
     }
 
+    void setMaxAttempts(uint32_t attempts)
+    {
+        GatewayConfiguration configuration = *environment.configuration;
+        for (GatewayRoute& it : configuration.routes)
+            it.maxAttempts = attempts;
+        environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    }
+
     /// The endpoint of the latest call begins to respond.
     void beginResponse(int status, const HttpHeaders& headers)
     {
@@ -46,6 +54,25 @@
         http.headers(status, headers);
     }
 
+    /// The endpoint of the latest call sends a whole response, unless the call is cancelled.
+    void respond(const HttpResponse& response)
+    {
+        beginResponse(response.status, response.headers);
+        if (!response.body.isEmpty() && !http.last().isCancelled)
+            http.data(response.body);
+        if (!http.last().isCancelled)
+            http.finish();
+        settle();
+    }
+
+    /// From now on, a peer forwards the requests of this node.
+    void loseEndpoints()
+    {
+        relayPeers.peers = { { "peer", peerAddress, PeerDistance::FailureDomain, 3 } };
+        for (const char* it : { "e0", "e1", "e2" })
+            links.recordFailure(it, clock.now());
+    }
+
     /// The first endpoint begins a stream and breaks off, and the stream is resumed at the next one.
     void breakOff(Begun begun)
     {
@@ -63,6 +90,8 @@
         if (begun == Begun::Sent)
             rows.deliver();
     }
+
+    static constexpr const char* peerAddress = "10.0.0.99:7660";
 };
 
 /// What the caller has got.
@@ -91,6 +120,18 @@
     return outcome;
 }
 
+HttpHeaders streamHeaders(HttpHeaders extra = {})
+{
+    extra.add("Content-Type", "text/event-stream");
+    extra.add("Server-Signature", "second");
+    return extra;
+}
+
+HttpResponse answer(int status, const QByteArray& contentType, const QByteArray& body)
+{
+    return { status, { { "Content-Type", contentType }, { "Server-Signature", "second" } }, body };
+}
+
 }
 
 // Guards against a status or signature that belongs to another endpoint than the events below it.
@@ -108,3 +149,93 @@
     CHECK(outcome.signature() == "first");
     CHECK(outcome.body == event(1) + event(2));
 }
+
+// Guards against an error's text or head in the middle of a stream, under the signature of another endpoint, and
+// against one that ends the stream as if it were complete.
+TEST_CASE("an answer that cannot continue a stream ends it as broken, or fails if nothing has been sent")
+{
+    const HttpResponse next = GENERATE(answer(202, "text/event-stream", event(3)), answer(204, "text/plain", {}),
+        answer(302, "text/html", "elsewhere"), answer(404, "application/json", "{}\n\n"),
+        answer(422, "text/event-stream", event(3)), answer(500, "text/event-stream", event(3)),
+        answer(504, "text/plain", "late"), HttpResponse { 200, {}, event(3) },
+        HttpResponse { 503, { { "Not-Executed", "1" }, { "Server-Signature", "second" } }, "busy" });
+    const Begun begun = GENERATE(Begun::Held, Begun::Sent);
+    const Outcome outcome = play("v2", [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.breakOff(begun);
+        it.respond(next);
+        it.rows.deliver();
+    });
+    INFO("status " << next.status);
+    CHECK(outcome.calls == 2);
+    CHECK(outcome.status == (begun == Begun::Sent ? 200 : 502));
+    CHECK(outcome.isAborted == (begun == Begun::Sent));
+    CHECK(outcome.isFinished == (begun == Begun::Held));
+    if (begun == Begun::Sent) {
+        CHECK(outcome.signature() == "first");
+        CHECK(outcome.body == event(1) + event(2));
+    } else {
+        CHECK_FALSE(outcome.signature());
+        CHECK_FALSE(outcome.body.contains("d1"));
+    }
+}
+
+// Guards against the same when a peer has taken the place of the endpoint.
+TEST_CASE("an answer of a peer that cannot continue a stream ends it as broken, or fails if nothing has been sent")
+{
+    const HttpResponse next = GENERATE(answer(404, "application/json", "{}"), HttpResponse { 502, {}, "failed" },
+        HttpResponse { 503, { { "Retry-After", "0.5" } }, "refused" });
+    const Begun begun = GENERATE(Begun::Held, Begun::Sent);
+    bool isAtPeer = false;
+    const Outcome outcome = play("v2", [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.beginStream(begun);
+        it.loseEndpoints();
+        it.http.fail(Phase::Answering);
+        StreamFixture::settle();
+        isAtPeer = it.http.last().request.address == StreamFixture::peerAddress;
+        it.respond(next);
+        it.rows.deliver();
+    });
+    INFO("status " << next.status);
+    CHECK(isAtPeer);
+    CHECK(outcome.status == (begun == Begun::Sent ? 200 : 502));
+    CHECK(outcome.isAborted == (begun == Begun::Sent));
+    if (begun == Begun::Sent)
+        CHECK(outcome.body == event(1) + event(2));
+    else
+        CHECK_FALSE(outcome.signature());
+}
+
+// Guards against a stream that is given up although another endpoint could have continued it.
+TEST_CASE("a stream is resumed at a third endpoint if the second one cannot continue it and the route allows it")
+{
+    const Begun begun = GENERATE(Begun::Held, Begun::Sent);
+    const Outcome outcome = play("v2", [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.setMaxAttempts(3);
+        it.breakOff(begun);
+        it.respond(answer(404, "application/json", "{}"));
+        if (it.http.count() == 3)
+            it.respond({ 200, streamHeaders(), event(3) });
+        it.rows.deliver();
+    });
+    CHECK(outcome.calls == 3);
+    CHECK(outcome.status == 200);
+    CHECK(outcome.signature() == "first");
+    CHECK(outcome.body == event(1) + event(2) + event(3));
+    CHECK(outcome.isFinished);
+}
+
+// Guards against an answer that is not the one of the endpoint whose signature it bears.
+TEST_CASE("an answer after an attempt without events is passed on whole, with its own head")
+{
+    const HttpResponse next = GENERATE(answer(202, "text/event-stream", event(3)), answer(204, "text/plain", {}),
+        answer(404, "application/json", "{}\n\n"), answer(500, "text/event-stream", event(3)),
+        answer(504, "text/plain", "late"));
+    const Outcome outcome = play("v2", [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.breakOff(Begun::Nothing);
+        it.respond(next);
+    });
+    CHECK(outcome.status == next.status);
+    CHECK(outcome.signature() == "second");
+    CHECK(outcome.body == next.body);
+    CHECK(outcome.isFinished);
+}
