LibGateway: Move the caller's stream to a class of its own

`CallerStream` keeps the head of the stream and the events that are held back, and knows whether a byte has left. `ForwardedCall` keeps the decisions.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -90,6 +90,7 @@
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
     , m_isFromPeer(m_exchange->request().headers.find(relayField).has_value())
     , m_lastEventId(m_request.lastEventId.value_or(0))
+    , m_stream(*m_exchange)
 {
     for (QTimer* it : { &m_deadlineTimer, &m_idleTimer, &m_holdTimer })
         it->setSingleShot(true);
@@ -411,19 +412,7 @@
     // The peer that forwards the request records where the stream began.
     if (!m_origin && !m_isRelayed)
         recordOrigin();
-    keepStreamHead();
-    if (m_isHolding) {
-        m_heldEvents += event.bytes;
-        return;
-    }
-    beginStream();
-    m_exchange->sendChunk(event.bytes);
-}
-
-void ForwardedCall::keepStreamHead()
-{
-    if (!hasStreamEvents())
-        m_streamHead = m_answer;
+    m_stream.send(m_answer, event.bytes);
 }
 
 std::optional<std::string> ForwardedCall::defaultVersion() const
@@ -445,13 +434,13 @@
 void ForwardedCall::handleHoldTimeout()
 {
     // A complete stream is not resumed.
-    if (m_isEndHeld || !defaultVersion()) {
+    if (m_stream.isEndHeld() || !defaultVersion()) {
         releaseEvents();
         return;
     }
     m_call.reset();
     m_slot.release(EndpointOutcome::Cancelled);
-    m_isHolding = false;
+    m_stream.discard();
     refuse(ErrorKind::EndpointFailed, "the store does not record where the stream began");
 }
 
@@ -463,9 +452,10 @@
     if (m_route.shares.size() == 1 && !m_environment.origins.needsRecord(*m_origin))
         return;
     const bool isRequired = defaultVersion().has_value();
-    m_isHolding = isRequired || !m_environment.origins.isFailing();
-    if (m_isHolding)
+    if (isRequired || !m_environment.origins.isFailing()) {
+        m_stream.hold();
         m_holdTimer.start(isRequired ? maxRequiredHoldTime : maxHoldTime);
+    }
     m_environment.origins.record(m_request.id, *m_origin, [this, lifetime = m_lifetime] {
         if (*lifetime)
             releaseEvents();
@@ -475,23 +465,8 @@
 void ForwardedCall::releaseEvents()
 {
     m_holdTimer.stop();
-    if (m_isDone || !std::exchange(m_isHolding, false))
-        return;
-    if (!m_heldEvents.isEmpty()) {
-        beginStream();
-        m_exchange->sendChunk(std::exchange(m_heldEvents, {}));
-    }
-    if (m_isEndHeld)
-        finishStream();
-}
-
-void ForwardedCall::beginStream()
-{
-    if (!m_firstByteAt)
-        m_firstByteAt = m_environment.clock.now();
-    if (std::exchange(m_hasStreamBegun, true))
-        return;
-    m_exchange->startStream(m_streamHead.status, m_streamHead.headers);
+    if (!m_isDone && m_stream.release())
+        finish("answered", "");
 }
 
 void ForwardedCall::onFinished()
@@ -526,7 +501,7 @@
 void ForwardedCall::handleStreamEnd()
 {
     // A response without a length ends with its connection, also if the endpoint crashes.
-    const bool hasEvents = m_hasStreamBegun || m_lastEventId > 0;
+    const bool hasEvents = m_stream.hasBegun() || m_lastEventId > 0;
     if (m_events.hasPartialEvent() || !hasEvents) {
         if (!m_isRelayed)
             m_prompt.recordBrokenStream();
@@ -536,24 +511,16 @@
     }
     m_prompt.recordAnswer();
     m_slot.release(EndpointOutcome::Answered);
-    keepStreamHead();
-    if (m_isHolding)
-        m_isEndHeld = true;
-    else
-        finishStream();
-}
-
-void ForwardedCall::finishStream()
-{
-    beginStream();
-    m_exchange->finishStream();
-    finish("answered", "");
+    if (!m_firstByteAt)
+        m_firstByteAt = m_environment.clock.now();
+    if (m_stream.finish(m_answer))
+        finish("answered", "");
 }
 
 void ForwardedCall::handlePeerRefusal()
 {
     m_mayHaveRun = m_mayHaveRunBefore;
-    if (m_mayHaveRun || m_hasStreamBegun) {
+    if (m_mayHaveRun || m_stream.hasBegun()) {
         refuse(ErrorKind::EndpointFailed, "the peer refused another attempt");
         return;
     }
@@ -577,7 +544,7 @@
         handlePeerRefusal();
         return;
     }
-    if (hasStreamEvents()) {
+    if (m_stream.hasEvents()) {
         handleAnswerToResumedStream();
         return;
     }
@@ -683,7 +650,7 @@
 
 void ForwardedCall::handleDeadline()
 {
-    if (m_isEndHeld) {
+    if (m_stream.isEndHeld()) {
         releaseEvents();
         return;
     }
@@ -701,8 +668,8 @@
 
 void ForwardedCall::refuse(ErrorKind kind, const std::string& reason, std::optional<Milliseconds> retryAfter)
 {
-    if (m_hasStreamBegun) {
-        m_exchange->abortStream();
+    if (m_stream.hasBegun()) {
+        m_stream.abort();
         finish("broken", reason);
         return;
     }
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/CallerStream.h>
 #include <LibGateway/EventStreamReader.h>
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/OriginLookup.h>
@@ -69,10 +70,6 @@
     /// Passes on that a peer did not run the request.
     void handlePeerRefusal();
     bool isStreaming() const;
-    /// Returns whether events have arrived, from any attempt of this call, that were passed on or are held back.
-    bool hasStreamEvents() const { return m_hasStreamBegun || !m_heldEvents.isEmpty(); }
-    /// Makes the head of the current response that of the stream, unless the stream has one.
-    void keepStreamHead();
     void forwardEvent(const StreamEvent&);
     /// Records where the stream began, now that its first event has arrived. Events are held back meanwhile.
     void recordOrigin();
@@ -83,8 +80,6 @@
     std::optional<std::string> requiredVersion() const;
     void handleHoldTimeout();
     void releaseEvents();
-    void beginStream();
-    void finishStream();
     void handleCompleteAnswer();
     /// Handles a complete response to the request to continue a stream that has events. It is no part of the stream.
     void handleAnswerToResumedStream();
@@ -153,20 +148,14 @@
     EndpointAnswerHead m_head;
     /// Head of the response to the latest attempt, as it is passed on to the caller.
     ResponseHead m_answer;
-    /// Head of the response that brought the first event of the stream, also if that is held back.
-    ResponseHead m_streamHead;
     QByteArray m_body;
     EventStreamReader m_events;
     /// Bytes of the body that this attempt has received.
     qsizetype m_receivedBytes { 0 };
-    bool m_hasStreamBegun { false };
     /// Last event that was received, also if it is held back.
     uint64_t m_lastEventId { 0 };
-    /// Events that wait until the store knows where the stream began.
-    QByteArray m_heldEvents;
-    bool m_isHolding { false };
-    /// Whether the stream is complete but for the events held back.
-    bool m_isEndHeld { false };
+    /// Its events are held back until the store knows where the stream began.
+    CallerStream m_stream;
     std::optional<MonotonicTime> m_sentAt;
     /// When the latest attempt began, and whether its request was handed to a connection.
     MonotonicTime m_attemptedAt;
