LibGateway: Take a success of another type for no event stream

What callers would see: an endpoint answered a request for a stream, or to resume one, with status 200 and a page of another type; the parts of the page that end with an empty line were sent as events, in the middle of the stream. A page as the first answer ended as 502. An item with output from an earlier run was completed by such a page.

Cause: status 200 was taken for an event stream whatever its type.

Ruled out: responses without a type; they are taken for event streams as before, because nothing says that endpoints state one.

Change: a 200 with another `Content-Type` is a complete answer for requests (whole, with its own head, or a failed attempt if events have arrived) and a failed run for items.

The new tests failed before: "502 == 200" for a page as the first answer, "200 == 502" for one after held events, the body contained the page and the stream was not aborted after sent ones; the output of the item was "d1\nd2" in place of "d1\nd2\nd3".

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -352,7 +352,7 @@
                          : std::max(minFirstEventTimeout, m_route.latencyTarget * firstEventTimeoutFactor);
 }
 
-bool ForwardedCall::isStreaming() const { return m_route.kind == RouteKind::Stream && m_head.status == 200; }
+bool ForwardedCall::isStreaming() const { return m_route.kind == RouteKind::Stream && m_answer.isEventStream(); }
 
 void ForwardedCall::onHeaders(int status, const HttpHeaders& headers)
 {
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -222,6 +222,7 @@
 void ItemRun::onHeaders(int status, const HttpHeaders& headers)
 {
     m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_slotAcquiredAt);
+    m_answer = { status, headers };
     m_environment.links.recordResponse(m_endpoint, m_slotAcquiredAt);
     m_idleTimer.start(m_idleTimeout);
     if (m_head.isUnsignedSuccess())
@@ -231,9 +232,9 @@
 void ItemRun::onData(const QByteArray& data)
 {
     m_receivedBytes += data.size();
-    if (m_head.status != 200 && m_receivedBytes > maxAnswerBytes)
+    if (!m_answer.isEventStream() && m_receivedBytes > maxAnswerBytes)
         abandonCall("the answer of the endpoint has no end");
-    if (m_head.status != 200 || !m_call)
+    if (!m_answer.isEventStream() || !m_call)
         return;
     for (const StreamEvent& it : m_events.consume(data)) {
         m_prompt.recordEvent();
@@ -268,12 +269,12 @@
     }
     // A response without a length ends with its connection, also if the endpoint crashes.
     const bool isComplete = !m_events.hasPartialEvent() && m_hasOutput;
-    if (m_head.status == 200 && !isComplete) {
+    if (m_answer.isEventStream() && !isComplete) {
         m_prompt.recordBrokenStream();
         handleFailure("the event stream of the endpoint ended early");
         return;
     }
-    if (m_head.status == 200) {
+    if (m_answer.isEventStream()) {
         m_prompt.recordAnswer();
         releaseSlot(EndpointOutcome::Answered);
         finish(true, "");
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -4,6 +4,7 @@
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/JobTypes.h>
 #include <LibGateway/PromptAttempts.h>
+#include <LibGateway/ResponseHead.h>
 #include <LibGateway/SlotHandle.h>
 
 #include <QJsonObject>
@@ -98,6 +99,8 @@
     std::optional<StreamOrigin> m_origin;
     std::unique_ptr<HttpCall> m_call;
     EndpointAnswerHead m_head;
+    /// Head of the response to the latest run that has one.
+    ResponseHead m_answer;
     EventStreamReader m_events;
     QByteArray m_output;
     bool m_hasOutput { false };
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -1,4 +1,5 @@
 #include <LibGateway/ForwardedCall.h>
+#include <LibGateway/ItemRun.h>
 
 #include "ForwardingFixture.h"
 
@@ -239,3 +240,95 @@
     CHECK(outcome.body == next.body);
     CHECK(outcome.isFinished);
 }
+
+// Guards against a text in the middle of a stream that is an answer of its own.
+TEST_CASE("a success that is no event stream is not taken for events")
+{
+    const QByteArray page = "<p>\n\n</p>\n\n";
+    const Begun begun = GENERATE(Begun::Nothing, Begun::Held, Begun::Sent);
+    const Outcome outcome = play("v2", [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.breakOff(begun);
+        it.respond(answer(200, "text/html; charset=utf-8", page));
+        it.rows.deliver();
+    });
+    if (begun == Begun::Nothing) {
+        CHECK(outcome.status == 200);
+        CHECK(outcome.signature() == "second");
+        CHECK(outcome.body == page);
+        return;
+    }
+    CHECK(outcome.status == (begun == Begun::Sent ? 200 : 502));
+    CHECK(outcome.isAborted == (begun == Begun::Sent));
+    CHECK_FALSE(outcome.body.contains("<p>"));
+}
+
+namespace {
+
+/// A node that runs one item.
+struct ItemFixture : StreamFixture {
+    const ItemRun::Job job { "j", "b", "h.example", clock.now() + std::chrono::seconds { 18 },
+        clock.now() + std::chrono::seconds { 60 } };
+    std::optional<JobResult> result;
+    ItemRun run { environment, job, { "i", "/b/1", {}, "body", 10 }, [this](JobResult it) { result = it; } };
+
+    ItemFixture()
+    {
+        run.start();
+        settle();
+    }
+
+    void continueRun()
+    {
+        run.suspend();
+        run.start();
+        settle();
+    }
+
+    /// The first endpoint breaks off after two events.
+    void breakOff()
+    {
+        beginResponse(200, streamHeaders());
+        http.data(event(1) + event(2));
+        http.fail(Phase::Answering);
+        continueRun();
+    }
+};
+
+struct ItemOutcome {
+    std::optional<JobResult> result;
+    size_t calls { 0 };
+    std::optional<QByteArray> lastEventId;
+
+    QByteArray output() const { return result ? result->output : QByteArray("no result"); }
+};
+
+/// Runs the function with an item on simulated time, and returns the result of the item in the end.
+ItemOutcome playItem(const std::function<void(ItemFixture&)>& run)
+{
+    ItemOutcome outcome;
+    runOnSimulatedTime([&](SimulatedEventLoop&) {
+        ItemFixture fixture;
+        run(fixture);
+        outcome = { fixture.result, fixture.http.count(), fixture.http.last().request.headers.find("Last-Event-Id") };
+    });
+    return outcome;
+}
+
+}
+
+// Guards against an item that is completed by an answer that is no part of its output.
+TEST_CASE("an answer that cannot continue an item does not complete it")
+{
+    const HttpResponse next = GENERATE(answer(200, "text/html", "<p>\n\n</p>\n\n"), answer(200, "text/html", event(3)),
+        answer(202, "text/event-stream", event(3)), answer(404, "text/plain", "no"));
+    const ItemOutcome outcome = playItem([&](ItemFixture& it) {
+        it.breakOff();
+        it.respond(next);
+        if (it.result)
+            return;
+        it.continueRun();
+        it.respond({ 200, streamHeaders(), event(3) });
+    });
+    CHECK(outcome.calls == 3);
+    CHECK(outcome.output() == "d1\nd2\nd3");
+}
