LibGateway: Lose no event whose identifier is not a number

What callers would see: an event with an identifier that is not a number, or an empty one, was missing from a stream that ended as complete. The output of an item lacked it, too.

Cause: the identifier was read as 0, and an event up to the last one counts as a repetition.

Ruled out: events without an identifier; they reached the caller before, too.

Change: such an event has no number and reaches the caller. A run of an item that brings one fails, because its place in the output is not known. Open, as before: an item skips events without any identifier.

The new tests failed before: the body lacked "id: a\ndata: x", or was empty and not finished; the item was completed in the first run (calls "1 == 2").

--- a/Libraries/LibGateway/EventStreamReader.cpp
+++ b/Libraries/LibGateway/EventStreamReader.cpp
@@ -24,6 +24,13 @@
         return value;
     }
 
+    std::optional<uint64_t> number(const QByteArray& text)
+    {
+        bool isValid = false;
+        const qulonglong value = text.toULongLong(&isValid);
+        return isValid ? std::optional<uint64_t>(value) : std::nullopt;
+    }
+
 }
 
 std::vector<StreamEvent> EventStreamReader::consume(const QByteArray& bytes)
@@ -51,8 +58,10 @@
     bool hasData = false;
     for (const QByteArray& it : event.bytes.split('\n')) {
         const QByteArray line = withoutLineEnd(it);
-        if (line.startsWith("id:"))
-            event.id = fieldValue(line, 2).toULongLong();
+        if (line.startsWith("id:")) {
+            event.id = number(fieldValue(line, 2));
+            event.hasMalformedId = !event.id;
+        }
         if (!line.startsWith("data:"))
             continue;
         if (std::exchange(hasData, true))
--- a/Libraries/LibGateway/EventStreamReader.h
+++ b/Libraries/LibGateway/EventStreamReader.h
@@ -10,11 +10,14 @@
 
 /// One event of a `text/event-stream`.
 struct StreamEvent {
+    /// Empty if the event has no identifier, or one that is not a number.
     std::optional<uint64_t> id;
     /// Values of the data lines, separated by line feeds.
     QByteArray data;
     /// The bytes as received, including the empty line that ends the event.
     QByteArray bytes;
+    /// Whether the event has an identifier that is not a number.
+    bool hasMalformedId { false };
 
     bool operator==(const StreamEvent&) const = default;
 };
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -238,6 +238,10 @@
         return;
     for (const StreamEvent& it : m_events.consume(data)) {
         m_prompt.recordEvent();
+        if (it.hasMalformedId) {
+            abandonCall("an event of the endpoint has an identifier that is not a number");
+            return;
+        }
         if (!it.id || *it.id <= m_lastEventId)
             continue;
         if (m_lastEventId > 0 && *it.id > m_lastEventId + 1) {
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -121,6 +121,8 @@
     return outcome;
 }
 
+Outcome play(const std::function<void(StreamFixture&, SimulatedEventLoop&)>& run) { return play("", run); }
+
 HttpHeaders streamHeaders(HttpHeaders extra = {})
 {
     extra.add("Content-Type", "text/event-stream");
@@ -262,6 +264,21 @@
     CHECK_FALSE(outcome.body.contains("<p>"));
 }
 
+// Guards against events that are lost because of their number.
+TEST_CASE("events without a number reach the caller")
+{
+    const QByteArray stream
+        = GENERATE(as<QByteArray> {}, event(1) + "id: a\ndata: x\n\n" + event(2), "id: a\ndata: x\n\nid:\ndata: y\n\n",
+            "data: x\n\ndata: x\n\n", event(1) + "id: -1\ndata: x\n\n", event(1) + "data: [DONE]\n\n");
+    const QByteArray target = GENERATE(as<QByteArray> {}, "/s/1", "/u/1");
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop&) {
+        it.request(target);
+        it.respond({ 200, streamHeaders(), stream });
+    });
+    CHECK(outcome.body == stream);
+    CHECK(outcome.isFinished);
+}
+
 namespace {
 
 /// A node that runs one item.
@@ -332,3 +349,23 @@
     CHECK(outcome.calls == 3);
     CHECK(outcome.output() == "d1\nd2\nd3");
 }
+
+// Guards against an item without a piece of its output, or with pieces of another run.
+TEST_CASE("an item whose events cannot be put in order is not completed by that run")
+{
+    const QByteArray wrong = "id: a\ndata: x\n\n" + event(3);
+    const ItemOutcome outcome = playItem([&](ItemFixture& it) {
+        it.beginResponse(200, streamHeaders());
+        it.http.data(event(1) + event(2));
+        it.http.data(wrong);
+        if (!it.http.last().isCancelled)
+            it.http.finish();
+        if (it.result)
+            return;
+        it.continueRun();
+        it.respond({ 200, streamHeaders(), event(3) });
+    });
+    CHECK(outcome.calls == 2);
+    CHECK(outcome.lastEventId == "2");
+    CHECK(outcome.output() == "d1\nd2\nd3");
+}
