LibGateway: Check the order of events within each run of a stream

What callers would see: an endpoint that began anew within its response (1, 2, 1, 2, 3), or that gave two events the same number, had its events skipped as repetitions until they passed the last one; event 3 of the other run, or the event after a lost piece, continued the stream as if it belonged to it. A stream that numbers its events from 0 lost the first one. The same for items.

Cause: an event up to the last one counted as repeated wherever it came, and 0 stood for no event.

Ruled out: an event that an endpoint sends twice in succession, byte for byte; it was skipped before and is now (test added). Gaps were found before.

Change: `EventSequence` knows the last event of the stream and of the current run. Within a run each event follows the one before by one; otherwise the attempt fails and the stream is resumed elsewhere after its last event, or broken.

--- /dev/null
+++ b/Libraries/LibGateway/EventSequence.cpp
@@ -0,0 +1,29 @@
+#include <LibGateway/EventSequence.h>
+
+namespace Chicorydock {
+
+void EventSequence::beginRun() { m_runEvent.reset(); }
+
+bool EventSequence::isNextInRun(uint64_t id) const
+{
+    if (m_runEvent)
+        return id == *m_runEvent->id + 1;
+    return !m_lastId || id <= *m_lastId + 1;
+}
+
+EventSequence::Place EventSequence::add(const StreamEvent& event)
+{
+    if (!event.id)
+        return Place::New;
+    if (event == m_runEvent)
+        return Place::Repeated;
+    if (!isNextInRun(*event.id))
+        return Place::OutOfOrder;
+    m_runEvent = event;
+    if (m_lastId && *event.id <= *m_lastId)
+        return Place::Repeated;
+    m_lastId = event.id;
+    return Place::New;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/EventSequence.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <LibGateway/EventStreamReader.h>
+
+#include <QByteArray>
+
+#include <cstdint>
+#include <optional>
+
+namespace Chicorydock {
+
+/// The events of a stream that several endpoints bring one after the other. The first one numbers its events in
+/// ascending order without gaps; each of the others repeats some of them or none, and continues after the last one.
+///
+/// Thread safety: none.
+class EventSequence final {
+public:
+    enum class Place : uint8_t {
+        /// The event continues the stream.
+        New,
+        /// The event has been received before.
+        Repeated,
+        /// An event is missing before this one, or it belongs to another stream.
+        OutOfOrder,
+    };
+
+    /// `lastId` is the last event that was received before, if any.
+    explicit EventSequence(std::optional<uint64_t> lastId = {})
+        : m_lastId(lastId)
+    {
+    }
+
+    /// Begins the events of the next endpoint.
+    void beginRun();
+
+    /// Adds the next event of the current endpoint.
+    Place add(const StreamEvent&);
+
+    /// Returns the number of the last event that continued the stream.
+    std::optional<uint64_t> lastId() const { return m_lastId; }
+
+private:
+    /// Returns whether an event with that number may follow in the current run.
+    bool isNextInRun(uint64_t id) const;
+
+    std::optional<uint64_t> m_lastId;
+    /// Last numbered event of the current run.
+    std::optional<StreamEvent> m_runEvent;
+};
+
+}
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -89,6 +89,7 @@
     , m_fingerprint(requestFingerprint(m_exchange->request()))
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
     , m_isFromPeer(m_exchange->request().headers.find(relayField).has_value())
+    , m_sequence(m_request.lastEventId.value_or(0) > 0 ? m_request.lastEventId : std::nullopt)
     , m_lastEventId(m_request.lastEventId.value_or(0))
     , m_stream(*m_exchange)
 {
@@ -217,6 +218,7 @@
     m_answer = {};
     m_body.clear();
     m_receivedBytes = 0;
+    m_sequence.beginRun();
 }
 
 void ForwardedCall::handleLostEndpoints()
@@ -388,11 +390,14 @@
     }
     for (const StreamEvent& it : m_events.consume(data)) {
         m_prompt.recordEvent();
-        if (it.id && m_lastEventId > 0 && *it.id > m_lastEventId + 1) {
-            abandonCall("the event stream of the endpoint has a gap");
+        const EventSequence::Place place = m_sequence.add(it);
+        if (place == EventSequence::Place::OutOfOrder) {
+            abandonCall("the events of the endpoint are out of order");
             return;
         }
-        forwardEvent(it);
+        // After a resume, the endpoint may repeat events that the caller has already received. They are no progress.
+        if (place == EventSequence::Place::New)
+            forwardEvent(it);
     }
     if (m_events.isOversized()) {
         abandonCall("an event of the endpoint has no end");
@@ -401,14 +406,10 @@
 
 void ForwardedCall::forwardEvent(const StreamEvent& event)
 {
-    // After a resume, the endpoint may repeat events that the caller has already received. They are no progress.
-    if (event.id && *event.id <= m_lastEventId)
-        return;
     if (!m_firstByteAt)
         m_firstByteAt = m_environment.clock.now();
     restartIdleTimer();
-    if (event.id)
-        m_lastEventId = *event.id;
+    m_lastEventId = m_sequence.lastId().value_or(0);
     // The peer that forwards the request records where the stream began.
     if (!m_origin && !m_isRelayed)
         recordOrigin();
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/CallerStream.h>
+#include <LibGateway/EventSequence.h>
 #include <LibGateway/EventStreamReader.h>
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/OriginLookup.h>
@@ -152,7 +153,9 @@
     EventStreamReader m_events;
     /// Bytes of the body that this attempt has received.
     qsizetype m_receivedBytes { 0 };
-    /// Last event that was received, also if it is held back.
+    /// Events that were received, also if they are held back.
+    EventSequence m_sequence;
+    /// Last event of the sequence, or 0.
     uint64_t m_lastEventId { 0 };
     /// Its events are held back until the store knows where the stream began.
     CallerStream m_stream;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -58,6 +58,7 @@
     m_lastEventId = progress.lastEventId;
     m_output = progress.output;
     m_hasOutput = m_lastEventId > 0;
+    m_sequence = EventSequence(m_hasOutput ? std::optional(m_lastEventId) : std::nullopt);
     m_collectedEventId = m_lastEventId;
     m_collectedBytes = m_output.size();
 }
@@ -146,6 +147,7 @@
     m_origin.reset();
     m_output.clear();
     m_hasOutput = false;
+    m_sequence = EventSequence();
     m_lastEventId = 0;
     m_collectedEventId = 0;
     m_collectedBytes = 0;
@@ -223,6 +225,7 @@
 {
     m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_slotAcquiredAt);
     m_answer = { status, headers };
+    m_sequence.beginRun();
     m_environment.links.recordResponse(m_endpoint, m_slotAcquiredAt);
     m_idleTimer.start(m_idleTimeout);
     if (m_head.isUnsignedSuccess())
@@ -242,12 +245,15 @@
             abandonCall("an event of the endpoint has an identifier that is not a number");
             return;
         }
-        if (!it.id || *it.id <= m_lastEventId)
+        if (!it.id)
             continue;
-        if (m_lastEventId > 0 && *it.id > m_lastEventId + 1) {
-            abandonCall("the event stream of the endpoint has a gap");
+        const EventSequence::Place place = m_sequence.add(it);
+        if (place == EventSequence::Place::OutOfOrder) {
+            abandonCall("the events of the endpoint are out of order");
             return;
         }
+        if (place == EventSequence::Place::Repeated)
+            continue;
         if (!m_origin)
             m_origin = { m_service, m_softwareVersion };
         m_lastEventId = *it.id;
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/EventSequence.h>
 #include <LibGateway/EventStreamReader.h>
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/JobTypes.h>
@@ -106,6 +107,9 @@
     bool m_hasOutput { false };
     /// Bytes of the body that this run has received.
     qsizetype m_receivedBytes { 0 };
+    /// Events that were received.
+    EventSequence m_sequence;
+    /// Last event of the sequence, or 0.
     uint64_t m_lastEventId { 0 };
     /// Last event and size of the output that `collectProgress()` has returned.
     uint64_t m_collectedEventId { 0 };
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -279,6 +279,52 @@
     CHECK(outcome.isFinished);
 }
 
+// Guards against a stream without its first event.
+TEST_CASE("an event with the number 0 reaches the caller")
+{
+    const Outcome outcome = play([](StreamFixture& it, SimulatedEventLoop&) {
+        it.request("/u/1");
+        it.respond({ 200, streamHeaders(), event(0) + event(1) });
+    });
+    CHECK(outcome.body == event(0) + event(1));
+    CHECK(outcome.isFinished);
+}
+
+// Guards against pieces of another run in a stream whose endpoint began anew, and against lost pieces.
+TEST_CASE("a stream whose events are out of order is resumed elsewhere, or broken")
+{
+    const QByteArray wrong
+        = GENERATE(as<QByteArray> {}, event(1) + event(2) + event(3), "id: 2\ndata: other\n\n" + event(3), event(4));
+    const QByteArray target = GENERATE(as<QByteArray> {}, "/s/1", "/u/1");
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop&) {
+        it.request(target);
+        it.beginResponse(200, streamHeaders());
+        it.http.data(event(1) + event(2));
+        it.http.data(wrong);
+        StreamFixture::settle();
+        if (it.http.count() == 2)
+            it.respond({ 200, streamHeaders(), event(3) });
+        else if (!it.http.last().isCancelled)
+            it.http.finish();
+    });
+    const bool isResumed = target == "/s/1";
+    CHECK(outcome.calls == (isResumed ? 2 : 1));
+    CHECK(outcome.body == event(1) + event(2) + (isResumed ? event(3) : QByteArray()));
+    CHECK(outcome.isFinished == isResumed);
+    CHECK(outcome.isAborted == !isResumed);
+}
+
+// Guards against an event that comes twice.
+TEST_CASE("an event that an endpoint sends twice is sent once")
+{
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop&) {
+        it.request("/u/1");
+        it.respond({ 200, streamHeaders(), event(1) + event(2) + event(2) + event(3) });
+    });
+    CHECK(outcome.body == event(1) + event(2) + event(3));
+    CHECK(outcome.isFinished);
+}
+
 namespace {
 
 /// A node that runs one item.
@@ -353,7 +399,8 @@
 // Guards against an item without a piece of its output, or with pieces of another run.
 TEST_CASE("an item whose events cannot be put in order is not completed by that run")
 {
-    const QByteArray wrong = "id: a\ndata: x\n\n" + event(3);
+    const QByteArray wrong = GENERATE(as<QByteArray> {}, event(1) + event(2) + event(3), event(4),
+        "id: 2\ndata: other\n\n" + event(3), "id: a\ndata: x\n\n" + event(3));
     const ItemOutcome outcome = playItem([&](ItemFixture& it) {
         it.beginResponse(200, streamHeaders());
         it.http.data(event(1) + event(2));
@@ -369,3 +416,12 @@
     CHECK(outcome.lastEventId == "2");
     CHECK(outcome.output() == "d1\nd2\nd3");
 }
+
+// Guards against an item without its first piece.
+TEST_CASE("an item keeps an event with the number 0")
+{
+    const ItemOutcome outcome = playItem([](ItemFixture& it) {
+        it.respond({ 200, streamHeaders(), event(0) + event(1) });
+    });
+    CHECK(outcome.output() == "d0\nd1");
+}
