LibGateway: Complete a resumed stream only if a run brought its last event

What callers would see: a stream broke off, the next endpoint accepted the request to resume and ended its response without an event, as one does that crashes, and the stream ended as if it were complete. The same when the caller resumed the stream, and for items.

Cause: any event of an earlier run, also one that the caller had received elsewhere, counted as proof that the run had events.

Ruled out: runs without any event before; they were failures already.

Change: a run counts as complete if it has brought the last event, as a new or a repeated one. After a run without either, the next attempt resumes one event earlier, so that a stream that broke off after its last event can still be completed.

The new tests failed before: "200 == 502" for held events and for a caller that resumes, isAborted "false == true" after sent ones, Last-Event-Id of the next attempt missing, calls of the item "2 == 3".

--- a/Libraries/LibGateway/EventSequence.cpp
+++ b/Libraries/LibGateway/EventSequence.cpp
@@ -2,7 +2,11 @@
 
 namespace Chicorydock {
 
-void EventSequence::beginRun() { m_runEvent.reset(); }
+void EventSequence::beginRun()
+{
+    m_runEvent.reset();
+    m_hasRunAdvanced = false;
+}
 
 bool EventSequence::isNextInRun(uint64_t id) const
 {
@@ -13,8 +17,10 @@
 
 EventSequence::Place EventSequence::add(const StreamEvent& event)
 {
-    if (!event.id)
+    if (!event.id) {
+        m_hasRunAdvanced = true;
         return Place::New;
+    }
     if (event == m_runEvent)
         return Place::Repeated;
     if (!isNextInRun(*event.id))
@@ -23,6 +29,7 @@
     if (m_lastId && *event.id <= *m_lastId)
         return Place::Repeated;
     m_lastId = event.id;
+    m_hasRunAdvanced = true;
     return Place::New;
 }
 
--- a/Libraries/LibGateway/EventSequence.h
+++ b/Libraries/LibGateway/EventSequence.h
@@ -39,6 +39,15 @@
     /// Returns the number of the last event that continued the stream.
     std::optional<uint64_t> lastId() const { return m_lastId; }
 
+    /// Returns whether the current endpoint has brought the last event, now or as a repetition. If it has not, the end
+    /// of its response does not show that the stream is complete, because an endpoint that crashes may end in the same
+    /// way.
+    bool hasRunReachedEnd() const { return m_hasRunAdvanced || (m_runEvent && m_runEvent->id == m_lastId); }
+
+    /// Returns the event after which the next endpoint has to resume so that it repeats the last event, or 0 to begin
+    /// anew.
+    uint64_t idBeforeLast() const { return m_lastId.value_or(0) > 0 ? *m_lastId - 1 : 0; }
+
 private:
     /// Returns whether an event with that number may follow in the current run.
     bool isNextInRun(uint64_t id) const;
@@ -46,6 +55,8 @@
     std::optional<uint64_t> m_lastId;
     /// Last numbered event of the current run.
     std::optional<StreamEvent> m_runEvent;
+    /// Whether the current run has continued the stream.
+    bool m_hasRunAdvanced { false };
 };
 
 }
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -120,7 +120,7 @@
 
 bool ForwardedCall::resumesStream() const
 {
-    const bool hasBegun = !m_request.resumes.empty() || m_lastEventId > 0;
+    const bool hasBegun = !m_request.resumes.empty() || m_sequence.lastId();
     return hasBegun && m_route.kind == RouteKind::Stream && m_route.isResumable;
 }
 
@@ -128,7 +128,7 @@
 {
     if (!m_request.resumes.empty())
         return m_request.resumes;
-    const bool hasBegun = m_lastEventId > m_request.lastEventId.value_or(0);
+    const bool hasBegun = m_sequence.lastId().value_or(0) > m_request.lastEventId.value_or(0);
     return hasBegun ? m_request.id : std::string();
 }
 
@@ -501,13 +501,14 @@
 
 void ForwardedCall::handleStreamEnd()
 {
-    // A response without a length ends with its connection, also if the endpoint crashes.
-    const bool hasEvents = m_stream.hasBegun() || m_lastEventId > 0;
-    if (m_events.hasPartialEvent() || !hasEvents) {
-        if (!m_isRelayed)
-            m_prompt.recordBrokenStream();
-        handleFailedAttempt(m_events.hasPartialEvent() ? "the event stream of the endpoint ended within an event"
-                                                       : "the event stream of the endpoint has no event");
+    if (m_events.hasPartialEvent()) {
+        handleBrokenStream("the event stream of the endpoint ended within an event");
+        return;
+    }
+    if (!m_sequence.hasRunReachedEnd()) {
+        // Whether the stream is complete shows at an endpoint that repeats the last event.
+        m_lastEventId = m_sequence.idBeforeLast();
+        handleBrokenStream("the event stream of the endpoint ended without an event");
         return;
     }
     m_prompt.recordAnswer();
@@ -518,6 +519,13 @@
         finish("answered", "");
 }
 
+void ForwardedCall::handleBrokenStream(const std::string& reason)
+{
+    if (!m_isRelayed)
+        m_prompt.recordBrokenStream();
+    handleFailedAttempt(reason);
+}
+
 void ForwardedCall::handlePeerRefusal()
 {
     m_mayHaveRun = m_mayHaveRunBefore;
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -85,6 +85,8 @@
     /// Handles a complete response to the request to continue a stream that has events. It is no part of the stream.
     void handleAnswerToResumedStream();
     void handleStreamEnd();
+    /// Handles a stream that ended in order but too early.
+    void handleBrokenStream(const std::string& reason);
     /// Handles a response that states that the endpoint did not run the request.
     void handleNotRun();
     /// Handles a failure after the request was sent to the endpoint: retries it or reports the error.
@@ -155,7 +157,7 @@
     qsizetype m_receivedBytes { 0 };
     /// Events that were received, also if they are held back.
     EventSequence m_sequence;
-    /// Last event of the sequence, or 0.
+    /// Event after which the next attempt resumes, or 0. The last one of the sequence, unless that is to be repeated.
     uint64_t m_lastEventId { 0 };
     /// Its events are held back until the store knows where the stream began.
     CallerStream m_stream;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -65,12 +65,13 @@
 
 std::optional<ItemProgress> ItemRun::collectProgress()
 {
-    const bool hasChanged = m_lastEventId != m_collectedEventId || m_failedRuns != m_collectedFailedRuns;
+    const uint64_t lastEventId = m_sequence.lastId().value_or(0);
+    const bool hasChanged = lastEventId != m_collectedEventId || m_failedRuns != m_collectedFailedRuns;
     if (m_isDone || !hasChanged)
         return {};
-    ItemProgress progress { m_item.id, m_collectedEventId, m_lastEventId, m_output.mid(m_collectedBytes),
+    ItemProgress progress { m_item.id, m_collectedEventId, lastEventId, m_output.mid(m_collectedBytes),
         m_origin.value_or(StreamOrigin {}), m_failedRuns };
-    m_collectedEventId = m_lastEventId;
+    m_collectedEventId = lastEventId;
     m_collectedBytes = m_output.size();
     m_collectedFailedRuns = m_failedRuns;
     return progress;
@@ -277,10 +278,12 @@
         requestSlotLater();
         return;
     }
-    // A response without a length ends with its connection, also if the endpoint crashes.
-    const bool isComplete = !m_events.hasPartialEvent() && m_hasOutput;
+    const bool isComplete = !m_events.hasPartialEvent() && m_sequence.hasRunReachedEnd();
     if (m_answer.isEventStream() && !isComplete) {
         m_prompt.recordBrokenStream();
+        // Whether the output is complete shows at an endpoint that repeats the last event.
+        if (!m_sequence.hasRunReachedEnd())
+            m_lastEventId = m_sequence.idBeforeLast();
         handleFailure("the event stream of the endpoint ended early");
         return;
     }
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -109,7 +109,7 @@
     qsizetype m_receivedBytes { 0 };
     /// Events that were received.
     EventSequence m_sequence;
-    /// Last event of the sequence, or 0.
+    /// Event after which the next run resumes, or 0. The last one of the sequence, unless that is to be repeated.
     uint64_t m_lastEventId { 0 };
     /// Last event and size of the output that `collectProgress()` has returned.
     uint64_t m_collectedEventId { 0 };
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -103,6 +103,8 @@
     bool isFinished { false };
     bool isAborted { false };
     size_t calls { 0 };
+    /// The event after which the latest call resumes.
+    std::optional<QByteArray> lastEventId;
 
     std::optional<QByteArray> signature() const { return headers.find("Server-Signature"); }
 };
@@ -116,7 +118,8 @@
         run(fixture, loop);
         const HttpResponse response = fixture.exchange->response.value_or(HttpResponse { 0, {}, {} });
         outcome = { response.status, response.headers, response.body, fixture.exchange->isFinished,
-            fixture.exchange->isAborted, fixture.http.count() };
+            fixture.exchange->isAborted, fixture.http.count(),
+            fixture.http.last().request.headers.find("Last-Event-Id") };
     });
     return outcome;
 }
@@ -264,6 +267,60 @@
     CHECK_FALSE(outcome.body.contains("<p>"));
 }
 
+// Guards against a stream that looks complete because the endpoint that should have continued it crashed.
+TEST_CASE("a resumed stream that ends without an event is broken")
+{
+    const HttpHeaders framing = GENERATE(HttpHeaders {}, HttpHeaders { { "Transfer-Encoding", "chunked" } });
+    const Begun begun = GENERATE(Begun::Held, Begun::Sent);
+    const Outcome outcome = play("v2", [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.breakOff(begun);
+        it.respond({ 200, streamHeaders(framing), {} });
+        it.rows.deliver();
+    });
+    CHECK(outcome.calls == 2);
+    CHECK(outcome.isAborted == (begun == Begun::Sent));
+    CHECK(outcome.isFinished == (begun == Begun::Held));
+    CHECK(outcome.status == (begun == Begun::Sent ? 200 : 502));
+}
+
+// Guards against a stream that can never be completed because it broke off after its last event.
+TEST_CASE("a resumed stream is complete if the next endpoint repeats the last event and ends")
+{
+    const Begun begun = GENERATE(Begun::Held, Begun::Sent);
+    const Outcome outcome = play("v2", [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.setMaxAttempts(3);
+        it.breakOff(begun);
+        it.respond({ 200, streamHeaders(), {} });
+        if (it.http.count() == 3)
+            it.respond({ 200, streamHeaders(), event(2) });
+        it.rows.deliver();
+    });
+    CHECK(outcome.calls == 3);
+    CHECK(outcome.lastEventId == "1");
+    CHECK(outcome.isFinished);
+    CHECK(outcome.signature() == "first");
+    CHECK(outcome.body == event(1) + event(2));
+}
+
+// Guards against the same when the caller resumes the stream, maybe after its last event.
+TEST_CASE("a stream that its caller resumes is complete only if an endpoint brings an event")
+{
+    const bool isRepeated = GENERATE(false, true);
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop&) {
+        it.request("/s/1", { { "Last-Event-Id", "7" } });
+        it.respond({ 200, streamHeaders(), {} });
+        if (it.http.count() == 2)
+            it.respond({ 200, streamHeaders(), isRepeated ? event(7) : QByteArray() });
+    });
+    CHECK(outcome.calls == 2);
+    CHECK(outcome.lastEventId == "6");
+    CHECK(outcome.status == (isRepeated ? 200 : 502));
+    CHECK(outcome.signature().has_value() == isRepeated);
+    CHECK(outcome.isFinished);
+    if (isRepeated)
+        CHECK(outcome.body.isEmpty());
+}
+
 // Guards against events that are lost because of their number.
 TEST_CASE("events without a number reach the caller")
 {
@@ -379,6 +436,24 @@
 
 }
 
+// Guards against an item that is completed without its last pieces because the endpoint that should have continued it
+// crashed, and against one that is never completed because it broke off after its last event.
+TEST_CASE("a resumed item that ends without an event is completed only after its last event has been repeated")
+{
+    const QByteArray rest = GENERATE(as<QByteArray> {}, event(2), event(2) + event(3));
+    const ItemOutcome outcome = playItem([&](ItemFixture& it) {
+        it.breakOff();
+        it.respond({ 200, streamHeaders(), {} });
+        if (it.result)
+            return;
+        it.continueRun();
+        it.respond({ 200, streamHeaders(), rest });
+    });
+    CHECK(outcome.calls == 3);
+    CHECK(outcome.lastEventId == "1");
+    CHECK(outcome.output() == (rest == event(2) ? "d1\nd2" : "d1\nd2\nd3"));
+}
+
 // Guards against an item that is completed by an answer that is no part of its output.
 TEST_CASE("an answer that cannot continue an item does not complete it")
 {
