LibGateway: Resume no stream after an event without a number

What callers would see: an event without a number that came after the last numbered one came twice when the stream was resumed, and a stream without any numbers was begun anew in its middle. An event without a number among those that the next endpoint repeated came twice, too.

Cause: events without a number were always passed on, and did not change the place after which a stream resumes.

Ruled out: skipping them in a resumed run, because then one that belongs there would be missing.

Change: while the last event has no number, the stream is not moved: it is broken, or 502 if no byte has left. Events without a number that come before the last event of a run that repeats are repetitions.

--- a/Libraries/LibGateway/EventSequence.cpp
+++ b/Libraries/LibGateway/EventSequence.cpp
@@ -18,7 +18,10 @@
 EventSequence::Place EventSequence::add(const StreamEvent& event)
 {
     if (!event.id) {
+        if (isRepeating())
+            return Place::Repeated;
         m_hasRunAdvanced = true;
+        m_endsUnnumbered = true;
         return Place::New;
     }
     if (event == m_runEvent)
@@ -29,6 +32,7 @@
     if (m_lastId && *event.id <= *m_lastId)
         return Place::Repeated;
     m_lastId = event.id;
+    m_endsUnnumbered = false;
     m_hasRunAdvanced = true;
     return Place::New;
 }
--- a/Libraries/LibGateway/EventSequence.h
+++ b/Libraries/LibGateway/EventSequence.h
@@ -39,6 +39,10 @@
     /// Returns the number of the last event that continued the stream.
     std::optional<uint64_t> lastId() const { return m_lastId; }
 
+    /// Returns whether another endpoint can continue the stream after its last event. After an event without a number
+    /// it cannot, because that event would be missing or come twice.
+    bool canBeResumed() const { return !m_endsUnnumbered; }
+
     /// Returns whether the current endpoint has brought the last event, now or as a repetition. If it has not, the end
     /// of its response does not show that the stream is complete, because an endpoint that crashes may end in the same
     /// way.
@@ -49,6 +53,8 @@
     uint64_t idBeforeLast() const { return m_lastId.value_or(0) > 0 ? *m_lastId - 1 : 0; }
 
 private:
+    /// Returns whether the current run repeats events and has not arrived at the last one.
+    bool isRepeating() const { return m_runEvent && m_runEvent->id < m_lastId; }
     /// Returns whether an event with that number may follow in the current run.
     bool isNextInRun(uint64_t id) const;
 
@@ -57,6 +63,8 @@
     std::optional<StreamEvent> m_runEvent;
     /// Whether the current run has continued the stream.
     bool m_hasRunAdvanced { false };
+    /// Whether the last event that continued the stream has no number.
+    bool m_endsUnnumbered { false };
 };
 
 }
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -613,7 +613,8 @@
 
 bool ForwardedCall::canRetryElsewhere() const
 {
-    return m_route.isRepeatable() && m_attempts < m_route.maxAttempts && timeLeft() > minTimeForAttempt;
+    const bool canBeContinued = m_route.isRepeatable() && m_sequence.canBeResumed();
+    return canBeContinued && m_attempts < m_route.maxAttempts && timeLeft() > minTimeForAttempt;
 }
 
 void ForwardedCall::handleFailedAttempt(const std::string& reason)
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -347,6 +347,41 @@
     CHECK(outcome.isFinished);
 }
 
+// Guards against pieces that come twice or are missing because the place at which a stream broke off has no number.
+TEST_CASE("a stream that breaks off after an event without a number is not resumed")
+{
+    const QByteArray stream
+        = GENERATE(as<QByteArray> {}, "data: x\n\n", event(1) + "data: x\n\n", event(1) + "id: a\n\n");
+    const std::string softwareVersion = GENERATE("", "v2");
+    const Outcome outcome = play(softwareVersion, [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.request("/s/1");
+        it.beginResponse(200, streamHeaders());
+        it.http.data(stream);
+        it.http.fail(Phase::Answering);
+        StreamFixture::settle();
+        it.rows.deliver();
+    });
+    CHECK(outcome.calls == 1);
+    CHECK(outcome.isAborted == softwareVersion.empty());
+    CHECK(outcome.status == (softwareVersion.empty() ? 200 : 502));
+}
+
+// Guards against events without a number that come twice when the next endpoint repeats what was received.
+TEST_CASE("events that a resumed stream repeats are not sent again, also those without a number")
+{
+    const QByteArray begin = event(1) + "data: x\n\n" + event(2);
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop&) {
+        it.request("/s/1");
+        it.beginResponse(200, streamHeaders());
+        it.http.data(begin);
+        it.http.fail(Phase::Answering);
+        StreamFixture::settle();
+        it.respond({ 200, streamHeaders(), begin + "data: y\n\n" + event(3) });
+    });
+    CHECK(outcome.body == begin + "data: y\n\n" + event(3));
+    CHECK(outcome.isFinished);
+}
+
 // Guards against pieces of another run in a stream whose endpoint began anew, and against lost pieces.
 TEST_CASE("a stream whose events are out of order is resumed elsewhere, or broken")
 {
