LibGateway: Take comments in a stream for no events

What callers would see: a stalled endpoint that sent a comment or an empty event now and then kept its stream until the deadline, and a stream that had only a comment ended as complete, with status 200.

Ruled out: a comment without an empty line and repeated events were no progress before; items counted neither as output. A stalled stream that cannot be moved ends at the deadline as broken (test added; it passed before).

Change: comments and fields without effect still reach the caller, those before the first event of an attempt together with it, but are neither progress nor an event.

The new tests failed before: calls "1 == 2" for a comment, an empty line and `retry`; "200 == 502" with a signature for a stream of a comment.

--- a/Libraries/LibGateway/EventSequence.h
+++ b/Libraries/LibGateway/EventSequence.h
@@ -43,6 +43,9 @@
     /// it cannot, because that event would be missing or come twice.
     bool canBeResumed() const { return !m_endsUnnumbered; }
 
+    /// Returns whether the current endpoint has brought an event that continued the stream.
+    bool hasRunAdvanced() const { return m_hasRunAdvanced; }
+
     /// Returns whether the current endpoint has brought the last event, now or as a repetition. If it has not, the end
     /// of its response does not show that the stream is complete, because an endpoint that crashes may end in the same
     /// way.
--- a/Libraries/LibGateway/EventStreamReader.cpp
+++ b/Libraries/LibGateway/EventStreamReader.cpp
@@ -2,8 +2,6 @@
 
 #include <QByteArrayList>
 
-#include <utility>
-
 namespace Chicorydock {
 
 namespace {
@@ -55,7 +53,6 @@
     event.bytes = m_bytes.first(size);
     m_bytes.remove(0, size);
     m_lineStart = 0;
-    bool hasData = false;
     for (const QByteArray& it : event.bytes.split('\n')) {
         const QByteArray line = withoutLineEnd(it);
         if (line.startsWith("id:")) {
@@ -64,9 +61,8 @@
         }
         if (!line.startsWith("data:"))
             continue;
-        if (std::exchange(hasData, true))
-            event.data += '\n';
-        event.data += fieldValue(line, 4);
+        const QByteArray value = fieldValue(line, 4);
+        event.data = event.data ? *event.data + '\n' + value : value;
     }
     return event;
 }
--- a/Libraries/LibGateway/EventStreamReader.h
+++ b/Libraries/LibGateway/EventStreamReader.h
@@ -12,13 +12,16 @@
 struct StreamEvent {
     /// Empty if the event has no identifier, or one that is not a number.
     std::optional<uint64_t> id;
-    /// Values of the data lines, separated by line feeds.
-    QByteArray data;
+    /// Values of the data lines, separated by line feeds. Empty if there is none.
+    std::optional<QByteArray> data;
     /// The bytes as received, including the empty line that ends the event.
     QByteArray bytes;
     /// Whether the event has an identifier that is not a number.
     bool hasMalformedId { false };
 
+    /// Returns whether the event consists of comments or of fields without effect.
+    bool isEmpty() const { return !id && !data && !hasMalformedId; }
+
     bool operator==(const StreamEvent&) const = default;
 };
 
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -219,6 +219,7 @@
     m_body.clear();
     m_receivedBytes = 0;
     m_sequence.beginRun();
+    m_leadingEmptyEvents.clear();
 }
 
 void ForwardedCall::handleLostEndpoints()
@@ -389,6 +390,10 @@
         return;
     }
     for (const StreamEvent& it : m_events.consume(data)) {
+        if (it.isEmpty()) {
+            forwardEmptyEvent(it);
+            continue;
+        }
         m_prompt.recordEvent();
         const EventSequence::Place place = m_sequence.add(it);
         if (place == EventSequence::Place::OutOfOrder) {
@@ -413,7 +418,15 @@
     // The peer that forwards the request records where the stream began.
     if (!m_origin && !m_isRelayed)
         recordOrigin();
-    m_stream.send(m_answer, event.bytes);
+    m_stream.send(m_answer, std::exchange(m_leadingEmptyEvents, {}) + event.bytes);
+}
+
+void ForwardedCall::forwardEmptyEvent(const StreamEvent& event)
+{
+    if (m_sequence.hasRunAdvanced())
+        m_stream.send(m_answer, event.bytes);
+    else
+        m_leadingEmptyEvents += event.bytes;
 }
 
 std::optional<std::string> ForwardedCall::defaultVersion() const
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -72,6 +72,8 @@
     void handlePeerRefusal();
     bool isStreaming() const;
     void forwardEvent(const StreamEvent&);
+    /// Forwards an event that carries nothing, which is no progress of the stream.
+    void forwardEmptyEvent(const StreamEvent&);
     /// Records where the stream began, now that its first event has arrived. Events are held back meanwhile.
     void recordOrigin();
     /// Returns the default version of the service if endpoints have it: a stream without a record is taken for one of
@@ -157,6 +159,8 @@
     qsizetype m_receivedBytes { 0 };
     /// Events that were received, also if they are held back.
     EventSequence m_sequence;
+    /// Empty events that this attempt has brought before its first new one. They leave together with that.
+    QByteArray m_leadingEmptyEvents;
     /// Event after which the next attempt resumes, or 0. The last one of the sequence, unless that is to be repeated.
     uint64_t m_lastEventId { 0 };
     /// Its events are held back until the store knows where the stream began.
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -241,6 +241,8 @@
     if (!m_answer.isEventStream() || !m_call)
         return;
     for (const StreamEvent& it : m_events.consume(data)) {
+        if (it.isEmpty())
+            continue;
         m_prompt.recordEvent();
         if (it.hasMalformedId) {
             abandonCall("an event of the endpoint has an identifier that is not a number");
@@ -261,7 +263,7 @@
         m_idleTimer.start(m_idleTimeout);
         if (std::exchange(m_hasOutput, true))
             m_output += '\n';
-        m_output += it.data;
+        m_output += it.data.value_or(QByteArray());
     }
     if (m_events.isOversized())
         abandonCall("an event of the endpoint has no end");
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -321,6 +321,73 @@
         CHECK(outcome.body.isEmpty());
 }
 
+// Guards against a stream without an event that looks complete.
+TEST_CASE("a comment is no event of a stream")
+{
+    const QByteArray target = GENERATE(as<QByteArray> {}, "/s/1", "/u/1");
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop&) {
+        it.request(target);
+        it.respond({ 200, streamHeaders(), ": wait\n\n" });
+        if (it.http.count() == 2)
+            it.respond({ 200, streamHeaders(), ": wait\n\n" });
+    });
+    CHECK(outcome.status == 502);
+    CHECK_FALSE(outcome.signature());
+}
+
+// Guards against bytes of a sound stream that are lost.
+TEST_CASE("comments of a stream reach the caller")
+{
+    const QByteArray stream = ": a\n\n" + event(1) + "\n: b\r\n\r\n" + event(2) + ":\n\n";
+    const std::string softwareVersion = GENERATE("", "v2");
+    const Outcome outcome = play(softwareVersion, [&](StreamFixture& it, SimulatedEventLoop&) {
+        it.request("/s/1");
+        it.respond({ 200, streamHeaders(), stream });
+        it.rows.deliver();
+    });
+    CHECK(outcome.body == stream);
+    CHECK(outcome.isFinished);
+}
+
+// Guards against stalled streams that never end because something arrives now and then.
+TEST_CASE("a stream moves to another endpoint if only comments or repeated events arrive")
+{
+    const QByteArray piece = GENERATE(as<QByteArray> {}, ":\n\n", ":", "\n", "retry: 5\n\n", event(1));
+    const bool hasEvent = GENERATE(true, false);
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop& loop) {
+        it.request("/s/1");
+        it.beginResponse(200, streamHeaders());
+        if (hasEvent || piece == event(1))
+            it.http.data(event(1));
+        for (int n = 0; n < 6 && it.http.count() == 1; ++n) {
+            loop.advance(Milliseconds { 300 });
+            StreamFixture::settle();
+            if (it.http.count() == 1)
+                it.http.data(piece);
+        }
+    });
+    CHECK(outcome.calls == 2);
+    CHECK_FALSE(outcome.isAborted);
+}
+
+// Guards against stalled streams that never end because they cannot be moved.
+TEST_CASE("a stalled stream that cannot be moved is broken at the deadline")
+{
+    const QByteArray target = GENERATE(as<QByteArray> {}, "/s/1", "/u/1");
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop& loop) {
+        it.setMaxAttempts(1);
+        it.request(target);
+        it.beginResponse(200, streamHeaders());
+        it.http.data(event(1));
+        for (int n = 0; n < 50 && !it.http.last().isCancelled; ++n) {
+            it.http.data(":\n\n");
+            loop.advance(Milliseconds { 100 });
+        }
+    });
+    CHECK(outcome.isAborted);
+    CHECK_FALSE(outcome.isFinished);
+}
+
 // Guards against events that are lost because of their number.
 TEST_CASE("events without a number reach the caller")
 {
