--- a/Services/chicorydockd/NodeRegistry.cpp
+++ b/Libraries/LibGateway/NodeRegistry.cpp
@@ -1,4 +1,4 @@
-#include "NodeRegistry.h"
+#include <LibGateway/NodeRegistry.h>
 
 #include <glog/logging.h>
 
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include "NodeRegistry.h"
-
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
 #include <LibGateway/ConfigurationFollower.h>
 #include <LibGateway/EndpointRegistrations.h>
 #include <LibGateway/GatewayHandler.h>
+#include <LibGateway/NodeRegistry.h>
 #include <LibGateway/PeerGroup.h>
 #include <LibGateway/SlotExchange.h>
 #include <LibGateway/TcpEndpointProber.h>
