LibGateway: Remove the registrations of silent nodes however many there are

Each start leaves a registration if the process ends without removing it. A node removed all of those in one transaction, which the store refuses from 101 on, and forgot them before it knew whether they were gone: they stayed for good, and each node that starts sends its first reports to all of them.

The store of the tests refuses too many entries, as the platform's does.

--- a/Libraries/LibGateway/NodeRegistry.cpp
+++ b/Libraries/LibGateway/NodeRegistry.cpp
@@ -93,13 +93,14 @@
 {
     RowTransaction transaction;
     for (const auto& [node, version] : m_nodes) {
+        // The others follow at the next time.
+        if (transaction.entries() >= RowTransaction::maxEntries)
+            break;
         if (m_peers.isForgotten(node))
             transaction.removals.push_back(rowOf(node));
     }
     if (transaction.removals.empty())
         return;
-    for (const RowAddress& it : transaction.removals)
-        m_nodes.erase(it.key);
     m_store.commit(transaction, [n = transaction.removals.size()](const StoreResult<RowCommit>& result) {
         if (const auto* failure = std::get_if<StoreFailure>(&result))
             LOG(WARNING) << "could not remove " << n << " silent nodes: " << failure->message;
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -26,9 +26,6 @@
     /// A record that could not be written for this long is of little use: most streams have ended.
     constexpr Milliseconds writeTimeout { 10'000 };
 
-    /// A transaction holds at most 100 entries.
-    constexpr size_t maxRemovals = 100;
-
     RowAddress rowOf(const std::string& stream)
     {
         // The identifier comes from the caller and may be too long for a key.
@@ -172,7 +169,7 @@
     std::map<std::string, RowTransaction> transactions;
     while (!m_written.empty() && m_clock.now() - m_written.front().at > recordLifetime) {
         RowTransaction& transaction = transactions[m_written.front().row.partition];
-        if (transaction.removals.size() >= maxRemovals)
+        if (transaction.entries() >= RowTransaction::maxEntries)
             break;
         transaction.removals.push_back(std::move(m_written.front().row));
         m_written.pop_front();
--- a/Libraries/LibPlatform/RowStore.h
+++ b/Libraries/LibPlatform/RowStore.h
@@ -73,10 +73,15 @@
 
 /// Changes of one partition that are applied atomically.
 struct RowTransaction {
+    /// The store refuses transactions with more conditions, writes and removals.
+    static constexpr size_t maxEntries = 100;
+
     std::vector<RowCondition> conditions;
     std::vector<RowWrite> writes;
     std::vector<RowAddress> removals;
 
+    size_t entries() const { return conditions.size() + writes.size() + removals.size(); }
+
     bool operator==(const RowTransaction&) const = default;
 };
 
--- a/Tests/Support/MemoryRowStore.h
+++ b/Tests/Support/MemoryRowStore.h
@@ -54,6 +54,8 @@
         post([this, transaction, reply, fault] {
             if (isDown || fault == Fault::Refused)
                 return reply(downFailure());
+            if (transaction.entries() > RowTransaction::maxEntries)
+                return reply(StoreFailure { StoreFailure::Kind::NotExecuted, "too many entries" });
             if (fault == Fault::Late) {
                 m_late.push_back(transaction);
                 return reply(outcomeUnknown());
