LibGateway: Find the route of a job by its host and kind too

An item looked for the route of its job by name only, while requests find theirs by host and path. With two routes of one name, or a name that a later version gives to a route of another host or kind, items that wait run at that route's service; the directory agrees with that service, so the check of a granted slot cannot see it.

Ruled out: `waitingTokens()`, which sums by name; at worst it refuses too early.

The test failed before: no item placed where one was to run at the service of its own route. A second one shows that a request is served at the next endpoint after one that its node does not use.

--- a/Libraries/LibGateway/GatewayConfiguration.cpp
+++ b/Libraries/LibGateway/GatewayConfiguration.cpp
@@ -23,9 +23,13 @@
     return best;
 }
 
-const GatewayRoute* GatewayConfiguration::findRouteByName(std::string_view name) const
+const GatewayRoute* GatewayConfiguration::findJobRoute(std::string_view name, std::string_view host) const
 {
-    const auto it = std::ranges::find(routes, name, &GatewayRoute::name);
+    const auto it = std::ranges::find_if(routes, [&](const GatewayRoute& route) {
+        // The kind of a route without services may be one that could not be read.
+        const bool isForJobs = route.kind == RouteKind::Batch || !route.isServable();
+        return isForJobs && route.name == name && route.host == host;
+    });
     return it == routes.end() ? nullptr : &*it;
 }
 
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -103,8 +103,9 @@
     /// a prefix matches nothing.
     const GatewayRoute* findRoute(std::string_view host, std::string_view path) const;
 
-    /// Returns the route with that name, or null.
-    const GatewayRoute* findRouteByName(std::string_view name) const;
+    /// Returns the route of jobs with that name and host, or null. The name alone may also be that of a route of
+    /// another host or kind, or come to be in a later version.
+    const GatewayRoute* findJobRoute(std::string_view name, std::string_view host) const;
 };
 
 /// Selects a service at random in proportion to the weights; `draw` is uniform in [0, 1). Returns an empty string if
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -94,7 +94,7 @@
 {
     if (m_isDone)
         return;
-    const GatewayRoute* route = m_environment.configuration->findRouteByName(m_job.route);
+    const GatewayRoute* route = m_environment.configuration->findJobRoute(m_job.route, m_job.host);
     if (!route) {
         if (m_environment.configuration->version > 0)
             finish(false, "the route is no longer in the configuration");
@@ -300,7 +300,7 @@
         return;
     }
     releaseSlot(EndpointOutcome::Answered);
-    const GatewayRoute* route = m_environment.configuration->findRouteByName(m_job.route);
+    const GatewayRoute* route = m_environment.configuration->findJobRoute(m_job.route, m_job.host);
     if (m_head.status == permanentFailureStatus)
         finish(false, "the endpoint reports that the item can never succeed");
     else if (++m_failedRuns >= (route ? route->maxAttempts : 1))
--- a/Libraries/LibGateway/OwnedJob.cpp
+++ b/Libraries/LibGateway/OwnedJob.cpp
@@ -40,7 +40,7 @@
     , m_nextProgress(content.nextProgress)
 {
     const MonotonicTime submittedAt = localTime(environment, store, m_record.submittedAt);
-    const GatewayRoute* route = environment.configuration->findRouteByName(m_record.route);
+    const GatewayRoute* route = environment.configuration->findJobRoute(m_record.route, m_record.host);
     m_job = { m_record.id, m_record.route, m_record.host,
         submittedAt + (route ? route->completionTarget : Milliseconds { 0 }),
         submittedAt + (route && route->maxWait.count() > 0 ? route->maxWait : std::chrono::hours { 24 }) };
--- a/Tests/LibGateway/JobWorld.cpp
+++ b/Tests/LibGateway/JobWorld.cpp
@@ -307,7 +307,7 @@
     // Until the reply arrives, the caller does not know the outcome.
     const bool wasOutcomeUnknown = std::exchange(caller.isOutcomeUnknown, true);
     Node& node = *m_nodes[n];
-    node.jobs->submit(caller.job, *node.environment.configuration->findRouteByName("b"), "h.example",
+    node.jobs->submit(caller.job, *node.environment.configuration->findJobRoute("b", "h.example"), "h.example",
         [this, &caller, wasOutcomeUnknown](const std::optional<Error>& error) {
             if (!error) {
                 m_counts.accepted += caller.isAccepted ? 0 : 1;
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -41,7 +41,7 @@
     std::optional<Error> submit(const SubmittedJob& job)
     {
         std::optional<std::optional<Error>> result;
-        jobs->submit(job, *environment.configuration->findRouteByName("b"), "h.example",
+        jobs->submit(job, *environment.configuration->findJobRoute("b", "h.example"), "h.example",
             [&](std::optional<Error> error) { result = error; });
         m_store.deliver();
         settle();
--- a/Tests/LibGateway/TestWrongService.cpp
+++ b/Tests/LibGateway/TestWrongService.cpp
@@ -17,6 +17,12 @@
         directory.put({ "e0", "10.0.0.0:80", "app", "z1", 8, false, 2, 9 });
     }
 
+    static ItemRun::Job job(const ForwardingFixture& fixture)
+    {
+        const MonotonicTime now = fixture.clock.now();
+        return { "j", "b", "h.example", now + std::chrono::seconds { 18 }, now + std::chrono::seconds { 60 } };
+    }
+
     QJsonObject placement() const
     {
         REQUIRE(log.count("placed") == 1);
@@ -40,11 +46,47 @@
 TEST_CASE("an item is not sent to an endpoint that this node knows as one of another service")
 {
     WrongServiceFixture fixture;
-    const ItemRun::Job job { "j", "b", "h.example", fixture.clock.now() + std::chrono::seconds { 18 },
-        fixture.clock.now() + std::chrono::seconds { 60 } };
-    ItemRun run(fixture.environment, job, { "i", "/b/1", {}, "body", 10 }, [](const JobResult&) {});
+    ItemRun run(fixture.environment, WrongServiceFixture::job(fixture), { "i", "/b/1", {}, "body", 10 },
+        [](const JobResult&) {});
     run.start();
     WrongServiceFixture::settle();
     CHECK(fixture.http.count() == 0);
     CHECK(fixture.placement()["endpoint_service"].toString() == "app");
 }
+
+// Guards against an item that runs at the service of another route with the name of its own (ROUTE).
+TEST_CASE("an item runs at the service of the route of its host, whatever other routes are named")
+{
+    ForwardingFixture fixture(1);
+    GatewayConfiguration configuration = *fixture.environment.configuration;
+    GatewayRoute other = configuration.routes.back();
+    REQUIRE(other.kind == RouteKind::Batch);
+    other.shares = { { "app", 1 } };
+    const bool isOtherHost = GENERATE(false, true);
+    if (isOtherHost)
+        other.host = "other.example";
+    else
+        other.kind = RouteKind::Idempotent;
+    configuration.routes.insert(configuration.routes.begin(), other);
+    fixture.environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    ItemRun run(fixture.environment, WrongServiceFixture::job(fixture), { "i", "/b/1", {}, "body", 10 },
+        [](const JobResult&) {});
+    run.start();
+    ForwardingFixture::settle();
+    REQUIRE(fixture.log.count("placed") == 1);
+    CHECK(fixture.log.events.back().details["service"].toString() == "lm");
+    CHECK(fixture.http.count() == 1);
+}
+
+// Guards against work that keeps asking for an endpoint that this node does not use, and is never served.
+TEST_CASE("work that was granted an endpoint of another service is served at the next one")
+{
+    ForwardingFixture fixture(2);
+    fixture.directory.put({ "e0", "10.0.0.0:80", "app", "z1", 8, false, 2, 9 });
+    for (int n = 0; n < 8; ++n) {
+        const size_t before = fixture.http.count();
+        fixture.forward(ForwardingFixture::makeRequest("/i/1", "q" + QByteArray::number(n)));
+        CHECK(fixture.http.count() == before + 1);
+        CHECK(fixture.http.last().request.address == "10.0.0.1:80");
+    }
+}
