--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -254,7 +254,7 @@
             : heartbeatInterval(peer.distance, m_peerCounts.at(static_cast<size_t>(peer.distance)));
         peer.timeout = livenessTimeout(nextWithin);
         peer.report = std::move(*report);
-        // They are for the process that used the address of this one before.
+        // The slot messages are for the process that used the address of this one before.
         if (peer.report.isMisdelivered(m_options.node))
             peer.report.removeSlotMessages();
         m_onReport(peer.report, peer.timeout);
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -55,7 +55,7 @@
 
     /// Returns whether the report has a slot message for another process than `process`.
     bool isMisdelivered(const std::string& process) const { return !recipient.empty() && recipient != process; }
-    /// Removes the slot messages of a misdelivered report. What it says about its sender holds for every recipient.
+    /// Removes the slot messages of a misdelivered report. The rest tells about its sender.
     void removeSlotMessages();
 };
 
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -29,8 +29,8 @@
     constexpr Milliseconds drainDelay { 2'300 };
     constexpr Milliseconds stopCheckInterval { 50 };
 
-    /// Upper limit of the number at which a process begins to number its work; small numbers make short messages.
-    constexpr uint64_t maxFirstWork = uint64_t { 1 } << 32U;
+    /// Bound of the number after which a process begins to number its work; small numbers make short messages.
+    constexpr uint64_t firstWorkBound = uint64_t { 1 } << 32U;
 
     std::string makeNodeId(const Settings& settings, Random& random)
     {
@@ -134,7 +134,7 @@
     , m_coordinator(m_scheduler)
     , m_member(m_node, m_coordinator)
     , m_broker(
-          m_member, m_clock, [this] { m_exchange.schedule(); }, m_random.below(maxFirstWork))
+          m_member, m_clock, [this] { m_exchange.schedule(); }, m_random.below(firstWorkBound))
     , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_quarantine, m_origins,
         m_links, m_peers, m_log, m_metrics, std::make_shared<const GatewayConfiguration>() }
     , m_peers(
