LibGateway: Run no item at a service that its route has left

An item chooses its service when it is queued, and may wait for seconds. Requests wait for less than the time in which a configuration takes effect, or are refused.

The route of now is looked at once more when a slot is granted; an item that may not run there is queued again, for the service of now. A service with weight 0 gets no items, not even those with output (`GatewayRoute::leadsTo()`).

The test failed before: sent to 10.0.0.0:80, the old service, instead of 10.0.0.1:80. Two tests of this file kept a reference to a job that was gone; each has one of its own now.

--- a/Libraries/LibGateway/GatewayConfiguration.cpp
+++ b/Libraries/LibGateway/GatewayConfiguration.cpp
@@ -4,6 +4,11 @@
 
 namespace Chicorydock {
 
+bool GatewayRoute::leadsTo(std::string_view service) const
+{
+    return std::ranges::any_of(shares, [&](const ServiceShare& it) { return it.service == service && it.weight > 0; });
+}
+
 bool GatewayRoute::isServable() const
 {
     return std::ranges::any_of(shares, [](const ServiceShare& it) { return it.weight > 0; });
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -60,6 +60,9 @@
 
     auto operator<=>(const GatewayRoute&) const = default;
 
+    /// Returns whether the service receives requests of the route.
+    bool leadsTo(std::string_view service) const;
+
     /// Returns whether a service receives the requests. The requests of other routes are refused; they must not be
     /// run by the service of a route with a shorter prefix.
     bool isServable() const;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -137,9 +137,7 @@
 
 bool ItemRun::canResume(const GatewayRoute& route) const
 {
-    const bool isRouted
-        = std::ranges::find(route.shares, m_origin->service, &ServiceShare::service) != route.shares.end();
-    return isRouted && m_environment.directory.canResume(*m_origin);
+    return route.leadsTo(m_origin->service) && m_environment.directory.canResume(*m_origin);
 }
 
 void ItemRun::discardOutput()
@@ -156,6 +154,15 @@
 
 void ItemRun::requestSlotLater() { m_retryTimer.start(retryDelay); }
 
+std::optional<EndpointRecord> ItemRun::findGrantedEndpoint() const
+{
+    // The route may have moved to another service while the item was queued.
+    const GatewayRoute* route = m_environment.configuration->findJobRoute(m_job.route, m_job.host);
+    if (!route || !route->leadsTo(m_service))
+        return {};
+    return m_environment.directory.findFor(m_endpoint, m_service, originVersion(m_origin));
+}
+
 void ItemRun::onSlotGranted(const std::string& endpoint, const SlotView&)
 {
     m_slot.markStarted();
@@ -163,7 +170,7 @@
     m_endpoint = endpoint;
     const auto known = m_environment.directory.find(endpoint);
     logPlacement(known ? &*known : nullptr);
-    const auto record = m_environment.directory.findFor(endpoint, m_service, originVersion(m_origin));
+    const auto record = findGrantedEndpoint();
     if (!record) {
         releaseSlot(EndpointOutcome::Cancelled);
         requestSlotLater();
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -79,6 +79,8 @@
     void handleFailure(const std::string& reason);
     void finishFailedItem();
     void finish(bool isCompleted, const std::string& reason);
+    /// Returns the endpoint of the slot that was just granted, if the item may run there.
+    std::optional<EndpointRecord> findGrantedEndpoint() const;
     /// Returns the details that all log events of the item have.
     QJsonObject logDetails() const;
     void logPlacement(const EndpointRecord*) const;
--- a/Tests/LibGateway/TestWrongService.cpp
+++ b/Tests/LibGateway/TestWrongService.cpp
@@ -1,6 +1,7 @@
 #include "ForwardingFixture.h"
 
 #include <LibGateway/ItemRun.h>
+#include <Tests/Support/WaitFor.h>
 
 #include <algorithm>
 #include <optional>
@@ -46,8 +47,8 @@
 TEST_CASE("an item is not sent to an endpoint that this node knows as one of another service")
 {
     WrongServiceFixture fixture;
-    ItemRun run(fixture.environment, WrongServiceFixture::job(fixture), { "i", "/b/1", {}, "body", 10 },
-        [](const JobResult&) {});
+    const ItemRun::Job job = WrongServiceFixture::job(fixture);
+    ItemRun run(fixture.environment, job, { "i", "/b/1", {}, "body", 10 }, [](const JobResult&) {});
     run.start();
     WrongServiceFixture::settle();
     CHECK(fixture.http.count() == 0);
@@ -69,8 +70,8 @@
         other.kind = RouteKind::Idempotent;
     configuration.routes.insert(configuration.routes.begin(), other);
     fixture.environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
-    ItemRun run(fixture.environment, WrongServiceFixture::job(fixture), { "i", "/b/1", {}, "body", 10 },
-        [](const JobResult&) {});
+    const ItemRun::Job job = WrongServiceFixture::job(fixture);
+    ItemRun run(fixture.environment, job, { "i", "/b/1", {}, "body", 10 }, [](const JobResult&) {});
     run.start();
     ForwardingFixture::settle();
     REQUIRE(fixture.log.count("placed") == 1);
@@ -90,3 +91,23 @@
         CHECK(fixture.http.last().request.address == "10.0.0.1:80");
     }
 }
+
+// Guards against an item that runs at the service that its route had when it was queued.
+TEST_CASE("an item that waits while its route moves to another service runs at the new one")
+{
+    ForwardingFixture fixture(0);
+    const ItemRun::Job job = WrongServiceFixture::job(fixture);
+    ItemRun run(fixture.environment, job, { "i", "/b/1", {}, "body", 10 }, [](const JobResult&) {});
+    run.start();
+    ForwardingFixture::settle();
+    GatewayConfiguration configuration = *fixture.environment.configuration;
+    for (GatewayRoute& it : configuration.routes)
+        it.shares = { { "app", 1 } };
+    fixture.environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    const std::vector<EndpointRecord> records { { "e0", "10.0.0.0:80", "lm", "z1", 8, false, 1 },
+        { "e1", "10.0.0.1:80", "app", "z1", 8, false, 1 } };
+    fixture.directory.replaceAll(records, 0, fixture.clock.now());
+    fixture.broker.setEndpoints(records);
+    REQUIRE(waitFor([&] { return fixture.http.count() > 0; }));
+    CHECK(fixture.http.last().request.address == "10.0.0.1:80");
+}
