LibGateway: Grant an item another endpoint than the one that it could not use

An item that could not run at the endpoint of its slot, for example because the coordinator knows an older registration, was queued again after 0.1 s without excluding it, while requests exclude it. The scheduler, which saw an idle endpoint that it preferred, granted the same one again and again: a slot for a round trip and a token of a rate limit each time, and the item was not served until the directories agreed.

The test failed before: four placements and no call, instead of two and one.

--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -132,6 +132,8 @@
     work.slotTimeUsed = m_slotTimeUsed;
     // The coordinator may not know yet that these endpoints are leaving or have been replaced.
     work.excluded = m_environment.directory.excluded();
+    if (m_unusedEndpoint)
+        work.excluded.push_back(*std::exchange(m_unusedEndpoint, {}));
     m_slot.request(std::move(work), *this);
 }
 
@@ -172,6 +174,7 @@
     logPlacement(known ? &*known : nullptr);
     const auto record = findGrantedEndpoint();
     if (!record) {
+        m_unusedEndpoint = endpoint;
         releaseSlot(EndpointOutcome::Cancelled);
         requestSlotLater();
         return;
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -94,6 +94,8 @@
     PromptAttempts m_prompt;
     bool m_isDone { false };
     std::string m_endpoint;
+    /// Endpoint of the slot that was granted last, if the item could not run there. The next one is another one.
+    std::optional<std::string> m_unusedEndpoint;
     /// Version of the software at the endpoint of the latest run.
     std::string m_softwareVersion;
     /// Service of the latest run.
--- a/Tests/LibGateway/TestWrongService.cpp
+++ b/Tests/LibGateway/TestWrongService.cpp
@@ -111,3 +111,19 @@
     REQUIRE(waitFor([&] { return fixture.http.count() > 0; }));
     CHECK(fixture.http.last().request.address == "10.0.0.1:80");
 }
+
+// Guards against an item that is granted the same endpoint again and again, although its node does not use it.
+TEST_CASE("an item that was granted an endpoint of another service is served at the next one")
+{
+    ForwardingFixture fixture(2);
+    fixture.directory.put({ "e0", "10.0.0.0:80", "app", "z1", 8, false, 2, 9 });
+    // The scheduler prefers the other endpoint, which is idle.
+    for (uint64_t n = 1; n <= 5; ++n)
+        fixture.scheduler.adopt({ .id = 1'000 + n, .service = "lm", .endpoint = "e1" }, fixture.clock.now());
+    const ItemRun::Job job = WrongServiceFixture::job(fixture);
+    ItemRun run(fixture.environment, job, { "i", "/b/1", {}, "body", 10 }, [](const JobResult&) {});
+    run.start();
+    REQUIRE(waitFor([&] { return fixture.http.count() > 0 || fixture.log.count("placed") > 3; }));
+    CHECK(fixture.log.count("placed") == 2);
+    CHECK(fixture.http.count() == 1);
+}
