--- a/Tests/LibGateway/TestJobExplorer.cpp
+++ b/Tests/LibGateway/TestJobExplorer.cpp
@@ -1,23 +1,13 @@
 #include "JobWorld.h"
 
+#include <Tests/Support/SeedRange.h>
 #include <catch2/catch.hpp>
 
-#include <cstdlib>
-
 using namespace Chicorydock;
 
 namespace {
 
-/// Default seeds, used by CI. Set CHICORYDOCK_EXPLORER_SEEDS=FIRST,COUNT to run others.
-constexpr uint64_t firstSeed = 1;
-constexpr uint64_t seedCount = 40;
-
-std::pair<uint64_t, uint64_t> seeds()
-{
-    const QList<QByteArray> parts = qgetenv("CHICORYDOCK_EXPLORER_SEEDS").split(',');
-    return parts.size() == 2 ? std::pair<uint64_t, uint64_t>(parts[0].toULongLong(), parts[1].toULongLong())
-                             : std::pair(firstSeed, seedCount);
-}
+constexpr SeedRange defaultSeeds { 1, 40 };
 
 }
 
@@ -25,7 +15,7 @@
 // finish, and rejections of jobs that exist, in interleavings that no single test covers.
 TEST_CASE("jobs keep their guarantees under late writes, lost answers, freezes and restarts")
 {
-    const auto [first, count] = seeds();
+    const auto [first, count] = requestedSeeds(defaultSeeds);
     std::vector<std::string> violations;
     JobWorld::Counts sum;
     for (uint64_t seed = first; seed < first + count; ++seed) {
--- a/Tests/LibGateway/TestSlotRestarts.cpp
+++ b/Tests/LibGateway/TestSlotRestarts.cpp
@@ -3,11 +3,11 @@
 #include <LibGateway/PeerReport.h>
 #include <LibGateway/SlotCoordinator.h>
 #include <LibGateway/SlotMember.h>
+#include <Tests/Support/SeedRange.h>
 #include <Tests/Support/SimulatedClock.h>
 #include <catch2/catch.hpp>
 
 #include <QByteArray>
-#include <QList>
 
 #include <algorithm>
 #include <array>
@@ -24,9 +24,7 @@
 
 namespace {
 
-/// Default seeds, used by CI. Set CHICORYDOCK_EXPLORER_SEEDS=FIRST,COUNT to run others.
-constexpr uint64_t firstSeed = 1;
-constexpr uint64_t seedCount = 30;
+constexpr SeedRange defaultSeeds { 1, 30 };
 
 constexpr const char* failureDomain = "z1";
 constexpr std::array services { "lm", "rank" };
@@ -627,19 +625,12 @@
     std::vector<std::string> m_violations;
 };
 
-std::pair<uint64_t, uint64_t> seeds()
-{
-    const QList<QByteArray> parts = qgetenv("CHICORYDOCK_EXPLORER_SEEDS").split(',');
-    return parts.size() == 2 ? std::pair<uint64_t, uint64_t>(parts[0].toULongLong(), parts[1].toULongLong())
-                             : std::pair(firstSeed, seedCount);
-}
-
 }
 
 // Also guards against work that never gets its turn, and slots that stay taken, when processes restart.
 TEST_CASE("processes that restart at the same address start work only with their own slots")
 {
-    const auto [first, count] = seeds();
+    const auto [first, count] = requestedSeeds(defaultSeeds);
     std::vector<std::string> violations;
     size_t failedSeeds = 0;
     RestartSimulation::Counts sum;
