--- a/review/5/scenario.cpp
+++ b/review/5/scenario.cpp
@@ -26,8 +26,7 @@
     sleepMs(1'450);
     const double silentAt = now();
     if (World::hasTrouble())
-        world.record.add(
-            std::to_string(proxy.silence("rows-feed?table=job&")) + " connections to the store go silent");
+        world.record.add(std::to_string(proxy.silence("rows-feed?table=job&")) + " connections to the store go silent");
     if (!world.endJob(*world.nodes[1], endedJob))
         return world.failToRun("the end is not acknowledged");
     const double acknowledgedAt = now();
--- a/review/standins/Worker.h
+++ b/review/standins/Worker.h
@@ -61,8 +61,6 @@
         std::string zone;
         unsigned slots { 4 };
         double eventMs { 100 };
-        /// Version of the weights.
-        std::string weights { "1" };
         long born { 1 };
         /// 0 for any free port.
         uint16_t port { 0 };
@@ -108,6 +106,9 @@
 
     unsigned running() const { return m_running; }
 
+    /// Changes the version of the weights in place.
+    void setWeights(int version) { m_weights = version; }
+
 private:
     static constexpr double heartbeatMs = 1'200;
     static constexpr unsigned maxQueued = 24;
@@ -138,7 +139,7 @@
             { "Server-Load",
                 std::to_string(m_running) + "," + std::to_string(m_queued) + "," + std::to_string(m_options.slots)
                     + ",100" },
-            { "Instance-Id", m_options.id }, { "Weight-Versions", m_options.weights } };
+            { "Instance-Id", m_options.id }, { "Weight-Versions", std::to_string(m_weights) } };
         if (m_isDraining)
             headers["Server-Leaving"] = "1";
         return headers;
@@ -157,7 +158,7 @@
             return;
         }
         const std::string weights = find(request.headers, "Expect-Version");
-        if (!weights.empty() && weights != m_options.weights) {
+        if (!weights.empty() && weights != std::to_string(m_weights)) {
             m_record.add("worker " + m_options.id + " answers " + find(request.headers, "Request-Id")
                 + " with 421: its weights have another version than " + weights);
             connection.answer(421, headers, {});
@@ -238,6 +239,7 @@
     Record& m_record;
     Runs& m_runs;
     const Options m_options;
+    std::atomic<int> m_weights { 1 };
     std::atomic<bool> m_isDraining { false };
     std::atomic<bool> m_hasEnded { false };
     std::atomic<unsigned> m_running { 0 };
