--- a/review/standins/Node.h
+++ b/review/standins/Node.h
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace Review {
@@ -41,6 +42,8 @@
         m_pid = ::fork();
         if (m_pid != 0)
             return;
+        // The process ends with this program, also if that is killed.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = ::open((m_folder + "/" + m_name + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(log, 1);
         ::dup2(log, 2);
