--- a/review/standins/Proxy.h
+++ b/review/standins/Proxy.h
@@ -34,6 +34,15 @@
         return n;
     }
 
+    /// Returns whether a request that contains the text has passed since that time.
+    bool hasPassed(const std::string& text, double since)
+    {
+        const std::lock_guard lock(m_mutex);
+        return std::any_of(m_links.begin(), m_links.end(), [&](const auto& it) {
+            return it->requestedAt > since && it->latestRequest().find(text) != std::string::npos;
+        });
+    }
+
 private:
     class Link {
     public:
@@ -47,10 +56,12 @@
         {
             const std::lock_guard lock(m_mutex);
             m_request = bytes;
+            requestedAt = now();
         }
 
         std::atomic<bool> isSilent { false };
         std::atomic<bool> hasEnded { false };
+        std::atomic<double> requestedAt { 0 };
 
     private:
         mutable std::mutex m_mutex;
