--- a/review/standins/World.h
+++ b/review/standins/World.h
@@ -214,6 +214,10 @@
             listed.insert(it["id"].text);
             record.add("listed: " + it["id"].text + " " + it["state"].text);
         }
+        const std::string missing = std::to_string(items - listed.size()) + " of " + std::to_string(items)
+            + " items are listed neither as completed nor as dead_lettered";
+        if (listed.size() == items)
+            return verdict(false, missing);
         const double end = now();
         for (const Run& it : runs.all()) {
             const double endedAt = it.endedAt == 0 ? end : it.endedAt;
@@ -224,9 +228,7 @@
             if (isItem(it) && it.isComplete && endedAt > end - 3'000)
                 return verdict(false, "an item was finished in the last 3 s");
         }
-        return verdict(listed.size() < items,
-            std::to_string(items - listed.size()) + " of " + std::to_string(items)
-                + " items are listed neither as completed nor as dead_lettered, and their workers are idle");
+        return verdict(true, missing + ", and their workers are idle");
     }
 
     /// Returns whether the run is one of an item of any batch job.
