LibGateway: Take no request that may outlast a planned stop

Cause, by the node's log and the record of the case: `GatewayHandler` took requests up to the last moment without a look at the time that is left; `placed` with left_ms 4999 stands 3.4 s before `stopped` with idle false. `Gateway::checkStopped` ends the process whatever is in progress, and its answers with it. Ruled out: the close of idle connections (the request was read and placed), the worker (it was dropped by the node).

Change: `StopSchedule` decides. A request is taken only if its deadline, or the limit of its route if that is shorter, ends before the process does; otherwise it is refused at once with 503, Retry-After and Connection: close, also if a peer hands it over. Calls about jobs need 3 s. What is in progress is answered 0.1 s before the end: 503 if it has not run, 504 or a broken stream if it may have; long polls return what there is.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -56,14 +56,6 @@
     /// Another attempt is made only if more than this is left before the deadline.
     constexpr Milliseconds minTimeForAttempt { 50 };
 
-    MonotonicTime callDeadline(const ForwardRequest& request, const GatewayRoute& route, MonotonicTime arrival)
-    {
-        Milliseconds limit = request.deadline.value_or(defaultDeadline);
-        if (route.timeout.count() > 0)
-            limit = std::min(limit, route.timeout);
-        return arrival + limit;
-    }
-
     /// Returns whether callers may conclude from the status that the request was not executed.
     bool impliesNotExecuted(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
@@ -84,7 +76,7 @@
     , m_route(route)
     , m_onDone(std::move(onDone))
     , m_arrival(environment.clock.now())
-    , m_deadline(callDeadline(m_request, route, m_arrival))
+    , m_deadline(m_arrival + timeLimit(m_request, route))
     , m_slot(environment.broker)
     , m_fingerprint(requestFingerprint(m_exchange->request()))
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
@@ -108,6 +100,12 @@
     m_slot.release(EndpointOutcome::Cancelled);
 }
 
+Milliseconds ForwardedCall::timeLimit(const ForwardRequest& request, const GatewayRoute& route)
+{
+    const Milliseconds limit = request.deadline.value_or(defaultDeadline);
+    return route.timeout.count() > 0 ? std::min(limit, route.timeout) : limit;
+}
+
 void ForwardedCall::start()
 {
     m_service = chooseService(m_route, m_environment.random.unit());
@@ -118,6 +116,15 @@
     requestSlot();
 }
 
+void ForwardedCall::endBy(MonotonicTime time)
+{
+    if (m_isDone || m_deadline <= time)
+        return;
+    m_deadline = time;
+    m_isCutShort = true;
+    m_deadlineTimer.start(std::max(Milliseconds { 0 }, timeLeft()));
+}
+
 bool ForwardedCall::resumesStream() const
 {
     const bool hasBegun = !m_request.resumes.empty() || m_sequence.lastId();
@@ -679,7 +686,11 @@
     }
     m_call.reset();
     m_slot.release(EndpointOutcome::Cancelled);
-    refuse(m_mayHaveRun ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineUnattainable, "the time limit was reached");
+    if (m_isCutShort && !m_mayHaveRun)
+        refuse(ErrorKind::ShuttingDown, "the node stops", stoppingRetryAfter);
+    else
+        refuse(
+            m_mayHaveRun ? ErrorKind::DeadlineExceeded : ErrorKind::DeadlineUnattainable, "the time limit was reached");
 }
 
 void ForwardedCall::handleCallerDisconnected()
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -17,6 +17,9 @@
 
 namespace Chicorydock {
 
+/// Delay after which the caller of a request that a stopping node did not run is served by another node.
+constexpr Milliseconds stoppingRetryAfter { 100 };
+
 /// Forwards one request of a caller: waits for a slot, sends the request to an endpoint and returns the response to the
 /// caller. If the route allows it, the request is retried, or its stream resumed, at another endpoint after a failure.
 /// While this node does not reach the endpoints, a peer forwards the request and takes the place of the endpoint.
@@ -31,8 +34,15 @@
         std::function<void()> onDone);
     ~ForwardedCall() override;
 
+    /// Returns how long such a request may take: the caller's deadline, or the limit of the operator if that is
+    /// shorter.
+    static Milliseconds timeLimit(const ForwardRequest&, const GatewayRoute&);
+
     void start();
 
+    /// Ends the call by that time at the latest, because the process stops.
+    void endBy(MonotonicTime);
+
     /// Moves the request to a peer if it waits for an endpoint, because this node has lost the endpoints. Frees the
     /// slot of a request that gets no response.
     void handleLostEndpoints();
@@ -120,8 +130,10 @@
     const GatewayRoute& m_route;
     const std::function<void()> m_onDone;
     const MonotonicTime m_arrival;
-    /// The earlier of the caller's deadline and the limit in the operator's configuration.
-    const MonotonicTime m_deadline;
+    /// The earliest of the caller's deadline, the limit in the operator's configuration and the end of the process.
+    MonotonicTime m_deadline;
+    /// Whether the process ends before the request would have to.
+    bool m_isCutShort { false };
     std::string m_service;
 
     SlotHandle m_slot;
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -14,6 +14,9 @@
     /// Upper limit of the wait of a long poll.
     constexpr Milliseconds maxLongPollWait { 2'000 };
 
+    /// Longest time of a call about a job: a long poll, and the calls to the store that follow it.
+    constexpr Milliseconds maxJobCallTime { 3'000 };
+
     constexpr size_t maxJobItems = 200;
 
     constexpr Milliseconds notReadyRetryAfter { 500 };
@@ -41,7 +44,8 @@
 void GatewayHandler::handle(std::shared_ptr<HttpExchange> exchange)
 {
     if (const auto call = m_environment.wire.decodeJobCall(exchange->request())) {
-        handleJobCall(exchange, *call);
+        if (!refuseIfStopping(exchange, call->jobId, maxJobCallTime))
+            handleJobCall(exchange, *call);
         return;
     }
     const ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
@@ -81,6 +85,25 @@
         Error(ErrorKind::NoEndpoint, "the configuration of the route names no service", unservableRetryAfter), id);
 }
 
+void GatewayHandler::beginStop(const StopSchedule& stop)
+{
+    m_stop = stop;
+    for (const auto& [number, call] : m_calls)
+        call->endBy(stop.respondBy());
+    for (auto& [number, poll] : m_longPolls)
+        poll.expiresAt = std::min(poll.expiresAt, stop.respondBy());
+}
+
+bool GatewayHandler::refuseIfStopping(
+    const std::shared_ptr<HttpExchange>& exchange, const std::string& id, Milliseconds timeLimit)
+{
+    if (!m_stop || m_stop->admits(timeLimit, m_environment.clock.now()))
+        return false;
+    answerError(exchange,
+        Error(ErrorKind::ShuttingDown, "the node stops before the request would have to end", stoppingRetryAfter), id);
+    return true;
+}
+
 void GatewayHandler::handleLostEndpoints()
 {
     std::vector<ForwardedCall*> calls;
@@ -105,6 +128,8 @@
 void GatewayHandler::forward(
     const std::shared_ptr<HttpExchange>& exchange, const ForwardRequest& request, const GatewayRoute& route)
 {
+    if (refuseIfStopping(exchange, request.id, ForwardedCall::timeLimit(request, route)))
+        return;
     const uint64_t number = ++m_lastNumber;
     auto call = std::make_unique<ForwardedCall>(
         m_environment, exchange, request, m_environment.configuration, route, [this, number] {
@@ -126,6 +151,8 @@
             exchange, Error(ErrorKind::MalformedRequest, "the request is not a valid job submission"), request.id);
         return;
     }
+    if (refuseIfStopping(exchange, request.id, maxJobCallTime))
+        return;
     m_jobs.submit(*submission, route, request.host, [this, exchange, id = request.id](std::optional<Error> error) {
         if (error)
             answerError(exchange, *error, id);
--- a/Libraries/LibGateway/GatewayHandler.h
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -3,6 +3,7 @@
 #include <LibGateway/ForwardedCall.h>
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/JobController.h>
+#include <LibGateway/StopSchedule.h>
 #include <LibHTTP/HttpExchange.h>
 
 #include <QObject>
@@ -10,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Chicorydock {
@@ -32,6 +34,9 @@
     /// times a second after that.
     void handleLostEndpoints();
 
+    /// Refuses the requests that may not end in time from now on, and ends those in progress before the process does.
+    void beginStop(const StopSchedule&);
+
     size_t callsInProgress() const { return m_calls.size(); }
 
 private:
@@ -53,6 +58,8 @@
     void checkLongPolls();
     void handleResultsCommitted(const std::string& jobId);
     void answerError(const std::shared_ptr<HttpExchange>&, const Error&, const std::string& id);
+    /// Refuses a request that may take that long if the process stops before. Returns whether it did.
+    bool refuseIfStopping(const std::shared_ptr<HttpExchange>&, const std::string& id, Milliseconds timeLimit);
     /// Refuses a request whose route names no service.
     void refuseUnservable(const std::shared_ptr<HttpExchange>&, const std::string& id);
     std::string requestId(const HttpExchange&) const;
@@ -62,6 +69,7 @@
     std::map<uint64_t, std::unique_ptr<ForwardedCall>> m_calls;
     std::map<uint64_t, LongPoll> m_longPolls;
     uint64_t m_lastNumber { 0 };
+    std::optional<StopSchedule> m_stop;
     QTimer m_longPollTimer;
 };
 
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -373,6 +373,7 @@
     m_isStopping = true;
     m_stopStartedAt = m_clock.now();
     m_server.setDraining(true);
+    m_handler.beginStop(StopSchedule(m_stopStartedAt + m_settings.http.drainTimeoutMs));
     m_jobs.release();
     m_registry.leave();
     m_peers.announce();
--- /dev/null
+++ b/Tests/LibGateway/TestStoppingNode.cpp
@@ -0,0 +1,161 @@
+#include <LibGateway/GatewayHandler.h>
+
+#include "FakeJobPeers.h"
+#include "GatewayFixture.h"
+
+#include <Tests/Support/FakeExchange.h>
+#include <Tests/Support/SimulatedEventLoop.h>
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace Chicorydock;
+
+namespace {
+
+constexpr Milliseconds processTime { 7'600 };
+
+/// A node that is told to stop while callers send requests.
+struct StoppingNode : GatewayFixture {
+    FakeJobPeers peers;
+    JobController jobs { environment, rows, peers, "n1" };
+    GatewayHandler handler { environment, jobs };
+
+    StoppingNode()
+    {
+        // A start at time 0 would be no time at all.
+        clock.advance(Milliseconds { 1'000 });
+    }
+
+    std::shared_ptr<FakeExchange> send(const QByteArray& method, const QByteArray& target, HttpHeaders headers)
+    {
+        const qsizetype mark = target.indexOf('?');
+        HttpRequest request { method, mark < 0 ? target : target.first(mark),
+            mark < 0 ? QByteArray() : target.mid(mark + 1), std::move(headers), {}, target };
+        request.headers.add("Host", "h.example");
+        request.headers.add("Request-Id", "q" + QByteArray::number(++m_requests));
+        auto exchange = std::make_shared<FakeExchange>(request);
+        handler.handle(exchange);
+        rows.deliver();
+        settle();
+        return exchange;
+    }
+
+    std::shared_ptr<FakeExchange> send(const QByteArray& target, Milliseconds deadline)
+    {
+        return send("POST", target, { { "Deadline-Ms", QByteArray::number(deadline.count()) } });
+    }
+
+    void stop(Milliseconds time) { handler.beginStop(StopSchedule(clock.now() + time)); }
+
+    /// Lets time pass for the node and its timers.
+    void advance(SimulatedEventLoop& loop, Milliseconds time)
+    {
+        for (Milliseconds left = time; left.count() > 0; left -= Milliseconds { 50 }) {
+            clock.advance(Milliseconds { 50 });
+            loop.advance(Milliseconds { 50 });
+            rows.deliver();
+            settle();
+        }
+    }
+
+private:
+    int m_requests { 0 };
+};
+
+int statusOf(const std::shared_ptr<FakeExchange>& exchange)
+{
+    return exchange->response ? exchange->response->status : 0;
+}
+
+bool isRefusedAsNotRun(const std::shared_ptr<FakeExchange>& exchange)
+{
+    return statusOf(exchange) == 503 && exchange->response->headers.find("Retry-After").has_value();
+}
+
+}
+
+// Load: callers that send their next request on a kept connection at any moment of a planned stop. Guards against
+// requests that are passed on although the process ends before they have to, and are cut off (LOST).
+TEST_CASE("a stopping node takes only requests that end before the process does")
+{
+    const auto [target, deadline] = GENERATE(std::pair("/u/1", Milliseconds { 5'000 }),
+        std::pair("/s/1", Milliseconds { 60'000 }), std::pair("/i/1", Milliseconds { 1'200 }));
+    // The limit of the operator is 5 s.
+    const Milliseconds limit = std::min(deadline, Milliseconds { 5'000 });
+    StoppingNode node;
+    node.stop(processTime);
+    for (Milliseconds elapsed { 0 }; elapsed < processTime; elapsed += Milliseconds { 250 }) {
+        CAPTURE(target, elapsed.count());
+        const size_t sent = node.http.count();
+        const auto exchange = node.send(target, deadline);
+        if (elapsed + limit < processTime) {
+            REQUIRE(node.http.count() == sent + 1);
+            node.http.handOver();
+            node.http.headers(200);
+            node.http.data("id: 1\ndata: d\n\n");
+            node.http.finish();
+            CHECK(statusOf(exchange) == 200);
+        } else {
+            CHECK(node.http.count() == sent);
+            CHECK(isRefusedAsNotRun(exchange));
+        }
+        node.clock.advance(Milliseconds { 250 });
+    }
+}
+
+// Guards against callers whose connection is closed without an answer when the process ends (LOST).
+TEST_CASE("all requests in progress are answered before the process ends")
+{
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        StoppingNode node;
+        const auto stream = node.send("/u/1", Milliseconds { 5'000 });
+        node.http.handOver();
+        node.http.headers(200);
+        node.http.data("id: 1\ndata: d\n\n");
+        const auto silent = node.send("/i/1", Milliseconds { 4'900 });
+        node.http.handOver();
+        std::vector<std::shared_ptr<FakeExchange>> others;
+        for (int n = 0; n < 40; ++n)
+            others.push_back(node.send("/u/1", Milliseconds { 5'000 }));
+        node.stop(Milliseconds { 2'000 });
+        node.advance(loop, Milliseconds { 1'900 });
+        CHECK(stream->isAborted);
+        CHECK(statusOf(silent) == 504);
+        size_t sent = node.http.count() - 2;
+        for (const auto& it : others) {
+            // Those that were handed to no endpoint have not run.
+            CHECK(it->isFinished);
+            CHECK(isRefusedAsNotRun(it));
+        }
+        CHECK(sent > 0);
+        CHECK(node.handler.callsInProgress() == 0);
+    });
+}
+
+// Guards against reads of results that are cut off, and against calls about jobs that cannot end in time.
+TEST_CASE("calls about jobs end before the process does or are refused")
+{
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        StoppingNode node;
+        REQUIRE_FALSE([&] {
+            std::optional<std::optional<Error>> result;
+            node.jobs.submit({ "j", { { "j-0", "/b/x", {}, "body", 10 } } },
+                *node.environment.configuration->findJobRoute("b", "h.example"), "h.example",
+                [&](const std::optional<Error>& error) { result = error; });
+            node.rows.deliver();
+            return result.value();
+        }());
+        const auto poll = node.send("GET", "/api/lots/j?after=0", { { "Wait-Ms", "2000" } });
+        CHECK_FALSE(poll->response);
+        node.stop(Milliseconds { 1'000 });
+        node.advance(loop, Milliseconds { 900 });
+        CHECK(statusOf(poll) == 200);
+        for (const char* it : { "GET /api/lots/j?after=0", "GET /api/items/j?id=j-0", "DELETE /api/lots/j" }) {
+            const QList<QByteArray> words = QByteArray(it).split(' ');
+            CHECK(isRefusedAsNotRun(node.send(words[0], words[1], {})));
+        }
+        const auto job = node.send("POST", "/b/q1", {});
+        CHECK(statusOf(job) == 400);
+    });
+}
