LibGateway: Know of an ended job in time although a connection is silent

Cause, by the record of the case and the node's log: the connection goes silent at 4605 ms, 0.03 s after the feed of jobs asked for changes; the end is acknowledged at 4614; the items begin at 8833; "cannot read table job from the store" comes at 9.39 s, 4.7 s after the silence: the wait of the feed (4 s) and the time-out of a call (0.7 s). Ruled out: the acknowledgement (6 ms), the retry after the time-out (0.1 s). Read beside it: after changes a feed waits 0.7 s before it asks again, in which the connection may go silent as well, so that the sum was 5.4 s.

Change: `FeedTiming` states for each feed how old its view may be, and derives the wait from it: delay, wait, time-out, retry and response together.

--- a/Libraries/LibGateway/ConfigurationFollower.cpp
+++ b/Libraries/LibGateway/ConfigurationFollower.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/ConfigurationFollower.h>
 
 #include <LibGateway/ConfigurationPlan.h>
+#include <LibGateway/FeedTiming.h>
 
 #include <QtEndian>
 
@@ -14,9 +15,6 @@
     const QByteArray configurationPath = "/configuration";
     const QByteArray rowVersionField = "Row-Version";
 
-    /// A feed without responses must be detected well within the time in which a configuration has to take effect.
-    constexpr Milliseconds feedWait { 1'000 };
-
     /// Longest time without progress of a call to a peer.
     constexpr Milliseconds peerTimeout { 500 };
     constexpr Milliseconds fetchRetryDelay { 50 };
@@ -50,7 +48,8 @@
     , m_clock(clock)
     , m_random(random)
     , m_listener(listener)
-    , m_follower(store, { wire.configurationTable(), { "" }, feedWait }, *this)
+    , m_follower(
+          store, { wire.configurationTable(), { "" }, FeedTiming::waitFor(FeedTiming::maxConfigurationViewAge) }, *this)
 {
     for (QTimer* it : { &m_startTimer, &m_retryTimer })
         it->setSingleShot(true);
--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-    constexpr Milliseconds minRetryDelay { 100 };
     constexpr Milliseconds maxRetryDelay { 500 };
 
     /// After the store dropped its history it may return older state for some seconds.
@@ -127,7 +126,10 @@
 void TableFollower::follow()
 {
     // Without contact to the store, a call that waits would also take that much longer to fail.
-    const Milliseconds wait = m_isReachable ? m_options.wait : Milliseconds { 0 };
+    Milliseconds wait = m_isReachable ? m_options.wait : Milliseconds { 0 };
+    // The connection may have gone silent during the delay.
+    if (std::exchange(m_isDelayed, false) && m_isReachable)
+        wait -= m_options.changeDelay;
     m_store.changes(m_options.table, m_version, wait, [this](const StoreResult<RowPage>& result) {
         if (const auto* page = std::get_if<RowPage>(&result))
             handleChanges(*page);
@@ -144,6 +146,7 @@
     if (!page.rows.empty())
         notify([&] { m_listener.onRowsChanged(page.rows); });
     if (!m_isListed || (!page.rows.empty() && m_options.changeDelay.count() > 0)) {
+        m_isDelayed = m_isListed;
         m_timer.start(m_isListed ? m_options.changeDelay : Milliseconds { 0 });
         return;
     }
--- a/Libraries/LibPlatform/TableFollower.h
+++ b/Libraries/LibPlatform/TableFollower.h
@@ -42,13 +42,16 @@
     struct Options {
         std::string table;
         std::vector<std::string> partitions { "" };
-        /// How long one call waits for changes. A dead feed is detected after this time plus the timeout of the store's
-        /// calls.
+        /// Longest time for which changes may stay unknown before a call for them ends, apart from the timeout of the
+        /// store's calls: the delay before a call and its wait together.
         Milliseconds wait { 1'500 };
-        /// Delay between a change and the next call, so that a burst of changes needs few calls.
+        /// Delay between a change and the next call, so that a burst of changes needs few calls. Shorter than `wait`.
         Milliseconds changeDelay { 0 };
     };
 
+    /// Delay between a failed call and the next one.
+    static constexpr Milliseconds minRetryDelay { 100 };
+
     /// The store and the listener outlive the follower.
     TableFollower(RowStore&, Options, TableListener&);
 
@@ -99,6 +102,8 @@
     /// Whether a call was due while paused.
     bool m_isCallDue { false };
     bool m_isReachable { false };
+    /// Whether the next call comes after the delay for changes.
+    bool m_isDelayed { false };
     Milliseconds m_retryDelay { 0 };
     QTimer m_timer;
     /// Number of listings still to be repeated after the history was lost.
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <LibGateway/ConfigurationPlan.h>
 #include <LibGateway/CoordinatorChoice.h>
+#include <LibGateway/FeedTiming.h>
 
 #include <QJsonDocument>
 #include <glog/logging.h>
@@ -13,13 +14,6 @@
 
 namespace {
 
-    /// The store usually responds within 5 ms. A feed without responses must be detected within the time in which a
-    /// configuration has to take effect.
-    constexpr Milliseconds storeTimeout { 700 };
-    constexpr Milliseconds endpointWait { 1'200 };
-    constexpr Milliseconds jobWait { 4'000 };
-    constexpr Milliseconds jobPace { 700 };
-
     constexpr Milliseconds tickInterval { 250 };
 
     /// Longest time for which the configuration waits for the list of nodes at the start.
@@ -126,7 +120,7 @@
     : m_settings(settings)
     , m_node(makeNodeId(settings, m_random))
     , m_log({ m_node, settings.node.failureDomain }, m_clock)
-    , m_store(m_controlClient, settings.platform.address, storeTimeout)
+    , m_store(m_controlClient, settings.platform.address, FeedTiming::storeTimeout)
     , m_links(m_clock, m_random, m_directory, m_prober, m_log)
     , m_quarantine(m_node)
     , m_origins(m_store, m_clock)
@@ -149,10 +143,11 @@
     , m_statusHandler(std::make_unique<StatusHandler>(*this))
     , m_peerHandler(std::make_unique<PeerHandler>(*this))
     , m_configuration(m_store, m_wire, m_peers, m_controlClient, m_clock, m_random, *m_configurationApplier)
-    , m_endpointFollower(std::make_unique<TableFollower>(
-          m_store, TableFollower::Options { m_wire.endpointTable(), { "" }, endpointWait }, m_registrations))
-    , m_jobFollower(std::make_unique<TableFollower>(
-          m_store, TableFollower::Options { JobRows::recordTable, JobRows::partitions(), jobWait, jobPace }, m_jobs))
+    , m_endpointFollower(std::make_unique<TableFollower>(m_store,
+          TableFollower::Options {
+              m_wire.endpointTable(), { "" }, FeedTiming::waitFor(FeedTiming::maxEndpointViewAge) },
+          m_registrations))
+    , m_jobFollower(std::make_unique<TableFollower>(m_store, FeedTiming::jobFeed(), m_jobs))
     , m_registry(m_store, m_peers, m_node, settings.gateway->peerAddress,
           [this](const std::set<std::string>& addresses) {
               m_configuration.start(storeReadDelay(m_settings.gateway->peerAddress, addresses));
