LibHTTP: Reuse no connection that was idle when a fresh one was asked for

What a node sees: after a call to the store timed out, the next call opens a connection of its own, but the calls after it take any idle one, which may be as silent as the first.

Cause: `freshConnection` only skips the pool once, and the time-out of the store's call ends it before the connection itself times out, which would close the idle ones. Change: a call that asks for a fresh connection closes the idle ones to its address.

--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -22,7 +22,8 @@
     Milliseconds progressTimeout { 10'000 };
     /// Longest time to open a connection.
     Milliseconds connectTimeout { 10'000 };
-    /// Whether to open a new connection instead of reusing one, for example after another one timed out.
+    /// Whether to open a new connection instead of reusing one, for example after another one timed out. Idle
+    /// connections to the address are closed, so that later calls do not reuse them either.
     bool freshConnection { false };
     /// Name of a field of this request that responses repeat. A response that carries it with another value belongs to
     /// an earlier request of the connection and is skipped. A connection never carries two requests with the same
--- a/Libraries/LibHTTP/PooledHttpClient.cpp
+++ b/Libraries/LibHTTP/PooledHttpClient.cpp
@@ -53,8 +53,11 @@
 
 ClientConnection& PooledHttpClient::acquire(const HttpCallRequest& request)
 {
+    // The other connections to a server that one is suspected of being dead for are suspect too.
+    if (request.freshConnection)
+        closeIdle(request.address);
     const auto it = m_idle.find(request.address);
-    if (request.freshConnection || it == m_idle.end())
+    if (it == m_idle.end())
         return open(request.address);
     const MonotonicTime now = std::chrono::steady_clock::now();
     Connections& idle = it->second;
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -210,6 +210,31 @@
     CHECK(server.connections() == 2);
 }
 
+// Guards against a second call that is lost on a silent connection, because only the first one after a timeout avoided
+// the connections that were idle meanwhile: a feed of the store then noticed an ended job too late.
+TEST_CASE("a call that asks for a fresh connection leaves no earlier one for the calls after it")
+{
+    ScriptedServer server(respondOk);
+    PooledHttpClient client;
+    RecordingObserver first;
+    RecordingObserver second;
+    const auto firstCall = client.start(makeRequest(server.address()), first);
+    const auto secondCall = client.start(makeRequest(server.address()), second);
+    REQUIRE(waitFor([&] { return first.hasEnded() && second.hasEnded(); }));
+    REQUIRE(server.connections() == 2);
+    HttpCallRequest request = makeRequest(server.address());
+    request.freshConnection = true;
+    CHECK(run(client, request).finished == 1);
+    REQUIRE(server.connections() == 3);
+    RecordingObserver third;
+    RecordingObserver fourth;
+    const auto thirdCall = client.start(makeRequest(server.address()), third);
+    const auto fourthCall = client.start(makeRequest(server.address()), fourth);
+    REQUIRE(waitFor([&] { return third.hasEnded() && fourth.hasEnded(); }));
+    // One of them uses the fresh connection, and the other one opens its own.
+    CHECK(server.connections() == 4);
+}
+
 // Guards against an endpoint that continues to work on a cancelled call.
 TEST_CASE("cancelling a call closes its connection and silences the observer")
 {
