LibGateway: End the work on a job when a checkpoint shows its loss

A checkpoint requires that the job's record is the one that the node wrote. Not taken for a loss: a record that says done and names this node, which a commit with a lost reply leaves behind.

--- a/Libraries/LibGateway/OwnedJob.cpp
+++ b/Libraries/LibGateway/OwnedJob.cpp
@@ -113,7 +113,8 @@
     m_store.commit(m_checkpoint, [this, lifetime = m_lifetime](const StoreResult<RowCommit>& result) {
         if (!*lifetime || m_hasEnded)
             return;
-        if (!std::holds_alternative<RowCommit>(result)) {
+        const auto* commit = std::get_if<RowCommit>(&result);
+        if (!commit) {
             // Repeating the write is idempotent: it has the same rows and the same content.
             QTimer::singleShot(commitRetryDelay, &m_checkpointTimer, [this] {
                 if (!m_hasEnded)
@@ -121,11 +122,20 @@
             });
             return;
         }
-        // A conflict is ignored here: the next commit of results detects that the job was lost.
         m_checkpoint = {};
+        if (!commit->isCommitted)
+            handleCheckpointConflict(*commit);
     });
 }
 
+void OwnedJob::handleCheckpointConflict(const RowCommit& commit)
+{
+    const auto current = commit.current.empty() ? std::nullopt : decodeJobHead(commit.current.front());
+    // The job may also be done by a commit of this node whose reply was lost. The next commit detects that.
+    if (current && (current->state == JobHead::State::Cancelled || current->owner != m_record.owner))
+        handleLoss();
+}
+
 RowTransaction OwnedJob::release()
 {
     JobHead released = m_record;
@@ -241,6 +251,11 @@
         handleResultsCommitted();
         return;
     }
+    handleLoss();
+}
+
+void OwnedJob::handleLoss()
+{
     m_environment.log.record("job", "lost", m_record.id, {},
         { { "version", static_cast<qint64>(m_record.version) },
             { "reason", "another node owns the job, or its caller cancelled it" } });
--- a/Libraries/LibGateway/OwnedJob.h
+++ b/Libraries/LibGateway/OwnedJob.h
@@ -59,6 +59,7 @@
     /// Stores the partial output of the items, so that another node can resume them.
     void checkpoint();
     void commitCheckpoint();
+    void handleCheckpointConflict(const RowCommit&);
     /// Returns rows with the output received since the last call; empty if there was none.
     std::vector<RowWrite> collectProgressRows();
     void handleResult(JobResult);
@@ -66,6 +67,8 @@
     RowTransaction transaction(const std::vector<JobResult>&) const;
     void handleCommit(const StoreResult<RowCommit>&);
     void handleConflict(const RowCommit&);
+    /// Ends the work on a job that another node owns, or that its caller cancelled.
+    void handleLoss();
     /// Returns whether `current` shows that the commit in progress was applied although its reply was lost.
     bool isOwnCommit(const std::vector<StoredRow>& current) const;
     void handleResultsCommitted();
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -450,6 +450,29 @@
     CHECK(owner.jobs->ownedJobs() == 0);
 }
 
+// Guards against items of an ended job that keep running until the feed of jobs brings the end, although a checkpoint
+// has shown it.
+TEST_CASE("a conflict of a checkpoint ends the work on a job that was cancelled or claimed")
+{
+    const bool isCancelled = GENERATE(true, false);
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode owner(store, "n1");
+    REQUIRE_FALSE(owner.submit(makeJob("j", 2)));
+    owner.http.handOver();
+    owner.http.headers(200);
+    owner.http.data("id: 1\ndata: a\n\n");
+    JobHead head = decodeJobHead(*store.find(JobRows::record("j"))).value();
+    head.state = isCancelled ? JobHead::State::Cancelled : JobHead::State::Open;
+    head.owner = isCancelled ? "n1" : "n2";
+    store.put(JobRows::record("j"), encodeJobHead(head));
+    // The checkpoint.
+    owner.commit();
+    CHECK(owner.jobs->ownedJobs() == 0);
+    CHECK(owner.http.call(0).isCancelled);
+    CHECK(owner.http.call(1).isCancelled);
+}
+
 // Guards against items that are retried forever or fail too early.
 TEST_CASE("an item fails after its last attempt, or at once if it can never succeed")
 {
