LibGateway: Let waiting work follow the configuration and the endpoints

Cause, by the node's log: configuration 9 is in force at the node before the three running items end, and after that the 17 others have no line at all: nothing placed, moved or given up. `ItemRun::requestSlot` chose the service when an item was queued; the route was only looked at again at a grant, which a service without endpoints never gives. Ruled out: the configuration and the registration (both known to the node), the coordinator (it has the items and the idle workers of another service). Same cause, read and shown by tests: the service of a split route that loses its last endpoint, the excluded endpoints (a copy from the moment of queueing), `max_wait_s`, and a route that is removed; for online requests the first two, until their deadline.

Change: items that wait are looked at again four times a second, requests when the configuration or the endpoints change. If what they wait for is no longer what the present view says, they are queued anew. The service is drawn among those of the route that endpoints offer, as long as there are any. An item keeps its output while no endpoint of its service is known at all, and excludes the endpoint that it could not use for as long as the directory says so. New log event `requeued`.

--- a/Libraries/LibGateway/EndpointDirectory.cpp
+++ b/Libraries/LibGateway/EndpointDirectory.cpp
@@ -189,6 +189,12 @@
     return record;
 }
 
+bool EndpointDirectory::offers(const std::string& service) const
+{
+    return std::ranges::any_of(
+        m_entries, [&](const auto& it) { return it.second.record.service == service && isUsable(it.second); });
+}
+
 bool EndpointDirectory::canResume(const StreamOrigin& origin) const
 {
     return std::ranges::any_of(m_entries, [&](const auto& it) {
--- a/Libraries/LibGateway/EndpointDirectory.h
+++ b/Libraries/LibGateway/EndpointDirectory.h
@@ -83,6 +83,9 @@
     std::optional<EndpointRecord> findFor(
         const std::string& id, const std::string& service, const std::optional<std::string>& softwareVersion) const;
 
+    /// Returns whether an endpoint that accepts new work offers the service.
+    bool offers(const std::string& service) const;
+
     /// Returns whether an endpoint that accepts new work can resume streams that began there.
     bool canResume(const StreamOrigin&) const;
 
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -2,6 +2,7 @@
 
 #include <LibGateway/DecisionFields.h>
 #include <LibGateway/RequestFingerprint.h>
+#include <LibGateway/ServiceChoice.h>
 
 #include <algorithm>
 #include <iterator>
@@ -108,7 +109,7 @@
 
 void ForwardedCall::start()
 {
-    m_service = chooseService(m_route, m_environment.random.unit());
+    m_service = chooseOfferedService(m_route, m_environment.directory, m_environment.random.unit());
     m_exchange->setCallerDisconnectedHandler([this] { handleCallerDisconnected(); });
     if (refuseIfQuarantined())
         return;
@@ -274,11 +275,40 @@
     work.isLastAttempt = isRetry || m_mayHaveRun || m_origin;
     work.excluded = m_excluded;
     // The coordinator may not know yet that these endpoints are leaving or have been replaced.
-    std::ranges::copy(m_environment.directory.excluded(), std::back_inserter(work.excluded));
+    m_excludedWhenQueued = m_environment.directory.excluded();
+    std::ranges::copy(m_excludedWhenQueued, std::back_inserter(work.excluded));
     work.softwareVersion = requiredVersion();
     m_slot.request(std::move(work), *this);
 }
 
+void ForwardedCall::updateQueueEntry()
+{
+    if (m_isDone || !m_slot.isQueued())
+        return;
+    const EndpointDirectory& directory = m_environment.directory;
+    std::string service = m_service;
+    const GatewayRoute* route = m_environment.configuration->findRoute(m_request.host, m_request.path);
+    const bool canMove = route && !m_origin && !directory.offers(m_service);
+    if (canMove)
+        service = chooseOfferedService(*route, directory, m_environment.random.unit());
+    const bool hasMoved = service != m_service && directory.offers(service);
+    if (!hasMoved && !hasExclusionEnded())
+        return;
+    if (hasMoved)
+        m_service = service;
+    m_environment.log.record(
+        "request", "requeued", m_request.id, {}, { { "service", QString::fromStdString(m_service) } });
+    m_slot.release(EndpointOutcome::Cancelled);
+    requestSlot();
+}
+
+bool ForwardedCall::hasExclusionEnded() const
+{
+    const std::vector<std::string> excluded = m_environment.directory.excluded();
+    return std::ranges::any_of(
+        m_excludedWhenQueued, [&](const std::string& it) { return std::ranges::find(excluded, it) == excluded.end(); });
+}
+
 void ForwardedCall::onSlotGranted(const std::string& endpoint, const SlotView& view)
 {
     m_slot.markStarted();
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -43,6 +43,10 @@
     /// Ends the call by that time at the latest, because the process stops.
     void endBy(MonotonicTime);
 
+    /// Adapts a request that waits for an endpoint to the present configuration and endpoints: it moves to another
+    /// service of its route if endpoints offer only that, and may use an endpoint that has come back.
+    void updateQueueEntry();
+
     /// Moves the request to a peer if it waits for an endpoint, because this node has lost the endpoints. Frees the
     /// slot of a request that gets no response.
     void handleLostEndpoints();
@@ -68,6 +72,8 @@
     void findOrigin();
     void handleOrigin(const OriginResult&);
     void requestSlot();
+    /// Returns whether the request was queued without an endpoint that this node no longer excludes.
+    bool hasExclusionEnded() const;
     /// Returns the latest start that keeps the latency target of the route.
     MonotonicTime latestStart() const;
     void send(const EndpointRecord&);
@@ -145,6 +151,8 @@
     /// Where the stream began. Empty until its first event, unless the caller resumes it.
     std::optional<StreamOrigin> m_origin;
     std::vector<std::string> m_excluded;
+    /// Endpoints that this node excluded for all requests when this one was queued.
+    std::vector<std::string> m_excludedWhenQueued;
     std::unique_ptr<HttpCall> m_call;
     /// Whether the request comes from a peer that has lost the endpoints.
     const bool m_isFromPeer;
--- a/Libraries/LibGateway/GatewayConfiguration.cpp
+++ b/Libraries/LibGateway/GatewayConfiguration.cpp
@@ -38,13 +38,13 @@
     return it == routes.end() ? nullptr : &*it;
 }
 
-std::string chooseService(const GatewayRoute& route, double draw)
+std::string chooseService(const std::vector<ServiceShare>& shares, double draw)
 {
     uint64_t totalWeight = 0;
-    for (const ServiceShare& it : route.shares)
+    for (const ServiceShare& it : shares)
         totalWeight += it.weight;
     double remaining = draw * static_cast<double>(totalWeight);
-    for (const ServiceShare& it : route.shares) {
+    for (const ServiceShare& it : shares) {
         remaining -= it.weight;
         if (remaining < 0)
             return it.service;
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -112,7 +112,7 @@
 };
 
 /// Selects a service at random in proportion to the weights; `draw` is uniform in [0, 1). Returns an empty string if
-/// the route has no service with a weight above 0.
-std::string chooseService(const GatewayRoute&, double draw);
+/// no weight is above 0.
+std::string chooseService(const std::vector<ServiceShare>&, double draw);
 
 }
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -88,8 +88,8 @@
 void GatewayHandler::beginStop(const StopSchedule& stop)
 {
     m_stop = stop;
-    for (const auto& [number, call] : m_calls)
-        call->endBy(stop.respondBy());
+    for (ForwardedCall* it : calls())
+        it->endBy(stop.respondBy());
     for (auto& [number, poll] : m_longPolls)
         poll.expiresAt = std::min(poll.expiresAt, stop.respondBy());
 }
@@ -104,15 +104,26 @@
     return true;
 }
 
-void GatewayHandler::handleLostEndpoints()
+std::vector<ForwardedCall*> GatewayHandler::calls() const
 {
     std::vector<ForwardedCall*> calls;
     for (const auto& [number, call] : m_calls)
         calls.push_back(call.get());
-    for (ForwardedCall* it : calls)
+    return calls;
+}
+
+void GatewayHandler::handleLostEndpoints()
+{
+    for (ForwardedCall* it : calls())
         it->handleLostEndpoints();
 }
 
+void GatewayHandler::updateWaitingCalls()
+{
+    for (ForwardedCall* it : calls())
+        it->updateQueueEntry();
+}
+
 void GatewayHandler::answerError(
     const std::shared_ptr<HttpExchange>& exchange, const Error& error, const std::string& id)
 {
--- a/Libraries/LibGateway/GatewayHandler.h
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Chicorydock {
 
@@ -34,6 +35,10 @@
     /// times a second after that.
     void handleLostEndpoints();
 
+    /// Adapts the requests that wait for endpoints to the present configuration and endpoints. Must be called when
+    /// these change.
+    void updateWaitingCalls();
+
     /// Refuses the requests that may not end in time from now on, and ends those in progress before the process does.
     void beginStop(const StopSchedule&);
 
@@ -50,6 +55,8 @@
         bool isReading { false };
     };
 
+    /// Returns the calls in progress. Calls that end meanwhile stay valid until the next iteration of the event loop.
+    std::vector<ForwardedCall*> calls() const;
     void forward(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
     void submitJob(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
     void handleJobCall(const std::shared_ptr<HttpExchange>&, const JobCall&);
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/ItemRun.h>
 
 #include <LibGateway/DecisionFields.h>
+#include <LibGateway/ServiceChoice.h>
 
 #include <algorithm>
 #include <utility>
@@ -124,7 +125,14 @@
     m_idleTimeout = std::max(minEventIdleTimeout, route->gapTarget * eventIdleTimeoutFactor);
     if (m_origin && !canResume(*route))
         discardOutput();
-    m_service = m_origin ? m_origin->service : chooseService(*route, m_environment.random.unit());
+    m_service = m_origin ? m_origin->service
+                         : chooseOfferedService(*route, m_environment.directory, m_environment.random.unit());
+    m_queuedWork = makeWork();
+    m_slot.request(m_queuedWork, *this);
+}
+
+BatchWork ItemRun::makeWork() const
+{
     BatchWork work;
     work.service = m_service;
     work.softwareVersion = originVersion(m_origin);
@@ -132,9 +140,33 @@
     work.slotTimeUsed = m_slotTimeUsed;
     // The coordinator may not know yet that these endpoints are leaving or have been replaced.
     work.excluded = m_environment.directory.excluded();
-    if (m_unusedEndpoint)
-        work.excluded.push_back(*std::exchange(m_unusedEndpoint, {}));
-    m_slot.request(std::move(work), *this);
+    if (m_unusedEndpoint && !m_environment.directory.findFor(*m_unusedEndpoint, m_service, work.softwareVersion))
+        work.excluded.push_back(*m_unusedEndpoint);
+    return work;
+}
+
+void ItemRun::update()
+{
+    if (m_isDone || !m_slot.isQueued())
+        return;
+    const GatewayRoute* route = m_environment.configuration->findJobRoute(m_job.route, m_job.host);
+    if (route && isQueueEntryCurrent(*route))
+        return;
+    logStep("requeued", "what it waited for has changed");
+    m_slot.release(EndpointOutcome::Cancelled);
+    requestSlot();
+}
+
+bool ItemRun::isQueueEntryCurrent(const GatewayRoute& route) const
+{
+    if (m_environment.clock.now() > m_job.expiresAt)
+        return false;
+    if (!mayWaitFor(m_service, route, m_environment.directory))
+        return false;
+    // Without any endpoint of the service, the output is kept: one that can continue it may come back.
+    if (m_origin && m_environment.directory.offers(m_service) && !m_environment.directory.canResume(*m_origin))
+        return false;
+    return makeWork() == m_queuedWork;
 }
 
 bool ItemRun::canResume(const GatewayRoute& route) const
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -38,6 +38,10 @@
 
     void start();
 
+    /// Adapts an item that waits for a slot to the present configuration and endpoints: it waits for another service,
+    /// or fails because its route is gone or its time is over. Must be called several times a second.
+    void update();
+
     /// Continues after the output that another node received. Must be called before `start()`.
     void resume(const ItemProgress&);
 
@@ -66,6 +70,10 @@
     void onFailed(const HttpFailure&) override;
 
     void requestSlot();
+    /// Returns what the item waits for, according to the endpoints known now.
+    BatchWork makeWork() const;
+    /// Returns whether the item may go on waiting for what it was queued for.
+    bool isQueueEntryCurrent(const GatewayRoute&) const;
     /// Returns whether the output received so far can be continued.
     bool canResume(const GatewayRoute&) const;
     /// Discards the output received so far, so that the item starts anew.
@@ -94,8 +102,10 @@
     PromptAttempts m_prompt;
     bool m_isDone { false };
     std::string m_endpoint;
-    /// Endpoint of the slot that was granted last, if the item could not run there. The next one is another one.
+    /// Endpoint of the latest slot at which the item could not run. It is excluded for as long as that is so.
     std::optional<std::string> m_unusedEndpoint;
+    /// What the item waits for or has waited for.
+    BatchWork m_queuedWork;
     /// Version of the software at the endpoint of the latest run.
     std::string m_softwareVersion;
     /// Service of the latest run.
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -249,6 +249,8 @@
 {
     const MonotonicTime now = m_environment.clock.now();
     updateSuspension(now);
+    for (const auto& [id, job] : m_owned)
+        job->update();
     if (m_isLeaving || !m_isStoreReachable || now < m_reachableSince + claimGracePeriod)
         return;
     // A peer that reaches the endpoints claims the jobs.
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -61,7 +61,8 @@
         m_onResultsCommitted = std::move(handler);
     }
 
-    /// Claims orphaned jobs and suspends or resumes this node's jobs. Must be called several times a second.
+    /// Claims orphaned jobs, suspends or resumes this node's jobs, and adapts their waiting items to the configuration
+    /// and the endpoints. Must be called several times a second.
     void tick();
 
     /// Releases all jobs to other nodes, with the partial output of their items.
--- a/Libraries/LibGateway/OwnedJob.cpp
+++ b/Libraries/LibGateway/OwnedJob.cpp
@@ -161,6 +161,14 @@
     m_hasEnded = true;
 }
 
+void OwnedJob::update()
+{
+    if (m_hasEnded)
+        return;
+    for (const auto& it : m_runs)
+        it->update();
+}
+
 void OwnedJob::setSuspended(bool isSuspended)
 {
     if (m_hasEnded || std::exchange(m_isSuspended, isSuspended) == isSuspended)
--- a/Libraries/LibGateway/OwnedJob.h
+++ b/Libraries/LibGateway/OwnedJob.h
@@ -46,6 +46,9 @@
     /// Stops all items without recording results.
     void stop();
 
+    /// Adapts the items that wait to the present configuration and endpoints.
+    void update();
+
     /// Suspends or resumes the items. Results that are not committed yet stay queued for the store.
     void setSuspended(bool);
 
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -196,13 +196,18 @@
     for (HttpServer* it : { &m_server, &m_peerServer })
         it->setLimits(limits);
     m_environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    m_handler.updateWaitingCalls();
     m_broker.schedulePoll();
     // Other nodes may wait for this one to read it from the store.
     if (received.peer.empty())
         m_peers.announceToDomain();
 }
 
-void Gateway::updateSchedulerEndpoints() { m_broker.setEndpoints(m_directory.usable()); }
+void Gateway::updateSchedulerEndpoints()
+{
+    m_broker.setEndpoints(m_directory.usable());
+    m_handler.updateWaitingCalls();
+}
 
 void Gateway::tick()
 {
--- a/Tests/LibGateway/TestGatewayConfiguration.cpp
+++ b/Tests/LibGateway/TestGatewayConfiguration.cpp
@@ -38,7 +38,7 @@
     int counts[3] = { 0, 0, 0 };
     constexpr int draws = 1000;
     for (int n = 0; n < draws; ++n)
-        ++counts[chooseService(route, (n + 0.5) / draws).front() - 'a'];
+        ++counts[chooseService(route.shares, (n + 0.5) / draws).front() - 'a'];
     CHECK(counts[0] == 900);
     CHECK(counts[1] == 100);
     CHECK(counts[2] == 0);
@@ -66,6 +66,6 @@
     route.shares = { { "a", 0 }, { "b", 0 } };
     for (const double it : { 0.0, 0.5, 0.999 }) {
         CAPTURE(it);
-        CHECK(chooseService(route, it).empty());
+        CHECK(chooseService(route.shares, it).empty());
     }
 }
