LibGateway: Report items of each service and version in places of their own

Cause, by the record of the case and the code that the new test plays: a member reports at most 24 items to its coordinator, of all services together and in the order of arrival; those that the coordinator has acknowledged keep their places, and so did acknowledged online requests. Items that can't start held all 24. A node that is its own coordinator uses the same report. Ruled out: the coordinator's queue (it starts what it knows of), the directory.

Change: the limit holds for the items of each service and version, which wait for the same slots; requests count nothing.

--- a/Libraries/LibGateway/SlotMember.cpp
+++ b/Libraries/LibGateway/SlotMember.cpp
@@ -32,8 +32,9 @@
     constexpr Milliseconds maxSuspicionTime { 24'000 };
     constexpr Milliseconds suspicionMemory { 10'000 };
 
-    /// Maximum number of queued items in a report. The others wait until some of these have started.
-    constexpr size_t maxReportedItems = 24;
+    /// Maximum number of queued items in a report that wait for the same slots. The others wait until some of these
+    /// have started. Items that wait for other slots have places of their own, because these may never start.
+    constexpr size_t maxReportedItemsOfGroup = 24;
 
     /// Age up to which the load of an endpoint is reported. The coordinator's own counts are newer than older loads.
     constexpr Milliseconds maxLoadAge { 30 };
@@ -246,8 +247,9 @@
     report.acknowledged = m_lastReply;
     m_hasChange = false;
     m_reportedAt = now;
+    std::map<ItemGroup, size_t> reportedItems = acknowledgedItems();
     for (auto& [id, work] : m_work)
-        addWork(report, id, work, now);
+        addWork(report, id, work, reportedItems, now);
     for (Finished& it : m_finished) {
         it.sentIn = it.sentIn == 0 ? report.sequence : it.sentIn;
         report.finished.push_back(it.work);
@@ -259,14 +261,29 @@
     return report;
 }
 
-void SlotMember::addWork(SlotReport& report, uint64_t id, Work& work, MonotonicTime now) const
+std::map<SlotMember::ItemGroup, size_t> SlotMember::acknowledgedItems() const
+{
+    std::map<ItemGroup, size_t> items;
+    for (const auto& [id, work] : m_work) {
+        if (work.item && work.isAcknowledged)
+            ++items[{ work.item->service, work.item->softwareVersion }];
+    }
+    return items;
+}
+
+void SlotMember::addWork(
+    SlotReport& report, uint64_t id, Work& work, std::map<ItemGroup, size_t>& reportedItems, MonotonicTime now) const
 {
     if (work.isAcknowledged) {
         (work.slot ? report.running : report.queued).push_back(id);
         return;
     }
-    if (work.item && report.items.size() + report.queued.size() >= maxReportedItems)
-        return;
+    if (work.item) {
+        size_t& reported = reportedItems[{ work.item->service, work.item->softwareVersion }];
+        if (reported >= maxReportedItemsOfGroup)
+            return;
+        ++reported;
+    }
     work.sentIn = work.sentIn == 0 ? report.sequence : work.sentIn;
     if (work.slot) {
         const RunningWork& it = *work.slot;
--- a/Libraries/LibGateway/SlotMember.h
+++ b/Libraries/LibGateway/SlotMember.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Chicorydock {
@@ -72,6 +74,9 @@
         bool isAcknowledged { false };
     };
 
+    /// Items that wait for the same slots: those of one service that may run at the same versions of its software.
+    using ItemGroup = std::pair<std::string_view, std::optional<std::string_view>>;
+
     struct Suspicion {
         MonotonicTime since;
         MonotonicTime until;
@@ -94,7 +99,10 @@
     bool hasUnacknowledgedWork() const;
     Milliseconds replyTimeout() const;
     SlotReport makeReport(MonotonicTime now);
-    void addWork(SlotReport&, uint64_t id, Work&, MonotonicTime now) const;
+    /// Returns the number of queued items that the coordinator knows, by group.
+    std::map<ItemGroup, size_t> acknowledgedItems() const;
+    /// Adds the work to the report, unless it is an item of a group that has its share of it.
+    void addWork(SlotReport&, uint64_t id, Work&, std::map<ItemGroup, size_t>& reportedItems, MonotonicTime now) const;
     void addLoads(SlotReport&, MonotonicTime now);
     void addRates(SlotReport&, MonotonicTime now);
     void exchangeLocally(MonotonicTime now);
--- a/Tests/LibGateway/TestSlotMember.cpp
+++ b/Tests/LibGateway/TestSlotMember.cpp
@@ -105,6 +105,57 @@
 
 }
 
+// Load: more items than a report holds that cannot start, because their service has no endpoint, their version is full
+// or online requests wait before them. Guards against items behind them that are never started although endpoints that
+// may run them are idle (LOST, review/3).
+TEST_CASE("items that cannot start keep no items of another kind from starting")
+{
+    Fixture fixture(4);
+    const bool hasCoordinator = GENERATE(true, false);
+    if (!hasCoordinator)
+        fixture.at("a").member.setCandidates({}, fixture.clock.now());
+    SlotMember& member = fixture.at("a").member;
+    const MonotonicTime dueAt = fixture.clock.now() + std::chrono::seconds { 18 };
+    const int kind = GENERATE(0, 1, 2);
+    for (int n = 0; n < 60; ++n) {
+        if (kind == 2)
+            member.submit(OnlineWork { .id = ++fixture.lastWork,
+                              .service = "lm",
+                              .startBy = dueAt,
+                              .deadline = dueAt,
+                              .isLastAttempt = true,
+                              .excluded = { "e" } },
+                fixture.clock.now());
+        else
+            member.submit(BatchWork { .id = ++fixture.lastWork,
+                .service = kind == 0 ? "lost" : "lm",
+                .dueAt = dueAt,
+                .excluded = kind == 0 ? std::vector<std::string>() : std::vector<std::string> { "e" },
+                .softwareVersion = kind == 0 ? std::nullopt : std::optional<std::string>("") });
+    }
+    // The coordinator acknowledges those that it knows.
+    CHECK(fixture.exchangeUntilDecision("a").empty());
+    const uint64_t item = fixture.submitItem("a");
+    std::vector<SlotDecision> decisions;
+    for (int n = 0; n < 100 && decisions.empty(); ++n) {
+        decisions = fixture.exchange("a");
+        std::erase_if(decisions, [](const SlotDecision& it) { return it.kind != Kind::Start; });
+    }
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions[0].work == item);
+}
+
+// Guards against reports that grow with the items that wait at a node.
+TEST_CASE("a report holds a limited number of items")
+{
+    Fixture fixture;
+    for (int n = 0; n < 500; ++n)
+        fixture.submitItem("a");
+    const auto reports = fixture.takeReports("a");
+    REQUIRE(reports.size() == 1);
+    CHECK(reports[0].report.items.size() == 24);
+}
+
 // Guards against two nodes that use the same slot, and against a slot that stays taken after its work has ended.
 TEST_CASE("a slot is granted to one member at a time")
 {
