LibGateway: Bring views up to date before a stream of unknown origin goes on

Another operator saw streams that had begun at a worker of a new version go on at the old one, at a machine that was out of step for a few seconds (ORDER).

Cause: a caller that resumes a stream without naming its first attempt gets the only version that this node knows, if that is the default version that it knows. Both come from feeds: a node that was cut off, stood still or has a silent connection keeps an old view without noticing, as the steady clock doesn't count a standstill. A stream without a record was taken for one of the default version of the feed as well, which may be that of more than a minute ago.

Change: such a stream waits until the view of the endpoints has been brought up to date (`TableFollower::refresh`, one call that doesn't wait; calls that come meanwhile share the next one) and the default version has been read. If the store doesn't answer, the request is refused with 503 and Retry-After. Rows that a view already has are left out, so that a call that waited can't bring back an endpoint that a refresh has removed. A stream without a record costs one read more.

Open: endpoints of a new version that joined and left again while a stream of theirs broke; a caller that names the first attempt isn't affected.

--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -13,6 +13,7 @@
 #include <LibHTTP/HttpClient.h>
 #include <LibLog/EventLog.h>
 #include <LibMetrics/MetricsRegistry.h>
+#include <LibPlatform/ViewRefresher.h>
 
 #include <memory>
 
@@ -35,6 +36,8 @@
     EndpointDirectory& directory;
     PromptQuarantine& quarantine;
     StreamOrigins& origins;
+    /// Brings the directory up to date.
+    ViewRefresher& endpointView;
     EndpointLinkMonitor& links;
     const RelayPeers& relayPeers;
     EventLog& log;
--- a/Libraries/LibGateway/OriginLookup.cpp
+++ b/Libraries/LibGateway/OriginLookup.cpp
@@ -25,6 +25,11 @@
         return StreamOrigin { service, softwareVersion };
     }
 
+    Error unknownNow()
+    {
+        return { ErrorKind::PlatformUnavailable, "the store does not tell where the stream began", originRetryAfter };
+    }
+
     OriginResult checkOrigin(const GatewayRoute& route, const std::optional<StreamOrigin>& origin)
     {
         if (!origin)
@@ -35,13 +40,34 @@
         return *origin;
     }
 
+    /// Replies with the only possible origin of a stream that its caller does not name. This node may be out of step:
+    /// endpoints of another version may have joined, and may have begun the stream, without its knowledge. So its views
+    /// are brought up to date first.
+    void lookUpUnnamed(GatewayEnvironment& environment, const GatewayRoute& route, const std::string& service,
+        std::function<void(const OriginResult&)> reply)
+    {
+        const auto decide
+            = [&environment, route, service, reply](const StoreResult<std::optional<std::string>>& result) {
+                  if (std::holds_alternative<StoreFailure>(result))
+                      reply(unknownNow());
+                  else
+                      reply(checkOrigin(route, onlyPossibleOrigin(environment, route, service)));
+              };
+        environment.endpointView.refresh([&environment, service, reply, decide](bool isCurrent) {
+            if (isCurrent)
+                environment.origins.readDefault(service, decide);
+            else
+                reply(unknownNow());
+        });
+    }
+
 }
 
 void lookUpOrigin(GatewayEnvironment& environment, const GatewayRoute& route, const std::string& service,
     const std::string& firstAttempt, std::function<void(const OriginResult&)> reply)
 {
     if (firstAttempt.empty()) {
-        reply(checkOrigin(route, onlyPossibleOrigin(environment, route, service)));
+        lookUpUnnamed(environment, route, service, std::move(reply));
         return;
     }
     // Without a record, a stream of a route with several services may have begun at any of them.
@@ -49,8 +75,7 @@
     environment.origins.find(firstAttempt, isOneService ? std::optional(service) : std::nullopt,
         [route, reply = std::move(reply)](const StoreResult<std::optional<StreamOrigin>>& result) {
             if (std::holds_alternative<StoreFailure>(result))
-                reply(Error(ErrorKind::PlatformUnavailable, "the store does not tell where the stream began",
-                    originRetryAfter));
+                reply(unknownNow());
             else
                 reply(checkOrigin(route, std::get<std::optional<StreamOrigin>>(result)));
         });
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -137,8 +137,38 @@
                 reply(decode(page->rows.front().value));
                 return;
             }
-            const auto softwareVersion = service ? m_defaults.find(*service) : std::nullopt;
-            reply(softwareVersion ? std::optional(StreamOrigin { *service, *softwareVersion }) : std::nullopt);
+            if (service)
+                replyWithDefault(*service, reply);
+            else
+                reply(std::nullopt);
+        });
+}
+
+void StreamOrigins::replyWithDefault(
+    const std::string& service, const RowStore::Reply<std::optional<StreamOrigin>>& reply)
+{
+    readDefault(service, [service, reply](const StoreResult<std::optional<std::string>>& result) {
+        const auto* softwareVersion = std::get_if<std::optional<std::string>>(&result);
+        if (!softwareVersion)
+            reply(std::get<StoreFailure>(result));
+        else
+            reply(*softwareVersion ? std::optional(StreamOrigin { service, **softwareVersion }) : std::nullopt);
+    });
+}
+
+void StreamOrigins::readDefault(const std::string& service, RowStore::Reply<std::optional<std::string>> reply)
+{
+    m_store.read({ defaultTable, "", service, service + '\0' },
+        [this, service, reply = std::move(reply), lifetime = m_lifetime](const StoreResult<RowPage>& result) {
+            if (!*lifetime)
+                return;
+            const auto* page = std::get_if<RowPage>(&result);
+            if (!page) {
+                reply(std::get<StoreFailure>(result));
+                return;
+            }
+            onRowsChanged(page->rows);
+            reply(m_defaults.find(service));
         });
 }
 
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -46,10 +46,14 @@
     void record(const std::string& stream, const StreamOrigin&, std::function<void()> onRecorded);
 
     /// Returns where the stream began, or nothing if that cannot be known. A stream without a record is taken for one
-    /// of `service`, if that is given.
+    /// of `service`, if that is given, at the default version that the store has now.
     void find(const std::string& stream, const std::optional<std::string>& service,
         RowStore::Reply<std::optional<StreamOrigin>>);
 
+    /// Reads the default version of the service from the store, because the known one may be old: this process may have
+    /// stood still.
+    void readDefault(const std::string& service, RowStore::Reply<std::optional<std::string>>);
+
     /// Returns the default version of the service, or nothing if all its streams are recorded.
     std::optional<std::string> defaultVersion(const std::string& service) const { return m_defaults.find(service); }
 
@@ -81,6 +85,8 @@
     void onReachableChanged(bool) override { }
 
     void commit(const std::shared_ptr<PendingRecord>&);
+    /// Replies with the default version of the service as the origin of a stream without a record.
+    void replyWithDefault(const std::string& service, const RowStore::Reply<std::optional<StreamOrigin>>&);
     void retry(const std::shared_ptr<PendingRecord>&);
 
     RowStore& m_store;
--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <exception>
+#include <iterator>
 #include <utility>
 
 namespace Chicorydock {
@@ -142,9 +143,7 @@
 {
     setReachable(true);
     m_retryDelay = Milliseconds { 0 };
-    m_version = std::max(m_version, page.storeVersion);
-    if (!page.rows.empty())
-        notify([&] { m_listener.onRowsChanged(page.rows); });
+    applyChanges(page);
     if (!m_isListed || (!page.rows.empty() && m_options.changeDelay.count() > 0)) {
         m_isDelayed = m_isListed;
         m_timer.start(m_isListed ? m_options.changeDelay : Milliseconds { 0 });
@@ -153,6 +152,45 @@
     proceed();
 }
 
+void TableFollower::applyChanges(const RowPage& page)
+{
+    // A refresh and a call that waits may both bring a row. An older one must not replace a newer one.
+    std::vector<StoredRow> rows;
+    std::ranges::copy_if(
+        page.rows, std::back_inserter(rows), [&](const StoredRow& it) { return it.version > m_version; });
+    m_version = std::max(m_version, page.storeVersion);
+    if (!rows.empty())
+        notify([&] { m_listener.onRowsChanged(rows); });
+}
+
+void TableFollower::refresh(std::function<void(bool isCurrent)> onDone)
+{
+    if (!m_isListed) {
+        onDone(false);
+        return;
+    }
+    m_refreshes.push_back(std::move(onDone));
+    if (!m_isRefreshing)
+        startRefresh();
+}
+
+void TableFollower::startRefresh()
+{
+    m_isRefreshing = true;
+    m_store.changes(m_options.table, m_version, Milliseconds { 0 },
+        [this, waiting = std::exchange(m_refreshes, {})](const StoreResult<RowPage>& result) {
+            m_isRefreshing = false;
+            const auto* page = std::get_if<RowPage>(&result);
+            const bool isCurrent = page && !page->hasMore && m_isListed;
+            if (isCurrent)
+                applyChanges(*page);
+            for (const auto& it : waiting)
+                it(isCurrent);
+            if (!m_refreshes.empty() && !m_isRefreshing)
+                startRefresh();
+        });
+}
+
 void TableFollower::handleFailure(const StoreFailure& failure)
 {
     if (failure.kind == StoreFailure::Kind::HistoryLost) {
--- a/Libraries/LibPlatform/TableFollower.h
+++ b/Libraries/LibPlatform/TableFollower.h
@@ -2,10 +2,12 @@
 
 #include <LibCore/Clock.h>
 #include <LibPlatform/RowStore.h>
+#include <LibPlatform/ViewRefresher.h>
 
 #include <QObject>
 #include <QTimer>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -37,7 +39,7 @@
 /// Reports the rows of a table to a listener: first a listing, then the changes from the change feed of the store.
 ///
 /// Thread safety: used on the thread that created it.
-class TableFollower final : public QObject {
+class TableFollower final : public QObject, public ViewRefresher {
 public:
     struct Options {
         std::string table;
@@ -70,6 +72,9 @@
     /// Replaces the listing if there has been none yet.
     void skipTo(uint64_t version);
 
+    /// Asks the store at once. Calls that come meanwhile share the next question.
+    void refresh(std::function<void(bool isCurrent)> onDone) override;
+
     bool isListed() const { return m_isListed; }
 
     /// Whether the store responded to the last call.
@@ -84,6 +89,9 @@
     void finishListing();
     void follow();
     void handleChanges(const RowPage&);
+    /// Reports the rows that are not known yet.
+    void applyChanges(const RowPage&);
+    void startRefresh();
     void handleFailure(const StoreFailure&);
     void setReachable(bool);
     /// Calls the listener. An exception must not end the process, nor the following of the table.
@@ -105,6 +113,9 @@
     /// Whether the next call comes after the delay for changes.
     bool m_isDelayed { false };
     Milliseconds m_retryDelay { 0 };
+    /// Waiting for a refresh that has not begun.
+    std::vector<std::function<void(bool)>> m_refreshes;
+    bool m_isRefreshing { false };
     QTimer m_timer;
     /// Number of listings still to be repeated after the history was lost.
     int m_pendingRelistings { 0 };
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -124,13 +124,18 @@
     , m_links(m_clock, m_random, m_directory, m_prober, m_log)
     , m_quarantine(m_node)
     , m_origins(m_store, m_clock)
+    , m_registrations(m_wire, m_directory, m_origins, m_clock, m_log, [this] { updateSchedulerEndpoints(); })
+    , m_endpointFollower(std::make_unique<TableFollower>(m_store,
+          TableFollower::Options {
+              m_wire.endpointTable(), { "" }, FeedTiming::waitFor(FeedTiming::maxEndpointViewAge) },
+          m_registrations))
     , m_scheduler(makeLocation(settings, m_node), m_random)
     , m_coordinator(m_scheduler)
     , m_member(m_node, m_coordinator)
     , m_broker(
           m_member, m_clock, [this] { m_exchange.schedule(); }, m_random.below(firstWorkBound))
     , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_quarantine, m_origins,
-        m_links, m_peers, m_log, m_metrics, std::make_shared<const GatewayConfiguration>() }
+        *m_endpointFollower, m_links, m_peers, m_log, m_metrics, std::make_shared<const GatewayConfiguration>() }
     , m_peers(
           { m_node, settings.node.failureDomain, settings.gateway->peerAddress, settings.gateway->regions }, m_clock,
           [this] { return makeReport(); },
@@ -139,14 +144,9 @@
     , m_jobs(m_environment, m_store, m_peers, m_node)
     , m_handler(m_environment, m_jobs)
     , m_configurationApplier(std::make_unique<ConfigurationApplier>(*this))
-    , m_registrations(m_wire, m_directory, m_origins, m_clock, m_log, [this] { updateSchedulerEndpoints(); })
     , m_statusHandler(std::make_unique<StatusHandler>(*this))
     , m_peerHandler(std::make_unique<PeerHandler>(*this))
     , m_configuration(m_store, m_wire, m_peers, m_controlClient, m_clock, m_random, *m_configurationApplier)
-    , m_endpointFollower(std::make_unique<TableFollower>(m_store,
-          TableFollower::Options {
-              m_wire.endpointTable(), { "" }, FeedTiming::waitFor(FeedTiming::maxEndpointViewAge) },
-          m_registrations))
     , m_jobFollower(std::make_unique<TableFollower>(m_store, FeedTiming::jobFeed(), m_jobs))
     , m_registry(m_store, m_peers, m_node, settings.gateway->peerAddress,
           [this](const std::set<std::string>& addresses) {
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -90,6 +90,8 @@
     EndpointLinkMonitor m_links;
     PromptQuarantine m_quarantine;
     StreamOrigins m_origins;
+    EndpointRegistrations m_registrations;
+    std::unique_ptr<TableFollower> m_endpointFollower;
     SlotScheduler m_scheduler;
     SlotCoordinator m_coordinator;
     SlotMember m_member;
@@ -100,11 +102,9 @@
     JobController m_jobs;
     GatewayHandler m_handler;
     std::unique_ptr<ConfigurationApplier> m_configurationApplier;
-    EndpointRegistrations m_registrations;
     std::unique_ptr<StatusHandler> m_statusHandler;
     std::unique_ptr<PeerHandler> m_peerHandler;
     ConfigurationFollower m_configuration;
-    std::unique_ptr<TableFollower> m_endpointFollower;
     std::unique_ptr<TableFollower> m_jobFollower;
     NodeRegistry m_registry;
     HttpServer m_server;
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -11,8 +11,10 @@
 
 #include <QCoreApplication>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Chicorydock {
@@ -35,6 +37,22 @@
     std::vector<RelayPeer> relayPeers() const override { return peers; }
 };
 
+/// A view that is up to date unless the test says otherwise.
+struct FakeViewRefresher final : ViewRefresher {
+    bool isReachable { true };
+    /// Changes that this node has not heard of yet. Applied by the next refresh.
+    std::function<void()> unknownChanges;
+    size_t refreshes { 0 };
+
+    void refresh(std::function<void(bool isCurrent)> onDone) override
+    {
+        ++refreshes;
+        if (isReachable && unknownChanges)
+            std::exchange(unknownChanges, {})();
+        onDone(isReachable);
+    }
+};
+
 /// The dependencies of a gateway, with one service `lm` of several endpoints and four routes: `/s/` (resumable stream),
 /// `/u/` (stream that is not resumable), `/i/` (idempotent) and `/b/` (jobs).
 struct GatewayFixture {
@@ -50,13 +68,14 @@
     PromptQuarantine quarantine { "n1" };
     MemoryRowStore rows { clock };
     StreamOrigins origins { rows, clock };
+    FakeViewRefresher endpointView;
     FakeProber prober;
     EndpointLinkMonitor links { clock, random, directory, prober, log };
     FakeRelayPeers relayPeers;
     SlotScheduler scheduler { { "n1", "z1", { { "z1", "r1" } } }, random };
     SlotBroker broker { scheduler, clock, [] {} };
-    GatewayEnvironment environment { clock, random, wire, client, broker, directory, quarantine, origins, links,
-        relayPeers, log, metrics, std::make_shared<const GatewayConfiguration>() };
+    GatewayEnvironment environment { clock, random, wire, client, broker, directory, quarantine, origins, endpointView,
+        links, relayPeers, log, metrics, std::make_shared<const GatewayConfiguration>() };
 
     explicit GatewayFixture(
         size_t endpoints = 3, Milliseconds gapTarget = Milliseconds { 0 }, HttpClient* ownClient = nullptr)
--- a/Tests/LibGateway/TestSoftwareVersions.cpp
+++ b/Tests/LibGateway/TestSoftwareVersions.cpp
@@ -95,6 +95,46 @@
     CHECK(fixture.exchange->response->status == 503);
 }
 
+// Load: a node that was cut off or stood still while endpoints of a new version joined. Guards against a stream that
+// began at one of them through another node and goes on at the old version here (ORDER).
+TEST_CASE("a node brings its views up to date before it takes a stream for one of the only version that it knows")
+{
+    ForwardingFixture fixture;
+    const auto resume = [&] {
+        fixture.forward(ForwardingFixture::makeRequest("/s/1", "q2", { { "Last-Event-Id", "3" } }));
+        return fixture.status();
+    };
+    SECTION("nothing has changed")
+    {
+        CHECK(resume() == 0);
+        CHECK(fixture.http.count() == 1);
+        CHECK(fixture.endpointView.refreshes == 1);
+    }
+    SECTION("endpoints of a new version have joined")
+    {
+        fixture.endpointView.unknownChanges = [&] {
+            EndpointRecord record { "e9", "10.0.0.9:80", "lm", "z1", 8, false, 1, 9 };
+            record.softwareVersion = "v2";
+            fixture.directory.put(record);
+        };
+        CHECK(resume() == 503);
+        CHECK(fixture.http.count() == 0);
+    }
+    SECTION("the default version has changed")
+    {
+        fixture.rows.put({ "default_version", "", "lm" }, encodeDefaultVersion({ "lm", "v2", Milliseconds { 0 }, 0 }));
+        CHECK(resume() == 503);
+        CHECK(fixture.http.count() == 0);
+    }
+    SECTION("the store does not say whether something has changed")
+    {
+        (GENERATE(true, false) ? fixture.endpointView.isReachable = false : fixture.rows.isDown = true);
+        CHECK(resume() == 503);
+        CHECK(fixture.exchange->response->headers.find("Retry-After"));
+        CHECK(fixture.http.count() == 0);
+    }
+}
+
 // Guards against a stream that joins events of two software versions after the loss of all nodes (ORDER), and against
 // streams that are not resumed although their version is in service (LOST).
 TEST_CASE("a node that never saw a stream resumes it at the software version that began it")
--- a/Tests/LibGateway/TestStreamOrigins.cpp
+++ b/Tests/LibGateway/TestStreamOrigins.cpp
@@ -183,6 +183,26 @@
     CHECK(defaults.dueChanges({ { "lm", {} } }, Milliseconds { 70'000 }).empty());
 }
 
+// Guards against a node that stood still for longer than streams are recorded, and takes a stream without a record for
+// one of the default version of that time (ORDER).
+TEST_CASE("a stream without a record is of the default version that the store has now")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    StreamOrigins origins(store, clock);
+    origins.setDefault({ "lm", "v1", Milliseconds { 0 }, 1 });
+    for (const std::optional<std::string>& it : { std::optional<std::string>("v2"), std::optional<std::string>() }) {
+        // Rows have versions from 1 on.
+        store.put({ "other", "", "row" }, "");
+        store.put({ "default_version", "", "lm" }, encodeDefaultVersion({ "lm", it, Milliseconds { 0 }, 0 }));
+        std::optional<StoreResult<std::optional<StreamOrigin>>> found;
+        origins.find("q1", "lm", [&](const auto& result) { found = result; });
+        store.deliver();
+        const auto expected = it ? std::optional(StreamOrigin { "lm", *it }) : std::nullopt;
+        CHECK(std::get<std::optional<StreamOrigin>>(found.value()) == expected);
+    }
+}
+
 // Guards against a record that a repeat or a late write replaces, and against records that stay for ever.
 TEST_CASE("a record is written once, is found by any node, and is removed when it is of no use")
 {
--- a/Tests/LibPlatform/TestTableFollower.cpp
+++ b/Tests/LibPlatform/TestTableFollower.cpp
@@ -46,6 +46,24 @@
     void onReachableChanged(bool value) override { isReachable = value; }
 };
 
+/// A store whose responses to calls for changes are given by the test, in any order.
+struct HeldFeed final : RowStore {
+    std::vector<Reply<RowPage>> replies;
+    /// Versions that the calls name.
+    std::vector<uint64_t> after;
+
+    void read(const RowRange&, Reply<RowPage> reply) override { reply(RowPage { {}, false, 3 }); }
+    void changes(const std::string&, uint64_t version, Milliseconds, Reply<RowPage> reply) override
+    {
+        after.push_back(version);
+        replies.push_back(std::move(reply));
+    }
+    void commit(const RowTransaction&, Reply<RowCommit>) override { }
+    std::optional<Milliseconds> time() const override { return {}; }
+    void putObject(const std::string&, const QByteArray&, Reply<bool>) override { }
+    void getObject(const std::string&, Reply<QByteArray>) override { }
+};
+
 struct Fixture {
     SimulatedClock clock;
     MemoryRowStore store { clock };
@@ -117,6 +135,36 @@
     CHECK(fixture.store.feedWait > Milliseconds { 0 });
 }
 
+// Guards against a view that a refresh leaves behind the store, and against an endpoint that is in use again because a
+// call that had waited brings an older row than the refresh.
+TEST_CASE("a refreshed view has all changes, and keeps them whatever a call that waits brings later")
+{
+    HeldFeed store;
+    RecordingListener listener;
+    TableFollower follower(store, { "t" }, listener);
+    follower.start();
+    REQUIRE(store.replies.size() == 1);
+    std::vector<bool> current;
+    const auto refresh = [&] { follower.refresh([&](bool isCurrent) { current.push_back(isCurrent); }); };
+    refresh();
+    refresh();
+    // The call that waits and one refresh. The second refresh begins when the first one has ended.
+    REQUIRE(store.replies.size() == 2);
+    const StoredRow first { { "t", "", "a" }, "1", 5, false };
+    const StoredRow removal { { "t", "", "a" }, "", 6, true };
+    const StoredRow second { { "t", "", "b" }, "2", 7, false };
+    store.replies[1](RowPage { { first, removal, second }, false, 7 });
+    CHECK(current == std::vector<bool> { true });
+    CHECK(listener.rows == std::map<std::string, QByteArray> { { "b", "2" } });
+    // The response to the call that waits left the store before the row was removed.
+    store.replies[0](RowPage { { first }, false, 5 });
+    CHECK(listener.rows == std::map<std::string, QByteArray> { { "b", "2" } });
+    REQUIRE(store.replies.size() == 4);
+    store.replies[2](StoreFailure { StoreFailure::Kind::NotExecuted, "test" });
+    CHECK(current == std::vector<bool> { true, false });
+    CHECK(store.after.back() == 7);
+}
+
 // Guards against calls of a paused follower, and against changes that it misses after the pause.
 TEST_CASE("a paused follower makes no calls, and afterwards reports what changed meanwhile")
 {
