Tests: Cut an endpoint's answer at every byte

Another operator's clients got a 200 with an empty or short body, framed as whole, after a worker had stopped within the head of its answer (MIXED, ORDER). It can't happen here: the reader reports no head before its empty line and no end before the last byte of a body with a length or in chunks, whatever the parser says at the end of the connection (`HttpResponseReader::finishInput` needs no look at its verdict), and a call whose head is cut fails as one that may have run. Shown for every prefix of seven answers in pieces of three sizes (with a length, chunked with an extension and a trailer, behind interim answers, until the end of the connection) and for every third byte of six heads over a socket. No code changed. An answer without a length whose connection ends in order can't be told from a whole one.

--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -115,6 +115,29 @@
     CHECK(observer.failure->phase == Phase::Answering);
 }
 
+// Load: an endpoint that stops within the head of its answer, or of an interim answer before it, and closes the
+// connection in order. Guards against a call that gets a part of a head as a whole answer (MIXED, ORDER).
+TEST_CASE("an answer whose head ends at any byte fails")
+{
+    const QByteArray interim = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n");
+    const QByteArray length = GENERATE("Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "");
+    const QByteArray head = interim + "HTTP/1.1 200 OK\r\nServer-Signature: a.b\r\n" + length + "\r\n";
+    qsizetype size = 0;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write(head.first(size));
+        socket.disconnectFromHost();
+    });
+    PooledHttpClient client;
+    for (; size < head.size(); size += 3) {
+        CAPTURE(head.toStdString(), size);
+        const RecordingObserver observer = run(client, makeRequest(server.address()));
+        CHECK(observer.finished == 0);
+        CHECK(observer.status == 0);
+        REQUIRE(observer.failure);
+        CHECK(observer.failure->phase == Phase::Sent);
+    }
+}
+
 // Guards against an error status that is taken for a broken connection.
 TEST_CASE("a whole answer with an error status is finished")
 {
--- /dev/null
+++ b/Tests/LibHTTP/TestHttpResponseReader.cpp
@@ -0,0 +1,72 @@
+#include <LibHTTP/HttpResponseReader.h>
+
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+class RecordingListener final : public HttpResponseListener {
+public:
+    int heads { 0 };
+    int status { 0 };
+    HttpHeaders headers;
+    QByteArray body;
+
+    void onResponseHeaders(int newStatus, const HttpHeaders& newHeaders) override
+    {
+        ++heads;
+        status = newStatus;
+        headers = newHeaders;
+    }
+    void onResponseBody(QByteArrayView data) override { body += data; }
+};
+
+struct Response {
+    QByteArray head;
+    QByteArray rest;
+    /// Whether the body ends with the connection, so that every part of it looks whole.
+    bool endsWithConnection { false };
+};
+
+const QByteArray fields = "Content-Type: text/event-stream\r\nServer-Signature: a.b\r\n";
+const QByteArray status = "HTTP/1.1 200 OK\r\n";
+const QByteArray interim = "HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\n";
+
+const std::vector<Response> responses {
+    { status + fields + "Content-Length: 12\r\n\r\n", "twelve bytes" },
+    { status + "Content-Length: 0\r\n" + fields + "\r\n", "" },
+    { status + fields + "Transfer-Encoding: chunked\r\n\r\n",
+        "5;a=b\r\nfirst\r\n6\r\nsecond\r\n0\r\nTrailer: x\r\n\r\n" },
+    { interim + status + fields + "Content-Length: 12\r\n\r\n", "twelve bytes" },
+    { interim + interim + status + fields + "Transfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n0\r\n\r\n" },
+    { status + fields + "\r\n", "until the end", true },
+    { "HTTP/1.0 503 Busy\r\nNot-Executed: 1\r\n\r\n", "", true },
+};
+
+}
+
+// Load: a server that stops at any byte of its response and closes the connection in order, in pieces of any size.
+// Guards against callers that get a part of a head, or of a body, as a whole response (MIXED, ORDER).
+TEST_CASE("a response that ends at any byte is whole only if nothing is missing")
+{
+    const Response& response = GENERATE(from_range(responses));
+    const QByteArray bytes = response.head + response.rest;
+    for (const qsizetype piece : { qsizetype { 1 }, qsizetype { 7 }, bytes.size() }) {
+        for (qsizetype size = 0; size <= bytes.size(); ++size) {
+            CAPTURE(bytes.toStdString(), piece, size);
+            RecordingListener listener;
+            HttpResponseReader reader(listener);
+            for (qsizetype at = 0; at < size; at += piece) {
+                QByteArrayView input = QByteArrayView(bytes).sliced(at, std::min(piece, size - at));
+                REQUIRE(reader.consume(input));
+            }
+            reader.finishInput();
+            const bool hasHead = size >= response.head.size();
+            CHECK(listener.heads == (hasHead ? 1 : 0));
+            CHECK(reader.isComplete() == (response.endsWithConnection ? hasHead : size == bytes.size()));
+            if (hasHead && listener.status == 200)
+                CHECK(listener.headers.find("Server-Signature") == "a.b");
+        }
+    }
+}
