LibGateway: Claim no job whose submission is being stored

The feed of jobs had brought the record before the reply to its submission; it names this node as owner, which had no such job yet, so it was an orphan. The claim replaced the job that the submission started, and its items began again. No rule is broken, but work is done twice.

Change: a job that is being submitted counts as loading.

--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -120,7 +120,10 @@
         for (RowWrite& it : JobRows::split(JobRows::input(record.id), content))
             transaction.writes.push_back(std::move(it));
     }
+    // The feed may bring the record before the reply: the job is not an orphan.
+    m_loading.insert(record.id);
     m_store.commit(transaction, guarded([this, record, items, done](const StoreResult<RowCommit>& result) {
+        m_loading.erase(record.id);
         handleSubmission(record, items, done, result);
     }));
 }
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -110,7 +110,7 @@
     /// Latest known heads of all jobs in the store.
     std::map<std::string, JobHead> m_records;
     std::map<std::string, std::unique_ptr<OwnedJob>> m_owned;
-    /// Jobs that are being claimed or loaded by this node.
+    /// Jobs that are being submitted, claimed or loaded by this node.
     std::set<std::string> m_loading;
     std::map<std::string, MonotonicTime> m_orphanSince;
     std::function<void(const std::string&)> m_onResultsCommitted;
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -126,6 +126,31 @@
     CHECK(second.jobs->ownedJobs() == 0);
 }
 
+// Guards against a node that takes a job of its own for an orphan, because the feed of jobs brings the record before
+// the store's reply to the submission, and starts its items twice.
+TEST_CASE("a job that is known before its submission is confirmed is not claimed")
+{
+    SimulatedClock clock;
+    MemoryRowStore store(clock);
+    JobNode node(store, "n1");
+    node.advanceTime(std::chrono::seconds { 5 });
+    node.jobs->submit(makeJob("j"), *node.environment.configuration->findJobRoute("b", "h.example"), "h.example",
+        [](const std::optional<Error>& error) { CHECK_FALSE(error); });
+    JobHead head;
+    head.id = "j";
+    head.owner = "n1";
+    head.route = "b";
+    head.host = "h.example";
+    head.itemCount = 1;
+    node.jobs->onRowsChanged({ { JobRows::record("j"), encodeJobHead(head), 1, false } });
+    store.deliver();
+    node.advanceTime(std::chrono::seconds { 2 });
+    JobNode::settle();
+    CHECK(node.log.count("claimed") == 0);
+    CHECK(node.http.count() == 1);
+    CHECK(node.jobs->ownedJobs() == 1);
+}
+
 // Guards against a rejection, which implies that nothing of a job runs, of a job that the store may contain.
 TEST_CASE("a submission is rejected only if the store reports that it was not written")
 {
