LibGateway: Exclude no endpoint for a condition that a caller states

Cause, by the claim, read and shown by the test: every 421 excluded its endpoint for all requests of the node until its registration changes, also if it answered a condition that the caller had stated. Ruled out: another instance at the address (the answers name the intended one).

Change: a 421 excludes an endpoint only if it names another instance, or names none and the request stated no condition. An item that is refused as misdirected waits 0.1 s before its next try, doubled up to 5 s: without the exclusions it would take a slot ten times a second.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -400,7 +400,8 @@
     if (m_isRelayed) {
         m_head = m_environment.processRelayedAnswerHead(status, headers);
     } else {
-        m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_sentAt.value_or(m_arrival));
+        m_head = m_environment.processAnswerHead(
+            m_endpoint, status, headers, m_sentAt.value_or(m_arrival), m_exchange->request().headers);
         m_environment.links.recordResponse(m_endpoint, m_attemptedAt);
     }
     if (!m_route.isRepeatable())
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -50,9 +50,9 @@
 
     /// Decodes the head of an endpoint's response to a request that was sent at that time, and records what the
     /// endpoint reports about itself: its load, its rate limit, and that it is leaving or is not the intended one. No
-    /// new work starts at an endpoint of the latter two kinds.
-    EndpointAnswerHead processAnswerHead(
-        const std::string& endpoint, int status, const HttpHeaders& headers, MonotonicTime sentAt) const
+    /// new work starts at an endpoint of the latter two kinds. `request` has the fields of the caller or the item.
+    EndpointAnswerHead processAnswerHead(const std::string& endpoint, int status, const HttpHeaders& headers,
+        MonotonicTime sentAt, const HttpHeaders& request) const
     {
         EndpointAnswerHead head = wire.decodeAnswerHead(status, headers);
         quarantine.recordResponse(endpoint, clock.now());
@@ -61,11 +61,20 @@
         if (head.rateLimit && !head.isMisdirected)
             broker.observeRate(endpoint, { *head.rateLimit, *head.rateLimit == unlimitedRate ? sentAt : clock.now() });
         const bool isExcluded = head.isLeaving && directory.markLeaving(endpoint, clock.now());
-        if ((head.isMisdirected && directory.markReplaced(endpoint)) || isExcluded)
+        const bool isReplaced = showsReplacement(head, endpoint, wire.hasCondition(request));
+        if ((isReplaced && directory.markReplaced(endpoint)) || isExcluded)
             broker.setEndpoints(directory.usable());
         return head;
     }
 
+    /// Returns whether the response shows that the address of the endpoint belongs to another one. A refusal of a
+    /// request with a condition of its caller does not, unless the endpoint names itself: no caller may keep others
+    /// from an endpoint.
+    static bool showsReplacement(const EndpointAnswerHead& head, const std::string& endpoint, bool hasCondition)
+    {
+        return head.isMisdirected && (head.instance ? *head.instance != endpoint : !hasCondition);
+    }
+
     /// Decodes the head of a response that a peer passes on. Records only that the endpoint is leaving; the rest is the
     /// peer's to act on.
     EndpointAnswerHead processRelayedAnswerHead(int status, const HttpHeaders& headers) const
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -20,6 +20,10 @@
 
     constexpr Milliseconds retryDelay { 100 };
 
+    /// Limit on the same delay after refusals as misdirected. It doubles with each one, because the next endpoint will
+    /// probably refuse the condition of the item too, and each refusal takes a slot from others for a moment.
+    constexpr Milliseconds maxRefusalDelay { 5'000 };
+
     /// A quarantine may end early, and the item may expire during it.
     constexpr Milliseconds maxQuarantineCheckInterval { 1'000 };
 
@@ -266,7 +270,7 @@
 
 void ItemRun::onHeaders(int status, const HttpHeaders& headers)
 {
-    m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_slotAcquiredAt);
+    m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_slotAcquiredAt, m_item.headers);
     m_answer = { status, headers };
     m_sequence.beginRun();
     m_environment.links.recordResponse(m_endpoint, m_slotAcquiredAt);
@@ -319,9 +323,12 @@
     if (m_head.isNotRun) {
         logStep("not_run", "the endpoint answered " + std::to_string(m_head.status));
         releaseSlot(EndpointOutcome::Cancelled);
-        requestSlotLater();
+        m_refusalDelay
+            = m_head.isMisdirected ? std::clamp(m_refusalDelay * 2, retryDelay, maxRefusalDelay) : retryDelay;
+        m_retryTimer.start(m_refusalDelay);
         return;
     }
+    m_refusalDelay = Milliseconds { 0 };
     const bool isComplete = !m_events.hasPartialEvent() && m_sequence.hasRunReachedEnd();
     if (m_answer.isEventStream() && !isComplete) {
         m_prompt.recordBrokenStream();
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -135,6 +135,8 @@
     MonotonicTime m_slotAcquiredAt;
     /// Total time for which runs of the item have held a slot.
     Milliseconds m_slotTimeUsed { 0 };
+    /// Delay after the latest refusal, 0 if another response came since.
+    Milliseconds m_refusalDelay { 0 };
     QTimer m_retryTimer;
     /// Runs while the endpoint has not sent the next event.
     QTimer m_idleTimer;
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -40,8 +40,11 @@
     int status { 0 };
     /// Whether the endpoint states that it did not run the request.
     bool isNotRun { false };
-    /// Whether the address belongs to an endpoint other than the intended one.
+    /// Whether the endpoint refuses the request as not meant for it: the address belongs to another endpoint than the
+    /// intended one, or a condition that the caller has stated does not hold.
     bool isMisdirected { false };
+    /// Identifier of the endpoint that responds, if it states it.
+    std::optional<std::string> instance;
     /// Whether the response carries the endpoint's signature.
     bool isSigned { false };
     /// Whether the endpoint states that it is draining and should be sent no further requests.
@@ -100,6 +103,10 @@
     /// or an item.
     virtual std::vector<std::string> promptParts(const HttpHeaders&) const = 0;
 
+    /// Returns whether the fields of a request or an item state a condition that has nothing to do with the identity of
+    /// the endpoint, and for which it may refuse the request as misdirected.
+    virtual bool hasCondition(const HttpHeaders&) const = 0;
+
     /// Returns the items of a submitted job, or nothing if the body is malformed.
     virtual std::optional<SubmittedJob> decodeSubmission(const HttpRequest&) const = 0;
 
--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -152,6 +152,10 @@
     CHECK_FALSE(wire.decodeAnswerHead(200, {}).isLeaving);
     CHECK(wire.decodeAnswerHead(421, {}).isNotRun);
     CHECK(wire.decodeAnswerHead(421, {}).isMisdirected);
+    CHECK_FALSE(wire.decodeAnswerHead(421, {}).instance);
+    CHECK(wire.decodeAnswerHead(421, { { "Instance-Id", " i-1 " } }).instance == "i-1");
+    CHECK(wire.hasCondition({ { "expect-version", "1" } }));
+    CHECK_FALSE(wire.hasCondition({ { "Model", "m" } }));
     CHECK(wire.decodeAnswerHead(200, { { "Server-Load", "3,1,8,250" } }).load == ObservedLoad { 3, 1, 250 });
     CHECK(wire.decodeAnswerHead(200, { { "Server-Load", "3,0,8" } }).load == ObservedLoad { 3, 0, 100 });
     CHECK_FALSE(wire.decodeAnswerHead(200, { { "Server-Load", "busy" } }).load);
