Tests: Play each silence of a feed once, and drop what is not used

Read once more: two assertions played the same simulation each, and three includes and two variables served nothing. The assertions are the same.

--- a/Tests/LibGateway/TestFeedTiming.cpp
+++ b/Tests/LibGateway/TestFeedTiming.cpp
@@ -3,7 +3,6 @@
 #include <Tests/Support/SimulatedEventLoop.h>
 #include <catch2/catch.hpp>
 
-#include <memory>
 #include <optional>
 
 using namespace Chicorydock;
@@ -141,8 +140,9 @@
          silentAfter += Milliseconds { 130 }) {
         for (const Milliseconds changedAfter : { Milliseconds { 0 }, Milliseconds { 10 }, Milliseconds { 600 } }) {
             CAPTURE(silentAfter.count(), changedAfter.count());
-            CHECK(ageOfView(Milliseconds { 500 }, silentAfter, changedAfter) < longestUntilItemsMustNotRun);
-            CHECK(ageOfView(Milliseconds { 500 }, silentAfter, changedAfter) <= FeedTiming::maxJobViewAge);
+            const Milliseconds age = ageOfView(Milliseconds { 500 }, silentAfter, changedAfter);
+            CHECK(age < longestUntilItemsMustNotRun);
+            CHECK(age <= FeedTiming::maxJobViewAge);
         }
     }
 }
--- a/Tests/LibGateway/TestStoppingNode.cpp
+++ b/Tests/LibGateway/TestStoppingNode.cpp
@@ -7,8 +7,6 @@
 #include <Tests/Support/SimulatedEventLoop.h>
 #include <catch2/catch.hpp>
 
-#include <functional>
-
 using namespace Chicorydock;
 
 namespace {
@@ -122,13 +120,13 @@
         node.advance(loop, Milliseconds { 1'900 });
         CHECK(stream->isAborted);
         CHECK(statusOf(silent) == 504);
-        size_t sent = node.http.count() - 2;
         for (const auto& it : others) {
             // Those that were handed to no endpoint have not run.
             CHECK(it->isFinished);
             CHECK(isRefusedAsNotRun(it));
         }
-        CHECK(sent > 0);
+        // Some had a slot.
+        CHECK(node.http.count() > 2);
         CHECK(node.handler.callsInProgress() == 0);
     });
 }
--- a/Tests/LibGateway/TestWaitingWork.cpp
+++ b/Tests/LibGateway/TestWaitingWork.cpp
@@ -5,8 +5,6 @@
 #include <Tests/Support/FakeExchange.h>
 #include <catch2/catch.hpp>
 
-#include <set>
-
 using namespace Chicorydock;
 
 namespace {
@@ -157,7 +155,7 @@
 {
     WaitingNode node;
     node.submit(itemSlots + 3);
-    const auto exchange = node.send("/i/1");
+    node.send("/i/1");
     for (int n = 0; n < 3; ++n)
         node.react();
     CHECK(node.log.count("requeued") == 0);
