LibGateway: Log the stages of a planned stop and what it ends or cuts off

Now `stopping` says how old the signal was and what was open by kind, `stop_stage` lines say what each stage still waits for, `stopped` what was open at the end. A request that a stop ends before its time limit says what it was waiting for; one that the process cuts off has an outcome of its own, and a response whose last bytes had not left the process a line of its own. At most one line for each open request.

`StopProgress` takes over the decision when the process ends from `Gateway::checkStopped`, where no test reached it. Nothing changes in what a stop does.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -126,6 +126,23 @@
     m_deadlineTimer.start(std::max(Milliseconds { 0 }, timeLeft()));
 }
 
+void ForwardedCall::cutOff()
+{
+    m_phaseAtStop = phase();
+    finish("cut_off", "the process ends");
+}
+
+std::string_view ForwardedCall::phase() const
+{
+    if (m_stream.isHolding())
+        return "held";
+    if (!m_call)
+        return m_slot.isQueued() ? "queued" : "origin";
+    if (m_head.status != 0)
+        return "answering";
+    return m_isHandedOver ? "sent" : "connecting";
+}
+
 bool ForwardedCall::resumesStream() const
 {
     const bool hasBegun = !m_request.resumes.empty() || m_sequence.lastId();
@@ -711,6 +728,8 @@
 
 void ForwardedCall::handleDeadline()
 {
+    if (m_isCutShort)
+        m_phaseAtStop = phase();
     if (m_stream.isEndHeld()) {
         releaseEvents();
         return;
@@ -778,6 +797,12 @@
         details["queued_ms"] = static_cast<qint64>(milliseconds(*m_sentAt - m_arrival).count());
     if (m_firstByteAt)
         details["first_byte_ms"] = static_cast<qint64>(milliseconds(*m_firstByteAt - m_arrival).count());
+    if (!m_phaseAtStop.empty()) {
+        details["stopped_in"] = QString::fromStdString(m_phaseAtStop);
+        details["received_bytes"] = static_cast<qint64>(m_receivedBytes);
+        details["unsent_bytes"] = m_exchange->bytesToWrite();
+        details["relayed"] = m_isRelayed;
+    }
     if (!reason.empty())
         details["reason"] = QString::fromStdString(reason);
     // Shows whether requests that failed one after the other were the same.
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -14,6 +14,8 @@
 
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 
 namespace Chicorydock {
 
@@ -43,6 +45,12 @@
     /// Ends the call by that time at the latest, because the process stops.
     void endBy(MonotonicTime);
 
+    /// Records that the process ends before the request has a response. The call is destroyed next.
+    void cutOff();
+
+    bool isRelayed() const { return m_isRelayed; }
+    bool isFromPeer() const { return m_isFromPeer; }
+
     /// Adapts a request that waits for an endpoint to the present configuration and endpoints: it moves to another
     /// service of its route if endpoints offer only that, and may use an endpoint that has come back.
     void updateQueueEntry();
@@ -123,6 +131,8 @@
     Milliseconds timeLeft() const;
     /// Ends the call with an error, or aborts the stream if it has begun.
     void refuse(ErrorKind, const std::string& reason, std::optional<Milliseconds> retryAfter = {});
+    /// Returns what the request waits for, for the log.
+    std::string_view phase() const;
     void logPlacement(const EndpointRecord*, const SlotView&) const;
     void finish(const std::string& outcome, const std::string& reason);
     void logEnd(const std::string& outcome, const std::string& reason, MonotonicTime now) const;
@@ -140,6 +150,8 @@
     MonotonicTime m_deadline;
     /// Whether the process ends before the request would have to.
     bool m_isCutShort { false };
+    /// What the request waited for when a stop ended it. Empty for other requests.
+    std::string m_phaseAtStop;
     std::string m_service;
 
     SlotHandle m_slot;
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -164,43 +164,91 @@
     }
     if (refuseIfStopping(exchange, request.id, maxJobCallTime))
         return;
-    m_jobs.submit(*submission, route, request.host, [this, exchange, id = request.id](std::optional<Error> error) {
+    const uint64_t number = addJobCall(exchange, request.id);
+    m_jobs.submit(*submission, route, request.host, [this, number](const std::optional<Error>& error) {
+        const OpenJobCall call = takeJobCall(number);
         if (error)
-            answerError(exchange, *error, id);
+            answerError(call.exchange, *error, call.id);
         else
-            exchange->answer(m_environment.wire.acceptedAnswer());
+            call.exchange->answer(m_environment.wire.acceptedAnswer());
     });
 }
 
 void GatewayHandler::handleJobCall(const std::shared_ptr<HttpExchange>& exchange, const JobCall& call)
 {
-    switch (call.kind) {
-    case JobCall::Kind::EndJob:
-        m_jobs.cancel(call.jobId, [this, exchange, id = call.jobId](std::optional<Error> error) {
-            if (error)
-                answerError(exchange, *error, id);
-            else
-                exchange->answer({});
-        });
-        return;
-    case JobCall::Kind::ReadItem:
-        m_jobs.readItem(
-            call.jobId, call.itemId, [this, exchange, id = call.jobId](const std::variant<QByteArray, Error>& result) {
-                if (const auto* error = std::get_if<Error>(&result))
-                    answerError(exchange, *error, id);
-                else
-                    exchange->answer({ .status = 200,
-                        .headers = { { "Content-Type", "application/octet-stream" } },
-                        .body = std::get<QByteArray>(result) });
-            });
-        return;
-    case JobCall::Kind::ReadResults:
+    if (call.kind == JobCall::Kind::ReadResults) {
         const uint64_t number = ++m_lastNumber;
         const MonotonicTime now = m_environment.clock.now();
         m_longPolls[number] = { exchange, call, now + std::min(call.wait, maxLongPollWait), now };
         readResults(number);
         return;
     }
+    const uint64_t number = addJobCall(exchange, call.jobId);
+    if (call.kind == JobCall::Kind::EndJob)
+        m_jobs.cancel(call.jobId, [this, number](const std::optional<Error>& error) { handleEnded(number, error); });
+    else
+        m_jobs.readItem(call.jobId, call.itemId,
+            [this, number](const std::variant<QByteArray, Error>& result) { handleItem(number, result); });
+}
+
+void GatewayHandler::handleEnded(uint64_t number, const std::optional<Error>& error)
+{
+    const OpenJobCall call = takeJobCall(number);
+    if (error)
+        answerError(call.exchange, *error, call.id);
+    else
+        call.exchange->answer({});
+}
+
+void GatewayHandler::handleItem(uint64_t number, const std::variant<QByteArray, Error>& result)
+{
+    const OpenJobCall call = takeJobCall(number);
+    if (const auto* error = std::get_if<Error>(&result)) {
+        answerError(call.exchange, *error, call.id);
+        return;
+    }
+    call.exchange->answer({ .status = 200,
+        .headers = { { "Content-Type", "application/octet-stream" } },
+        .body = std::get<QByteArray>(result) });
+}
+
+uint64_t GatewayHandler::addJobCall(const std::shared_ptr<HttpExchange>& exchange, const std::string& id)
+{
+    const uint64_t number = ++m_lastNumber;
+    m_jobCalls[number] = { exchange, id };
+    return number;
+}
+
+GatewayHandler::OpenJobCall GatewayHandler::takeJobCall(uint64_t number)
+{
+    return std::move(m_jobCalls.extract(number).mapped());
+}
+
+GatewayHandler::OpenRequests GatewayHandler::openRequests() const
+{
+    OpenRequests open { .calls = m_calls.size(), .longPolls = m_longPolls.size(), .jobCalls = m_jobCalls.size() };
+    for (const auto& [number, call] : m_calls) {
+        open.relayed += call->isRelayed() ? 1 : 0;
+        open.fromPeers += call->isFromPeer() ? 1 : 0;
+    }
+    return open;
+}
+
+void GatewayHandler::recordCutOff()
+{
+    for (ForwardedCall* it : calls())
+        it->cutOff();
+    for (const auto& [number, poll] : m_longPolls)
+        recordCutOff(*poll.exchange, poll.call.jobId);
+    for (const auto& [number, call] : m_jobCalls)
+        recordCutOff(*call.exchange, call.id);
+}
+
+void GatewayHandler::recordCutOff(const HttpExchange& exchange, const std::string& id) const
+{
+    m_environment.log.record("request", "finished", id, {},
+        { { "outcome", "cut_off" }, { "reason", "the process ends" }, { "stopped_in", "store" },
+            { "path", QString::fromUtf8(exchange.request().path) } });
 }
 
 void GatewayHandler::readResults(uint64_t number)
--- a/Libraries/LibGateway/GatewayHandler.h
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -42,6 +42,21 @@
     /// Refuses the requests that may not end in time from now on, and ends those in progress before the process does.
     void beginStop(const StopSchedule&);
 
+    /// Numbers of the requests that have no complete response.
+    struct OpenRequests {
+        /// Requests that are forwarded; some of them by a peer, some for a peer.
+        size_t calls { 0 };
+        size_t relayed { 0 };
+        size_t fromPeers { 0 };
+        /// Reads of results, and other calls about jobs.
+        size_t longPolls { 0 };
+        size_t jobCalls { 0 };
+    };
+    OpenRequests openRequests() const;
+
+    /// Records each request that has no complete response. Called right before the process ends.
+    void recordCutOff();
+
     size_t callsInProgress() const { return m_calls.size(); }
 
 private:
@@ -55,11 +70,23 @@
         bool isReading { false };
     };
 
+    /// A call about a job, other than a long poll, that waits for the store.
+    struct OpenJobCall {
+        std::shared_ptr<HttpExchange> exchange;
+        std::string id;
+    };
+
     /// Returns the calls in progress. Calls that end meanwhile stay valid until the next iteration of the event loop.
     std::vector<ForwardedCall*> calls() const;
     void forward(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
     void submitJob(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
     void handleJobCall(const std::shared_ptr<HttpExchange>&, const JobCall&);
+    /// Keeps track of a call about a job. Returns its number, for `takeJobCall()`.
+    uint64_t addJobCall(const std::shared_ptr<HttpExchange>&, const std::string& id);
+    OpenJobCall takeJobCall(uint64_t number);
+    void recordCutOff(const HttpExchange&, const std::string& id) const;
+    void handleEnded(uint64_t number, const std::optional<Error>&);
+    void handleItem(uint64_t number, const std::variant<QByteArray, Error>&);
     void readResults(uint64_t number);
     void handleResults(uint64_t number, const std::variant<JobResultPage, Error>&);
     void checkLongPolls();
@@ -75,6 +102,7 @@
     JobController& m_jobs;
     std::map<uint64_t, std::unique_ptr<ForwardedCall>> m_calls;
     std::map<uint64_t, LongPoll> m_longPolls;
+    std::map<uint64_t, OpenJobCall> m_jobCalls;
     uint64_t m_lastNumber { 0 };
     std::optional<StopSchedule> m_stop;
     QTimer m_longPollTimer;
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -68,8 +68,9 @@
     /// Releases all jobs to other nodes, with the partial output of their items.
     void release();
 
-    /// Returns whether all jobs have been released.
-    bool isReleased() const { return m_owned.empty() && m_pendingReleases == 0; }
+    /// Returns the number of jobs that this node runs, or whose release the store has not confirmed.
+    size_t unreleasedJobs() const { return m_owned.size() + m_pendingReleases; }
+    bool isReleased() const { return unreleasedJobs() == 0; }
 
     size_t ownedJobs() const { return m_owned.size(); }
     size_t openJobs() const;
--- /dev/null
+++ b/Libraries/LibGateway/StopProgress.cpp
@@ -0,0 +1,53 @@
+#include <LibGateway/StopProgress.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace Chicorydock {
+
+std::string_view StopProgress::name(Stage stage)
+{
+    switch (stage) {
+    case Stage::JobsReleased:
+        return "jobs_released";
+    case Stage::ConnectionsClosed:
+        return "connections_closed";
+    case Stage::ResponsesDue:
+        return "responses_due";
+    case Stage::Ended:
+        return "ended";
+    }
+    return {};
+}
+
+bool StopProgress::isIdle(const OpenWork& open)
+{
+    return open.requests == 0 && open.peerRequests == 0 && open.expectingConnections == 0 && open.jobs == 0;
+}
+
+bool StopProgress::isReached(Stage stage, const OpenWork& open, MonotonicTime now) const
+{
+    switch (stage) {
+    case Stage::JobsReleased:
+        return open.jobs == 0;
+    case Stage::ConnectionsClosed:
+        return closesConnections(now);
+    case Stage::ResponsesDue:
+        return now >= m_schedule.respondBy();
+    case Stage::Ended:
+        return closesConnections(now) && (isIdle(open) || now >= m_schedule.endsAt());
+    }
+    return false;
+}
+
+std::vector<StopProgress::Stage> StopProgress::update(const OpenWork& open, MonotonicTime now)
+{
+    const auto isPending = [&](Stage it) { return !isReached(it, open, now); };
+    const auto reached = std::ranges::stable_partition(m_pending, isPending);
+    std::vector<Stage> stages(reached.begin(), reached.end());
+    m_pending.erase(reached.begin(), reached.end());
+    m_hasEnded = m_hasEnded || std::ranges::find(stages, Stage::Ended) != stages.end();
+    return stages;
+}
+
+}
--- a/Libraries/LibGateway/StopSchedule.h
+++ b/Libraries/LibGateway/StopSchedule.h
@@ -25,6 +25,8 @@
     {
     }
 
+    MonotonicTime endsAt() const { return m_endsAt; }
+
     /// Returns the time by which all requests must have a response.
     MonotonicTime respondBy() const { return m_endsAt - lastResponseTime; }
 
--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -239,8 +239,9 @@
 {
     if (m_stage == Stage::Closed || !isOpen())
         return;
-    m_exchange.reset();
     flush();
+    noteUnsentRequest();
+    m_exchange.reset();
     if (closeConnection) {
         startLingering();
         return;
@@ -255,6 +256,14 @@
         QMetaObject::invokeMethod(this, &HttpConnection::readInput, Qt::QueuedConnection);
 }
 
+void HttpConnection::noteUnsentRequest()
+{
+    if (!m_context.requestName || m_socket->bytesToWrite() == 0)
+        return;
+    if (const auto exchange = m_exchange.lock())
+        m_unsentRequest = m_context.requestName(exchange->request());
+}
+
 void HttpConnection::startLingering()
 {
     m_stage = Stage::Lingering;
@@ -290,6 +299,8 @@
 void HttpConnection::onBytesWritten()
 {
     m_lastWriteProgress = now();
+    if (m_socket->bytesToWrite() == 0)
+        m_unsentRequest.clear();
     shutDownWriting();
     updateActivity();
 }
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <string>
 
 class QHttpServerRequest;
 
@@ -24,6 +25,8 @@
     /// Builds the response to a request that cannot be passed to the handler.
     std::function<HttpResponse(const Error&)> protocolErrorResponse;
     HttpHandler& handler;
+    /// Returns the name of a request in the log.
+    std::function<std::string(const HttpRequest&)> requestName {};
     bool isDraining { false };
     uint64_t acceptedConnections { 0 };
     /// Number of requests whose response has not left the process completely.
@@ -59,6 +62,16 @@
     /// probably on its way.
     bool isExpectingRequest(MonotonicTime) const;
 
+    /// Returns the bytes of responses that the caller has not taken yet.
+    qint64 unsentBytes() const { return isOpen() ? m_socket->bytesToWrite() : 0; }
+
+    /// Returns whether the last response was sent and the caller has not closed the connection.
+    bool isClosing() const { return m_stage == Stage::Lingering && isOpen(); }
+
+    /// Returns the name of the last request whose response has ended without leaving the process at once, as the
+    /// context gave it, while bytes of it are unsent.
+    const std::string& unsentRequest() const { return m_unsentRequest; }
+
     /// Sets the function to call, once, when the connection has been closed; the connection then deletes itself.
     void setClosedHandler(std::function<void()> handler) { m_closedHandler = std::move(handler); }
 
@@ -93,6 +106,8 @@
     void abort();
     qint64 bytesToWrite() const { return m_socket->bytesToWrite(); }
 
+    /// Keeps the name of the request whose response has just ended if bytes of it are unsent.
+    void noteUnsentRequest();
     void startLingering();
     void shutDownWriting();
     void onBytesWritten();
@@ -107,6 +122,7 @@
     QByteArray m_input;
     FramedRequest m_request;
     std::weak_ptr<ConnectionExchange> m_exchange;
+    std::string m_unsentRequest;
     Stage m_stage { Stage::Reading };
     MonotonicTime m_acceptedAt;
     MonotonicTime m_deadline;
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -69,10 +69,35 @@
         connection->closeIfIdle();
 }
 
-bool HttpServer::isExpectingRequests() const
+int HttpServer::expectingConnections() const
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
-    return std::ranges::any_of(m_connections, [&](const auto& it) { return it.second->isExpectingRequest(now); });
+    return static_cast<int>(
+        std::ranges::count_if(m_connections, [&](const auto& it) { return it.second->isExpectingRequest(now); }));
+}
+
+int HttpServer::closingConnections() const
+{
+    return static_cast<int>(
+        std::ranges::count_if(m_connections, [](const auto& it) { return it.second->isClosing(); }));
+}
+
+qint64 HttpServer::unsentBytes() const
+{
+    qint64 sum = 0;
+    for (const auto& [feed, connection] : m_connections)
+        sum += connection->unsentBytes();
+    return sum;
+}
+
+std::vector<HttpServer::UnsentResponse> HttpServer::unsentResponses() const
+{
+    std::vector<UnsentResponse> responses;
+    for (const auto& [feed, connection] : m_connections) {
+        if (!connection->unsentRequest().empty() && connection->unsentBytes() > 0)
+            responses.push_back({ connection->unsentRequest(), connection->unsentBytes() });
+    }
+    return responses;
 }
 
 QTcpSocket* HttpServer::addConnection(qintptr descriptor)
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -9,8 +9,11 @@
 #include <QTimer>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace Chicorydock {
 
@@ -59,7 +62,29 @@
 
     /// Returns whether an open connection is about to deliver a request: part of it has arrived, or the connection has
     /// just been accepted. A server that stops waits for these, because their callers count on a response.
-    bool isExpectingRequests() const;
+    bool isExpectingRequests() const { return expectingConnections() > 0; }
+    int expectingConnections() const;
+
+    /// Returns the number of connections whose last response was sent and which the callers have not closed.
+    int closingConnections() const;
+
+    /// Returns the bytes of responses that the callers have not taken yet.
+    qint64 unsentBytes() const;
+
+    /// A response that has ended, but not left the process completely.
+    struct UnsentResponse {
+        /// The name that the function of `setRequestNames()` returned.
+        std::string request;
+        qint64 bytes { 0 };
+    };
+    std::vector<UnsentResponse> unsentResponses() const;
+
+    /// Sets the function that returns the name of a request in the log. It is called for requests whose response does
+    /// not leave the process at once.
+    void setRequestNames(std::function<std::string(const HttpRequest&)> names)
+    {
+        m_context.requestName = std::move(names);
+    }
 
 protected:
     bool handleRequest(const QHttpServerRequest&, QTcpSocket*) override;
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -42,6 +42,11 @@
         return static_cast<uint32_t>(std::lround(settings.gateway->cpuShare * 100));
     }
 
+    qint64 elapsedMs(MonotonicTime since, MonotonicTime now)
+    {
+        return std::chrono::duration_cast<Milliseconds>(now - since).count();
+    }
+
     HttpServerLimits serverLimits(const Settings& settings)
     {
         HttpServerLimits limits;
@@ -160,6 +165,8 @@
         // A request has just failed and is on the stack.
         QMetaObject::invokeMethod(this, &Gateway::handleLinksChanged, Qt::QueuedConnection);
     });
+    for (HttpServer* it : { &m_server, &m_peerServer })
+        it->setRequestNames([this](const HttpRequest& request) { return m_wire.decodeRequest(request).id; });
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
 }
@@ -234,7 +241,7 @@
 
 bool Gateway::isReady() const
 {
-    return !m_isStopping && m_environment.configuration->version > 0 && m_endpointFollower->isListed()
+    return !m_stop && m_environment.configuration->version > 0 && m_endpointFollower->isListed()
         && m_origins.isListed();
 }
 
@@ -247,7 +254,7 @@
     report.suspectParts = m_quarantine.report(m_clock.now());
     report.configurationVersion = m_configuration.version();
     report.isConfigurationSource = m_configuration.isActiveSource();
-    report.isLeaving = m_isStopping;
+    report.isLeaving = m_stop.has_value();
     report.endpointsLostFor = m_links.lostFor();
     report.capacityPercent = capacityPercent(m_settings);
     report.use = m_scheduler.ownUse();
@@ -364,38 +371,83 @@
 
 void Gateway::recordReload() { m_log.record("node", "reloaded", m_node); }
 
-void Gateway::beginStop(std::function<void()> onStopped)
+void Gateway::beginStop(MonotonicTime signalledAt, std::function<void()> onStopped)
 {
+    const MonotonicTime now = m_clock.now();
+    const GatewayHandler::OpenRequests open = m_handler.openRequests();
     m_log.record("node", "stopping", m_node, {},
-        { { "calls", static_cast<qint64>(m_handler.callsInProgress()) },
-            { "jobs", static_cast<qint64>(m_jobs.ownedJobs()) } });
+        { { "calls", static_cast<qint64>(open.calls) }, { "jobs", static_cast<qint64>(m_jobs.ownedJobs()) },
+            { "relayed", static_cast<qint64>(open.relayed) }, { "from_peers", static_cast<qint64>(open.fromPeers) },
+            { "long_polls", static_cast<qint64>(open.longPolls) }, { "job_calls", static_cast<qint64>(open.jobCalls) },
+            { "signal_age_ms", elapsedMs(signalledAt, now) } });
     m_onStopped = std::move(onStopped);
-    m_isStopping = true;
-    m_stopStartedAt = m_clock.now();
+    m_signalledAt = signalledAt;
+    m_stop.emplace(StopSchedule(now + m_settings.http.drainTimeoutMs), now + drainDelay);
     m_server.setDraining(true);
-    m_handler.beginStop(StopSchedule(m_stopStartedAt + m_settings.http.drainTimeoutMs));
+    m_handler.beginStop(m_stop->schedule());
     m_jobs.release();
     m_registry.leave();
     m_peers.announce();
     m_stopTimer.start(stopCheckInterval);
 }
 
+OpenWork Gateway::openWork() const
+{
+    return { .requests = m_server.activeExchanges(),
+        .peerRequests = m_peerServer.activeExchanges(),
+        .unsentBytes = m_server.unsentBytes() + m_peerServer.unsentBytes(),
+        .closingConnections = m_server.closingConnections() + m_peerServer.closingConnections(),
+        .expectingConnections = m_server.expectingConnections(),
+        .jobs = m_jobs.unreleasedJobs() };
+}
+
 void Gateway::checkStopped()
 {
-    const auto elapsed = m_clock.now() - m_stopStartedAt;
-    if (elapsed < drainDelay)
-        return;
-    m_server.stopListening();
-    m_server.closeIdleConnections();
-    const bool isIdle = m_server.activeExchanges() == 0 && m_peerServer.activeExchanges() == 0
-        && !m_server.isExpectingRequests() && m_jobs.isReleased();
-    if (!isIdle && elapsed < m_settings.http.drainTimeoutMs)
+    const MonotonicTime now = m_clock.now();
+    if (m_stop->closesConnections(now)) {
+        m_server.stopListening();
+        m_server.closeIdleConnections();
+    }
+    const OpenWork open = openWork();
+    for (const StopProgress::Stage it : m_stop->update(open, now))
+        recordStage(it, open);
+    if (!m_stop->hasEnded())
         return;
     m_stopTimer.stop();
-    m_log.record("node", "stopped", m_node, {}, { { "idle", isIdle } });
+    recordCutOff();
     m_onStopped();
 }
 
+void Gateway::recordStage(StopProgress::Stage stage, const OpenWork& open)
+{
+    QJsonObject details {
+        { "since_signal_ms", elapsedMs(m_signalledAt, m_clock.now()) },
+        { "requests", open.requests },
+        { "peer_requests", open.peerRequests },
+        { "unsent_bytes", static_cast<qint64>(open.unsentBytes) },
+        { "closing_connections", open.closingConnections },
+        { "expecting_connections", open.expectingConnections },
+        { "unreleased_jobs", static_cast<qint64>(open.jobs) },
+    };
+    if (stage == StopProgress::Stage::Ended) {
+        details["idle"] = StopProgress::isIdle(open);
+        m_log.record("node", "stopped", m_node, {}, details);
+        return;
+    }
+    const std::string_view name = StopProgress::name(stage);
+    details["stage"] = QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size()));
+    m_log.record("node", "stop_stage", m_node, {}, details);
+}
+
+void Gateway::recordCutOff()
+{
+    m_handler.recordCutOff();
+    for (const HttpServer* server : { &m_server, &m_peerServer }) {
+        for (const HttpServer::UnsentResponse& it : server->unsentResponses())
+            m_log.record("request", "unsent", it.request, {}, { { "unsent_bytes", it.bytes } });
+    }
+}
+
 QByteArray Gateway::metricsText()
 {
     const auto set = [&](const char* name, const char* help, double value) { m_metrics.gauge(name, help).set(value); };
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -8,6 +8,7 @@
 #include <LibGateway/NodeRegistry.h>
 #include <LibGateway/PeerGroup.h>
 #include <LibGateway/SlotExchange.h>
+#include <LibGateway/StopProgress.h>
 #include <LibGateway/TcpEndpointProber.h>
 #include <LibHTTP/HttpServer.h>
 #include <LibHTTP/PooledHttpClient.h>
@@ -21,6 +22,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Chicorydock {
 
@@ -38,7 +40,8 @@
     void start();
 
     /// Begins a graceful stop. `onStopped` is called when no work is in progress any more, or after the drain timeout.
-    void beginStop(std::function<void()> onStopped);
+    /// `signalledAt` is when the process was told to stop.
+    void beginStop(MonotonicTime signalledAt, std::function<void()> onStopped);
 
     /// Records an event for a reload of the settings. Everything that can change at run time comes from the store, so
     /// there is nothing to reload.
@@ -72,6 +75,10 @@
     void reportStoreReachability();
     void processPeerReport(const PeerReport&, Milliseconds lifetime);
     void checkStopped();
+    OpenWork openWork() const;
+    void recordStage(StopProgress::Stage, const OpenWork&);
+    /// Records the requests whose response is not complete when the process ends.
+    void recordCutOff();
     QByteArray metricsText();
 
     const Settings m_settings;
@@ -117,8 +124,9 @@
     uint64_t m_reportedUse { 0 };
     /// Whether the feeds of jobs and of endpoints reached the store in the latest announcement.
     std::pair<bool, bool> m_reportedReachable { false, false };
-    bool m_isStopping { false };
-    MonotonicTime m_stopStartedAt;
+    /// Set once the node stops.
+    std::optional<StopProgress> m_stop;
+    MonotonicTime m_signalledAt;
     std::function<void()> m_onStopped;
 };
 
--- a/Services/chicorydockd/SignalWatcher.cpp
+++ b/Services/chicorydockd/SignalWatcher.cpp
@@ -3,7 +3,9 @@
 #include <LibCore/Error.h>
 
 #include <array>
+#include <atomic>
 #include <csignal>
+#include <ctime>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -19,15 +21,31 @@
     constexpr char terminateByte = 'T';
     constexpr char reloadByte = 'H';
 
+    /// When the first termination signal arrived, in ticks of the monotonic clock, or 0. The time at which the event
+    /// loop handles it may be later.
+    std::atomic<MonotonicTime::rep> terminationTime { 0 };
+    static_assert(std::atomic<MonotonicTime::rep>::is_always_lock_free, "a signal handler cannot wait for a lock");
+
+    void recordTermination()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_MONOTONIC, &time);
+        const auto sinceEpoch = std::chrono::seconds { time.tv_sec } + std::chrono::nanoseconds { time.tv_nsec };
+        MonotonicTime::rep none = 0;
+        terminationTime.compare_exchange_strong(none, MonotonicTime::duration(sinceEpoch).count());
+    }
+
     void writeSignal(int signal)
     {
+        if (signal != SIGHUP)
+            recordTermination();
         const char byte = signal == SIGHUP ? reloadByte : terminateByte;
         [[maybe_unused]] const ssize_t n = write(signalSockets[0], &byte, 1);
     }
 
 }
 
-SignalWatcher::SignalWatcher(std::function<void()> onTerminate, std::function<void()> onReload)
+SignalWatcher::SignalWatcher(std::function<void(MonotonicTime arrival)> onTerminate, std::function<void()> onReload)
     : m_onTerminate(std::move(onTerminate))
     , m_onReload(std::move(onReload))
 {
@@ -57,7 +75,7 @@
     if (m_wasSignalled)
         return;
     m_wasSignalled = true;
-    m_onTerminate();
+    m_onTerminate(MonotonicTime { MonotonicTime::duration { terminationTime.load() } });
 }
 
 SignalWatcher::~SignalWatcher()
--- a/Services/chicorydockd/main.cpp
+++ b/Services/chicorydockd/main.cpp
@@ -36,7 +36,8 @@
     try {
         Gateway gateway(settings);
         const SignalWatcher watcher(
-            [&] { gateway.beginStop([] { QCoreApplication::quit(); }); }, [&] { gateway.recordReload(); });
+            [&](MonotonicTime arrival) { gateway.beginStop(arrival, [] { QCoreApplication::quit(); }); },
+            [&] { gateway.recordReload(); });
         gateway.start();
         return QCoreApplication::exec();
     } catch (const Error& error) {
@@ -52,7 +53,7 @@
     const JsonLog log(settings.log.level, settings.node.id, settings.node.failureDomain);
     try {
         Daemon daemon(settings);
-        const SignalWatcher watcher([&] { daemon.beginStop([] { QCoreApplication::quit(); }); });
+        const SignalWatcher watcher([&](MonotonicTime) { daemon.beginStop([] { QCoreApplication::quit(); }); });
         daemon.start();
         const QJsonObject ready {
             { "node", QString::fromStdString(settings.node.id) },
--- a/Tests/LibGateway/TestStoppingNode.cpp
+++ b/Tests/LibGateway/TestStoppingNode.cpp
@@ -66,6 +66,16 @@
     return exchange->response ? exchange->response->status : 0;
 }
 
+/// Returns the details of the line that says how a request ended.
+QJsonObject endOf(const StoppingNode& node, const std::string& id)
+{
+    for (const Event& it : node.log.events) {
+        if (it.action == "finished" && it.id == id)
+            return it.details;
+    }
+    return {};
+}
+
 bool isRefusedAsNotRun(const std::shared_ptr<FakeExchange>& exchange)
 {
     return statusOf(exchange) == 503 && exchange->response->headers.find("Retry-After").has_value();
@@ -157,3 +167,42 @@
         CHECK(statusOf(job) == 400);
     });
 }
+
+// Guards against a log that names the caller's close as the reason for what a stop of the node did.
+TEST_CASE("the log says what each request that a stop ends or cuts off was waiting for")
+{
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        StoppingNode node;
+        node.send("/u/1", Milliseconds { 5'000 });
+        node.http.handOver();
+        node.http.headers(200);
+        node.http.data("id: 1\ndata: d\n\n");
+        node.send("/i/2", Milliseconds { 4'900 });
+        node.http.handOver();
+        node.send("/i/3", Milliseconds { 4'900 });
+        node.send("GET", "/api/lots/j?after=0", { { "Wait-Ms", "2000" } });
+        const GatewayHandler::OpenRequests open = node.handler.openRequests();
+        CHECK(open.calls == 3);
+        CHECK(open.longPolls + open.jobCalls == 0);
+
+        const auto phase = [&](const char* id) { return endOf(node, id)["stopped_in"].toString(); };
+        SECTION("ended in time")
+        {
+            node.stop(Milliseconds { 400 });
+            node.advance(loop, Milliseconds { 300 });
+            CHECK(endOf(node, "q1")["outcome"] == "broken");
+            CHECK(endOf(node, "q2")["outcome"] == "deadline_exceeded");
+            CHECK(endOf(node, "q3")["outcome"] == "shutting_down");
+        }
+        SECTION("cut off")
+        {
+            node.handler.recordCutOff();
+            for (const char* it : { "q1", "q2", "q3" })
+                CHECK(endOf(node, it)["outcome"] == "cut_off");
+        }
+        CHECK(phase("q1") == "answering");
+        CHECK(endOf(node, "q1")["received_bytes"] == 15);
+        CHECK(phase("q2") == "sent");
+        CHECK(phase("q3") == "connecting");
+    });
+}
--- a/Tests/LibHTTP/TestHttpServer.cpp
+++ b/Tests/LibHTTP/TestHttpServer.cpp
@@ -375,3 +375,27 @@
     CHECK_FALSE(silent.isClosed());
     CHECK(slow.received().endsWith("slow"));
 }
+
+// Guards against a log that does not say which response a process took with it when it ended.
+TEST_CASE("a server names the responses that have not left it completely")
+{
+    Fixture fixture;
+    fixture.server.setRequestNames([](const HttpRequest& request) { return request.path.toStdString(); });
+    RawCaller slow(fixture.port);
+    slow.socket().setReadBufferSize(1);
+    slow.send("GET /slow HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    RawCaller quick(fixture.port);
+    quick.send("GET /quick HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(2));
+    fixture.handler.exchanges[0]->answer(plain(QByteArray(32'000'000, 'x')));
+    fixture.handler.exchanges[1]->answer(plain("quick"));
+    REQUIRE(waitFor([&] { return quick.received().endsWith("quick"); }));
+    const auto unsent = fixture.server.unsentResponses();
+    REQUIRE(unsent.size() == 1);
+    CHECK(unsent[0].request == "/slow");
+    CHECK(unsent[0].bytes > 0);
+    CHECK(unsent[0].bytes == fixture.server.unsentBytes());
+    slow.socket().setReadBufferSize(0);
+    CHECK(waitFor([&] { return fixture.server.unsentResponses().empty(); }));
+}
