LibGateway: Answer calls about jobs before the process ends

What callers would see: a submission, a cancellation or a read that waits for the store when a stopping process ends gets no answer (LOST).

Cause: `GatewayHandler::beginStop` bounds forwarded requests and the waits of long polls. Calls that wait for the store had no bound: 3 s is only what they are assumed to take when they are admitted. A call to the store may be silent for 0.7 s, a response may arrive in pieces for 8 s more, and a cancellation that meets conflicts makes up to six calls.

Change: what has no answer 0.1 s before the end gets one: 502 (may have run) for submissions and cancellations, which the store may still apply, and 503 (not run) for reads. What the store answers later is ignored.

--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/GatewayHandler.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace Chicorydock {
@@ -32,6 +33,9 @@
 {
     m_jobs.setResultsCommittedHandler([this](const std::string& jobId) { handleResultsCommitted(jobId); });
     connect(&m_longPollTimer, &QTimer::timeout, this, &GatewayHandler::checkLongPolls);
+    m_stopTimer.setSingleShot(true);
+    m_stopTimer.setTimerType(Qt::PreciseTimer);
+    connect(&m_stopTimer, &QTimer::timeout, this, &GatewayHandler::endJobCalls);
 }
 
 GatewayHandler::~GatewayHandler() = default;
@@ -92,6 +96,21 @@
         it->endBy(stop.respondBy());
     for (auto& [number, poll] : m_longPolls)
         poll.expiresAt = std::min(poll.expiresAt, stop.respondBy());
+    const auto left = std::chrono::ceil<Milliseconds>(stop.respondBy() - m_environment.clock.now());
+    m_stopTimer.start(std::max(Milliseconds { 0 }, left));
+}
+
+void GatewayHandler::endJobCalls()
+{
+    const Error stopping(ErrorKind::ShuttingDown, "the node stops before the store has answered", stoppingRetryAfter);
+    for (const auto& [number, poll] : std::exchange(m_longPolls, {}))
+        answerError(poll.exchange, stopping, poll.call.jobId);
+    for (const auto& [number, call] : std::exchange(m_jobCalls, {})) {
+        if (call.isWrite)
+            answerError(call.exchange, Error(ErrorKind::MayHaveRun, stopping.message()), call.id);
+        else
+            answerError(call.exchange, stopping, call.id);
+    }
 }
 
 bool GatewayHandler::refuseIfStopping(
@@ -164,13 +183,15 @@
     }
     if (refuseIfStopping(exchange, request.id, maxJobCallTime))
         return;
-    const uint64_t number = addJobCall(exchange, request.id);
+    const uint64_t number = addJobCall({ exchange, request.id, true });
     m_jobs.submit(*submission, route, request.host, [this, number](const std::optional<Error>& error) {
-        const OpenJobCall call = takeJobCall(number);
+        const auto call = takeJobCall(number);
+        if (!call)
+            return;
         if (error)
-            answerError(call.exchange, *error, call.id);
+            answerError(call->exchange, *error, call->id);
         else
-            call.exchange->answer(m_environment.wire.acceptedAnswer());
+            call->exchange->answer(m_environment.wire.acceptedAnswer());
     });
 }
 
@@ -183,7 +204,7 @@
         readResults(number);
         return;
     }
-    const uint64_t number = addJobCall(exchange, call.jobId);
+    const uint64_t number = addJobCall({ exchange, call.jobId, call.kind == JobCall::Kind::EndJob });
     if (call.kind == JobCall::Kind::EndJob)
         m_jobs.cancel(call.jobId, [this, number](const std::optional<Error>& error) { handleEnded(number, error); });
     else
@@ -193,35 +214,40 @@
 
 void GatewayHandler::handleEnded(uint64_t number, const std::optional<Error>& error)
 {
-    const OpenJobCall call = takeJobCall(number);
+    const auto call = takeJobCall(number);
+    if (!call)
+        return;
     if (error)
-        answerError(call.exchange, *error, call.id);
+        answerError(call->exchange, *error, call->id);
     else
-        call.exchange->answer({});
+        call->exchange->answer({});
 }
 
 void GatewayHandler::handleItem(uint64_t number, const std::variant<QByteArray, Error>& result)
 {
-    const OpenJobCall call = takeJobCall(number);
+    const auto call = takeJobCall(number);
+    if (!call)
+        return;
     if (const auto* error = std::get_if<Error>(&result)) {
-        answerError(call.exchange, *error, call.id);
+        answerError(call->exchange, *error, call->id);
         return;
     }
-    call.exchange->answer({ .status = 200,
+    call->exchange->answer({ .status = 200,
         .headers = { { "Content-Type", "application/octet-stream" } },
         .body = std::get<QByteArray>(result) });
 }
 
-uint64_t GatewayHandler::addJobCall(const std::shared_ptr<HttpExchange>& exchange, const std::string& id)
+uint64_t GatewayHandler::addJobCall(OpenJobCall call)
 {
     const uint64_t number = ++m_lastNumber;
-    m_jobCalls[number] = { exchange, id };
+    m_jobCalls[number] = std::move(call);
     return number;
 }
 
-GatewayHandler::OpenJobCall GatewayHandler::takeJobCall(uint64_t number)
+std::optional<GatewayHandler::OpenJobCall> GatewayHandler::takeJobCall(uint64_t number)
 {
-    return std::move(m_jobCalls.extract(number).mapped());
+    auto node = m_jobCalls.extract(number);
+    return node ? std::optional(std::move(node.mapped())) : std::nullopt;
 }
 
 GatewayHandler::OpenRequests GatewayHandler::openRequests() const
--- a/Libraries/LibGateway/GatewayHandler.h
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -74,6 +74,8 @@
     struct OpenJobCall {
         std::shared_ptr<HttpExchange> exchange;
         std::string id;
+        /// Whether the store may apply what the call asks for although its response is not known here.
+        bool isWrite { false };
     };
 
     /// Returns the calls in progress. Calls that end meanwhile stay valid until the next iteration of the event loop.
@@ -82,8 +84,11 @@
     void submitJob(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
     void handleJobCall(const std::shared_ptr<HttpExchange>&, const JobCall&);
     /// Keeps track of a call about a job. Returns its number, for `takeJobCall()`.
-    uint64_t addJobCall(const std::shared_ptr<HttpExchange>&, const std::string& id);
-    OpenJobCall takeJobCall(uint64_t number);
+    uint64_t addJobCall(OpenJobCall);
+    /// Returns nothing if the call has been answered meanwhile, because the process stops.
+    std::optional<OpenJobCall> takeJobCall(uint64_t number);
+    /// Answers the calls about jobs for which the store has not responded when the process is about to end.
+    void endJobCalls();
     void recordCutOff(const HttpExchange&, const std::string& id) const;
     void handleEnded(uint64_t number, const std::optional<Error>&);
     void handleItem(uint64_t number, const std::variant<QByteArray, Error>&);
@@ -106,6 +111,7 @@
     uint64_t m_lastNumber { 0 };
     std::optional<StopSchedule> m_stop;
     QTimer m_longPollTimer;
+    QTimer m_stopTimer;
 };
 
 }
--- a/Tests/LibGateway/TestStoppingNode.cpp
+++ b/Tests/LibGateway/TestStoppingNode.cpp
@@ -13,11 +13,15 @@
 
 constexpr Milliseconds processTime { 7'600 };
 
+const QByteArray job = R"({"items":[{"id":"i1","path":"/b/x","headers":{},"body":"eA==","token_count":5}]})";
+
 /// A node that is told to stop while callers send requests.
 struct StoppingNode : GatewayFixture {
     FakeJobPeers peers;
     JobController jobs { environment, rows, peers, "n1" };
     GatewayHandler handler { environment, jobs };
+    /// Whether the store answers.
+    bool isStoreAnswering { true };
 
     StoppingNode()
     {
@@ -25,16 +29,17 @@
         clock.advance(Milliseconds { 1'000 });
     }
 
-    std::shared_ptr<FakeExchange> send(const QByteArray& method, const QByteArray& target, HttpHeaders headers)
+    std::shared_ptr<FakeExchange> send(
+        const QByteArray& method, const QByteArray& target, HttpHeaders headers, const QByteArray& body = {})
     {
         const qsizetype mark = target.indexOf('?');
         HttpRequest request { method, mark < 0 ? target : target.first(mark),
-            mark < 0 ? QByteArray() : target.mid(mark + 1), std::move(headers), {}, target };
+            mark < 0 ? QByteArray() : target.mid(mark + 1), std::move(headers), body, target };
         request.headers.add("Host", "h.example");
         request.headers.add("Request-Id", "q" + QByteArray::number(++m_requests));
         auto exchange = std::make_shared<FakeExchange>(request);
         handler.handle(exchange);
-        rows.deliver();
+        deliver();
         settle();
         return exchange;
     }
@@ -52,11 +57,17 @@
         for (Milliseconds left = time; left.count() > 0; left -= Milliseconds { 50 }) {
             clock.advance(Milliseconds { 50 });
             loop.advance(Milliseconds { 50 });
-            rows.deliver();
+            deliver();
             settle();
         }
     }
 
+    void deliver()
+    {
+        if (isStoreAnswering)
+            rows.deliver();
+    }
+
 private:
     int m_requests { 0 };
 };
@@ -206,3 +217,39 @@
         CHECK(phase("q3") == "connecting");
     });
 }
+
+// Guards against calls about jobs that end with the process because the store does not answer (LOST).
+TEST_CASE("calls about jobs are answered before the process ends although the store is silent")
+{
+    // A call before the signal, and one after it that the node takes because it usually takes at most 3 s.
+    const auto delay = GENERATE(Milliseconds { 0 }, Milliseconds { 3'000 });
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        StoppingNode node;
+        REQUIRE(statusOf(node.send("POST", "/b/known", {}, job)) == 202);
+        node.isStoreAnswering = false;
+        if (delay.count() > 0) {
+            node.stop(processTime);
+            node.advance(loop, delay);
+        }
+        const auto submission = node.send("POST", "/b/new", {}, job);
+        const auto end = node.send("DELETE", "/api/lots/q1", {});
+        const auto unknown = node.send("DELETE", "/api/lots/unknown", {});
+        const auto item = node.send("GET", "/api/items/unknown?id=i1", {});
+        const auto results = node.send("GET", "/api/lots/q1?after=0", { { "Wait-Ms", "2000" } });
+        if (delay.count() == 0)
+            node.stop(processTime);
+        node.advance(loop, processTime - StopSchedule::lastResponseTime - delay);
+        // Writes may still be applied by the store.
+        for (const auto& it : { submission, end, unknown })
+            CHECK(statusOf(it) == 502);
+        for (const auto& it : { item, results })
+            CHECK(isRefusedAsNotRun(it));
+        const GatewayHandler::OpenRequests open = node.handler.openRequests();
+        CHECK(open.longPolls + open.jobCalls == 0);
+        // What the store answers later changes nothing.
+        node.isStoreAnswering = true;
+        node.advance(loop, Milliseconds { 50 });
+        CHECK(statusOf(submission) == 502);
+        CHECK(statusOf(results) == 503);
+    });
+}
