--- a/Libraries/LibGateway/StopProgress.cpp
+++ b/Libraries/LibGateway/StopProgress.cpp
@@ -1,7 +1,6 @@
 #include <LibGateway/StopProgress.h>
 
 #include <algorithm>
-#include <iterator>
 
 namespace Chicorydock {
 
@@ -43,9 +42,9 @@
 std::vector<StopProgress::Stage> StopProgress::update(const OpenWork& open, MonotonicTime now)
 {
     const auto isPending = [&](Stage it) { return !isReached(it, open, now); };
-    const auto reached = std::ranges::stable_partition(m_pending, isPending);
-    std::vector<Stage> stages(reached.begin(), reached.end());
-    m_pending.erase(reached.begin(), reached.end());
+    const auto reached = std::stable_partition(m_pending.begin(), m_pending.end(), isPending);
+    std::vector<Stage> stages(reached, m_pending.end());
+    m_pending.erase(reached, m_pending.end());
     m_hasEnded = m_hasEnded || std::ranges::find(stages, Stage::Ended) != stages.end();
     return stages;
 }
