LibGateway: Log what the run that continues a text was asked for

A run that brings the next event of a stream or item that had events before it now leaves one line, `resumed`, with the event that it was asked to continue after, its first event, and the last event of the text. Runs that begin a text leave none. No rule changes.

--- a/Libraries/LibGateway/DecisionFields.cpp
+++ b/Libraries/LibGateway/DecisionFields.cpp
@@ -27,6 +27,15 @@
         details["endpoint_service"] = QString::fromStdString(endpoint->service);
 }
 
+void addRun(QJsonObject& details, const EventRun& run)
+{
+    details["asked_after"] = static_cast<qint64>(run.askedAfter.value_or(0));
+    if (run.firstId)
+        details["first_event"] = static_cast<qint64>(*run.firstId);
+    if (run.lastIdBefore)
+        details["last_event"] = static_cast<qint64>(*run.lastIdBefore);
+}
+
 void addRateLimit(QJsonObject& details, const std::optional<double>& rateLimit)
 {
     if (rateLimit && *rateLimit != unlimitedRate)
--- a/Libraries/LibGateway/DecisionFields.h
+++ b/Libraries/LibGateway/DecisionFields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/EndpointRecord.h>
+#include <LibGateway/EventSequence.h>
 #include <LibGateway/SlotTypes.h>
 
 #include <QJsonObject>
@@ -17,6 +18,10 @@
 /// does not know the endpoint. May be called from any thread.
 void addPlacement(QJsonObject& details, const std::string& service, const EndpointRecord*);
 
+/// Adds what the endpoint of a run was asked for, and with which event it began, to the details of a log event. May be
+/// called from any thread.
+void addRun(QJsonObject& details, const EventRun&);
+
 /// Adds the rate limit that an endpoint states in a response, if it states one. May be called from any thread.
 void addRateLimit(QJsonObject& details, const std::optional<double>& rateLimit);
 
--- a/Libraries/LibGateway/EventSequence.cpp
+++ b/Libraries/LibGateway/EventSequence.cpp
@@ -2,8 +2,9 @@
 
 namespace Chicorydock {
 
-void EventSequence::beginRun()
+void EventSequence::beginRun(std::optional<uint64_t> askedAfter)
 {
+    m_run = { askedAfter, {}, m_lastId };
     m_runEvent.reset();
     m_hasRunAdvanced = false;
 }
@@ -24,6 +25,8 @@
         m_endsUnnumbered = true;
         return Place::New;
     }
+    if (!m_run.firstId)
+        m_run.firstId = event.id;
     if (event == m_runEvent)
         return Place::Repeated;
     if (!isNextInRun(*event.id))
--- a/Libraries/LibGateway/EventSequence.h
+++ b/Libraries/LibGateway/EventSequence.h
@@ -9,6 +9,18 @@
 
 namespace Chicorydock {
 
+/// What one endpoint was asked for, and with which of its events it began.
+struct EventRun {
+    /// Event after which the endpoint was asked to continue. Empty if it was asked to begin anew.
+    std::optional<uint64_t> askedAfter;
+    /// First numbered event that the endpoint brought.
+    std::optional<uint64_t> firstId;
+    /// Last event of the stream when the run began.
+    std::optional<uint64_t> lastIdBefore;
+
+    bool operator==(const EventRun&) const = default;
+};
+
 /// The events of a stream that several endpoints bring one after the other. The first one numbers its events in
 /// ascending order without gaps; each of the others repeats some of them or none, and continues after the last one.
 ///
@@ -30,8 +42,11 @@
     {
     }
 
-    /// Begins the events of the next endpoint.
-    void beginRun();
+    /// Begins the events of the next endpoint. `askedAfter` is the event after which it is asked to continue, if any.
+    void beginRun(std::optional<uint64_t> askedAfter);
+
+    /// Returns what the current endpoint was asked for.
+    const EventRun& run() const { return m_run; }
 
     /// Adds the next event of the current endpoint.
     Place add(const StreamEvent&);
@@ -62,6 +77,7 @@
     bool isNextInRun(uint64_t id) const;
 
     std::optional<uint64_t> m_lastId;
+    EventRun m_run;
     /// Last numbered event of the current run.
     std::optional<StreamEvent> m_runEvent;
     /// Whether the current run has continued the stream.
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -226,7 +226,7 @@
     m_answer = {};
     m_body.clear();
     m_receivedBytes = 0;
-    m_sequence.beginRun();
+    m_sequence.beginRun(m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt);
     m_leadingEmptyEvents.clear();
 }
 
@@ -349,6 +349,15 @@
     m_environment.log.record("request", "placed", m_request.id, {}, details);
 }
 
+void ForwardedCall::logResumption() const
+{
+    if (!m_sequence.run().lastIdBefore)
+        return;
+    QJsonObject details { { "endpoint", QString::fromStdString(m_endpoint) } };
+    addRun(details, m_sequence.run());
+    m_environment.log.record("request", "resumed", m_request.id, {}, details);
+}
+
 void ForwardedCall::send(const EndpointRecord& endpoint)
 {
     const HttpRequest& request = m_exchange->request();
@@ -433,7 +442,10 @@
             continue;
         }
         m_prompt.recordEvent();
+        const bool hadAdvanced = m_sequence.hasRunAdvanced();
         const EventSequence::Place place = m_sequence.add(it);
+        if (place == EventSequence::Place::New && !hadAdvanced)
+            logResumption();
         if (place == EventSequence::Place::OutOfOrder) {
             abandonCall("the events of the endpoint are out of order");
             return;
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -123,6 +123,8 @@
     Milliseconds timeLeft() const;
     /// Ends the call with an error, or aborts the stream if it has begun.
     void refuse(ErrorKind, const std::string& reason, std::optional<Milliseconds> retryAfter = {});
+    /// Logs that the current attempt brought the next event of a stream that had begun before it.
+    void logResumption() const;
     void logPlacement(const EndpointRecord*, const SlotView&) const;
     void finish(const std::string& outcome, const std::string& reason);
     void logEnd(const std::string& outcome, const std::string& reason, MonotonicTime now) const;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -218,6 +218,7 @@
     m_events = {};
     m_head = {};
     m_receivedBytes = 0;
+    m_sequence.beginRun(m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt);
     m_softwareVersion = record->softwareVersion;
     m_prompt.begin(*record);
     const HttpCallRequest call { .address = record->address,
@@ -272,7 +273,6 @@
 {
     m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_slotAcquiredAt, m_item.headers);
     m_answer = { status, headers };
-    m_sequence.beginRun();
     m_environment.links.recordResponse(m_endpoint, m_slotAcquiredAt);
     m_idleTimer.start(m_idleTimeout);
     if (m_head.isUnsignedSuccess())
@@ -296,6 +296,7 @@
         }
         if (!it.id)
             continue;
+        const bool hadAdvanced = m_sequence.hasRunAdvanced();
         const EventSequence::Place place = m_sequence.add(it);
         if (place == EventSequence::Place::OutOfOrder) {
             abandonCall("the events of the endpoint are out of order");
@@ -303,6 +304,8 @@
         }
         if (place == EventSequence::Place::Repeated)
             continue;
+        if (!hadAdvanced)
+            logResumption();
         if (!m_origin)
             m_origin = { m_service, m_softwareVersion };
         m_lastEventId = *it.id;
@@ -408,6 +411,15 @@
     m_environment.log.record("item", "placed", m_item.id, {}, details);
 }
 
+void ItemRun::logResumption() const
+{
+    if (!m_sequence.run().lastIdBefore)
+        return;
+    QJsonObject details = logDetails();
+    addRun(details, m_sequence.run());
+    m_environment.log.record("item", "resumed", m_item.id, {}, details);
+}
+
 void ItemRun::logStep(std::string_view action, const std::string& reason) const
 {
     QJsonObject details = logDetails();
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -91,6 +91,8 @@
     std::optional<EndpointRecord> findGrantedEndpoint() const;
     /// Returns the details that all log events of the item have.
     QJsonObject logDetails() const;
+    /// Logs that the current run brought the next event of an output that had begun before it.
+    void logResumption() const;
     void logPlacement(const EndpointRecord*) const;
     void logStep(std::string_view action, const std::string& reason) const;
 
