LibGateway: Continue a text only with a run that was asked to

Cause: after a resumed run that ended without an event, the next one is asked with n - 1, to see whether it repeats event n and ends. If the text was not complete, that run went on with n + 1, which was taken. What a run was asked for was kept beside the sequence of events, in ForwardedCall and in ItemRun, and not compared with what the run brought. Event n + 1 alone, without n, and an event without a number were taken from such a run too. Ruled out: a run that begins after the place it was asked for (out of order, as before), and checkpoints (they name the last event).

EventSequence now owns what each run is asked for, and only a run that is asked with the last event may continue the text. A run that is asked with n - 1 shows that the text is complete, or that it is not; then a run asked with n follows. The endpoint that ended without an event, or that showed that there is more, is asked again in the slot that it has, twice at most: max_attempts counts endpoints, and it has just responded. So a stream with two attempts that broke off within an event and then got an empty response ends whole if the endpoint has the rest; otherwise it is broken off as before. Endpoints that leave, limit their rate, or are reached through a peer are not asked again in the slot. Contradictions are bounded: after two runs without an event, the end is verified once more.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/ForwardedCall.h>
 
 #include <LibGateway/DecisionFields.h>
+#include <LibGateway/FurtherRun.h>
 #include <LibGateway/RequestFingerprint.h>
 #include <LibGateway/ServiceChoice.h>
 
@@ -83,7 +84,6 @@
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
     , m_isFromPeer(m_exchange->request().headers.find(relayField).has_value())
     , m_sequence(m_request.lastEventId.value_or(0) > 0 ? m_request.lastEventId : std::nullopt)
-    , m_lastEventId(m_request.lastEventId.value_or(0))
     , m_stream(*m_exchange)
 {
     for (QTimer* it : { &m_deadlineTimer, &m_idleTimer, &m_holdTimer })
@@ -199,18 +199,17 @@
     beginAttempt(peer.node, true);
     m_environment.log.record("request", "relayed", m_request.id, {},
         { { "peer", QString::fromStdString(peer.node) }, { "left_ms", static_cast<qint64>(timeLeft().count()) },
-            { "last_event", static_cast<qint64>(m_lastEventId) } });
+            { "last_event", static_cast<qint64>(m_sequence.resumeAfter().value_or(0)) } });
     const HttpRequest& request = m_exchange->request();
-    m_call = m_environment.http.start(
-        { .address = peer.address,
-            .method = request.method,
-            .target = request.target,
-            .headers = m_environment.wire.peerHeaders(request.headers, timeLeft(),
-                m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt, firstAttempt()),
-            .body = request.body,
-            .progressTimeout = timeLeft() + endpointConnectTimeout,
-            .connectTimeout = endpointConnectTimeout,
-            .echoedField = m_environment.wire.requestIdField() },
+    m_call = m_environment.http.start({ .address = peer.address,
+                                          .method = request.method,
+                                          .target = request.target,
+                                          .headers = m_environment.wire.peerHeaders(
+                                              request.headers, timeLeft(), m_sequence.run().askedAfter, firstAttempt()),
+                                          .body = request.body,
+                                          .progressTimeout = timeLeft() + endpointConnectTimeout,
+                                          .connectTimeout = endpointConnectTimeout,
+                                          .echoedField = m_environment.wire.requestIdField() },
         *this);
 }
 
@@ -220,13 +219,14 @@
     m_endpoint = target;
     m_isRelayed = isRelayed;
     m_isHandedOver = false;
+    m_isFurtherRun = false;
     m_attemptedAt = m_environment.clock.now();
     m_events = {};
     m_head = {};
     m_answer = {};
     m_body.clear();
     m_receivedBytes = 0;
-    m_sequence.beginRun(m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt);
+    m_sequence.beginRun();
     m_leadingEmptyEvents.clear();
 }
 
@@ -341,8 +341,8 @@
         { "left_ms", static_cast<qint64>(timeLeft().count()) },
     };
     addPlacement(details, m_service, record);
-    if (m_lastEventId > 0)
-        details["last_event"] = static_cast<qint64>(m_lastEventId);
+    if (const auto id = m_sequence.resumeAfter())
+        details["last_event"] = static_cast<qint64>(*id);
     if (!m_request.resumes.empty())
         details["resumes"] = QString::fromStdString(m_request.resumes);
     addDecisionFields(details, view);
@@ -367,8 +367,8 @@
     HttpCallRequest call { .address = endpoint.address,
         .method = request.method,
         .target = request.target,
-        .headers = m_environment.wire.endpointHeaders(
-            request.headers, endpoint.id, timeLeft(), m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt),
+        .headers
+        = m_environment.wire.endpointHeaders(request.headers, endpoint.id, timeLeft(), m_sequence.run().askedAfter),
         .body = request.body,
         .progressTimeout = timeLeft() + endpointConnectTimeout,
         .connectTimeout = endpointConnectTimeout,
@@ -378,7 +378,8 @@
 
 void ForwardedCall::onHandedOver()
 {
-    ++m_attempts;
+    // An attempt of the route is an endpoint, not a request to it.
+    m_attempts += m_isFurtherRun ? 0 : 1;
     m_isHandedOver = true;
     m_mayHaveRun = true;
     m_sentAt = m_environment.clock.now();
@@ -450,6 +451,10 @@
             abandonCall("the events of the endpoint are out of order");
             return;
         }
+        if (place == EventSequence::Place::NotAsked) {
+            handleIncompleteStream();
+            return;
+        }
         // After a resume, the endpoint may repeat events that the caller has already received. They are no progress.
         if (place == EventSequence::Place::New)
             forwardEvent(it);
@@ -464,7 +469,6 @@
     if (!m_firstByteAt)
         m_firstByteAt = m_environment.clock.now();
     restartIdleTimer();
-    m_lastEventId = m_sequence.lastId().value_or(0);
     // The peer that forwards the request records where the stream began.
     if (!m_origin && !m_isRelayed)
         recordOrigin();
@@ -568,10 +572,9 @@
         handleBrokenStream("the event stream of the endpoint ended within an event");
         return;
     }
-    if (!m_sequence.hasRunReachedEnd()) {
-        // Whether the stream is complete shows at an endpoint that repeats the last event.
-        m_lastEventId = m_sequence.idBeforeLast();
-        handleBrokenStream("the event stream of the endpoint ended without an event");
+    const EventSequence::End end = m_sequence.endRun();
+    if (end != EventSequence::End::Complete) {
+        handleEmptyStream(end == EventSequence::End::Unverified);
         return;
     }
     m_prompt.recordAnswer();
@@ -582,6 +585,41 @@
         finish("answered", "");
 }
 
+void ForwardedCall::handleEmptyStream(bool mayAskAgain)
+{
+    const std::string reason = "the event stream of the endpoint ended without an event";
+    if (!m_isRelayed)
+        m_prompt.recordBrokenStream();
+    if (!mayAskAgain || !askAgain(reason))
+        handleFailedAttempt(reason);
+}
+
+void ForwardedCall::handleIncompleteStream()
+{
+    // The endpoint must not work on the old run while the next one begins.
+    m_call.reset();
+    const std::string reason = "the endpoint showed that the stream is not complete";
+    if (!askAgain(reason))
+        handleFailedAttempt(reason);
+}
+
+bool ForwardedCall::askAgain(const std::string& reason)
+{
+    const bool canBeContinued = m_route.isRepeatable() && m_sequence.canBeResumed();
+    if (m_isRelayed || !m_slot.isStarted() || !canBeContinued || timeLeft() <= minTimeForAttempt || m_prompt.refusal())
+        return false;
+    const auto record = endpointForFurtherRun(m_environment, m_endpoint, m_service, originVersion(m_origin), m_head);
+    if (!record)
+        return false;
+    m_mayHaveRunBefore = true;
+    m_environment.log.record("request", "asked_again", m_request.id, {},
+        { { "endpoint", QString::fromStdString(m_endpoint) }, { "reason", QString::fromStdString(reason) },
+            { "last_event", static_cast<qint64>(m_sequence.resumeAfter().value_or(0)) } });
+    send(*record);
+    m_isFurtherRun = true;
+    return true;
+}
+
 void ForwardedCall::handleBrokenStream(const std::string& reason)
 {
     if (!m_isRelayed)
@@ -652,6 +690,11 @@
         handleFailedAttempt(failure.message);
         return;
     }
+    // The attempt was counted when the endpoint got the request for the first time.
+    if (m_isFurtherRun) {
+        handleFailedAttempt(failure.message);
+        return;
+    }
     // The request was not sent, so this does not count as an attempt.
     m_slot.release(EndpointOutcome::Failed);
     (m_isRelayed ? m_failedPeers : m_excluded).push_back(m_endpoint);
@@ -688,7 +731,7 @@
     if (canRetryElsewhere()) {
         m_environment.log.record("request", "moved", m_request.id, {},
             { { "endpoint", QString::fromStdString(m_endpoint) }, { "reason", QString::fromStdString(reason) },
-                { "last_event", static_cast<qint64>(m_lastEventId) },
+                { "last_event", static_cast<qint64>(m_sequence.lastId().value_or(0)) },
                 { "fingerprint", QString::fromStdString(m_fingerprint) } });
         requestSlot();
         return;
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -103,6 +103,15 @@
     /// Handles a complete response to the request to continue a stream that has events. It is no part of the stream.
     void handleAnswerToResumedStream();
     void handleStreamEnd();
+    /// Handles a stream that ended in order without an event. Only if the endpoint may be asked again is it asked to
+    /// repeat the last event.
+    void handleEmptyStream(bool mayAskAgain);
+    /// Handles a run that was asked to repeat the last event and brought the next one, too.
+    void handleIncompleteStream();
+    /// Sends the request to the same endpoint once more, in the slot that it has, so that no attempt of the route is
+    /// used. Returns whether it did. There are two such runs in a slot at most: one that is asked to repeat the last
+    /// event, and one that is asked for the next.
+    bool askAgain(const std::string& reason);
     /// Handles a stream that ended in order but too early.
     void handleBrokenStream(const std::string& reason);
     /// Handles a response that states that the endpoint did not run the request.
@@ -162,7 +171,7 @@
     bool m_isRelayed { false };
     /// Peers that could not be reached.
     std::vector<std::string> m_failedPeers;
-    /// Number of times that the request was sent to an endpoint or a peer.
+    /// Number of endpoints and peers that the request was sent to.
     uint32_t m_attempts { 0 };
     /// Number of connections that could not be opened.
     uint32_t m_failedConnections { 0 };
@@ -179,18 +188,18 @@
     EventStreamReader m_events;
     /// Bytes of the body that this attempt has received.
     qsizetype m_receivedBytes { 0 };
-    /// Events that were received, also if they are held back.
+    /// Events that were received, also if they are held back. Decides what the next attempt is asked for.
     EventSequence m_sequence;
     /// Empty events that this attempt has brought before its first new one. They leave together with that.
     QByteArray m_leadingEmptyEvents;
-    /// Event after which the next attempt resumes, or 0. The last one of the sequence, unless that is to be repeated.
-    uint64_t m_lastEventId { 0 };
     /// Its events are held back until the store knows where the stream began.
     CallerStream m_stream;
     std::optional<MonotonicTime> m_sentAt;
     /// When the latest attempt began, and whether its request was handed to a connection.
     MonotonicTime m_attemptedAt;
     bool m_isHandedOver { false };
+    /// Whether the latest attempt is another run at the endpoint of the one before it.
+    bool m_isFurtherRun { false };
     MonotonicTime m_receivedAt;
     std::optional<MonotonicTime> m_firstByteAt;
     /// State of the slots on which the scheduler based its refusal.
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/ItemRun.h>
 
 #include <LibGateway/DecisionFields.h>
+#include <LibGateway/FurtherRun.h>
 #include <LibGateway/ServiceChoice.h>
 
 #include <algorithm>
@@ -60,11 +61,10 @@
     if (progress.origin.service.empty())
         return;
     m_origin = progress.origin;
-    m_lastEventId = progress.lastEventId;
     m_output = progress.output;
-    m_hasOutput = m_lastEventId > 0;
-    m_sequence = EventSequence(m_hasOutput ? std::optional(m_lastEventId) : std::nullopt);
-    m_collectedEventId = m_lastEventId;
+    m_hasOutput = progress.lastEventId > 0;
+    m_sequence = EventSequence(m_hasOutput ? std::optional(progress.lastEventId) : std::nullopt);
+    m_collectedEventId = progress.lastEventId;
     m_collectedBytes = m_output.size();
 }
 
@@ -185,7 +185,6 @@
     m_output.clear();
     m_hasOutput = false;
     m_sequence = EventSequence();
-    m_lastEventId = 0;
     m_collectedEventId = 0;
     m_collectedBytes = 0;
 }
@@ -215,17 +214,22 @@
         requestSlotLater();
         return;
     }
+    startCall(*record);
+}
+
+void ItemRun::startCall(const EndpointRecord& endpoint)
+{
+    m_startedAt = m_environment.clock.now();
     m_events = {};
     m_head = {};
     m_receivedBytes = 0;
-    m_sequence.beginRun(m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt);
-    m_softwareVersion = record->softwareVersion;
-    m_prompt.begin(*record);
-    const HttpCallRequest call { .address = record->address,
+    m_sequence.beginRun();
+    m_softwareVersion = endpoint.softwareVersion;
+    m_prompt.begin(endpoint);
+    const HttpCallRequest call { .address = endpoint.address,
         .method = "POST",
         .target = m_item.path,
-        .headers = m_environment.wire.itemHeaders(
-            m_item, m_job.host, record->id, m_lastEventId > 0 ? std::optional(m_lastEventId) : std::nullopt),
+        .headers = m_environment.wire.itemHeaders(m_item, m_job.host, endpoint.id, m_sequence.run().askedAfter),
         .body = m_item.body,
         .progressTimeout = m_idleTimeout,
         .connectTimeout = endpointConnectTimeout,
@@ -234,6 +238,21 @@
     m_idleTimer.start(endpointConnectTimeout + m_idleTimeout);
 }
 
+bool ItemRun::askAgain(const std::string& reason)
+{
+    const GatewayRoute* route = m_environment.configuration->findJobRoute(m_job.route, m_job.host);
+    if (!m_slot.isStarted() || !route || !route->leadsTo(m_service) || m_prompt.refusal())
+        return false;
+    const auto record = endpointForFurtherRun(m_environment, m_endpoint, m_service, originVersion(m_origin), m_head);
+    if (!record)
+        return false;
+    QJsonObject details = logDetails(m_sequence.resumeAfter());
+    details["reason"] = QString::fromStdString(reason);
+    m_environment.log.record("item", "asked_again", m_item.id, {}, details);
+    startCall(*record);
+    return true;
+}
+
 void ItemRun::abandonCall(const std::string& reason)
 {
     endCall();
@@ -260,7 +279,7 @@
 
 void ItemRun::onYield(const SlotView& view)
 {
-    QJsonObject details = logDetails();
+    QJsonObject details = logDetails(m_sequence.lastId());
     addDecisionFields(details, view);
     m_environment.log.record("item", "yielded", m_item.id, {}, details);
     m_slot.markReleased();
@@ -271,9 +290,9 @@
 
 void ItemRun::onHeaders(int status, const HttpHeaders& headers)
 {
-    m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_slotAcquiredAt, m_item.headers);
+    m_head = m_environment.processAnswerHead(m_endpoint, status, headers, m_startedAt, m_item.headers);
     m_answer = { status, headers };
-    m_environment.links.recordResponse(m_endpoint, m_slotAcquiredAt);
+    m_environment.links.recordResponse(m_endpoint, m_startedAt);
     m_idleTimer.start(m_idleTimeout);
     if (m_head.isUnsignedSuccess())
         abandonCall("the response lacks the endpoint's signature");
@@ -302,13 +321,16 @@
             abandonCall("the events of the endpoint are out of order");
             return;
         }
+        if (place == EventSequence::Place::NotAsked) {
+            handleIncompleteOutput();
+            return;
+        }
         if (place == EventSequence::Place::Repeated)
             continue;
         if (!hadAdvanced)
             logResumption();
         if (!m_origin)
             m_origin = { m_service, m_softwareVersion };
-        m_lastEventId = *it.id;
         m_idleTimer.start(m_idleTimeout);
         if (std::exchange(m_hasOutput, true))
             m_output += '\n';
@@ -332,19 +354,8 @@
         return;
     }
     m_refusalDelay = Milliseconds { 0 };
-    const bool isComplete = !m_events.hasPartialEvent() && m_sequence.hasRunReachedEnd();
-    if (m_answer.isEventStream() && !isComplete) {
-        m_prompt.recordBrokenStream();
-        // Whether the output is complete shows at an endpoint that repeats the last event.
-        if (!m_sequence.hasRunReachedEnd())
-            m_lastEventId = m_sequence.idBeforeLast();
-        handleFailure("the event stream of the endpoint ended early");
-        return;
-    }
     if (m_answer.isEventStream()) {
-        m_prompt.recordAnswer();
-        releaseSlot(EndpointOutcome::Answered);
-        finish(true, "");
+        handleStreamEnd();
         return;
     }
     if (m_head.status != failedRunStatus && m_head.status != permanentFailureStatus) {
@@ -361,6 +372,35 @@
         requestSlotLater();
 }
 
+void ItemRun::handleStreamEnd()
+{
+    if (m_events.hasPartialEvent()) {
+        m_prompt.recordBrokenStream();
+        handleFailure("the event stream of the endpoint ended within an event");
+        return;
+    }
+    const EventSequence::End end = m_sequence.endRun();
+    if (end == EventSequence::End::Complete) {
+        m_prompt.recordAnswer();
+        releaseSlot(EndpointOutcome::Answered);
+        finish(true, "");
+        return;
+    }
+    m_prompt.recordBrokenStream();
+    const std::string reason = "the event stream of the endpoint ended without an event";
+    if (end != EventSequence::End::Unverified || !askAgain(reason))
+        handleFailure(reason);
+}
+
+void ItemRun::handleIncompleteOutput()
+{
+    // The endpoint must not work on the old run while the next one begins.
+    endCall();
+    const std::string reason = "the endpoint showed that the output is not complete";
+    if (!askAgain(reason))
+        handleFailure(reason);
+}
+
 void ItemRun::onFailed(const HttpFailure& failure)
 {
     endCall();
@@ -372,7 +412,7 @@
 void ItemRun::handleFailure(const std::string& reason)
 {
     if (m_head.status == 0)
-        m_environment.links.recordFailure(m_endpoint, m_slotAcquiredAt);
+        m_environment.links.recordFailure(m_endpoint, m_startedAt);
     logStep("moved", reason);
     releaseSlot(EndpointOutcome::Failed);
     requestSlotLater();
@@ -394,18 +434,18 @@
     m_onDone({ m_item.id, isCompleted, isCompleted ? m_output : QByteArray() });
 }
 
-QJsonObject ItemRun::logDetails() const
+QJsonObject ItemRun::logDetails(std::optional<uint64_t> lastEventId) const
 {
     return {
         { "job", QString::fromStdString(m_job.id) },
         { "endpoint", QString::fromStdString(m_endpoint) },
-        { "last_event", static_cast<qint64>(m_lastEventId) },
+        { "last_event", static_cast<qint64>(lastEventId.value_or(0)) },
     };
 }
 
 void ItemRun::logPlacement(const EndpointRecord* endpoint) const
 {
-    QJsonObject details = logDetails();
+    QJsonObject details = logDetails(m_sequence.resumeAfter());
     details["route"] = QString::fromStdString(m_job.route);
     addPlacement(details, m_service, endpoint);
     m_environment.log.record("item", "placed", m_item.id, {}, details);
@@ -415,14 +455,14 @@
 {
     if (!m_sequence.run().lastIdBefore)
         return;
-    QJsonObject details = logDetails();
+    QJsonObject details = logDetails(m_sequence.lastId());
     addRun(details, m_sequence.run());
     m_environment.log.record("item", "resumed", m_item.id, {}, details);
 }
 
 void ItemRun::logStep(std::string_view action, const std::string& reason) const
 {
-    QJsonObject details = logDetails();
+    QJsonObject details = logDetails(m_sequence.lastId());
     if (!m_softwareVersion.empty())
         details["software_version"] = QString::fromStdString(m_softwareVersion);
     if (!reason.empty())
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -79,7 +79,16 @@
     /// Discards the output received so far, so that the item starts anew.
     void discardOutput();
     void requestSlotLater();
+    /// Sends the item to the endpoint of the slot.
+    void startCall(const EndpointRecord&);
     void endCall();
+    /// Handles an event stream that ended in order.
+    void handleStreamEnd();
+    /// Handles a run that was asked to repeat the last event and brought the next one, too.
+    void handleIncompleteOutput();
+    /// Sends the item to the same endpoint once more, in the slot that it has. Returns whether it did. There are two
+    /// such runs in a slot at most: one that is asked to repeat the last event, and one that is asked for the next.
+    bool askAgain(const std::string& reason);
     /// Ends the call because the endpoint is not sound, and retries elsewhere.
     void abandonCall(const std::string& reason);
     void releaseSlot(EndpointOutcome);
@@ -90,7 +99,7 @@
     /// Returns the endpoint of the slot that was just granted, if the item may run there.
     std::optional<EndpointRecord> findGrantedEndpoint() const;
     /// Returns the details that all log events of the item have.
-    QJsonObject logDetails() const;
+    QJsonObject logDetails(std::optional<uint64_t> lastEventId) const;
     /// Logs that the current run brought the next event of an output that had begun before it.
     void logResumption() const;
     void logPlacement(const EndpointRecord*) const;
@@ -123,10 +132,8 @@
     bool m_hasOutput { false };
     /// Bytes of the body that this run has received.
     qsizetype m_receivedBytes { 0 };
-    /// Events that were received.
+    /// Events that were received. Decides what the next run is asked for.
     EventSequence m_sequence;
-    /// Event after which the next run resumes, or 0. The last one of the sequence, unless that is to be repeated.
-    uint64_t m_lastEventId { 0 };
     /// Last event and size of the output that `collectProgress()` has returned.
     uint64_t m_collectedEventId { 0 };
     qsizetype m_collectedBytes { 0 };
@@ -135,6 +142,8 @@
     /// Runs that endpoints reported as failed, at all nodes.
     uint32_t m_failedRuns { 0 };
     MonotonicTime m_slotAcquiredAt;
+    /// When the latest run began.
+    MonotonicTime m_startedAt;
     /// Total time for which runs of the item have held a slot.
     Milliseconds m_slotTimeUsed { 0 };
     /// Delay after the latest refusal, 0 if another response came since.
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -146,9 +146,13 @@
     const Outcome outcome = play("v2", [&](StreamFixture& it, SimulatedEventLoop&) {
         it.breakOff(begun);
         it.respond({ 200, streamHeaders(framing), {} });
+        // The endpoint is asked to repeat the last event and brings nothing again.
+        if (it.http.count() == 3)
+            it.respond({ 200, streamHeaders(framing), {} });
         it.rows.deliver();
     });
-    CHECK(outcome.calls == 2);
+    CHECK(outcome.calls == 3);
+    CHECK(outcome.lastEventId == "1");
     CHECK(outcome.isAborted == (begun == Begun::Sent));
     CHECK(outcome.isFinished == (begun == Begun::Held));
     CHECK(outcome.status == (begun == Begun::Sent ? 200 : 502));
@@ -182,8 +186,11 @@
         it.respond({ 200, streamHeaders(), {} });
         if (it.http.count() == 2)
             it.respond({ 200, streamHeaders(), isRepeated ? event(7) : QByteArray() });
+        // Another endpoint is asked with the second attempt of the route.
+        if (it.http.count() == 3)
+            it.respond({ 200, streamHeaders(), {} });
     });
-    CHECK(outcome.calls == 2);
+    CHECK(outcome.calls == (isRepeated ? 2 : 3));
     CHECK(outcome.lastEventId == "6");
     CHECK(outcome.status == (isRepeated ? 200 : 502));
     CHECK(outcome.signature().has_value() == isRepeated);
@@ -366,10 +373,15 @@
         if (it.result)
             return;
         it.continueRun();
-        it.respond({ 200, streamHeaders(), rest });
+        CHECK(it.http.last().request.headers.find("Last-Event-Id") == "1");
+        it.beginResponse(200, streamHeaders());
+        it.http.data(rest);
+        if (rest == event(2))
+            it.http.finish();
+        else
+            it.respond({ 200, streamHeaders(), event(3) });
     });
-    CHECK(outcome.calls == 3);
-    CHECK(outcome.lastEventId == "1");
+    CHECK(outcome.lastEventId == (rest == event(2) ? "1" : "2"));
     CHECK(outcome.output() == (rest == event(2) ? "d1\nd2" : "d1\nd2\nd3"));
 }
 
