LibHTTP: End a response to HEAD, or with 204 or 304, with its head

Such a response has no body, whatever length it states. The reader waited for the stated bytes, so the call did not finish before its time limit, and with a late response behind it those bytes were taken for its body. The reader is told the method now. A request with HEAD gets a connection of its own, because the end of a late response is only found with the method of the request that it belongs to.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -76,7 +76,8 @@
 
 bool ClientConnection::canCarry(const HttpCallRequest& request) const
 {
-    if (lacksEchoedValue(request))
+    // The end of a late response is only found with the method of its own request.
+    if (lacksEchoedValue(request) || request.method == "HEAD")
         return m_carriedRequests == 0;
     const QByteArray value = echoedValue(request);
     return value.isEmpty() || std::ranges::find(m_echoedHashes, qHash(value)) == m_echoedHashes.end();
@@ -89,7 +90,7 @@
     m_phase = HttpFailure::Phase::NotSent;
     m_lastProgress = now();
     m_bytesBeforeResponse = 0;
-    m_reader.reset();
+    m_reader.reset(m_request.method);
     const bool isOpen = m_socket->isConnected();
     m_timer.start(isOpen ? m_request.progressTimeout : connectTimeLimit());
     if (isOpen) {
@@ -205,7 +206,7 @@
             finish(!input.empty());
             return;
         }
-        m_reader.reset();
+        m_reader.reset(m_request.method);
     }
 }
 
@@ -280,7 +281,7 @@
     HttpCallObserver* observer = std::exchange(m_observer, nullptr);
     const bool isClean = !hasExtraBytes && m_socket && !m_socket->hasUnsentBytes();
     const bool isReusable = m_reader.keepsConnection() && isClean && !lacksEchoedValue(m_request)
-        && m_echoedHashes.size() < maxEchoedValues;
+        && m_request.method != "HEAD" && m_echoedHashes.size() < maxEchoedValues;
     m_usableUntil = now() + m_idleReuseLimit;
     setState(isReusable ? State::Idle : State::Closed);
     observer->onFinished();
--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -16,8 +16,9 @@
     reset();
 }
 
-void HttpResponseReader::reset()
+void HttpResponseReader::reset(const QByteArray& method)
 {
+    m_isResponseToHead = method == "HEAD";
     http_parser_init(&m_parser, HTTP_RESPONSE);
     m_parser.data = this;
     m_headers = {};
@@ -91,6 +92,11 @@
 
 void HttpResponseReader::addField() { m_headers.add(std::exchange(m_fieldName, {}), std::exchange(m_fieldValue, {})); }
 
+bool HttpResponseReader::hasNoBody() const
+{
+    return m_isResponseToHead || m_parser.status_code == 204 || m_parser.status_code == 304;
+}
+
 int HttpResponseReader::handleHeadersEnd(http_parser* parser)
 {
     HttpResponseReader& self = readerOf(parser);
@@ -100,7 +106,7 @@
     if (self.isInterim())
         return skipBody;
     self.m_listener.onResponseHeaders(parser->status_code, self.m_headers);
-    return 0;
+    return self.hasNoBody() ? skipBody : 0;
 }
 
 int HttpResponseReader::handleBody(http_parser* parser, const char* data, size_t size)
--- a/Libraries/LibHTTP/HttpResponseReader.h
+++ b/Libraries/LibHTTP/HttpResponseReader.h
@@ -26,8 +26,9 @@
     HttpResponseReader(const HttpResponseReader&) = delete;
     HttpResponseReader& operator=(const HttpResponseReader&) = delete;
 
-    /// Resets the reader for the next response.
-    void reset();
+    /// Resets the reader for the next response. `method` is the one of its request, because a response to `HEAD` has no
+    /// body, whatever length it states.
+    void reset(const QByteArray& method = "GET");
 
     /// Consumes bytes from the front of `input`, up to the end of the current response at most. Returns false if they
     /// are not HTTP.
@@ -53,6 +54,8 @@
 
     void addField();
     bool isInterim() const { return m_parser.status_code / 100 == 1; }
+    /// Returns whether the response ends with its head, even if it states the length that a body would have.
+    bool hasNoBody() const;
 
     HttpResponseListener& m_listener;
     http_parser m_parser {};
@@ -60,6 +63,7 @@
     QByteArray m_fieldName;
     QByteArray m_fieldValue;
     bool m_isInValue { false };
+    bool m_isResponseToHead { false };
     bool m_isComplete { false };
     bool m_keepsConnection { false };
 };
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -679,6 +679,25 @@
         CHECK(observer.body == "all of it");
 }
 
+// Guards against a request to `HEAD` that waits for a body until its time limit, and against a late response to
+// another method that is read with the wrong end.
+TEST_CASE("a response to HEAD finishes its call, and its connection carries no other request")
+{
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray& received) {
+        const bool isHead = received.startsWith("HEAD");
+        socket.write(isHead ? QByteArray("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n") : QByteArray(okResponse));
+    });
+    PooledHttpClient client;
+    const std::array<QByteArray, 4> methods { "POST", "HEAD", "HEAD", "POST" };
+    for (const QByteArray& it : methods) {
+        const RecordingObserver observer = run(client, makeRequest(server.address(), it));
+        CHECK(observer.finished == 1);
+        CHECK(observer.body == (it == "HEAD" ? "" : "ok"));
+    }
+    // The two POST requests may share one.
+    CHECK(server.connections() >= 3);
+}
+
 // Guards against an interim response that is taken for the final one.
 TEST_CASE("interim answers are passed over")
 {
--- a/Tests/LibHTTP/TestHttpResponseReader.cpp
+++ b/Tests/LibHTTP/TestHttpResponseReader.cpp
@@ -70,3 +70,45 @@
         }
     }
 }
+
+// Guards against a call that waits for a body that never comes, or takes the next response for it.
+TEST_CASE("a response to HEAD, or with status 204 or 304, ends with its head, whatever length it states")
+{
+    const QByteArray framing = GENERATE(
+        as<QByteArray> {}, "", "Content-Length: 12\r\n", "Content-Length: 0\r\n", "Transfer-Encoding: chunked\r\n");
+    const auto [method, statusLine] = GENERATE(
+        table<QByteArray, QByteArray>({ { "HEAD", "HTTP/1.1 200 OK\r\n" }, { "HEAD", "HTTP/1.1 404 Not Found\r\n" },
+            { "GET", "HTTP/1.1 204 No Content\r\n" }, { "POST", "HTTP/1.1 304 Not Modified\r\n" } }));
+    const QByteArray connection = GENERATE(as<QByteArray> {}, "", "Connection: close\r\n");
+    const QByteArray next = "HTTP/1.1 200 OK\r\n";
+    const QByteArray head = statusLine + framing + connection + "\r\n";
+    CAPTURE(method.toStdString(), head.toStdString());
+    RecordingListener listener;
+    HttpResponseReader reader(listener);
+    reader.reset(method);
+    const QByteArray bytes = head + next;
+    QByteArrayView input = bytes;
+    REQUIRE(reader.consume(input));
+    CHECK(reader.isComplete());
+    CHECK(listener.heads == 1);
+    CHECK(listener.body.isEmpty());
+    CHECK(input == next);
+    CHECK(reader.keepsConnection() == connection.isEmpty());
+}
+
+// Guards against a response that looks whole before its connection has ended, because it is said to be kept.
+TEST_CASE("a response without a length ends with its connection, also if it says that the connection is kept")
+{
+    const QByteArray connection
+        = GENERATE(as<QByteArray> {}, "Connection: keep-alive\r\n", "Connection: close\r\n", "");
+    RecordingListener listener;
+    HttpResponseReader reader(listener);
+    const QByteArray bytes = status + fields + connection + "\r\nbytes";
+    QByteArrayView input = bytes;
+    REQUIRE(reader.consume(input));
+    CHECK(listener.body == "bytes");
+    CHECK_FALSE(reader.isComplete());
+    reader.finishInput();
+    CHECK(reader.isComplete());
+    CHECK_FALSE(reader.keepsConnection());
+}
