--- a/Tests/LibHTTP/TestHttpServer.cpp
+++ b/Tests/LibHTTP/TestHttpServer.cpp
@@ -399,3 +399,22 @@
     slow.socket().setReadBufferSize(0);
     CHECK(waitFor([&] { return fixture.server.unsentResponses().empty(); }));
 }
+
+// Guards against a response that is lost because a process ends while a caller that reads slowly still takes it (LOST).
+TEST_CASE("an idle connection whose response is not sent yet stays active when idle connections are closed")
+{
+    Fixture fixture;
+    RawCaller slow(fixture.port);
+    slow.socket().setReadBufferSize(1);
+    slow.send("GET /slow HTTP/1.1\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    fixture.handler.exchanges[0]->answer(plain(QByteArray(32'000'000, 'x') + "end"));
+    REQUIRE(fixture.server.unsentBytes() > 0);
+    fixture.server.setDraining(true);
+    fixture.server.closeIdleConnections();
+    CHECK(fixture.server.activeExchanges() == 1);
+    CHECK(fixture.server.unsentBytes() > 0);
+    slow.socket().setReadBufferSize(0);
+    CHECK(waitFor([&] { return slow.received().endsWith("end"); }));
+    CHECK(waitFor([&] { return slow.isClosed() && fixture.server.activeExchanges() == 0; }));
+}
