LibGateway: Wait for connections that are being closed before the process ends

What callers would see: a reset instead of the last part of a response that the node had sent in full (LOST).

Cause: a stop ended the process as soon as no request was open. A connection whose last response was sent still discards what the caller sends, because closing a socket with unread input sends a reset, which destroys bytes that are on their way. The process did not wait for that.

A stop takes longer only if callers do not close connections whose last response says so.

--- a/Libraries/LibGateway/StopProgress.cpp
+++ b/Libraries/LibGateway/StopProgress.cpp
@@ -21,7 +21,9 @@
 
 bool StopProgress::isIdle(const OpenWork& open)
 {
-    return open.requests == 0 && open.peerRequests == 0 && open.expectingConnections == 0 && open.jobs == 0;
+    // The end of the process resets a connection with unread input, which can destroy a response on its way.
+    const bool areConnectionsDone = open.expectingConnections == 0 && open.closingConnections == 0;
+    return open.requests == 0 && open.peerRequests == 0 && areConnectionsDone && open.jobs == 0;
 }
 
 bool StopProgress::isReached(Stage stage, const OpenWork& open, MonotonicTime now) const
--- a/Tests/LibGateway/TestStopProgress.cpp
+++ b/Tests/LibGateway/TestStopProgress.cpp
@@ -31,7 +31,7 @@
     CHECK(idle.at(2'400).empty());
 
     for (const OpenWork& it : { OpenWork { .requests = 1 }, OpenWork { .peerRequests = 1 },
-             OpenWork { .expectingConnections = 1 }, OpenWork { .jobs = 1 } }) {
+             OpenWork { .expectingConnections = 1 }, OpenWork { .closingConnections = 1 }, OpenWork { .jobs = 1 } }) {
         Stop busy;
         CHECK_FALSE(StopProgress::isIdle(it));
         CHECK_FALSE(busy.progress.closesConnections(busy.start + Milliseconds { 2'299 }));
