LibGateway: End requests at their time limit with a precise timer

What callers would see: a request that is in progress when its time limit is reached, shortly before a stopping process ends, is cut off without an answer (LOST).

Cause: the time limits of requests were coarse timers of Qt, which may be late by 5% of their interval: up to 0.25 s for a request of 5 s, and more for one that the stop ends.

Change: the timer of the time limit is precise. The simulated event loop can make coarse timers as late as Qt may.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -88,6 +88,8 @@
 {
     for (QTimer* it : { &m_deadlineTimer, &m_idleTimer, &m_holdTimer })
         it->setSingleShot(true);
+    // A coarse timer may be late by 5%, which is longer than a process that stops leaves for the last responses.
+    m_deadlineTimer.setTimerType(Qt::PreciseTimer);
     QObject::connect(&m_deadlineTimer, &QTimer::timeout, &m_deadlineTimer, [this] { handleDeadline(); });
     QObject::connect(&m_idleTimer, &QTimer::timeout, &m_idleTimer, [this] { handleIdleTimeout(); });
     QObject::connect(&m_holdTimer, &QTimer::timeout, &m_holdTimer, [this] { handleHoldTimeout(); });
--- a/Tests/LibGateway/TestStoppingNode.cpp
+++ b/Tests/LibGateway/TestStoppingNode.cpp
@@ -253,3 +253,28 @@
         CHECK(statusOf(results) == 503);
     });
 }
+
+// Guards against answers to requests in progress that a coarse timer delays until the process has ended (LOST).
+TEST_CASE("requests in progress are answered before the process ends although coarse timers are late")
+{
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        loop.areCoarseTimersLate = true;
+        StoppingNode node;
+        node.stop(processTime);
+        node.advance(loop, Milliseconds { 2'450 });
+        // It may take until 0.05 s before all must have a response.
+        const auto late = node.send("/u/1", Milliseconds { 5'000 });
+        node.http.handOver();
+        node.advance(loop, processTime - Milliseconds { 2'450 } - StopSchedule::lastResponseTime);
+        CHECK(statusOf(late) == 504);
+    });
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        loop.areCoarseTimersLate = true;
+        StoppingNode node;
+        const auto early = node.send("/u/1", Milliseconds { 5'000 });
+        node.http.handOver();
+        node.stop(Milliseconds { 4'000 });
+        node.advance(loop, Milliseconds { 3'900 });
+        CHECK(statusOf(early) == 504);
+    });
+}
--- a/Tests/Support/SimulatedEventLoop.h
+++ b/Tests/Support/SimulatedEventLoop.h
@@ -20,6 +20,10 @@
 /// Thread safety: none.
 class SimulatedEventLoop final : public QAbstractEventDispatcher {
 public:
+    /// Whether timers that are started from now on are as late as Qt allows: 5% of their interval unless they are
+    /// precise.
+    bool areCoarseTimersLate { false };
+
     /// Sets the owner of the timers that are started from now on.
     void setOwner(int owner) { m_owner = owner; }
 
@@ -43,9 +47,10 @@
     }
     void registerSocketNotifier(QSocketNotifier*) override { }
     void unregisterSocketNotifier(QSocketNotifier*) override { }
-    void registerTimer(int id, qint64 interval, Qt::TimerType, QObject* object) override
+    void registerTimer(int id, qint64 interval, Qt::TimerType type, QObject* object) override
     {
-        m_timers[id] = { m_now + interval, interval, object, m_owner };
+        const bool isLate = areCoarseTimersLate && type != Qt::PreciseTimer;
+        m_timers[id] = { m_now + interval + (isLate ? interval / 20 : 0), interval, object, m_owner };
     }
     bool unregisterTimer(int id) override { return m_timers.erase(id) > 0; }
     bool unregisterTimers(QObject* object) override
