chicorydockd: Count the time of a stop from its signal

What callers would see: requests cut off by the platform's SIGKILL amid their last answers, because the node handled its SIGTERM late (LOST).

Cause: the stop began when the event loop handled the signal. The platform counts 8 s from sending it and the process ends 7.6 s after the start of the stop, so a delay of 0.4 s was enough. A process with less time left than the balancer needs to notice the stop also went on accepting connections beyond its end.

Change: the signal handler takes the time; the end counts from there, and the time in which connections are accepted from when the node reports that it is not ready. The end comes first. A signal that is sent to a process that stands still arrives when the process goes on, so that time cannot be known.

The new test fails with the former start and order (3 of 6 assertions).

--- a/Libraries/LibGateway/StopProgress.cpp
+++ b/Libraries/LibGateway/StopProgress.cpp
@@ -36,7 +36,7 @@
     case Stage::ResponsesDue:
         return now >= m_schedule.respondBy();
     case Stage::Ended:
-        return closesConnections(now) && (isIdle(open) || now >= m_schedule.endsAt());
+        return now >= m_schedule.endsAt() || (closesConnections(now) && isIdle(open));
     }
     return false;
 }
--- a/Libraries/LibGateway/StopProgress.h
+++ b/Libraries/LibGateway/StopProgress.h
@@ -48,10 +48,12 @@
     /// Returns the name of the stage in the log.
     static std::string_view name(Stage);
 
-    /// Connections are accepted until `acceptsUntil`, because the load balancer sends them until then.
-    StopProgress(const StopSchedule& schedule, MonotonicTime acceptsUntil)
-        : m_schedule(schedule)
-        , m_acceptsUntil(acceptsUntil)
+    /// The process has `processTime` from the signal on, because the platform counts from there. Connections are
+    /// accepted for `acceptTime` from when the signal was handled on, because only then does the load balancer learn of
+    /// the stop.
+    StopProgress(MonotonicTime signalledAt, MonotonicTime handledAt, Milliseconds processTime, Milliseconds acceptTime)
+        : m_schedule(signalledAt + processTime)
+        , m_acceptsUntil(handledAt + acceptTime)
     {
     }
 
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -382,7 +382,7 @@
             { "signal_age_ms", elapsedMs(signalledAt, now) } });
     m_onStopped = std::move(onStopped);
     m_signalledAt = signalledAt;
-    m_stop.emplace(StopSchedule(now + m_settings.http.drainTimeoutMs), now + drainDelay);
+    m_stop.emplace(signalledAt, now, m_settings.http.drainTimeoutMs, drainDelay);
     m_server.setDraining(true);
     m_handler.beginStop(m_stop->schedule());
     m_jobs.release();
--- a/Tests/LibGateway/TestStopProgress.cpp
+++ b/Tests/LibGateway/TestStopProgress.cpp
@@ -10,7 +10,9 @@
 
 struct Stop {
     MonotonicTime start { Milliseconds { 1'000'000 } };
-    StopProgress progress { StopSchedule(start + Milliseconds { 7'600 }), start + Milliseconds { 2'300 } };
+    /// Time from the signal until the process handles it.
+    Milliseconds delay { 0 };
+    StopProgress progress { start, start + delay, Milliseconds { 7'600 }, Milliseconds { 2'300 } };
 
     std::vector<Stage> at(int milliseconds, const OpenWork& open = {})
     {
@@ -44,3 +46,21 @@
         CHECK(busy.progress.hasEnded());
     }
 }
+
+// Guards against a process that the platform kills amid its last answers because it handled the signal late (LOST).
+TEST_CASE("the time of a stop begins with the signal, not when the process handles it")
+{
+    const OpenWork open { .requests = 1 };
+    Stop late { .delay = Milliseconds { 400 } };
+    CHECK_FALSE(late.progress.closesConnections(late.start + Milliseconds { 2'699 }));
+    CHECK(late.progress.closesConnections(late.start + Milliseconds { 2'700 }));
+    CHECK(late.progress.schedule() == StopSchedule(late.start + Milliseconds { 7'600 }));
+    late.at(7'599, open);
+    CHECK_FALSE(late.progress.hasEnded());
+    late.at(7'600, open);
+    CHECK(late.progress.hasEnded());
+
+    Stop tooLate { .delay = Milliseconds { 6'000 } };
+    tooLate.at(7'600, open);
+    CHECK(tooLate.progress.hasEnded());
+}
