chicorydockd: Close the connections of peers in order at a stop

What callers of another node would see: 502 for a request that may run only once and that was handed to a node which ended before it read the request, although it has not run. Found by reading; not seen in a play.

Cause: only the server for callers was told of a stop. Responses to peers did not announce the close, idle connections of peers stayed open, new ones were accepted until the end, and nothing waited for a request that had arrived in part. All were closed by the end of the process, with what had just been written to them.

Change: the server for peers is treated as the one for callers. Peers know by then that the node leaves, and a refused connection counts as not sent.

No test reaches the wiring in `Gateway.cpp`.

--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -383,7 +383,8 @@
     m_onStopped = std::move(onStopped);
     m_signalledAt = signalledAt;
     m_stop.emplace(signalledAt, now, m_settings.http.drainTimeoutMs, drainDelay);
-    m_server.setDraining(true);
+    for (HttpServer* it : { &m_server, &m_peerServer })
+        it->setDraining(true);
     m_handler.beginStop(m_stop->schedule());
     m_jobs.release();
     m_registry.leave();
@@ -397,7 +398,7 @@
         .peerRequests = m_peerServer.activeExchanges(),
         .unsentBytes = m_server.unsentBytes() + m_peerServer.unsentBytes(),
         .closingConnections = m_server.closingConnections() + m_peerServer.closingConnections(),
-        .expectingConnections = m_server.expectingConnections(),
+        .expectingConnections = m_server.expectingConnections() + m_peerServer.expectingConnections(),
         .jobs = m_jobs.unreleasedJobs() };
 }
 
@@ -405,8 +406,10 @@
 {
     const MonotonicTime now = m_clock.now();
     if (m_stop->closesConnections(now)) {
-        m_server.stopListening();
-        m_server.closeIdleConnections();
+        for (HttpServer* it : { &m_server, &m_peerServer }) {
+            it->stopListening();
+            it->closeIdleConnections();
+        }
     }
     const OpenWork open = openWork();
     for (const StopProgress::Stage it : m_stop->update(open, now))
