Tests/Soak: Show streams that are cut before their time limit

Callers' streams end without a whole answer up to 5% before their deadline or their route's timeout, also around planned stops. The node's log says that the time limit was reached, with a total of 4810 ms of 5000 ms. Its timer has Qt's default type, which may fire 5% early.

A SIGKILL of the schedule that comes before the end of the grace time now counts as an unplanned disruption.

--- a/Tests/Soak/Exchange.cpp
+++ b/Tests/Soak/Exchange.cpp
@@ -1,20 +1,13 @@
 #include "Exchange.h"
 
+#include <array>
+
 namespace Chicorydock {
 
 std::string prefixOf(RequestKind kind)
 {
-    switch (kind) {
-    case RequestKind::Stream:
-        return "/stream/";
-    case RequestKind::ResumableStream:
-        return "/story/";
-    case RequestKind::Repeatable:
-        return "/read/";
-    case RequestKind::Unrepeatable:
-        return "/write/";
-    }
-    return {};
+    static constexpr std::array prefixes { "/stream/", "/story/", "/read/", "/write/" };
+    return prefixes.at(static_cast<size_t>(kind));
 }
 
 std::string eventText(const std::string& id, size_t number)
--- a/Tests/Soak/Judge.cpp
+++ b/Tests/Soak/Judge.cpp
@@ -1,7 +1,9 @@
 #include "Judge.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
+#include <ranges>
 #include <set>
 #include <sstream>
 
@@ -10,7 +12,7 @@
 namespace {
 
     // Bounds of the platform's pages.
-    constexpr double graceMs = 8'000;
+    constexpr double graceMs = SoakNode::graceMs;
     constexpr double contactMs = 3'000;
     constexpr double lossSlackMs = 200;
     constexpr double configApplyMs = 2'500;
@@ -24,32 +26,14 @@
 
     const char* name(RequestKind kind)
     {
-        switch (kind) {
-        case RequestKind::Stream:
-            return "stream";
-        case RequestKind::ResumableStream:
-            return "resumable stream";
-        case RequestKind::Repeatable:
-            return "repeatable";
-        case RequestKind::Unrepeatable:
-            return "unrepeatable";
-        }
-        return "";
+        static constexpr std::array names { "stream", "resumable stream", "repeatable", "unrepeatable" };
+        return names.at(static_cast<size_t>(kind));
     }
 
     const char* name(ExchangeEnd end)
     {
-        switch (end) {
-        case ExchangeEnd::Whole:
-            return "whole";
-        case ExchangeEnd::Closed:
-            return "closed";
-        case ExchangeEnd::Reset:
-            return "reset";
-        case ExchangeEnd::Abandoned:
-            return "given up by the caller";
-        }
-        return "";
+        static constexpr std::array names { "whole", "closed", "reset", "given up by the caller" };
+        return names.at(static_cast<size_t>(end));
     }
 
     std::vector<Run> runsOf(const std::multimap<std::string, Run>& runs, const std::string& id)
@@ -107,8 +91,10 @@
         add("TWICE");
     if (!exchange.request.isRepeatable() && !own.empty() && isPromise(exchange.status))
         add("REFUSED");
-    if ((exchange.status == 503 || exchange.status == 429) && !exchange.hasRetryAfter)
+    if ((exchange.status == 503 || exchange.status == 429) && !exchange.hasRetryAfter) {
         ++verdict.counts["refusals without Retry-After"];
+        verdict.record.push_back("no Retry-After " + describe(exchange, own));
+    }
 }
 
 void Judge::judgeEnd(const Exchange& exchange, const Runs& runs, Verdict& verdict) const
@@ -122,10 +108,8 @@
     // After a reset it is not known whether the node had read the request.
     const bool wasHeld = exchange.end == ExchangeEnd::Closed && !exchange.isPipelined
         && exchange.endedAt > exchange.sentAt + lossSlackMs;
-    if (own.empty() && !wasHeld) {
-        ++verdict.counts["crossed the close"];
+    if (own.empty() && !wasHeld)
         return;
-    }
     const std::string why = excuse(exchange, *life, own);
     if (!why.empty()) {
         ++verdict.counts["excused: " + why];
@@ -135,6 +119,10 @@
         && exchange.endedAt <= life->terminatedAt + graceMs + afterGraceMs;
     const bool isReload = life->reloadedAt > 0 && exchange.sentAt <= life->reloadedAt + configApplyMs
         && exchange.endedAt >= life->reloadedAt;
+    // Shown apart, since it may be a timer that is early.
+    const bool isNearLimit = exchange.endedAt >= exchange.sentAt + 0.9 * limitMs(exchange.request);
+    if (isNearLimit)
+        ++verdict.counts["cut in the last tenth of the time limit"];
     if (isStop || isReload) {
         ++verdict.counts["lost"];
         verdict.findings.push_back((isStop ? "LOST around SIGTERM " : "LOST after SIGHUP ") + describe(exchange, own));
@@ -145,7 +133,7 @@
 
 std::string Judge::excuse(const Exchange& exchange, const SoakNode::Life& life, const std::vector<Run>& runs) const
 {
-    const double limit = std::min<double>(exchange.request.deadlineMs, m_routeTimeoutMs.at(exchange.request.kind));
+    const double limit = limitMs(exchange.request);
     if (exchange.endedAt >= exchange.sentAt + limit)
         return "time limit";
     if (std::ranges::any_of(runs, [](const Run& it) { return it.end == Run::End::BrokenOff; }))
@@ -161,6 +149,11 @@
     return {};
 }
 
+double Judge::limitMs(const SoakRequest& request) const
+{
+    return std::min<double>(request.deadlineMs, m_routeTimeoutMs.at(request.kind));
+}
+
 const SoakNode::Life* Judge::lifeOf(const Exchange& exchange) const
 {
     const SoakNode::Life* found = nullptr;
@@ -177,7 +170,8 @@
     std::ostringstream out;
     out << name(exchange.request.kind) << ' ' << exchange.request.target() << " at node-" << exchange.node << " sent "
         << exchange.sentAt << " end " << exchange.endedAt << ' ' << name(exchange.end) << " status " << exchange.status
-        << " bytes " << exchange.receivedBytes << (exchange.isPipelined ? " pipelined" : "");
+        << " bytes " << exchange.receivedBytes << " after " << exchange.endedAt - exchange.sentAt << " of "
+        << limitMs(exchange.request) << " ms" << (exchange.isPipelined ? " pipelined" : "");
     if (life && life->terminatedAt > 0)
         out << "; SIGTERM " << life->terminatedAt << " (sent " << exchange.sentAt - life->terminatedAt << ", ended "
             << exchange.endedAt - life->terminatedAt << " ms after it)";
--- a/Tests/Soak/Judge.h
+++ b/Tests/Soak/Judge.h
@@ -40,6 +40,7 @@
     void judgeEnd(const Exchange&, const Runs&, Verdict&) const;
     /// Returns why the end of the connection breaks no rule, or an empty text.
     std::string excuse(const Exchange&, const SoakNode::Life&, const std::vector<Run>&) const;
+    double limitMs(const SoakRequest&) const;
     const SoakNode::Life* lifeOf(const Exchange&) const;
 
     const std::vector<std::vector<SoakNode::Life>> m_lives;
--- a/Tests/Soak/Play.cpp
+++ b/Tests/Soak/Play.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-    constexpr double graceMs = 8'000;
+    constexpr double graceMs = SoakNode::graceMs;
     constexpr double readyMs = 60'000;
     constexpr double balanceMs = 1'000;
     constexpr double stepMs = 10;
@@ -139,44 +139,25 @@
 
 void Play::play(const Step& step)
 {
-    const std::string node = step.action == Step::Action::Configure || step.action == Step::Action::Fault
-            || step.action == Step::Action::Reset
-        ? std::string()
-        : ' ' + m_nodes[step.node]->name();
-    m_record.add(std::string(nameOf(step.action)) + node
-        + (step.action == Step::Action::Fault ? std::string(" ") + nameOf(step.fault) : ""));
-    switch (step.action) {
-    case Step::Action::Terminate:
+    using Action = Step::Action;
+    static const std::map<Action, int> signals { { Action::TerminateAgain, SIGTERM }, { Action::Reload, SIGHUP },
+        { Action::Freeze, SIGSTOP }, { Action::Resume, SIGCONT }, { Action::Kill, SIGKILL } };
+    const bool hasNode
+        = step.action != Action::Configure && step.action != Action::Fault && step.action != Action::Reset;
+    m_record.add(nameOf(step.action) + (hasNode ? ' ' + m_nodes[step.node]->name() : std::string())
+        + (step.action == Action::Fault ? std::string(" ") + nameOf(step.fault) : ""));
+    if (signals.contains(step.action))
+        m_nodes[step.node]->signal(signals.at(step.action));
+    else if (step.action == Action::Terminate)
         terminate(step.node);
-        break;
-    case Step::Action::TerminateAgain:
-        m_nodes[step.node]->signal(SIGTERM);
-        break;
-    case Step::Action::TerminateInStart:
+    else if (step.action == Action::TerminateInStart)
         m_care[step.node].isTerminatedInStart = true;
-        break;
-    case Step::Action::Reload:
-        m_nodes[step.node]->signal(SIGHUP);
-        break;
-    case Step::Action::Freeze:
-        m_nodes[step.node]->signal(SIGSTOP);
-        break;
-    case Step::Action::Resume:
-        m_nodes[step.node]->signal(SIGCONT);
-        break;
-    case Step::Action::Kill:
-        m_nodes[step.node]->signal(SIGKILL);
-        break;
-    case Step::Action::Configure:
+    else if (step.action == Action::Configure)
         configure();
-        break;
-    case Step::Action::Fault:
+    else if (step.action == Action::Fault)
         m_front.setFault(step.fault);
-        break;
-    case Step::Action::Reset:
+    else
         m_endpoints[step.node % m_endpoints.size()]->resetConnections();
-        break;
-    }
 }
 
 /// Most nodes stay in service: so many may be stopped at once.
--- a/Tests/Soak/Schedule.cpp
+++ b/Tests/Soak/Schedule.cpp
@@ -1,6 +1,7 @@
 #include "Schedule.h"
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 namespace Chicorydock {
@@ -96,48 +97,16 @@
 
 const char* nameOf(Action action)
 {
-    switch (action) {
-    case Action::Terminate:
-        return "SIGTERM";
-    case Action::TerminateAgain:
-        return "second SIGTERM";
-    case Action::TerminateInStart:
-        return "SIGTERM during the next start";
-    case Action::Reload:
-        return "SIGHUP";
-    case Action::Freeze:
-        return "SIGSTOP";
-    case Action::Resume:
-        return "SIGCONT";
-    case Action::Kill:
-        return "SIGKILL";
-    case Action::Configure:
-        return "configuration";
-    case Action::Fault:
-        return "store";
-    case Action::Reset:
-        return "reset of an endpoint's connections";
-    }
-    return "";
+    static constexpr std::array names { "SIGTERM", "second SIGTERM", "SIGTERM during the next start", "SIGHUP",
+        "SIGSTOP", "SIGCONT", "SIGKILL", "configuration", "store", "reset of an endpoint's connections" };
+    return names.at(static_cast<size_t>(action));
 }
 
 const char* nameOf(Fault fault)
 {
-    switch (fault) {
-    case Fault::None:
-        return "serves";
-    case Fault::Silent:
-        return "is silent";
-    case Fault::Refusing:
-        return "refuses";
-    case Fault::Slow:
-        return "is slow";
-    case Fault::Closing:
-        return "closes connections";
-    case Fault::HistoryDropped:
-        return "has dropped its history";
-    }
-    return "";
+    static constexpr std::array names { "serves", "is silent", "refuses", "is slow", "closes connections",
+        "has dropped its history" };
+    return names.at(static_cast<size_t>(fault));
 }
 
 }
--- a/Tests/Soak/SoakNode.cpp
+++ b/Tests/Soak/SoakNode.cpp
@@ -81,11 +81,12 @@
     if (m_pid <= 0)
         return;
     Life& life = m_lives.back();
+    const bool isOver = life.terminatedAt > 0 && now() > life.terminatedAt + graceMs;
     if (number == SIGTERM && life.terminatedAt == 0)
         life.terminatedAt = now();
     else if (number == SIGHUP)
         life.reloadedAt = now();
-    else if (number == SIGSTOP || number == SIGCONT || (number == SIGKILL && life.terminatedAt == 0))
+    else if (number == SIGSTOP || number == SIGCONT || (number == SIGKILL && !isOver))
         life.disruptions.push_back(now());
     ::kill(m_pid, number);
 }
--- a/Tests/Soak/SoakNode.h
+++ b/Tests/Soak/SoakNode.h
@@ -19,10 +19,13 @@
         double terminatedAt { 0 };
         double reloadedAt { 0 };
         double endedAt { 0 };
-        /// Times of SIGKILL before any SIGTERM, of SIGSTOP and of SIGCONT: the unplanned disruptions.
+        /// Times of SIGKILL before the end of the grace time, of SIGSTOP and of SIGCONT: the unplanned disruptions.
         std::vector<double> disruptions;
     };
 
+    /// Time between SIGTERM and the planned SIGKILL.
+    static constexpr double graceMs = 8'000;
+
     struct Program {
         std::string daemon;
         std::string settingsTemplate;
