LibGateway: Move the state of endpoints and their use out of SlotScheduler

The state of an endpoint, the set of endpoints with what they stated, the slots that items leave free, and the counting of slots in use are now SlotEndpoint, SlotEndpoints, BatchReserve and SlotUsage. Moves code only: no decision, bound or message changes.

--- /dev/null
+++ b/Libraries/LibGateway/SlotEndpoint.cpp
@@ -0,0 +1,51 @@
+#include <LibGateway/SlotEndpoint.h>
+
+#include <algorithm>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Time for which an endpoint is avoided after its first failure. It doubles with each further failure.
+    constexpr Milliseconds firstAvoidance { 250 };
+    constexpr uint32_t maxAvoidanceDoublings = 4;
+
+}
+
+SlotView SlotEndpoint::view(MonotonicTime now) const
+{
+    SlotView view { online(), own.batch + peers.batch, record.slotCount };
+    if (changedAt != MonotonicTime {})
+        view.age = std::chrono::duration_cast<Milliseconds>(now - changedAt);
+    return view;
+}
+
+uint32_t SlotEndpoint::freeForOnline(MonotonicTime now) const
+{
+    const uint32_t capacity = record.slotCount;
+    return std::min(capacity - std::min(capacity, online()), limiter.available(now));
+}
+
+void SlotEndpoint::recordFailure(MonotonicTime now)
+{
+    const uint32_t doublings = std::min(failures++, maxAvoidanceDoublings);
+    avoidedUntil = now + firstAvoidance * (1 << doublings);
+}
+
+void SlotEndpoint::recordResponse(MonotonicTime now)
+{
+    failures = 0;
+    respondedAt = now;
+}
+
+bool SlotEndpoint::isAvoided(const std::vector<std::string>& excluded, MonotonicTime now) const
+{
+    if (!isUsable || std::ranges::find(excluded, record.id) != excluded.end())
+        return true;
+    if (failures == 0)
+        return false;
+    // After the avoidance time, one request or item at a time probes whether the endpoint has recovered.
+    return now < avoidedUntil || own != SlotUse {};
+}
+
+}
