--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,58 +12,13 @@
 
 namespace {
 
-    /// Costs of using an endpoint in another region or failure domain, in units of the load of an endpoint (1 is full).
-    /// The link between regions is slow and billed by volume.
-    constexpr double otherRegionCost = 0.9;
-    constexpr double otherDomainCost = 0.02;
-
-    /// Age in milliseconds at which reports from another failure domain cost as much as the load of a full endpoint,
-    /// and the maximum cost of old reports.
-    constexpr double reportAgeCostScale = 400;
-    constexpr double maxReportAgeCost = 0.6;
-
-    /// Cost of an endpoint where a batch item has to yield first. Items of this node yield immediately, items of peers
-    /// only after a report has reached the peer.
-    constexpr double ownYieldCost = 0.5;
-    constexpr double peerYieldCost = 0.7;
-
-    /// Cost for online work, and advantage for items, of an endpoint with a rate limit. An item uses one request for
-    /// several seconds of work, so it loses least by the limit.
-    constexpr double limitedRateCost = 1;
-
-    /// Time for which the reported work time of an endpoint is used. Phases of slow work last about this long.
-    constexpr Milliseconds workTimeLifetime { 600 };
-    /// Cost of an endpoint where work takes twice the normal time.
-    constexpr double slownessCostFactor = 0.25;
-
     /// A new request is queued only if its expected wait is at most this share of the time until its latest start. The
     /// estimate is rough, and an early refusal is of more use to the caller than a late one.
     constexpr double maxExpectedWaitShare = 0.5;
 
-    /// Time within which the online use of a slot becomes known to the peers that rank first for its endpoint.
-    constexpr Milliseconds onlineTurnTime { 30 };
-
-    /// Turns after which a slot that stays free is open to the online requests of all nodes, however many there are.
-    constexpr uint32_t maxOnlineTurns = 4;
-
-    /// A slot that stays free for this long, and for this many turns at the node's distance from the endpoint, is open
-    /// to the items of all nodes. Items can wait for seconds.
-    constexpr Milliseconds maxBatchTurnTime { 1'000 };
-    constexpr int maxBatchTurns = 4;
-
     /// Interval between two checks for expired peers and outdated load reports of endpoints.
     constexpr Milliseconds expiryInterval { 20 };
 
-    /// Time after the end of its own work in which a node may reuse the slot without waiting for its turn: its peers do
-    /// not know yet that the slot is free.
-    constexpr Milliseconds slotReuseTime { 10 };
-
-    /// Random cost of an endpoint, in slots. It makes nodes that see the same loads choose different endpoints.
-    constexpr double randomSlots = 0.5;
-
-    /// Maximum cost of an endpoint that the node does not prefer, in slots. It serves the same purpose.
-    constexpr double preferredSlots = 2;
-
     /// Refused callers are told to retry after `minRetryAfter` plus the expected wait plus a random delay, but after
     /// `maxRetryAfter` at most. The random delay is up to the longer of the expected wait and `minRetrySpread`.
     constexpr Milliseconds minRetrySpread { 300 };
@@ -79,6 +33,7 @@
     , m_endpoints(m_peers)
     , m_reserve(m_endpoints, m_peers)
     , m_usage(m_endpoints, m_peers, m_reserve)
+    , m_chooser(m_endpoints, m_peers, m_reserve, random)
 {
 }
 
@@ -173,7 +128,7 @@
     for (OnlineWork& work : m_online) {
         const auto found = earliestWaiting.find(work.service);
         const bool isHopeless = found != earliestWaiting.end() && work.submittedAt >= found->second;
-        SlotEndpoint* endpoint = isHopeless ? nullptr : chooseForOnline(work, now);
+        SlotEndpoint* endpoint = isHopeless ? nullptr : m_chooser.chooseForOnline(work, now);
         if (!endpoint && work.excluded.empty() && !work.softwareVersion)
             earliestWaiting.insert_or_assign(work.service,
                 found == earliestWaiting.end() ? work.submittedAt : std::min(found->second, work.submittedAt));
@@ -225,103 +180,6 @@
     return std::max(Milliseconds { std::lround(queueTime) }, m_endpoints.capacity().nextRequestIn(service));
 }
 
-bool SlotScheduler::isSpilloverAllowed(const SlotEndpoint& endpoint, const OnlineWork& work, MonotonicTime now) const
-{
-    const PeerDistance distance = m_peers.distanceTo(endpoint.record.failureDomain);
-    if (distance == PeerDistance::FailureDomain || m_endpoints.capacity().domainSlots(work.service) == 0)
-        return true;
-    // At peak load, most slots that appear free in another failure domain are taken before the request arrives there,
-    // and a local slot usually becomes free sooner than the report of that.
-    if (endpoint.total() * 2 <= endpoint.record.slotCount)
-        return true;
-    return now - work.submittedAt >= m_peers.turnTime(distance);
-}
-
-bool SlotScheduler::isOnlineTurn(SlotEndpoint& endpoint, uint32_t free, MonotonicTime now) const
-{
-    // All nodes compute the same order for this endpoint. As many nodes as there are free slots may claim one
-    // immediately. The next ones may follow if the slots are still free when those claims would have been reported.
-    const PrecedingNodes& before = precedingNodes(endpoint);
-    uint32_t turns = std::min((before.inDomain + before.elsewhere) / free, maxOnlineTurns);
-    if (!endpoint.limiter.isLimited())
-        return now - endpoint.onlineChangedAt >= onlineTurnTime * turns;
-    // The requests that a limit allows are few, so a node leaves a turn to the others after each of its own.
-    turns += endpoint.limiter.isSlowerThan(onlineTurnTime) ? 1 : 0;
-    return now - endpoint.limiter.availableSince(1, now) >= onlineTurnTime * turns;
-}
-
-bool SlotScheduler::isBatchTurn(SlotEndpoint& endpoint, uint32_t free, MonotonicTime now) const
-{
-    const PrecedingNodes& before = precedingNodes(endpoint);
-    const PeerDistance distance = m_peers.distanceTo(endpoint.record.failureDomain);
-    const Milliseconds domainTurn = m_peers.turnTime(PeerDistance::FailureDomain);
-    const Milliseconds ownTurn = m_peers.turnTime(distance);
-    Milliseconds turn = domainTurn * (before.inDomain / free) + ownTurn * (before.elsewhere / free);
-    // A node in another domain first waits until a claim by a node of the endpoint's domain would have been reported.
-    if (distance != PeerDistance::FailureDomain)
-        turn += ownTurn;
-    MonotonicTime since = endpoint.freeForBatchSince;
-    if (endpoint.limiter.isLimited())
-        since = std::max(since, endpoint.limiter.availableSince(1 + BatchReserve::rateReserve, now));
-    return now - since >= std::min(turn, std::max(maxBatchTurnTime, ownTurn * maxBatchTurns));
-}
-
-const PrecedingNodes& SlotScheduler::precedingNodes(SlotEndpoint& endpoint) const
-{
-    if (endpoint.precedingNodesGeneration != m_peers.generation()) {
-        endpoint.precedingNodes = m_peers.precedingNodes(endpoint.record.id, endpoint.record.failureDomain);
-        endpoint.precedingNodesGeneration = m_peers.generation();
-    }
-    return endpoint.precedingNodes;
-}
-
-double SlotScheduler::distanceCost(const SlotEndpoint& endpoint) const
-{
-    const PeerDistance distance = m_peers.distanceTo(endpoint.record.failureDomain);
-    if (distance == PeerDistance::FailureDomain)
-        return 0;
-    const double age = static_cast<double>(m_peers.reportAge(distance).count());
-    const double ageCost = std::min(age / reportAgeCostScale, maxReportAgeCost);
-    return ageCost + (distance == PeerDistance::Region ? otherDomainCost : otherRegionCost);
-}
-
-double SlotScheduler::slownessCost(const SlotEndpoint& endpoint, MonotonicTime now) const
-{
-    if (endpoint.workTimePercent <= 100 || now - endpoint.observedAt > workTimeLifetime)
-        return 0;
-    return (endpoint.workTimePercent / 100.0 - 1) * slownessCostFactor;
-}
-
-SlotEndpoint* SlotScheduler::chooseForOnline(const OnlineWork& work, MonotonicTime now)
-{
-    SlotEndpoint* best = nullptr;
-    double bestCost = std::numeric_limits<double>::max();
-    for (auto& [id, it] : m_endpoints) {
-        if (!it.isEligible(work, now))
-            continue;
-        const uint32_t capacity = it.record.slotCount;
-        const uint32_t free = it.freeForOnline(now);
-        if (free == 0 || !isSpilloverAllowed(it, work, now))
-            continue;
-        // The node whose work has just ended knows of the free slot before its peers do.
-        const bool hasJustFreedSlot = !it.limiter.isLimited() && now - it.ownEndedAt < slotReuseTime;
-        if (!hasJustFreedSlot && !isOnlineTurn(it, free, now))
-            continue;
-        // The random part spreads the requests of nodes that see the same loads.
-        double cost = static_cast<double>(it.total()) / capacity + distanceCost(it) + slownessCost(it, now)
-            + (m_random.unit() * randomSlots + it.preference * preferredSlots) / capacity;
-        if (it.total() >= capacity)
-            cost += it.own.batch > 0 ? ownYieldCost : peerYieldCost;
-        if (it.limiter.isLimited())
-            cost += limitedRateCost * (1 + it.preference);
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = &it;
-        }
-    }
-    return best;
-}
-
 void SlotScheduler::startWork(
     std::vector<SlotDecision>& decisions, RunningWork work, SlotEndpoint& endpoint, MonotonicTime now)
 {
@@ -372,31 +230,6 @@
     }
 }
 
-SlotEndpoint* SlotScheduler::chooseForBatch(const BatchWork& work, MonotonicTime now)
-{
-    SlotEndpoint* best = nullptr;
-    double bestCost = std::numeric_limits<double>::max();
-    const bool isPoolExhausted = m_reserve.isPoolExhausted(work.service, now);
-    for (auto& [id, it] : m_endpoints) {
-        if (!it.isEligible(work, now))
-            continue;
-        if (isPoolExhausted && m_reserve.isPooled(it))
-            continue;
-        m_reserve.updateAvailability(it, now);
-        const uint32_t free = m_reserve.freeForBatch(it, now);
-        if (free == 0 || !isBatchTurn(it, free, now))
-            continue;
-        const double cost = static_cast<double>(it.total()) / it.record.slotCount + distanceCost(it)
-            + slownessCost(it, now) + m_random.unit() * randomSlots / it.record.slotCount
-            - (it.limiter.isLimited() ? limitedRateCost : 0);
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = &it;
-        }
-    }
-    return best;
-}
-
 void SlotScheduler::decideBatch(std::vector<SlotDecision>& decisions, MonotonicTime now)
 {
     if (m_batch.empty())
@@ -409,7 +242,7 @@
     std::set<std::string> fullServices;
     std::vector<BatchWork> waiting;
     for (BatchWork& work : m_batch) {
-        SlotEndpoint* endpoint = fullServices.contains(work.service) ? nullptr : chooseForBatch(work, now);
+        SlotEndpoint* endpoint = fullServices.contains(work.service) ? nullptr : m_chooser.chooseForBatch(work, now);
         if (!endpoint && work.excluded.empty() && !work.softwareVersion)
             fullServices.insert(work.service);
         if (endpoint)
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/Random.h>
+#include <LibGateway/EndpointChooser.h>
 #include <LibGateway/SlotAllocator.h>
 #include <LibGateway/SlotUsage.h>
 
@@ -88,19 +88,6 @@
     void decideOnline(std::vector<SlotDecision>&, MonotonicTime now);
     void decideYields(std::vector<SlotDecision>&, MonotonicTime now);
     void decideBatch(std::vector<SlotDecision>&, MonotonicTime now);
-    SlotEndpoint* chooseForOnline(const OnlineWork&, MonotonicTime now);
-    SlotEndpoint* chooseForBatch(const BatchWork&, MonotonicTime now);
-    /// Returns whether the request may spill over to the failure domain of the endpoint, given the age of the reports
-    /// from there.
-    bool isSpilloverAllowed(const SlotEndpoint&, const OnlineWork&, MonotonicTime now) const;
-    /// Returns whether it is this node's turn to claim a free slot. Nodes claim in turns so that they do not claim the
-    /// same slot before they know of each other's claims.
-    bool isOnlineTurn(SlotEndpoint&, uint32_t free, MonotonicTime now) const;
-    bool isBatchTurn(SlotEndpoint&, uint32_t free, MonotonicTime now) const;
-    const PrecedingNodes& precedingNodes(SlotEndpoint&) const;
-    /// The costs are in units of the load of an endpoint (1 is full).
-    double distanceCost(const SlotEndpoint&) const;
-    double slownessCost(const SlotEndpoint&, MonotonicTime now) const;
     /// Starts work of which the identifier and the fields of items are set.
     void startWork(std::vector<SlotDecision>&, RunningWork, SlotEndpoint&, MonotonicTime now);
     void yieldOne(std::vector<SlotDecision>&, SlotEndpoint&, MonotonicTime now);
@@ -118,6 +105,7 @@
     SlotEndpoints m_endpoints;
     BatchReserve m_reserve;
     SlotUsage m_usage;
+    EndpointChooser m_chooser;
     MonotonicTime m_lastExpiryAt;
     std::vector<OnlineWork> m_online;
     std::vector<BatchWork> m_batch;
