LibGateway: Move the queue, refusals and preemption out of SlotScheduler

SlotQueue keeps the work that waits in the order in which it is served, QueueAdmission decides what is refused, and ItemPreemption which items yield. SlotScheduler connects them. Moves code only.

--- a/Libraries/LibGateway/HoldTimeEstimator.cpp
+++ b/Libraries/LibGateway/HoldTimeEstimator.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/HoldTimeEstimator.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace Chicorydock {
@@ -28,6 +29,12 @@
     return find(m_items, service, Milliseconds { 0 });
 }
 
+bool HoldTimeEstimator::isItemTooLate(
+    const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const
+{
+    return now + std::max(itemTime(service) - slotTimeUsed, Milliseconds { 0 }) > dueAt;
+}
+
 void HoldTimeEstimator::add(Means& means, const std::string& service, Milliseconds held)
 {
     Milliseconds& mean = means.try_emplace(service, held).first->second;
--- a/Libraries/LibGateway/HoldTimeEstimator.h
+++ b/Libraries/LibGateway/HoldTimeEstimator.h
@@ -21,6 +21,11 @@
     /// Returns the mean for an item, or 0 before the first item of the service has ended.
     Milliseconds itemTime(const std::string& service) const;
 
+    /// Returns whether an item that starts now can no longer be completed by the time it is due. `slotTimeUsed` is the
+    /// time for which its earlier runs held a slot.
+    bool isItemTooLate(
+        const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const;
+
 private:
     using Means = std::map<std::string, Milliseconds>;
 
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <LibGateway/EndpointChooser.h>
+#include <LibGateway/ItemPreemption.h>
+#include <LibGateway/QueueAdmission.h>
 #include <LibGateway/SlotAllocator.h>
-#include <LibGateway/SlotUsage.h>
+#include <LibGateway/SlotQueue.h>
 
 #include <string>
 #include <unordered_map>
@@ -34,9 +36,9 @@
     SlotScheduler(Location, Random&);
 
     void setEndpoints(const std::vector<EndpointRecord>& records) override { m_endpoints.replace(records); }
-    void submit(const OnlineWork&, MonotonicTime now) override;
-    void submit(const BatchWork&) override;
-    void withdraw(uint64_t work) override;
+    void submit(const OnlineWork& work, MonotonicTime now) override { m_queue.add(work, now); }
+    void submit(const BatchWork& work) override { m_queue.add(work); }
+    void withdraw(uint64_t work) override { m_queue.remove(work); }
     void finish(uint64_t work, EndpointOutcome, MonotonicTime now) override;
 
     /// Counts work that another scheduler has started. It holds its slot from now on. Work at an unknown endpoint is
@@ -59,7 +61,7 @@
     void observeRate(const std::string& endpoint, const RateStatement&, MonotonicTime now) override;
 
     std::vector<SlotDecision> poll(MonotonicTime now) override;
-    bool needsPolling() const override { return !m_online.empty() || !m_batch.empty(); }
+    bool needsPolling() const override { return !m_queue.isEmpty(); }
 
     /// Returns the work if it holds a slot, or null. Valid until the next call of another method.
     const RunningWork* findRunning(uint64_t work) const { return m_usage.find(work); }
@@ -76,11 +78,11 @@
     size_t limitedEndpoints() const { return m_endpoints.limitedEndpoints(); }
     /// Returns a number that changes whenever the slots in use by this node change.
     uint64_t useVersion() const { return m_usage.version(); }
-    uint32_t waitingOnline() const { return static_cast<uint32_t>(m_online.size()); }
-    uint32_t waitingBatch() const { return static_cast<uint32_t>(m_batch.size()); }
+    uint32_t waitingOnline() const { return m_queue.waitingOnline(); }
+    uint32_t waitingBatch() const { return m_queue.waitingBatch(); }
 
     /// Returns whether work is queued or may have to yield, so that a change of the peers' usage can lead to decisions.
-    bool dependsOnPeers() const { return !m_online.empty() || !m_batch.empty() || m_usage.ownBatch() > 0; }
+    bool dependsOnPeers() const { return !m_queue.isEmpty() || m_usage.ownBatch() > 0; }
 
 private:
     /// Removes peers without recent reports and outdated load reports of endpoints.
@@ -90,26 +92,19 @@
     void decideBatch(std::vector<SlotDecision>&, MonotonicTime now);
     /// Starts work of which the identifier and the fields of items are set.
     void startWork(std::vector<SlotDecision>&, RunningWork, SlotEndpoint&, MonotonicTime now);
+    /// Preempts one item of this node at the endpoint, if one runs there.
     void yieldOne(std::vector<SlotDecision>&, SlotEndpoint&, MonotonicTime now);
-    /// Returns whether an item can no longer be completed by the time it is due.
-    bool isTooLate(const std::string& service, MonotonicTime dueAt, Milliseconds slotTimeUsed, MonotonicTime now) const;
-    /// Returns how many items of this node have to yield so that all nodes together free `excess` slots.
-    uint32_t ownShareOfYields(const SlotEndpoint&, uint32_t excess) const;
-    /// Returns the expected time in the queue behind `ahead` requests of this node.
-    Milliseconds expectedWait(const std::string& service, size_t ahead) const;
-    Milliseconds retryAfter(const std::string& service, size_t ahead);
-    bool shouldRefuse(const OnlineWork&, size_t ahead, MonotonicTime now) const;
-
-    Random& m_random;
+
     SlotPeers m_peers;
     SlotEndpoints m_endpoints;
     BatchReserve m_reserve;
     SlotUsage m_usage;
     EndpointChooser m_chooser;
-    MonotonicTime m_lastExpiryAt;
-    std::vector<OnlineWork> m_online;
-    std::vector<BatchWork> m_batch;
     HoldTimeEstimator m_holdTimes;
+    SlotQueue m_queue;
+    QueueAdmission m_admission;
+    ItemPreemption m_preemption;
+    MonotonicTime m_lastExpiryAt;
 };
 
 }
