LibGateway: Explain what the slot headers left open

Describes what a slot is, what a coordinator under suspicion means and what the version of the use counts, and names the coordinator that a member has left m_formerCoordinator.

--- a/Libraries/LibGateway/SlotHandle.h
+++ b/Libraries/LibGateway/SlotHandle.h
@@ -58,6 +58,7 @@
 
 private:
     SlotBroker& m_broker;
+    /// Identifier of the work at the broker, 0 if the handle owns nothing.
     uint64_t m_work { 0 };
     bool m_isStarted { false };
 };
--- a/Libraries/LibGateway/SlotMember.cpp
+++ b/Libraries/LibGateway/SlotMember.cpp
@@ -100,7 +100,7 @@
     if (isIndependent())
         m_local.removeMember(m_node, now);
     else
-        m_left = m_coordinator;
+        m_formerCoordinator = m_coordinator;
     m_coordinator = node;
     m_lastReply = 0;
     m_unansweredSince.reset();
@@ -222,7 +222,7 @@
 std::vector<SlotMember::OutgoingReport> SlotMember::takeReports(MonotonicTime now)
 {
     std::vector<OutgoingReport> reports;
-    if (const auto left = std::exchange(m_left, {}); left && left != m_coordinator) {
+    if (const auto left = std::exchange(m_formerCoordinator, {}); left && left != m_coordinator) {
         SlotReport report;
         report.sequence = ++m_lastReport;
         report.isLeaving = true;
--- a/Libraries/LibGateway/SlotMember.h
+++ b/Libraries/LibGateway/SlotMember.h
@@ -77,18 +77,22 @@
     /// Items that wait for the same slots: those of one service that may run at the same versions of its software.
     using ItemGroup = std::pair<std::string_view, std::optional<std::string_view>>;
 
+    /// Time for which a coordinator that did not reply is not chosen again.
     struct Suspicion {
         MonotonicTime since;
         MonotonicTime until;
     };
 
+    /// Rate limit that an endpoint stated to this node, and when it did.
     struct HeardRate {
         RateStatement statement;
         MonotonicTime heardAt;
     };
 
+    /// Work that has ended, until the coordinator has acknowledged the report of it.
     struct Finished {
         FinishedWork work;
+        /// Sequence of the report in which it was first sent to the coordinator, 0 if it has not been.
         uint64_t sentIn { 0 };
     };
 
@@ -115,7 +119,7 @@
     std::vector<std::string> m_candidates;
     std::string m_coordinator;
     /// Coordinator that has to be told that this node no longer uses it.
-    std::optional<std::string> m_left;
+    std::optional<std::string> m_formerCoordinator;
     /// Coordinators that did not reply.
     std::map<std::string, Suspicion> m_suspicions;
     std::map<uint64_t, Work> m_work;
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -76,7 +76,8 @@
     bool isRateLimited(const std::string& endpoint) const { return m_endpoints.isRateLimited(endpoint); }
     /// Returns the number of usable endpoints with a rate limit.
     size_t limitedEndpoints() const { return m_endpoints.limitedEndpoints(); }
-    /// Returns a number that changes whenever the slots in use by this node change.
+    /// Returns a number that changes whenever this node has something new to report to its peers: the slots that it
+    /// uses or the rate limit of an endpoint.
     uint64_t useVersion() const { return m_usage.version(); }
     uint32_t waitingOnline() const { return m_queue.waitingOnline(); }
     uint32_t waitingBatch() const { return m_queue.waitingBatch(); }
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -11,7 +11,8 @@
 
 namespace Chicorydock {
 
-/// An online request that is queued for a slot of an endpoint.
+/// An online request that is queued for a slot of an endpoint. An endpoint runs one request or item in each of its
+/// slots, so the number of slots limits what it runs at a time.
 struct OnlineWork {
     uint64_t id { 0 };
     std::string service;
@@ -41,6 +42,7 @@
     std::string service;
     /// Time by which the item should be completed to meet the completion target of its job.
     MonotonicTime dueAt;
+    /// Endpoints that must not be used because an earlier attempt failed there.
     std::vector<std::string> excluded;
     /// Total time for which earlier runs of the item held a slot.
     Milliseconds slotTimeUsed { 0 };
@@ -109,6 +111,7 @@
 
 /// Load that an endpoint reported in a response.
 struct ObservedLoad {
+    /// Requests that hold a slot, and requests queued at the endpoint itself.
     uint32_t running { 0 };
     uint32_t waiting { 0 };
     /// Current duration of work on the endpoint's machine, in percent of the normal duration.
