--- a/Libraries/LibGateway/SlotEndpoint.h
+++ b/Libraries/LibGateway/SlotEndpoint.h
@@ -9,7 +9,10 @@
 
 namespace Chicorydock {
 
-/// State of an endpoint at a `SlotScheduler`: its slots in use, its health, its speed and its rate limit.
+/// State of an endpoint at a `SlotScheduler`: its slots in use, its health, its speed and its rate limit. Decides for
+/// how long an endpoint that failed is avoided.
+///
+/// Load: endpoints that fail, restart or leave while work is sent to them.
 ///
 /// Thread safety: none.
 struct SlotEndpoint {
