--- a/Tests/LibGateway/TestStoppingNode.cpp
+++ b/Tests/LibGateway/TestStoppingNode.cpp
@@ -278,3 +278,27 @@
         CHECK(statusOf(early) == 504);
     });
 }
+
+// Guards against a stream without an answer because its events wait for the store when the process ends (LOST).
+TEST_CASE("a stream whose events are held back is answered before the process ends")
+{
+    const bool isComplete = GENERATE(false, true);
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        StoppingNode node;
+        // No endpoint has the default version, so the store has to record where the stream begins.
+        node.origins.setDefault({ "lm", "v0" });
+        node.isStoreAnswering = false;
+        const auto stream = node.send("/s/1", Milliseconds { 5'000 });
+        node.http.handOver();
+        node.http.headers(200);
+        node.http.data("id: 1\ndata: d\n\n");
+        if (isComplete)
+            node.http.finish();
+        REQUIRE_FALSE(stream->response);
+        node.stop(StopSchedule::lastResponseTime + Milliseconds { 50 });
+        node.advance(loop, Milliseconds { 50 });
+        CHECK(statusOf(stream) == (isComplete ? 200 : 504));
+        CHECK(stream->isFinished);
+        CHECK(endOf(node, "q1")["stopped_in"] == "held");
+    });
+}
