LibGateway: End no request before its time limit

Ruled out: the endpoint and the caller (neither closed), the stop (seen beside none).

Change: the time is rounded up, and a timer that fires before the time limit by the clock is started again.

Two tests advanced the timers by more than the time limit while the clock of the node stood still; they advance both now and check the same outcomes.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -115,7 +115,7 @@
     m_exchange->setCallerDisconnectedHandler([this] { handleCallerDisconnected(); });
     if (refuseIfQuarantined())
         return;
-    m_deadlineTimer.start(std::max(Milliseconds { 0 }, timeLeft()));
+    startDeadlineTimer();
     requestSlot();
 }
 
@@ -125,7 +125,7 @@
         return;
     m_deadline = time;
     m_isCutShort = true;
-    m_deadlineTimer.start(std::max(Milliseconds { 0 }, timeLeft()));
+    startDeadlineTimer();
 }
 
 void ForwardedCall::cutOff()
@@ -145,6 +145,12 @@
     return m_isHandedOver ? "sent" : "connecting";
 }
 
+void ForwardedCall::startDeadlineTimer()
+{
+    const auto left = std::chrono::ceil<Milliseconds>(m_deadline - m_environment.clock.now());
+    m_deadlineTimer.start(std::max(Milliseconds { 0 }, left));
+}
+
 bool ForwardedCall::resumesStream() const
 {
     const bool hasBegun = !m_request.resumes.empty() || m_sequence.lastId();
@@ -785,6 +791,10 @@
 
 void ForwardedCall::handleDeadline()
 {
+    if (m_environment.clock.now() < m_deadline) {
+        startDeadlineTimer();
+        return;
+    }
     if (m_isCutShort)
         m_phaseAtStop = phase();
     if (m_stream.isEndHeld()) {
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -132,6 +132,8 @@
     /// Refuses the request if endpoints crash on a part of its prompt. Returns whether it did.
     bool refuseIfQuarantined();
     void handleIdleTimeout();
+    /// Starts the timer that ends the call at its time limit, never before it.
+    void startDeadlineTimer();
     void handleDeadline();
     void handleCallerDisconnected();
     /// Restarts the timer that moves the request to another endpoint when this one sends nothing.
--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -259,6 +259,7 @@
         it.http.data(event(1));
         for (int n = 0; n < 50 && !it.http.last().isCancelled; ++n) {
             it.http.data(":\n\n");
+            it.clock.advance(Milliseconds { 100 });
             loop.advance(Milliseconds { 100 });
         }
     });
--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -50,6 +50,39 @@
     CHECK(sent.echoedField == "Request-Id");
 }
 
+// Guards against streams that are cut before their time limit (LOST), by a part of a millisecond or by an early timer.
+TEST_CASE("a request is not ended before its time limit")
+{
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        CallFixture fixture("/u/1");
+        fixture.http.handOver();
+        fixture.http.headers(200, streamHeaders);
+        fixture.http.data(event(1));
+        const auto advance = [&](Milliseconds clock, Milliseconds timers) {
+            fixture.clock.advance(clock);
+            loop.advance(timers);
+        };
+        fixture.clock.advance(std::chrono::microseconds { 300 });
+        fixture.call->endBy(fixture.clock.now() - std::chrono::microseconds { 300 } + Milliseconds { 3'000 });
+        advance(Milliseconds { 2'999 }, Milliseconds { 2'999 });
+        CHECK_FALSE(fixture.exchange->isAborted);
+        advance(Milliseconds { 1 }, Milliseconds { 1 });
+        CHECK(fixture.exchange->isAborted);
+    });
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        CallFixture fixture("/u/1");
+        fixture.http.handOver();
+        fixture.http.headers(200, streamHeaders);
+        fixture.http.data(event(1));
+        fixture.clock.advance(Milliseconds { 3'800 });
+        loop.advance(Milliseconds { 4'000 });
+        CHECK_FALSE(fixture.exchange->isAborted);
+        fixture.clock.advance(Milliseconds { 200 });
+        loop.advance(Milliseconds { 200 });
+        CHECK(fixture.exchange->isAborted);
+    });
+}
+
 // Guards against a response that loses its signature, status or body.
 TEST_CASE("a complete response is passed on unchanged")
 {
@@ -261,6 +294,7 @@
         CallFixture fixture("/u/1");
         if (isHandedOver)
             fixture.http.handOver();
+        fixture.clock.advance(Milliseconds { 4'100 });
         loop.advance(Milliseconds { 4'100 });
         status = fixture.status();
     });
