--- a/Tests/Soak/Caller.cpp
+++ b/Tests/Soak/Caller.cpp
@@ -132,12 +132,13 @@
 };
 
 Caller::Caller(const Nodes& nodes, Ledger<Exchange>& exchanges, const std::atomic<bool>& isOver, size_t zone,
-    Habit habit, uint64_t seed)
+    Habit habit, unsigned streamLimitMs, uint64_t seed)
     : m_nodes(nodes)
     , m_exchanges(exchanges)
     , m_isOver(isOver)
     , m_zone(zone)
     , m_habit(habit)
+    , m_streamLimitMs(streamLimitMs)
     , m_random(seed)
 {
 }
@@ -153,9 +154,9 @@
     request.framing = std::array { Framing::Length, Framing::Chunks, Framing::Connection }[number(0, 2)];
     if (request.isStream()) {
         const bool isLong = number(0, 9) < 4;
-        request.size = isLong ? number(27, 43) : number(3, 25);
+        request.size = isLong ? number(27, 43) * m_streamLimitMs / 5'000 : number(3, 25);
         request.delayMs = isLong ? number(95, 109) : number(20, 90);
-        request.deadlineMs = 5'000;
+        request.deadlineMs = m_streamLimitMs;
     } else if (request.kind == RequestKind::Repeatable) {
         request.size = number(1, 6'000);
         request.delayMs = number(5, 500);
--- a/Tests/Soak/Caller.h
+++ b/Tests/Soak/Caller.h
@@ -30,7 +30,9 @@
         Pipelining
     };
 
-    Caller(const Nodes&, Ledger<Exchange>&, const std::atomic<bool>& isOver, size_t zone, Habit, uint64_t seed);
+    /// `streamLimitMs` is the deadline of streams, the longest of which take half of it or more.
+    Caller(const Nodes&, Ledger<Exchange>&, const std::atomic<bool>& isOver, size_t zone, Habit, unsigned streamLimitMs,
+        uint64_t seed);
 
     /// Sends requests until `isOver`.
     void run();
@@ -54,6 +56,7 @@
     const size_t m_zone;
     size_t m_node { 0 };
     const Habit m_habit;
+    const unsigned m_streamLimitMs;
     std::mt19937_64 m_random;
     std::shared_ptr<Connection> m_connection;
     ExchangeEnd m_lastEnd { ExchangeEnd::Reset };
--- a/Tests/Soak/Play.cpp
+++ b/Tests/Soak/Play.cpp
@@ -61,7 +61,9 @@
         Habit::SlowReader, Habit::HalfAhead, Habit::Pipelining };
     for (size_t n = 0; n < m_nodes.size() * mix.size(); ++n)
         callers.emplace_back([this, n, habit = mix[n % mix.size()]] {
-            Caller(m_nodes, m_exchanges, m_isOver, n % zoneCount, habit, m_options.seed * 1'000 + n).run();
+            Caller(m_nodes, m_exchanges, m_isOver, n % zoneCount, habit, m_options.streamLimitMs,
+                m_options.seed * 1'000 + n)
+                .run();
         });
     std::thread batch([this] { m_batch.run(); });
     playSchedule();
@@ -217,8 +219,8 @@
 /// Writes a configuration: after the first one, a route moves to another service and time-outs change.
 void Play::configure()
 {
-    const std::map<RequestKind, double> longest { { RequestKind::Stream, 5'000 },
-        { RequestKind::ResumableStream, 5'000 }, { RequestKind::Repeatable, 1'500 },
+    const std::map<RequestKind, double> longest { { RequestKind::Stream, m_options.streamLimitMs },
+        { RequestKind::ResumableStream, m_options.streamLimitMs }, { RequestKind::Repeatable, 1'500 },
         { RequestKind::Unrepeatable, 4'000 } };
     std::vector<Json> routes;
     for (const RequestKind kind : kinds) {
--- a/Tests/Soak/Play.h
+++ b/Tests/Soak/Play.h
@@ -15,6 +15,8 @@
     uint64_t seed { 1 };
     ScheduleOptions schedule;
     SoakNode::Program program;
+    /// Deadline of streams and timeout of their routes.
+    unsigned streamLimitMs { 5'000 };
     /// Receives the settings and logs of the nodes.
     std::string folder;
     std::string recordFile;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -15,6 +15,7 @@
 DEFINE_string(daemon, SOAK_DAEMON, "program of the daemon");
 DEFINE_string(settings_template, SOAK_SETTINGS, "template of the settings of this daemon");
 DEFINE_string(record, "soak", "file that receives what happened; the seed is added to its name");
+DEFINE_uint32(stream_ms, 5'000, "deadline of streams and timeout of their routes");
 DEFINE_bool(stops_only, false, "only SIGTERM, beside a store that drops its history and closes connections");
 
 namespace Chicorydock {
@@ -35,6 +36,7 @@
         auto* const play = new Play({ .seed = seed,
             .schedule = { .nodes = FLAGS_nodes, .durationMs = FLAGS_seconds * 1'000, .stopsOnly = FLAGS_stops_only },
             .program = { FLAGS_daemon, FLAGS_settings_template },
+            .streamLimitMs = FLAGS_stream_ms,
             .folder = folder,
             .recordFile = record });
         const auto verdict = play->run();
