Tests: Show what a caller gets when an endpoint breaks off at any place

Each place where an end is taken for completeness, for streams and plain answers, after a reset and after a time-out of ours.

--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -11,6 +11,51 @@
 
 }
 
+// Guards against a response that looks whole to the caller although its endpoint broke off (MIXED, ORDER).
+TEST_CASE("a response that its endpoint breaks off at any place does not look whole to the caller")
+{
+    const QByteArray target = GENERATE(as<QByteArray> {}, "/s/1", "/u/1", "/i/1");
+    const QByteArray bytes = GENERATE(as<QByteArray> {}, "", event(1), event(1) + "id: 2", event(1) + event(2));
+    const bool hasTimedOut = GENERATE(true, false);
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop& loop) {
+        it.setMaxAttempts(1);
+        it.request(target);
+        const bool isPlain = target == "/i/1";
+        const QByteArray type = isPlain ? "text/plain" : "text/event-stream";
+        it.beginResponse(200, { { "Content-Type", type }, { "Server-Signature", "first" } });
+        if (!bytes.isEmpty())
+            it.http.data(bytes);
+        if (hasTimedOut)
+            loop.advance(Milliseconds { 6'000 });
+        else
+            it.http.fail(Phase::Answering);
+        StreamFixture::settle();
+    });
+    const bool hasBegun = target != "/i/1" && bytes.startsWith(event(1));
+    CHECK(outcome.isAborted == hasBegun);
+    CHECK(outcome.isFinished != hasBegun);
+    if (!hasBegun) {
+        CHECK(outcome.status >= 500);
+        CHECK_FALSE(outcome.signature());
+        CHECK_FALSE(outcome.body.contains("d1"));
+    }
+}
+
+// States what is known about a response without a length: an orderly end between two events looks like its end.
+TEST_CASE("a stream that ends in order between two events counts as whole, and one that ends within an event does not")
+{
+    const QByteArray target = GENERATE(as<QByteArray> {}, "/s/1", "/u/1");
+    const bool isWithin = GENERATE(true, false);
+    const Outcome outcome = play([&](StreamFixture& it, SimulatedEventLoop&) {
+        it.setMaxAttempts(1);
+        it.request(target);
+        it.respond({ 200, streamHeaders(), event(1) + (isWithin ? "id: 2\nda" : "") });
+    });
+    CHECK(outcome.body == event(1));
+    CHECK(outcome.isFinished != isWithin);
+    CHECK(outcome.isAborted == isWithin);
+}
+
 // Guards against a status or signature that belongs to another endpoint than the events below it.
 TEST_CASE("events that were held back leave with the head of the endpoint that sent them")
 {
