LibGateway: Break off a stream whose last endpoint is asked again and silent

An endpoint that is asked again in its slot after the attempts of the route are used up may fall silent. The stream was then held until the deadline, while its caller could have resumed it; before the endpoint was asked again it was broken off at once. It is broken off after the time without data after which other runs are moved. The test is new with the change; it was not run without it.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -606,10 +606,10 @@
 bool ForwardedCall::askAgain(const std::string& reason)
 {
     const bool canBeContinued = m_route.isRepeatable() && m_sequence.canBeResumed();
-    if (m_isRelayed || !m_slot.isStarted() || !canBeContinued || timeLeft() <= minTimeForAttempt || m_prompt.refusal())
+    if (m_isRelayed || !m_slot.isStarted() || !canBeContinued || timeLeft() <= minTimeForAttempt)
         return false;
     const auto record = endpointForFurtherRun(m_environment, m_endpoint, m_service, originVersion(m_origin), m_head);
-    if (!record)
+    if (!record || m_prompt.refusal())
         return false;
     m_mayHaveRunBefore = true;
     m_environment.log.record("request", "asked_again", m_request.id, {},
@@ -745,7 +745,8 @@
         return;
     if (m_head.status == 0)
         recordSilentEndpoint();
-    if (!canRetryElsewhere())
+    // A stream that has used its attempts is broken off rather than held, so that its caller can resume it.
+    if (!canRetryElsewhere() && !m_isFurtherRun)
         return;
     abandonCall("the endpoint sent no data in time");
 }
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -241,10 +241,10 @@
 bool ItemRun::askAgain(const std::string& reason)
 {
     const GatewayRoute* route = m_environment.configuration->findJobRoute(m_job.route, m_job.host);
-    if (!m_slot.isStarted() || !route || !route->leadsTo(m_service) || m_prompt.refusal())
+    if (!m_slot.isStarted() || !route || !route->leadsTo(m_service))
         return false;
     const auto record = endpointForFurtherRun(m_environment, m_endpoint, m_service, originVersion(m_origin), m_head);
-    if (!record)
+    if (!record || m_prompt.refusal())
         return false;
     QJsonObject details = logDetails(m_sequence.resumeAfter());
     details["reason"] = QString::fromStdString(reason);
--- a/Tests/LibGateway/TestResumedRuns.cpp
+++ b/Tests/LibGateway/TestResumedRuns.cpp
@@ -267,6 +267,22 @@
     CHECK(longer.isComplete);
 }
 
+// Guards against a stream that is held at a silent endpoint until its deadline, while its caller could resume it.
+TEST_CASE("a stream whose attempts are used up is broken off if the endpoint that is asked again is silent")
+{
+    const Outcome outcome = play([&](StreamFixture& node, SimulatedEventLoop& loop) {
+        node.request("/s/1");
+        respond(node, brokenWithin);
+        respond(node, empty);
+        node.beginResponse(200, streamHeaders());
+        loop.advance(Milliseconds { 2'000 });
+        StreamFixture::settle();
+    });
+    CHECK(outcome.calls == 3);
+    CHECK(outcome.isAborted);
+    CHECK(outcome.body == event(1) + event(2));
+}
+
 // Guards against requests to an endpoint that has said that it leaves (DRAIN), or how many it takes.
 TEST_CASE("an endpoint that leaves or limits its rate is not asked again in the same slot")
 {
