Tests: Have endpoints of the job explorer end without an event

The explorer had no endpoint that ends its response in order without an event, so no run was asked for an earlier place. It has now, and checks in the log that each output goes on with a run that was asked with its last event.

--- a/Tests/LibGateway/JobWorld.cpp
+++ b/Tests/LibGateway/JobWorld.cpp
@@ -113,6 +113,8 @@
     size_t answeredCalls { 0 };
     /// Next event of each open call; calls before `answeredCalls` have ended.
     std::map<size_t, size_t> nextEvents;
+    /// Lines of the log that have been checked.
+    size_t checkedLines { 0 };
 
     Node(JobWorld& world, size_t n)
         : store(world, n)
@@ -236,6 +238,22 @@
     QCoreApplication::sendPostedEvents();
     stepEndpoints(node);
     QCoreApplication::sendPostedEvents();
+    checkResumptions(node);
+}
+
+void JobWorld::checkResumptions(Node& node)
+{
+    for (; node.checkedLines < node.log.events.size(); ++node.checkedLines) {
+        const Event& line = node.log.events[node.checkedLines];
+        if (line.action != "resumed")
+            continue;
+        ++m_counts.resumedRuns;
+        const int last = line.details["last_event"].toInt();
+        const int askedAfter = line.details["asked_after"].toInt();
+        if (askedAfter != last)
+            m_violations.push_back("seed " + std::to_string(m_options.seed) + ", " + line.id + ": went on after event "
+                + std::to_string(last) + " with a run that was asked with " + std::to_string(askedAfter));
+    }
 }
 
 void JobWorld::stepEndpoints(Node& node)
@@ -255,6 +273,11 @@
             call.observer->onHandedOver();
             if (!call.isCancelled)
                 call.observer->onHeaders(200, { { "Server-Signature", "s" } });
+            // An endpoint that crashes may end its response in order without an event.
+            if (!call.isCancelled && chance(0.15)) {
+                call.isCancelled = true;
+                call.observer->onFinished();
+            }
             continue;
         }
         const size_t event = it->second++;
--- a/Tests/LibGateway/JobWorld.h
+++ b/Tests/LibGateway/JobWorld.h
@@ -48,6 +48,8 @@
         size_t restarts { 0 };
         size_t freezes { 0 };
         size_t ownerChanges { 0 };
+        /// Runs that continued an output that had events.
+        size_t resumedRuns { 0 };
     };
     const Counts& counts() const { return m_counts; }
 
@@ -87,6 +89,8 @@
     void startNode(size_t n);
     void stepNode(size_t n);
     void stepEndpoints(Node&);
+    /// Checks that each output went on with a run that was asked with its last event.
+    void checkResumptions(Node&);
     void injectFaults(size_t n);
     void stepCaller(Caller&);
     void submit(Caller&, size_t n);
--- a/Tests/LibGateway/TestJobExplorer.cpp
+++ b/Tests/LibGateway/TestJobExplorer.cpp
@@ -12,7 +12,8 @@
 }
 
 // Guards against results that are duplicated, changed or lost, jobs that reopen after they were cancelled or never
-// finish, and rejections of jobs that exist, in interleavings that no single test covers.
+// finish, rejections of jobs that exist, and outputs that go on with a run that was not asked to (ORDER), in
+// interleavings that no single test covers.
 TEST_CASE("jobs keep their guarantees under late writes, lost answers, freezes and restarts")
 {
     const auto [first, count] = requestedSeeds(defaultSeeds);
@@ -31,6 +32,7 @@
             sum.restarts += world.counts().restarts;
             sum.freezes += world.counts().freezes;
             sum.ownerChanges += world.counts().ownerChanges;
+            sum.resumedRuns += world.counts().resumedRuns;
         });
     }
     INFO("accepted " << sum.accepted << ", cancelled " << sum.cancelled << ", done " << sum.done << ", late writes "
@@ -45,4 +47,5 @@
     CHECK(sum.restarts > 0);
     CHECK(sum.freezes > 0);
     CHECK(sum.ownerChanges > sum.accepted);
+    CHECK(sum.resumedRuns > 0);
 }
