--- a/Tests/LibGateway/TestResumedRuns.cpp
+++ b/Tests/LibGateway/TestResumedRuns.cpp
@@ -1,5 +1,8 @@
 #include "StreamFixture.h"
 
+#include <LibHTTP/PooledHttpClient.h>
+#include <Tests/Support/ScriptedServer.h>
+#include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
 
 using namespace Chicorydock;
@@ -362,3 +365,33 @@
         CHECK(result->output == "d1\nd2\nd3");
     });
 }
+
+// Guards against a client that does not survive a call that starts while another one is closed or ends.
+TEST_CASE("an endpoint is asked again over real connections, each run on its own")
+{
+    const QByteArray head
+        = GENERATE(as<QByteArray> {}, "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nServer-Signature: s\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nServer-Signature: s\r\nConnection: keep-alive\r\n\r\n");
+    std::vector<QByteArray> bodies { "", event(7) + event(8), event(8) };
+    std::vector<std::string> asked;
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray& received) {
+        const qsizetype at = received.indexOf("Last-Event-Id: ");
+        asked.push_back(received.mid(at + 15, 1).toStdString());
+        if (asked.size() > bodies.size())
+            return;
+        socket.write(head + bodies[asked.size() - 1]);
+        socket.disconnectFromHost();
+    });
+    PooledHttpClient client;
+    ForwardingFixture node(1, Milliseconds { 0 }, &client);
+    EndpointRecord record = *node.directory.find("e0");
+    record.address = server.address();
+    node.directory.put(record);
+    node.broker.setEndpoints(node.directory.usable());
+    node.forward(ForwardingFixture::makeRequest("/s/1", "q1", { { "Last-Event-Id", "7" } }));
+    REQUIRE(waitFor([&] { return node.exchange->isFinished || node.exchange->isAborted; }));
+    CHECK(node.exchange->isFinished);
+    CHECK(node.exchange->response->body == event(8));
+    CHECK(asked == Asked { "7", "6", "7" });
+    CHECK(server.connections() == 3);
+}
