LibHTTP: Bound what all connections hold of requests and responses together

Each connection may hold a body of 4 MB that has not arrived completely, and a response of 8 MB that its caller does not take; a stream that is not taken grew without any limit.

A server now counts both toward budgets. A request that does not fit is refused as not run (503 with Retry-After: callers try again, which they do not after 413), and a connection whose caller does not take its response is reset.

A handler also hears when bytes have been sent that waited for the caller.

--- a/Libraries/LibCore/ErrorKind.h
+++ b/Libraries/LibCore/ErrorKind.h
@@ -24,6 +24,7 @@
     PlatformUnavailable,
     PromptQuarantined,
     StreamNotResumable,
+    MemoryExhausted,
     InvalidConfiguration,
     Conflict,
     CallInProgress,
--- a/Libraries/LibCore/ErrorTable.cpp
+++ b/Libraries/LibCore/ErrorTable.cpp
@@ -28,6 +28,7 @@
         ErrorRow { ErrorKind::PlatformUnavailable, "platform_unavailable", 503, true, true, true },
         ErrorRow { ErrorKind::PromptQuarantined, "prompt_quarantined", 503, true, true, true },
         ErrorRow { ErrorKind::StreamNotResumable, "stream_not_resumable", 503, false, true, false },
+        ErrorRow { ErrorKind::MemoryExhausted, "memory_exhausted", 503, true, true, true },
         ErrorRow { ErrorKind::InvalidConfiguration, "invalid_configuration", 400, false, true, false },
         ErrorRow { ErrorKind::Conflict, "conflict", 409, false, true, false },
         ErrorRow { ErrorKind::CallInProgress, "call_in_progress", 409, true, false, true },
--- a/Libraries/LibHTTP/ConnectionExchange.cpp
+++ b/Libraries/LibHTTP/ConnectionExchange.cpp
@@ -9,16 +9,22 @@
 
 namespace {
 
+    /// Size from which a body is passed to the connection by itself, which saves a copy of it.
+    constexpr qsizetype minSeparateBodyBytes = 64 * 1024;
+
     bool hasNoBody(int status) { return status == 204 || status == 304; }
 
 }
 
-ConnectionExchange::ConnectionExchange(HttpConnection& connection, HttpRequest request, bool isHttp10)
+ConnectionExchange::ConnectionExchange(
+    HttpConnection& connection, HttpRequest request, bool isHttp10, MemoryBudget::Account& received)
     : m_connection(&connection)
     , m_request(std::move(request))
+    , m_memory(received.budget())
     , m_connectionNumber(connection.number())
     , m_isHttp10(isHttp10)
 {
+    m_memory.takeFrom(received);
 }
 
 ConnectionExchange::~ConnectionExchange()
@@ -40,9 +46,12 @@
     const bool closes = m_connection->closesAfterResponse();
     const BodyFraming framing = hasNoBody(response.status) ? BodyFraming::None : BodyFraming::ContentLength;
     QByteArray bytes = formatResponseHead(response.status, response.headers, framing, response.body.size(), closes);
-    if (framing != BodyFraming::None && m_request.method != "HEAD")
+    const bool sendsBody = framing != BodyFraming::None && m_request.method != "HEAD";
+    if (sendsBody && response.body.size() < minSeparateBodyBytes)
         bytes += response.body;
     m_connection->send(bytes);
+    if (sendsBody && response.body.size() >= minSeparateBodyBytes)
+        m_connection->send(response.body);
     end();
     m_connection->endResponse(closes);
 }
@@ -105,6 +114,17 @@
     m_callerDisconnectedHandler = std::move(handler);
 }
 
+void ConnectionExchange::setBytesWrittenHandler(std::function<void()> handler)
+{
+    m_bytesWrittenHandler = std::move(handler);
+}
+
+void ConnectionExchange::handleBytesWritten() const
+{
+    if (m_bytesWrittenHandler)
+        m_bytesWrittenHandler();
+}
+
 void ConnectionExchange::handleCallerDisconnected()
 {
     m_connection = nullptr;
@@ -119,6 +139,7 @@
 {
     m_stage = Stage::Ended;
     m_callerDisconnectedHandler = nullptr;
+    m_bytesWrittenHandler = nullptr;
 }
 
 }
--- a/Libraries/LibHTTP/ConnectionExchange.h
+++ b/Libraries/LibHTTP/ConnectionExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/MemoryBudget.h>
 #include <LibHTTP/HttpConnection.h>
 #include <LibHTTP/HttpExchange.h>
 
@@ -12,7 +13,8 @@
 /// Thread safety: used on the I/O thread of the connection.
 class ConnectionExchange final : public HttpExchange {
 public:
-    ConnectionExchange(HttpConnection&, HttpRequest, bool isHttp10);
+    /// `received` is the account of the connection for the bytes of the request.
+    ConnectionExchange(HttpConnection&, HttpRequest, bool isHttp10, MemoryBudget::Account& received);
     /// Responds with an internal error if no response was begun, and aborts a stream that was not finished.
     ~ConnectionExchange() override;
 
@@ -23,6 +25,7 @@
     void finishStream() override;
     void abortStream() override;
     qint64 bytesToWrite() const override;
+    void setBytesWrittenHandler(std::function<void()>) override;
     bool isCallerDisconnected() const override;
     uint64_t connectionNumber() const override { return m_connectionNumber; }
     void setCallerDisconnectedHandler(std::function<void()>) override;
@@ -30,6 +33,9 @@
     /// Calls the disconnect handler unless the response has ended. Called when the connection is closed.
     void handleCallerDisconnected();
 
+    /// Called when bytes have been sent.
+    void handleBytesWritten() const;
+
 private:
     enum class Stage {
         Open,
@@ -41,7 +47,10 @@
 
     QPointer<HttpConnection> m_connection;
     HttpRequest m_request;
+    /// The bytes of the request.
+    MemoryBudget::Account m_memory;
     std::function<void()> m_callerDisconnectedHandler;
+    std::function<void()> m_bytesWrittenHandler;
     Stage m_stage { Stage::Open };
     uint64_t m_connectionNumber;
     bool m_isHttp10;
--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -23,6 +23,10 @@
     /// Time in which the first request on a new connection arrives if the caller has one to send.
     constexpr Milliseconds firstRequestTime { 500 };
 
+    /// Time after which the caller of a request that could not be held may try again here; bodies that arrive too
+    /// slowly are refused meanwhile.
+    constexpr Milliseconds memoryRetryAfter { 250 };
+
     MonotonicTime now() { return std::chrono::steady_clock::now(); }
 
     QByteArray toPath(const QByteArray& target)
@@ -61,6 +65,8 @@
     , m_number(++context.acceptedConnections)
     , m_socket(new QTcpSocket(this))
     , m_reader(context.limits)
+    , m_received(context.requestMemory, [this] { refuseForMemory(); })
+    , m_unsent(context.responseMemory, [this] { reset(); })
 {
     m_socket->setReadBufferSize(readBufferBytes);
     m_socket->setSocketDescriptor(descriptor);
@@ -111,6 +117,10 @@
         QByteArrayView input(m_input);
         const bool isComplete = m_reader.consume(input);
         m_input.remove(0, m_input.size() - input.size());
+        if (!m_received.resize(static_cast<size_t>(m_reader.heldBytes()))) {
+            refuseForMemory();
+            return;
+        }
         if (isComplete) {
             dispatch(m_reader.take());
             return;
@@ -148,7 +158,8 @@
         .headers = toHeaders(parsed),
         .body = std::move(m_request.body),
         .target = std::move(m_request.target) };
-    const auto exchange = std::make_shared<ConnectionExchange>(*this, std::move(request), m_request.isHttp10);
+    const auto exchange
+        = std::make_shared<ConnectionExchange>(*this, std::move(request), m_request.isHttp10, m_received);
     m_exchange = exchange;
     m_context.handler.handle(exchange);
 }
@@ -157,12 +168,19 @@
 {
     m_stage = Stage::Handling;
     m_hasServed = true;
+    m_reader = HttpRequestReader(m_context.limits);
+    m_received.clear();
     const HttpResponse response = m_context.protocolErrorResponse(error);
     send(formatResponseHead(response.status, response.headers, BodyFraming::ContentLength, response.body.size(), true)
         + response.body);
     endResponse(true);
 }
 
+void HttpConnection::refuseForMemory()
+{
+    refuse(Error(ErrorKind::MemoryExhausted, "the node has no memory for the request", memoryRetryAfter));
+}
+
 void HttpConnection::updateDeadline()
 {
     const HttpServerLimits& limits = m_context.limits;
@@ -227,6 +245,13 @@
     if (m_socket->bytesToWrite() == 0)
         m_lastWriteProgress = now();
     m_socket->write(bytes);
+    countUnsentBytes();
+}
+
+void HttpConnection::countUnsentBytes()
+{
+    if (!m_unsent.resize(static_cast<size_t>(m_socket->bytesToWrite())))
+        reset();
 }
 
 void HttpConnection::flush()
@@ -278,20 +303,29 @@
         return;
     m_exchange.reset();
     if (m_request.isHttp10) {
-        // An orderly close would mark the end of the body, so the connection is reset.
-        const linger option { .l_onoff = 1, .l_linger = 0 };
-        ::setsockopt(static_cast<int>(m_socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-        m_socket->abort();
+        // An orderly close would mark the end of the body.
+        reset();
         return;
     }
     startLingering();
 }
 
+void HttpConnection::reset()
+{
+    const linger option { .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(static_cast<int>(m_socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+    m_socket->abort();
+    m_unsent.clear();
+}
+
 void HttpConnection::onBytesWritten()
 {
     m_lastWriteProgress = now();
+    countUnsentBytes();
     shutDownWriting();
     updateActivity();
+    if (const auto exchange = m_exchange.lock())
+        exchange->handleBytesWritten();
 }
 
 void HttpConnection::onDisconnected()
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibCore/MemoryBudget.h>
 #include <LibHTTP/HttpExchange.h>
 #include <LibHTTP/HttpRequestReader.h>
 #include <LibHTTP/HttpResponseFormat.h>
@@ -24,6 +25,10 @@
     /// Builds the response to a request that cannot be passed to the handler.
     std::function<HttpResponse(const Error&)> protocolErrorResponse;
     HttpHandler& handler;
+    /// Limit what all connections together hold of requests, and of responses that callers have not taken yet. Empty if
+    /// nothing limits them.
+    MemoryBudget* requestMemory { nullptr };
+    MemoryBudget* responseMemory { nullptr };
     bool isDraining { false };
     uint64_t acceptedConnections { 0 };
     /// Number of requests whose response has not left the process completely.
@@ -91,6 +96,11 @@
     void flush();
     void endResponse(bool closeConnection);
     void abort();
+    /// Resets the connection and drops what its caller has not taken.
+    void reset();
+    void countUnsentBytes();
+    /// Refuses the request that is arriving, because its bytes cannot be held.
+    void refuseForMemory();
     qint64 bytesToWrite() const { return m_socket->bytesToWrite(); }
 
     void startLingering();
@@ -106,6 +116,9 @@
     HttpRequestReader m_reader;
     QByteArray m_input;
     FramedRequest m_request;
+    /// The bytes of the request that is arriving.
+    MemoryBudget::Account m_received;
+    MemoryBudget::Account m_unsent;
     std::weak_ptr<ConnectionExchange> m_exchange;
     Stage m_stage { Stage::Reading };
     MonotonicTime m_acceptedAt;
--- a/Libraries/LibHTTP/HttpExchange.h
+++ b/Libraries/LibHTTP/HttpExchange.h
@@ -37,6 +37,9 @@
     /// Returns the number of bytes that wait to be sent because the caller reads slowly.
     virtual qint64 bytesToWrite() const = 0;
 
+    /// Sets the function to call whenever bytes have been sent that waited for the caller.
+    virtual void setBytesWrittenHandler(std::function<void()>) { }
+
     virtual bool isCallerDisconnected() const = 0;
 
     /// Returns the number of the connection, counted from 1 in the order of acceptance by its server, or 0 if there is
--- a/Libraries/LibHTTP/HttpRequestReader.h
+++ b/Libraries/LibHTTP/HttpRequestReader.h
@@ -44,6 +44,9 @@
 
     qint64 bodyBytes() const { return m_request.body.size(); }
 
+    /// Returns the size of the buffers for the current request.
+    qint64 heldBytes() const { return m_headBytes + m_request.body.capacity(); }
+
     /// Returns, once per request, whether the caller waits for `100 Continue` before it sends the body.
     bool shouldSendContinue();
 
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -35,6 +35,13 @@
         delete connection;
 }
 
+void HttpServer::setMemory(MemoryBudget& requests, MemoryBudget& responses)
+{
+    Q_ASSERT(!m_acceptor);
+    m_context.requestMemory = &requests;
+    m_context.responseMemory = &responses;
+}
+
 uint16_t HttpServer::listen(const std::string& address)
 {
     Q_ASSERT(!m_acceptor);
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -32,6 +32,11 @@
         ErrorResponseBuilder protocolErrorResponse = [](const Error& error) { return errorResponse(error); });
     ~HttpServer() override;
 
+    /// Limits what all connections together hold of requests, and of responses that callers have not taken yet. A
+    /// request that does not fit is refused as not run, and a connection whose caller does not take its response is
+    /// reset. Must be called before `listen()`; the budgets outlive the server and are used on its thread.
+    void setMemory(MemoryBudget& requests, MemoryBudget& responses);
+
     /// Listens on `HOST:PORT`, with the host as an IP address and port 0 for any free port. Returns the bound port.
     /// Throws `Error` (Internal) if the address cannot be bound. Precondition: the server does not listen.
     uint16_t listen(const std::string& address);
--- a/Tests/LibHTTP/TestHttpServer.cpp
+++ b/Tests/LibHTTP/TestHttpServer.cpp
@@ -1,6 +1,7 @@
 #include <LibHTTP/HttpServer.h>
 
 #include <LibCore/Error.h>
+#include <LibCore/MemoryBudget.h>
 #include <Tests/LibHTTP/RawCaller.h>
 #include <Tests/LibHTTP/RecordingHandler.h>
 #include <Tests/Support/WaitFor.h>
@@ -375,3 +376,114 @@
     CHECK_FALSE(silent.isClosed());
     CHECK(slow.received().endsWith("slow"));
 }
+
+namespace {
+
+struct MemoryFixture {
+    explicit MemoryFixture(size_t requestBytes, size_t responseBytes)
+        : requests(requestBytes)
+        , responses(responseBytes)
+    {
+        server.setMemory(requests, responses);
+        port = server.listen("127.0.0.1:0");
+    }
+
+    /// Sends a small request and answers it.
+    void exchangeSmallRequest()
+    {
+        const size_t n = handler.exchanges.size();
+        RawCaller caller(port);
+        caller.send("GET /small HTTP/1.1\r\nHost: a\r\n\r\n");
+        REQUIRE(waitFor([&] { return handler.exchanges.size() > n; }));
+        handler.exchanges.back()->answer(plain("small"));
+        REQUIRE(waitFor([&] { return caller.received().endsWith("small"); }));
+    }
+
+    MemoryBudget requests;
+    MemoryBudget responses;
+    RecordingHandler handler;
+    HttpServer server { handler };
+    uint16_t port { 0 };
+};
+
+}
+
+// Guards against bodies that are bounded for each connection and exhaust the memory together.
+TEST_CASE("the requests that arrive on all connections stay within the memory for them")
+{
+    constexpr size_t limit = 1'000'000;
+    constexpr int connections = 8;
+    MemoryFixture fixture(limit, limit);
+    const QByteArray body(300'000, 'x');
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int n = 0; n < connections; ++n) {
+        callers.push_back(std::make_unique<RawCaller>(fixture.port));
+        callers.back()->send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 400000\r\n\r\n" + body);
+    }
+    const auto refused = [&] {
+        return std::ranges::count_if(callers, [](const auto& it) { return it->received().startsWith("HTTP/1.1 503"); });
+    };
+    REQUIRE(waitFor([&] { return refused() >= connections - 3; }));
+    CHECK(fixture.requests.peakBytes() <= limit);
+    for (const auto& it : callers)
+        CHECK((it->received().isEmpty() || it->received().contains("\r\nRetry-After: ")));
+    CHECK(fixture.handler.exchanges.empty());
+    fixture.exchangeSmallRequest();
+    for (const auto& it : callers)
+        it->send(QByteArray(100'000, 'x'));
+    REQUIRE(waitFor([&] { return static_cast<int>(fixture.handler.exchanges.size() - 1 + refused()) == connections; }));
+    CHECK(fixture.handler.exchanges.size() > 1);
+    CHECK(fixture.requests.peakBytes() <= limit);
+    fixture.handler.exchanges.clear();
+    CHECK(fixture.requests.bytes() == 0);
+}
+
+// Guards against callers that do not read their responses and exhaust the memory together.
+TEST_CASE("the responses that callers do not take stay within the memory for them")
+{
+    constexpr size_t limit = 40'000'000;
+    constexpr size_t connections = 8;
+    const bool isStream = GENERATE(false, true);
+    MemoryFixture fixture(limit, limit);
+    std::vector<std::unique_ptr<QTcpSocket>> callers;
+    for (size_t n = 0; n < connections; ++n) {
+        callers.push_back(std::make_unique<QTcpSocket>());
+        callers.back()->setReadBufferSize(1);
+        callers.back()->connectToHost("127.0.0.1", fixture.port);
+        callers.back()->write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+    REQUIRE(waitFor([&] { return fixture.handler.exchanges.size() == connections; }));
+    const QByteArray body(20'000'000, 'x');
+    for (const auto& it : fixture.handler.exchanges) {
+        if (isStream) {
+            it->startStream(200, {});
+            it->sendChunk(body);
+        } else {
+            it->answer(plain(body));
+        }
+    }
+    CHECK(fixture.responses.peakBytes() <= limit);
+    CHECK(fixture.responses.refusals() > 0);
+    fixture.handler.exchanges.clear();
+    fixture.exchangeSmallRequest();
+    callers.clear();
+    REQUIRE(waitFor([&] { return fixture.responses.bytes() == 0; }));
+}
+
+// Guards against a handler that does not hear that its caller has taken what waited for it.
+TEST_CASE("a handler hears when bytes that waited for the caller are sent")
+{
+    Fixture fixture;
+    RawCaller caller(fixture.port);
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(fixture.waitForExchanges(1));
+    const auto& exchange = fixture.handler.exchanges.front();
+    int calls = 0;
+    exchange->setBytesWrittenHandler([&] { ++calls; });
+    exchange->startStream(200, {});
+    exchange->sendChunk(QByteArray(1'000'000, 'x'));
+    CHECK(exchange->bytesToWrite() > 1'000'000);
+    REQUIRE(waitFor([&] { return exchange->bytesToWrite() == 0; }));
+    CHECK(calls > 0);
+    exchange->finishStream();
+}
