LibHTTP: Let calls state how much of an answer they take, and pause

Answers of the store were held whole, whatever their size: a store, or what has its address, that sends without end filled the memory of the node.

A call can be paused, so that the server is held up by the window of the connection. Nothing uses that yet.

--- a/Libraries/LibEndpoint/DocumentCall.h
+++ b/Libraries/LibEndpoint/DocumentCall.h
@@ -28,6 +28,12 @@
     /// `callback` is called once, unless this object is destroyed before; it may destroy this object.
     DocumentCall(HttpClient&, const HttpCallRequest&, Callback callback);
 
+    void setPaused(bool isPaused) override
+    {
+        if (m_call)
+            m_call->setPaused(isPaused);
+    }
+
 private:
     void onHandedOver() override { }
     void onHeaders(int status, const HttpHeaders&) override { m_status = status; }
--- a/Libraries/LibEndpoint/GenerationCall.h
+++ b/Libraries/LibEndpoint/GenerationCall.h
@@ -16,6 +16,12 @@
 public:
     GenerationCall(HttpClient&, const GenerationRequest&, GenerationObserver&);
 
+    void setPaused(bool isPaused) override
+    {
+        if (m_call)
+            m_call->setPaused(isPaused);
+    }
+
 private:
     void onHandedOver() override;
     void onHeaders(int status, const HttpHeaders&) override;
--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -89,6 +89,7 @@
     m_phase = HttpFailure::Phase::NotSent;
     m_lastProgress = now();
     m_bytesBeforeResponse = 0;
+    m_bodyBytes = 0;
     m_reader.reset();
     const bool isOpen = m_socket->isConnected();
     m_timer.start(isOpen ? m_request.progressTimeout : connectTimeLimit());
@@ -108,6 +109,18 @@
     setState(State::Closed);
 }
 
+void ClientConnection::setPaused(uint64_t call, bool isPaused)
+{
+    if (!m_observer || call != m_call || m_phase != HttpFailure::Phase::Answering)
+        return;
+    m_socket->setPaused(isPaused);
+    m_timer.stop();
+    if (isPaused)
+        return;
+    m_lastProgress = now();
+    m_timer.start(m_request.progressTimeout);
+}
+
 void ClientConnection::onConnected()
 {
     if (!m_observer)
@@ -195,6 +208,10 @@
             fail(HttpFailure::Reason::Protocol, "the bytes that arrived are not an HTTP answer");
             return;
         }
+        if (isAnswerTooLarge()) {
+            fail(HttpFailure::Reason::Protocol, "the answer is larger than the limit for it");
+            return;
+        }
         if (hasTooManyBytesBeforeResponse()) {
             fail(HttpFailure::Reason::Protocol, "the server sends bytes without end before its answer");
             return;
@@ -269,9 +286,17 @@
     return isReused && !m_request.echoedField.isEmpty() && !headers.find(m_request.echoedField);
 }
 
+bool ClientConnection::isAnswerTooLarge() const
+{
+    return m_request.maxAnswerBytes && m_bodyBytes > *m_request.maxAnswerBytes;
+}
+
 void ClientConnection::onResponseBody(QByteArrayView data)
 {
-    if (m_observer && !m_skipsResponse)
+    if (!m_observer || m_skipsResponse)
+        return;
+    m_bodyBytes += data.size();
+    if (!isAnswerTooLarge())
         m_observer->onData(data.toByteArray());
 }
 
@@ -282,6 +307,9 @@
     const bool isReusable = m_reader.keepsConnection() && isClean && !lacksEchoedValue(m_request)
         && m_echoedHashes.size() < maxEchoedValues;
     m_usableUntil = now() + m_idleReuseLimit;
+    // The last bytes may have been read already when the call was paused.
+    if (m_socket)
+        m_socket->setPaused(false);
     setState(isReusable ? State::Idle : State::Closed);
     observer->onFinished();
 }
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -42,6 +42,9 @@
     /// closed.
     void cancel(uint64_t call);
 
+    /// Stops reading the response to the call with that number, or goes on, if it has begun and has not ended.
+    void setPaused(uint64_t call, bool isPaused);
+
     /// Closes the connection. Precondition: no call is in progress.
     void close() { setState(State::Closed); }
 
@@ -72,6 +75,8 @@
     bool isUnidentified(const HttpHeaders&) const;
     /// Returns whether the server has sent more bytes before the response than any response in time would need.
     bool hasTooManyBytesBeforeResponse() const;
+    /// Returns whether the body of the response is longer than the caller takes.
+    bool isAnswerTooLarge() const;
     void finish(bool hasExtraBytes);
     void fail(HttpFailure::Reason, std::string message);
     void setState(State);
@@ -89,6 +94,7 @@
     bool m_skipsResponse { false };
     /// Bytes received since the request was sent and before the body of its response.
     qsizetype m_bytesBeforeResponse { 0 };
+    qsizetype m_bodyBytes { 0 };
     bool m_hasTimedOut { false };
     MonotonicTime m_lastProgress;
     MonotonicTime m_usableUntil;
--- a/Libraries/LibHTTP/ClientSocket.cpp
+++ b/Libraries/LibHTTP/ClientSocket.cpp
@@ -68,10 +68,18 @@
     m_isConnected = true;
     m_writeNotifier->setEnabled(false);
     m_readNotifier = std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Read);
+    m_readNotifier->setEnabled(!m_isPaused);
     connect(m_readNotifier.get(), &QSocketNotifier::activated, this, [this] { readInput(); });
     m_listener.onConnected();
 }
 
+void ClientSocket::setPaused(bool isPaused)
+{
+    m_isPaused = isPaused;
+    if (m_readNotifier)
+        m_readNotifier->setEnabled(!isPaused);
+}
+
 void ClientSocket::write(const QByteArray& bytes)
 {
     m_output += bytes;
@@ -116,7 +124,7 @@
             return;
         }
         m_listener.onInput(QByteArrayView(buf.data(), n));
-        if (!self || m_descriptor < 0 || static_cast<size_t>(n) < buf.size())
+        if (!self || m_descriptor < 0 || m_isPaused || static_cast<size_t>(n) < buf.size())
             return;
     }
 }
--- a/Libraries/LibHTTP/ClientSocket.h
+++ b/Libraries/LibHTTP/ClientSocket.h
@@ -46,6 +46,10 @@
     /// Sends the bytes as soon as the connection is open.
     void write(const QByteArray&);
 
+    /// Stops reading, or goes on. The end of the connection is not noticed meanwhile, and a peer that goes on sending
+    /// is held up by the window of the connection.
+    void setPaused(bool);
+
     bool isConnected() const { return m_isConnected; }
     bool hasUnsentBytes() const { return !m_output.isEmpty(); }
     /// Returns whether bytes, or the end of the connection, have arrived and have not been reported yet.
@@ -62,6 +66,7 @@
     ClientSocketListener& m_listener;
     int m_descriptor { -1 };
     bool m_isConnected { false };
+    bool m_isPaused { false };
     QByteArray m_output;
     std::unique_ptr<QSocketNotifier> m_readNotifier;
     std::unique_ptr<QSocketNotifier> m_writeNotifier;
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Chicorydock {
@@ -31,6 +32,9 @@
     /// reason, a response without the field fails the call if the connection has carried another request, and a request
     /// without a value gets a connection of its own. Empty if responses repeat no field.
     QByteArray echoedField;
+    /// Limit on the body of the response; a longer one fails the call. Empty for callers that pass each part on and
+    /// hold none.
+    std::optional<qsizetype> maxAnswerBytes {};
 };
 
 /// Why a call failed.
@@ -75,6 +79,10 @@
 class HttpCall {
 public:
     virtual ~HttpCall() = default;
+
+    /// Stops reading a response that has begun, or goes on. Meanwhile the server is not expected to make progress. Data
+    /// that has been read already, up to some 10 KB, is still reported.
+    virtual void setPaused(bool) = 0;
 };
 
 /// Sends requests. A request is sent at most once: the client never retries by itself.
--- a/Libraries/LibHTTP/PooledHttpClient.cpp
+++ b/Libraries/LibHTTP/PooledHttpClient.cpp
@@ -25,6 +25,12 @@
                 m_connection->cancel(m_number);
         }
 
+        void setPaused(bool isPaused) override
+        {
+            if (m_connection)
+                m_connection->setPaused(m_number, isPaused);
+        }
+
     private:
         QPointer<ClientConnection> m_connection;
         uint64_t m_number;
--- a/Tests/LibGateway/ConfigurationWorld.h
+++ b/Tests/LibGateway/ConfigurationWorld.h
@@ -133,6 +133,8 @@
         {
         }
 
+        void setPaused(bool) override { }
+
         void failAfter(Milliseconds time)
         {
             QTimer::singleShot(time, &m_timers, [this] {
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -815,3 +815,55 @@
     REQUIRE(observer.failure);
     CHECK(observer.failure->reason == Reason::TimedOut);
 }
+
+// Guards against a server whose answer without end fills the memory of the caller.
+TEST_CASE("an answer that is larger than its caller takes fails")
+{
+    constexpr qsizetype limit = 20'000;
+    const QByteArray body(limit + GENERATE(0, 1, 500'000), 'x');
+    const QByteArray head = "HTTP/1.1 200 OK\r\n";
+    const QByteArray size = QByteArray::number(body.size());
+    const QByteArray response = GENERATE_COPY(head + "Content-Length: " + size + "\r\n\r\n" + body,
+        head + "Transfer-Encoding: chunked\r\n\r\n" + QByteArray::number(body.size(), 16) + "\r\n" + body
+            + "\r\n0\r\n\r\n",
+        head + "\r\n" + body);
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write(response);
+        socket.disconnectFromHost();
+    });
+    PooledHttpClient client;
+    HttpCallRequest request = makeRequest(server.address());
+    request.maxAnswerBytes = limit;
+    const RecordingObserver observer = run(client, request);
+    CHECK(observer.body.size() <= limit);
+    CHECK((observer.finished == 1) == (body.size() == limit));
+    if (body.size() > limit)
+        CHECK(observer.failure->reason == Reason::Protocol);
+}
+
+// Guards against a caller that stops taking an answer and is sent it all the same.
+TEST_CASE("a paused call reads nothing and expects no progress")
+{
+    const QByteArray body(8'000'000, 'x');
+    ScriptedServer server([&](QTcpSocket& socket, const QByteArray&) {
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body);
+    });
+    PooledHttpClient client;
+    HttpCallRequest request = makeRequest(server.address());
+    request.progressTimeout = Milliseconds { 40 };
+    RecordingObserver observer;
+    const auto call = client.start(request, observer);
+    REQUIRE(waitFor([&] { return observer.status != 0; }));
+    call->setPaused(true);
+    const qsizetype received = observer.body.size();
+    bool hasWaited = false;
+    QTimer::singleShot(request.progressTimeout * 4, [&] { hasWaited = true; });
+    REQUIRE(waitFor([&] { return hasWaited; }));
+    CHECK(observer.body.size() == received);
+    CHECK(received < body.size());
+    CHECK_FALSE(observer.hasEnded());
+    call->setPaused(false);
+    REQUIRE(waitFor([&] { return observer.hasEnded(); }));
+    CHECK(observer.body == body);
+    CHECK(observer.finished == 1);
+}
--- a/Tests/Platform/TestPlatformRowStore.cpp
+++ b/Tests/Platform/TestPlatformRowStore.cpp
@@ -212,3 +212,17 @@
     CHECK(*fixture.store.time() >= Milliseconds { 51'230 });
     CHECK(*fixture.store.time() < Milliseconds { 51'230 } + std::chrono::minutes { 5 });
 }
+
+// Guards against a store, or what has its address, that sends a response without end.
+TEST_CASE("a response of the store that has no end is a failure")
+{
+    FakeHttpClient client;
+    PlatformRowStore store(client, "10.0.0.1:1", Milliseconds { 1'000 });
+    store.read({ "t", "", "", "" }, [](const StoreResult<RowPage>&) {});
+    store.changes("t", 5, Milliseconds { 50 }, [](const StoreResult<RowPage>&) {});
+    store.commit({}, [](const StoreResult<RowCommit>&) {});
+    store.getObject("o", [](const StoreResult<QByteArray>&) {});
+    REQUIRE(client.count() == 4);
+    for (size_t n = 0; n < client.count(); ++n)
+        CHECK(client.call(n).request.maxAnswerBytes.value_or(0) > 0);
+}
--- a/Tests/Support/FakeEndpointClient.h
+++ b/Tests/Support/FakeEndpointClient.h
@@ -51,6 +51,8 @@
         }
         ~Handle() override { m_isCancelled = true; }
 
+        void setPaused(bool) override { }
+
     private:
         bool& m_isCancelled;
     };
--- a/Tests/Support/FakeHttpClient.h
+++ b/Tests/Support/FakeHttpClient.h
@@ -15,6 +15,7 @@
         HttpCallRequest request;
         HttpCallObserver* observer { nullptr };
         bool isCancelled { false };
+        bool isPaused { false };
     };
 
     std::unique_ptr<HttpCall> start(const HttpCallRequest& request, HttpCallObserver& observer) override
@@ -46,6 +47,8 @@
         }
         ~Handle() override { m_call->isCancelled = true; }
 
+        void setPaused(bool isPaused) override { m_call->isPaused = isPaused; }
+
     private:
         std::shared_ptr<Call> m_call;
     };
