LibGateway: Bound what requests hold of their responses together

Operators reported a machine that ran out of memory because workers sent bytes without end.

Answers held whole, events in part, and events that wait for their record count toward a quarter of the machine's memory. When that is used up, the largest one gives way: its attempt fails like any other of a faulty endpoint, so that the request goes to another endpoint, or gets 502 because it may have run.

Metrics and a log line show what is held and that the limit ended requests.

--- a/Libraries/LibGateway/CallerStream.cpp
+++ b/Libraries/LibGateway/CallerStream.cpp
@@ -61,7 +61,7 @@
 {
     m_isHolding = false;
     m_isEndHeld = false;
-    m_heldEvents.clear();
+    m_heldEvents = {};
 }
 
 }
--- a/Libraries/LibGateway/CallerStream.h
+++ b/Libraries/LibGateway/CallerStream.h
@@ -23,6 +23,9 @@
     /// Returns whether events have been sent or are held back.
     bool hasEvents() const { return m_hasBegun || !m_heldEvents.isEmpty(); }
 
+    /// Returns the size of the buffer for what is held back.
+    qsizetype heldBytes() const { return m_heldEvents.capacity(); }
+
     bool isHolding() const { return m_isHolding; }
 
     /// Returns whether the stream is complete but for the events held back.
--- a/Libraries/LibGateway/EventStreamReader.h
+++ b/Libraries/LibGateway/EventStreamReader.h
@@ -36,6 +36,9 @@
     /// Returns whether the incomplete event is larger than any sound endpoint sends. The reader must not be used then.
     bool isOversized() const { return m_bytes.size() > maxEventBytes; }
 
+    /// Returns the size of the buffer.
+    qsizetype heldBytes() const { return m_bytes.capacity(); }
+
     /// Returns whether bytes of an incomplete event are buffered.
     bool hasPartialEvent() const { return !m_bytes.isEmpty(); }
 
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -82,6 +82,7 @@
     , m_fingerprint(requestFingerprint(m_exchange->request()))
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
     , m_isFromPeer(m_exchange->request().headers.find(relayField).has_value())
+    , m_memory(&environment.responseMemory, [this] { handleMemoryRevoked(); })
     , m_sequence(m_request.lastEventId.value_or(0) > 0 ? m_request.lastEventId : std::nullopt)
     , m_lastEventId(m_request.lastEventId.value_or(0))
     , m_stream(*m_exchange)
@@ -221,13 +222,47 @@
     m_isRelayed = isRelayed;
     m_isHandedOver = false;
     m_attemptedAt = m_environment.clock.now();
-    m_events = {};
     m_head = {};
     m_answer = {};
-    m_body.clear();
     m_receivedBytes = 0;
     m_sequence.beginRun();
-    m_leadingEmptyEvents.clear();
+    dropAnswer();
+}
+
+void ForwardedCall::dropAnswer()
+{
+    m_events = {};
+    m_body = {};
+    m_leadingEmptyEvents = {};
+    countHeldBytes();
+}
+
+void ForwardedCall::countHeldBytes()
+{
+    const qsizetype bytes
+        = m_body.capacity() + m_events.heldBytes() + m_leadingEmptyEvents.capacity() + m_stream.heldBytes();
+    if (m_memory.resize(static_cast<size_t>(bytes)))
+        return;
+    m_memory.clear();
+    handleMemoryRevoked();
+}
+
+void ForwardedCall::handleMemoryRevoked()
+{
+    if (m_isDone)
+        return;
+    const std::string reason = "the node has no memory for the answer";
+    if (m_stream.isEndHeld()) {
+        releaseEvents();
+    } else if (m_stream.heldBytes() > 0) {
+        m_call.reset();
+        m_slot.release(EndpointOutcome::Failed);
+        m_stream.discard();
+        dropAnswer();
+        refuse(ErrorKind::EndpointFailed, reason);
+    } else {
+        abandonCall(reason);
+    }
 }
 
 void ForwardedCall::handleLostEndpoints()
@@ -425,9 +460,13 @@
     }
     if (!isStreaming()) {
         m_body += data;
+        countHeldBytes();
         return;
     }
     for (const StreamEvent& it : m_events.consume(data)) {
+        // What an earlier event made the caller's connection hold may have ended the attempt.
+        if (!m_call)
+            return;
         if (it.isEmpty()) {
             forwardEmptyEvent(it);
             continue;
@@ -444,7 +483,11 @@
     }
     if (m_events.isOversized()) {
         abandonCall("an event of the endpoint has no end");
+        return;
     }
+    if (!m_call)
+        return;
+    countHeldBytes();
 }
 
 void ForwardedCall::forwardEvent(const StreamEvent& event)
@@ -517,8 +560,12 @@
 void ForwardedCall::releaseEvents()
 {
     m_holdTimer.stop();
-    if (!m_isDone && m_stream.release())
+    if (m_isDone)
+        return;
+    if (m_stream.release())
         finish("answered", "");
+    else
+        countHeldBytes();
 }
 
 void ForwardedCall::onFinished()
@@ -624,7 +671,9 @@
         refuse(ErrorKind::EndpointFailed, "the endpoint answered " + std::to_string(m_head.status));
         return;
     }
-    m_exchange->answer({ .status = m_answer.status, .headers = m_answer.headers, .body = m_body });
+    // From now on the bytes count for the connection of the caller.
+    m_memory.clear();
+    m_exchange->answer({ .status = m_answer.status, .headers = m_answer.headers, .body = std::exchange(m_body, {}) });
     finish(isFailure ? "failed" : "answered", isFailure ? "the endpoint answered with a server error" : "");
 }
 
@@ -673,6 +722,7 @@
     m_mayHaveRunBefore = true;
     m_slot.release(EndpointOutcome::Failed);
     m_excluded.push_back(m_endpoint);
+    dropAnswer();
     if (canRetryElsewhere()) {
         m_environment.log.record("request", "moved", m_request.id, {},
             { { "endpoint", QString::fromStdString(m_endpoint) }, { "reason", QString::fromStdString(reason) },
@@ -750,6 +800,7 @@
         return;
     for (QTimer* it : { &m_deadlineTimer, &m_idleTimer, &m_holdTimer })
         it->stop();
+    m_memory.clear();
     const MonotonicTime now = m_environment.clock.now();
     logEnd(outcome, reason, now);
     m_environment.metrics
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -111,6 +111,11 @@
     void handleFailedAttempt(const std::string& reason);
     /// Ends the call because the endpoint is not sound, and retries the request or reports the error.
     void abandonCall(const std::string& reason);
+    /// Records how many bytes of the response are held, and ends the attempt if they do not fit.
+    void countHeldBytes();
+    /// Frees what is held of the response of the latest attempt.
+    void dropAnswer();
+    void handleMemoryRevoked();
     bool canRetryElsewhere() const;
     /// Refuses the request if endpoints crash on a part of its prompt. Returns whether it did.
     bool refuseIfQuarantined();
@@ -174,6 +179,7 @@
     /// Head of the response to the latest attempt, as it is passed on to the caller.
     ResponseHead m_answer;
     QByteArray m_body;
+    MemoryBudget::Account m_memory;
     EventStreamReader m_events;
     /// Bytes of the body that this attempt has received.
     qsizetype m_receivedBytes { 0 };
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibCore/MemoryBudget.h>
 #include <LibCore/Random.h>
 #include <LibGateway/EndpointDirectory.h>
 #include <LibGateway/EndpointLinkMonitor.h>
@@ -42,6 +43,8 @@
     const RelayPeers& relayPeers;
     EventLog& log;
     MetricsRegistry& metrics;
+    /// For what the node holds of responses.
+    MemoryBudget& responseMemory;
     /// The current configuration; its version is 0 until one has been received.
     std::shared_ptr<const GatewayConfiguration> configuration;
 
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -118,6 +118,9 @@
         /// Share of a processor core that the VM provides. VMs with more take on more of the work for others.
         double cpuShare { 1 };
 
+        /// Memory of the VM in megabytes. A part of it is for the requests in progress.
+        uint64_t memoryMb { 256 };
+
         auto operator<=>(const Gateway&) const = default;
     };
 
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -1,7 +1,9 @@
 #include <LibSettings/SettingsLoader.h>
 
+#include <LibCore/Error.h>
 #include <LibSettings/TomlTable.h>
 
+#include <charconv>
 #include <set>
 
 namespace Chicorydock {
@@ -85,12 +87,17 @@
     constexpr double minCpuShare = 0.01;
     constexpr double maxCpuShare = 1'024;
 
+    /// Limits on the memory of a VM, in megabytes. A process that serves no request takes some 25.
+    constexpr uint64_t minMemoryMb = 64;
+    constexpr uint64_t maxMemoryMb = 1'024 * 1'024;
+
     void readGateway(TomlTable& table, Settings::Gateway& gateway)
     {
         table.text("status_address", gateway.statusAddress, TextRule::listenAddress(), Presence::Required);
         table.text("peer_address", gateway.peerAddress, TextRule::address(), Presence::Required);
         table.textMap("regions", gateway.regions, TextRule::identifier());
         table.number("cpu_share", gateway.cpuShare, minCpuShare, maxCpuShare);
+        table.number("memory_mb", gateway.memoryMb, minMemoryMb, maxMemoryMb);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
@@ -140,4 +147,18 @@
 
 Settings loadSettings(const std::string& path) { return parseSettings(readTextFile(path), path); }
 
+void setMemory(Settings& settings, const std::string& megabytes)
+{
+    double value = 0;
+    const char* const end = megabytes.data() + megabytes.size();
+    const auto parsed = std::from_chars(megabytes.data(), end, value);
+    const bool isInRange = value >= static_cast<double>(minMemoryMb) && value <= static_cast<double>(maxMemoryMb);
+    if (parsed.ec != std::errc() || parsed.ptr != end || !isInRange)
+        throw Error(ErrorKind::InvalidConfiguration,
+            "--memory_mb: found \"" + megabytes + "\", expected a number from " + std::to_string(minMemoryMb) + " to "
+                + std::to_string(maxMemoryMb));
+    if (settings.gateway)
+        settings.gateway->memoryMb = static_cast<uint64_t>(value);
+}
+
 }
--- a/Libraries/LibSettings/SettingsLoader.h
+++ b/Libraries/LibSettings/SettingsLoader.h
@@ -17,4 +17,8 @@
 /// Like `parseSettings()`, from a file. Also throws Error(InvalidConfiguration) if the file cannot be read.
 Settings loadSettings(const std::string& path);
 
+/// Sets `gateway.memory_mb` to a number from the command line, which may have a fraction; without a gateway, it is only
+/// checked. Throws Error(InvalidConfiguration) if it is no number or out of range.
+void setMemory(Settings&, const std::string& megabytes);
+
 }
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/ConfigurationPlan.h>
 #include <LibGateway/CoordinatorChoice.h>
 #include <LibGateway/FeedTiming.h>
+#include <LibGateway/MemoryShares.h>
 
 #include <QJsonDocument>
 #include <glog/logging.h>
@@ -120,6 +121,8 @@
     : m_settings(settings)
     , m_node(makeNodeId(settings, m_random))
     , m_log({ m_node, settings.node.failureDomain }, m_clock)
+    , m_requestMemory(MemoryShares::of(settings.gateway->memoryMb).requestBytes)
+    , m_responseMemory(MemoryShares::of(settings.gateway->memoryMb).responseBytes)
     , m_store(m_controlClient, settings.platform.address, FeedTiming::storeTimeout)
     , m_links(m_clock, m_random, m_directory, m_prober, m_log)
     , m_quarantine(m_node)
@@ -135,7 +138,8 @@
     , m_broker(
           m_member, m_clock, [this] { m_exchange.schedule(); }, m_random.below(firstWorkBound))
     , m_environment { m_clock, m_random, m_wire, m_endpointClient, m_broker, m_directory, m_quarantine, m_origins,
-        *m_endpointFollower, m_links, m_peers, m_log, m_metrics, std::make_shared<const GatewayConfiguration>() }
+        *m_endpointFollower, m_links, m_peers, m_log, m_metrics, m_responseMemory,
+        std::make_shared<const GatewayConfiguration>() }
     , m_peers(
           { m_node, settings.node.failureDomain, settings.gateway->peerAddress, settings.gateway->regions }, m_clock,
           [this] { return makeReport(); },
@@ -160,6 +164,8 @@
         // A request has just failed and is on the stack.
         QMetaObject::invokeMethod(this, &Gateway::handleLinksChanged, Qt::QueuedConnection);
     });
+    for (HttpServer* it : { &m_server, &m_statusServer, &m_peerServer })
+        it->setMemory(m_requestMemory, m_responseMemory);
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
 }
@@ -218,6 +224,7 @@
     reportStoreReachability();
     updateLinks();
     updateStreamOrigins();
+    recordMemory();
     m_jobs.tick();
 }
 
@@ -362,6 +369,19 @@
         m_exchange.schedule();
 }
 
+void Gateway::recordMemory()
+{
+    const uint64_t refusals = m_requestMemory.refusals() + m_responseMemory.refusals();
+    const uint64_t previous = std::exchange(m_loggedMemoryRefusals, refusals);
+    if (refusals == previous)
+        return;
+    m_log.record("memory", "exhausted", m_node, {},
+        { { "refusals", static_cast<qint64>(refusals - previous) },
+            { "request_bytes", static_cast<qint64>(m_requestMemory.bytes()) },
+            { "response_bytes", static_cast<qint64>(m_responseMemory.bytes()) },
+            { "limit_bytes", static_cast<qint64>(m_responseMemory.limit()) } });
+}
+
 void Gateway::recordReload() { m_log.record("node", "reloaded", m_node); }
 
 void Gateway::beginStop(std::function<void()> onStopped)
@@ -416,6 +436,16 @@
     set("chicorydock_store_calls", "Calls to the store since the start.", static_cast<double>(m_store.calls()));
     set("chicorydock_endpoint_connections", "Connections opened to endpoints since the start.",
         static_cast<double>(m_endpointClient.openedConnections()));
+    for (const auto& [kind, budget] : { std::pair("requests", &m_requestMemory), { "responses", &m_responseMemory } }) {
+        const auto setBytes = [&, kind = kind](const char* name, const char* help, uint64_t value) {
+            m_metrics.gauge(name, help, { { "kind", kind } }).set(static_cast<double>(value));
+        };
+        setBytes("chicorydock_memory_held_bytes", "Bytes held for requests.", budget->bytes());
+        setBytes("chicorydock_memory_peak_bytes", "Most bytes held for requests since the start.", budget->peakBytes());
+        setBytes("chicorydock_memory_limit_bytes", "Limit on the bytes held for requests.", budget->limit());
+        setBytes("chicorydock_memory_refusals", "Requests and responses ended by that limit since the start.",
+            budget->refusals());
+    }
     set("chicorydock_log_lines_dropped", "Log lines that were left out since the start.",
         static_cast<double>(m_log.dropped()));
     return QByteArray::fromStdString(m_metrics.text());
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/MemoryBudget.h>
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
 #include <LibGateway/ConfigurationFollower.h>
@@ -71,6 +72,8 @@
     void updateStreamOrigins();
     void reportStoreReachability();
     void processPeerReport(const PeerReport&, Milliseconds lifetime);
+    /// Records that requests ended because their bytes did not fit in the memory for them.
+    void recordMemory();
     void checkStopped();
     QByteArray metricsText();
 
@@ -81,6 +84,8 @@
     PlatformWireFormat m_wire;
     StreamEventLog m_log;
     MetricsRegistry m_metrics;
+    MemoryBudget m_requestMemory;
+    MemoryBudget m_responseMemory;
     PooledHttpClient m_endpointClient;
     /// For calls to the store and to other nodes.
     PooledHttpClient m_controlClient;
@@ -115,6 +120,8 @@
     /// Coordinator in the latest log line about it.
     std::string m_loggedCoordinator;
     uint64_t m_reportedUse { 0 };
+    /// Holders of memory that had given way or were refused when the latest log line was written.
+    uint64_t m_loggedMemoryRefusals { 0 };
     /// Whether the feeds of jobs and of endpoints reached the store in the latest announcement.
     std::pair<bool, bool> m_reportedReachable { false, false };
     bool m_isStopping { false };
--- a/Services/chicorydockd/main.cpp
+++ b/Services/chicorydockd/main.cpp
@@ -14,6 +14,7 @@
 #include <cstdio>
 
 DEFINE_string(settings, "", "TOML file with the settings of this node");
+DEFINE_string(memory_mb, "", "memory of the machine in megabytes, instead of gateway.memory_mb of the settings");
 DEFINE_string(check_settings, "", "check this settings file, report every problem, and exit");
 
 namespace {
@@ -75,7 +76,7 @@
     // Qt's own event dispatcher needs fewer system calls and locks for each event than the one based on GLib.
     qputenv("QT_NO_GLIB", "1");
     gflags::SetUsageMessage("serves online and batch inference on one fleet of endpoints\n\n"
-                            "  chicorydockd --settings=FILE\n"
+                            "  chicorydockd --settings=FILE [--memory_mb=NUMBER]\n"
                             "  chicorydockd --check_settings=FILE");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
@@ -86,7 +87,9 @@
     if (file.empty())
         return fail(usageStatus, "--settings=FILE is required; see --help");
     try {
-        const Chicorydock::Settings settings = Chicorydock::loadSettings(file);
+        Chicorydock::Settings settings = Chicorydock::loadSettings(file);
+        if (!FLAGS_memory_mb.empty())
+            Chicorydock::setMemory(settings, FLAGS_memory_mb);
         if (!isCheck)
             return settings.gateway ? serveGateway(argc, argv, settings) : serve(argc, argv, settings);
         std::printf("%s: the settings are valid\n", file.c_str());
--- a/Tests/LibGateway/GatewayFixture.h
+++ b/Tests/LibGateway/GatewayFixture.h
@@ -64,6 +64,8 @@
     HttpClient& client;
     MemoryEventLog log;
     MetricsRegistry metrics;
+    /// Enough for all tests but those that set an amount of their own.
+    MemoryBudget responseMemory;
     EndpointDirectory directory;
     PromptQuarantine quarantine { "n1" };
     MemoryRowStore rows { clock };
@@ -75,11 +77,12 @@
     SlotScheduler scheduler { { "n1", "z1", { { "z1", "r1" } } }, random };
     SlotBroker broker { scheduler, clock, [] {} };
     GatewayEnvironment environment { clock, random, wire, client, broker, directory, quarantine, origins, endpointView,
-        links, relayPeers, log, metrics, std::make_shared<const GatewayConfiguration>() };
+        links, relayPeers, log, metrics, responseMemory, std::make_shared<const GatewayConfiguration>() };
 
-    explicit GatewayFixture(
-        size_t endpoints = 3, Milliseconds gapTarget = Milliseconds { 0 }, HttpClient* ownClient = nullptr)
+    explicit GatewayFixture(size_t endpoints = 3, Milliseconds gapTarget = Milliseconds { 0 },
+        HttpClient* ownClient = nullptr, size_t responseBytes = size_t { 1 } << 30U)
         : client(ownClient ? *ownClient : http)
+        , responseMemory(responseBytes)
     {
         std::vector<EndpointRecord> records;
         for (size_t n = 0; n < endpoints; ++n)
--- /dev/null
+++ b/Tests/LibGateway/TestHeldBytes.cpp
@@ -0,0 +1,102 @@
+#include "ForwardingFixture.h"
+
+#include <LibGateway/MemoryShares.h>
+#include <catch2/catch.hpp>
+
+using namespace Chicorydock;
+
+namespace {
+
+constexpr size_t limit = 1'000'000;
+
+const HttpHeaders streamHeaders { { "Content-Type", "text/event-stream" }, { "Server-Signature", "s" } };
+
+/// A node with little memory for responses that forwards several requests at once.
+struct CallsFixture : ForwardingFixture {
+    struct Forwarded {
+        std::shared_ptr<FakeExchange> exchange;
+        std::unique_ptr<ForwardedCall> call;
+        /// Number of the call to an endpoint.
+        size_t attempt { 0 };
+
+        int status() const { return exchange->response ? exchange->response->status : 0; }
+    };
+
+    CallsFixture()
+        : ForwardingFixture(8, Milliseconds { 0 }, nullptr, limit)
+    {
+    }
+
+    /// Forwards a request to an endpoint that sends a head and the first bytes of a body.
+    void add(const QByteArray& target, const HttpHeaders& head, const QByteArray& body)
+    {
+        forward(makeRequest(target, "q" + QByteArray::number(static_cast<int>(calls.size()))));
+        calls.push_back({ exchange, std::move(call), http.count() - 1 });
+        http.handOver();
+        http.headers(200, head);
+        http.data(body);
+    }
+
+    /// Sends more bytes of the body of the first attempt of a request.
+    void send(size_t n, const QByteArray& bytes) { http.call(calls.at(n).attempt).observer->onData(bytes); }
+
+    std::vector<Forwarded> calls;
+};
+
+}
+
+// Guards against responses that are bounded each and exhaust the memory together, and with it sound requests.
+TEST_CASE("the responses of all requests stay within the memory for them, and the largest one gives way")
+{
+    const bool isRepeatable = GENERATE(true, false);
+    const QByteArray target = isRepeatable ? "/i/1" : "/u/1";
+    CallsFixture fixture;
+    const HttpHeaders head { { "Server-Signature", "s" } };
+    fixture.add(target, head, QByteArray(300'000, 'x'));
+    fixture.add(target, head, QByteArray(500'000, 'x'));
+    fixture.add(target, head, QByteArray(100'000, 'x'));
+    fixture.send(2, QByteArray(150'000, 'x'));
+    const size_t moved = fixture.calls[1].attempt;
+    CHECK(fixture.http.call(moved).isCancelled);
+    CallsFixture::settle();
+    CHECK(fixture.http.count() == (isRepeatable ? 4 : 3));
+    CHECK(fixture.calls[1].status() == (isRepeatable ? 0 : 502));
+    // The next largest is the one that grows.
+    fixture.send(0, QByteArray(600'000, 'x'));
+    CHECK(fixture.http.call(fixture.calls[0].attempt).isCancelled);
+    CHECK(fixture.responseMemory.peakBytes() <= limit);
+    fixture.http.call(fixture.calls[2].attempt).observer->onFinished();
+    CHECK(fixture.calls[2].status() == 200);
+    CHECK(fixture.calls[2].exchange->response->body.size() == 250'000);
+    fixture.calls.clear();
+    CHECK(fixture.responseMemory.bytes() == 0);
+}
+
+// Guards against events without end that exhaust the memory together, and against a stream that looks whole then.
+TEST_CASE("the events that have not ended stay within the memory for responses")
+{
+    const bool isResumable = GENERATE(true, false);
+    CallsFixture fixture;
+    const QByteArray target = isResumable ? "/s/1" : "/u/1";
+    for (int n = 0; n < 2; ++n)
+        fixture.add(target, streamHeaders, CallsFixture::event(1) + "id: 2\ndata: " + QByteArray(400'000, 'x'));
+    fixture.send(1, QByteArray(300'000, 'x'));
+    CHECK(fixture.http.call(fixture.calls[1].attempt).isCancelled);
+    CallsFixture::settle();
+    CHECK(fixture.calls[1].exchange->isAborted == !isResumable);
+    CHECK_FALSE(fixture.calls[1].exchange->isFinished);
+    if (isResumable)
+        CHECK(fixture.http.last().request.headers.find("Last-Event-Id") == "1");
+    fixture.send(0, "\n\n");
+    fixture.http.call(fixture.calls[0].attempt).observer->onFinished();
+    CHECK(fixture.calls[0].exchange->isFinished);
+    CHECK(fixture.responseMemory.peakBytes() <= limit);
+}
+
+// Guards against shares that are more than the machine has.
+TEST_CASE("requests and responses share half of the memory of the machine")
+{
+    constexpr size_t megabyte = 1024 * 1024;
+    CHECK(MemoryShares::of(140) == MemoryShares { 35 * megabyte, 35 * megabyte });
+    CHECK(MemoryShares::of(64) == MemoryShares { 16 * megabyte, 16 * megabyte });
+}
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -67,6 +67,7 @@
 peer_address = "127.0.0.1:7001"
 regions = { bajio-1 = "bajio", noroeste-1 = "noroeste" }
 cpu_share = 2
+memory_mb = 512
 )",
         "s.toml");
     CHECK(settings.rpc == Settings::Rpc { "[::1]:8081", { "127.0.0.1:1" } });
@@ -75,7 +76,7 @@
     CHECK(settings.scheduler == Settings::Scheduling { "naive", 0, 0.5 });
     CHECK(settings.gateway
         == Settings::Gateway {
-            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0 });
+            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512 });
     CHECK(settings.http.defaultDeadlineMs == Milliseconds { 60'000 });
 }
 
@@ -155,4 +156,22 @@
     CHECK(problems.find("gateway.peer_address") != std::string::npos);
     CHECK(problems.find("gateway.regions.a") != std::string::npos);
     CHECK(problemsOf(validText + "[gateway]\ncpu_share = 0\n").find("gateway.cpu_share") != std::string::npos);
+    CHECK(problemsOf(validText + "[gateway]\nmemory_mb = 63\n").find("gateway.memory_mb") != std::string::npos);
+}
+
+// Guards against a node that allows requests more memory than its machine has.
+TEST_CASE("the command line can state the memory of the machine")
+{
+    Settings settings = parseSettings(
+        validText + "[gateway]\nstatus_address = \"127.0.0.1:0\"\npeer_address = \"127.0.0.1:1\"\n", "s.toml");
+    setMemory(settings, "140");
+    CHECK(settings.gateway->memoryMb == 140);
+    setMemory(settings, "310.5");
+    CHECK(settings.gateway->memoryMb == 310);
+    for (const char* it : { "", "63", "-1", "nan", "140 MB", "{{limits.memory_mb}}" })
+        CHECK_THROWS_AS(setMemory(settings, it), Error);
+    CHECK(settings.gateway->memoryMb == 310);
+    Settings withoutGateway = parseSettings(validText, "s.toml");
+    setMemory(withoutGateway, "140");
+    CHECK_FALSE(withoutGateway.gateway);
 }
