LibGateway: Bound the output of an item over all its runs

A run of an item is ended after 8 MB, and the next one goes on after its last event. So the output of an item at endpoints that send events without end grew by 8 MB with each run, until the item expired: 120 items took a node from 22 MB to 1,506 MB in seconds, and it stayed there.

The output of an item is now 256 KB at most over all its runs, so that a checkpoint of its job and a result fit in a transaction of the store; then it is discarded, and the item starts anew. The output counts toward the memory for responses, and is discarded as well if that is used up.

--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -27,6 +27,11 @@
     /// A quarantine may end early, and the item may expire during it.
     constexpr Milliseconds maxQuarantineCheckInterval { 1'000 };
 
+    /// Limit on the output of an item, over all its runs. A checkpoint of the job and a result fit in one transaction
+    /// of the store with it (1 MB in base64), and in one page of results. A faulty endpoint may send events without
+    /// end, and the next one goes on after them.
+    constexpr qsizetype maxOutputBytes = 256 * 1024;
+
     /// Statuses with which the endpoint reports that this run of the item failed, or that no run can succeed.
     constexpr int failedRunStatus = 500;
     constexpr int permanentFailureStatus = 422;
@@ -40,6 +45,7 @@
     , m_onDone(std::move(onDone))
     , m_slot(environment.broker)
     , m_prompt(environment.quarantine, environment.clock, environment.wire.promptParts(m_item.headers))
+    , m_memory(&environment.responseMemory, [this] { handleMemoryRevoked(); })
 {
     m_retryTimer.setSingleShot(true);
     QObject::connect(&m_retryTimer, &QTimer::timeout, &m_retryTimer, [this] { requestSlot(); });
@@ -66,6 +72,7 @@
     m_sequence = EventSequence(m_hasOutput ? std::optional(m_lastEventId) : std::nullopt);
     m_collectedEventId = m_lastEventId;
     m_collectedBytes = m_output.size();
+    countHeldBytes();
 }
 
 std::optional<ItemProgress> ItemRun::collectProgress()
@@ -128,7 +135,7 @@
     }
     m_idleTimeout = std::max(minEventIdleTimeout, route->gapTarget * eventIdleTimeoutFactor);
     if (m_origin && !canResume(*route))
-        discardOutput();
+        discardOutput("no endpoint can continue the output, because none has the software version that began it");
     m_service = m_origin ? m_origin->service
                          : chooseOfferedService(*route, m_environment.directory, m_environment.random.unit());
     m_queuedWork = makeWork();
@@ -178,16 +185,36 @@
     return route.leadsTo(m_origin->service) && m_environment.directory.canResume(*m_origin);
 }
 
-void ItemRun::discardOutput()
+void ItemRun::discardOutput(const std::string& reason)
 {
-    logStep("restarted", "no endpoint can continue the output, because none has the software version that began it");
+    logStep("restarted", reason);
     m_origin.reset();
-    m_output.clear();
+    m_output = {};
     m_hasOutput = false;
     m_sequence = EventSequence();
     m_lastEventId = 0;
     m_collectedEventId = 0;
     m_collectedBytes = 0;
+    countHeldBytes();
+}
+
+void ItemRun::countHeldBytes()
+{
+    if (m_memory.resize(static_cast<size_t>(m_output.capacity() + m_events.heldBytes())))
+        return;
+    m_memory.clear();
+    handleMemoryRevoked();
+}
+
+void ItemRun::handleMemoryRevoked()
+{
+    if (m_isDone)
+        return;
+    const std::string reason = "the node has no memory for the output";
+    m_events = {};
+    discardOutput(reason);
+    if (m_call)
+        abandonCall(reason);
 }
 
 void ItemRun::requestSlotLater() { m_retryTimer.start(retryDelay); }
@@ -236,6 +263,9 @@
 void ItemRun::abandonCall(const std::string& reason)
 {
     endCall();
+    // What was received of an incomplete event is of no use to the next run.
+    m_events = {};
+    countHeldBytes();
     handleFailure(reason);
 }
 
@@ -310,11 +340,19 @@
         if (std::exchange(m_hasOutput, true))
             m_output += '\n';
         m_output += it.data.value_or(QByteArray());
+        if (m_output.size() > maxOutputBytes) {
+            const std::string reason = "the output of the item is larger than a result can be";
+            discardOutput(reason);
+            abandonCall(reason);
+            return;
+        }
     }
     if (m_events.isOversized())
         abandonCall("an event of the endpoint has no end");
     else if (m_receivedBytes > maxAnswerBytes)
         abandonCall("the answer of the endpoint has no end");
+    else
+        countHeldBytes();
 }
 
 void ItemRun::onFinished()
@@ -388,7 +426,9 @@
 {
     m_isDone = true;
     logStep(isCompleted ? "completed" : "given_up", reason);
-    m_onDone({ m_item.id, isCompleted, isCompleted ? m_output : QByteArray() });
+    QByteArray output = std::exchange(m_output, {});
+    m_memory.clear();
+    m_onDone({ m_item.id, isCompleted, isCompleted ? std::move(output) : QByteArray() });
 }
 
 QJsonObject ItemRun::logDetails() const
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -77,7 +77,10 @@
     /// Returns whether the output received so far can be continued.
     bool canResume(const GatewayRoute&) const;
     /// Discards the output received so far, so that the item starts anew.
-    void discardOutput();
+    void discardOutput(const std::string& reason);
+    /// Records how many bytes of the output are held, and discards them if they do not fit.
+    void countHeldBytes();
+    void handleMemoryRevoked();
     void requestSlotLater();
     void endCall();
     /// Ends the call because the endpoint is not sound, and retries elsewhere.
@@ -119,6 +122,7 @@
     EventStreamReader m_events;
     QByteArray m_output;
     bool m_hasOutput { false };
+    MemoryBudget::Account m_memory;
     /// Bytes of the body that this run has received.
     qsizetype m_receivedBytes { 0 };
     /// Events that were received.
--- a/Tests/LibGateway/TestHeldBytes.cpp
+++ b/Tests/LibGateway/TestHeldBytes.cpp
@@ -1,8 +1,12 @@
 #include "ForwardingFixture.h"
 
+#include <LibGateway/ItemRun.h>
 #include <LibGateway/MemoryShares.h>
+#include <Tests/Support/SimulatedEventLoop.h>
 #include <catch2/catch.hpp>
 
+#include <optional>
+
 using namespace Chicorydock;
 
 namespace {
@@ -93,6 +97,60 @@
     CHECK(fixture.responseMemory.peakBytes() <= limit);
 }
 
+// Guards against the output of an item that grows with each of its runs, at endpoints that send events without end.
+TEST_CASE("the output of an item is bounded over all its runs")
+{
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        GatewayFixture fixture(8);
+        const ItemRun::Job job { "j", "b", "h.example", fixture.clock.now() + std::chrono::seconds { 18 },
+            fixture.clock.now() + std::chrono::seconds { 60 } };
+        std::optional<JobResult> result;
+        ItemRun run(fixture.environment, job, { "q1", "/b/1", {}, "body", 10 }, [&](JobResult it) { result = it; });
+        run.start();
+        int id = 0;
+        for (size_t calls = 1; calls <= 12; ++calls) {
+            GatewayFixture::settle();
+            REQUIRE(fixture.http.count() == calls);
+            const QByteArray from = fixture.http.last().request.headers.find("Last-Event-Id").value_or("0");
+            CHECK((from.toInt() == id || from == "0"));
+            id = from.toInt();
+            fixture.http.handOver();
+            fixture.http.headers(200, streamHeaders);
+            for (int n = 0; n < 6 && !fixture.http.last().isCancelled; ++n)
+                fixture.http.data("id: " + QByteArray::number(++id) + "\ndata: " + QByteArray(20'000, 'x') + "\n\n");
+            if (!fixture.http.last().isCancelled)
+                fixture.http.fail(HttpFailure::Phase::Answering);
+            fixture.clock.advance(Milliseconds { 5'000 });
+            loop.advance(Milliseconds { 5'000 });
+            fixture.broker.schedulePoll();
+        }
+        CHECK_FALSE(result);
+        CHECK(fixture.responseMemory.peakBytes() <= size_t { 1024 } * 1024);
+    });
+}
+
+// Guards against items that keep the memory from requests of callers, and against output that is joined of two runs.
+TEST_CASE("an item whose output does not fit starts anew")
+{
+    CallsFixture fixture;
+    const ItemRun::Job job { "j", "b", "h.example", fixture.clock.now() + std::chrono::seconds { 18 },
+        fixture.clock.now() + std::chrono::seconds { 60 } };
+    std::optional<JobResult> result;
+    ItemRun run(fixture.environment, job, { "q1", "/b/1", {}, "body", 10 }, [&](JobResult it) { result = it; });
+    run.start();
+    CallsFixture::settle();
+    fixture.http.handOver();
+    fixture.http.headers(200, streamHeaders);
+    fixture.http.data(CallsFixture::event(1) + "id: 2\ndata: " + QByteArray(600'000, 'x'));
+    const size_t itemCall = fixture.http.count() - 1;
+    fixture.add("/i/1", { { "Server-Signature", "s" } }, QByteArray(450'000, 'x'));
+    CHECK(fixture.http.call(itemCall).isCancelled);
+    CHECK_FALSE(fixture.http.call(itemCall + 1).isCancelled);
+    CHECK_FALSE(run.collectProgress());
+    CHECK_FALSE(result);
+    CHECK(fixture.responseMemory.peakBytes() <= limit);
+}
+
 // Guards against shares that are more than the machine has.
 TEST_CASE("requests and responses share half of the memory of the machine")
 {
