LibGateway: Stop reading from an endpoint while the caller does not read

Nothing stopped a node from reading a stream that its caller did not take: with real processes, 120 such callers took it from 22 MB to 760 MB.

Above 128 KB that wait for the caller, the node stops reading from the endpoint, and goes on below 32 KB. The endpoint is not expected to make progress meanwhile; the deadline of the request, and the limit of the connection for a caller that takes nothing, end it. A caller that reads sees no delay: a stream of text never has that much waiting.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -98,6 +98,7 @@
 {
     *m_lifetime = false;
     m_exchange->setCallerDisconnectedHandler(nullptr);
+    m_exchange->setBytesWrittenHandler(nullptr);
     m_call.reset();
     m_slot.release(EndpointOutcome::Cancelled);
 }
@@ -112,6 +113,7 @@
 {
     m_service = chooseOfferedService(m_route, m_environment.directory, m_environment.random.unit());
     m_exchange->setCallerDisconnectedHandler([this] { handleCallerDisconnected(); });
+    m_exchange->setBytesWrittenHandler([this] { updateFlow(); });
     if (refuseIfQuarantined())
         return;
     m_deadlineTimer.start(std::max(Milliseconds { 0 }, timeLeft()));
@@ -226,6 +228,7 @@
     m_answer = {};
     m_receivedBytes = 0;
     m_sequence.beginRun();
+    m_flow = {};
     dropAnswer();
 }
 
@@ -265,6 +268,17 @@
     }
 }
 
+void ForwardedCall::updateFlow()
+{
+    if (!m_call || !m_flow.update(m_exchange->bytesToWrite()))
+        return;
+    m_call->setPaused(m_flow.isPaused());
+    if (m_flow.isPaused())
+        m_idleTimer.stop();
+    else
+        restartIdleTimer();
+}
+
 void ForwardedCall::handleLostEndpoints()
 {
     if (m_isDone || m_isRelayed || m_isFromPeer || !m_environment.shouldDeferToPeers())
@@ -414,7 +428,7 @@
 void ForwardedCall::restartIdleTimer()
 {
     // The silence of an endpoint is of interest also if the request cannot be moved.
-    if (!m_route.isRepeatable() && m_firstByteAt)
+    if ((!m_route.isRepeatable() && m_firstByteAt) || m_flow.isPaused())
         return;
     m_idleTimer.start(idleTimeout() + (m_isRelayed ? relayedIdleAllowance : Milliseconds { 0 }));
 }
@@ -487,6 +501,7 @@
     }
     if (!m_call)
         return;
+    updateFlow();
     countHeldBytes();
 }
 
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -8,6 +8,7 @@
 #include <LibGateway/PromptAttempts.h>
 #include <LibGateway/ResponseHead.h>
 #include <LibGateway/SlotHandle.h>
+#include <LibGateway/StreamFlow.h>
 #include <LibHTTP/HttpExchange.h>
 
 #include <QTimer>
@@ -116,6 +117,8 @@
     /// Frees what is held of the response of the latest attempt.
     void dropAnswer();
     void handleMemoryRevoked();
+    /// Stops reading from the endpoint while the caller does not take what it is sent.
+    void updateFlow();
     bool canRetryElsewhere() const;
     /// Refuses the request if endpoints crash on a part of its prompt. Returns whether it did.
     bool refuseIfQuarantined();
@@ -180,6 +183,7 @@
     ResponseHead m_answer;
     QByteArray m_body;
     MemoryBudget::Account m_memory;
+    StreamFlow m_flow;
     EventStreamReader m_events;
     /// Bytes of the body that this attempt has received.
     qsizetype m_receivedBytes { 0 };
--- a/Tests/LibGateway/TestHeldBytes.cpp
+++ b/Tests/LibGateway/TestHeldBytes.cpp
@@ -2,6 +2,7 @@
 
 #include <LibGateway/ItemRun.h>
 #include <LibGateway/MemoryShares.h>
+#include <LibGateway/StreamFlow.h>
 #include <Tests/Support/SimulatedEventLoop.h>
 #include <catch2/catch.hpp>
 
@@ -151,6 +152,58 @@
     CHECK(fixture.responseMemory.peakBytes() <= limit);
 }
 
+// Guards against a node that reads what an endpoint sends without end, while the caller does not take it.
+TEST_CASE("the node stops reading from an endpoint while the caller does not take its stream")
+{
+    const QByteArray target = GENERATE("/s/1", "/u/1");
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        ForwardingFixture fixture;
+        fixture.forward(ForwardingFixture::makeRequest(target, "q1"));
+        fixture.http.handOver();
+        fixture.http.headers(200, streamHeaders);
+        fixture.http.data(ForwardingFixture::event(1));
+        CHECK_FALSE(fixture.http.last().isPaused);
+        fixture.exchange->waitingBytes = StreamFlow::pauseBytes + 1;
+        fixture.http.data(ForwardingFixture::event(2));
+        CHECK(fixture.http.last().isPaused);
+        // The endpoint is not silent: it is not read.
+        fixture.clock.advance(Milliseconds { 2'500 });
+        loop.advance(Milliseconds { 2'500 });
+        ForwardingFixture::settle();
+        CHECK(fixture.http.count() == 1);
+        CHECK_FALSE(fixture.http.last().isCancelled);
+        fixture.exchange->waitingBytes = StreamFlow::resumeBytes + 1;
+        fixture.exchange->reportBytesWritten();
+        CHECK(fixture.http.last().isPaused);
+        fixture.exchange->waitingBytes = StreamFlow::resumeBytes;
+        fixture.exchange->reportBytesWritten();
+        CHECK_FALSE(fixture.http.last().isPaused);
+        fixture.http.data(ForwardingFixture::event(3));
+        fixture.http.finish();
+        CHECK(fixture.exchange->isFinished);
+        CHECK(fixture.exchange->chunks.size() == 3);
+    });
+}
+
+// Guards against a slot that a caller who does not read keeps from others beyond its deadline.
+TEST_CASE("the deadline ends a stream that its caller does not take")
+{
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        ForwardingFixture fixture;
+        fixture.forward(ForwardingFixture::makeRequest("/u/1", "q1"));
+        fixture.http.handOver();
+        fixture.http.headers(200, streamHeaders);
+        fixture.exchange->waitingBytes = StreamFlow::pauseBytes + 1;
+        fixture.http.data(ForwardingFixture::event(1));
+        REQUIRE(fixture.http.last().isPaused);
+        fixture.clock.advance(Milliseconds { 4'100 });
+        loop.advance(Milliseconds { 4'100 });
+        CHECK(fixture.exchange->isAborted);
+        CHECK(fixture.http.last().isCancelled);
+        CHECK(fixture.scheduler.ownUse().empty());
+    });
+}
+
 // Guards against shares that are more than the machine has.
 TEST_CASE("requests and responses share half of the memory of the machine")
 {
--- a/Tests/Support/FakeExchange.h
+++ b/Tests/Support/FakeExchange.h
@@ -17,6 +17,8 @@
     bool isStream { false };
     bool isFinished { false };
     bool isAborted { false };
+    /// Bytes that the caller has not taken yet, set by the test.
+    qint64 waitingBytes { 0 };
     /// Chunks of a stream. The test may clear them.
     QByteArrayList chunks;
 
@@ -49,7 +51,14 @@
     }
     void finishStream() override { isFinished = true; }
     void abortStream() override { isAborted = true; }
-    qint64 bytesToWrite() const override { return 0; }
+    /// Simulates that bytes were sent to the caller.
+    void reportBytesWritten() const
+    {
+        if (m_bytesWrittenHandler)
+            m_bytesWrittenHandler();
+    }
+    qint64 bytesToWrite() const override { return waitingBytes; }
+    void setBytesWrittenHandler(std::function<void()> handler) override { m_bytesWrittenHandler = std::move(handler); }
     bool isCallerDisconnected() const override { return m_isDisconnected; }
     void setCallerDisconnectedHandler(std::function<void()> handler) override
     {
@@ -59,6 +68,7 @@
 private:
     HttpRequest m_request;
     std::function<void()> m_disconnectedHandler;
+    std::function<void()> m_bytesWrittenHandler;
     bool m_isDisconnected { false };
 };
 
