LibGateway: Give requests and responses a sixth of the memory each

A quarter each is too much where both are used up: with 64 MB each on a machine of 256 MB, the process grew by up to 119 MB for responses and 115 MB for requests (120 requests each, real processes), because the allocator keeps more than the buffers take.

--- a/Libraries/LibGateway/MemoryShares.h
+++ b/Libraries/LibGateway/MemoryShares.h
@@ -6,10 +6,10 @@
 
 namespace Chicorydock {
 
-/// Shares out the memory of the machine. Half of it is for the process itself: the idle process, what it knows about
-/// the deployment, the heads and buffers of its connections, bytes that the kernel has received, and what the allocator
-/// does not return. A quarter each is for requests and for responses, apart from each other, so that bodies that arrive
-/// without end keep no request that is in progress from its response.
+/// Shares out the memory of the machine. A sixth each is for requests and for responses, apart from each other, so that
+/// bodies that arrive without end keep no request that is in progress from its response. The process grows by almost
+/// twice that, because the allocator keeps more than the buffers take. The rest is for the idle process, what it knows
+/// about the deployment, the heads and buffers of its connections, and bytes that the kernel has received.
 ///
 /// Load: faulty endpoints that send bytes without end, callers that do not read, and many large bodies at once.
 ///
@@ -24,7 +24,7 @@
     static constexpr MemoryShares of(uint64_t memoryMb)
     {
         constexpr size_t megabyte = 1024 * 1024;
-        constexpr size_t parts = 4;
+        constexpr size_t parts = 6;
         const size_t part = static_cast<size_t>(memoryMb) * megabyte / parts;
         return { .requestBytes = part, .responseBytes = part };
     }
