--- a/Tests/LibPlacement/FakeEngines.h
+++ b/Tests/LibPlacement/FakeEngines.h
@@ -100,6 +100,8 @@
 
     private:
         struct Handle final : HttpCall {
+            void setPaused(bool) override { }
+
             std::shared_ptr<bool> alive { std::make_shared<bool>() };
         };
 
