--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -83,6 +83,7 @@
     , m_fingerprint(requestFingerprint(m_exchange->request()))
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
     , m_isFromPeer(m_exchange->request().headers.find(relayField).has_value())
+    , m_memory(&environment.responseMemory, [this] { handleMemoryRevoked(); })
     , m_sequence(m_request.lastEventId.value_or(0) > 0 ? m_request.lastEventId : std::nullopt)
     , m_stream(*m_exchange)
 {
@@ -99,6 +100,7 @@
 {
     *m_lifetime = false;
     m_exchange->setCallerDisconnectedHandler(nullptr);
+    m_exchange->setBytesWrittenHandler(nullptr);
     m_call.reset();
     m_slot.release(EndpointOutcome::Cancelled);
 }
@@ -113,6 +115,7 @@
 {
     m_service = chooseOfferedService(m_route, m_environment.directory, m_environment.random.unit());
     m_exchange->setCallerDisconnectedHandler([this] { handleCallerDisconnected(); });
+    m_exchange->setBytesWrittenHandler([this] { updateFlow(); });
     if (refuseIfQuarantined())
         return;
     startDeadlineTimer();
@@ -246,13 +249,59 @@
     m_isHandedOver = false;
     m_isFurtherRun = false;
     m_attemptedAt = m_environment.clock.now();
-    m_events = {};
     m_head = {};
     m_answer = {};
-    m_body.clear();
     m_receivedBytes = 0;
     m_sequence.beginRun();
-    m_leadingEmptyEvents.clear();
+    m_flow = {};
+    dropAnswer();
+}
+
+void ForwardedCall::dropAnswer()
+{
+    m_events = {};
+    m_body = {};
+    m_leadingEmptyEvents = {};
+    countHeldBytes();
+}
+
+void ForwardedCall::countHeldBytes()
+{
+    const qsizetype bytes
+        = m_body.capacity() + m_events.heldBytes() + m_leadingEmptyEvents.capacity() + m_stream.heldBytes();
+    if (m_memory.resize(static_cast<size_t>(bytes)))
+        return;
+    m_memory.clear();
+    handleMemoryRevoked();
+}
+
+void ForwardedCall::handleMemoryRevoked()
+{
+    if (m_isDone)
+        return;
+    const std::string reason = "the node has no memory for the answer";
+    if (m_stream.isEndHeld()) {
+        releaseEvents();
+    } else if (m_stream.heldBytes() > 0) {
+        m_call.reset();
+        m_slot.release(EndpointOutcome::Failed);
+        m_stream.discard();
+        dropAnswer();
+        refuse(ErrorKind::EndpointFailed, reason);
+    } else {
+        abandonCall(reason);
+    }
+}
+
+void ForwardedCall::updateFlow()
+{
+    if (!m_call || !m_flow.update(m_exchange->bytesToWrite()))
+        return;
+    m_call->setPaused(m_flow.isPaused());
+    if (m_flow.isPaused())
+        m_idleTimer.stop();
+    else
+        restartIdleTimer();
 }
 
 void ForwardedCall::handleLostEndpoints()
@@ -414,7 +463,7 @@
 void ForwardedCall::restartIdleTimer()
 {
     // The silence of an endpoint is of interest also if the request cannot be moved.
-    if (!m_route.isRepeatable() && m_firstByteAt)
+    if ((!m_route.isRepeatable() && m_firstByteAt) || m_flow.isPaused())
         return;
     m_idleTimer.start(idleTimeout() + (m_isRelayed ? relayedIdleAllowance : Milliseconds { 0 }));
 }
@@ -460,9 +509,13 @@
     }
     if (!isStreaming()) {
         m_body += data;
+        countHeldBytes();
         return;
     }
     for (const StreamEvent& it : m_events.consume(data)) {
+        // What an earlier event made the caller's connection hold may have ended the attempt.
+        if (!m_call)
+            return;
         if (it.isEmpty()) {
             forwardEmptyEvent(it);
             continue;
@@ -486,7 +539,12 @@
     }
     if (m_events.isOversized()) {
         abandonCall("an event of the endpoint has no end");
+        return;
     }
+    if (!m_call)
+        return;
+    updateFlow();
+    countHeldBytes();
 }
 
 void ForwardedCall::forwardEvent(const StreamEvent& event)
@@ -558,8 +616,12 @@
 void ForwardedCall::releaseEvents()
 {
     m_holdTimer.stop();
-    if (!m_isDone && m_stream.release())
+    if (m_isDone)
+        return;
+    if (m_stream.release())
         finish("answered", "");
+    else
+        countHeldBytes();
 }
 
 void ForwardedCall::onFinished()
@@ -699,7 +761,9 @@
         refuse(ErrorKind::EndpointFailed, "the endpoint answered " + std::to_string(m_head.status));
         return;
     }
-    m_exchange->answer({ .status = m_answer.status, .headers = m_answer.headers, .body = m_body });
+    // From now on the bytes count for the connection of the caller.
+    m_memory.clear();
+    m_exchange->answer({ .status = m_answer.status, .headers = m_answer.headers, .body = std::exchange(m_body, {}) });
     finish(isFailure ? "failed" : "answered", isFailure ? "the endpoint answered with a server error" : "");
 }
 
@@ -753,6 +817,7 @@
     m_mayHaveRunBefore = true;
     m_slot.release(EndpointOutcome::Failed);
     m_excluded.push_back(m_endpoint);
+    dropAnswer();
     if (canRetryElsewhere()) {
         m_environment.log.record("request", "moved", m_request.id, {},
             { { "endpoint", QString::fromStdString(m_endpoint) }, { "reason", QString::fromStdString(reason) },
@@ -837,6 +902,7 @@
         return;
     for (QTimer* it : { &m_deadlineTimer, &m_idleTimer, &m_holdTimer })
         it->stop();
+    m_memory.clear();
     const MonotonicTime now = m_environment.clock.now();
     logEnd(outcome, reason, now);
     m_environment.metrics
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Error.h>
+#include <LibCore/MemoryBudget.h>
 #include <LibHTTP/HttpExchange.h>
 #include <LibHTTP/HttpRequestReader.h>
 #include <LibHTTP/HttpResponseFormat.h>
@@ -27,6 +28,10 @@
     HttpHandler& handler;
     /// Returns the name of a request in the log.
     std::function<std::string(const HttpRequest&)> requestName {};
+    /// Limit what all connections together hold of requests, and of responses that callers have not taken yet. Empty if
+    /// nothing limits them.
+    MemoryBudget* requestMemory { nullptr };
+    MemoryBudget* responseMemory { nullptr };
     bool isDraining { false };
     uint64_t acceptedConnections { 0 };
     /// Number of requests whose response has not left the process completely.
@@ -104,6 +109,11 @@
     void flush();
     void endResponse(bool closeConnection);
     void abort();
+    /// Resets the connection and drops what its caller has not taken.
+    void reset();
+    void countUnsentBytes();
+    /// Refuses the request that is arriving, because its bytes cannot be held.
+    void refuseForMemory();
     qint64 bytesToWrite() const { return m_socket->bytesToWrite(); }
 
     /// Keeps the name of the request whose response has just ended if bytes of it are unsent.
@@ -121,6 +131,9 @@
     HttpRequestReader m_reader;
     QByteArray m_input;
     FramedRequest m_request;
+    /// The bytes of the request that is arriving.
+    MemoryBudget::Account m_received;
+    MemoryBudget::Account m_unsent;
     std::weak_ptr<ConnectionExchange> m_exchange;
     std::string m_unsentRequest;
     Stage m_stage { Stage::Reading };
