TestLibGateway: Advance the clock together with the timers

The new test of broken responses let timers fire while the clock of the node stood still, so a request was not at its time limit by the clock. It checks the same outcomes.

--- a/Tests/LibGateway/TestBrokenStreams.cpp
+++ b/Tests/LibGateway/TestBrokenStreams.cpp
@@ -25,10 +25,12 @@
         it.beginResponse(200, { { "Content-Type", type }, { "Server-Signature", "first" } });
         if (!bytes.isEmpty())
             it.http.data(bytes);
-        if (hasTimedOut)
+        if (hasTimedOut) {
+            it.clock.advance(Milliseconds { 6'000 });
             loop.advance(Milliseconds { 6'000 });
-        else
+        } else {
             it.http.fail(Phase::Answering);
+        }
         StreamFixture::settle();
     });
     const bool hasBegun = target != "/i/1" && bytes.startsWith(event(1));
