LibHTTP: Read no request on a connection that is closed after its response

What callers would see: a request that follows at once on a kept connection whose last response is still being sent, while the node stops, is read and discarded (LOST).

Cause: `closeIfIdle()` let such a connection linger, and a lingering connection discards what it reads, although the response had announced no close. Change: it stays open until its response is sent; `Gateway::checkStopped()` asks again every 50 ms, and a request that follows is answered.

--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -214,12 +214,9 @@
 void HttpConnection::closeIfIdle()
 {
     const bool isIdle = m_stage == Stage::Reading && m_hasServed && !m_reader.isStarted();
-    if (!isIdle || !m_input.isEmpty() || m_socket->bytesAvailable() > 0)
-        return;
     // The caller may still be taking the last response.
-    if (m_socket->bytesToWrite() > 0)
-        startLingering();
-    else
+    const bool isUsed = !m_input.isEmpty() || m_socket->bytesAvailable() > 0 || m_socket->bytesToWrite() > 0;
+    if (isIdle && !isUsed)
         m_socket->disconnectFromHost();
 }
 
