LibGateway: Drop the body of a response that says that the request has not run

A request that was queued again after such a response kept its body and could be told to give way for it, as if an attempt had failed.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -643,6 +643,7 @@
         { { "endpoint", QString::fromStdString(m_endpoint) }, { "status", m_head.status } });
     m_slot.release(EndpointOutcome::Cancelled);
     m_excluded.push_back(m_endpoint);
+    dropAnswer();
     if (m_attempts < m_route.maxAttempts && timeLeft() > minTimeForAttempt) {
         requestSlot();
         return;
--- a/Tests/LibGateway/TestHeldBytes.cpp
+++ b/Tests/LibGateway/TestHeldBytes.cpp
@@ -77,6 +77,21 @@
     CHECK(fixture.responseMemory.bytes() == 0);
 }
 
+// Guards against memory that a queued request holds for a response that says that it has not run.
+TEST_CASE("the body of a response that says that the request has not run is dropped")
+{
+    runOnSimulatedTime([&](SimulatedEventLoop&) {
+        CallsFixture fixture;
+        fixture.forward(CallsFixture::makeRequest("/i/1", "q1"));
+        fixture.http.handOver();
+        fixture.http.headers(503, { { "Not-Executed", "1" } });
+        fixture.http.data(QByteArray(500'000, 'x'));
+        CHECK(fixture.responseMemory.bytes() >= 500'000);
+        fixture.http.finish();
+        CHECK(fixture.responseMemory.bytes() == 0);
+    });
+}
+
 // Guards against events without end that exhaust the memory together, and against a stream that looks whole then.
 TEST_CASE("the events that have not ended stay within the memory for responses")
 {
