LibGateway: Tell no call to give way while it writes its answer

What callers would see: two responses to one request, the second of which answers the next request on the connection (MIXED), or a node that ends by an assertion.

Cause: when a call writes, the account of its caller's connection grows. The account of the call still counts what it holds, so it could be the largest one and be told to give way in the middle of its own answer. Change: an account is protected while its holder writes. The new test failed before (1 of 6 assertions).

--- a/Libraries/LibCore/MemoryBudget.cpp
+++ b/Libraries/LibCore/MemoryBudget.cpp
@@ -43,7 +43,7 @@
 
 bool MemoryBudget::makeRoom(Account& growing, size_t bytes)
 {
-    const bool wasGrowing = std::exchange(growing.m_isGrowing, true);
+    const Account::Protection protection(growing);
     bool fits = true;
     while (m_bytes - growing.m_bytes + bytes > m_limit) {
         ++m_refusals;
@@ -54,7 +54,6 @@
         largest->clear();
         largest->m_onRevoked();
     }
-    growing.m_isGrowing = wasGrowing;
     return fits;
 }
 
@@ -62,7 +61,7 @@
 {
     Account* largest = nullptr;
     for (Account* it : m_accounts) {
-        const bool canGiveWay = it->m_onRevoked && !it->m_isGrowing;
+        const bool canGiveWay = it->m_onRevoked && !it->m_isProtected;
         if (canGiveWay && (!largest || it->m_bytes > largest->m_bytes))
             largest = it;
     }
--- a/Libraries/LibCore/MemoryBudget.h
+++ b/Libraries/LibCore/MemoryBudget.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <utility>
 #include <vector>
 
 namespace Chicorydock {
@@ -41,6 +42,25 @@
         size_t bytes() const { return m_bytes; }
         MemoryBudget* budget() const { return m_budget; }
 
+        /// Keeps the holder from being told to give way while the protection exists, because it is writing what it
+        /// holds to another account. The account outlives the protection.
+        class Protection final {
+        public:
+            explicit Protection(Account& account)
+                : m_account(account)
+                , m_wasProtected(std::exchange(account.m_isProtected, true))
+            {
+            }
+            ~Protection() { m_account.m_isProtected = m_wasProtected; }
+
+            Protection(const Protection&) = delete;
+            Protection& operator=(const Protection&) = delete;
+
+        private:
+            Account& m_account;
+            const bool m_wasProtected;
+        };
+
     private:
         friend class MemoryBudget;
 
@@ -51,8 +71,7 @@
         size_t m_bytes { 0 };
         /// Position in the list of the budget. Only accounts with bytes are listed.
         size_t m_position { 0 };
-        /// Whether `resize()` is on the stack, so that the holder must not be told to give way.
-        bool m_isGrowing { false };
+        bool m_isProtected { false };
     };
 
     explicit MemoryBudget(size_t limit)
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -555,11 +555,13 @@
     // The peer that forwards the request records where the stream began.
     if (!m_origin && !m_isRelayed)
         recordOrigin();
+    const MemoryBudget::Account::Protection protection(m_memory);
     m_stream.send(m_answer, std::exchange(m_leadingEmptyEvents, {}) + event.bytes);
 }
 
 void ForwardedCall::forwardEmptyEvent(const StreamEvent& event)
 {
+    const MemoryBudget::Account::Protection protection(m_memory);
     if (m_sequence.hasRunAdvanced())
         m_stream.send(m_answer, event.bytes);
     else
@@ -618,6 +620,7 @@
     m_holdTimer.stop();
     if (m_isDone)
         return;
+    const MemoryBudget::Account::Protection protection(m_memory);
     if (m_stream.release())
         finish("answered", "");
     else
@@ -669,6 +672,7 @@
     m_slot.release(EndpointOutcome::Answered);
     if (!m_firstByteAt)
         m_firstByteAt = m_environment.clock.now();
+    const MemoryBudget::Account::Protection protection(m_memory);
     if (m_stream.finish(m_answer))
         finish("answered", "");
 }
@@ -722,6 +726,7 @@
         refuse(ErrorKind::EndpointFailed, "the peer refused another attempt");
         return;
     }
+    const MemoryBudget::Account::Protection protection(m_memory);
     m_exchange->answer({ .status = m_answer.status, .headers = m_answer.headers, .body = m_body });
     finish("refused_by_peer", "the peer answered " + std::to_string(m_head.status));
 }
@@ -891,6 +896,7 @@
         return;
     }
     const Error error(kind, reason, retryAfter);
+    const MemoryBudget::Account::Protection protection(m_memory);
     m_exchange->answer(m_environment.wire.errorAnswer(error, m_request.id));
     const std::string_view name = errorRow(kind).name;
     finish(std::string(name), reason);
--- a/Tests/LibGateway/TestHeldBytes.cpp
+++ b/Tests/LibGateway/TestHeldBytes.cpp
@@ -77,6 +77,34 @@
     CHECK(fixture.responseMemory.bytes() == 0);
 }
 
+// Guards against a second answer to a request (MIXED), because the call that writes the first one is told to give way.
+TEST_CASE("a call that writes its answer is not told to give way to the connection of its caller")
+{
+    const bool hasTimedOut = GENERATE(true, false);
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        CallsFixture fixture;
+        fixture.add(
+            "/u/1", { { "Content-Type", "text/plain" }, { "Server-Signature", "s" } }, QByteArray(900'000, 'x'));
+        CallsFixture::Forwarded& call = fixture.calls[0];
+        MemoryBudget::Account unsent(&fixture.responseMemory);
+        int writes = 0;
+        call.exchange->onWrite = [&] {
+            ++writes;
+            (void)unsent.resize(200'000);
+        };
+        if (hasTimedOut) {
+            fixture.clock.advance(Milliseconds { 4'000 });
+            loop.advance(Milliseconds { 4'000 });
+            CHECK(call.status() == 504);
+        } else {
+            fixture.http.call(call.attempt).observer->onFinished();
+            CHECK(call.status() == 200);
+        }
+        CHECK(writes == 1);
+        CHECK_FALSE(call.exchange->isAborted);
+    });
+}
+
 // Guards against memory that a queued request holds for a response that says that it has not run.
 TEST_CASE("the body of a response that says that the request has not run is dropped")
 {
--- a/Tests/Support/FakeExchange.h
+++ b/Tests/Support/FakeExchange.h
@@ -2,6 +2,8 @@
 
 #include <LibHTTP/HttpExchange.h>
 
+#include <functional>
+
 namespace Chicorydock {
 
 /// An exchange without a connection that records its response. Not thread safe.
@@ -19,6 +21,8 @@
     bool isAborted { false };
     /// Bytes that the caller has not taken yet, set by the test.
     qint64 waitingBytes { 0 };
+    /// Called when bytes are written to the caller, before they are recorded.
+    std::function<void()> onWrite;
     /// Chunks of a stream. The test may clear them.
     QByteArrayList chunks;
 
@@ -36,16 +40,20 @@
         if (m_isDisconnected)
             return;
         Q_ASSERT(!response);
+        notifyOfWrite();
+        Q_ASSERT(!response);
         response = completeResponse;
         isFinished = true;
     }
     void startStream(int status, const HttpHeaders& headers) override
     {
+        notifyOfWrite();
         response = HttpResponse { status, headers, {} };
         isStream = true;
     }
     void sendChunk(QByteArrayView chunk) override
     {
+        notifyOfWrite();
         chunks.append(chunk.toByteArray());
         response->body += chunk;
     }
@@ -66,6 +74,12 @@
     }
 
 private:
+    void notifyOfWrite() const
+    {
+        if (onWrite)
+            onWrite();
+    }
+
     HttpRequest m_request;
     std::function<void()> m_disconnectedHandler;
     std::function<void()> m_bytesWrittenHandler;
