chicorydockd: Give readiness checks a response whatever requests hold

The status server shared the memory of requests, so bodies of callers could take the node out of the balancer's rotation. Found by the independent review, by reading; no test reaches the composition.

--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -171,7 +171,8 @@
     });
     for (HttpServer* it : { &m_server, &m_peerServer })
         it->setRequestNames([this](const HttpRequest& request) { return m_wire.decodeRequest(request).id; });
-    for (HttpServer* it : { &m_server, &m_statusServer, &m_peerServer })
+    // Readiness checks get a response whatever the requests of callers hold.
+    for (HttpServer* it : { &m_server, &m_peerServer })
         it->setMemory(m_requestMemory, m_responseMemory);
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
