--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -87,9 +87,8 @@
     constexpr double minCpuShare = 0.01;
     constexpr double maxCpuShare = 1'024;
 
-    /// Limits on the memory of a VM, in megabytes. With less, the largest body that operators allow (4 MB, in a buffer
-    /// that has grown to twice that) takes more than half of what all requests may hold.
-    constexpr uint64_t minMemoryMb = 96;
+    /// Limits on the memory of a VM, in megabytes. An idle process does not fit into less.
+    constexpr uint64_t minMemoryMb = 16;
     constexpr uint64_t maxMemoryMb = 1'024 * 1'024;
 
     void readGateway(TomlTable& table, Settings::Gateway& gateway)
