--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -169,11 +169,11 @@
         // A request has just failed and is on the stack.
         QMetaObject::invokeMethod(this, &Gateway::handleLinksChanged, Qt::QueuedConnection);
     });
-    for (HttpServer* it : { &m_server, &m_peerServer })
+    // The status server has no budget: readiness checks get a response whatever the requests of callers hold.
+    for (HttpServer* it : { &m_server, &m_peerServer }) {
         it->setRequestNames([this](const HttpRequest& request) { return m_wire.decodeRequest(request).id; });
-    // Readiness checks get a response whatever the requests of callers hold.
-    for (HttpServer* it : { &m_server, &m_peerServer })
         it->setMemory(m_requestMemory, m_responseMemory);
+    }
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
 }
