--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -352,6 +352,7 @@
     m_excludedWhenQueued = m_environment.directory.excluded();
     std::ranges::copy(m_excludedWhenQueued, std::back_inserter(work.excluded));
     work.softwareVersion = requiredVersion();
+    work.profile = m_request.profile;
     m_slot.request(std::move(work), *this);
 }
 
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibGateway/WorkspaceLimits.h>
+
+#include <QByteArray>
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,8 +59,11 @@
     Milliseconds completionTarget { 0 };
     /// Time from the submission of a job after which its items may be abandoned.
     Milliseconds maxWait { 0 };
-    /// Maximum number of tokens of all queued items of the route; 0 means no limit.
+    /// Maximum number of tokens of all queued items of the route, or of each workspace on it if there are workspaces; 0
+    /// means no limit.
     uint64_t maxWaitingTokens { 0 };
+    /// Whether callers need no key.
+    bool allowsAnonymous { false };
 
     auto operator<=>(const GatewayRoute&) const = default;
 
@@ -92,6 +99,17 @@
     auto operator<=>(const CallerLimits&) const = default;
 };
 
+/// A customer, identified by the keys of its callers.
+struct GatewayWorkspace {
+    WorkspaceLimits limits;
+    /// SHA-256 digests of the keys, so that no key is kept in memory, logged or sent to a peer.
+    std::vector<QByteArray> keyDigests;
+    /// Replaces the priority of routes; 0 is the highest.
+    std::optional<uint32_t> priority;
+
+    auto operator<=>(const GatewayWorkspace&) const = default;
+};
+
 /// An accepted version of the routes and services. Immutable once published.
 struct GatewayConfiguration {
     /// 0 means that no configuration has been received yet.
@@ -99,6 +117,9 @@
     std::vector<GatewayRoute> routes;
     std::vector<GatewayService> services;
     CallerLimits limits;
+    /// Whether callers need the key of a workspace, except on routes that allow anonymous ones.
+    bool hasWorkspaces { false };
+    std::vector<GatewayWorkspace> workspaces;
 
     auto operator<=>(const GatewayConfiguration&) const = default;
 
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -43,6 +43,7 @@
     : m_environment(environment)
     , m_job(job)
     , m_item(std::move(item))
+    , m_profile(environment.wire.workProfile(m_item.headers))
     , m_onDone(std::move(onDone))
     , m_slot(environment.broker)
     , m_prompt(environment.quarantine, environment.clock, environment.wire.promptParts(m_item.headers))
@@ -147,6 +148,7 @@
     BatchWork work;
     work.service = m_service;
     work.softwareVersion = originVersion(m_origin);
+    work.profile = m_profile;
     work.dueAt = m_job.dueAt;
     work.slotTimeUsed = m_slotTimeUsed;
     // The coordinator may not know yet that these endpoints are leaving or have been replaced.
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -111,6 +111,7 @@
     GatewayEnvironment& m_environment;
     const Job& m_job;
     const JobItem m_item;
+    const WorkProfile m_profile;
     const std::function<void(JobResult)> m_onDone;
     SlotHandle m_slot;
     PromptAttempts m_prompt;
--- a/Libraries/LibGateway/SlotAllocator.h
+++ b/Libraries/LibGateway/SlotAllocator.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/EndpointRecord.h>
 #include <LibGateway/SlotTypes.h>
+#include <LibGateway/WorkspaceLimits.h>
 
 #include <vector>
 
@@ -17,6 +18,10 @@
     /// Replaces the set of usable endpoints. Work that runs at other endpoints continues.
     virtual void setEndpoints(const std::vector<EndpointRecord>&) = 0;
 
+    /// Replaces what the operator grants to the workspaces. Work of an unknown workspace has no rate limit and
+    /// weight 1.
+    virtual void setWorkspaces(const std::vector<WorkspaceLimits>&) = 0;
+
     /// Queues work. Work without a service is refused. Precondition: its identifier has not been used before.
     virtual void submit(const OnlineWork&, MonotonicTime now) = 0;
     virtual void submit(const BatchWork&) = 0;
--- a/Libraries/LibGateway/SlotBroker.cpp
+++ b/Libraries/LibGateway/SlotBroker.cpp
@@ -65,6 +65,12 @@
     m_allocator.observeRate(endpoint, statement, m_clock.now());
 }
 
+void SlotBroker::setWorkspaces(const std::vector<WorkspaceLimits>& workspaces)
+{
+    m_allocator.setWorkspaces(workspaces);
+    schedulePoll();
+}
+
 void SlotBroker::setEndpoints(const std::vector<EndpointRecord>& endpoints)
 {
     m_allocator.setEndpoints(endpoints);
--- a/Libraries/LibGateway/SlotBroker.h
+++ b/Libraries/LibGateway/SlotBroker.h
@@ -54,6 +54,9 @@
     /// Polls the allocator from the event loop, because something that it depends on has changed.
     void schedulePoll();
 
+    /// Replaces what the operator grants to the workspaces.
+    void setWorkspaces(const std::vector<WorkspaceLimits>&);
+
     /// Replaces the set of usable endpoints.
     void setEndpoints(const std::vector<EndpointRecord>&);
 
--- a/Libraries/LibGateway/SlotCoordinator.cpp
+++ b/Libraries/LibGateway/SlotCoordinator.cpp
@@ -25,6 +25,11 @@
 {
 }
 
+void SlotCoordinator::setWorkspaces(const std::vector<WorkspaceLimits>& workspaces)
+{
+    m_scheduler.setWorkspaces(workspaces);
+}
+
 void SlotCoordinator::setEndpoints(const std::vector<EndpointRecord>& endpoints)
 {
     m_scheduler.setEndpoints(endpoints);
@@ -121,6 +126,7 @@
         work.isLastAttempt = it.isLastAttempt;
         work.excluded = it.excluded;
         work.softwareVersion = it.softwareVersion;
+        work.profile = it.profile;
         m_scheduler.submit(work, now);
     }
 }
@@ -133,7 +139,7 @@
             continue;
         const uint64_t id = addWork(node, member, it.work).id;
         m_scheduler.submit(
-            BatchWork { id, it.service, now + it.dueIn, it.excluded, it.slotTimeUsed, it.softwareVersion });
+            BatchWork { id, it.service, now + it.dueIn, it.excluded, it.slotTimeUsed, it.softwareVersion, it.profile });
     }
 }
 
@@ -148,8 +154,9 @@
             m_scheduler.withdraw(known->second.id);
         Work& work = known == member.work.end() ? addWork(node, member, it.work) : known->second;
         work.state = State::Running;
-        m_scheduler.adopt(
-            { work.id, it.service, it.endpoint, it.isBatch, now - it.heldFor, now + it.dueIn, it.slotTimeUsed }, now);
+        m_scheduler.adopt({ work.id, it.service, it.endpoint, it.isBatch, now - it.heldFor, now + it.dueIn,
+                              it.slotTimeUsed, it.profile },
+            now);
     }
 }
 
--- a/Libraries/LibGateway/SlotCoordinator.h
+++ b/Libraries/LibGateway/SlotCoordinator.h
@@ -28,6 +28,7 @@
     explicit SlotCoordinator(SlotScheduler&);
 
     void setEndpoints(const std::vector<EndpointRecord>&);
+    void setWorkspaces(const std::vector<WorkspaceLimits>&);
 
     /// Processes the report of a member. Reports that are older than the latest one are ignored.
     void receive(const std::string& node, const SlotReport&, MonotonicTime now);
--- a/Libraries/LibGateway/SlotMember.cpp
+++ b/Libraries/LibGateway/SlotMember.cpp
@@ -134,6 +134,8 @@
         std::ranges::count_if(m_work, [](const auto& it) { return it.second.request.has_value(); }));
 }
 
+void SlotMember::setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) { m_local.setWorkspaces(workspaces); }
+
 void SlotMember::setEndpoints(const std::vector<EndpointRecord>& endpoints) { m_local.setEndpoints(endpoints); }
 
 void SlotMember::submit(const OnlineWork& work, MonotonicTime)
@@ -288,15 +290,15 @@
     if (work.slot) {
         const RunningWork& it = *work.slot;
         report.held.push_back({ id, it.service, it.endpoint, it.isBatch, milliseconds(now - it.startedAt),
-            milliseconds(it.dueAt - now), it.slotTimeUsed });
+            milliseconds(it.dueAt - now), it.slotTimeUsed, it.profile });
     } else if (work.request) {
         const OnlineWork& it = *work.request;
         report.requests.push_back({ id, it.service, it.priority, milliseconds(it.startBy - now),
-            milliseconds(it.deadline - now), it.isLastAttempt, it.excluded, it.softwareVersion });
+            milliseconds(it.deadline - now), it.isLastAttempt, it.excluded, it.softwareVersion, it.profile });
     } else if (work.item) {
         const BatchWork& it = *work.item;
-        report.items.push_back(
-            { id, it.service, milliseconds(it.dueAt - now), it.slotTimeUsed, it.excluded, it.softwareVersion });
+        report.items.push_back({ id, it.service, milliseconds(it.dueAt - now), it.slotTimeUsed, it.excluded,
+            it.softwareVersion, it.profile });
     }
 }
 
@@ -370,8 +372,10 @@
     RunningWork slot { .id = decision.work, .endpoint = decision.endpoint, .isBatch = !work.request, .startedAt = now };
     if (work.request) {
         slot.service = work.request->service;
+        slot.profile = work.request->profile;
     } else {
         slot.service = work.item->service;
+        slot.profile = work.item->profile;
         slot.dueAt = work.item->dueAt;
         slot.slotTimeUsed = work.item->slotTimeUsed;
     }
--- a/Libraries/LibGateway/SlotMember.h
+++ b/Libraries/LibGateway/SlotMember.h
@@ -37,6 +37,7 @@
     bool isIndependent() const { return m_coordinator == m_node; }
 
     void setEndpoints(const std::vector<EndpointRecord>&) override;
+    void setWorkspaces(const std::vector<WorkspaceLimits>&) override;
     void submit(const OnlineWork&, MonotonicTime now) override;
     void submit(const BatchWork&) override;
     void withdraw(uint64_t work) override;
--- a/Libraries/LibGateway/SlotMessageFormat.cpp
+++ b/Libraries/LibGateway/SlotMessageFormat.cpp
@@ -44,6 +44,35 @@
         return reader.hasSoftwareVersion() ? std::optional<std::string>(reader.getSoftwareVersion()) : std::nullopt;
     }
 
+    template <typename Builder> void writeProfile(const WorkProfile& profile, Builder message)
+    {
+        if (profile == WorkProfile {})
+            return;
+        Schema::WorkProfile::Builder builder = message.initProfile();
+        if (!profile.workspace.empty())
+            builder.setWorkspace(profile.workspace);
+        builder.setPromptTokens(profile.promptTokens);
+        builder.setMaxOutputTokens(profile.maxOutputTokens);
+        builder.setOutputTokensHint(profile.outputTokensHint);
+        auto parts = builder.initSharedParts(static_cast<uint32_t>(profile.sharedParts.size()));
+        for (uint32_t n = 0; n < parts.size(); ++n) {
+            parts[n].setKey(profile.sharedParts[n].key);
+            parts[n].setTokens(profile.sharedParts[n].tokens);
+        }
+    }
+
+    template <typename Reader> WorkProfile readProfile(Reader message)
+    {
+        if (!message.hasProfile())
+            return {};
+        const Schema::WorkProfile::Reader reader = message.getProfile();
+        WorkProfile profile { reader.getWorkspace(), reader.getPromptTokens(), reader.getMaxOutputTokens(),
+            reader.getOutputTokensHint(), {} };
+        for (const auto it : reader.getSharedParts())
+            profile.sharedParts.push_back({ it.getKey(), it.getTokens() });
+        return profile;
+    }
+
     void writeRequest(const QueuedRequest& request, Schema::QueuedRequest::Builder builder)
     {
         builder.setWork(request.work);
@@ -55,13 +84,14 @@
         writeTexts(request.excluded, builder.initExcluded(static_cast<uint32_t>(request.excluded.size())));
         if (request.softwareVersion)
             builder.setSoftwareVersion(*request.softwareVersion);
+        writeProfile(request.profile, builder);
     }
 
     QueuedRequest readRequest(Schema::QueuedRequest::Reader reader)
     {
         return { reader.getWork(), reader.getService(), reader.getPriority(), Milliseconds { reader.getStartInMs() },
             Milliseconds { reader.getDeadlineInMs() }, reader.getIsLastAttempt(), readTexts(reader.getExcluded()),
-            readSoftwareVersion(reader) };
+            readSoftwareVersion(reader), readProfile(reader) };
     }
 
     void writeItem(const QueuedItem& item, Schema::QueuedItem::Builder builder)
@@ -73,12 +103,14 @@
         writeTexts(item.excluded, builder.initExcluded(static_cast<uint32_t>(item.excluded.size())));
         if (item.softwareVersion)
             builder.setSoftwareVersion(*item.softwareVersion);
+        writeProfile(item.profile, builder);
     }
 
     QueuedItem readItem(Schema::QueuedItem::Reader reader)
     {
         return { reader.getWork(), reader.getService(), Milliseconds { reader.getDueInMs() },
-            Milliseconds { reader.getSlotTimeUsedMs() }, readTexts(reader.getExcluded()), readSoftwareVersion(reader) };
+            Milliseconds { reader.getSlotTimeUsedMs() }, readTexts(reader.getExcluded()), readSoftwareVersion(reader),
+            readProfile(reader) };
     }
 
     void writeSlot(const HeldSlot& slot, Schema::HeldSlot::Builder builder)
@@ -90,13 +122,14 @@
         builder.setHeldForMs(toNumber<uint32_t>(slot.heldFor));
         builder.setDueInMs(toNumber<int32_t>(slot.dueIn));
         builder.setSlotTimeUsedMs(toNumber<uint32_t>(slot.slotTimeUsed));
+        writeProfile(slot.profile, builder);
     }
 
     HeldSlot readSlot(Schema::HeldSlot::Reader reader)
     {
         return { reader.getWork(), reader.getService(), reader.getEndpoint(), reader.getIsBatch(),
             Milliseconds { reader.getHeldForMs() }, Milliseconds { reader.getDueInMs() },
-            Milliseconds { reader.getSlotTimeUsedMs() } };
+            Milliseconds { reader.getSlotTimeUsedMs() }, readProfile(reader) };
     }
 
     FinishedWork readFinished(Schema::FinishedWork::Reader reader)
@@ -118,6 +151,13 @@
         builder.setSlotCount(decision.view.slotCount);
         builder.setAgeMs(decision.view.age ? toNumber<uint32_t>(*decision.view.age) : unknownAge);
         builder.setExpectedWaitMs(toNumber<uint32_t>(decision.view.expectedWait));
+        builder.setReason(static_cast<Schema::RefusalReason>(decision.reason));
+    }
+
+    /// Returns `Load` for a reason that this build does not know.
+    RefusalReason readReason(Schema::RefusalReason reason)
+    {
+        return reason == Schema::RefusalReason::QUOTA ? RefusalReason::Quota : RefusalReason::Load;
     }
 
     /// Returns nothing for a kind of decision that this build does not know.
@@ -130,7 +170,7 @@
             isAgeKnown ? std::optional(Milliseconds { reader.getAgeMs() }) : std::nullopt,
             Milliseconds { reader.getExpectedWaitMs() } };
         return SlotDecision { static_cast<SlotDecision::Kind>(reader.getKind()), reader.getWork(), reader.getEndpoint(),
-            Milliseconds { reader.getRetryAfterMs() }, view };
+            Milliseconds { reader.getRetryAfterMs() }, view, readReason(reader.getReason()) };
     }
 
     template <typename Value, typename List, typename Read> std::vector<Value> readList(List list, Read read)
--- a/Libraries/LibGateway/SlotMessages.h
+++ b/Libraries/LibGateway/SlotMessages.h
@@ -23,6 +23,7 @@
     bool isLastAttempt { false };
     std::vector<std::string> excluded;
     std::optional<std::string> softwareVersion {};
+    WorkProfile profile {};
 
     bool operator==(const QueuedRequest&) const = default;
 };
@@ -35,6 +36,7 @@
     Milliseconds slotTimeUsed { 0 };
     std::vector<std::string> excluded;
     std::optional<std::string> softwareVersion {};
+    WorkProfile profile {};
 
     bool operator==(const QueuedItem&) const = default;
 };
@@ -49,6 +51,7 @@
     /// Set for items only.
     Milliseconds dueIn { 0 };
     Milliseconds slotTimeUsed { 0 };
+    WorkProfile profile {};
 
     bool operator==(const HeldSlot&) const = default;
 };
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -98,7 +98,7 @@
         if (endpoint) {
             if (endpoint->total() >= endpoint->record.slotCount && endpoint->own.batch > 0)
                 yieldOne(decisions, *endpoint, now);
-            startWork(decisions, { .id = work.id }, *endpoint, now);
+            startWork(decisions, { .id = work.id, .profile = std::move(work.profile) }, *endpoint, now);
             continue;
         }
         size_t& before = ahead[work.service];
@@ -158,8 +158,12 @@
             fullServices.insert(work.service);
         if (endpoint)
             startWork(decisions,
-                { .id = work.id, .isBatch = true, .dueAt = work.dueAt, .slotTimeUsed = work.slotTimeUsed }, *endpoint,
-                now);
+                { .id = work.id,
+                    .isBatch = true,
+                    .dueAt = work.dueAt,
+                    .slotTimeUsed = work.slotTimeUsed,
+                    .profile = std::move(work.profile) },
+                *endpoint, now);
         else if (work.service.empty() || m_endpoints.isVersionGone(work))
             decisions.push_back({ SlotDecision::Kind::Refuse, work.id });
         else
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Clock.h>
+#include <LibGateway/WorkProfile.h>
 
 #include <compare>
 #include <cstdint>
@@ -32,6 +33,7 @@
     MonotonicTime submittedAt;
     /// Version of the endpoints that may run the request, if it resumes a stream. Empty for any.
     std::optional<std::string> softwareVersion {};
+    WorkProfile profile {};
 
     bool operator==(const OnlineWork&) const = default;
 };
@@ -48,6 +50,7 @@
     Milliseconds slotTimeUsed { 0 };
     /// Version of the endpoints that may run the item, if it has output to continue. Empty for any.
     std::optional<std::string> softwareVersion {};
+    WorkProfile profile {};
 
     bool operator==(const BatchWork&) const = default;
 };
@@ -62,6 +65,7 @@
     /// Set for batch items only, see `BatchWork`.
     MonotonicTime dueAt;
     Milliseconds slotTimeUsed { 0 };
+    WorkProfile profile {};
 
     bool operator==(const RunningWork&) const = default;
 };
@@ -80,6 +84,14 @@
     auto operator<=>(const SlotView&) const = default;
 };
 
+/// Why a request was refused.
+enum class RefusalReason : uint8_t {
+    /// The request cannot be served in time.
+    Load,
+    /// The workspace has used up its rate limit.
+    Quota,
+};
+
 /// A scheduling decision about one request or item.
 struct SlotDecision {
     enum class Kind : uint8_t {
@@ -97,6 +109,8 @@
     /// Time after which the caller should retry; set for refusals only.
     Milliseconds retryAfter { 0 };
     SlotView view {};
+    /// Set for refusals only.
+    RefusalReason reason { RefusalReason::Load };
 
     bool operator==(const SlotDecision&) const = default;
 };
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -33,6 +33,10 @@
     std::string resumes;
     /// Identifiers of the parts of the prompt that other requests may have too, in order. Empty if there is no prompt.
     std::vector<std::string> promptParts;
+    /// Key that the caller presents, empty if it presents none.
+    QByteArray key;
+    /// The workspace follows from the key and is not set by the decoder.
+    WorkProfile profile;
 };
 
 /// Status line and header fields of an endpoint's response, decoded.
@@ -103,6 +107,9 @@
     /// or an item.
     virtual std::vector<std::string> promptParts(const HttpHeaders&) const = 0;
 
+    /// Returns how much work a request or an item is, from its fields. The workspace is not set.
+    virtual WorkProfile workProfile(const HttpHeaders&) const = 0;
+
     /// Returns whether the fields of a request or an item state a condition that has nothing to do with the identity of
     /// the endpoint, and for which it may refuse the request as misdirected.
     virtual bool hasCondition(const HttpHeaders&) const = 0;
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -71,6 +71,22 @@
   starts @3 :UInt32;
 }
 
+# What is known about work before it runs. Absent if nothing is.
+struct WorkProfile {
+  # Absent if the work belongs to no workspace.
+  workspace @0 :Text;
+  promptTokens @1 :UInt32;
+  maxOutputTokens @2 :UInt32;
+  outputTokensHint @3 :UInt32;
+  sharedParts @4 :List(PromptPart);
+}
+
+# A part of a prompt that other requests may have too.
+struct PromptPart {
+  key @0 :UInt32;
+  tokens @1 :UInt32;
+}
+
 # An online request that waits for a slot. Times are relative to the sending of the message.
 struct QueuedRequest {
   work @0 :UInt64;
@@ -82,6 +98,7 @@
   excluded @6 :List(Text);
   # Version of the endpoints that may run the request; absent for any.
   softwareVersion @7 :Text;
+  profile @8 :WorkProfile;
 }
 
 # An item of a job that waits for a slot.
@@ -93,6 +110,7 @@
   excluded @4 :List(Text);
   # Version of the endpoints that may run the item; absent for any.
   softwareVersion @5 :Text;
+  profile @6 :WorkProfile;
 }
 
 # Work that holds a slot.
@@ -104,6 +122,7 @@
   heldForMs @4 :UInt32;
   dueInMs @5 :Int32;
   slotTimeUsedMs @6 :UInt32;
+  profile @7 :WorkProfile;
 }
 
 struct FinishedWork {
@@ -163,6 +182,13 @@
   # Time since the last known change; the maximum if none is known.
   ageMs @7 :UInt32;
   expectedWaitMs @8 :UInt32;
+  # Set for refusals only.
+  reason @9 :RefusalReason;
+}
+
+enum RefusalReason {
+  load @0;
+  quota @1;
 }
 
 struct SlotReply {
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -21,6 +21,8 @@
 CAPNP_DECLARE_SCHEMA(d064fcb13d4d7e14);
 CAPNP_DECLARE_SCHEMA(9d0b3d3267602205);
 CAPNP_DECLARE_SCHEMA(fbc9dab2957d087c);
+CAPNP_DECLARE_SCHEMA(e4d45d7734c9996f);
+CAPNP_DECLARE_SCHEMA(a450faa4285b0e36);
 CAPNP_DECLARE_SCHEMA(de3e1e40e741e0c9);
 CAPNP_DECLARE_SCHEMA(a70855ffea23f2e1);
 CAPNP_DECLARE_SCHEMA(a3ebfefe72b00ee1);
@@ -36,6 +38,12 @@
   YIELD,
 };
 CAPNP_DECLARE_ENUM(Kind, fdb0cfa10af25a60);
+CAPNP_DECLARE_SCHEMA(98cab6cee1999404);
+enum class RefusalReason_98cab6cee1999404: uint16_t {
+  LOAD,
+  QUOTA,
+};
+CAPNP_DECLARE_ENUM(RefusalReason, 98cab6cee1999404);
 CAPNP_DECLARE_SCHEMA(a9593048a30c3086);
 
 }  // namespace schemas
@@ -119,6 +127,36 @@
   };
 };
 
+struct WorkProfile {
+  WorkProfile() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e4d45d7734c9996f, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PromptPart {
+  PromptPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a450faa4285b0e36, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct QueuedRequest {
   QueuedRequest() = delete;
 
@@ -127,7 +165,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(de3e1e40e741e0c9, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(de3e1e40e741e0c9, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -142,7 +180,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a70855ffea23f2e1, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a70855ffea23f2e1, 2, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -157,7 +195,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a3ebfefe72b00ee1, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(a3ebfefe72b00ee1, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -241,6 +279,8 @@
   };
 };
 
+typedef ::capnp::schemas::RefusalReason_98cab6cee1999404 RefusalReason;
+
 struct SlotReply {
   SlotReply() = delete;
 
@@ -820,6 +860,193 @@
 };
 #endif  // !CAPNP_LITE
 
+class WorkProfile::Reader {
+public:
+  typedef WorkProfile Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::uint32_t getPromptTokens() const;
+
+  inline  ::uint32_t getMaxOutputTokens() const;
+
+  inline  ::uint32_t getOutputTokensHint() const;
+
+  inline bool hasSharedParts() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>::Reader getSharedParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkProfile::Builder {
+public:
+  typedef WorkProfile Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::uint32_t getPromptTokens();
+  inline void setPromptTokens( ::uint32_t value);
+
+  inline  ::uint32_t getMaxOutputTokens();
+  inline void setMaxOutputTokens( ::uint32_t value);
+
+  inline  ::uint32_t getOutputTokensHint();
+  inline void setOutputTokensHint( ::uint32_t value);
+
+  inline bool hasSharedParts();
+  inline  ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>::Builder getSharedParts();
+  inline void setSharedParts( ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>::Builder initSharedParts(unsigned int size);
+  inline void adoptSharedParts(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>> disownSharedParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkProfile::Pipeline {
+public:
+  typedef WorkProfile Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class PromptPart::Reader {
+public:
+  typedef PromptPart Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getKey() const;
+
+  inline  ::uint32_t getTokens() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PromptPart::Builder {
+public:
+  typedef PromptPart Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getKey();
+  inline void setKey( ::uint32_t value);
+
+  inline  ::uint32_t getTokens();
+  inline void setTokens( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PromptPart::Pipeline {
+public:
+  typedef PromptPart Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class QueuedRequest::Reader {
 public:
   typedef QueuedRequest Reads;
@@ -856,6 +1083,9 @@
   inline bool hasSoftwareVersion() const;
   inline  ::capnp::Text::Reader getSoftwareVersion() const;
 
+  inline bool hasProfile() const;
+  inline  ::Chicorydock::Schema::WorkProfile::Reader getProfile() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -921,6 +1151,13 @@
   inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
 
+  inline bool hasProfile();
+  inline  ::Chicorydock::Schema::WorkProfile::Builder getProfile();
+  inline void setProfile( ::Chicorydock::Schema::WorkProfile::Reader value);
+  inline  ::Chicorydock::Schema::WorkProfile::Builder initProfile();
+  inline void adoptProfile(::capnp::Orphan< ::Chicorydock::Schema::WorkProfile>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile> disownProfile();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -939,6 +1176,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::WorkProfile::Pipeline getProfile();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -979,6 +1217,9 @@
   inline bool hasSoftwareVersion() const;
   inline  ::capnp::Text::Reader getSoftwareVersion() const;
 
+  inline bool hasProfile() const;
+  inline  ::Chicorydock::Schema::WorkProfile::Reader getProfile() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1038,6 +1279,13 @@
   inline void adoptSoftwareVersion(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownSoftwareVersion();
 
+  inline bool hasProfile();
+  inline  ::Chicorydock::Schema::WorkProfile::Builder getProfile();
+  inline void setProfile( ::Chicorydock::Schema::WorkProfile::Reader value);
+  inline  ::Chicorydock::Schema::WorkProfile::Builder initProfile();
+  inline void adoptProfile(::capnp::Orphan< ::Chicorydock::Schema::WorkProfile>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile> disownProfile();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1056,6 +1304,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::WorkProfile::Pipeline getProfile();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1097,6 +1346,9 @@
 
   inline  ::uint32_t getSlotTimeUsedMs() const;
 
+  inline bool hasProfile() const;
+  inline  ::Chicorydock::Schema::WorkProfile::Reader getProfile() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1154,6 +1406,13 @@
   inline  ::uint32_t getSlotTimeUsedMs();
   inline void setSlotTimeUsedMs( ::uint32_t value);
 
+  inline bool hasProfile();
+  inline  ::Chicorydock::Schema::WorkProfile::Builder getProfile();
+  inline void setProfile( ::Chicorydock::Schema::WorkProfile::Reader value);
+  inline  ::Chicorydock::Schema::WorkProfile::Builder initProfile();
+  inline void adoptProfile(::capnp::Orphan< ::Chicorydock::Schema::WorkProfile>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile> disownProfile();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1172,6 +1431,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::WorkProfile::Pipeline getProfile();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1657,6 +1917,8 @@
 
   inline  ::uint32_t getExpectedWaitMs() const;
 
+  inline  ::Chicorydock::Schema::RefusalReason getReason() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1716,6 +1978,9 @@
   inline  ::uint32_t getExpectedWaitMs();
   inline void setExpectedWaitMs( ::uint32_t value);
 
+  inline  ::Chicorydock::Schema::RefusalReason getReason();
+  inline void setReason( ::Chicorydock::Schema::RefusalReason value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2484,6 +2749,144 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool WorkProfile::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkProfile::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader WorkProfile::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder WorkProfile::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void WorkProfile::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder WorkProfile::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void WorkProfile::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> WorkProfile::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t WorkProfile::Reader::getPromptTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkProfile::Builder::getPromptTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkProfile::Builder::setPromptTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WorkProfile::Reader::getMaxOutputTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkProfile::Builder::getMaxOutputTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void WorkProfile::Builder::setMaxOutputTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WorkProfile::Reader::getOutputTokensHint() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkProfile::Builder::getOutputTokensHint() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void WorkProfile::Builder::setOutputTokensHint( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkProfile::Reader::hasSharedParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkProfile::Builder::hasSharedParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>::Reader WorkProfile::Reader::getSharedParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>::Builder WorkProfile::Builder::getSharedParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void WorkProfile::Builder::setSharedParts( ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>::Builder WorkProfile::Builder::initSharedParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void WorkProfile::Builder::adoptSharedParts(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>> WorkProfile::Builder::disownSharedParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::PromptPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t PromptPart::Reader::getKey() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PromptPart::Builder::getKey() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PromptPart::Builder::setKey( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t PromptPart::Reader::getTokens() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t PromptPart::Builder::getTokens() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PromptPart::Builder::setTokens( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t QueuedRequest::Reader::getWork() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2660,6 +3063,45 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool QueuedRequest::Reader::hasProfile() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueuedRequest::Builder::hasProfile() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::WorkProfile::Reader QueuedRequest::Reader::getProfile() const {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::WorkProfile::Builder QueuedRequest::Builder::getProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chicorydock::Schema::WorkProfile::Pipeline QueuedRequest::Pipeline::getProfile() {
+  return  ::Chicorydock::Schema::WorkProfile::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void QueuedRequest::Builder::setProfile( ::Chicorydock::Schema::WorkProfile::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::WorkProfile::Builder QueuedRequest::Builder::initProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void QueuedRequest::Builder::adoptProfile(
+    ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile>&& value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile> QueuedRequest::Builder::disownProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t QueuedItem::Reader::getWork() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2808,6 +3250,45 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool QueuedItem::Reader::hasProfile() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool QueuedItem::Builder::hasProfile() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::WorkProfile::Reader QueuedItem::Reader::getProfile() const {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::WorkProfile::Builder QueuedItem::Builder::getProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chicorydock::Schema::WorkProfile::Pipeline QueuedItem::Pipeline::getProfile() {
+  return  ::Chicorydock::Schema::WorkProfile::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void QueuedItem::Builder::setProfile( ::Chicorydock::Schema::WorkProfile::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::WorkProfile::Builder QueuedItem::Builder::initProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void QueuedItem::Builder::adoptProfile(
+    ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile>&& value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile> QueuedItem::Builder::disownProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t HeldSlot::Reader::getWork() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2946,6 +3427,45 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool HeldSlot::Reader::hasProfile() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool HeldSlot::Builder::hasProfile() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::WorkProfile::Reader HeldSlot::Reader::getProfile() const {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::WorkProfile::Builder HeldSlot::Builder::getProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chicorydock::Schema::WorkProfile::Pipeline HeldSlot::Pipeline::getProfile() {
+  return  ::Chicorydock::Schema::WorkProfile::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void HeldSlot::Builder::setProfile( ::Chicorydock::Schema::WorkProfile::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::WorkProfile::Builder HeldSlot::Builder::initProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void HeldSlot::Builder::adoptProfile(
+    ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile>&& value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile> HeldSlot::Builder::disownProfile() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::WorkProfile>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t FinishedWork::Reader::getWork() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3594,6 +4114,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::Chicorydock::Schema::RefusalReason SlotDecision::Reader::getReason() const {
+  return _reader.getDataField< ::Chicorydock::Schema::RefusalReason>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::Chicorydock::Schema::RefusalReason SlotDecision::Builder::getReason() {
+  return _builder.getDataField< ::Chicorydock::Schema::RefusalReason>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setReason( ::Chicorydock::Schema::RefusalReason value) {
+  _builder.setDataField< ::Chicorydock::Schema::RefusalReason>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SlotReply::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
