LibGateway: Learn how much load each endpoint takes well

Endpoints of one service differ in speed, and some slow down long before they are full; equal slots then cost callers their time. EndpointLoadProfile learns from finished requests, by load, relative to the median of the service; slow endpoints cost more, and slots are left unused where more load makes an endpoint do less. Switched on by gateway.learn_endpoint_load.

Ruled out: ratios to the mean of the service (it moves with the overloaded endpoints), lifting a limit at once (each trial fills the endpoint).

--- a/Libraries/LibGateway/BatchReserve.cpp
+++ b/Libraries/LibGateway/BatchReserve.cpp
@@ -51,7 +51,7 @@
 
 uint32_t BatchReserve::batchCapacity(const SlotEndpoint& endpoint) const
 {
-    return isPooled(endpoint) ? endpoint.record.slotCount : batchSlots(endpoint.record.slotCount);
+    return isPooled(endpoint) ? endpoint.slotLimit : batchSlots(endpoint.slotLimit);
 }
 
 bool BatchReserve::hasSlotsAboveReserve(const std::string& service, MonotonicTime now) const
@@ -61,8 +61,8 @@
     for (const auto& [id, it] : m_endpoints) {
         if (!it.isUsable || it.record.service != service || !isInOwnDomain(it))
             continue;
-        slotCount += it.record.slotCount;
-        free += std::min(it.record.slotCount - std::min(it.record.slotCount, it.total()), it.limiter.available(now));
+        slotCount += it.slotLimit;
+        free += std::min(it.slotLimit - std::min(it.slotLimit, it.total()), it.limiter.available(now));
     }
     return static_cast<double>(free) > std::round(static_cast<double>(slotCount) * pooledReserveShare);
 }
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -65,9 +65,14 @@
 
 double EndpointChooser::slownessCost(const SlotEndpoint& endpoint, MonotonicTime now) const
 {
-    if (endpoint.workTimePercent <= 100 || now - endpoint.observedAt > workTimeLifetime)
-        return 0;
-    return (endpoint.workTimePercent / 100.0 - 1) * slownessCostFactor;
+    double slowdown = 1;
+    if (m_endpoints.isLearningLoad())
+        slowdown = endpoint.loadProfile.slowdown(
+            endpoint.total() + 1, endpoint.record.slotCount, endpoint.normalDuration, now);
+    // What the endpoint reports about this moment comes on top of what it takes in the mean.
+    if (endpoint.workTimePercent > 100 && now - endpoint.observedAt <= workTimeLifetime)
+        slowdown *= endpoint.workTimePercent / 100.0;
+    return (slowdown - 1) * slownessCostFactor;
 }
 
 SlotEndpoint* EndpointChooser::chooseForOnline(const OnlineWork& work, MonotonicTime now)
@@ -77,7 +82,7 @@
     for (auto& [id, it] : m_endpoints) {
         if (!it.isEligible(work, now))
             continue;
-        const uint32_t capacity = it.record.slotCount;
+        const uint32_t capacity = it.slotLimit;
         const uint32_t free = it.freeForOnline(now);
         if (free == 0 || !m_turns.isSpilloverAllowed(it, work, now))
             continue;
@@ -114,9 +119,8 @@
         const uint32_t free = m_reserve.freeForBatch(it, now);
         if (free == 0 || !m_turns.isBatchTurn(it, free, now))
             continue;
-        const double cost = static_cast<double>(it.total()) / it.record.slotCount + distanceCost(it)
-            + slownessCost(it, now) + m_random.unit() * randomSlots / it.record.slotCount
-            - (it.limiter.isLimited() ? limitedRateCost : 0);
+        const double cost = static_cast<double>(it.total()) / it.slotLimit + distanceCost(it) + slownessCost(it, now)
+            + m_random.unit() * randomSlots / it.slotLimit - (it.limiter.isLimited() ? limitedRateCost : 0);
         if (cost < bestCost) {
             bestCost = cost;
             best = &it;
--- a/Libraries/LibGateway/ServiceCapacity.h
+++ b/Libraries/LibGateway/ServiceCapacity.h
@@ -26,6 +26,12 @@
     void addLimit(const std::string& service, uint32_t slotCount, const RateLimiter&, Milliseconds requestTime,
         MonotonicTime now);
 
+    /// Takes slots into account that should stay unused.
+    void addUnusedSlots(const std::string& service, uint32_t slotCount)
+    {
+        m_services[service].unusableSlots += slotCount;
+    }
+
     /// Returns the slots of the service in this node's failure domain.
     uint64_t domainSlots(const std::string& service) const { return find(service).domainSlotCount; }
 
--- a/Libraries/LibGateway/SlotEndpoint.cpp
+++ b/Libraries/LibGateway/SlotEndpoint.cpp
@@ -10,6 +10,10 @@
     constexpr Milliseconds firstAvoidance { 250 };
     constexpr uint32_t maxAvoidanceDoublings = 4;
 
+    /// Time after which a limit grows by a slot. Work at the new load has ended by then and shows whether the endpoint
+    /// takes it well.
+    constexpr Milliseconds slotLimitGrowthInterval { 2'000 };
+
 }
 
 SlotView SlotEndpoint::view(MonotonicTime now) const
@@ -22,10 +26,26 @@
 
 uint32_t SlotEndpoint::freeForOnline(MonotonicTime now) const
 {
-    const uint32_t capacity = record.slotCount;
+    const uint32_t capacity = slotLimit;
     return std::min(capacity - std::min(capacity, online()), limiter.available(now));
 }
 
+void SlotEndpoint::updateSlotLimit(MonotonicTime now)
+{
+    const uint32_t learned = loadProfile.limit(record.slotCount, normalDuration, now);
+    const bool mayGrow = now - slotLimitChangedAt >= slotLimitGrowthInterval;
+    if (learned == slotLimit || (learned > slotLimit && !mayGrow))
+        return;
+    slotLimit = std::min(learned, slotLimit + 1);
+    slotLimitChangedAt = now;
+}
+
+void SlotEndpoint::recordDuration(const RunningWork& work, double relativeSize, MonotonicTime now)
+{
+    if (relativeSize > 0)
+        loadProfile.record((now - work.startedAt) / relativeSize, work.startLoad, total() + 1, record.slotCount, now);
+}
+
 void SlotEndpoint::recordFailure(MonotonicTime now)
 {
     const uint32_t doublings = std::min(failures++, maxAvoidanceDoublings);
--- a/Libraries/LibGateway/SlotEndpoint.h
+++ b/Libraries/LibGateway/SlotEndpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/EndpointLoadProfile.h>
 #include <LibGateway/EndpointRecord.h>
 #include <LibGateway/RateLimiter.h>
 #include <LibGateway/SlotPeers.h>
@@ -53,6 +54,12 @@
     uint32_t unattributed { 0 };
 
     RateLimiter limiter;
+    EndpointLoadProfile loadProfile;
+    /// Number of slots that work of all nodes should use at most, from the load profile.
+    uint32_t slotLimit { 0 };
+    MonotonicTime slotLimitChangedAt;
+    /// Time that work takes at most endpoints of the service, 0 if unknown.
+    std::chrono::duration<double> normalDuration { 0 };
     /// Work that this scheduler has started here.
     uint32_t starts { 0 };
 
@@ -61,6 +68,12 @@
     /// Returns all slots in use, as far as known. More than there are if nodes claimed the same slot.
     uint32_t total() const { return online() + own.batch + peers.batch; }
 
+    /// Adapts the limit on the slots in use to what has been learned. Must be called several times a second.
+    void updateSlotLimit(MonotonicTime now);
+
+    /// Records work that has ended here. `relativeSize` is its size relative to other work of the service.
+    void recordDuration(const RunningWork&, double relativeSize, MonotonicTime now);
+
     /// Returns the state of the slots that is recorded with a decision.
     SlotView view(MonotonicTime now) const;
 
--- a/Libraries/LibGateway/SlotEndpoints.cpp
+++ b/Libraries/LibGateway/SlotEndpoints.cpp
@@ -9,6 +9,9 @@
     /// Time for which the end of a limit is reported. Other nodes know of it by then.
     constexpr std::chrono::seconds rateNewsAge { 10 };
 
+    /// Interval between two updates of the limits that follow from what was learned.
+    constexpr Milliseconds slotLimitInterval { 100 };
+
     /// Time within which work that only its endpoint has reported is also reported by the node that started it.
     constexpr Milliseconds unattributedLifetime { 150 };
     /// Limit on that work; an endpoint with more is full in any case.
@@ -31,7 +34,10 @@
         if (!isNew && endpoint.record.startedAt != record.startedAt) {
             endpoint.failures = 0;
             endpoint.limiter.reset();
+            endpoint.loadProfile.reset();
         }
+        if (isNew || endpoint.record.slotCount != record.slotCount)
+            endpoint.slotLimit = record.slotCount;
         endpoint.record = record;
         endpoint.isUsable = true;
         if (!isNew)
@@ -112,12 +118,44 @@
 
 void SlotEndpoints::updateLimits(const HoldTimeEstimator& holdTimes, MonotonicTime now)
 {
+    updateSlotLimits(now);
     m_capacity.clearLimits();
     for (const auto& [id, it] : m_endpoints) {
         const std::string& service = it.record.service;
         if (it.isUsable && it.limiter.isLimited())
-            m_capacity.addLimit(service, it.record.slotCount, it.limiter, holdTimes.requestTime(service), now);
+            m_capacity.addLimit(service, it.slotLimit, it.limiter, holdTimes.requestTime(service), now);
+        if (it.isUsable && it.slotLimit < it.record.slotCount)
+            m_capacity.addUnusedSlots(service, it.record.slotCount - it.slotLimit);
+    }
+}
+
+void SlotEndpoints::updateSlotLimits(MonotonicTime now)
+{
+    if (!m_isLearningLoad || now - m_slotLimitsUpdatedAt < slotLimitInterval)
+        return;
+    m_slotLimitsUpdatedAt = now;
+    std::map<std::string, std::chrono::duration<double>> normal = normalDurations(now);
+    for (auto& [id, it] : m_endpoints) {
+        it.normalDuration = normal[it.record.service];
+        it.updateSlotLimit(now);
+    }
+}
+
+std::map<std::string, std::chrono::duration<double>> SlotEndpoints::normalDurations(MonotonicTime now) const
+{
+    std::map<std::string, std::vector<std::chrono::duration<double>>> durations;
+    for (const auto& [id, it] : m_endpoints) {
+        const auto mean = it.loadProfile.meanDuration(now);
+        if (mean.count() > 0)
+            durations[it.record.service].push_back(mean);
     }
+    std::map<std::string, std::chrono::duration<double>> medians;
+    for (auto& [service, list] : durations) {
+        const auto middle = list.begin() + static_cast<ptrdiff_t>(list.size() / 2);
+        std::ranges::nth_element(list, middle);
+        medians[service] = *middle;
+    }
+    return medians;
 }
 
 MonotonicTime SlotEndpoints::lastResponse(const std::string& id) const
@@ -150,4 +188,12 @@
         m_endpoints, [](const auto& it) { return it.second.isUsable && it.second.limiter.isLimited(); }));
 }
 
+size_t SlotEndpoints::unusedSlots() const
+{
+    size_t slots = 0;
+    for (const auto& [id, it] : m_endpoints)
+        slots += it.isUsable ? it.record.slotCount - it.slotLimit : 0;
+    return slots;
+}
+
 }
--- a/Libraries/LibGateway/SlotEndpoints.h
+++ b/Libraries/LibGateway/SlotEndpoints.h
@@ -36,6 +36,10 @@
     auto begin() const { return m_endpoints.begin(); }
     auto end() const { return m_endpoints.end(); }
 
+    /// Sets whether the use of each endpoint is limited to what it takes well, see `EndpointLoadProfile`.
+    void setLearningLoad(bool isLearning) { m_isLearningLoad = isLearning; }
+    bool isLearningLoad() const { return m_isLearningLoad; }
+
     /// Work at the endpoint that no node has reported yet counts as online work for a short time.
     void observe(const std::string& id, const ObservedLoad&, MonotonicTime now);
     /// Forgets such work in load reports that are too old.
@@ -43,7 +47,7 @@
 
     /// Applies the rate limit that the endpoint stated. Returns whether its rate has changed.
     bool observeRate(const std::string& id, const RateStatement&, MonotonicTime now);
-    /// Updates what the rate limits leave of the capacity.
+    /// Updates what the rate limits and the load profiles leave of the capacity.
     void updateLimits(const HoldTimeEstimator&, MonotonicTime now);
 
     /// Returns the slots of the usable endpoints, within their rate limits as of the last call of `updateLimits()`.
@@ -57,6 +61,8 @@
     bool isRateLimited(const std::string& id) const;
     /// Returns the number of usable endpoints with a rate limit.
     size_t limitedEndpoints() const;
+    /// Returns the number of slots that stay unused because their endpoints do not take more load well.
+    size_t unusedSlots() const;
 
     /// Returns whether the request or item must wait for a software version that no endpoint has any more.
     template <typename Work> bool isVersionGone(const Work& work) const
@@ -79,7 +85,14 @@
     void removeUnused();
     void countSlots();
 
+    void updateSlotLimits(MonotonicTime now);
+    /// Returns the median over the endpoints of each service of the time that work takes there. Endpoints that are far
+    /// slower than most do not change it.
+    std::map<std::string, std::chrono::duration<double>> normalDurations(MonotonicTime now) const;
+
     const SlotPeers& m_peers;
+    bool m_isLearningLoad { false };
+    MonotonicTime m_slotLimitsUpdatedAt;
     std::map<std::string, SlotEndpoint> m_endpoints;
     /// Pointers into `m_endpoints`.
     std::unordered_map<uint32_t, SlotEndpoint*> m_endpointsByKey;
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -48,6 +48,8 @@
     if (endpoint)
         endpoint->recordResponse(now);
     const auto held = std::chrono::duration_cast<Milliseconds>(now - finished->startedAt);
+    if (endpoint && !finished->isBatch)
+        endpoint->recordDuration(*finished, 1, now);
     if (finished->isBatch)
         m_holdTimes.addItem(finished->service, held + finished->slotTimeUsed);
     else
@@ -96,7 +98,7 @@
             earliestWaiting.insert_or_assign(work.service,
                 found == earliestWaiting.end() ? work.submittedAt : std::min(found->second, work.submittedAt));
         if (endpoint) {
-            if (endpoint->total() >= endpoint->record.slotCount && endpoint->own.batch > 0)
+            if (endpoint->total() >= endpoint->slotLimit && endpoint->own.batch > 0)
                 yieldOne(decisions, *endpoint, now);
             startWork(decisions, { .id = work.id, .profile = std::move(work.profile) }, *endpoint, now);
             continue;
@@ -122,6 +124,7 @@
     work.service = endpoint.record.service;
     work.endpoint = endpoint.record.id;
     work.startedAt = now;
+    work.startLoad = endpoint.total() + 1;
     m_usage.add(work, endpoint, now);
     ++endpoint.starts;
     endpoint.limiter.recordStarts(1, now);
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -37,6 +37,8 @@
 
     void setEndpoints(const std::vector<EndpointRecord>& records) override { m_endpoints.replace(records); }
     void setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) override { m_workspaces = workspaces; }
+    /// Sets whether the use of each endpoint is limited to what it takes well, see `EndpointLoadProfile`.
+    void setLearningLoad(bool isLearning) { m_endpoints.setLearningLoad(isLearning); }
     void submit(const OnlineWork& work, MonotonicTime now) override { m_queue.add(work, now); }
     void submit(const BatchWork& work) override { m_queue.add(work); }
     void withdraw(uint64_t work) override { m_queue.remove(work); }
@@ -75,8 +77,12 @@
     std::unordered_map<uint32_t, ReportedRate> ownRates(MonotonicTime now) const { return m_endpoints.rates(now); }
     /// Returns whether the endpoint is known and has a rate limit.
     bool isRateLimited(const std::string& endpoint) const { return m_endpoints.isRateLimited(endpoint); }
+    /// Returns what is known of the endpoint, or null. Valid until the next call of another method.
+    const SlotEndpoint* findEndpoint(const std::string& id) { return m_endpoints.find(id); }
     /// Returns the number of usable endpoints with a rate limit.
     size_t limitedEndpoints() const { return m_endpoints.limitedEndpoints(); }
+    /// Returns the number of slots that stay unused because their endpoints do not take more load well.
+    size_t unusedSlots() const { return m_endpoints.unusedSlots(); }
     /// Returns a number that changes whenever this node has something new to report to its peers: the slots that it
     /// uses or the rate limit of an endpoint.
     uint64_t useVersion() const { return m_usage.version(); }
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -66,6 +66,8 @@
     MonotonicTime dueAt;
     Milliseconds slotTimeUsed { 0 };
     WorkProfile profile {};
+    /// Slots of the endpoint in use when the work started, itself included; 0 if another scheduler started it.
+    uint32_t startLoad { 0 };
 
     bool operator==(const RunningWork&) const = default;
 };
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -121,6 +121,9 @@
         /// Memory of the VM in megabytes. A part of it is for the requests in progress.
         uint64_t memoryMb { 256 };
 
+        /// Whether the node learns how much load each endpoint takes well, and limits its use to that.
+        bool learnEndpointLoad { false };
+
         auto operator<=>(const Gateway&) const = default;
     };
 
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -98,6 +98,7 @@
         table.textMap("regions", gateway.regions, TextRule::identifier());
         table.number("cpu_share", gateway.cpuShare, minCpuShare, maxCpuShare);
         table.number("memory_mb", gateway.memoryMb, minMemoryMb, maxMemoryMb);
+        table.boolean("learn_endpoint_load", gateway.learnEndpointLoad);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -24,6 +24,9 @@
     constexpr Milliseconds drainDelay { 2'300 };
     constexpr Milliseconds stopCheckInterval { 50 };
 
+    /// Shortest time between two log lines about the slots that stay unused. Limits change with what is learned.
+    constexpr Milliseconds slotLimitLogInterval { 2'000 };
+
     /// Bound of the number after which a process begins to number its work; small numbers make short messages.
     constexpr uint64_t firstWorkBound = uint64_t { 1 } << 32U;
 
@@ -165,6 +168,7 @@
     , m_statusServer(*m_statusHandler)
     , m_peerServer(*m_peerHandler, serverLimits(settings))
 {
+    m_scheduler.setLearningLoad(settings.gateway->learnEndpointLoad);
     m_links.setChangedHandler([this] {
         // A request has just failed and is on the stack.
         QMetaObject::invokeMethod(this, &Gateway::handleLinksChanged, Qt::QueuedConnection);
@@ -233,6 +237,7 @@
     updateLinks();
     updateStreamOrigins();
     recordMemory();
+    recordSlotLimits();
     m_jobs.tick();
 }
 
@@ -390,6 +395,18 @@
             { "limit_bytes", static_cast<qint64>(m_responseMemory.limit()) } });
 }
 
+void Gateway::recordSlotLimits()
+{
+    const MonotonicTime now = m_clock.now();
+    const size_t unused = m_scheduler.unusedSlots();
+    if (unused == m_loggedUnusedSlots || now - m_slotLimitsLoggedAt < slotLimitLogInterval)
+        return;
+    m_slotLimitsLoggedAt = now;
+    m_log.record("slots", "limited", m_node, {},
+        { { "unused", static_cast<qint64>(unused) },
+            { "previous", static_cast<qint64>(std::exchange(m_loggedUnusedSlots, unused)) } });
+}
+
 void Gateway::recordReload() { m_log.record("node", "reloaded", m_node); }
 
 void Gateway::beginStop(MonotonicTime signalledAt, std::function<void()> onStopped)
@@ -485,6 +502,8 @@
         m_links.areLost());
     set("chicorydock_endpoints_rate_limited", "Endpoints that limit their rate, as far as this node knows.",
         static_cast<double>(m_scheduler.limitedEndpoints()));
+    set("chicorydock_slots_unused", "Slots that stay unused because their endpoints do not take more load well.",
+        static_cast<double>(m_scheduler.unusedSlots()));
     set("chicorydock_prompt_parts_quarantined", "Parts of prompts on which endpoints crash.",
         static_cast<double>(m_quarantine.quarantinedParts(m_clock.now())));
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -77,6 +77,8 @@
     void processPeerReport(const PeerReport&, Milliseconds lifetime);
     /// Records that requests ended because their bytes did not fit in the memory for them.
     void recordMemory();
+    /// Logs how many slots stay unused because of what was learned about the endpoints.
+    void recordSlotLimits();
     void checkStopped();
     OpenWork openWork() const;
     void recordStage(StopProgress::Stage, const OpenWork&);
@@ -129,6 +131,8 @@
     uint64_t m_reportedUse { 0 };
     /// Holders of memory that had given way or were refused when the latest log line was written.
     uint64_t m_loggedMemoryRefusals { 0 };
+    size_t m_loggedUnusedSlots { 0 };
+    MonotonicTime m_slotLimitsLoggedAt;
     /// Whether the feeds of jobs and of endpoints reached the store in the latest announcement.
     std::pair<bool, bool> m_reportedReachable { false, false };
     /// Set once the node stops.
