LibGateway: Prefer endpoints that keep parts of the prompt

PromptPlacement records where work with which parts starts, in the PrefixAffinity that the earlier scheduler uses; EndpointChooser subtracts up to nine tenths of an endpoint's load. Switched on by gateway.place_by_prompt.

Ruled out: cache events of the endpoints (late, with gaps, a connection each), hashing with bounded load (one place for a part).

--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -26,6 +26,10 @@
     /// several seconds of work, so it loses least by the limit.
     constexpr double limitedRateCost = 1;
 
+    /// Advantage of an endpoint that keeps the whole prompt. A full endpoint costs 1 more than an idle one, so a part
+    /// that many requests share is spread over several endpoints.
+    constexpr double promptAdvantage = 0.9;
+
     /// Time for which the reported work time of an endpoint is used. Phases of slow work last about this long.
     constexpr Milliseconds workTimeLifetime { 600 };
     /// Cost of an endpoint where work takes twice the normal time.
@@ -75,10 +79,25 @@
     return (slowdown - 1) * slownessCostFactor;
 }
 
+double EndpointChooser::promptGain(const PromptPlacement::Matches& prompt, const SlotEndpoint& endpoint) const
+{
+    // Reading a prompt again costs less than sending the response through another failure domain.
+    if (m_peers.distanceTo(endpoint.record.failureDomain) != PeerDistance::FailureDomain)
+        return 0;
+    return promptAdvantage * prompt.keptShare(endpoint.key);
+}
+
+void EndpointChooser::recordStart(const WorkProfile& profile, const SlotEndpoint& endpoint, MonotonicTime now)
+{
+    if (m_isPlacingByPrompt)
+        m_prompts.record(profile, endpoint.key, now);
+}
+
 SlotEndpoint* EndpointChooser::chooseForOnline(const OnlineWork& work, MonotonicTime now)
 {
     SlotEndpoint* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
+    const PromptPlacement::Matches prompt = m_prompts.find(work.profile, now);
     for (auto& [id, it] : m_endpoints) {
         if (!it.isEligible(work, now))
             continue;
@@ -97,6 +116,7 @@
             cost += it.own.batch > 0 ? ownYieldCost : peerYieldCost;
         if (it.limiter.isLimited())
             cost += limitedRateCost * (1 + it.preference);
+        cost -= promptGain(prompt, it);
         if (cost < bestCost) {
             bestCost = cost;
             best = &it;
@@ -109,6 +129,7 @@
 {
     SlotEndpoint* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
+    const PromptPlacement::Matches prompt = m_prompts.find(work.profile, now);
     const bool isPoolExhausted = m_reserve.isPoolExhausted(work.service, now);
     for (auto& [id, it] : m_endpoints) {
         if (!it.isEligible(work, now))
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -125,6 +125,7 @@
     work.endpoint = endpoint.record.id;
     work.startedAt = now;
     work.startLoad = endpoint.total() + 1;
+    m_chooser.recordStart(work.profile, endpoint, now);
     m_usage.add(work, endpoint, now);
     ++endpoint.starts;
     endpoint.limiter.recordStarts(1, now);
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -39,6 +39,8 @@
     void setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) override { m_workspaces = workspaces; }
     /// Sets whether the use of each endpoint is limited to what it takes well, see `EndpointLoadProfile`.
     void setLearningLoad(bool isLearning) { m_endpoints.setLearningLoad(isLearning); }
+    /// Sets whether work prefers endpoints that keep parts of its prompt, see `PromptPlacement`.
+    void setPlacingByPrompt(bool isPlacing) { m_chooser.setPlacingByPrompt(isPlacing); }
     void submit(const OnlineWork& work, MonotonicTime now) override { m_queue.add(work, now); }
     void submit(const BatchWork& work) override { m_queue.add(work); }
     void withdraw(uint64_t work) override { m_queue.remove(work); }
--- a/Libraries/LibRouting/PrefixAffinity.cpp
+++ b/Libraries/LibRouting/PrefixAffinity.cpp
@@ -97,7 +97,7 @@
         for (size_t i = 0; i < it->second.count; ++i) {
             const Holder& holder = it->second.list[i];
             if (isTrusted(holder, now))
-                matches.push_back({ holder.endpoint, share });
+                matches.push_back({ holder.endpoint, share, n });
         }
     }
     return matches;
--- a/Libraries/LibRouting/PrefixAffinity.h
+++ b/Libraries/LibRouting/PrefixAffinity.h
@@ -22,6 +22,8 @@
         uint32_t endpoint { 0 };
         /// Share of the prompt that the longest prefix on the endpoint covers, in (0, 1].
         double share { 0 };
+        /// Number of prefixes of the work up to and including that one.
+        size_t prefixes { 0 };
     };
 
     /// Records that work with these prefixes was sent to the endpoint.
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -124,6 +124,9 @@
         /// Whether the node learns how much load each endpoint takes well, and limits its use to that.
         bool learnEndpointLoad { false };
 
+        /// Whether requests and items prefer endpoints that keep parts of their prompt.
+        bool placeByPrompt { false };
+
         auto operator<=>(const Gateway&) const = default;
     };
 
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -99,6 +99,7 @@
         table.number("cpu_share", gateway.cpuShare, minCpuShare, maxCpuShare);
         table.number("memory_mb", gateway.memoryMb, minMemoryMb, maxMemoryMb);
         table.boolean("learn_endpoint_load", gateway.learnEndpointLoad);
+        table.boolean("place_by_prompt", gateway.placeByPrompt);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -169,6 +169,7 @@
     , m_peerServer(*m_peerHandler, serverLimits(settings))
 {
     m_scheduler.setLearningLoad(settings.gateway->learnEndpointLoad);
+    m_scheduler.setPlacingByPrompt(settings.gateway->placeByPrompt);
     m_links.setChangedHandler([this] {
         // A request has just failed and is on the stack.
         QMetaObject::invokeMethod(this, &Gateway::handleLinksChanged, Qt::QueuedConnection);
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -69,6 +69,7 @@
 cpu_share = 2
 memory_mb = 512
 learn_endpoint_load = true
+place_by_prompt = true
 )",
         "s.toml");
     CHECK(settings.rpc == Settings::Rpc { "[::1]:8081", { "127.0.0.1:1" } });
@@ -77,7 +78,7 @@
     CHECK(settings.scheduler == Settings::Scheduling { "naive", 0, 0.5 });
     CHECK(settings.gateway
         == Settings::Gateway {
-            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512, true });
+            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512, true, true });
     CHECK(settings.http.defaultDeadlineMs == Milliseconds { 60'000 });
 }
 
