--- a/Tests/Soak/SoakNode.h
+++ b/Tests/Soak/SoakNode.h
@@ -40,6 +40,10 @@
 
     const std::string& name() const { return m_name; }
     std::string front() const { return address(0); }
+    std::string status() const { return address(1); }
+    std::string peer() const { return address(3); }
+    /// Process id, 0 if the process does not run.
+    pid_t pid() const { return m_pid; }
     const std::vector<Life>& lives() const { return m_lives; }
     bool isRunning() const { return m_pid > 0; }
     bool isReady() const;
