LibHTTP: Bound what callers outside of the limits make a node hold

Cause, named by a build that printed all buffer sizes: each request that was handled read another 64 KB from the socket into HttpConnection::m_input, which no account counted, and requests were begun however much of the responses before was unsent (1.2 GB on the status port, which had no limit). The numbers of connections, and of idle ones to endpoints, had no limit.

Ruled out: log lines, unsent responses to callers and memory that the allocator kept, each below 8 MB in these runs; objects of closed connections, until connections were limited: the loop that accepts connections then went on without a turn for the event loop that destroys them (24,000 of them, 110 MB).

Change: bytes stay in the kernel until those before them have been handled, no request is begun while two responses wait for the caller, and all input is on the account of the connection. Lines about refusals are sampled.

--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -146,15 +146,24 @@
 void GatewayHandler::answerError(
     const std::shared_ptr<HttpExchange>& exchange, const Error& error, const std::string& id)
 {
-    const std::string_view name = errorRow(error.kind()).name;
-    m_environment.log.record("request", "refused", id, {},
-        { { "outcome", QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size())) },
-            { "reason", QString::fromStdString(error.message()) },
-            { "path", QString::fromUtf8(exchange->request().path) },
-            { "configuration", static_cast<qint64>(m_environment.configuration->version) } });
+    recordRefusal(*exchange, error, id);
     exchange->answer(m_environment.wire.errorAnswer(error, id));
 }
 
+void GatewayHandler::recordRefusal(const HttpExchange& exchange, const Error& error, const std::string& id)
+{
+    const auto omitted = m_refusalLines.admit(m_environment.clock.now());
+    if (!omitted)
+        return;
+    const std::string_view name = errorRow(error.kind()).name;
+    QJsonObject details { { "outcome", QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size())) },
+        { "reason", QString::fromStdString(error.message()) }, { "path", QString::fromUtf8(exchange.request().path) },
+        { "configuration", static_cast<qint64>(m_environment.configuration->version) } };
+    if (*omitted > 0)
+        details["omitted_lines"] = static_cast<qint64>(*omitted);
+    m_environment.log.record("request", "refused", id, {}, details);
+}
+
 void GatewayHandler::forward(
     const std::shared_ptr<HttpExchange>& exchange, const ForwardRequest& request, const GatewayRoute& route)
 {
--- a/Libraries/LibGateway/GatewayHandler.h
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -5,6 +5,7 @@
 #include <LibGateway/JobController.h>
 #include <LibGateway/StopSchedule.h>
 #include <LibHTTP/HttpExchange.h>
+#include <LibLog/LineLimiter.h>
 
 #include <QObject>
 #include <QTimer>
@@ -97,18 +98,23 @@
     void checkLongPolls();
     void handleResultsCommitted(const std::string& jobId);
     void answerError(const std::shared_ptr<HttpExchange>&, const Error&, const std::string& id);
+    void recordRefusal(const HttpExchange&, const Error&, const std::string& id);
     /// Refuses a request that may take that long if the process stops before. Returns whether it did.
     bool refuseIfStopping(const std::shared_ptr<HttpExchange>&, const std::string& id, Milliseconds timeLimit);
     /// Refuses a request whose route names no service.
     void refuseUnservable(const std::shared_ptr<HttpExchange>&, const std::string& id);
     std::string requestId(const HttpExchange&) const;
 
+    /// A fifth of the lines that are written in a second, so that the lines of requests that are served remain.
+    static constexpr uint32_t refusalLinesPerSecond = 40;
+
     GatewayEnvironment& m_environment;
     JobController& m_jobs;
     std::map<uint64_t, std::unique_ptr<ForwardedCall>> m_calls;
     std::map<uint64_t, LongPoll> m_longPolls;
     std::map<uint64_t, OpenJobCall> m_jobCalls;
     uint64_t m_lastNumber { 0 };
+    LineLimiter m_refusalLines { refusalLinesPerSecond };
     std::optional<StopSchedule> m_stop;
     QTimer m_longPollTimer;
     QTimer m_stopTimer;
--- a/Libraries/LibHTTP/ConnectionAcceptor.cpp
+++ b/Libraries/LibHTTP/ConnectionAcceptor.cpp
@@ -1,25 +1,62 @@
 #include <LibHTTP/ConnectionAcceptor.h>
 
+#include <QTimer>
+
+#include <chrono>
 #include <sys/socket.h>
 
 namespace Chicorydock {
 
+namespace {
+
+    /// Connections that are accepted before other events have their turn. Connections that are closed meanwhile are
+    /// destroyed only then, and open ones wait, so callers that connect without end must not delay it.
+    constexpr int maxAcceptedAtOnce = 64;
+
+    /// Upper limit of the connections that wait in the backlog of the kernel.
+    constexpr int maxPending = 1024;
+
+    /// Time until a connection is accepted again after that failed, because no descriptor was free.
+    constexpr std::chrono::milliseconds retryTime { 100 };
+
+}
+
 ConnectionAcceptor::ConnectionAcceptor(AddConnection addConnection)
     : m_addConnection(std::move(addConnection))
 {
-    // QAbstractHttpServer removes pending connections at once, so this only limits how many are accepted in one
-    // iteration of the event loop.
-    setMaxPendingConnections(1024);
+    // QTcpServer stops accepting when that fails.
+    connect(this, &QTcpServer::acceptError, this,
+        [this] { QTimer::singleShot(retryTime, this, &ConnectionAcceptor::acceptFurther); });
 }
 
 void ConnectionAcceptor::acceptPending()
 {
     const auto listener = static_cast<int>(socketDescriptor());
-    int descriptor = 0;
-    while ((descriptor = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+    for (int n = 0; n < maxPending; ++n) {
+        const int descriptor = ::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0)
+            return;
         incomingConnection(descriptor);
+    }
+}
+
+void ConnectionAcceptor::incomingConnection(qintptr descriptor)
+{
+    if (QTcpSocket* socket = m_addConnection(descriptor))
+        addPendingConnection(socket);
+    if (++m_acceptedAtOnce < maxAcceptedAtOnce)
+        return;
+    // QAbstractHttpServer removes pending connections at once, so only a limit of none ends the loop of QTcpServer.
+    setMaxPendingConnections(0);
+    QMetaObject::invokeMethod(this, &ConnectionAcceptor::acceptFurther, Qt::QueuedConnection);
 }
 
-void ConnectionAcceptor::incomingConnection(qintptr descriptor) { addPendingConnection(m_addConnection(descriptor)); }
+void ConnectionAcceptor::acceptFurther()
+{
+    m_acceptedAtOnce = 0;
+    setMaxPendingConnections(maxAcceptedAtOnce);
+    if (isListening())
+        resumeAccepting();
+}
 
 }
--- a/Libraries/LibHTTP/ConnectionAcceptor.h
+++ b/Libraries/LibHTTP/ConnectionAcceptor.h
@@ -12,6 +12,7 @@
 /// Thread safety: used on the thread that created it.
 class ConnectionAcceptor final : public QTcpServer {
 public:
+    /// Takes ownership of the descriptor. Returns nothing if it has closed the connection.
     using AddConnection = std::function<QTcpSocket*(qintptr descriptor)>;
 
     explicit ConnectionAcceptor(AddConnection);
@@ -24,7 +25,10 @@
     void incomingConnection(qintptr descriptor) override;
 
 private:
+    void acceptFurther();
+
     AddConnection m_addConnection;
+    int m_acceptedAtOnce { 0 };
 };
 
 }
--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -8,13 +8,24 @@
 
 #include <algorithm>
 #include <sys/socket.h>
+#include <utility>
 
 namespace Chicorydock {
 
 namespace {
 
-    /// Bytes of further requests that are buffered while one is being handled.
-    constexpr qint64 readBufferBytes = 64 * 1024;
+    /// Bytes that the socket buffers between requests and while one is being handled, enough for a usual header.
+    constexpr qint64 readBufferBytes = 16 * 1024;
+
+    /// The same while a body arrives, which takes fewer wake-ups.
+    constexpr qint64 bodyReadBufferBytes = 64 * 1024;
+
+    /// Number of responses that may wait for the caller before no further request is begun. A caller that sends its
+    /// next request while it takes a large response is not delayed.
+    constexpr int maxUnsentResponses = 1;
+
+    /// Time without progress after which a response counts as not taken, if connections have to give way.
+    constexpr Milliseconds stallTime { 1000 };
 
     /// Longest time to discard input after the last response. Closing earlier would send a reset, which can destroy a
     /// response that the caller has not read yet.
@@ -65,8 +76,8 @@
     , m_number(++context.acceptedConnections)
     , m_socket(new QTcpSocket(this))
     , m_reader(context.limits)
-    , m_received(context.requestMemory, [this] { refuseForMemory(); })
-    , m_unsent(context.responseMemory, [this] { reset(); })
+    , m_received(context.requestMemory, [this] { releaseInput(); })
+    , m_unsent(context.responseMemory, [this] { handleUnsentRevoked(); })
 {
     m_socket->setReadBufferSize(readBufferBytes);
     m_socket->setSocketDescriptor(descriptor);
@@ -93,22 +104,45 @@
 
 void HttpConnection::readInput()
 {
-    if (m_stage == Stage::Lingering) {
+    if (m_stage == Stage::Lingering || m_dropsInput) {
         discardInput();
         return;
     }
-    if (m_stage != Stage::Reading)
+    if (m_stage != Stage::Reading || m_unsentResponses > maxUnsentResponses) {
+        countInput();
+        return;
+    }
+    // Bytes stay in the socket, whose buffer is bounded, until those that were read before have been handled.
+    if (m_input.isEmpty())
+        m_input = m_socket->readAll();
+    if (m_input.isEmpty())
         return;
     if (!m_reader.isStarted())
         m_requestStart = now();
-    m_input += m_socket->readAll();
     processInput();
+    countInput();
+}
+
+void HttpConnection::readMoreLater()
+{
+    if (!m_input.isEmpty() || m_socket->bytesAvailable() > 0)
+        QMetaObject::invokeMethod(this, &HttpConnection::readInput, Qt::QueuedConnection);
 }
 
 void HttpConnection::discardInput()
 {
     m_input.clear();
     m_socket->readAll();
+    m_received.clear();
+}
+
+void HttpConnection::countInput()
+{
+    if (m_stage == Stage::Closed || m_stage == Stage::Lingering || !isOpen())
+        return;
+    const qint64 arriving = m_stage == Stage::Reading ? m_reader.heldBytes() : 0;
+    if (!m_received.resize(static_cast<size_t>(arriving + m_input.size() + m_socket->bytesAvailable())))
+        releaseInput();
 }
 
 void HttpConnection::processInput()
@@ -117,8 +151,11 @@
         QByteArrayView input(m_input);
         const bool isComplete = m_reader.consume(input);
         m_input.remove(0, m_input.size() - input.size());
+        // Frees the memory, which removing the bytes does not.
+        if (m_input.isEmpty())
+            m_input.clear();
         if (!m_received.resize(static_cast<size_t>(m_reader.heldBytes()))) {
-            refuseForMemory();
+            releaseInput();
             return;
         }
         if (isComplete) {
@@ -127,7 +164,10 @@
         }
         if (m_reader.shouldSendContinue())
             send("HTTP/1.1 100 Continue\r\n\r\n");
+        if (m_reader.bodyBytes() > 0)
+            m_socket->setReadBufferSize(bodyReadBufferBytes);
         updateDeadline();
+        readMoreLater();
     } catch (const Error& error) {
         refuse(error);
     }
@@ -139,6 +179,7 @@
     m_hasServed = true;
     updateActivity();
     m_request = std::move(request);
+    m_socket->setReadBufferSize(readBufferBytes);
     m_isParsed = false;
     m_feed->push(std::move(m_request.head));
     if (!m_isParsed)
@@ -176,9 +217,29 @@
     endResponse(true);
 }
 
-void HttpConnection::refuseForMemory()
+void HttpConnection::releaseInput()
+{
+    recordLimited(CallerLimit::RequestMemory);
+    if (m_stage == Stage::Reading) {
+        refuse(Error(ErrorKind::MemoryExhausted, "the node has no memory for the request", memoryRetryAfter));
+        return;
+    }
+    // The request in progress goes on. Those that follow it were not run and get no response.
+    m_dropsInput = true;
+    discardInput();
+}
+
+void HttpConnection::handleUnsentRevoked()
+{
+    recordLimited(CallerLimit::ResponseMemory);
+    reset();
+}
+
+void HttpConnection::recordLimited(CallerLimit limit) const
 {
-    refuse(Error(ErrorKind::MemoryExhausted, "the node has no memory for the request", memoryRetryAfter));
+    LimitedCallers& limited = m_context.limited[static_cast<size_t>(limit)];
+    ++limited.count;
+    limited.lastAddress = m_socket->peerAddress().toString().toStdString();
 }
 
 void HttpConnection::updateDeadline()
@@ -196,7 +257,8 @@
 {
     if (!isOpen())
         return;
-    if (m_stage == Stage::Reading && time >= m_deadline) {
+    const bool isWaitingForCaller = !m_reader.isStarted() && m_socket->bytesToWrite() > 0;
+    if (m_stage == Stage::Reading && time >= m_deadline && !isWaitingForCaller) {
         if (m_reader.isStarted())
             refuse(Error(ErrorKind::RequestTimeout, "the request did not arrive in time"));
         else
@@ -220,6 +282,32 @@
         m_socket->disconnectFromHost();
 }
 
+std::optional<HttpConnection::GiveWayRank> HttpConnection::giveWayRank(MonotonicTime time) const
+{
+    using Class = GiveWayRank::Class;
+    if (m_stage == Stage::Closed || !isOpen())
+        return {};
+    if (m_socket->bytesToWrite() > 0 && time >= m_lastWriteProgress + stallTime)
+        return GiveWayRank { Class::Stalled, m_lastWriteProgress };
+    if (m_stage == Stage::Lingering)
+        return GiveWayRank { Class::Closing, m_deadline };
+    if (m_stage != Stage::Reading || m_socket->bytesToWrite() > 0)
+        return {};
+    if (m_reader.isStarted() || !m_input.isEmpty() || m_socket->bytesAvailable() > 0)
+        return GiveWayRank { Class::Arriving, m_requestStart };
+    if (m_hasServed)
+        return GiveWayRank { Class::Idle, m_requestStart };
+    const bool isNew = time < m_acceptedAt + firstRequestTime;
+    return GiveWayRank { isNew ? Class::Arriving : Class::Silent, m_acceptedAt };
+}
+
+void HttpConnection::giveWay()
+{
+    recordLimited(CallerLimit::Connections);
+    reset();
+    onDisconnected();
+}
+
 bool HttpConnection::isExpectingRequest(MonotonicTime time) const
 {
     if (m_stage != Stage::Reading || !isOpen())
@@ -253,7 +341,7 @@
 void HttpConnection::countUnsentBytes()
 {
     if (!m_unsent.resize(static_cast<size_t>(m_socket->bytesToWrite())))
-        reset();
+        handleUnsentRevoked();
 }
 
 void HttpConnection::flush()
@@ -269,18 +357,18 @@
     flush();
     noteUnsentRequest();
     m_exchange.reset();
-    if (closeConnection) {
+    if (closeConnection || m_dropsInput) {
         startLingering();
         return;
     }
     m_stage = Stage::Reading;
     updateActivity();
+    m_unsentResponses += m_socket->bytesToWrite() > 0 ? 1 : 0;
     m_requestStart = now();
     updateDeadline();
     // The next request may have arrived meanwhile. It is handled from the event loop, because this method may have
     // been called by the handler of the current request.
-    if (!m_input.isEmpty() || m_socket->bytesAvailable() > 0)
-        QMetaObject::invokeMethod(this, &HttpConnection::readInput, Qt::QueuedConnection);
+    readMoreLater();
 }
 
 void HttpConnection::noteUnsentRequest()
@@ -333,7 +421,7 @@
 {
     m_lastWriteProgress = now();
     if (m_socket->bytesToWrite() == 0)
-        m_unsentRequest.clear();
+        handleAllBytesWritten();
     countUnsentBytes();
     shutDownWriting();
     updateActivity();
@@ -341,11 +429,25 @@
         exchange->handleBytesWritten();
 }
 
+void HttpConnection::handleAllBytesWritten()
+{
+    m_unsentRequest.clear();
+    if (std::exchange(m_unsentResponses, 0) == 0 || m_stage != Stage::Reading)
+        return;
+    if (!m_reader.isStarted()) {
+        m_requestStart = now();
+        updateDeadline();
+    }
+    readMoreLater();
+}
+
 void HttpConnection::onDisconnected()
 {
     if (m_stage == Stage::Closed)
         return;
     m_stage = Stage::Closed;
+    m_received.clear();
+    m_unsent.clear();
     updateActivity();
     if (const auto exchange = m_exchange.lock())
         exchange->handleCallerDisconnected();
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -9,9 +9,11 @@
 
 #include <QTcpSocket>
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 class QHttpServerRequest;
@@ -20,6 +22,26 @@
 
 class ConnectionExchange;
 
+/// Why a server has refused a caller or closed its connection.
+enum class CallerLimit {
+    /// The server has as many connections as it may have.
+    Connections,
+    /// The bytes that the caller sent do not fit in the memory for requests.
+    RequestMemory,
+    /// The responses that the caller does not take do not fit in the memory for responses.
+    ResponseMemory,
+};
+constexpr size_t callerLimits = 3;
+
+/// Counts the callers that a limit was applied to.
+struct LimitedCallers {
+    uint64_t count { 0 };
+    /// Address of the last one.
+    std::string lastAddress;
+
+    bool operator==(const LimitedCallers&) const = default;
+};
+
 /// State that the connections of one server share.
 struct HttpConnectionContext {
     HttpServerLimits limits;
@@ -34,12 +56,19 @@
     MemoryBudget* responseMemory { nullptr };
     bool isDraining { false };
     uint64_t acceptedConnections { 0 };
+    std::array<LimitedCallers, callerLimits> limited {};
     /// Number of requests whose response has not left the process completely.
     std::atomic<int> activeExchanges { 0 };
 };
 
 /// One connection of a caller. It handles one request at a time: bytes of further requests stay in the bounded buffer
-/// of the socket until the current response has ended, so responses are sent in the order of the requests.
+/// of the socket until the current response has ended, so responses are sent in the order of the requests. It begins no
+/// further request while two responses wait for the caller.
+///
+/// The bytes that it holds of requests, whether a handler has them, they are arriving or they were sent ahead, count
+/// toward the memory for requests, and those of responses toward the memory for responses.
+///
+/// Load: callers that send requests ahead and read nothing, and more connections than the process may have.
 ///
 /// Thread safety: used on the I/O thread that created it.
 class HttpConnection final : public QObject {
@@ -63,6 +92,34 @@
     /// Closes the connection if it has served a request and waits for the next one.
     void closeIfIdle();
 
+    /// How soon the connection gives way when the server has too many, the lowest value first.
+    struct GiveWayRank {
+        enum class Class {
+            /// It was opened without sending a request.
+            Silent,
+            /// It waits for the next request.
+            Idle,
+            /// A request is arriving, or was sent ahead.
+            Arriving,
+            /// The last response was sent, and the caller may not have read all of it.
+            Closing,
+            /// The caller takes nothing of its response.
+            Stalled,
+        };
+
+        Class kind { Class::Silent };
+        /// Since when it has been so.
+        MonotonicTime since;
+
+        auto operator<=>(const GiveWayRank&) const = default;
+    };
+
+    /// Returns nothing if the connection does not give way, because a request is in progress.
+    std::optional<GiveWayRank> giveWayRank(MonotonicTime now) const;
+
+    /// Resets the connection and ends its exchange, because the server has too many.
+    void giveWay();
+
     /// Returns whether a request has arrived in part, or whether the connection is so new that its first request is
     /// probably on its way.
     bool isExpectingRequest(MonotonicTime) const;
@@ -93,8 +150,11 @@
     };
 
     void readInput();
+    void readMoreLater();
     void discardInput();
     void processInput();
+    /// Counts the bytes that have arrived and that no handler has.
+    void countInput();
     void dispatch(FramedRequest);
     void refuse(const Error&);
     void updateDeadline();
@@ -112,8 +172,11 @@
     /// Resets the connection and drops what its caller has not taken.
     void reset();
     void countUnsentBytes();
-    /// Refuses the request that is arriving, because its bytes cannot be held.
-    void refuseForMemory();
+    /// Frees the bytes that have arrived, because they cannot be held: refuses the request that is arriving, or drops
+    /// those that were sent ahead of the response.
+    void releaseInput();
+    void handleUnsentRevoked();
+    void recordLimited(CallerLimit) const;
     qint64 bytesToWrite() const { return m_socket->bytesToWrite(); }
 
     /// Keeps the name of the request whose response has just ended if bytes of it are unsent.
@@ -121,6 +184,7 @@
     void startLingering();
     void shutDownWriting();
     void onBytesWritten();
+    void handleAllBytesWritten();
     void onDisconnected();
 
     HttpConnectionContext& m_context;
@@ -131,11 +195,13 @@
     HttpRequestReader m_reader;
     QByteArray m_input;
     FramedRequest m_request;
-    /// The bytes of the request that is arriving.
+    /// The bytes of the request that is arriving, and of those that were sent ahead.
     MemoryBudget::Account m_received;
     MemoryBudget::Account m_unsent;
     std::weak_ptr<ConnectionExchange> m_exchange;
     std::string m_unsentRequest;
+    /// Responses that have ended while bytes of them, or of those before them, waited for the caller.
+    int m_unsentResponses { 0 };
     Stage m_stage { Stage::Reading };
     MonotonicTime m_acceptedAt;
     MonotonicTime m_deadline;
@@ -145,6 +211,8 @@
     bool m_hasServed { false };
     bool m_isParsed { false };
     bool m_isWritingShutDown { false };
+    /// Whether input is dropped, so that no further request can be read.
+    bool m_dropsInput { false };
 };
 
 }
--- a/Libraries/LibHTTP/HttpRequestReader.cpp
+++ b/Libraries/LibHTTP/HttpRequestReader.cpp
@@ -175,6 +175,7 @@
 
 void HttpRequestReader::handleField(const QByteArray& line)
 {
+    ++m_fields;
     const qsizetype colon = line.indexOf(':');
     const QByteArrayView name = QByteArrayView(line).first(std::max<qsizetype>(colon, 0));
     if (!isToken(name))
--- a/Libraries/LibHTTP/HttpRequestReader.h
+++ b/Libraries/LibHTTP/HttpRequestReader.h
@@ -44,8 +44,8 @@
 
     qint64 bodyBytes() const { return m_request.body.size(); }
 
-    /// Returns the size of the buffers for the current request.
-    qint64 heldBytes() const { return m_headBytes + m_request.body.capacity(); }
+    /// Returns the size of the buffers for the current request, and of its fields once they have been parsed.
+    qint64 heldBytes() const { return m_headBytes + m_fields * bytesPerField + m_request.body.capacity(); }
 
     /// Returns, once per request, whether the caller waits for `100 Continue` before it sends the body.
     bool shouldSendContinue();
@@ -62,6 +62,10 @@
         Complete,
     };
 
+    /// Memory of a parsed field besides its text: Qt and the handler keep its name and value as byte arrays of their
+    /// own.
+    static constexpr qint64 bytesPerField = 256;
+
     std::optional<QByteArray> readLine(QByteArrayView& input);
     bool readBody(QByteArrayView& input);
     void handleLine(const QByteArray& line);
@@ -77,6 +81,7 @@
     FramedRequest m_request;
     QByteArray m_line;
     qint64 m_headBytes { 0 };
+    qint64 m_fields { 0 };
     std::optional<qint64> m_contentLength;
     /// Remaining bytes of the body or of the current chunk.
     qint64 m_remaining { 0 };
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -3,9 +3,12 @@
 #include <LibHTTP/ConnectionAcceptor.h>
 #include <LibHTTP/ListeningSocket.h>
 
+#include <QHostAddress>
 #include <QTcpSocket>
 
 #include <algorithm>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 namespace Chicorydock {
@@ -18,6 +21,15 @@
         return std::clamp(limits.requestTimeout / 8, Milliseconds { 10 }, Milliseconds { 1000 });
     }
 
+    std::string peerAddress(qintptr descriptor)
+    {
+        sockaddr_storage storage {};
+        socklen_t size = sizeof(storage);
+        if (::getpeername(static_cast<int>(descriptor), reinterpret_cast<sockaddr*>(&storage), &size) != 0)
+            return {};
+        return QHostAddress(reinterpret_cast<const sockaddr*>(&storage)).toString().toStdString();
+    }
+
 }
 
 HttpServer::HttpServer(HttpHandler& handler, const HttpServerLimits& limits, ErrorResponseBuilder protocolErrorResponse)
@@ -109,6 +121,10 @@
 
 QTcpSocket* HttpServer::addConnection(qintptr descriptor)
 {
+    if (m_maxConnections > 0 && m_connections.size() >= m_maxConnections && !makeRoom()) {
+        refuseConnection(descriptor);
+        return nullptr;
+    }
     auto* connection = new HttpConnection(m_context, descriptor, this);
     const QTcpSocket* feed = &connection->feed();
     m_connections.emplace(feed, connection);
@@ -116,6 +132,33 @@
     return &connection->feed();
 }
 
+bool HttpServer::makeRoom()
+{
+    const MonotonicTime now = std::chrono::steady_clock::now();
+    HttpConnection* first = nullptr;
+    std::optional<HttpConnection::GiveWayRank> firstRank;
+    for (const auto& [feed, connection] : m_connections) {
+        const auto rank = connection->giveWayRank(now);
+        if (rank && (!firstRank || *rank < *firstRank)) {
+            first = connection;
+            firstRank = rank;
+        }
+    }
+    if (first)
+        first->giveWay();
+    return first;
+}
+
+void HttpServer::refuseConnection(qintptr descriptor)
+{
+    LimitedCallers& limited = m_context.limited[static_cast<size_t>(CallerLimit::Connections)];
+    ++limited.count;
+    limited.lastAddress = peerAddress(descriptor);
+    const linger option { .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(static_cast<int>(descriptor), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+    ::close(static_cast<int>(descriptor));
+}
+
 void HttpServer::sweep()
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -40,6 +40,20 @@
     /// reset. Must be called before `listen()`; the budgets outlive the server and are used on its thread.
     void setMemory(MemoryBudget& requests, MemoryBudget& responses);
 
+    /// Limits the number of open connections, 0 for any number. At the limit, one that has sent no request gives way to
+    /// a new one, then one that waits for its next request, then one whose request arrives slowly or whose caller does
+    /// not take its response. A new connection is reset if all others have requests in progress.
+    void setMaxConnections(size_t connections) { m_maxConnections = connections; }
+
+    /// Returns the callers that a limit was applied to since the start.
+    const LimitedCallers& limitedCallers(CallerLimit limit) const
+    {
+        return m_context.limited[static_cast<size_t>(limit)];
+    }
+
+    /// Returns the number of open connections.
+    size_t connections() const { return m_connections.size(); }
+
     /// Listens on `HOST:PORT`, with the host as an IP address and port 0 for any free port. Returns the bound port.
     /// Throws `Error` (Internal) if the address cannot be bound. Precondition: the server does not listen.
     uint16_t listen(const std::string& address);
@@ -96,13 +110,18 @@
     void missingHandler(const QHttpServerRequest&, QTcpSocket*) override;
 
 private:
+    /// Returns nothing if the connection was refused.
     QTcpSocket* addConnection(qintptr descriptor);
+    /// Makes a connection give way. Returns whether there was one that can.
+    bool makeRoom();
+    void refuseConnection(qintptr descriptor);
     void sweep();
 
     HttpConnectionContext m_context;
     ConnectionAcceptor* m_acceptor { nullptr };
     std::unordered_map<const QTcpSocket*, HttpConnection*> m_connections;
     QTimer m_sweepTimer;
+    size_t m_maxConnections { 0 };
 };
 
 }
--- a/Libraries/LibHTTP/PooledHttpClient.cpp
+++ b/Libraries/LibHTTP/PooledHttpClient.cpp
@@ -79,6 +79,8 @@
 
 ClientConnection& PooledHttpClient::open(const std::string& address)
 {
+    if (m_maxConnections > 0 && m_connections.size() >= m_maxConnections)
+        closeFirstIdle();
     ++m_openedConnections;
     auto* connection = new ClientConnection(address, [this](ClientConnection& changed) { handleStateChange(changed); });
     m_connections.push_back(connection);
@@ -113,6 +115,19 @@
         connection->close();
 }
 
+void PooledHttpClient::closeFirstIdle()
+{
+    ClientConnection* first = nullptr;
+    for (const auto& [address, connections] : m_idle) {
+        for (ClientConnection* it : connections) {
+            if (!first || it->usableUntil() < first->usableUntil())
+                first = it;
+        }
+    }
+    if (first)
+        first->close();
+}
+
 void PooledHttpClient::sweep()
 {
     const MonotonicTime now = std::chrono::steady_clock::now();
--- a/Libraries/LibHTTP/PooledHttpClient.h
+++ b/Libraries/LibHTTP/PooledHttpClient.h
@@ -25,6 +25,10 @@
 
     std::unique_ptr<HttpCall> start(const HttpCallRequest&, HttpCallObserver&) override;
 
+    /// Limits the number of connections, 0 for any number. At the limit, the idle connection that could be used for the
+    /// shortest time is closed before a new one is opened; calls in progress are not limited.
+    void setMaxConnections(size_t connections) { m_maxConnections = connections; }
+
     /// Returns the number of connections opened so far.
     uint64_t openedConnections() const { return m_openedConnections; }
 
@@ -35,12 +39,14 @@
     ClientConnection& open(const std::string& address);
     void handleStateChange(ClientConnection&);
     void closeIdle(const std::string& address);
+    void closeFirstIdle();
     void sweep();
 
     /// Idle connections by address, the most recently used one last.
     std::unordered_map<std::string, Connections> m_idle;
     std::vector<ClientConnection*> m_connections;
     uint64_t m_openedConnections { 0 };
+    size_t m_maxConnections { 0 };
     QTimer m_sweepTimer;
 };
 
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -121,6 +121,9 @@
         /// Memory of the VM in megabytes. A part of it is for the requests in progress.
         uint64_t memoryMb { 256 };
 
+        /// Descriptors that the process may open, 0 for the limit that the system sets.
+        uint64_t maxDescriptors { 0 };
+
         auto operator<=>(const Gateway&) const = default;
     };
 
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -91,6 +91,10 @@
     constexpr uint64_t minMemoryMb = 16;
     constexpr uint64_t maxMemoryMb = 1'024 * 1'024;
 
+    /// Limits on the descriptors of a process. The store, the peers and a few requests need some 100.
+    constexpr uint64_t minDescriptors = 128;
+    constexpr uint64_t maxDescriptors = 1'024 * 1'024;
+
     void readGateway(TomlTable& table, Settings::Gateway& gateway)
     {
         table.text("status_address", gateway.statusAddress, TextRule::listenAddress(), Presence::Required);
@@ -98,6 +102,7 @@
         table.textMap("regions", gateway.regions, TextRule::identifier());
         table.number("cpu_share", gateway.cpuShare, minCpuShare, maxCpuShare);
         table.number("memory_mb", gateway.memoryMb, minMemoryMb, maxMemoryMb);
+        table.number("max_descriptors", gateway.maxDescriptors, minDescriptors, maxDescriptors);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
@@ -122,6 +127,20 @@
         });
     }
 
+    /// Returns the whole part of a number from the command line.
+    uint64_t parseFlag(const std::string& name, const std::string& text, uint64_t min, uint64_t max)
+    {
+        double value = 0;
+        const char* const end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, value);
+        const bool isInRange = value >= static_cast<double>(min) && value <= static_cast<double>(max);
+        if (parsed.ec != std::errc() || parsed.ptr != end || !isInRange)
+            throw Error(ErrorKind::InvalidConfiguration,
+                name + ": found \"" + text + "\", expected a number from " + std::to_string(min) + " to "
+                    + std::to_string(max));
+        return static_cast<uint64_t>(value);
+    }
+
 }
 
 Settings parseSettings(std::string_view text, const std::string& fileName)
@@ -149,16 +168,16 @@
 
 void setMemory(Settings& settings, const std::string& megabytes)
 {
-    double value = 0;
-    const char* const end = megabytes.data() + megabytes.size();
-    const auto parsed = std::from_chars(megabytes.data(), end, value);
-    const bool isInRange = value >= static_cast<double>(minMemoryMb) && value <= static_cast<double>(maxMemoryMb);
-    if (parsed.ec != std::errc() || parsed.ptr != end || !isInRange)
-        throw Error(ErrorKind::InvalidConfiguration,
-            "--memory_mb: found \"" + megabytes + "\", expected a number from " + std::to_string(minMemoryMb) + " to "
-                + std::to_string(maxMemoryMb));
+    const uint64_t value = parseFlag("--memory_mb", megabytes, minMemoryMb, maxMemoryMb);
+    if (settings.gateway)
+        settings.gateway->memoryMb = value;
+}
+
+void setMaxDescriptors(Settings& settings, const std::string& count)
+{
+    const uint64_t value = parseFlag("--max_descriptors", count, minDescriptors, maxDescriptors);
     if (settings.gateway)
-        settings.gateway->memoryMb = static_cast<uint64_t>(value);
+        settings.gateway->maxDescriptors = value;
 }
 
 }
--- a/Libraries/LibSettings/SettingsLoader.h
+++ b/Libraries/LibSettings/SettingsLoader.h
@@ -21,4 +21,7 @@
 /// checked. Throws Error(InvalidConfiguration) if it is no number or out of range.
 void setMemory(Settings&, const std::string& megabytes);
 
+/// Like `setMemory()`, for `gateway.max_descriptors`.
+void setMaxDescriptors(Settings&, const std::string& count);
+
 }
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -48,6 +48,13 @@
         return std::chrono::duration_cast<Milliseconds>(now - since).count();
     }
 
+    /// Limits on what arrives at the status port, whose requests have no body.
+    HttpServerLimits statusLimits()
+    {
+        constexpr qint64 bytes = 16 * 1024;
+        return { .maxBodyBytes = bytes, .maxHeaderBytes = bytes };
+    }
+
     HttpServerLimits serverLimits(const Settings& settings)
     {
         HttpServerLimits limits;
@@ -162,8 +169,10 @@
               m_configuration.start(storeReadDelay(m_settings.gateway->peerAddress, addresses));
           })
     , m_server(m_handler, serverLimits(settings), [this](const Error& error) { return m_wire.errorAnswer(error, {}); })
-    , m_statusServer(*m_statusHandler)
+    , m_statusServer(*m_statusHandler, statusLimits())
     , m_peerServer(*m_peerHandler, serverLimits(settings))
+    , m_connectionLimits(*settings.gateway,
+          { { { "callers", m_server }, { "peers", m_peerServer }, { "status", m_statusServer } } }, m_endpointClient)
 {
     m_links.setChangedHandler([this] {
         // A request has just failed and is on the stack.
@@ -233,6 +242,7 @@
     updateLinks();
     updateStreamOrigins();
     recordMemory();
+    m_connectionLimits.record(m_log);
     m_jobs.tick();
 }
 
@@ -502,6 +512,7 @@
         setBytes("chicorydock_memory_refusals", "Requests and responses ended by that limit since the start.",
             budget->refusals());
     }
+    m_connectionLimits.updateMetrics(m_metrics);
     set("chicorydock_log_lines_dropped", "Log lines that were left out since the start.",
         static_cast<double>(m_log.dropped()));
     return QByteArray::fromStdString(m_metrics.text());
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ConnectionLimits.h"
+
 #include <LibCore/MemoryBudget.h>
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
@@ -122,6 +124,7 @@
     HttpServer m_server;
     HttpServer m_statusServer;
     HttpServer m_peerServer;
+    ConnectionLimits m_connectionLimits;
     QTimer m_tickTimer;
     QTimer m_stopTimer;
     /// Coordinator in the latest log line about it.
--- a/Services/chicorydockd/main.cpp
+++ b/Services/chicorydockd/main.cpp
@@ -15,6 +15,7 @@
 
 DEFINE_string(settings, "", "TOML file with the settings of this node");
 DEFINE_string(memory_mb, "", "memory of the machine in megabytes, instead of gateway.memory_mb of the settings");
+DEFINE_string(max_descriptors, "", "descriptors that the process may open, instead of gateway.max_descriptors");
 DEFINE_string(check_settings, "", "check this settings file, report every problem, and exit");
 
 namespace {
@@ -77,7 +78,7 @@
     // Qt's own event dispatcher needs fewer system calls and locks for each event than the one based on GLib.
     qputenv("QT_NO_GLIB", "1");
     gflags::SetUsageMessage("serves online and batch inference on one fleet of endpoints\n\n"
-                            "  chicorydockd --settings=FILE [--memory_mb=NUMBER]\n"
+                            "  chicorydockd --settings=FILE [--memory_mb=NUMBER] [--max_descriptors=NUMBER]\n"
                             "  chicorydockd --check_settings=FILE");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
@@ -91,6 +92,8 @@
         Chicorydock::Settings settings = Chicorydock::loadSettings(file);
         if (!FLAGS_memory_mb.empty())
             Chicorydock::setMemory(settings, FLAGS_memory_mb);
+        if (!FLAGS_max_descriptors.empty())
+            Chicorydock::setMaxDescriptors(settings, FLAGS_max_descriptors);
         if (!isCheck)
             return settings.gateway ? serveGateway(argc, argv, settings) : serve(argc, argv, settings);
         std::printf("%s: the settings are valid\n", file.c_str());
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -68,6 +68,7 @@
 regions = { bajio-1 = "bajio", noroeste-1 = "noroeste" }
 cpu_share = 2
 memory_mb = 512
+max_descriptors = 4100
 )",
         "s.toml");
     CHECK(settings.rpc == Settings::Rpc { "[::1]:8081", { "127.0.0.1:1" } });
@@ -75,8 +76,8 @@
     CHECK(settings.log == Settings::Log { "debug", "events.jsonl", 11 });
     CHECK(settings.scheduler == Settings::Scheduling { "naive", 0, 0.5 });
     CHECK(settings.gateway
-        == Settings::Gateway {
-            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512 });
+        == Settings::Gateway { "127.0.0.1:0", "127.0.0.1:7001",
+            { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512, 4'100 });
     CHECK(settings.http.defaultDeadlineMs == Milliseconds { 60'000 });
 }
 
@@ -159,8 +160,8 @@
     CHECK(problemsOf(validText + "[gateway]\nmemory_mb = 15\n").find("gateway.memory_mb") != std::string::npos);
 }
 
-// Guards against a node that allows requests more memory than its machine has.
-TEST_CASE("the command line can state the memory of the machine")
+// Guards against a node that allows requests more memory, or connections more descriptors, than its machine has.
+TEST_CASE("the command line can state the memory and the descriptors of the machine")
 {
     Settings settings = parseSettings(
         validText + "[gateway]\nstatus_address = \"127.0.0.1:0\"\npeer_address = \"127.0.0.1:1\"\n", "s.toml");
@@ -174,6 +175,11 @@
     for (const char* it : { "", "15", "-1", "nan", "140 MB", "{{limits.memory_mb}}" })
         CHECK_THROWS_AS(setMemory(settings, it), Error);
     CHECK(settings.gateway->memoryMb == 310);
+    setMaxDescriptors(settings, "4100");
+    CHECK(settings.gateway->maxDescriptors == 4'100);
+    CHECK_THROWS_AS(setMaxDescriptors(settings, "127"), Error);
+    CHECK_THROWS_AS(setMaxDescriptors(settings, "{{limits.max_fds}}"), Error);
+    CHECK(settings.gateway->maxDescriptors == 4'100);
     Settings withoutGateway = parseSettings(validText, "s.toml");
     setMemory(withoutGateway, "140");
     CHECK_FALSE(withoutGateway.gateway);
