Tests: Send requests at the limits of the configuration to one node

The largest head and body, the slowest head, a slow body, and a connection that was idle for four fifths of its limit are answered with 200, before and after the limits on callers. Readiness after a crowd is asked for again while the stand-in's own time limit runs out.

--- a/Tests/Crowds/main.cpp
+++ b/Tests/Crowds/main.cpp
@@ -1,4 +1,5 @@
 #include "Crowd.h"
+#include "LargeRequest.h"
 
 #include <Tests/Soak/SoakNode.h>
 
@@ -18,6 +19,7 @@
 DEFINE_string(daemon, CROWDS_DAEMON, "program of the daemon");
 DEFINE_string(settings_template, CROWDS_SETTINGS, "template of the settings of the daemon");
 DEFINE_string(crowd, "", "name of the crowd; all are listed if it is unknown");
+DEFINE_string(request, "", "name of a request at the limits, which is sent instead of a crowd");
 DEFINE_double(seconds, 8, "duration of the crowd");
 
 namespace Chicorydock {
@@ -155,7 +157,7 @@
         constexpr double msPerSecond = 1'000;
         crowd.play(FLAGS_seconds * msPerSecond);
         const Review::Answer answer = sendOrdinaryRequest(node.front());
-        const bool isReady = node.isReady();
+        const bool isReady = Review::World::waitFor([&] { return node.isReady(); }, 20'000);
         const bool hasEnded = node.hasJustEnded();
         std::printf("%-20s before %.0f MB, peak %.0f MB of %.0f, descriptors %zu of %zu, connections %zu; process %s, "
                     "%s, ordinary request: %d%s\n",
@@ -168,7 +170,15 @@
         return isWithin && isServed && isReady && !hasEnded ? Passed : Failed;
     }
 
-    int run(const CrowdKind& kind)
+    int checkAtLimit(const std::string& name, SoakNode& node)
+    {
+        const bool isServed = isServedAtLimit(name, node.front());
+        std::printf("%-20s %s\n", name.c_str(), isServed ? "served" : "NOT SERVED");
+        return isServed && !node.hasJustEnded() ? Passed : Failed;
+    }
+
+    /// Starts a node and passes it to the check.
+    int run(const std::function<int(SoakNode&)>& check)
     {
         const std::string folder = makeFolder();
         // The threads of the stand-ins are not joined, so they are not destroyed.
@@ -186,7 +196,7 @@
             std::printf("the node is not ready, see %s\n", folder.c_str());
             return CouldNotRun;
         }
-        const int status = check(kind, node);
+        const int status = check(node);
         node.kill();
         if (status == Passed)
             std::filesystem::remove_all(folder);
@@ -204,13 +214,16 @@
     using namespace Chicorydock;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::signal(SIGPIPE, SIG_IGN);
-    const auto it = std::ranges::find(crowdKinds(), FLAGS_crowd, &CrowdKind::name);
-    if (it == crowdKinds().end()) {
-        for (const CrowdKind& kind : crowdKinds())
-            std::printf("%s\n", kind.name.c_str());
+    const auto kind = std::ranges::find(crowdKinds(), FLAGS_crowd, &CrowdKind::name);
+    const auto request = std::ranges::find(limitRequests(), FLAGS_request);
+    if (kind == crowdKinds().end() && request == limitRequests().end()) {
+        for (const CrowdKind& it : crowdKinds())
+            std::printf("%s\n", it.name.c_str());
         return CouldNotRun;
     }
-    const int status = run(*it);
+    const int status = run([&](SoakNode& node) {
+        return request != limitRequests().end() ? checkAtLimit(*request, node) : check(*kind, node);
+    });
     std::fflush(stdout);
     ::_exit(status);
 }
