--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -51,6 +51,13 @@
         return std::chrono::duration_cast<Milliseconds>(now - since).count();
     }
 
+    /// Limits on what arrives at the status port, whose requests have no body.
+    HttpServerLimits statusLimits()
+    {
+        constexpr qint64 bytes = 16 * 1024;
+        return { .maxBodyBytes = bytes, .maxHeaderBytes = bytes };
+    }
+
     HttpServerLimits serverLimits(const Settings& settings)
     {
         HttpServerLimits limits;
@@ -165,8 +172,10 @@
               m_configuration.start(storeReadDelay(m_settings.gateway->peerAddress, addresses));
           })
     , m_server(m_handler, serverLimits(settings), [this](const Error& error) { return m_wire.errorAnswer(error, {}); })
-    , m_statusServer(*m_statusHandler)
+    , m_statusServer(*m_statusHandler, statusLimits())
     , m_peerServer(*m_peerHandler, serverLimits(settings))
+    , m_connectionLimits(*settings.gateway,
+          { { { "callers", m_server }, { "peers", m_peerServer }, { "status", m_statusServer } } }, m_endpointClient)
 {
     m_scheduler.setLearningLoad(settings.gateway->learnEndpointLoad);
     m_scheduler.setPlacingByPrompt(settings.gateway->placeByPrompt);
@@ -239,6 +248,7 @@
     updateStreamOrigins();
     recordMemory();
     recordSlotLimits();
+    m_connectionLimits.record(m_log);
     m_jobs.tick();
 }
 
@@ -522,6 +532,7 @@
         setBytes("chicorydock_memory_refusals", "Requests and responses ended by that limit since the start.",
             budget->refusals());
     }
+    m_connectionLimits.updateMetrics(m_metrics);
     set("chicorydock_log_lines_dropped", "Log lines that were left out since the start.",
         static_cast<double>(m_log.dropped()));
     return QByteArray::fromStdString(m_metrics.text());
