--- a/Tests/LibGateway/SlotSimulation.h
+++ b/Tests/LibGateway/SlotSimulation.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <memory>
@@ -45,9 +46,34 @@
         /// Number of endpoints that state a rate limit in their responses, and the limit in requests per second.
         size_t limitedEndpoints { 0 };
         double rateLimit { 0 };
+        /// Number of workspaces, 0 if the deployment has none. The load of workspace n is in proportion to 1 / (n + 1),
+        /// so a few are large.
+        size_t workspaces { 0 };
+        /// Load of workspace 0, relative to its usual load.
+        double hotFactor { 1 };
+        /// Spread of the output lengths, and of the callers' estimates of them: standard deviations of the logarithms.
+        double lengthSpread { 0 };
+        double hintSpread { 0 };
+        /// Share of the time in which an endpoint takes 2.5 times as long, in phases of 600 ms.
+        double slowShare { 0 };
+        /// Whether refused callers retry once, after the time that they are told.
+        bool hasRetries { false };
         uint64_t seed { 1 };
     };
 
+    /// Requests of the callers of one group.
+    struct Group {
+        size_t arrivals { 0 };
+        /// First event within the target, at the first attempt and at the retry.
+        size_t onTime { 0 };
+        size_t onTimeAtRetry { 0 };
+
+        double onTimeShare() const
+        {
+            return static_cast<double>(onTime + onTimeAtRetry) / static_cast<double>(std::max<size_t>(arrivals, 1));
+        }
+    };
+
     struct Totals {
         size_t onlineArrivals { 0 };
         /// Admitted by the endpoint within the target.
@@ -64,6 +90,15 @@
         size_t datagrams { 0 };
         size_t itemsOnTime { 0 };
         size_t itemsLate { 0 };
+        /// Workspace 0, and all others.
+        Group hot;
+        Group others;
+        /// Retries; those that found no slot in time, those that were not served, and those at whose arrival a tenth of
+        /// all slots was free.
+        size_t retries { 0 };
+        size_t retriesTooEarly { 0 };
+        size_t retriesInVain { 0 };
+        size_t retriesTooLate { 0 };
     };
 
     explicit SlotSimulation(const Options& options)
@@ -211,10 +246,12 @@
     {
         const MonotonicTime end = m_clock.now() + duration;
         while (m_clock.now() < end) {
-            const double expected = onlinePerSecond * toSeconds(step);
+            const double hotLoad = m_options.workspaces > 0 ? shareOfHot() * (m_options.hotFactor - 1) : 0;
+            const double expected = onlinePerSecond * (1 + hotLoad) * toSeconds(step);
             for (double remaining = expected; remaining > 0 && m_random.unit() < remaining; remaining -= 1)
                 submitOnline();
             addItems();
+            submitRetries();
             deliverReports();
             deliverMessages();
             for (size_t n = 0; n < m_nodes.size(); ++n) {
@@ -236,6 +273,8 @@
         MonotonicTime dueAt;
         /// Time at which it was sent to its endpoint.
         MonotonicTime startedAt {};
+        bool isRetry { false };
+        WorkProfile profile {};
     };
 
     struct Report {
@@ -288,6 +327,8 @@
         double rateLimit { unlimitedRate };
         /// Times of the requests that arrived while the endpoint had a limit.
         std::vector<MonotonicTime> limitedArrivals;
+        bool isSlow { false };
+        MonotonicTime phaseEnd {};
     };
 
     SlotAllocator& allocatorOf(Node& node) const
@@ -310,18 +351,106 @@
         return n;
     }
 
+    /// Returns a normally distributed number (sum of uniform ones).
+    double normal()
+    {
+        double sum = -6;
+        for (int n = 0; n < 12; ++n)
+            sum += m_random.unit();
+        return sum;
+    }
+
+    double weightOf(size_t workspace) const { return 1.0 / static_cast<double>(workspace + 1); }
+
+    double shareOfHot() const
+    {
+        double sum = 0;
+        for (size_t n = 0; n < m_options.workspaces; ++n)
+            sum += weightOf(n);
+        return weightOf(0) / sum;
+    }
+
+    std::string drawWorkspace()
+    {
+        double sum = weightOf(0) * m_options.hotFactor;
+        for (size_t n = 1; n < m_options.workspaces; ++n)
+            sum += weightOf(n);
+        double left = m_random.unit() * sum;
+        size_t n = 0;
+        for (left -= weightOf(0) * m_options.hotFactor; left > 0 && n + 1 < m_options.workspaces; left -= weightOf(n))
+            ++n;
+        return "w" + std::to_string(n);
+    }
+
+    /// Draws the length of work that takes `mean` on average, and states the caller's estimate of it.
+    Milliseconds drawLength(Milliseconds mean, WorkProfile& profile)
+    {
+        if (m_options.workspaces > 0)
+            profile.workspace = drawWorkspace();
+        if (m_options.lengthSpread == 0)
+            return mean;
+        const double spread = m_options.lengthSpread;
+        const double factor = std::exp(normal() * spread - spread * spread / 2);
+        constexpr double tokensPerMillisecond = 0.25;
+        const double tokens = std::max(1.0, factor * static_cast<double>(mean.count()) * tokensPerMillisecond);
+        profile.promptTokens = 250;
+        profile.outputTokensHint = static_cast<uint32_t>(1 + tokens * std::exp(normal() * m_options.hintSpread));
+        return Milliseconds { std::lround(tokens / tokensPerMillisecond) };
+    }
+
     void submitOnline()
     {
         const size_t n = randomNode();
-        const MonotonicTime now = m_clock.now();
-        Node& node = *m_nodes[n];
-        const uint64_t id = ++m_lastWork;
-        node.work[id] = { n, id, false, now, m_options.onlineHold, {} };
-        allocatorOf(node).submit(
-            OnlineWork { id, "lm", 0, now + m_options.onlineTarget, now + std::chrono::seconds { 5 }, false, {} }, now);
+        Work work { n, ++m_lastWork, false, m_clock.now(), m_options.onlineHold, {} };
+        if (m_options.lengthSpread > 0 || m_options.workspaces > 0)
+            work.remaining = drawLength(m_options.onlineHold, work.profile);
+        ++groupOf(work).arrivals;
         ++m_totals.onlineArrivals;
+        submitOnline(work);
+    }
+
+    void submitOnline(const Work& work)
+    {
+        const MonotonicTime now = m_clock.now();
+        Node& node = *m_nodes[work.node];
+        node.work[work.id] = work;
+        OnlineWork online { work.id, "lm", 0, now + m_options.onlineTarget, now + std::chrono::seconds { 5 },
+            work.isRetry, {} };
+        online.profile = work.profile;
+        allocatorOf(node).submit(online, now);
     }
 
+    void submitRetries()
+    {
+        while (!m_retries.empty() && m_retries.begin()->first <= m_clock.now()) {
+            Work work = m_retries.begin()->second;
+            m_retries.erase(m_retries.begin());
+            work.node = m_nodes[work.node]->isStopped ? randomNode() : work.node;
+            work.arrival = m_clock.now();
+            work.id = ++m_lastWork;
+            size_t used = 0;
+            for (const auto& [id, endpoint] : m_endpoints)
+                used += endpoint.running.size();
+            const size_t all = m_options.endpoints * m_options.slotCount;
+            ++m_totals.retries;
+            m_totals.retriesTooLate += used * 10 < all * 9 ? 1 : 0;
+            submitOnline(work);
+        }
+    }
+
+    void retryOrGiveUp(Work work, Milliseconds retryAfter)
+    {
+        if (!m_options.hasRetries || work.isRetry || work.isBatch) {
+            m_totals.retriesInVain += work.isRetry ? 1 : 0;
+            return;
+        }
+        work.isRetry = true;
+        // Callers honour the delay up to a third of the time that they have left; messages take 3 ms each way.
+        m_retries.emplace(m_clock.now() + std::min(retryAfter, Milliseconds { 1'650 }) + Milliseconds { 6 }, work);
+    }
+
+    Group& groupOf(const Work& work) { return work.profile.workspace == "w0" ? m_totals.hot : m_totals.others; }
+
     void submitItem(Node& node)
     {
         const uint64_t id = ++m_lastWork;
@@ -434,6 +563,7 @@
                 break;
             case SlotDecision::Kind::Refuse:
                 ++m_totals.onlineRefused;
+                retryOrGiveUp(work, it.retryAfter);
                 node.work.erase(it.work);
                 break;
             case SlotDecision::Kind::Yield:
@@ -472,8 +602,12 @@
     void advanceEndpoints()
     {
         for (auto& [id, endpoint] : m_endpoints) {
+            if (m_options.slowShare > 0 && m_clock.now() >= endpoint.phaseEnd) {
+                endpoint.isSlow = m_random.unit() < m_options.slowShare;
+                endpoint.phaseEnd = m_clock.now() + Milliseconds { 600 };
+            }
             for (Work& it : endpoint.running) {
-                it.remaining -= step;
+                it.remaining -= endpoint.isSlow ? step * 2 / 5 : step;
                 if (it.isBatch)
                     m_totals.batchSlotTime += step;
                 if (it.remaining.count() <= 0) {
@@ -510,7 +644,10 @@
         if (work.isBatch)
             return;
         const auto wait = std::chrono::duration_cast<Milliseconds>(m_clock.now() - work.arrival);
-        ++(wait <= m_options.onlineTarget ? m_totals.onlineOnTime : m_totals.onlineLate);
+        const bool isOnTime = wait <= m_options.onlineTarget;
+        ++(isOnTime ? m_totals.onlineOnTime : m_totals.onlineLate);
+        (work.isRetry ? groupOf(work).onTimeAtRetry : groupOf(work).onTime) += isOnTime ? 1 : 0;
+        m_totals.retriesTooEarly += work.isRetry && !isOnTime ? 1 : 0;
         m_totals.longestOnlineWait = std::max(m_totals.longestOnlineWait, wait);
     }
 
@@ -520,6 +657,7 @@
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::map<std::string, Endpoint> m_endpoints;
     std::deque<Message> m_messages;
+    std::multimap<MonotonicTime, Work> m_retries;
     uint64_t m_lastWork { 0 };
     Totals m_totals;
 };
