LibGateway: Serve workspaces in fair order, by expected slot time

Cause: the queue knew priority and urgency only, so a workspace that sent several times its usual requests took the slots of all others; and admission counted requests, not their work.

FairShares orders requests of equal lateness and priority by start-time fair queueing. A workspace is charged when its work starts, so refused work costs nothing. Deficit round robin was ruled out: its order does not tell a request how much work is in front of it, which admission needs. SlotTimeEstimator replaces HoldTimeEstimator.

--- a/Libraries/LibGateway/ItemPreemption.cpp
+++ b/Libraries/LibGateway/ItemPreemption.cpp
@@ -5,10 +5,10 @@
 
 namespace Chicorydock {
 
-ItemPreemption::ItemPreemption(const SlotUsage& usage, const SlotPeers& peers, const HoldTimeEstimator& holdTimes)
+ItemPreemption::ItemPreemption(const SlotUsage& usage, const SlotPeers& peers, const SlotTimeEstimator& slotTimes)
     : m_usage(usage)
     , m_peers(peers)
-    , m_holdTimes(holdTimes)
+    , m_slotTimes(slotTimes)
 {
 }
 
@@ -16,8 +16,8 @@
 {
     // Items that will be late in any case yield first, then the one that is due last.
     const auto order = [&](const RunningWork& it) {
-        return std::tuple(
-            m_holdTimes.isItemTooLate(it.service, it.dueAt, it.slotTimeUsed, it.startedAt), it.dueAt, it.startedAt);
+        return std::tuple(m_slotTimes.isItemTooLate(it.service, it.profile, it.dueAt, it.slotTimeUsed, it.startedAt),
+            it.dueAt, it.startedAt);
     };
     const std::pair<const uint64_t, RunningWork>* chosen = nullptr;
     for (const auto& it : m_usage.running()) {
--- a/Libraries/LibGateway/ItemPreemption.h
+++ b/Libraries/LibGateway/ItemPreemption.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibGateway/HoldTimeEstimator.h>
+#include <LibGateway/SlotTimeEstimator.h>
 #include <LibGateway/SlotUsage.h>
 
 #include <optional>
@@ -15,7 +15,7 @@
 class ItemPreemption {
 public:
     /// The arguments outlive the object.
-    ItemPreemption(const SlotUsage&, const SlotPeers&, const HoldTimeEstimator&);
+    ItemPreemption(const SlotUsage&, const SlotPeers&, const SlotTimeEstimator&);
 
     /// Returns the item of this node that yields first at the endpoint, or nothing if none runs there.
     std::optional<uint64_t> chooseItem(const SlotEndpoint&) const;
@@ -27,7 +27,7 @@
 private:
     const SlotUsage& m_usage;
     const SlotPeers& m_peers;
-    const HoldTimeEstimator& m_holdTimes;
+    const SlotTimeEstimator& m_slotTimes;
 };
 
 }
--- a/Libraries/LibGateway/QueueAdmission.cpp
+++ b/Libraries/LibGateway/QueueAdmission.cpp
@@ -20,17 +20,17 @@
 }
 
 QueueAdmission::QueueAdmission(
-    const ServiceCapacity& capacity, const SlotPeers& peers, const HoldTimeEstimator& holdTimes, Random& random)
+    const ServiceCapacity& capacity, const SlotPeers& peers, const SlotTimeEstimator& slotTimes, Random& random)
     : m_capacity(capacity)
     , m_peers(peers)
-    , m_holdTimes(holdTimes)
+    , m_slotTimes(slotTimes)
     , m_random(random)
 {
 }
 
-bool QueueAdmission::shouldRefuse(const OnlineWork& work, size_t ahead, MonotonicTime now) const
+bool QueueAdmission::shouldRefuse(const OnlineWork& work, const WaitingLine& line, MonotonicTime now) const
 {
-    const MonotonicTime start = now + expectedWait(work.service, ahead);
+    const MonotonicTime start = now + expectedWait(work, line);
     if (start > work.deadline)
         return true;
     // A caller that may retry is better served by a later attempt that is on time than by a late response.
@@ -41,18 +41,29 @@
     return toSeconds(start - now) > toSeconds(work.startBy - now) * maxExpectedWaitShare;
 }
 
-Milliseconds QueueAdmission::expectedWait(const std::string& service, size_t ahead) const
+Milliseconds QueueAdmission::expectedWait(const OnlineWork& work, const WaitingLine& line) const
 {
-    const Milliseconds hold = m_holdTimes.requestTime(service);
     // Requests queued at peers compete for the same slots.
-    const double queue = static_cast<double>(ahead + m_peers.waiting());
-    const double queueTime = queue * static_cast<double>(hold.count()) / m_capacity.usableSlots(service);
-    return std::max(Milliseconds { std::lround(queueTime) }, m_capacity.nextRequestIn(service));
+    const double peerTime
+        = aheadAtPeers(work, line) * static_cast<double>(m_slotTimes.requestTime(work.service).count());
+    const double slotTime = static_cast<double>(line.timeAhead.count()) + peerTime;
+    const Milliseconds queueTime { std::lround(slotTime / m_capacity.usableSlots(work.service)) };
+    return std::max(queueTime, m_capacity.nextRequestIn(work.service));
 }
 
-Milliseconds QueueAdmission::retryAfter(const std::string& service, size_t ahead)
+double QueueAdmission::aheadAtPeers(const OnlineWork& work, const WaitingLine& line) const
 {
-    const Milliseconds wait = expectedWait(service, ahead);
+    const double waiting = m_peers.waiting();
+    if (work.profile.workspace.empty())
+        return waiting;
+    // Peers serve the workspaces in fair order too, so the request has about the same place in their queues as here.
+    const double place = static_cast<double>(line.ahead) + 0.5;
+    return waiting * place / static_cast<double>(line.ahead + line.rest);
+}
+
+Milliseconds QueueAdmission::retryAfter(const OnlineWork& work, const WaitingLine& line)
+{
+    const Milliseconds wait = expectedWait(work, line);
     const double spread = m_random.unit() * static_cast<double>(std::max(wait, minRetrySpread).count());
     return std::min(minRetryAfter + wait + Milliseconds { std::lround(spread) }, maxRetryAfter);
 }
--- a/Libraries/LibGateway/SlotEndpoints.cpp
+++ b/Libraries/LibGateway/SlotEndpoints.cpp
@@ -110,13 +110,13 @@
     return endpoint->limiter.statement().perSecond != before;
 }
 
-void SlotEndpoints::updateLimits(const HoldTimeEstimator& holdTimes, MonotonicTime now)
+void SlotEndpoints::updateLimits(const SlotTimeEstimator& slotTimes, MonotonicTime now)
 {
     m_capacity.clearLimits();
     for (const auto& [id, it] : m_endpoints) {
         const std::string& service = it.record.service;
         if (it.isUsable && it.limiter.isLimited())
-            m_capacity.addLimit(service, it.record.slotCount, it.limiter, holdTimes.requestTime(service), now);
+            m_capacity.addLimit(service, it.record.slotCount, it.limiter, slotTimes.requestTime(service), now);
     }
 }
 
--- a/Libraries/LibGateway/SlotEndpoints.h
+++ b/Libraries/LibGateway/SlotEndpoints.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <LibGateway/HoldTimeEstimator.h>
 #include <LibGateway/ServiceCapacity.h>
 #include <LibGateway/SlotEndpoint.h>
+#include <LibGateway/SlotTimeEstimator.h>
 
 #include <map>
 #include <string>
@@ -44,7 +44,7 @@
     /// Applies the rate limit that the endpoint stated. Returns whether its rate has changed.
     bool observeRate(const std::string& id, const RateStatement&, MonotonicTime now);
     /// Updates what the rate limits leave of the capacity.
-    void updateLimits(const HoldTimeEstimator&, MonotonicTime now);
+    void updateLimits(const SlotTimeEstimator&, MonotonicTime now);
 
     /// Returns the slots of the usable endpoints, within their rate limits as of the last call of `updateLimits()`.
     const ServiceCapacity& capacity() const { return m_capacity; }
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -21,9 +21,9 @@
     , m_reserve(m_endpoints, m_peers)
     , m_usage(m_endpoints, m_peers, m_reserve)
     , m_chooser(m_endpoints, m_peers, m_reserve, random)
-    , m_queue(m_holdTimes)
-    , m_admission(m_endpoints.capacity(), m_peers, m_holdTimes, random)
-    , m_preemption(m_usage, m_peers, m_holdTimes)
+    , m_queue(m_slotTimes)
+    , m_admission(m_endpoints.capacity(), m_peers, m_slotTimes, random)
+    , m_preemption(m_usage, m_peers, m_slotTimes)
 {
 }
 
@@ -49,9 +49,9 @@
         endpoint->recordResponse(now);
     const auto held = std::chrono::duration_cast<Milliseconds>(now - finished->startedAt);
     if (finished->isBatch)
-        m_holdTimes.addItem(finished->service, held + finished->slotTimeUsed);
+        m_slotTimes.addItem(finished->service, finished->profile, held + finished->slotTimeUsed);
     else
-        m_holdTimes.addRequest(finished->service, held);
+        m_slotTimes.addRequest(finished->service, finished->profile, held);
 }
 
 void SlotScheduler::observeRate(const std::string& endpoint, const RateStatement& statement, MonotonicTime now)
@@ -73,7 +73,7 @@
 {
     std::vector<SlotDecision> decisions;
     expire(now);
-    m_endpoints.updateLimits(m_holdTimes, now);
+    m_endpoints.updateLimits(m_slotTimes, now);
     decideOnline(decisions, now);
     decideYields(decisions, now);
     decideBatch(decisions, now);
@@ -82,13 +82,16 @@
 
 void SlotScheduler::decideOnline(std::vector<SlotDecision>& decisions, MonotonicTime now)
 {
-    std::map<std::string, size_t> ahead;
+    std::map<std::string, WaitingLine> lines;
     // Earliest arrival, by service, of the requests that found no slot. Only a request that has waited longer may use
     // more endpoints, so the others need not look.
     std::map<std::string, MonotonicTime> earliestWaiting;
     std::vector<OnlineWork> waiting;
     std::vector<OnlineWork> queued = m_queue.takeOnline(now);
+    for (const OnlineWork& it : queued)
+        ++lines.try_emplace(it.service, WaitingLine { .rest = 0 }).first->second.rest;
     for (OnlineWork& work : queued) {
+        WaitingLine& line = lines.at(work.service);
         const auto found = earliestWaiting.find(work.service);
         const bool isHopeless = found != earliestWaiting.end() && work.submittedAt >= found->second;
         SlotEndpoint* endpoint = isHopeless ? nullptr : m_chooser.chooseForOnline(work, now);
@@ -98,17 +101,20 @@
         if (endpoint) {
             if (endpoint->total() >= endpoint->record.slotCount && endpoint->own.batch > 0)
                 yieldOne(decisions, *endpoint, now);
+            --line.rest;
+            m_queue.recordStart(work);
             startWork(decisions, { .id = work.id, .profile = std::move(work.profile) }, *endpoint, now);
             continue;
         }
-        size_t& before = ahead[work.service];
-        if (work.service.empty() || m_endpoints.isVersionGone(work) || m_admission.shouldRefuse(work, before, now)) {
-            const SlotView view { .expectedWait = m_admission.expectedWait(work.service, before) };
-            decisions.push_back(
-                { SlotDecision::Kind::Refuse, work.id, {}, m_admission.retryAfter(work.service, before), view });
+        if (work.service.empty() || m_endpoints.isVersionGone(work) || m_admission.shouldRefuse(work, line, now)) {
+            const SlotView view { .expectedWait = m_admission.expectedWait(work, line) };
+            decisions.push_back({ SlotDecision::Kind::Refuse, work.id, {}, m_admission.retryAfter(work, line), view });
+            --line.rest;
             continue;
         }
-        ++before;
+        --line.rest;
+        ++line.ahead;
+        line.timeAhead += work.slotTime;
         work.isAccepted = true;
         waiting.push_back(std::move(work));
     }
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -36,7 +36,7 @@
     SlotScheduler(Location, Random&);
 
     void setEndpoints(const std::vector<EndpointRecord>& records) override { m_endpoints.replace(records); }
-    void setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) override { m_workspaces = workspaces; }
+    void setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) override { m_queue.setWorkspaces(workspaces); }
     void submit(const OnlineWork& work, MonotonicTime now) override { m_queue.add(work, now); }
     void submit(const BatchWork& work) override { m_queue.add(work); }
     void withdraw(uint64_t work) override { m_queue.remove(work); }
@@ -97,13 +97,12 @@
     /// Preempts one item of this node at the endpoint, if one runs there.
     void yieldOne(std::vector<SlotDecision>&, SlotEndpoint&, MonotonicTime now);
 
-    std::vector<WorkspaceLimits> m_workspaces;
     SlotPeers m_peers;
     SlotEndpoints m_endpoints;
     BatchReserve m_reserve;
     SlotUsage m_usage;
     EndpointChooser m_chooser;
-    HoldTimeEstimator m_holdTimes;
+    SlotTimeEstimator m_slotTimes;
     SlotQueue m_queue;
     QueueAdmission m_admission;
     ItemPreemption m_preemption;
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -34,6 +34,8 @@
     /// Version of the endpoints that may run the request, if it resumes a stream. Empty for any.
     std::optional<std::string> softwareVersion {};
     WorkProfile profile {};
+    /// Expected time for which the request holds its slot. Set by the scheduler.
+    Milliseconds slotTime { 0 };
 
     bool operator==(const OnlineWork&) const = default;
 };
