LibGateway: Tell refused callers when slots get free for them

Cause: Retry-After was drawn at random between 150 and 700 ms, so refused callers returned while the burst lasted, in competition with new requests, and were too late for the slots that were free after it.

RetryBookings gives each refused caller a time behind all earlier ones, at the rate at which new requests leave slots free. A booking lapses when its time has passed; callers without room return at the end of what they honour, a third of the time that they have left. Booking at the rate of all slots was ruled out by a trial: it brought nothing, because new requests take the slots.

--- a/Libraries/LibGateway/QueueAdmission.cpp
+++ b/Libraries/LibGateway/QueueAdmission.cpp
@@ -11,20 +11,19 @@
     /// estimate is rough, and an early refusal is of more use to the caller than a late one.
     constexpr double maxExpectedWaitShare = 0.5;
 
-    /// Refused callers are told to retry after `minRetryAfter` plus the expected wait plus a random delay, but after
-    /// `maxRetryAfter` at most. The random delay is up to the longer of the expected wait and `minRetrySpread`.
-    constexpr Milliseconds minRetrySpread { 300 };
+    /// Limits of the time after which refused callers are told to retry. Callers honour up to a third of the time that
+    /// they have left.
     constexpr Milliseconds minRetryAfter { 150 };
     constexpr Milliseconds maxRetryAfter { 1'600 };
+    constexpr int maxRetryShareOfTimeLeft = 3;
 
 }
 
 QueueAdmission::QueueAdmission(
-    const ServiceCapacity& capacity, const SlotPeers& peers, const SlotTimeEstimator& slotTimes, Random& random)
+    const ServiceCapacity& capacity, const SlotPeers& peers, const SlotTimeEstimator& slotTimes)
     : m_capacity(capacity)
     , m_peers(peers)
     , m_slotTimes(slotTimes)
-    , m_random(random)
 {
 }
 
@@ -61,11 +60,22 @@
     return waiting * place / static_cast<double>(line.ahead + line.rest);
 }
 
-Milliseconds QueueAdmission::retryAfter(const OnlineWork& work, const WaitingLine& line)
+void QueueAdmission::recordArrival(const OnlineWork& work, MonotonicTime now)
 {
-    const Milliseconds wait = expectedWait(work, line);
-    const double spread = m_random.unit() * static_cast<double>(std::max(wait, minRetrySpread).count());
-    return std::min(minRetryAfter + wait + Milliseconds { std::lround(spread) }, maxRetryAfter);
+    if (!work.isLastAttempt)
+        m_bookings.recordArrival(work.service, work.slotTime, now);
+}
+
+Milliseconds QueueAdmission::retryAfter(const OnlineWork& work, const WaitingLine& line, MonotonicTime now)
+{
+    const auto left = std::chrono::duration_cast<Milliseconds>(work.deadline - now);
+    const Milliseconds latest = std::clamp(left / maxRetryShareOfTimeLeft, minRetryAfter, maxRetryAfter);
+    const Milliseconds earliest = minRetryAfter + expectedWait(work, line);
+    // Peers refuse callers of their own, who are served from the same slots.
+    const size_t peers = m_peers.countAt(PeerDistance::FailureDomain) + m_peers.countAt(PeerDistance::Region)
+        + m_peers.countAt(PeerDistance::OtherRegion);
+    const double slots = m_capacity.usableSlots(work.service) / static_cast<double>(peers + 1);
+    return m_bookings.book(work.service, work.slotTime, { earliest, latest }, slots, now);
 }
 
 }
--- a/Libraries/LibGateway/QueueAdmission.h
+++ b/Libraries/LibGateway/QueueAdmission.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/Random.h>
+#include <LibGateway/RetryBookings.h>
 #include <LibGateway/SlotEndpoints.h>
 
 #include <string>
@@ -29,7 +29,10 @@
 class QueueAdmission {
 public:
     /// The arguments outlive the object.
-    QueueAdmission(const ServiceCapacity&, const SlotPeers&, const SlotTimeEstimator&, Random&);
+    QueueAdmission(const ServiceCapacity&, const SlotPeers&, const SlotTimeEstimator&);
+
+    /// Records that the request has arrived. To be called once for each request.
+    void recordArrival(const OnlineWork&, MonotonicTime now);
 
     /// Returns whether the request is refused.
     bool shouldRefuse(const OnlineWork&, const WaitingLine&, MonotonicTime now) const;
@@ -37,9 +40,9 @@
     /// Returns the expected time of the request in the queue.
     Milliseconds expectedWait(const OnlineWork&, const WaitingLine&) const;
 
-    /// Returns the time after which a refused caller should retry. It is partly random, so that callers that were
-    /// refused together do not return together.
-    Milliseconds retryAfter(const OnlineWork&, const WaitingLine&);
+    /// Returns the time after which a refused caller should retry: when the slots that it needs get free behind all
+    /// earlier refused callers, see `RetryBookings`.
+    Milliseconds retryAfter(const OnlineWork&, const WaitingLine&, MonotonicTime now);
 
 private:
     /// Returns the requests queued at peers that are expected to be served before the request.
@@ -48,7 +51,7 @@
     const ServiceCapacity& m_capacity;
     const SlotPeers& m_peers;
     const SlotTimeEstimator& m_slotTimes;
-    Random& m_random;
+    RetryBookings m_bookings;
 };
 
 }
--- /dev/null
+++ b/Libraries/LibGateway/RetryBookings.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+
+#include <map>
+#include <string>
+
+namespace Chicorydock {
+
+/// Gives refused callers the times at which slots are expected to get free for them: each caller after all earlier ones
+/// of its service, at the rate at which new requests leave slots free. A booking that its caller does not use lapses
+/// when its time has passed. Callers for whom there is no room in time are told to return as late as they can.
+///
+/// Load: bursts of requests that the slots cannot serve. Callers that are told random times return together with new
+/// requests while the burst lasts, and are too late for the slots that are free after it.
+///
+/// Thread safety: none.
+class RetryBookings {
+public:
+    /// Earliest and latest time of a booking, from now on.
+    struct Window {
+        Milliseconds earliest { 0 };
+        Milliseconds latest { 0 };
+    };
+
+    /// Records a new request, which takes slots from those who return.
+    void recordArrival(const std::string& service, Milliseconds slotTime, MonotonicTime now);
+
+    /// Books `slotTime` and returns the time from now on at which it begins, within the window. `slots` is the number
+    /// of slots from which callers of this node are served.
+    Milliseconds book(
+        const std::string& service, Milliseconds slotTime, const Window&, double slots, MonotonicTime now);
+
+private:
+    struct Line {
+        /// End of the last booking.
+        MonotonicTime bookedUntil;
+        /// Slot time of recent requests, which decays with time, as of `updatedAt`.
+        double recentMilliseconds { 0 };
+        MonotonicTime updatedAt;
+    };
+
+    /// Lets the slot time of earlier requests decay until now.
+    static void decay(Line&, MonotonicTime now);
+    /// Returns a time in the last part of the window.
+    Milliseconds nextAtEnd(const Window&);
+
+    std::map<std::string, Line> m_lines;
+    /// Place of the last caller in the part over which `nextAtEnd()` spreads them, from 0 to 1.
+    double m_spread { 0 };
+};
+
+}
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -22,7 +22,7 @@
     , m_usage(m_endpoints, m_peers, m_reserve)
     , m_chooser(m_endpoints, m_peers, m_reserve, random)
     , m_queue(m_slotTimes)
-    , m_admission(m_endpoints.capacity(), m_peers, m_slotTimes, random)
+    , m_admission(m_endpoints.capacity(), m_peers, m_slotTimes)
     , m_preemption(m_usage, m_peers, m_slotTimes)
 {
 }
@@ -92,6 +92,8 @@
         ++lines.try_emplace(it.service, WaitingLine { .rest = 0 }).first->second.rest;
     for (OnlineWork& work : queued) {
         WaitingLine& line = lines.at(work.service);
+        if (!work.isAccepted)
+            m_admission.recordArrival(work, now);
         const auto found = earliestWaiting.find(work.service);
         const bool isHopeless = found != earliestWaiting.end() && work.submittedAt >= found->second;
         SlotEndpoint* endpoint = isHopeless ? nullptr : m_chooser.chooseForOnline(work, now);
@@ -108,7 +110,8 @@
         }
         if (work.service.empty() || m_endpoints.isVersionGone(work) || m_admission.shouldRefuse(work, line, now)) {
             const SlotView view { .expectedWait = m_admission.expectedWait(work, line) };
-            decisions.push_back({ SlotDecision::Kind::Refuse, work.id, {}, m_admission.retryAfter(work, line), view });
+            decisions.push_back(
+                { SlotDecision::Kind::Refuse, work.id, {}, m_admission.retryAfter(work, line, now), view });
             --line.rest;
             continue;
         }
