LibGateway: Record the expected slot time and the largest share of a workspace

Operators compare `expected_slot_ms` of a placement with the time that the request took, and see from the metric chicorydock_largest_workspace_share that one workspace holds most of the slots.

--- a/Libraries/LibGateway/DecisionFields.cpp
+++ b/Libraries/LibGateway/DecisionFields.cpp
@@ -8,6 +8,8 @@
         details["expected_wait_ms"] = static_cast<qint64>(view.expectedWait.count());
         return;
     }
+    if (view.expectedSlotTime.count() > 0)
+        details["expected_slot_ms"] = static_cast<qint64>(view.expectedSlotTime.count());
     details["slots"] = static_cast<qint64>(view.slotCount);
     details["slots_online"] = static_cast<qint64>(view.online);
     details["slots_batch"] = static_cast<qint64>(view.batch);
--- a/Libraries/LibGateway/SlotMessageFormat.cpp
+++ b/Libraries/LibGateway/SlotMessageFormat.cpp
@@ -151,6 +151,7 @@
         builder.setSlotCount(decision.view.slotCount);
         builder.setAgeMs(decision.view.age ? toNumber<uint32_t>(*decision.view.age) : unknownAge);
         builder.setExpectedWaitMs(toNumber<uint32_t>(decision.view.expectedWait));
+        builder.setExpectedSlotMs(toNumber<uint32_t>(decision.view.expectedSlotTime));
         builder.setReason(static_cast<Schema::RefusalReason>(decision.reason));
     }
 
@@ -168,7 +169,7 @@
         const bool isAgeKnown = reader.getAgeMs() != unknownAge;
         const SlotView view { reader.getOnline(), reader.getBatch(), reader.getSlotCount(),
             isAgeKnown ? std::optional(Milliseconds { reader.getAgeMs() }) : std::nullopt,
-            Milliseconds { reader.getExpectedWaitMs() } };
+            Milliseconds { reader.getExpectedWaitMs() }, Milliseconds { reader.getExpectedSlotMs() } };
         return SlotDecision { static_cast<SlotDecision::Kind>(reader.getKind()), reader.getWork(), reader.getEndpoint(),
             Milliseconds { reader.getRetryAfterMs() }, view, readReason(reader.getReason()) };
     }
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -127,9 +127,10 @@
 void SlotScheduler::startWork(
     std::vector<SlotDecision>& decisions, RunningWork work, SlotEndpoint& endpoint, MonotonicTime now)
 {
-    const SlotView view = endpoint.view(now);
     work.service = endpoint.record.service;
     work.endpoint = endpoint.record.id;
+    SlotView view = endpoint.view(now);
+    view.expectedSlotTime = expectedSlotTime(work);
     work.startedAt = now;
     m_usage.add(work, endpoint, now);
     ++endpoint.starts;
@@ -137,6 +138,28 @@
     decisions.push_back({ SlotDecision::Kind::Start, work.id, endpoint.record.id, {}, view });
 }
 
+Milliseconds SlotScheduler::expectedSlotTime(const RunningWork& work) const
+{
+    if (!work.isBatch)
+        return m_slotTimes.requestTime(work.service, work.profile);
+    return std::max(m_slotTimes.itemTime(work.service, work.profile) - work.slotTimeUsed, Milliseconds { 0 });
+}
+
+double SlotScheduler::largestWorkspaceShare() const
+{
+    std::unordered_map<std::string, uint32_t> slots;
+    uint32_t all = 0;
+    uint32_t most = 0;
+    for (const auto& [id, it] : m_usage.running()) {
+        if (it.isBatch)
+            continue;
+        ++all;
+        if (!it.profile.workspace.empty())
+            most = std::max(most, ++slots[it.profile.workspace]);
+    }
+    return all > 0 ? static_cast<double>(most) / all : 0;
+}
+
 void SlotScheduler::yieldOne(std::vector<SlotDecision>& decisions, SlotEndpoint& endpoint, MonotonicTime now)
 {
     const std::optional<uint64_t> item = m_preemption.chooseItem(endpoint);
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -80,6 +80,9 @@
     /// Returns a number that changes whenever this node has something new to report to its peers: the slots that it
     /// uses or the rate limit of an endpoint.
     uint64_t useVersion() const { return m_usage.version(); }
+    /// Returns the share of the slots of online work that the workspace with the most of them holds, 0 without
+    /// workspaces.
+    double largestWorkspaceShare() const;
     uint32_t waitingOnline() const { return m_queue.waitingOnline(); }
     uint32_t waitingBatch() const { return m_queue.waitingBatch(); }
 
@@ -94,6 +97,8 @@
     void decideBatch(std::vector<SlotDecision>&, MonotonicTime now);
     /// Starts work of which the identifier and the fields of items are set.
     void startWork(std::vector<SlotDecision>&, RunningWork, SlotEndpoint&, MonotonicTime now);
+    /// Returns for how much longer the work is expected to hold a slot when it starts.
+    Milliseconds expectedSlotTime(const RunningWork&) const;
     /// Preempts one item of this node at the endpoint, if one runs there.
     void yieldOne(std::vector<SlotDecision>&, SlotEndpoint&, MonotonicTime now);
 
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -82,6 +82,8 @@
     std::optional<Milliseconds> age {};
     /// Expected time in the queue; set for refusals only.
     Milliseconds expectedWait { 0 };
+    /// Expected time for which the work holds its slot; set for starts of requests and items only.
+    Milliseconds expectedSlotTime { 0 };
 
     auto operator<=>(const SlotView&) const = default;
 };
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -184,6 +184,8 @@
   expectedWaitMs @8 :UInt32;
   # Set for refusals only.
   reason @9 :RefusalReason;
+  # Expected time for which the work holds its slot. Set for starts only.
+  expectedSlotMs @10 :UInt32;
 }
 
 enum RefusalReason {
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -1919,6 +1919,8 @@
 
   inline  ::Chicorydock::Schema::RefusalReason getReason() const;
 
+  inline  ::uint32_t getExpectedSlotMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1981,6 +1983,9 @@
   inline  ::Chicorydock::Schema::RefusalReason getReason();
   inline void setReason( ::Chicorydock::Schema::RefusalReason value);
 
+  inline  ::uint32_t getExpectedSlotMs();
+  inline void setExpectedSlotMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4128,6 +4133,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t SlotDecision::Reader::getExpectedSlotMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SlotDecision::Builder::getExpectedSlotMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void SlotDecision::Builder::setExpectedSlotMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t SlotReply::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -479,6 +479,9 @@
     set("chicorydock_configuration_version", "Version in force.",
         static_cast<double>(m_environment.configuration->version));
     set("chicorydock_online_waiting", "Online requests that wait for a slot.", m_member.waitingOnline());
+    set("chicorydock_largest_workspace_share",
+        "Share of the online slots that this node allocates which one workspace holds.",
+        m_scheduler.largestWorkspaceShare());
     set("chicorydock_batch_waiting", "Items that wait for a slot.", m_scheduler.waitingBatch());
     set("chicorydock_peers", "Nodes heard of lately.", static_cast<double>(m_peers.aliveCount()));
     set("chicorydock_endpoints_lost", "Whether this node has lost its connections to the endpoints.",
--- a/Tests/LibGateway/SlotSimulation.h
+++ b/Tests/LibGateway/SlotSimulation.h
@@ -54,6 +54,8 @@
         /// Spread of the output lengths, and of the callers' estimates of them: standard deviations of the logarithms.
         double lengthSpread { 0 };
         double hintSpread { 0 };
+        /// Whether callers state estimates.
+        bool hasHints { true };
         /// Share of the time in which an endpoint takes 2.5 times as long, in phases of 600 ms.
         double slowShare { 0 };
         /// Whether refused callers retry once, after the time that they are told.
@@ -393,8 +395,9 @@
         const double factor = std::exp(normal() * spread - spread * spread / 2);
         constexpr double tokensPerMillisecond = 0.25;
         const double tokens = std::max(1.0, factor * static_cast<double>(mean.count()) * tokensPerMillisecond);
-        profile.promptTokens = 250;
-        profile.outputTokensHint = static_cast<uint32_t>(1 + tokens * std::exp(normal() * m_options.hintSpread));
+        profile.promptTokens = m_options.hasHints ? 250 : 0;
+        if (m_options.hasHints)
+            profile.outputTokensHint = static_cast<uint32_t>(1 + tokens * std::exp(normal() * m_options.hintSpread));
         return Milliseconds { std::lround(tokens / tokensPerMillisecond) };
     }
 
--- a/Tests/LibGateway/TestFairOrder.cpp
+++ b/Tests/LibGateway/TestFairOrder.cpp
@@ -249,6 +249,36 @@
     CHECK(onTime[0] - onTime[1] < 0.02);
 }
 
+TEST_CASE("figures of estimated slot times", "[.figures]")
+{
+    for (const bool hasHints : { false, true }) {
+        std::array<SlotSimulation::Totals, 2> sums;
+        for (uint64_t seed = 1; seed <= 8; ++seed) {
+            for (size_t n = 0; n < sums.size(); ++n) {
+                SlotSimulation::Options options = unevenDeployment(seed);
+                options.hasHints = hasHints;
+                options.workspaces = n == 0 ? 0 : 76;
+                options.hotFactor = n == 0 ? 1 : 6.6;
+                SlotSimulation simulation(options);
+                runCrests(simulation, n == 0 ? 412 * 1.2 : 346, 40, 2);
+                const SlotSimulation::Totals& totals = simulation.totals();
+                sums[n].others.arrivals += totals.others.arrivals;
+                sums[n].others.onTime += totals.others.onTime;
+                sums[n].others.onTimeAtRetry += totals.others.onTimeAtRetry;
+                sums[n].hot.arrivals += totals.hot.arrivals;
+                sums[n].hot.onTime += totals.hot.onTime;
+                sums[n].hot.onTimeAtRetry += totals.hot.onTimeAtRetry;
+                sums[n].onlineLate += totals.onlineLate;
+                sums[n].onlineRefused += totals.onlineRefused;
+                sums[n].retries += totals.retries;
+                sums[n].retriesTooEarly += totals.retriesTooEarly;
+            }
+        }
+        for (const SlotSimulation::Totals& it : sums)
+            WARN("estimates " << hasHints << ": " << describe(it));
+    }
+}
+
 // Measures what the order costs with 500 requests in the queue.
 TEST_CASE("time to order 500 requests", "[.figures]")
 {
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -31,7 +31,7 @@
 
 SlotReply makeSlotReply()
 {
-    const SlotView view { 5, 1, 7, Milliseconds { 30 }, Milliseconds { 90 } };
+    const SlotView view { 5, 1, 7, Milliseconds { 30 }, Milliseconds { 90 }, Milliseconds { 790 } };
     return { 8, 12, true,
         { { SlotDecision::Kind::Start, 1, "e1", {}, view },
             { SlotDecision::Kind::Refuse, 2, {}, Milliseconds { 450 }, view },
