--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -21,9 +21,9 @@
     , m_reserve(m_endpoints, m_peers)
     , m_usage(m_endpoints, m_peers, m_reserve)
     , m_chooser(m_endpoints, m_peers, m_reserve, random)
-    , m_queue(m_holdTimes)
-    , m_admission(m_endpoints.capacity(), m_peers, m_holdTimes, random)
-    , m_preemption(m_usage, m_peers, m_holdTimes)
+    , m_queue(m_slotTimes)
+    , m_admission(m_endpoints.capacity(), m_peers, m_slotTimes)
+    , m_preemption(m_usage, m_peers, m_slotTimes)
 {
 }
 
@@ -49,11 +49,17 @@
         endpoint->recordResponse(now);
     const auto held = std::chrono::duration_cast<Milliseconds>(now - finished->startedAt);
     if (endpoint && !finished->isBatch)
-        endpoint->recordDuration(*finished, 1, now);
+        endpoint->recordDuration(*finished, relativeSize(*finished), now);
     if (finished->isBatch)
-        m_holdTimes.addItem(finished->service, held + finished->slotTimeUsed);
+        m_slotTimes.addItem(finished->service, finished->profile, held + finished->slotTimeUsed);
     else
-        m_holdTimes.addRequest(finished->service, held);
+        m_slotTimes.addRequest(finished->service, finished->profile, held);
+}
+
+double SlotScheduler::relativeSize(const RunningWork& work) const
+{
+    return toSeconds(m_slotTimes.requestTime(work.service, work.profile))
+        / toSeconds(m_slotTimes.requestTime(work.service));
 }
 
 void SlotScheduler::observeRate(const std::string& endpoint, const RateStatement& statement, MonotonicTime now)
@@ -75,7 +81,7 @@
 {
     std::vector<SlotDecision> decisions;
     expire(now);
-    m_endpoints.updateLimits(m_holdTimes, now);
+    m_endpoints.updateLimits(m_slotTimes, now);
     decideOnline(decisions, now);
     decideYields(decisions, now);
     decideBatch(decisions, now);
@@ -84,13 +90,18 @@
 
 void SlotScheduler::decideOnline(std::vector<SlotDecision>& decisions, MonotonicTime now)
 {
-    std::map<std::string, size_t> ahead;
+    std::map<std::string, WaitingLine> lines;
     // Earliest arrival, by service, of the requests that found no slot. Only a request that has waited longer may use
     // more endpoints, so the others need not look.
     std::map<std::string, MonotonicTime> earliestWaiting;
     std::vector<OnlineWork> waiting;
     std::vector<OnlineWork> queued = m_queue.takeOnline(now);
+    for (const OnlineWork& it : queued)
+        ++lines.try_emplace(it.service, WaitingLine { .rest = 0 }).first->second.rest;
     for (OnlineWork& work : queued) {
+        WaitingLine& line = lines.at(work.service);
+        if (!work.isAccepted)
+            m_admission.recordArrival(work, now);
         const auto found = earliestWaiting.find(work.service);
         const bool isHopeless = found != earliestWaiting.end() && work.submittedAt >= found->second;
         SlotEndpoint* endpoint = isHopeless ? nullptr : m_chooser.chooseForOnline(work, now);
@@ -100,17 +111,21 @@
         if (endpoint) {
             if (endpoint->total() >= endpoint->slotLimit && endpoint->own.batch > 0)
                 yieldOne(decisions, *endpoint, now);
+            --line.rest;
+            m_queue.recordStart(work);
             startWork(decisions, { .id = work.id, .profile = std::move(work.profile) }, *endpoint, now);
             continue;
         }
-        size_t& before = ahead[work.service];
-        if (work.service.empty() || m_endpoints.isVersionGone(work) || m_admission.shouldRefuse(work, before, now)) {
-            const SlotView view { .expectedWait = m_admission.expectedWait(work.service, before) };
+        if (work.service.empty() || m_endpoints.isVersionGone(work) || m_admission.shouldRefuse(work, line, now)) {
+            const SlotView view { .expectedWait = m_admission.expectedWait(work, line) };
             decisions.push_back(
-                { SlotDecision::Kind::Refuse, work.id, {}, m_admission.retryAfter(work.service, before), view });
+                { SlotDecision::Kind::Refuse, work.id, {}, m_admission.retryAfter(work, line, now), view });
+            --line.rest;
             continue;
         }
-        ++before;
+        --line.rest;
+        ++line.ahead;
+        line.timeAhead += work.slotTime;
         work.isAccepted = true;
         waiting.push_back(std::move(work));
     }
@@ -120,9 +135,10 @@
 void SlotScheduler::startWork(
     std::vector<SlotDecision>& decisions, RunningWork work, SlotEndpoint& endpoint, MonotonicTime now)
 {
-    const SlotView view = endpoint.view(now);
     work.service = endpoint.record.service;
     work.endpoint = endpoint.record.id;
+    SlotView view = endpoint.view(now);
+    view.expectedSlotTime = expectedSlotTime(work);
     work.startedAt = now;
     work.startLoad = endpoint.total() + 1;
     m_chooser.recordStart(work.profile, endpoint, now);
@@ -132,6 +148,28 @@
     decisions.push_back({ SlotDecision::Kind::Start, work.id, endpoint.record.id, {}, view });
 }
 
+Milliseconds SlotScheduler::expectedSlotTime(const RunningWork& work) const
+{
+    if (!work.isBatch)
+        return m_slotTimes.requestTime(work.service, work.profile);
+    return std::max(m_slotTimes.itemTime(work.service, work.profile) - work.slotTimeUsed, Milliseconds { 0 });
+}
+
+double SlotScheduler::largestWorkspaceShare() const
+{
+    std::unordered_map<std::string, uint32_t> slots;
+    uint32_t all = 0;
+    uint32_t most = 0;
+    for (const auto& [id, it] : m_usage.running()) {
+        if (it.isBatch)
+            continue;
+        ++all;
+        if (!it.profile.workspace.empty())
+            most = std::max(most, ++slots[it.profile.workspace]);
+    }
+    return all > 0 ? static_cast<double>(most) / all : 0;
+}
+
 void SlotScheduler::yieldOne(std::vector<SlotDecision>& decisions, SlotEndpoint& endpoint, MonotonicTime now)
 {
     const std::optional<uint64_t> item = m_preemption.chooseItem(endpoint);
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -36,7 +36,7 @@
     SlotScheduler(Location, Random&);
 
     void setEndpoints(const std::vector<EndpointRecord>& records) override { m_endpoints.replace(records); }
-    void setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) override { m_workspaces = workspaces; }
+    void setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) override { m_queue.setWorkspaces(workspaces); }
     /// Sets whether the use of each endpoint is limited to what it takes well, see `EndpointLoadProfile`.
     void setLearningLoad(bool isLearning) { m_endpoints.setLearningLoad(isLearning); }
     /// Sets whether work prefers endpoints that keep parts of its prompt, see `PromptPlacement`.
@@ -88,6 +88,9 @@
     /// Returns a number that changes whenever this node has something new to report to its peers: the slots that it
     /// uses or the rate limit of an endpoint.
     uint64_t useVersion() const { return m_usage.version(); }
+    /// Returns the share of the slots of online work that the workspace with the most of them holds, 0 without
+    /// workspaces.
+    double largestWorkspaceShare() const;
     uint32_t waitingOnline() const { return m_queue.waitingOnline(); }
     uint32_t waitingBatch() const { return m_queue.waitingBatch(); }
 
@@ -102,16 +105,19 @@
     void decideBatch(std::vector<SlotDecision>&, MonotonicTime now);
     /// Starts work of which the identifier and the fields of items are set.
     void startWork(std::vector<SlotDecision>&, RunningWork, SlotEndpoint&, MonotonicTime now);
+    /// Returns for how much longer the work is expected to hold a slot when it starts.
+    Milliseconds expectedSlotTime(const RunningWork&) const;
+    /// Returns the expected duration of a request as a multiple of the mean of its service.
+    double relativeSize(const RunningWork&) const;
     /// Preempts one item of this node at the endpoint, if one runs there.
     void yieldOne(std::vector<SlotDecision>&, SlotEndpoint&, MonotonicTime now);
 
-    std::vector<WorkspaceLimits> m_workspaces;
     SlotPeers m_peers;
     SlotEndpoints m_endpoints;
     BatchReserve m_reserve;
     SlotUsage m_usage;
     EndpointChooser m_chooser;
-    HoldTimeEstimator m_holdTimes;
+    SlotTimeEstimator m_slotTimes;
     SlotQueue m_queue;
     QueueAdmission m_admission;
     ItemPreemption m_preemption;
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -34,6 +34,8 @@
     /// Version of the endpoints that may run the request, if it resumes a stream. Empty for any.
     std::optional<std::string> softwareVersion {};
     WorkProfile profile {};
+    /// Expected time for which the request holds its slot. Set by the scheduler.
+    Milliseconds slotTime { 0 };
 
     bool operator==(const OnlineWork&) const = default;
 };
@@ -82,6 +84,8 @@
     std::optional<Milliseconds> age {};
     /// Expected time in the queue; set for refusals only.
     Milliseconds expectedWait { 0 };
+    /// Expected time for which the work holds its slot; set for starts of requests and items only.
+    Milliseconds expectedSlotTime { 0 };
 
     auto operator<=>(const SlotView&) const = default;
 };
