--- a/Libraries/LibGateway/RateLimiter.cpp
+++ b/Libraries/LibGateway/RateLimiter.cpp
@@ -50,10 +50,6 @@
 
 double RateLimiter::maxTokens() const
 {
-    // One request at a time shows whether an endpoint that takes none takes requests again. Each node that has not yet
-    // heard of the others' starts sends as many as the bucket holds.
-    if (m_statement.perSecond < minRatePerSecond)
-        return 1;
     return std::clamp(refillPerSecond() * toSeconds(minBurstTime), minBurst, maxBurst);
 }
 
