--- a/Tests/Crowds/Crowd.cpp
+++ b/Tests/Crowds/Crowd.cpp
@@ -11,6 +11,8 @@
 
     constexpr size_t bytesPerSend = 64 * 1024;
     constexpr size_t largestBody = 4'194'304;
+    /// Bytes of fields that fit in the largest head.
+    constexpr size_t fieldBytes = 16'000;
 
     /// Fields that callers inside the limits send.
     const std::string usualFields
@@ -21,6 +23,15 @@
         return "POST " + target + " HTTP/1.1\r\n" + fields + "\r\n";
     }
 
+    /// Returns as many fields as fit, with a name of its own each.
+    std::string smallFields()
+    {
+        std::string out;
+        for (size_t n = 0; out.size() < fieldBytes; ++n)
+            out += std::to_string(n) + ":b\r\n";
+        return out;
+    }
+
     std::string repeat(const std::string& text)
     {
         std::string out;
@@ -36,6 +47,7 @@
 
 const std::vector<CrowdKind>& crowdKinds()
 {
+    const std::string largeBody = usualFields + "Content-Length: " + std::to_string(largestBody) + "\r\n";
     const std::string chunked = usualFields + "Transfer-Encoding: chunked\r\n";
     static const std::vector<CrowdKind> kinds {
         { .name = "no usual headers",
@@ -50,9 +62,7 @@
             .repeated = "X-Fill: crowd\r\n" },
         { .name = "stopped bodies",
             .connections = 48,
-            .opening
-            = request("/stream/crowd/1", usualFields + "Content-Length: " + std::to_string(largestBody) + "\r\n")
-                + std::string(largestBody - 1, 'x') },
+            .opening = request("/stream/crowd/1", largeBody) + std::string(largestBody - 1, 'x') },
         { .name = "small chunks",
             .connections = 48,
             .opening = request("/stream/crowd/1", chunked),
@@ -76,6 +86,17 @@
             .connections = 16,
             .repeated = request("/nowhere", usualFields),
             .port = CrowdKind::Port::Peers },
+        { .name = "small fields",
+            .connections = 120,
+            .opening = request("/stream/crowd/1000000", usualFields + smallFields()) },
+        { .name = "whole bodies",
+            .connections = 48,
+            .opening = request("/stream/crowd/1000000", largeBody) + std::string(largestBody, 'x'),
+            .repeated = request("/nowhere", largeBody) + std::string(largestBody, 'x') },
+        { .name = "bodies to the status port",
+            .connections = 48,
+            .repeated = request("/metrics", largeBody) + std::string(largestBody, 'x'),
+            .port = CrowdKind::Port::Status },
     };
     return kinds;
 }
