LibHTTP: Keep all fields of a request that has many

Cause: the parser of Qt drops all fields of a request with more than 100, so such a request inside the limits was answered with 404, because it had no host.

Change: HttpRequestReader, which checks each field anyway, passes them on; Qt gets the request line only. The test of the reader checked the text for Qt; it now checks that text and each field.

--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -51,17 +51,6 @@
         return mark < 0 ? QByteArray() : target.sliced(mark + 1);
     }
 
-    HttpHeaders toHeaders(const QHttpServerRequest& request)
-    {
-        HttpHeaders headers;
-        for (const auto& [name, value] : request.headers()) {
-            // The reader replaced the fields that describe the framing by this one.
-            if (name.compare("Content-Length", Qt::CaseInsensitive) != 0)
-                headers.add(name, value);
-        }
-        return headers;
-    }
-
     bool isSupported(QHttpServerRequest::Method method)
     {
         using Method = QHttpServerRequest::Method;
@@ -196,7 +185,7 @@
     HttpRequest request { .method = std::move(m_request.method),
         .path = toPath(m_request.target),
         .query = toQuery(m_request.target),
-        .headers = toHeaders(parsed),
+        .headers = std::move(m_request.headers),
         .body = std::move(m_request.body),
         .target = std::move(m_request.target) };
     const auto exchange
--- a/Libraries/LibHTTP/HttpRequestReader.cpp
+++ b/Libraries/LibHTTP/HttpRequestReader.cpp
@@ -200,7 +200,7 @@
         m_request.keepAlive = false;
     if (equalsIgnoringCase(name, "Expect") && equalsIgnoringCase(value, "100-continue"))
         m_expectsContinue = !m_request.isHttp10;
-    m_request.head += line + "\r\n";
+    m_request.headers.add(name.toByteArray(), value.toByteArray());
 }
 
 void HttpRequestReader::handleContentLength(QByteArrayView value)
--- a/Libraries/LibHTTP/HttpRequestReader.h
+++ b/Libraries/LibHTTP/HttpRequestReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHTTP/HttpMessage.h>
 #include <LibHTTP/HttpServerLimits.h>
 
 #include <QByteArray>
@@ -14,10 +15,12 @@
     QByteArray method;
     /// Path with query, percent-encoded.
     QByteArray target;
-    /// Request line and fields for the parser of Qt. The fields that describe the framing are replaced by
-    /// `Content-Length: 0`, because the body is passed separately, and `Upgrade` is left out, because no other
-    /// protocol is offered.
+    /// Request line for the parser of Qt, with `Content-Length: 0` as its only field, because the body is passed
+    /// separately.
     QByteArray head;
+    /// The fields, but for those that describe the framing, and `Upgrade`, because no other protocol is offered. They
+    /// are not passed to the parser of Qt, which drops all fields of a request that has more than 100.
+    HttpHeaders headers;
     QByteArray body;
     bool isHttp10 { false };
     /// Whether the caller wants to send more requests on the connection.
@@ -62,8 +65,7 @@
         Complete,
     };
 
-    /// Memory of a parsed field besides its text: Qt and the handler keep its name and value as byte arrays of their
-    /// own.
+    /// Memory of a parsed field besides its text: its name and value are byte arrays of their own.
     static constexpr qint64 bytesPerField = 256;
 
     std::optional<QByteArray> readLine(QByteArrayView& input);
--- a/Tests/LibHTTP/TestCallerLimits.cpp
+++ b/Tests/LibHTTP/TestCallerLimits.cpp
@@ -196,3 +196,22 @@
     CHECK(waitFor([&] { return fixture.server.connections() <= connections; }));
     CHECK(client.openedConnections() == calls);
 }
+
+// Guards against a request inside the limits whose fields are lost because there are many of them: the parser of Qt
+// drops all fields of a request with more than 100.
+TEST_CASE("a request with many fields keeps all of them")
+{
+    constexpr int fields = 2'000;
+    Fixture<RecordingHandler> fixture;
+    RawCaller caller(fixture.port);
+    QByteArray text = "GET / HTTP/1.1\r\nHost: a\r\n";
+    for (int n = 0; n < fields; ++n)
+        text += QByteArray::number(n) + ": b\r\n";
+    caller.send(text + "Request-Id: 5\r\n\r\n");
+    REQUIRE(waitFor([&] { return fixture.handler.exchanges.size() == 1; }));
+    const HttpHeaders& headers = fixture.handler.exchanges[0]->request().headers;
+    CHECK(headers.fields().size() == fields + 2);
+    CHECK(headers.find("Host") == "a");
+    CHECK(headers.find("Request-Id") == "5");
+    CHECK(headers.find("1999") == "b");
+}
--- a/Tests/LibHTTP/TestHttpRequestReader.cpp
+++ b/Tests/LibHTTP/TestHttpRequestReader.cpp
@@ -69,7 +69,8 @@
             CHECK(result.request->method == "POST");
             CHECK(result.request->target == "/a?b");
             CHECK(result.request->body == "hello");
-            CHECK(result.request->head == "POST /a?b HTTP/1.1\r\nHost: h\r\nX-Y:  z \r\nContent-Length: 0\r\n\r\n");
+            CHECK(result.request->head == "POST /a?b HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+            CHECK(result.request->headers == HttpHeaders { { "Host", "h" }, { "X-Y", "z" } });
             CHECK(result.left == 20);
         }
     }
