LibGateway, platform: Hand over quotas: setWorkspaces(), RefusalReason, QuotaExceeded

The configuration document of some deployments states workspaces with keys and limits, and routes that need no key. Both were ignored. A refusal because of the rate limit of a workspace reaches the caller as 429 quota_exceeded with Retry-After, or as endpoint_failed if an earlier attempt may have run.

--- a/Libraries/LibCore/Digest.cpp
+++ b/Libraries/LibCore/Digest.cpp
@@ -5,12 +5,14 @@
 
 namespace Chicorydock {
 
-std::string sha256Hex(std::string_view text)
+QByteArray sha256(std::string_view text)
 {
     const QByteArrayView view(text.data(), static_cast<qsizetype>(text.size()));
-    return QCryptographicHash::hash(view, QCryptographicHash::Sha256).toHex().toStdString();
+    return QCryptographicHash::hash(view, QCryptographicHash::Sha256);
 }
 
+std::string sha256Hex(std::string_view text) { return sha256(text).toHex().toStdString(); }
+
 uint64_t stableHash(std::string_view text, uint64_t seed)
 {
     // FNV-1a, followed by the finalizer of MurmurHash3 because FNV alone mixes the high bits poorly.
--- a/Libraries/LibCore/ErrorKind.h
+++ b/Libraries/LibCore/ErrorKind.h
@@ -17,6 +17,7 @@
     HeaderTooLarge,
     RequestTimeout,
     Overloaded,
+    QuotaExceeded,
     DeadlineUnattainable,
     NoEndpoint,
     NotReady,
--- a/Libraries/LibCore/ErrorTable.cpp
+++ b/Libraries/LibCore/ErrorTable.cpp
@@ -21,6 +21,7 @@
         ErrorRow { ErrorKind::HeaderTooLarge, "header_too_large", 431, false, true, false },
         ErrorRow { ErrorKind::RequestTimeout, "request_timeout", 408, true, true, false },
         ErrorRow { ErrorKind::Overloaded, "overloaded", 429, true, true, true },
+        ErrorRow { ErrorKind::QuotaExceeded, "quota_exceeded", 429, true, true, true },
         ErrorRow { ErrorKind::DeadlineUnattainable, "deadline_unattainable", 503, true, true, true },
         ErrorRow { ErrorKind::NoEndpoint, "no_endpoint", 503, true, true, true },
         ErrorRow { ErrorKind::NotReady, "not_ready", 503, true, true, true },
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -847,13 +847,15 @@
     abandonCall("the endpoint sent no data in time");
 }
 
-void ForwardedCall::onRefused(Milliseconds retryAfter, const SlotView& view)
+void ForwardedCall::onRefused(RefusalReason reason, Milliseconds retryAfter, const SlotView& view)
 {
     m_slot.markReleased();
     m_refusal = view;
     m_retryAfter = retryAfter;
     if (m_mayHaveRun)
         refuse(ErrorKind::EndpointFailed, "no endpoint is free for another attempt");
+    else if (reason == RefusalReason::Quota)
+        refuse(ErrorKind::QuotaExceeded, "the workspace has used up its rate limit", retryAfter);
     else
         refuse(ErrorKind::DeadlineUnattainable, "no endpoint is free in time", retryAfter);
 }
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -63,7 +63,7 @@
 private:
     // SlotClient
     void onSlotGranted(const std::string& endpoint, const SlotView&) override;
-    void onRefused(Milliseconds retryAfter, const SlotView&) override;
+    void onRefused(RefusalReason, Milliseconds retryAfter, const SlotView&) override;
     void onYield(const SlotView&) override;
 
     // HttpCallObserver
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -110,6 +110,15 @@
     auto operator<=>(const GatewayWorkspace&) const = default;
 };
 
+/// Part of a configuration that cannot be read and has no effect. Contains no key.
+struct ConfigurationFault {
+    /// Name of the workspace, or its position in the document if the name cannot be read.
+    std::string workspace;
+    std::string reason;
+
+    auto operator<=>(const ConfigurationFault&) const = default;
+};
+
 /// An accepted version of the routes and services. Immutable once published.
 struct GatewayConfiguration {
     /// 0 means that no configuration has been received yet.
@@ -119,7 +128,10 @@
     CallerLimits limits;
     /// Whether callers need the key of a workspace, except on routes that allow anonymous ones.
     bool hasWorkspaces { false };
+    /// Those that can be read; their names differ.
     std::vector<GatewayWorkspace> workspaces;
+    /// What cannot be read about the workspaces, for the log.
+    std::vector<ConfigurationFault> faults;
 
     auto operator<=>(const GatewayConfiguration&) const = default;
 
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -298,7 +298,7 @@
 }
 
 // A refused item keeps waiting for a slot until it expires.
-void ItemRun::onRefused(Milliseconds, const SlotView&)
+void ItemRun::onRefused(RefusalReason, Milliseconds, const SlotView&)
 {
     m_slot.markReleased();
     requestSlotLater();
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -60,7 +60,7 @@
 
 private:
     void onSlotGranted(const std::string& endpoint, const SlotView&) override;
-    void onRefused(Milliseconds retryAfter, const SlotView&) override;
+    void onRefused(RefusalReason, Milliseconds retryAfter, const SlotView&) override;
     void onYield(const SlotView&) override;
 
     void onHandedOver() override { }
--- a/Libraries/LibGateway/SlotBroker.cpp
+++ b/Libraries/LibGateway/SlotBroker.cpp
@@ -112,7 +112,7 @@
         return;
     case SlotDecision::Kind::Refuse:
         m_clients.erase(it);
-        client.onRefused(decision.retryAfter, decision.view);
+        client.onRefused(decision.reason, decision.retryAfter, decision.view);
         return;
     case SlotDecision::Kind::Yield:
         m_clients.erase(it);
--- a/Libraries/LibGateway/SlotBroker.h
+++ b/Libraries/LibGateway/SlotBroker.h
@@ -19,7 +19,7 @@
 
     /// The work has a slot of the endpoint and starts now. The client calls `SlotBroker::finish()` when it has ended.
     virtual void onSlotGranted(const std::string& endpoint, const SlotView&) = 0;
-    virtual void onRefused(Milliseconds retryAfter, const SlotView&) = 0;
+    virtual void onRefused(RefusalReason, Milliseconds retryAfter, const SlotView&) = 0;
     /// The running work must stop now. Its slot has already been freed.
     virtual void onYield(const SlotView&) = 0;
 };
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -48,6 +48,14 @@
         return std::chrono::duration_cast<Milliseconds>(now - since).count();
     }
 
+    std::vector<WorkspaceLimits> workspaceLimits(const GatewayConfiguration& configuration)
+    {
+        std::vector<WorkspaceLimits> limits;
+        for (const GatewayWorkspace& it : configuration.workspaces)
+            limits.push_back(it.limits);
+        return limits;
+    }
+
     HttpServerLimits serverLimits(const Settings& settings)
     {
         HttpServerLimits limits;
@@ -210,6 +218,7 @@
     for (HttpServer* it : { &m_server, &m_peerServer })
         it->setLimits(limits);
     m_environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    m_broker.setWorkspaces(workspaceLimits(configuration));
     m_handler.updateWaitingCalls();
     m_broker.schedulePoll();
     // Other nodes may wait for this one to read it from the store.
--- a/Tests/LibGateway/TestSlotExchange.cpp
+++ b/Tests/LibGateway/TestSlotExchange.cpp
@@ -13,7 +13,7 @@
 class RecordingClient final : public SlotClient {
 public:
     void onSlotGranted(const std::string& endpoint, const SlotView&) override { grants.push_back(endpoint); }
-    void onRefused(Milliseconds, const SlotView&) override { ++refusals; }
+    void onRefused(RefusalReason, Milliseconds, const SlotView&) override { ++refusals; }
     void onYield(const SlotView&) override { ++yields; }
 
     std::vector<std::string> grants;
