LibGateway, platform: Identify callers by their keys, and keep keys and jobs to their workspace

Deployments whose configuration holds workspaces were served as if it held none: requests with unknown keys ran, keys and forged workspace names reached endpoints and peers, any caller could read, end or occupy the jobs of others, and one workspace could use up the waiting tokens of a route.

- KeyTable: salted look-up by digest, built once for each configuration.
A key of two workspaces admits nobody. 401 is said only while the node's configuration is the newest one as far as it can know (ConfigurationFollower::isCurrent()), otherwise 503; nothing but 503 without a configuration.
- The adapter drops Authorization and Tenant and sets the name of the workspace, at each run of a request or an item.
Peers get the name in a field that counts on their address only.
Fingerprints of requests, which are logged and sent to peers, contain the workspace in place of the key.
- Requests that wait are looked up again when the configuration changes; those that have begun go on.
- The priority of a workspace goes before that of the route; work profiles name the workspace.
- Jobs are stored under an identifier with a scope, so another workspace finds 404 and may use the identifier itself.
The limit of waiting tokens binds each workspace, and submissions that the store has not answered count.

Calls about jobs get 503 from a node without a configuration in deployments without workspaces, too: it cannot know whether they need a key.

Ruled out: a check of the workspace on each read in place of scoped identifiers (a submission under an occupied identifier would disclose the job); 503 for each unknown key (callers would try again for ever). Not bounded: tokens that one workspace submits at all nodes within the delay of the feed.

--- a/Libraries/LibGateway/ConfigurationFollower.cpp
+++ b/Libraries/LibGateway/ConfigurationFollower.cpp
@@ -81,10 +81,17 @@
     return m_isSource && m_version > 0 && !m_follower.isPaused() && m_follower.isListed() && m_follower.isReachable();
 }
 
+bool ConfigurationFollower::isCurrent() const
+{
+    const bool followsStore = !m_follower.isPaused() && m_follower.isReachable();
+    return m_version > 0 && !m_behindSince && (followsStore || m_hasSource);
+}
+
 void ConfigurationFollower::update()
 {
     const std::vector<ConfigurationOffer> offers = m_peers.configurationOffers();
     const bool isBehind = std::ranges::any_of(offers, [&](const auto& it) { return it.version > m_version; });
+    m_hasSource = std::ranges::any_of(offers, &ConfigurationOffer::isSource);
     if (!isBehind)
         m_behindSince.reset();
     else if (!m_behindSince)
--- a/Libraries/LibGateway/ConfigurationFollower.h
+++ b/Libraries/LibGateway/ConfigurationFollower.h
@@ -72,6 +72,10 @@
     /// Returns whether other nodes of the failure domain can rely on this one to read the store.
     bool isActiveSource() const;
 
+    /// Returns whether no newer version is known, and this node reaches the store or a peer that reads it there. A
+    /// version that the store accepted longer ago than a few seconds is then in force here.
+    bool isCurrent() const;
+
     /// Answers a call of another node for the configuration.
     void handle(std::shared_ptr<HttpExchange>) override;
 
@@ -109,6 +113,8 @@
     /// The document in force, compressed, and the version of its row in the store.
     QByteArray m_document;
     uint64_t m_rowVersion { 0 };
+    /// Whether a live peer reads the configuration from the store.
+    bool m_hasSource { false };
     /// Time since which peers have had a newer version.
     std::optional<MonotonicTime> m_behindSince;
     std::unique_ptr<HttpCall> m_call;
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/ForwardedCall.h>
 
+#include <LibGateway/CallerAuthentication.h>
 #include <LibGateway/DecisionFields.h>
 #include <LibGateway/FurtherRun.h>
 #include <LibGateway/RequestFingerprint.h>
@@ -75,12 +76,13 @@
     , m_exchange(std::move(exchange))
     , m_request(std::move(request))
     , m_configuration(std::move(configuration))
+    , m_keyCheckedBy(m_configuration)
     , m_route(route)
     , m_onDone(std::move(onDone))
     , m_arrival(environment.clock.now())
     , m_deadline(m_arrival + timeLimit(m_request, route))
     , m_slot(environment.broker)
-    , m_fingerprint(requestFingerprint(m_exchange->request()))
+    , m_fingerprint(requestFingerprint(m_exchange->request(), m_request.caller.workspace))
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
     , m_isFromPeer(m_exchange->request().headers.find(relayField).has_value())
     , m_memory(&environment.responseMemory, [this] { handleMemoryRevoked(); })
@@ -232,8 +234,8 @@
     m_call = m_environment.http.start({ .address = peer.address,
                                           .method = request.method,
                                           .target = request.target,
-                                          .headers = m_environment.wire.peerHeaders(
-                                              request.headers, timeLeft(), m_sequence.run().askedAfter, firstAttempt()),
+                                          .headers = m_environment.wire.peerHeaders(request.headers, timeLeft(),
+                                              m_sequence.run().askedAfter, firstAttempt(), workspace()),
                                           .body = request.body,
                                           .progressTimeout = timeLeft() + endpointConnectTimeout,
                                           .connectTimeout = endpointConnectTimeout,
@@ -327,8 +329,43 @@
         m_slot.release(EndpointOutcome::Cancelled);
 }
 
+bool ForwardedCall::updateCaller()
+{
+    // A request that may have run is continued, and a peer looks at the keys of its own callers.
+    if (m_keyCheckedBy == m_environment.configuration || m_mayHaveRun || m_isFromPeer)
+        return true;
+    m_keyCheckedBy = m_environment.configuration;
+    const GatewayRoute* route = m_environment.configuration->findRoute(m_request.host, m_request.path);
+    const bool allowsAnonymous = route ? route->allowsAnonymous : m_route.allowsAnonymous;
+    const auto result = authenticateCaller(m_environment, m_request.key, allowsAnonymous);
+    if (const auto* error = std::get_if<Error>(&result)) {
+        m_slot.release(EndpointOutcome::Cancelled);
+        refuse(error->kind(), error->message(), error->retryAfter());
+        return false;
+    }
+    m_request.caller = std::get<CallerIdentity>(result);
+    m_request.profile.workspace = m_request.caller.workspace.value_or("");
+    return true;
+}
+
+std::optional<std::string> ForwardedCall::workspace() const
+{
+    // The key must not be passed on either if workspaces have come into use since the request arrived.
+    if (!m_request.caller.workspace && m_environment.configuration->hasWorkspaces)
+        return std::string();
+    return m_request.caller.workspace;
+}
+
+void ForwardedCall::addWorkspace(QJsonObject& details) const
+{
+    if (const std::string& name = m_request.profile.workspace; !name.empty())
+        details["workspace"] = QString::fromStdString(name);
+}
+
 void ForwardedCall::requestSlot()
 {
+    if (!updateCaller())
+        return;
     if (relayIfEndpointsAreLost())
         return;
     if (resumesStream() && !m_origin) {
@@ -342,7 +379,7 @@
     }
     OnlineWork work;
     work.service = m_service;
-    work.priority = m_route.priority;
+    work.priority = m_request.caller.priority.value_or(m_route.priority);
     work.startBy = latestStart();
     work.deadline = m_deadline;
     const bool isRetry = m_request.deadline && *m_request.deadline + retryDetectionMargin < m_route.timeout;
@@ -360,6 +397,10 @@
 {
     if (m_isDone || !m_slot.isQueued())
         return;
+    const CallerIdentity previous = m_request.caller;
+    if (!updateCaller())
+        return;
+    const bool hasNewCaller = m_request.caller != previous;
     const EndpointDirectory& directory = m_environment.directory;
     std::string service = m_service;
     const GatewayRoute* route = m_environment.configuration->findRoute(m_request.host, m_request.path);
@@ -367,7 +408,7 @@
     if (canMove)
         service = chooseOfferedService(*route, directory, m_environment.random.unit());
     const bool hasMoved = service != m_service && directory.offers(service);
-    if (!hasMoved && !hasExclusionEnded())
+    if (!hasMoved && !hasNewCaller && !hasExclusionEnded())
         return;
     if (hasMoved)
         m_service = service;
@@ -415,6 +456,7 @@
         { "queued_ms", static_cast<qint64>(milliseconds(m_environment.clock.now() - m_arrival).count()) },
         { "left_ms", static_cast<qint64>(timeLeft().count()) },
     };
+    addWorkspace(details);
     addPlacement(details, m_service, record);
     if (const auto id = m_sequence.resumeAfter())
         details["last_event"] = static_cast<qint64>(*id);
@@ -442,8 +484,8 @@
     HttpCallRequest call { .address = endpoint.address,
         .method = request.method,
         .target = request.target,
-        .headers
-        = m_environment.wire.endpointHeaders(request.headers, endpoint.id, timeLeft(), m_sequence.run().askedAfter),
+        .headers = m_environment.wire.endpointHeaders(
+            request.headers, endpoint.id, timeLeft(), m_sequence.run().askedAfter, workspace()),
         .body = request.body,
         .progressTimeout = timeLeft() + endpointConnectTimeout,
         .connectTimeout = endpointConnectTimeout,
@@ -918,6 +960,13 @@
         .counter("chicorydock_requests_total", "Requests by route and outcome.",
             { { "route", m_route.name }, { "outcome", outcome } })
         .add(1);
+    if (m_request.caller.workspace) {
+        m_environment.metrics
+            .counter("chicorydock_workspace_requests_total", "Requests by workspace and outcome.",
+                { { "workspace", m_environment.workspaceLabels.label(*m_request.caller.workspace) },
+                    { "outcome", outcome } })
+            .add(1);
+    }
     recordPhaseDuration("queue", m_sentAt);
     recordPhaseDuration("first_byte", m_firstByteAt);
     recordPhaseDuration("total", now);
@@ -936,6 +985,7 @@
         { "status", m_head.status },
         { "total_ms", static_cast<qint64>(milliseconds(now - m_arrival).count()) },
     };
+    addWorkspace(details);
     if (m_sentAt)
         details["queued_ms"] = static_cast<qint64>(milliseconds(*m_sentAt - m_arrival).count());
     if (m_firstByteAt)
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -11,6 +11,7 @@
 #include <LibGateway/StreamFlow.h>
 #include <LibHTTP/HttpExchange.h>
 
+#include <QJsonObject>
 #include <QTimer>
 
 #include <functional>
@@ -83,6 +84,13 @@
     void requestSlot();
     /// Returns whether the request was queued without an endpoint that this node no longer excludes.
     bool hasExclusionEnded() const;
+    /// Looks at the caller's key again if the configuration has changed since, and refuses a request that has not run
+    /// yet if the key is no longer valid. Returns whether the request goes on.
+    bool updateCaller();
+    /// Returns the workspace that endpoints and peers are told, nothing if the deployment has none.
+    std::optional<std::string> workspace() const;
+    /// Adds the workspace of the caller to the details of a log line.
+    void addWorkspace(QJsonObject& details) const;
     /// Returns the latest start that keeps the latency target of the route.
     MonotonicTime latestStart() const;
     void send(const EndpointRecord&);
@@ -162,8 +170,10 @@
 
     GatewayEnvironment& m_environment;
     const std::shared_ptr<HttpExchange> m_exchange;
-    const ForwardRequest m_request;
+    ForwardRequest m_request;
     const std::shared_ptr<const GatewayConfiguration> m_configuration;
+    /// Configuration by which the key was looked at.
+    std::shared_ptr<const GatewayConfiguration> m_keyCheckedBy;
     const GatewayRoute& m_route;
     const std::function<void()> m_onDone;
     const MonotonicTime m_arrival;
--- a/Libraries/LibGateway/GatewayConfiguration.cpp
+++ b/Libraries/LibGateway/GatewayConfiguration.cpp
@@ -38,6 +38,12 @@
     return it == routes.end() ? nullptr : &*it;
 }
 
+bool GatewayConfiguration::allowsAnonymousJobs(std::string_view host) const
+{
+    return std::ranges::any_of(routes,
+        [&](const GatewayRoute& it) { return it.kind == RouteKind::Batch && it.allowsAnonymous && it.host == host; });
+}
+
 std::string chooseService(const std::vector<ServiceShare>& shares, double draw)
 {
     uint64_t totalWeight = 0;
--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -142,6 +142,9 @@
     /// Returns the route of jobs with that name and host, or null. The name alone may also be that of a route of
     /// another host or kind, or come to be in a later version.
     const GatewayRoute* findJobRoute(std::string_view name, std::string_view host) const;
+
+    /// Returns whether callers without a key may submit jobs to the host.
+    bool allowsAnonymousJobs(std::string_view host) const;
 };
 
 /// Selects a service at random in proportion to the weights; `draw` is uniform in [0, 1). Returns an empty string if
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -6,16 +6,19 @@
 #include <LibGateway/EndpointDirectory.h>
 #include <LibGateway/EndpointLinkMonitor.h>
 #include <LibGateway/GatewayConfiguration.h>
+#include <LibGateway/KeyTable.h>
 #include <LibGateway/PromptQuarantine.h>
 #include <LibGateway/RelayPeers.h>
 #include <LibGateway/SlotBroker.h>
 #include <LibGateway/StreamOrigins.h>
 #include <LibGateway/WireFormat.h>
+#include <LibGateway/WorkspaceLabels.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibLog/EventLog.h>
 #include <LibMetrics/MetricsRegistry.h>
 #include <LibPlatform/ViewRefresher.h>
 
+#include <functional>
 #include <memory>
 
 namespace Chicorydock {
@@ -47,6 +50,20 @@
     MemoryBudget& responseMemory;
     /// The current configuration; its version is 0 until one has been received.
     std::shared_ptr<const GatewayConfiguration> configuration;
+    /// Returns whether the configuration is the newest one, as far as this node can know. It is if nothing is set.
+    std::function<bool()> isConfigurationCurrent {};
+    WorkspaceLabels workspaceLabels {};
+
+    /// Returns the keys of the current configuration.
+    const KeyTable& keys() const
+    {
+        if (m_keysOf != configuration) {
+            m_keysOf = configuration;
+            const bool isEmpty = configuration->workspaces.empty();
+            m_keys = isEmpty ? KeyTable() : KeyTable(configuration->workspaces, random.next());
+        }
+        return m_keys;
+    }
 
     /// Returns whether this node has lost the endpoints while a peer reaches them.
     bool shouldDeferToPeers() const { return links.areLost() && !relayPeers.relayPeers().empty(); }
@@ -88,6 +105,10 @@
             broker.setEndpoints(directory.usable());
         return head;
     }
+
+    /// The keys of a configuration, which are collected when they are needed for the first time.
+    mutable std::shared_ptr<const GatewayConfiguration> m_keysOf {};
+    mutable KeyTable m_keys {};
 };
 
 }
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/GatewayHandler.h>
 
+#include <LibGateway/CallerAuthentication.h>
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -52,16 +54,20 @@
             handleJobCall(exchange, *call);
         return;
     }
-    const ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
+    ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
     if (m_environment.configuration->version == 0) {
         answerError(exchange, Error(ErrorKind::NotReady, "no configuration has been received yet", notReadyRetryAfter),
             request.id);
         return;
     }
     const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
-    if (!route)
+    if (!route) {
         answerError(exchange, Error(ErrorKind::UnknownRoute, "no route matches the request"), request.id);
-    else if (!route->isServable())
+        return;
+    }
+    if (!authenticate(exchange, request, route->allowsAnonymous))
+        return;
+    if (!route->isServable())
         refuseUnservable(exchange, request.id);
     else if (route->kind == RouteKind::Batch)
         submitJob(exchange, request, *route);
@@ -69,14 +75,41 @@
         forward(exchange, request, *route);
 }
 
+bool GatewayHandler::authenticate(
+    const std::shared_ptr<HttpExchange>& exchange, ForwardRequest& request, bool allowsAnonymous)
+{
+    const auto result = authenticateCaller(m_environment, request.key, allowsAnonymous);
+    if (const auto* error = std::get_if<Error>(&result)) {
+        answerError(exchange, *error, request.id);
+        return false;
+    }
+    request.caller = std::get<CallerIdentity>(result);
+    request.profile.workspace = request.caller.workspace.value_or("");
+    return true;
+}
+
+bool GatewayHandler::authenticateRelayed(
+    const std::shared_ptr<HttpExchange>& exchange, ForwardRequest& request, bool allowsAnonymous)
+{
+    const auto workspace = m_environment.wire.relayedWorkspace(exchange->request().headers);
+    // A peer of an earlier version, or without workspaces in its configuration, passes the key on.
+    if (!workspace)
+        return authenticate(exchange, request, allowsAnonymous);
+    request.caller = identityOf(*m_environment.configuration, *workspace);
+    request.profile.workspace = *workspace;
+    return true;
+}
+
 void GatewayHandler::handleRelayed(const std::shared_ptr<HttpExchange>& exchange)
 {
-    const ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
+    ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
     const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
     // The peer found the route, so its configuration is newer than the one here.
     if (!route || route->kind == RouteKind::Batch)
         answerError(
             exchange, Error(ErrorKind::NotReady, "the route is not known here yet", notReadyRetryAfter), request.id);
+    else if (!authenticateRelayed(exchange, request, route->allowsAnonymous))
+        return;
     else if (!route->isServable())
         refuseUnservable(exchange, request.id);
     else
@@ -175,7 +208,7 @@
 void GatewayHandler::submitJob(
     const std::shared_ptr<HttpExchange>& exchange, const ForwardRequest& request, const GatewayRoute& route)
 {
-    const auto submission = m_environment.wire.decodeSubmission(exchange->request());
+    auto submission = m_environment.wire.decodeSubmission(exchange->request());
     if (exchange->request().method != "POST" || !submission || submission->items.size() > maxJobItems) {
         answerError(
             exchange, Error(ErrorKind::MalformedRequest, "the request is not a valid job submission"), request.id);
@@ -183,6 +216,8 @@
     }
     if (refuseIfStopping(exchange, request.id, maxJobCallTime))
         return;
+    submission->workspace = request.caller.workspace;
+    submission->jobId = m_jobs.findId(request.caller.workspace, submission->jobId);
     const uint64_t number = addJobCall({ exchange, request.id, true });
     m_jobs.submit(*submission, route, request.host, [this, number](const std::optional<Error>& error) {
         const auto call = takeJobCall(number);
@@ -197,18 +232,23 @@
 
 void GatewayHandler::handleJobCall(const std::shared_ptr<HttpExchange>& exchange, const JobCall& call)
 {
+    ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
+    request.id = call.jobId;
+    if (!authenticate(exchange, request, m_environment.configuration->allowsAnonymousJobs(request.host)))
+        return;
+    const std::string jobId = m_jobs.findId(request.caller.workspace, call.jobId);
     if (call.kind == JobCall::Kind::ReadResults) {
         const uint64_t number = ++m_lastNumber;
         const MonotonicTime now = m_environment.clock.now();
-        m_longPolls[number] = { exchange, call, now + std::min(call.wait, maxLongPollWait), now };
+        m_longPolls[number] = { exchange, call, jobId, now + std::min(call.wait, maxLongPollWait), now };
         readResults(number);
         return;
     }
     const uint64_t number = addJobCall({ exchange, call.jobId, call.kind == JobCall::Kind::EndJob });
     if (call.kind == JobCall::Kind::EndJob)
-        m_jobs.cancel(call.jobId, [this, number](const std::optional<Error>& error) { handleEnded(number, error); });
+        m_jobs.cancel(jobId, [this, number](const std::optional<Error>& error) { handleEnded(number, error); });
     else
-        m_jobs.readItem(call.jobId, call.itemId,
+        m_jobs.readItem(jobId, call.itemId,
             [this, number](const std::variant<QByteArray, Error>& result) { handleItem(number, result); });
 }
 
@@ -281,7 +321,7 @@
 {
     LongPoll& poll = m_longPolls.at(number);
     poll.isReading = true;
-    m_jobs.readResults(poll.call.jobId, poll.call.after,
+    m_jobs.readResults(poll.jobId, poll.call.after,
         [this, number](const std::variant<JobResultPage, Error>& result) { handleResults(number, result); });
 }
 
@@ -330,7 +370,7 @@
 {
     std::vector<uint64_t> due;
     for (const auto& [number, poll] : m_longPolls) {
-        if (!poll.isReading && poll.call.jobId == jobId)
+        if (!poll.isReading && poll.jobId == jobId)
             due.push_back(number);
     }
     for (const uint64_t it : due)
--- a/Libraries/LibGateway/GatewayHandler.h
+++ b/Libraries/LibGateway/GatewayHandler.h
@@ -64,6 +64,8 @@
     struct LongPoll {
         std::shared_ptr<HttpExchange> exchange;
         JobCall call;
+        /// See `JobController::findId()`.
+        std::string jobId;
         MonotonicTime expiresAt;
         /// When to read the store again, because another node may run the job.
         MonotonicTime nextRead;
@@ -80,6 +82,10 @@
 
     /// Returns the calls in progress. Calls that end meanwhile stay valid until the next iteration of the event loop.
     std::vector<ForwardedCall*> calls() const;
+    /// Identifies the caller of the request, or answers it with an error. Returns whether the caller may go on.
+    bool authenticate(const std::shared_ptr<HttpExchange>&, ForwardRequest&, bool allowsAnonymous);
+    /// The same for a request that a peer hands over, which has authenticated the caller.
+    bool authenticateRelayed(const std::shared_ptr<HttpExchange>&, ForwardRequest&, bool allowsAnonymous);
     void forward(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
     void submitJob(const std::shared_ptr<HttpExchange>&, const ForwardRequest&, const GatewayRoute&);
     void handleJobCall(const std::shared_ptr<HttpExchange>&, const JobCall&);
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -37,13 +37,20 @@
     constexpr int failedRunStatus = 500;
     constexpr int permanentFailureStatus = 422;
 
+    WorkProfile makeProfile(const WireFormat& wire, const HttpHeaders& headers, const std::string& workspace)
+    {
+        WorkProfile profile = wire.workProfile(headers);
+        profile.workspace = workspace;
+        return profile;
+    }
+
 }
 
 ItemRun::ItemRun(GatewayEnvironment& environment, const Job& job, JobItem item, std::function<void(JobResult)> onDone)
     : m_environment(environment)
     , m_job(job)
     , m_item(std::move(item))
-    , m_profile(environment.wire.workProfile(m_item.headers))
+    , m_profile(makeProfile(environment.wire, m_item.headers, job.workspace))
     , m_onDone(std::move(onDone))
     , m_slot(environment.broker)
     , m_prompt(environment.quarantine, environment.clock, environment.wire.promptParts(m_item.headers))
@@ -143,6 +150,12 @@
     m_slot.request(m_queuedWork, *this);
 }
 
+std::optional<std::string> ItemRun::workspace() const
+{
+    const bool hasWorkspaces = m_environment.configuration->hasWorkspaces || !m_job.workspace.empty();
+    return hasWorkspaces ? std::optional(m_job.workspace) : std::nullopt;
+}
+
 BatchWork ItemRun::makeWork() const
 {
     BatchWork work;
@@ -258,7 +271,8 @@
     const HttpCallRequest call { .address = endpoint.address,
         .method = "POST",
         .target = m_item.path,
-        .headers = m_environment.wire.itemHeaders(m_item, m_job.host, endpoint.id, m_sequence.run().askedAfter),
+        .headers
+        = m_environment.wire.itemHeaders(m_item, m_job.host, endpoint.id, m_sequence.run().askedAfter, workspace()),
         .body = m_item.body,
         .progressTimeout = m_idleTimeout,
         .connectTimeout = endpointConnectTimeout,
@@ -489,6 +503,8 @@
 {
     QJsonObject details = logDetails(m_sequence.resumeAfter());
     details["route"] = QString::fromStdString(m_job.route);
+    if (!m_job.workspace.empty())
+        details["workspace"] = QString::fromStdString(m_job.workspace);
     addPlacement(details, m_service, endpoint);
     m_environment.log.record("item", "placed", m_item.id, {}, details);
 }
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -30,6 +30,8 @@
         /// When the item should be completed to have its full value, and when it fails if it still waits for a slot.
         MonotonicTime dueAt;
         MonotonicTime expiresAt;
+        /// Empty for the job of an anonymous caller, and in deployments without workspaces.
+        std::string workspace {};
     };
 
     /// `job` outlives the run. `onDone` is called at most once and must not destroy the run synchronously.
@@ -70,6 +72,8 @@
     void onFailed(const HttpFailure&) override;
 
     void requestSlot();
+    /// Returns the workspace that endpoints are told, nothing if the deployment has none.
+    std::optional<std::string> workspace() const;
     /// Returns what the item waits for, according to the endpoints known now.
     BatchWork makeWork() const;
     /// Returns whether the item may go on waiting for what it was queued for.
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -66,6 +66,20 @@
 
 JobController::~JobController() { *m_lifetime = false; }
 
+std::string JobController::findId(const std::optional<std::string>& workspace, const std::string& callerId) const
+{
+    const std::string id = workspace ? JobRows::scopedId(*workspace, callerId) : callerId;
+    if (m_records.contains(id))
+        return id;
+    if (workspace) {
+        const auto it = m_records.find(callerId);
+        return it != m_records.end() && it->second.workspace.empty() ? callerId : id;
+    }
+    const std::string prefix = callerId + JobRows::scopeSeparator;
+    const auto it = m_records.lower_bound(prefix);
+    return it != m_records.end() && it->first.starts_with(prefix) ? it->first : id;
+}
+
 void JobController::submit(
     const SubmittedJob& submission, const GatewayRoute& route, const std::string& host, const Done& done)
 {
@@ -79,9 +93,11 @@
     record.route = route.name;
     record.host = host;
     record.itemCount = static_cast<uint32_t>(submission.items.size());
+    record.workspace = submission.workspace.value_or("");
     for (const JobItem& it : submission.items)
         record.tokens += it.tokens;
-    if (route.maxWaitingTokens > 0 && waitingTokens(route.name) + record.tokens > route.maxWaitingTokens) {
+    const uint64_t waiting = route.maxWaitingTokens > 0 ? waitingTokens(record, submission.workspace.has_value()) : 0;
+    if (route.maxWaitingTokens > 0 && waiting + record.tokens > route.maxWaitingTokens) {
         done(Error(ErrorKind::Overloaded, "the route reached its limit of waiting tokens", quotaRetryAfter));
         return;
     }
@@ -91,6 +107,7 @@
         return;
     }
     record.submittedAt = *m_store.time();
+    m_submitting[record.id] = record;
     const QByteArray content = encodeJobItems(submission.items);
     if (content.size() <= maxInputRowBytes) {
         commitSubmission(record, content, submission.items, done);
@@ -102,6 +119,7 @@
     m_store.putObject(record.inputObject, content,
         guarded([this, record, items = submission.items, done](const StoreResult<bool>& result) {
             if (const auto* failure = std::get_if<StoreFailure>(&result)) {
+                m_submitting.erase(record.id);
                 // The record was not written, so the job does not exist and nothing of it runs.
                 done(Error(ErrorKind::PlatformUnavailable, failure->message, storeRetryAfter));
                 return;
@@ -124,6 +142,7 @@
     m_loading.insert(record.id);
     m_store.commit(transaction, guarded([this, record, items, done](const StoreResult<RowCommit>& result) {
         m_loading.erase(record.id);
+        m_submitting.erase(record.id);
         handleSubmission(record, items, done, result);
     }));
 }
@@ -146,6 +165,7 @@
         updateRecord(accepted);
         m_environment.log.record("job", "accepted", record.id, {},
             { { "items", static_cast<qint64>(record.itemCount) }, { "tokens", static_cast<qint64>(record.tokens) },
+                { "workspace", QString::fromStdString(record.workspace) },
                 { "version", static_cast<qint64>(accepted.version) } });
         if (accepted.owner == m_node && !m_isLeaving)
             startJob(accepted, { items, {}, {}, 0 });
@@ -153,15 +173,22 @@
     done({});
 }
 
-uint64_t JobController::waitingTokens(const std::string& route) const
+uint64_t JobController::waitingTokens(const JobHead& job, bool ofWorkspace) const
 {
+    const auto counts = [&](const JobHead& it) {
+        return it.route == job.route && it.id != job.id && (!ofWorkspace || it.workspace == job.workspace);
+    };
     uint64_t sum = 0;
     for (const auto& [id, record] : m_records) {
-        if (record.state != JobHead::State::Open || record.route != route)
+        if (record.state != JobHead::State::Open || !counts(record))
             continue;
         const auto owned = m_owned.find(id);
         sum += owned == m_owned.end() ? record.tokens : owned->second->waitingTokens();
     }
+    for (const auto& [id, record] : m_submitting) {
+        if (!m_records.contains(id) && counts(record))
+            sum += record.tokens;
+    }
     return sum;
 }
 
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -42,6 +42,11 @@
     JobController(GatewayEnvironment&, RowStore&, const JobPeers&, std::string node);
     ~JobController() override;
 
+    /// Returns the identifier under which the other methods know a job of the caller. Without a workspace it is the
+    /// caller's own identifier. Jobs that were accepted while the deployment had no workspaces, or while it had them,
+    /// stay within reach after that has changed.
+    std::string findId(const std::optional<std::string>& workspace, const std::string& callerId) const;
+
     /// Submits a job; idempotent for each job identifier. Replies without an error once the job is stored.
     void submit(const SubmittedJob&, const GatewayRoute&, const std::string& host, const Done&);
 
@@ -82,7 +87,9 @@
 
 private:
     void updateRecord(const JobHead&);
-    uint64_t waitingTokens(const std::string& route) const;
+    /// Returns the tokens that wait on the route of the job, or those of its workspace on that route if it has one,
+    /// without the job itself.
+    uint64_t waitingTokens(const JobHead&, bool ofWorkspace) const;
     void commitSubmission(const JobHead&, const QByteArray& content, const std::vector<JobItem>&, const Done&);
     void handleSubmission(const JobHead&, const std::vector<JobItem>&, const Done&, const StoreResult<RowCommit>&);
     void startJob(const JobHead&, const JobContent&);
@@ -113,6 +120,8 @@
     std::map<std::string, std::unique_ptr<OwnedJob>> m_owned;
     /// Jobs that are being submitted, claimed or loaded by this node.
     std::set<std::string> m_loading;
+    /// Jobs whose submission the store has not answered. They count as waiting.
+    std::map<std::string, JobHead> m_submitting;
     std::map<std::string, MonotonicTime> m_orphanSince;
     std::function<void(const std::string&)> m_onResultsCommitted;
     bool m_isStoreReachable { false };
--- a/Libraries/LibGateway/JobHead.cpp
+++ b/Libraries/LibGateway/JobHead.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/JobHead.h>
 
+#include <LibCore/Digest.h>
 #include <LibGateway/SlotScheduler.h>
 
 #include <QDataStream>
@@ -81,7 +82,7 @@
 
 QByteArray encodeJobHead(const JobHead& record)
 {
-    const QJsonObject object {
+    QJsonObject object {
         { "state", stateName(record.state) },
         { "owner", text(record.owner) },
         { "route", text(record.route) },
@@ -91,6 +92,8 @@
         { "submitted_at_ms", static_cast<qint64>(record.submittedAt.count()) },
         { "input_object", text(record.inputObject) },
     };
+    if (!record.workspace.empty())
+        object["workspace"] = text(record.workspace);
     return QJsonDocument(object).toJson(QJsonDocument::Compact);
 }
 
@@ -113,6 +116,7 @@
     record.itemCount = static_cast<uint32_t>(bounded(object["items"], std::numeric_limits<uint32_t>::max()));
     record.submittedAt = Milliseconds { bounded(object["submitted_at_ms"], maxStoreTime.count()) };
     record.inputObject = object["input_object"].toString().toStdString();
+    record.workspace = object["workspace"].toString().toStdString();
     record.version = row.version;
     return record;
 }
@@ -227,6 +231,12 @@
 
 namespace JobRows {
 
+    std::string scopedId(const std::string& workspace, const std::string& callerId)
+    {
+        const QByteArray scope = QByteArray::number(static_cast<qulonglong>(stableHash(workspace)), 16);
+        return callerId + scopeSeparator + scope.toStdString();
+    }
+
     std::string partition(const std::string& jobId)
     {
         return "p" + std::to_string(SlotPeers::endpointKey(jobId) % partitionCount);
--- a/Libraries/LibGateway/JobHead.h
+++ b/Libraries/LibGateway/JobHead.h
@@ -23,6 +23,7 @@
         Cancelled,
     };
 
+    /// See `JobRows::scopedId()`.
     std::string id;
     State state { State::Open };
     /// Node that runs the job; empty if any node may claim it.
@@ -38,6 +39,9 @@
     std::string inputObject;
     /// Version of the row; 0 before it is written.
     uint64_t version { 0 };
+    /// Workspace whose keys open the job. Empty for the job of an anonymous caller, and in deployments without
+    /// workspaces.
+    std::string workspace {};
 
     auto operator<=>(const JobHead&) const = default;
 };
@@ -64,6 +68,13 @@
     inline const char* const resultTable = "job_result";
     inline const char* const progressTable = "job_progress";
 
+    /// Separates the identifier that a caller has given its job from the scope, which follows.
+    constexpr char scopeSeparator = '@';
+
+    /// Returns the identifier under which a job of the workspace is stored. Identifiers of different workspaces never
+    /// meet, so that nobody can learn of another one's job or occupy its identifier.
+    std::string scopedId(const std::string& workspace, const std::string& callerId);
+
     std::string partition(const std::string& jobId);
     std::vector<std::string> partitions();
     RowAddress record(const std::string& jobId);
--- a/Libraries/LibGateway/JobTypes.h
+++ b/Libraries/LibGateway/JobTypes.h
@@ -6,6 +6,7 @@
 #include <LibHTTP/HttpMessage.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
 struct SubmittedJob {
     std::string jobId;
     std::vector<JobItem> items;
+    /// Nothing if the deployment has no workspaces; empty for an anonymous caller.
+    std::optional<std::string> workspace {};
 
     bool operator==(const SubmittedJob&) const = default;
 };
--- a/Libraries/LibGateway/OwnedJob.cpp
+++ b/Libraries/LibGateway/OwnedJob.cpp
@@ -43,7 +43,8 @@
     const GatewayRoute* route = environment.configuration->findJobRoute(m_record.route, m_record.host);
     m_job = { m_record.id, m_record.route, m_record.host,
         submittedAt + (route ? route->completionTarget : Milliseconds { 0 }),
-        submittedAt + (route && route->maxWait.count() > 0 ? route->maxWait : std::chrono::hours { 24 }) };
+        submittedAt + (route && route->maxWait.count() > 0 ? route->maxWait : std::chrono::hours { 24 }),
+        m_record.workspace };
     m_commitTimer.setSingleShot(true);
     QObject::connect(&m_commitTimer, &QTimer::timeout, &m_commitTimer, [this] { commit(); });
     QObject::connect(&m_checkpointTimer, &QTimer::timeout, &m_checkpointTimer, [this] { checkpoint(); });
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/CallerIdentity.h>
 #include <LibGateway/EndpointRecord.h>
 #include <LibGateway/GatewayConfiguration.h>
 #include <LibGateway/JobTypes.h>
@@ -15,6 +16,10 @@
 /// Header field of a request that a node has a peer forward. Such a request is not handed over once more.
 inline const QByteArray relayField = "Chicorydock-Relay";
 
+/// Header field of such a request: `=` and the name of the workspace of its caller, which is empty for an anonymous
+/// one. Counts only on the address for peers, since callers may send it too.
+inline const QByteArray relayedWorkspaceField = "Chicorydock-Workspace";
+
 /// Header field of the response to such a request: the endpoint that it comes from.
 inline const QByteArray relayedEndpointField = "Chicorydock-Endpoint";
 
@@ -37,6 +42,8 @@
     QByteArray key;
     /// The workspace follows from the key and is not set by the decoder.
     WorkProfile profile;
+    /// Follows from the key and is not set by the decoder. Its workspace is that of the profile.
+    CallerIdentity caller {};
 };
 
 /// Status line and header fields of an endpoint's response, decoded.
@@ -118,19 +125,26 @@
     virtual std::optional<SubmittedJob> decodeSubmission(const HttpRequest&) const = 0;
 
     /// Returns the header fields of a request to an endpoint. `deadline` is the remaining time; without it, the field
-    /// is omitted.
+    /// is omitted. With a workspace, the fields of the key and of the workspace are not those of the caller: the
+    /// endpoint is told the workspace, or nothing if it is empty.
     virtual HttpHeaders endpointHeaders(const HttpHeaders& caller, const std::string& endpointId,
-        std::optional<Milliseconds> deadline, std::optional<uint64_t> lastEventId) const = 0;
+        std::optional<Milliseconds> deadline, std::optional<uint64_t> lastEventId,
+        const std::optional<std::string>& workspace) const = 0;
 
     /// Returns the header fields of a request that a peer forwards for this node. `resumes` names the attempt that
-    /// brought the first event of the stream, empty if there has been none.
+    /// brought the first event of the stream, empty if there has been none. With a workspace, the peer is told it in
+    /// place of the key.
     virtual HttpHeaders peerHeaders(const HttpHeaders& caller, Milliseconds deadline,
-        std::optional<uint64_t> lastEventId, const std::string& resumes) const = 0;
+        std::optional<uint64_t> lastEventId, const std::string& resumes,
+        const std::optional<std::string>& workspace) const = 0;
+
+    /// Returns the workspace that a peer names in a request that it hands over.
+    virtual std::optional<std::string> relayedWorkspace(const HttpHeaders&) const = 0;
 
     /// Returns the header fields of a request that runs an item at an endpoint. The parameters are those of
     /// `endpointHeaders()`.
     virtual HttpHeaders itemHeaders(const JobItem&, const std::string& host, const std::string& endpointId,
-        std::optional<uint64_t> lastEventId) const = 0;
+        std::optional<uint64_t> lastEventId, const std::optional<std::string>& workspace) const = 0;
 
     /// Returns the name of the request header field that is echoed in the response.
     virtual QByteArray requestIdField() const = 0;
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -182,6 +182,7 @@
         it->setRequestNames([this](const HttpRequest& request) { return m_wire.decodeRequest(request).id; });
         it->setMemory(m_requestMemory, m_responseMemory);
     }
+    m_environment.isConfigurationCurrent = [this] { return m_configuration.isCurrent(); };
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
 }
@@ -217,7 +218,9 @@
     limits.idleTimeout = configuration.limits.idleTimeout;
     for (HttpServer* it : { &m_server, &m_peerServer })
         it->setLimits(limits);
-    m_environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    const auto previous
+        = std::exchange(m_environment.configuration, std::make_shared<const GatewayConfiguration>(configuration));
+    recordWorkspaceFaults(*previous);
     m_broker.setWorkspaces(workspaceLimits(configuration));
     m_handler.updateWaitingCalls();
     m_broker.schedulePoll();
@@ -226,6 +229,22 @@
         m_peers.announceToDomain();
 }
 
+void Gateway::recordWorkspaceFaults(const GatewayConfiguration& previous)
+{
+    for (const ConfigurationFault& it : m_environment.configuration->faults) {
+        if (std::ranges::find(previous.faults, it) == previous.faults.end())
+            m_log.record(
+                "workspace", "unreadable", it.workspace, {}, { { "reason", QString::fromStdString(it.reason) } });
+    }
+    const std::vector<KeyTable::Conflict>& conflicts = m_environment.keys().conflicts();
+    for (const KeyTable::Conflict& it : conflicts) {
+        if (std::ranges::find(m_loggedConflicts, it) == m_loggedConflicts.end())
+            m_log.record(
+                "workspace", "key_conflict", it.workspace, {}, { { "other", QString::fromStdString(it.other) } });
+    }
+    m_loggedConflicts = conflicts;
+}
+
 void Gateway::updateSchedulerEndpoints()
 {
     m_broker.setEndpoints(m_directory.usable());
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -57,6 +57,8 @@
     class PeerHandler;
 
     void applyConfiguration(const ReceivedConfiguration&);
+    /// Records what cannot be read about the workspaces, and keys that two of them claim, unless it was so before.
+    void recordWorkspaceFaults(const GatewayConfiguration& previous);
     void updateSchedulerEndpoints();
     void tick();
     void applyRemovals();
@@ -126,6 +128,8 @@
     QTimer m_stopTimer;
     /// Coordinator in the latest log line about it.
     std::string m_loggedCoordinator;
+    /// Conflicts of keys in the latest log lines about them.
+    std::vector<KeyTable::Conflict> m_loggedConflicts;
     uint64_t m_reportedUse { 0 };
     /// Holders of memory that had given way or were refused when the latest log line was written.
     uint64_t m_loggedMemoryRefusals { 0 };
--- a/Tests/LibGateway/TestConfigurationFollower.cpp
+++ b/Tests/LibGateway/TestConfigurationFollower.cpp
@@ -23,6 +23,8 @@
 struct BehindNode final : ConfigurationPeers, ConfigurationListener {
     std::vector<ConfigurationOffer> configurationOffers() const override
     {
+        if (!isOffering)
+            return {};
         return { { "n2", "10.0.0.2:1", PeerDistance::FailureDomain, offered, true } };
     }
     void onConfiguration(const ReceivedConfiguration& it) override { received.push_back(it.configuration.version); }
@@ -44,6 +46,7 @@
     }
 
     uint64_t offered { 0 };
+    bool isOffering { true };
     std::vector<uint64_t> received;
     SimulatedClock clock;
     SeededRandom random { 1 };
@@ -130,6 +133,34 @@
     });
 }
 
+// Guards against a node that takes a key for unknown although it cannot know the newest keys (DENIED).
+TEST_CASE("a node knows whether its configuration may be outdated")
+{
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        BehindNode node;
+        CHECK_FALSE(node.follower.isCurrent());
+        loop.advance(Milliseconds { 1 });
+        node.store.deliverOne();
+        CHECK(node.follower.isCurrent());
+        node.offered = 6;
+        node.follower.update();
+        CHECK_FALSE(node.follower.isCurrent());
+        node.offered = 5;
+        node.follower.update();
+        CHECK(node.follower.isCurrent());
+        // Neither the store nor a peer that reads it can be reached.
+        node.isOffering = false;
+        node.store.isDown = true;
+        node.store.deliverOne();
+        node.follower.update();
+        CHECK_FALSE(node.follower.isCurrent());
+        // A peer that reads the store has no newer version.
+        node.isOffering = true;
+        node.follower.update();
+        CHECK(node.follower.isCurrent());
+    });
+}
+
 // Guards against a node that keeps to an old version because its peers do not deliver the newer one.
 TEST_CASE("a node that cannot get a newer version from its peers reads the store")
 {
--- a/Tests/Platform/TestPlatformWireFormat.cpp
+++ b/Tests/Platform/TestPlatformWireFormat.cpp
@@ -1,5 +1,6 @@
 #include <platform/PlatformWireFormat.h>
 
+#include <LibCore/Digest.h>
 #include <LibCore/SeededRandom.h>
 
 #include <QJsonArray>
@@ -367,3 +368,67 @@
     const HttpRequest request { "GET", "/a/1", {}, { { "Deadline-Ms", "5000" } }, {}, "/a/1" };
     CHECK(wire.decodeRequest(request).deadline == Milliseconds { 5'000 });
 }
+
+// Guards against workspaces that are ignored or confused, and against a list that cannot be read and admits everybody.
+TEST_CASE("workspaces and their keys are decoded, and what cannot be read admits nobody")
+{
+    const PlatformWireFormat wire;
+    const auto decode = [&](const QByteArray& workspaces) {
+        const auto configuration
+            = wire.decodeConfiguration(R"({"version":4,"routes":[],"tenants":)" + workspaces + "}");
+        REQUIRE(configuration);
+        CHECK(configuration->hasWorkspaces);
+        return *configuration;
+    };
+    const auto sound = decode(R"([{"name":"acme","api_keys":["k1","k2"],"priority":1,"requests_per_s":12.5,
+        "burst_size":40,"weight":3},{"name":"bolt"}])");
+    REQUIRE(sound.workspaces.size() == 2);
+    CHECK(sound.workspaces[0].limits == WorkspaceLimits { "acme", 12.5, 40, 3 });
+    CHECK(sound.workspaces[0].keyDigests == std::vector { sha256("k1"), sha256("k2") });
+    CHECK(sound.workspaces[0].priority == 1U);
+    CHECK(sound.workspaces[1].limits == WorkspaceLimits { "bolt", 0, 0, 1 });
+    CHECK(sound.workspaces[1].keyDigests.empty());
+    CHECK_FALSE(sound.workspaces[1].priority);
+    CHECK(sound.faults.empty());
+
+    const auto harmed = decode(R"([7,{"name":5,"api_keys":["k"]},{"name":"a\nb"},{"name":"neg","requests_per_s":-1},
+        {"name":"text","burst_size":"many"},{"name":"acme","api_keys":["k1",7,"","a\tb"," k"],"priority":-1},
+        {"name":"acme","api_keys":["k3"]},{"name":"list","api_keys":"k4"},{"name":"zero","requests_per_s":0},
+        {"name":"huge","requests_per_s":1e300,"burst_size":1e300}])");
+    REQUIRE(harmed.workspaces.size() == 4);
+    CHECK(harmed.workspaces[0].keyDigests == std::vector { sha256("k1") });
+    CHECK_FALSE(harmed.workspaces[0].priority);
+    CHECK(harmed.workspaces[1].keyDigests.empty());
+    CHECK(harmed.workspaces[2].limits.requestsPerSecond == 0);
+    CHECK(harmed.workspaces[3].limits == WorkspaceLimits { "huge", 1e9, 1e9, 1 });
+    CHECK(harmed.faults.size() == 8);
+
+    for (const char* it : { "[]", "{}", "null", "7", "\"all\"" })
+        CHECK(decode(it).workspaces.empty());
+    CHECK_FALSE(wire.decodeConfiguration(configurationDocument)->hasWorkspaces);
+    const auto route = decodeWith("routes",
+        QJsonArray { QJsonObject { { "name", "r" }, { "allow_anonymous", true } },
+            QJsonObject { { "name", "s" }, { "allow_anonymous", "true" } } });
+    CHECK(route->routes[0].allowsAnonymous);
+    CHECK_FALSE(route->routes[1].allowsAnonymous);
+    // A document of many keys, one of them long, is decoded as a whole.
+    QByteArray keys = "\"" + QByteArray(100'000, 'x') + "\"";
+    for (int n = 0; n < 100'000; ++n)
+        keys += ",\"key-" + QByteArray::number(n) + "\"";
+    CHECK(decode("[{\"name\":\"acme\",\"api_keys\":[" + keys + "]}]").workspaces[0].keyDigests.size() == 100'001);
+}
+
+// Guards against a key that is read from another field, or in part.
+TEST_CASE("the key of a request is decoded")
+{
+    const auto keyOf = [](const HttpHeaders& headers) {
+        return PlatformWireFormat().decodeRequest({ "GET", "/a/", {}, headers, {}, "/a/" }).key;
+    };
+    CHECK(keyOf({ { "Authorization", "Bearer abc" } }) == "abc");
+    CHECK(keyOf({ { "authorization", " bearer  abc " } }) == "abc");
+    CHECK(keyOf({ { "Authorization", "Basic abc" } }).isEmpty());
+    CHECK(keyOf({ { "Authorization", "Bearerabc" } }).isEmpty());
+    CHECK(keyOf({ { "Authorization", "Bearer" } }).isEmpty());
+    CHECK(keyOf({ { "Authorization", "Bearer a" }, { "Authorization", "Bearer a" } }).isEmpty());
+    CHECK(keyOf({}).isEmpty());
+}
--- a/Tests/Utilities/chicorydock/TestExplain.cpp
+++ b/Tests/Utilities/chicorydock/TestExplain.cpp
@@ -53,6 +53,20 @@
     CHECK(outJson()["lines"].toArray().size() == 4);
 }
 
+// Guards against a job of a workspace that is not found by the identifier that its caller knows.
+TEST_CASE_METHOD(ToolFixture, "explain finds the job of a workspace by the identifier of its caller")
+{
+    const auto file = writeFile("a.log",
+        (line(10, "n1", "job", "accepted", "j1@5f", { { "workspace", "acme" } })
+            + line(20, "n2", "item", "placed", "i1", { { "job", "j1@5f" }, { "workspace", "acme" } })
+            + line(30, "n2", "item", "placed", "i2", { { "job", "j2@5f" } }))
+            .toStdString());
+    REQUIRE(run({ "explain", "j1", file, "--json" }) == 0);
+    CHECK(outJson()["lines"].toArray().size() == 2);
+    REQUIRE(run({ "explain", "i1", file, "--json" }) == 0);
+    CHECK(outJson()["lines"].toArray().size() == 2);
+}
+
 // Guards against an unknown identifier that is mistaken for a request without problems.
 TEST_CASE_METHOD(ToolFixture, "explain fails for an unknown identifier and an unreadable file")
 {
--- a/Utilities/chicorydock/LogTimeline.cpp
+++ b/Utilities/chicorydock/LogTimeline.cpp
@@ -15,6 +15,10 @@
         return object[QLatin1String(name)].toString().toStdString();
     }
 
+    /// Returns the identifier that a caller has given its job, from that under which nodes store it: the scope of a
+    /// workspace follows there after a separator.
+    std::string callerIdOf(const std::string& id) { return id.substr(0, id.rfind('@')); }
+
     std::string jobIdOf(const QJsonObject& line) { return stringField(line["details"].toObject(), "job"); }
 
 }
@@ -55,9 +59,10 @@
 
 bool LogTimeline::matches(const QJsonObject& line, const std::set<std::string>& ids) const
 {
-    if (ids.contains(stringField(line, "id")))
+    const std::string id = stringField(line, "id");
+    if (ids.contains(id) || ids.contains(callerIdOf(id)))
         return true;
-    return jobIdOf(line) == m_id;
+    return jobIdOf(line) == m_id || callerIdOf(jobIdOf(line)) == m_id;
 }
 
 std::vector<QJsonObject> LogTimeline::logEnds(const std::vector<QJsonObject>& matchingLines) const
