--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -6,7 +6,7 @@
 #include <LibGateway/EndpointDirectory.h>
 #include <LibGateway/EndpointLinkMonitor.h>
 #include <LibGateway/GatewayConfiguration.h>
-#include <LibGateway/KeyTable.h>
+#include <LibGateway/KeyTableCache.h>
 #include <LibGateway/PromptQuarantine.h>
 #include <LibGateway/RelayPeers.h>
 #include <LibGateway/SlotBroker.h>
@@ -53,17 +53,10 @@
     /// Returns whether the configuration is the newest one, as far as this node can know. It is if nothing is set.
     std::function<bool()> isConfigurationCurrent {};
     WorkspaceLabels workspaceLabels {};
+    mutable KeyTableCache keyCache {};
 
     /// Returns the keys of the current configuration.
-    const KeyTable& keys() const
-    {
-        if (m_keysOf != configuration) {
-            m_keysOf = configuration;
-            const bool isEmpty = configuration->workspaces.empty();
-            m_keys = isEmpty ? KeyTable() : KeyTable(configuration->workspaces, random.next());
-        }
-        return m_keys;
-    }
+    const KeyTable& keys() const { return keyCache.of(configuration, random); }
 
     /// Returns whether this node has lost the endpoints while a peer reaches them.
     bool shouldDeferToPeers() const { return links.areLost() && !relayPeers.relayPeers().empty(); }
@@ -105,10 +98,6 @@
             broker.setEndpoints(directory.usable());
         return head;
     }
-
-    /// The keys of a configuration, which are collected when they are needed for the first time.
-    mutable std::shared_ptr<const GatewayConfiguration> m_keysOf {};
-    mutable KeyTable m_keys {};
 };
 
 }
