LibGateway: Keep the counters of workspaces

The request path looked the counter of the workspace up in the registry, which builds its labels and takes a lock each time.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -960,13 +960,8 @@
         .counter("chicorydock_requests_total", "Requests by route and outcome.",
             { { "route", m_route.name }, { "outcome", outcome } })
         .add(1);
-    if (m_request.caller.workspace) {
-        m_environment.metrics
-            .counter("chicorydock_workspace_requests_total", "Requests by workspace and outcome.",
-                { { "workspace", m_environment.workspaceLabels.label(*m_request.caller.workspace) },
-                    { "outcome", outcome } })
-            .add(1);
-    }
+    if (m_request.caller.workspace)
+        m_environment.workspaceMetrics.count(m_environment.metrics, *m_request.caller.workspace, outcome);
     recordPhaseDuration("queue", m_sentAt);
     recordPhaseDuration("first_byte", m_firstByteAt);
     recordPhaseDuration("total", now);
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -12,7 +12,7 @@
 #include <LibGateway/SlotBroker.h>
 #include <LibGateway/StreamOrigins.h>
 #include <LibGateway/WireFormat.h>
-#include <LibGateway/WorkspaceLabels.h>
+#include <LibGateway/WorkspaceMetrics.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibLog/EventLog.h>
 #include <LibMetrics/MetricsRegistry.h>
@@ -52,7 +52,7 @@
     std::shared_ptr<const GatewayConfiguration> configuration;
     /// Returns whether the configuration is the newest one, as far as this node can know. It is if nothing is set.
     std::function<bool()> isConfigurationCurrent {};
-    WorkspaceLabels workspaceLabels {};
+    WorkspaceMetrics workspaceMetrics {};
     mutable KeyTableCache keyCache {};
 
     /// Returns the keys of the current configuration.
--- a/Tests/LibGateway/TestWorkspaces.cpp
+++ b/Tests/LibGateway/TestWorkspaces.cpp
@@ -3,13 +3,12 @@
 
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/RequestFingerprint.h>
+#include <LibGateway/WorkspaceMetrics.h>
 #include <Tests/Support/FakeExchange.h>
 
 #include <QJsonDocument>
 #include <catch2/catch.hpp>
 
-#include <set>
-
 using namespace Chicorydock;
 
 namespace {
@@ -465,13 +464,15 @@
 // Guards against metrics whose number grows with the number of customers.
 TEST_CASE("the metrics name a bounded number of workspaces")
 {
-    WorkspaceLabels labels;
-    std::set<std::string> names;
+    MetricsRegistry registry;
+    WorkspaceMetrics metrics;
     for (int n = 0; n < 1'000; ++n)
-        names.insert(labels.label("w" + std::to_string(n)));
-    CHECK(names.size() == WorkspaceLabels::maxNames + 1);
-    CHECK(labels.label("w0") == "w0");
-    CHECK(labels.label("w999") == WorkspaceLabels::others);
+        metrics.count(registry, "w" + std::to_string(n), "answered");
+    metrics.count(registry, "w0", "answered");
+    const QByteArray text = QByteArray::fromStdString(registry.text());
+    CHECK(text.count("{workspace=") == static_cast<qsizetype>(WorkspaceMetrics::maxNames) + 1);
+    CHECK(text.contains("{workspace=\"w0\",outcome=\"answered\"} 2"));
+    CHECK(text.contains("{workspace=\"(other)\",outcome=\"answered\"} 950"));
 }
 
 // Guards against identifiers in logs and messages of peers that are derived from a key.
