--- a/Libraries/LibGateway/GatewayConfiguration.h
+++ b/Libraries/LibGateway/GatewayConfiguration.h
@@ -110,6 +110,15 @@
     auto operator<=>(const GatewayWorkspace&) const = default;
 };
 
+/// Part of a configuration that cannot be read and has no effect. Contains no key.
+struct ConfigurationFault {
+    /// Name of the workspace, or its position in the document if the name cannot be read.
+    std::string workspace;
+    std::string reason;
+
+    auto operator<=>(const ConfigurationFault&) const = default;
+};
+
 /// An accepted version of the routes and services. Immutable once published.
 struct GatewayConfiguration {
     /// 0 means that no configuration has been received yet.
@@ -119,7 +128,10 @@
     CallerLimits limits;
     /// Whether callers need the key of a workspace, except on routes that allow anonymous ones.
     bool hasWorkspaces { false };
+    /// Those that can be read; their names differ.
     std::vector<GatewayWorkspace> workspaces;
+    /// What cannot be read about the workspaces, for the log.
+    std::vector<ConfigurationFault> faults;
 
     auto operator<=>(const GatewayConfiguration&) const = default;
 
@@ -130,6 +142,9 @@
     /// Returns the route of jobs with that name and host, or null. The name alone may also be that of a route of
     /// another host or kind, or come to be in a later version.
     const GatewayRoute* findJobRoute(std::string_view name, std::string_view host) const;
+
+    /// Returns whether callers without a key may submit jobs to the host.
+    bool allowsAnonymousJobs(std::string_view host) const;
 };
 
 /// Selects a service at random in proportion to the weights; `draw` is uniform in [0, 1). Returns an empty string if
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -6,16 +6,19 @@
 #include <LibGateway/EndpointDirectory.h>
 #include <LibGateway/EndpointLinkMonitor.h>
 #include <LibGateway/GatewayConfiguration.h>
+#include <LibGateway/KeyTableCache.h>
 #include <LibGateway/PromptQuarantine.h>
 #include <LibGateway/RelayPeers.h>
 #include <LibGateway/SlotBroker.h>
 #include <LibGateway/StreamOrigins.h>
 #include <LibGateway/WireFormat.h>
+#include <LibGateway/WorkspaceMetrics.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibLog/EventLog.h>
 #include <LibMetrics/MetricsRegistry.h>
 #include <LibPlatform/ViewRefresher.h>
 
+#include <functional>
 #include <memory>
 
 namespace Chicorydock {
@@ -47,6 +50,13 @@
     MemoryBudget& responseMemory;
     /// The current configuration; its version is 0 until one has been received.
     std::shared_ptr<const GatewayConfiguration> configuration;
+    /// Returns whether the configuration is the newest one, as far as this node can know. It is if nothing is set.
+    std::function<bool()> isConfigurationCurrent {};
+    WorkspaceMetrics workspaceMetrics {};
+    mutable KeyTableCache keyCache {};
+
+    /// Returns the keys of the current configuration.
+    const KeyTable& keys() const { return keyCache.of(configuration, random); }
 
     /// Returns whether this node has lost the endpoints while a peer reaches them.
     bool shouldDeferToPeers() const { return links.areLost() && !relayPeers.relayPeers().empty(); }
