--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <utility>
 
 namespace Chicorydock {
@@ -27,6 +28,10 @@
     /// Interval at which a member and its coordinator exchange messages at least, with some margin.
     constexpr Milliseconds messageInterval { 400 };
 
+    /// Minimum time between two reports to a peer with the charges of workspaces. Each charge is in several reports, so
+    /// more would only add bytes.
+    constexpr Milliseconds quotaInterval { 100 };
+
     /// A node is removed and sent no more reports after this time without a report from it.
     constexpr Milliseconds removalTimeout { 30'000 };
 
@@ -162,17 +167,24 @@
     std::erase_if(m_peers, [&](const auto& it) { return now - it.second.lastReportAt > removalTimeout; });
     countPeers();
     std::optional<PeerReport> report;
-    // Reports that promise the next one within the same time are the same.
-    std::map<Milliseconds, QByteArray> datagrams;
+    std::optional<ReportedQuotas> quotas;
+    // Reports that promise the next one within the same time and have the same parts are the same.
+    std::map<std::pair<Milliseconds, bool>, QByteArray> datagrams;
     MonotonicTime next = now + heartbeatInterval(PeerDistance::FailureDomain, 0);
     for (auto& [node, peer] : m_peers) {
         if (peer.sentAt + pauseAfterReport(peer) <= now) {
             if (!report)
                 report = nextReport();
             report->nextWithin = heartbeat(peer);
-            QByteArray& datagram = datagrams[report->nextWithin];
-            if (datagram.isEmpty())
+            const bool hasQuotas = areQuotasDue(peer, now);
+            if (hasQuotas && !quotas)
+                quotas = m_makeQuotas();
+            QByteArray& datagram = datagrams[{ report->nextWithin, hasQuotas }];
+            if (datagram.isEmpty()) {
+                report->quotas = hasQuotas ? *quotas : ReportedQuotas {};
                 datagram = encodePeerReport(*report);
+            }
+            peer.quotasSentAt = hasQuotas ? now : peer.quotasSentAt;
             send(peer, datagram, report->nextWithin, now);
         }
         const MonotonicTime earliest = peer.hasUnsentChange ? now : now + livenessSendInterval;
@@ -181,6 +193,11 @@
     m_sendTimer.start(std::max(minSendDelay, std::chrono::ceil<Milliseconds>(next - now)));
 }
 
+bool PeerGroup::areQuotasDue(const Peer& peer, MonotonicTime now) const
+{
+    return m_makeQuotas && m_isCoordinating && peer.report.isCoordinating && now - peer.quotasSentAt >= quotaInterval;
+}
+
 PeerReport PeerGroup::nextReport()
 {
     PeerReport report = m_makeReport();
@@ -347,6 +364,14 @@
     return nodes;
 }
 
+uint32_t PeerGroup::knownNodes() const
+{
+    std::set<std::string> addresses { m_options.address };
+    for (const auto& [node, peer] : m_peers)
+        addresses.insert(peer.address);
+    return static_cast<uint32_t>(addresses.size());
+}
+
 size_t PeerGroup::aliveCount() const
 {
     return static_cast<size_t>(std::ranges::count_if(m_peers, [&](const auto& it) { return isReporting(it.second); }));
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -53,6 +53,10 @@
     /// Records whether this node allocates slots. Only such nodes send each other the changes of their slot use.
     void setCoordinating(bool);
 
+    /// Sets what returns the charges of workspaces with rate limits. They are added to reports between nodes that
+    /// allocate slots.
+    void setQuotaSource(std::function<ReportedQuotas()> source) { m_makeQuotas = std::move(source); }
+
     /// Records whether the other nodes of the failure domain rely on this one for the configuration, so that they must
     /// notice soon if it fails.
     void setConfigurationSource(bool isSource) { m_isConfigurationSource = isSource; }
@@ -86,6 +90,10 @@
 
     size_t aliveCount() const;
 
+    /// Returns the number of nodes that have an address, this one included, whether or not they are alive. Processes
+    /// that replaced each other at one address count once.
+    uint32_t knownNodes() const;
+
     /// Returns the other nodes that are alive and not leaving.
     std::vector<std::string> aliveNodes() const;
 
@@ -113,6 +121,8 @@
         /// Time without a report after which the peer is considered dead.
         Milliseconds timeout { 0 };
         MonotonicTime sentAt;
+        /// When a report with the charges of workspaces was last sent to the peer.
+        MonotonicTime quotasSentAt;
         /// Time within which the peer was promised the next report, 0 if it has been sent none.
         Milliseconds promised { 0 };
         bool hasReported { false };
@@ -127,6 +137,8 @@
     /// Sends a slot message as part of a report.
     void sendMessage(const std::string& node, PeerReport);
     void send(Peer&, const QByteArray& datagram, Milliseconds promised, MonotonicTime now);
+    /// Returns whether a report to the peer has the charges of workspaces.
+    bool areQuotasDue(const Peer&, MonotonicTime now) const;
     bool isReporting(const Peer&) const;
     /// Returns whether the peer is alive and not leaving.
     bool isServing(const Peer&) const;
@@ -140,6 +152,7 @@
     const Clock& m_clock;
     const std::function<PeerReport()> m_makeReport;
     const ReportHandler m_onReport;
+    std::function<ReportedQuotas()> m_makeQuotas;
     QUdpSocket m_socket;
     std::map<std::string, Peer> m_peers;
     std::array<size_t, peerDistanceCount> m_peerCounts {};
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -35,6 +35,18 @@
         }
     }
 
+    void writeQuotas(const ReportedQuotas& quotas, Schema::LoadReport::Builder root)
+    {
+        auto list = root.initQuotas(static_cast<uint32_t>(quotas.size()));
+        uint32_t n = 0;
+        for (const auto& [workspace, quota] : quotas) {
+            auto it = list[n++];
+            it.setWorkspace(workspace);
+            it.setCharged(quota.charged);
+            it.setLevel(quota.level);
+        }
+    }
+
     void writeSuspectParts(const std::vector<SuspectPart>& parts, Schema::LoadReport::Builder root)
     {
         auto list = root.initSuspectParts(static_cast<uint32_t>(parts.size()));
@@ -99,6 +111,9 @@
     }
     if (!report.rates.empty())
         writeRates(report.rates, root);
+    root.setServedNodes(report.servedNodes);
+    if (!report.quotas.empty())
+        writeQuotas(report.quotas, root);
     if (!report.suspectParts.empty())
         writeSuspectParts(report.suspectParts, root);
     if (!report.recipient.empty())
@@ -140,6 +155,9 @@
             if (isRate(it.getPerSecond()))
                 report.rates[it.getEndpoint()] = { it.getPerSecond(), Milliseconds { it.getAgeMs() }, it.getStarts() };
         }
+        report.servedNodes = root.getServedNodes();
+        for (const auto it : root.getQuotas())
+            report.quotas[it.getWorkspace()] = { it.getCharged(), it.getLevel() };
         report.suspectParts = readSuspectParts(root);
         report.recipient = root.getRecipient();
         if (root.hasSlotReport())
--- a/Libraries/LibGateway/PeerReport.h
+++ b/Libraries/LibGateway/PeerReport.h
@@ -43,6 +43,10 @@
     /// Endpoints whose rate is limited, or was until lately, by `SlotPeers::endpointKey()`. Only nodes that allocate
     /// slots report them.
     std::unordered_map<uint32_t, ReportedRate> rates;
+    /// Number of nodes for which the node allocates slots, 0 if unknown.
+    uint32_t servedNodes { 0 };
+    /// Charges of workspaces with rate limits. Only nodes that allocate slots report them, and only to each other.
+    ReportedQuotas quotas {};
     /// Parts of prompts that may crash endpoints.
     std::vector<SuspectPart> suspectParts;
     /// Node that the slot message is for. Empty if there is none, or if an earlier version sent it.
--- /dev/null
+++ b/Libraries/LibGateway/QuotaBucket.cpp
@@ -0,0 +1,221 @@
+#include <LibGateway/QuotaBucket.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Parts of what the bounds tolerate beyond the limits: a higher rate and a larger bucket than granted, so that
+    /// requests are not refused for others that are counted late; charges that are not known everywhere; and the
+    /// tokens of allocators that know nothing. The rest covers late reports and pauses.
+    constexpr double rateMargin = 0.25;
+    constexpr double burstMargin = 0.15;
+    constexpr double unreportedMargin = 0.4;
+    constexpr double startMargin = 0.4;
+
+    /// Part of the tokens that allocators may charge unreported by their number of nodes; the rest is by demand.
+    constexpr double evenShare = 0.3;
+
+    /// Part of the capacity above which a bucket counts as full.
+    constexpr double fullLevel = 0.9;
+
+    /// Time for which the share of an allocator is rounded the same way; longer than a charge is unreported.
+    constexpr std::chrono::milliseconds turnTime { 500 };
+    /// Successive multiples of it are spread evenly over the fractions.
+    constexpr double goldenRatio = 0.618034;
+
+    /// Time in which the weight of a charge falls to 1/e. Callers that move to another node are followed that fast.
+    constexpr double demandSeconds = 2;
+
+    /// Resolution and memory of the own charges. No allocator in touch is silent for longer.
+    constexpr Milliseconds chargeInterval { 25 };
+    constexpr Milliseconds chargeMemory { 1'500 };
+
+    /// Limits on the time that a caller is told to wait. The lower one is the time in which charges are reported.
+    constexpr double minRetrySeconds = 0.1;
+    constexpr double maxRetrySeconds = 10;
+
+    /// Above this, rates and bursts make no difference.
+    constexpr double maxLimit = 1e9;
+
+}
+
+QuotaBucket::QuotaBucket(const WorkspaceLimits& limits, const QuotaBounds& bounds, const QuotaShares& shares,
+    double dither, MonotonicTime now)
+    : m_limits(limits)
+    , m_bounds(bounds)
+    , m_shares(shares)
+    , m_dither(dither)
+    , m_settledAt(now)
+    , m_bookedUntil(now)
+{
+    m_level = std::min(capacity(), shares.group * shares.own * startMargin * margin()) + dither;
+}
+
+void QuotaBucket::fill() { m_level = std::max(m_level, capacity() * m_shares.group); }
+
+double QuotaBucket::margin() const
+{
+    const double granted = std::min(m_limits.requestsPerSecond, maxLimit) * toSeconds(m_bounds.window)
+        + std::min(m_limits.burst, maxLimit);
+    return m_bounds.overshoot * granted + m_bounds.slack;
+}
+
+double QuotaBucket::refillPerSecond() const
+{
+    return std::min(m_limits.requestsPerSecond, maxLimit) * (1 + rateMargin * m_bounds.overshoot) * m_shares.group;
+}
+
+double QuotaBucket::capacity() const
+{
+    // A bucket that holds less than a token would refuse everything.
+    return std::max(1.0, std::min(m_limits.burst, maxLimit) + burstMargin * margin());
+}
+
+double QuotaBucket::level(MonotonicTime now) const
+{
+    // A small part of the deployment may gather the token that its share of the capacity does not hold.
+    const double most = std::max(capacity() * m_shares.group, 1.0);
+    if (m_level >= most)
+        return m_level;
+    return std::min(most, m_level + refillPerSecond() * toSeconds(now - m_settledAt));
+}
+
+double QuotaBucket::decayed(double recent, MonotonicTime now) const
+{
+    return recent * std::exp(-toSeconds(now - m_settledAt) / demandSeconds);
+}
+
+void QuotaBucket::settle(MonotonicTime now)
+{
+    if (now <= m_settledAt)
+        return;
+    m_level = level(now);
+    m_ownRecent = decayed(m_ownRecent, now);
+    m_othersRecent = decayed(m_othersRecent, now);
+    m_settledAt = now;
+}
+
+void QuotaBucket::setLimits(const WorkspaceLimits& limits, const QuotaBounds& bounds, MonotonicTime now)
+{
+    settle(now);
+    m_limits = limits;
+    m_bounds = bounds;
+    m_level = std::min(m_level, capacity() * m_shares.group);
+    m_bookedUntil = now;
+}
+
+void QuotaBucket::setShares(const QuotaShares& shares, Milliseconds silentFor, MonotonicTime now)
+{
+    settle(now);
+    if (shares.group < m_shares.group) {
+        // The lost part uses its tokens and its part of the rate itself.
+        const double lost = (m_shares.group - shares.group) / m_shares.group;
+        m_level -= lost * (std::max(m_level, 0.0) + refillPerSecond() * toSeconds(silentFor));
+    }
+    m_shares = shares;
+}
+
+double QuotaBucket::shareOfTokens() const
+{
+    const double byDemand = (m_ownRecent + m_shares.own) / (m_ownRecent + m_othersRecent + 1);
+    return evenShare * m_shares.own + (1 - evenShare) * byDemand;
+}
+
+double QuotaBucket::unreported(MonotonicTime syncedUntil, MonotonicTime now) const
+{
+    double count = 0;
+    for (const Charges& it : m_charges) {
+        if (it.at + chargeInterval > syncedUntil && now - it.at < chargeMemory)
+            count += it.count;
+    }
+    return std::max(0.0, count);
+}
+
+bool QuotaBucket::isWithinShare(MonotonicTime syncedUntil, MonotonicTime now) const
+{
+    if (m_shares.own >= 1)
+        return true;
+    const double own = unreported(syncedUntil, now);
+    // A full bucket may be overdrawn by a request for each allocator if the refill of one window makes up for it.
+    const double tolerable = (m_limits.requestsPerSecond * toSeconds(m_bounds.window) + m_bounds.slack) / 2;
+    const bool isFull = m_level >= fullLevel * capacity() * m_shares.group;
+    if (own == 0 && isFull && 1 / m_shares.own <= tolerable)
+        return true;
+    const double tolerated = unreportedMargin * margin() * m_shares.group;
+    // The share may be less than one request. The allocators then take turns.
+    const auto turn = static_cast<double>(now.time_since_epoch() / turnTime);
+    const double rounding = std::fmod(m_dither + turn * goldenRatio, 1.0);
+    return own + 1 <= shareOfTokens() * (m_level + own + tolerated) + rounding;
+}
+
+std::optional<Milliseconds> QuotaBucket::charge(MonotonicTime syncedUntil, MonotonicTime now)
+{
+    settle(now);
+    if (m_level < 1 || !isWithinShare(syncedUntil, now))
+        return bookRetry(m_level, now);
+    take(now);
+    return std::nullopt;
+}
+
+void QuotaBucket::chargeAccepted(MonotonicTime now)
+{
+    settle(now);
+    take(now);
+}
+
+void QuotaBucket::take(MonotonicTime now)
+{
+    m_level -= 1;
+    m_ownRecent += 1;
+    ++m_charged;
+    m_changedAt = now;
+    if (!m_charges.empty() && now - m_charges.back().at < chargeInterval) {
+        m_charges.back().count += 1;
+        return;
+    }
+    std::erase_if(m_charges, [&](const Charges& it) { return now - it.at > chargeMemory; });
+    m_charges.push_back({ now, 1 });
+}
+
+void QuotaBucket::refund(MonotonicTime now)
+{
+    settle(now);
+    m_level = std::min(m_level + 1, capacity());
+    --m_charged;
+    m_changedAt = now;
+    if (!m_charges.empty())
+        m_charges.back().count -= 1;
+}
+
+void QuotaBucket::drawReported(int32_t count, MonotonicTime now)
+{
+    settle(now);
+    // No more debt than one window repays.
+    const double least = std::min(m_level, -m_limits.requestsPerSecond * toSeconds(m_bounds.window) - margin());
+    m_level = std::clamp(m_level - count, least, std::max(m_level, capacity()));
+    m_othersRecent = std::max(0.0, m_othersRecent + count);
+}
+
+void QuotaBucket::adopt(double level, MonotonicTime now)
+{
+    settle(now);
+    m_level = std::max(m_level, std::min(level, capacity()) * m_shares.group - unreported(now - chargeMemory, now));
+}
+
+Milliseconds QuotaBucket::bookRetry(double level, MonotonicTime now)
+{
+    const double refill = refillPerSecond();
+    const auto after = [](double seconds) {
+        return std::chrono::duration_cast<MonotonicTime::duration>(
+            std::chrono::duration<double>(std::clamp(seconds, 0.0, maxRetrySeconds)));
+    };
+    const MonotonicTime earliest = now + after(std::max(minRetrySeconds, (1 - level) / refill));
+    m_bookedUntil = std::max(earliest, m_bookedUntil + after(1 / (refill * shareOfTokens())));
+    m_bookedUntil = std::min(m_bookedUntil, now + after(maxRetrySeconds));
+    return std::chrono::ceil<Milliseconds>(m_bookedUntil - now);
+}
+
+}
--- a/Libraries/LibGateway/SlotCoordinator.cpp
+++ b/Libraries/LibGateway/SlotCoordinator.cpp
@@ -127,6 +127,8 @@
         work.excluded = it.excluded;
         work.softwareVersion = it.softwareVersion;
         work.profile = it.profile;
+        work.isCharged = it.isCharged;
+        work.isTakenOver = it.isTakenOver;
         m_scheduler.submit(work, now);
     }
 }
@@ -214,6 +216,7 @@
 void SlotCoordinator::poll(MonotonicTime now)
 {
     removeSilentMembers(now);
+    m_scheduler.setServedNodes(static_cast<uint32_t>(m_members.size()));
     for (const SlotDecision& it : m_scheduler.poll(now))
         recordDecision(it, now);
 }
--- a/Libraries/LibGateway/SlotMember.cpp
+++ b/Libraries/LibGateway/SlotMember.cpp
@@ -294,7 +294,8 @@
     } else if (work.request) {
         const OnlineWork& it = *work.request;
         report.requests.push_back({ id, it.service, it.priority, milliseconds(it.startBy - now),
-            milliseconds(it.deadline - now), it.isLastAttempt, it.excluded, it.softwareVersion, it.profile });
+            milliseconds(it.deadline - now), it.isLastAttempt, it.excluded, it.softwareVersion, it.profile,
+            it.isCharged, it.isTakenOver || work.wasAcknowledged });
     } else if (work.item) {
         const BatchWork& it = *work.item;
         report.items.push_back({ id, it.service, milliseconds(it.dueAt - now), it.slotTimeUsed, it.excluded,
@@ -327,8 +328,10 @@
     m_lastReply = reply.sequence;
     m_repliedAt = now;
     m_unansweredSince.reset();
-    for (auto& [id, work] : m_work)
+    for (auto& [id, work] : m_work) {
         work.isAcknowledged = work.isAcknowledged || (work.sentIn > 0 && work.sentIn <= reply.acknowledged);
+        work.wasAcknowledged = work.wasAcknowledged || work.isAcknowledged;
+    }
     std::erase_if(m_finished, [&](const Finished& it) { return it.sentIn > 0 && it.sentIn <= reply.acknowledged; });
     if (reply.needsAllWork) {
         for (auto& [id, work] : m_work)
--- a/Libraries/LibGateway/SlotMessageFormat.cpp
+++ b/Libraries/LibGateway/SlotMessageFormat.cpp
@@ -85,13 +85,15 @@
         if (request.softwareVersion)
             builder.setSoftwareVersion(*request.softwareVersion);
         writeProfile(request.profile, builder);
+        builder.setIsCharged(request.isCharged);
+        builder.setIsTakenOver(request.isTakenOver);
     }
 
     QueuedRequest readRequest(Schema::QueuedRequest::Reader reader)
     {
         return { reader.getWork(), reader.getService(), reader.getPriority(), Milliseconds { reader.getStartInMs() },
             Milliseconds { reader.getDeadlineInMs() }, reader.getIsLastAttempt(), readTexts(reader.getExcluded()),
-            readSoftwareVersion(reader), readProfile(reader) };
+            readSoftwareVersion(reader), readProfile(reader), reader.getIsCharged(), reader.getIsTakenOver() };
     }
 
     void writeItem(const QueuedItem& item, Schema::QueuedItem::Builder builder)
--- a/Libraries/LibGateway/SlotMessages.h
+++ b/Libraries/LibGateway/SlotMessages.h
@@ -24,6 +24,8 @@
     std::vector<std::string> excluded;
     std::optional<std::string> softwareVersion {};
     WorkProfile profile {};
+    bool isCharged { false };
+    bool isTakenOver { false };
 
     bool operator==(const QueuedRequest&) const = default;
 };
--- a/Libraries/LibGateway/SlotPeers.h
+++ b/Libraries/LibGateway/SlotPeers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/ReportPlan.h>
+#include <LibGateway/ReportedQuota.h>
 #include <LibGateway/SlotTypes.h>
 
 #include <array>
@@ -35,6 +36,9 @@
     Milliseconds lifetime { 1'500 };
     /// Endpoints with rate limits, by endpoint key.
     std::unordered_map<uint32_t, ReportedRate> rates;
+    /// Number of nodes that the peer serves.
+    uint32_t servedNodes { 1 };
+    ReportedQuotas quotas {};
 
     bool operator==(const PeerUse&) const = default;
 };
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -24,9 +24,30 @@
     , m_queue(m_holdTimes)
     , m_admission(m_endpoints.capacity(), m_peers, m_holdTimes, random)
     , m_preemption(m_usage, m_peers, m_holdTimes)
+    , m_quota(random)
 {
 }
 
+void SlotScheduler::submit(const OnlineWork& work, MonotonicTime now)
+{
+    const auto retryAfter
+        = work.isCharged ? std::nullopt : m_quota.charge(work.id, work.profile.workspace, work.isTakenOver, now);
+    if (retryAfter)
+        m_overQuota.push_back({ .kind = SlotDecision::Kind::Refuse,
+            .work = work.id,
+            .retryAfter = *retryAfter,
+            .reason = RefusalReason::Quota });
+    else
+        m_queue.add(work, now);
+}
+
+void SlotScheduler::withdraw(uint64_t work)
+{
+    m_queue.remove(work);
+    m_quota.refund(work);
+    std::erase_if(m_overQuota, [&](const SlotDecision& it) { return it.work == work; });
+}
+
 void SlotScheduler::adopt(const RunningWork& work, MonotonicTime now)
 {
     SlotEndpoint* endpoint = m_endpoints.find(work.endpoint);
@@ -71,8 +92,9 @@
 
 std::vector<SlotDecision> SlotScheduler::poll(MonotonicTime now)
 {
-    std::vector<SlotDecision> decisions;
+    std::vector<SlotDecision> decisions = std::exchange(m_overQuota, {});
     expire(now);
+    m_quota.update(now);
     m_endpoints.updateLimits(m_holdTimes, now);
     decideOnline(decisions, now);
     decideYields(decisions, now);
@@ -103,6 +125,7 @@
         }
         size_t& before = ahead[work.service];
         if (work.service.empty() || m_endpoints.isVersionGone(work) || m_admission.shouldRefuse(work, before, now)) {
+            m_quota.refund(work.id);
             const SlotView view { .expectedWait = m_admission.expectedWait(work.service, before) };
             decisions.push_back(
                 { SlotDecision::Kind::Refuse, work.id, {}, m_admission.retryAfter(work.service, before), view });
@@ -125,6 +148,7 @@
     m_usage.add(work, endpoint, now);
     ++endpoint.starts;
     endpoint.limiter.recordStarts(1, now);
+    m_quota.recordStart(work.id);
     decisions.push_back({ SlotDecision::Kind::Start, work.id, endpoint.record.id, {}, view });
 }
 
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -5,6 +5,7 @@
 #include <LibGateway/QueueAdmission.h>
 #include <LibGateway/SlotAllocator.h>
 #include <LibGateway/SlotQueue.h>
+#include <LibGateway/WorkspaceQuota.h>
 
 #include <string>
 #include <unordered_map>
@@ -24,6 +25,8 @@
 /// the work that they start there. Items go to such endpoints first, because they make the most of each request, and
 /// online work goes to the others while these have slots.
 ///
+/// Requests over the rate limit of their workspace are refused before they are queued.
+///
 /// Load: online requests and batch items of all nodes, which together need more slots than there are.
 ///
 /// Deterministic: the decisions depend only on the calls, the times passed in and the random numbers.
@@ -36,10 +39,10 @@
     SlotScheduler(Location, Random&);
 
     void setEndpoints(const std::vector<EndpointRecord>& records) override { m_endpoints.replace(records); }
-    void setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) override { m_workspaces = workspaces; }
-    void submit(const OnlineWork& work, MonotonicTime now) override { m_queue.add(work, now); }
+    void setWorkspaces(const std::vector<WorkspaceLimits>& workspaces) override { m_quota.setWorkspaces(workspaces); }
+    void submit(const OnlineWork&, MonotonicTime now) override;
     void submit(const BatchWork& work) override { m_queue.add(work); }
-    void withdraw(uint64_t work) override { m_queue.remove(work); }
+    void withdraw(uint64_t work) override;
     void finish(uint64_t work, EndpointOutcome, MonotonicTime now) override;
 
     /// Counts work that another scheduler has started. It holds its slot from now on. Work at an unknown endpoint is
@@ -50,8 +53,20 @@
     void setPeerUse(const std::string& node, const PeerUse& use, MonotonicTime now)
     {
         m_usage.setPeerUse(node, use, now);
+        m_quota.receive(node, use.servedNodes, use.lifetime, use.quotas, now);
+    }
+    /// Removes a peer that no longer allocates slots.
+    void removePeer(const std::string& node)
+    {
+        m_usage.removePeer(node);
+        m_quota.removeAllocator(node);
     }
-    void removePeer(const std::string& node) { m_usage.removePeer(node); }
+
+    /// Sets how many nodes submit their work to this scheduler.
+    void setServedNodes(uint32_t nodes) { m_quota.setOwnNodes(nodes); }
+    /// The rate limits of workspaces.
+    WorkspaceQuota& quota() { return m_quota; }
+    const WorkspaceQuota& quota() const { return m_quota; }
 
     /// Work at the endpoint that no node has reported yet counts as online work for a short time.
     void observe(const std::string& endpoint, const ObservedLoad& load, MonotonicTime now) override
@@ -62,7 +77,7 @@
     void observeRate(const std::string& endpoint, const RateStatement&, MonotonicTime now) override;
 
     std::vector<SlotDecision> poll(MonotonicTime now) override;
-    bool needsPolling() const override { return !m_queue.isEmpty(); }
+    bool needsPolling() const override { return !m_queue.isEmpty() || !m_overQuota.empty(); }
 
     /// Returns the work if it holds a slot, or null. Valid until the next call of another method.
     const RunningWork* findRunning(uint64_t work) const { return m_usage.find(work); }
@@ -78,8 +93,8 @@
     /// Returns the number of usable endpoints with a rate limit.
     size_t limitedEndpoints() const { return m_endpoints.limitedEndpoints(); }
     /// Returns a number that changes whenever this node has something new to report to its peers: the slots that it
-    /// uses or the rate limit of an endpoint.
-    uint64_t useVersion() const { return m_usage.version(); }
+    /// uses, the rate limit of an endpoint or charges to the rate limit of a workspace.
+    uint64_t useVersion() const { return m_usage.version() + m_quota.version(); }
     uint32_t waitingOnline() const { return m_queue.waitingOnline(); }
     uint32_t waitingBatch() const { return m_queue.waitingBatch(); }
 
@@ -97,7 +112,6 @@
     /// Preempts one item of this node at the endpoint, if one runs there.
     void yieldOne(std::vector<SlotDecision>&, SlotEndpoint&, MonotonicTime now);
 
-    std::vector<WorkspaceLimits> m_workspaces;
     SlotPeers m_peers;
     SlotEndpoints m_endpoints;
     BatchReserve m_reserve;
@@ -107,6 +121,9 @@
     SlotQueue m_queue;
     QueueAdmission m_admission;
     ItemPreemption m_preemption;
+    WorkspaceQuota m_quota;
+    /// Refusals of requests over the rate limit of their workspace that have not been returned yet.
+    std::vector<SlotDecision> m_overQuota;
     MonotonicTime m_lastExpiryAt;
 };
 
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -34,6 +34,10 @@
     /// Version of the endpoints that may run the request, if it resumes a stream. Empty for any.
     std::optional<std::string> softwareVersion {};
     WorkProfile profile {};
+    /// Whether an earlier run of the request was charged to the rate limit of its workspace.
+    bool isCharged { false };
+    /// Whether another allocator had accepted the request, and may not be able to give its charge back.
+    bool isTakenOver { false };
 
     bool operator==(const OnlineWork&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibGateway/WorkspaceQuota.cpp
@@ -0,0 +1,244 @@
+#include <LibGateway/WorkspaceQuota.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// An allocator that has made no decision for this time has missed reports, or its nodes were served by another.
+    constexpr Milliseconds maxPause { 1'000 };
+
+    /// Time from a charge until its report has arrived: the pace of the reports, and the transfer between regions.
+    constexpr Milliseconds reportDelay { 250 };
+
+    /// Time for which a change is in each report, and after which it is in the reports once more. Reports may be lost
+    /// for some of it without leaving a difference.
+    constexpr Milliseconds repetitionTime { 350 };
+    constexpr Milliseconds secondRepetitionAt { 1'000 };
+
+    /// Upper limit of the charges between two reports of one allocator; more is an error.
+    constexpr int32_t maxReportedCharges = 1'000'000;
+
+    /// Notices for one workspace are at least this far apart, and this many are given at a time.
+    constexpr std::chrono::seconds noticeInterval { 5 };
+    constexpr size_t maxNotices = 4;
+
+    bool isLimited(const WorkspaceLimits& limits)
+    {
+        return std::isfinite(limits.requestsPerSecond) && limits.requestsPerSecond > 0;
+    }
+
+    WorkspaceLimits checked(WorkspaceLimits limits)
+    {
+        if (!std::isfinite(limits.burst) || limits.burst < 0)
+            limits.burst = 0;
+        return limits;
+    }
+
+}
+
+WorkspaceQuota::WorkspaceQuota(Random& random)
+    : m_random(random)
+{
+}
+
+uint64_t WorkspaceQuota::key(const std::string& workspace)
+{
+    // FNV-1a, because std::hash may differ between the standard libraries of the nodes.
+    uint64_t hash = 14695981039346656037U;
+    for (const char c : workspace)
+        hash = (hash ^ static_cast<uint8_t>(c)) * 1099511628211U;
+    return hash;
+}
+
+bool WorkspaceQuota::isStarting(MonotonicTime now) const { return now - m_startedAt < m_bounds.window; }
+
+void WorkspaceQuota::setBounds(const QuotaBounds& bounds) { m_bounds = bounds; }
+
+void WorkspaceQuota::setWorkspaces(const std::vector<WorkspaceLimits>& workspaces)
+{
+    const MonotonicTime now = m_updatedAt;
+    std::unordered_map<std::string, Entry> before = std::exchange(m_buckets, {});
+    m_names.clear();
+    for (const WorkspaceLimits& it : workspaces) {
+        if (!isLimited(it) || it.name.empty())
+            continue;
+        const WorkspaceLimits limits = checked(it);
+        auto known = before.extract(it.name);
+        if (!known.empty()) {
+            known.mapped().bucket.setLimits(limits, m_bounds, now);
+            m_buckets.insert(std::move(known));
+        } else {
+            Entry entry { QuotaBucket(limits, m_bounds, m_shares, m_random.unit(), now), key(it.name) };
+            // While this allocator starts, others may have charged the workspace before.
+            if (m_isStarted && !isStarting(now))
+                entry.bucket.fill();
+            m_buckets.insert_or_assign(it.name, std::move(entry));
+        }
+        m_names[key(it.name)] = it.name;
+    }
+}
+
+void WorkspaceQuota::restart(MonotonicTime now)
+{
+    m_startedAt = now;
+    m_heardUntil = now;
+    m_group.reset();
+    m_group.update(now);
+    m_shares = { m_group.fraction(), m_group.ownShare() };
+    m_syncedUntil = now - reportDelay;
+    for (auto& [name, entry] : m_buckets) {
+        QuotaBucket bucket(entry.bucket.limits(), m_bounds, m_shares, m_random.unit(), now);
+        bucket.continueCount(entry.bucket);
+        entry.bucket = std::move(bucket);
+        entry.reported.clear();
+    }
+}
+
+void WorkspaceQuota::update(MonotonicTime now)
+{
+    if (!hasLimits()) {
+        m_updatedAt = now;
+        return;
+    }
+    if (!std::exchange(m_isStarted, true) || now - m_updatedAt > maxPause)
+        restart(now);
+    m_updatedAt = now;
+    m_group.update(now);
+    updateShares(now);
+}
+
+void WorkspaceQuota::updateShares(MonotonicTime now)
+{
+    const MonotonicTime heardUntil = m_group.heardUntil(now);
+    const QuotaShares shares { m_group.fraction(), m_group.ownShare() };
+    m_syncedUntil = heardUntil - reportDelay;
+    // What an allocator that has fallen silent charged since then is not known.
+    const auto silentFor = std::chrono::duration_cast<Milliseconds>(now - m_heardUntil);
+    m_heardUntil = heardUntil;
+    if (std::exchange(m_shares, shares) == shares)
+        return;
+    for (auto& [name, entry] : m_buckets)
+        entry.bucket.setShares(shares, silentFor, now);
+}
+
+WorkspaceQuota::Entry* WorkspaceQuota::find(const std::string& workspace)
+{
+    const auto it = workspace.empty() ? m_buckets.end() : m_buckets.find(workspace);
+    return it == m_buckets.end() ? nullptr : &it->second;
+}
+
+std::optional<Milliseconds> WorkspaceQuota::charge(
+    uint64_t work, const std::string& workspace, bool isAccepted, MonotonicTime now)
+{
+    Entry* entry = find(workspace);
+    if (!entry)
+        return std::nullopt;
+    update(now);
+    if (isAccepted) {
+        entry->bucket.chargeAccepted(now);
+    } else if (const auto retryAfter = entry->bucket.charge(m_syncedUntil, now)) {
+        ++m_totals.refused;
+        ++entry->refused;
+        m_refused.insert(workspace);
+        return retryAfter;
+    }
+    ++m_totals.charged;
+    m_queued[work] = workspace;
+    recordChange(workspace, *entry);
+    return std::nullopt;
+}
+
+void WorkspaceQuota::refund(uint64_t work)
+{
+    const auto charged = m_queued.extract(work);
+    Entry* entry = charged.empty() ? nullptr : find(charged.mapped());
+    if (!entry)
+        return;
+    entry->bucket.refund(m_updatedAt);
+    ++m_totals.refunded;
+    recordChange(charged.mapped(), *entry);
+}
+
+void WorkspaceQuota::recordChange(const std::string& workspace, Entry& entry)
+{
+    ++m_version;
+    if (!std::exchange(entry.isListed, true))
+        m_changed.push_back(workspace);
+}
+
+void WorkspaceQuota::receive(const std::string& allocator, uint32_t nodes, Milliseconds lifetime,
+    const ReportedQuotas& quotas, MonotonicTime now)
+{
+    if (!hasLimits())
+        return;
+    const bool wasSilent = m_group.hear(allocator, nodes, lifetime, now);
+    for (const auto& [key, quota] : quotas) {
+        const auto name = m_names.find(key);
+        if (name != m_names.end())
+            applyReport(allocator, m_buckets.at(name->second), quota, wasSilent, now);
+    }
+}
+
+void WorkspaceQuota::applyReport(
+    const std::string& allocator, Entry& entry, const ReportedQuota& quota, bool wasSilent, MonotonicTime now)
+{
+    const auto [known, isNew] = entry.reported.try_emplace(allocator, quota.charged);
+    const auto delta = static_cast<int32_t>(quota.charged - std::exchange(known->second, quota.charged));
+    if (delta > maxReportedCharges || delta < -maxReportedCharges)
+        return;
+    if (isStarting(now) && quota.level >= 0)
+        entry.bucket.adopt(quota.level, now);
+    // What an allocator charged while it was not heard came from its own part of the tokens.
+    if (!isNew && !wasSilent && delta != 0)
+        entry.bucket.drawReported(delta, now);
+}
+
+void WorkspaceQuota::removeAllocator(const std::string& allocator) { m_group.remove(allocator); }
+
+ReportedQuotas WorkspaceQuota::report(MonotonicTime now)
+{
+    ReportedQuotas quotas;
+    const bool knowsLevel = m_isStarted && !isStarting(now);
+    std::erase_if(m_changed, [&](const std::string& name) {
+        Entry* entry = find(name);
+        if (!entry)
+            return true;
+        const auto age = now - entry->bucket.changedAt();
+        if (age > secondRepetitionAt + repetitionTime) {
+            entry->isListed = false;
+            return true;
+        }
+        if (age <= repetitionTime || age >= secondRepetitionAt) {
+            const double level = std::clamp(entry->bucket.level(now), -1.0, 1e9);
+            quotas[entry->key] = { entry->bucket.charged(), knowsLevel ? static_cast<int32_t>(std::floor(level)) : -1 };
+        }
+        return false;
+    });
+    return quotas;
+}
+
+std::vector<QuotaNotice> WorkspaceQuota::takeNotices(MonotonicTime now)
+{
+    std::vector<QuotaNotice> notices;
+    for (auto it = m_refused.begin(); it != m_refused.end() && notices.size() < maxNotices;) {
+        Entry* entry = find(*it);
+        const bool isDue = entry && (entry->noticedAt == MonotonicTime {} || now - entry->noticedAt >= noticeInterval);
+        if (entry && !isDue) {
+            ++it;
+            continue;
+        }
+        if (entry) {
+            entry->noticedAt = now;
+            notices.push_back({ *it, entry->bucket.limits(), std::exchange(entry->refused, 0), entry->bucket.level(now),
+                m_group.nodesInTouch(), m_group.nodesKnown() });
+        }
+        it = m_refused.erase(it);
+    }
+    return notices;
+}
+
+}
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -121,6 +121,12 @@
         /// Memory of the VM in megabytes. A part of it is for the requests in progress.
         uint64_t memoryMb { 256 };
 
+        /// What the deployment tolerates of the rate limits of workspaces: in any window no more requests of a
+        /// workspace start than (rate x window + burst) x (1 + overshoot) + slack.
+        double quotaWindowS { 5 };
+        double quotaOvershoot { 0.1 };
+        double quotaSlack { 20 };
+
         auto operator<=>(const Gateway&) const = default;
     };
 
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -91,6 +91,13 @@
     constexpr uint64_t minMemoryMb = 16;
     constexpr uint64_t maxMemoryMb = 1'024 * 1'024;
 
+    /// Limits on what is tolerated of the rate limits of workspaces. In a shorter window, the reports between the nodes
+    /// would be too old.
+    constexpr double minQuotaWindowS = 1;
+    constexpr double maxQuotaWindowS = 600;
+    constexpr double maxQuotaOvershoot = 1;
+    constexpr double maxQuotaSlack = 1'000'000;
+
     void readGateway(TomlTable& table, Settings::Gateway& gateway)
     {
         table.text("status_address", gateway.statusAddress, TextRule::listenAddress(), Presence::Required);
@@ -98,6 +105,9 @@
         table.textMap("regions", gateway.regions, TextRule::identifier());
         table.number("cpu_share", gateway.cpuShare, minCpuShare, maxCpuShare);
         table.number("memory_mb", gateway.memoryMb, minMemoryMb, maxMemoryMb);
+        table.number("quota_window_s", gateway.quotaWindowS, minQuotaWindowS, maxQuotaWindowS);
+        table.number("quota_overshoot", gateway.quotaOvershoot, 0.0, maxQuotaOvershoot);
+        table.number("quota_slack", gateway.quotaSlack, 0.0, maxQuotaSlack);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -37,6 +37,19 @@
   # Node that the slot message is for. Absent if there is no such message, or if an earlier version sent it. A node that
   # has just started may get messages for its predecessor at the same address.
   recipient @18 :Text;
+  # Workspaces with rate limits whose charges have changed a short time ago.
+  quotas @19 :List(WorkspaceQuota);
+  # Number of nodes for which the node allocates slots; 0 if an earlier version sent the report.
+  servedNodes @20 :UInt32;
+}
+
+# The requests that the node has charged to the rate limit of a workspace.
+struct WorkspaceQuota {
+  workspace @0 :UInt64;
+  # Charges less those given back since the start of the node; wraps.
+  charged @1 :UInt32;
+  # Tokens that are left, according to the node; -1 if there are none or if it does not know.
+  level @2 :Int32 = -1;
 }
 
 # A part of prompts that may crash endpoints.
@@ -99,6 +112,10 @@
   # Version of the endpoints that may run the request; absent for any.
   softwareVersion @7 :Text;
   profile @8 :WorkProfile;
+  # Whether an earlier run of the request was charged to the rate limit of its workspace.
+  isCharged @9 :Bool;
+  # Whether another coordinator had accepted the request.
+  isTakenOver @10 :Bool;
 }
 
 # An item of a job that waits for a slot.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(ca1cfc419c8cf854);
+CAPNP_DECLARE_SCHEMA(a09ac032d197f1d2);
 CAPNP_DECLARE_SCHEMA(fbfc1343aa20f8f4);
 CAPNP_DECLARE_SCHEMA(d064fcb13d4d7e14);
 CAPNP_DECLARE_SCHEMA(9d0b3d3267602205);
@@ -60,7 +61,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 5, 8)
+    CAPNP_DECLARE_STRUCT_HEADER(ca1cfc419c8cf854, 6, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct WorkspaceQuota {
+  WorkspaceQuota() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a09ac032d197f1d2, 2, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -361,6 +377,11 @@
   inline bool hasRecipient() const;
   inline  ::capnp::Text::Reader getRecipient() const;
 
+  inline bool hasQuotas() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>::Reader getQuotas() const;
+
+  inline  ::uint32_t getServedNodes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -478,6 +499,16 @@
   inline void adoptRecipient(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownRecipient();
 
+  inline bool hasQuotas();
+  inline  ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>::Builder getQuotas();
+  inline void setQuotas( ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>::Builder initQuotas(unsigned int size);
+  inline void adoptQuotas(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>> disownQuotas();
+
+  inline  ::uint32_t getServedNodes();
+  inline void setServedNodes( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -506,6 +537,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class WorkspaceQuota::Reader {
+public:
+  typedef WorkspaceQuota Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWorkspace() const;
+
+  inline  ::uint32_t getCharged() const;
+
+  inline  ::int32_t getLevel() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class WorkspaceQuota::Builder {
+public:
+  typedef WorkspaceQuota Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getWorkspace();
+  inline void setWorkspace( ::uint64_t value);
+
+  inline  ::uint32_t getCharged();
+  inline void setCharged( ::uint32_t value);
+
+  inline  ::int32_t getLevel();
+  inline void setLevel( ::int32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class WorkspaceQuota::Pipeline {
+public:
+  typedef WorkspaceQuota Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class SuspectPart::Reader {
 public:
   typedef SuspectPart Reads;
@@ -1086,6 +1203,10 @@
   inline bool hasProfile() const;
   inline  ::Chicorydock::Schema::WorkProfile::Reader getProfile() const;
 
+  inline bool getIsCharged() const;
+
+  inline bool getIsTakenOver() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1158,6 +1279,12 @@
   inline void adoptProfile(::capnp::Orphan< ::Chicorydock::Schema::WorkProfile>&& value);
   inline ::capnp::Orphan< ::Chicorydock::Schema::WorkProfile> disownProfile();
 
+  inline bool getIsCharged();
+  inline void setIsCharged(bool value);
+
+  inline bool getIsTakenOver();
+  inline void setIsTakenOver(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2541,6 +2668,96 @@
       ::capnp::bounded<7>() * ::capnp::POINTERS));
 }
 
+inline bool LoadReport::Reader::hasQuotas() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool LoadReport::Builder::hasQuotas() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>::Reader LoadReport::Reader::getQuotas() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::getQuotas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void LoadReport::Builder::setQuotas( ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>::Builder LoadReport::Builder::initQuotas(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void LoadReport::Builder::adoptQuotas(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>> LoadReport::Builder::disownQuotas() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::WorkspaceQuota,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t LoadReport::Reader::getServedNodes() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getServedNodes() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setServedNodes( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t WorkspaceQuota::Reader::getWorkspace() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkspaceQuota::Builder::getWorkspace() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void WorkspaceQuota::Builder::setWorkspace( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t WorkspaceQuota::Reader::getCharged() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t WorkspaceQuota::Builder::getCharged() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void WorkspaceQuota::Builder::setCharged( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int32_t WorkspaceQuota::Reader::getLevel() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+}
+
+inline  ::int32_t WorkspaceQuota::Builder::getLevel() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, -1);
+}
+inline void WorkspaceQuota::Builder::setLevel( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value, -1);
+}
+
 inline bool SuspectPart::Reader::hasPart() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3102,6 +3319,34 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool QueuedRequest::Reader::getIsCharged() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
+}
+
+inline bool QueuedRequest::Builder::getIsCharged() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS);
+}
+inline void QueuedRequest::Builder::setIsCharged(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<161>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QueuedRequest::Reader::getIsTakenOver() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+}
+
+inline bool QueuedRequest::Builder::getIsTakenOver() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS);
+}
+inline void QueuedRequest::Builder::setIsTakenOver(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<162>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t QueuedItem::Reader::getWork() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -43,6 +43,13 @@
         return static_cast<uint32_t>(std::lround(settings.gateway->cpuShare * 100));
     }
 
+    QuotaBounds quotaBounds(const Settings& settings)
+    {
+        const std::chrono::duration<double> window(settings.gateway->quotaWindowS);
+        return { std::chrono::round<Milliseconds>(window), settings.gateway->quotaOvershoot,
+            settings.gateway->quotaSlack };
+    }
+
     qint64 elapsedMs(MonotonicTime since, MonotonicTime now)
     {
         return std::chrono::duration_cast<Milliseconds>(now - since).count();
@@ -165,6 +172,8 @@
     , m_statusServer(*m_statusHandler)
     , m_peerServer(*m_peerHandler, serverLimits(settings))
 {
+    m_scheduler.quota().setBounds(quotaBounds(settings));
+    m_peers.setQuotaSource([this] { return m_scheduler.quota().report(m_clock.now()); });
     m_links.setChangedHandler([this] {
         // A request has just failed and is on the stack.
         QMetaObject::invokeMethod(this, &Gateway::handleLinksChanged, Qt::QueuedConnection);
@@ -233,6 +242,7 @@
     updateLinks();
     updateStreamOrigins();
     recordMemory();
+    recordQuotas();
     m_jobs.tick();
 }
 
@@ -268,6 +278,8 @@
     report.use = m_scheduler.ownUse();
     if (isCoordinating())
         report.rates = m_scheduler.ownRates(m_clock.now());
+    if (isCoordinating() && m_scheduler.quota().hasLimits())
+        report.servedNodes = m_scheduler.quota().servedNodes();
     return report;
 }
 
@@ -358,8 +370,10 @@
 {
     const MonotonicTime now = m_clock.now();
     if (report.isCoordinating)
-        m_scheduler.setPeerUse(
-            report.node, { report.failureDomain, report.use, report.waiting, lifetime, report.rates }, now);
+        m_scheduler.setPeerUse(report.node,
+            { report.failureDomain, report.use, report.waiting, lifetime, report.rates, report.servedNodes,
+                report.quotas },
+            now);
     else
         m_scheduler.removePeer(report.node);
     m_quarantine.merge(report.suspectParts, now);
@@ -390,6 +404,17 @@
             { "limit_bytes", static_cast<qint64>(m_responseMemory.limit()) } });
 }
 
+void Gateway::recordQuotas()
+{
+    m_scheduler.quota().setKnownNodes(m_peers.knownNodes());
+    for (const QuotaNotice& it : m_scheduler.quota().takeNotices(m_clock.now()))
+        m_log.record("workspace", "over_quota", it.workspace, {},
+            { { "refused", static_cast<qint64>(it.refused) }, { "requests_per_second", it.limits.requestsPerSecond },
+                { "burst", it.limits.burst }, { "level", it.level },
+                { "nodes_in_touch", static_cast<qint64>(it.nodesInTouch) },
+                { "nodes_known", static_cast<qint64>(it.nodesKnown) } });
+}
+
 void Gateway::recordReload() { m_log.record("node", "reloaded", m_node); }
 
 void Gateway::beginStop(MonotonicTime signalledAt, std::function<void()> onStopped)
@@ -485,6 +510,19 @@
         m_links.areLost());
     set("chicorydock_endpoints_rate_limited", "Endpoints that limit their rate, as far as this node knows.",
         static_cast<double>(m_scheduler.limitedEndpoints()));
+    const WorkspaceQuota& quota = m_scheduler.quota();
+    if (quota.hasLimits()) {
+        set("chicorydock_quota_charged", "Requests that this node has charged to rate limits of workspaces.",
+            static_cast<double>(quota.totals().charged));
+        set("chicorydock_quota_refused", "Requests that this node has refused over rate limits of workspaces.",
+            static_cast<double>(quota.totals().refused));
+        set("chicorydock_quota_refunded", "Charges given back because the request did not run.",
+            static_cast<double>(quota.totals().refunded));
+        set("chicorydock_quota_nodes_in_touch", "Nodes with which this node shares the rate limits of workspaces.",
+            quota.group().nodesInTouch());
+        set("chicorydock_quota_nodes_known", "Nodes between which the rate limits of workspaces are divided.",
+            quota.group().nodesKnown());
+    }
     set("chicorydock_prompt_parts_quarantined", "Parts of prompts on which endpoints crash.",
         static_cast<double>(m_quarantine.quarantinedParts(m_clock.now())));
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -77,6 +77,8 @@
     void processPeerReport(const PeerReport&, Milliseconds lifetime);
     /// Records that requests ended because their bytes did not fit in the memory for them.
     void recordMemory();
+    /// Records for which workspaces requests were refused over their rate limits, and by whose share.
+    void recordQuotas();
     void checkStopped();
     OpenWork openWork() const;
     void recordStage(StopProgress::Stage, const OpenWork&);
--- /dev/null
+++ b/Tests/LibGateway/TestWorkspaceQuotas.cpp
@@ -0,0 +1,194 @@
+#include "QuotaSimulation.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <iostream>
+
+using namespace Chicorydock;
+
+namespace {
+
+using std::chrono::seconds;
+
+/// Part of its limit that a workspace uses on average.
+constexpr double usualLoad = 0.62;
+constexpr double overload = 6.6;
+
+enum Workspace : size_t { Overloaded, Small, Medium, Moving, Changed, workspaceCount };
+
+std::vector<QuotaSimulation::Traffic> traffic()
+{
+    return {
+        { { "overloaded", 25, 25 }, overload * 25 },
+        { { "small", 4, 5 }, usualLoad * 4 },
+        { { "medium", 20, 20 }, usualLoad * 20 },
+        { { "moving", 30, 30 }, usualLoad * 30, true },
+        { { "changed", 40, 40 }, 2 * 40 },
+    };
+}
+
+/// Number of seeds of a test. More of them are run by hand.
+uint64_t seedCount()
+{
+    const char* text = std::getenv("CHICORYDOCK_QUOTA_SEEDS");
+    return text ? std::strtoull(text, nullptr, 10) : 2;
+}
+
+uint64_t firstSeed()
+{
+    const char* text = std::getenv("CHICORYDOCK_QUOTA_FIRST_SEED");
+    return text ? std::strtoull(text, nullptr, 10) : 1;
+}
+
+struct Result {
+    double worst { 0 };
+    std::array<QuotaSimulation::Counts, workspaceCount> counts;
+};
+
+void add(QuotaSimulation::Counts& sum, const QuotaSimulation::Counts& it)
+{
+    sum.arrivals += it.arrivals;
+    sum.allowed += it.allowed;
+    sum.started += it.started;
+    sum.refusedWrongly += it.refusedWrongly;
+    sum.refusedByEqualShares += it.refusedByEqualShares;
+    sum.refusedForLoad += it.refusedForLoad;
+}
+
+double share(size_t part, size_t whole)
+{
+    return static_cast<double>(part) / static_cast<double>(std::max<size_t>(whole, 1));
+}
+
+/// Returns the share of the requests refused although they are below the limit, of the workspaces whose callers are at
+/// all nodes and send less than the limit.
+double refusedWrongly(const Result& result)
+{
+    QuotaSimulation::Counts sum;
+    for (const size_t n : { Small, Medium })
+        add(sum, result.counts.at(n));
+    return share(sum.refusedWrongly, sum.allowed);
+}
+
+void print(const char* name, const Result& result)
+{
+    std::cout << name << ": most starts in a window " << result.worst << " of the bound\n";
+    for (size_t n = 0; n < workspaceCount; ++n) {
+        const QuotaSimulation::Counts& it = result.counts.at(n);
+        std::cout << "  " << traffic()[n].limits.name << ": " << it.arrivals << " requests, " << it.allowed
+                  << " within the limit, " << it.started << " started, refused wrongly "
+                  << 100 * share(it.refusedWrongly, it.allowed) << " %, with equal shares "
+                  << 100 * share(it.refusedByEqualShares, it.allowed) << " %, for load " << it.refusedForLoad << "\n";
+    }
+}
+
+/// Runs the scenario with each seed and returns the sums over all seeds.
+template <typename Scenario> Result runSeeds(const char* name, Scenario scenario)
+{
+    Result sum;
+    for (uint64_t seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed) {
+        QuotaSimulation::Options options;
+        options.seed = seed;
+        QuotaSimulation simulation(options, traffic());
+        simulation.run(seconds { 8 });
+        simulation.resetCounts();
+        scenario(simulation, seed);
+        for (size_t n = 0; n < workspaceCount; ++n) {
+            INFO(name << ", seed " << seed << ", workspace " << traffic()[n].limits.name);
+            CHECK(simulation.worstWindow(n) <= 1);
+            sum.worst = std::max(sum.worst, simulation.worstWindow(n));
+            add(sum.counts.at(n), simulation.counts(n));
+        }
+    }
+    print(name, sum);
+    return sum;
+}
+
+}
+
+// Guards against limits that hold at each node only, and against refusals below the limit.
+TEST_CASE("workspaces are served up to their limits over all nodes")
+{
+    const Result result = runSeeds("calm", [](QuotaSimulation& it, uint64_t) { it.run(seconds { 15 }); });
+    CHECK(refusedWrongly(result) < 0.005);
+    CHECK(share(result.counts.at(Overloaded).started, result.counts.at(Overloaded).allowed) > 0.97);
+}
+
+// Guards against parts of the deployment that each grant the whole limit.
+TEST_CASE("limits of workspaces hold while a third of the nodes is cut off")
+{
+    const bool isOneGroup = GENERATE(true, false);
+    const char* name = isOneGroup ? "a third cut off together" : "a third cut off one by one";
+    const Result result = runSeeds(name, [&](QuotaSimulation& it, uint64_t seed) {
+        for (size_t n = 0; n < 90; ++n) {
+            if (isOneGroup ? n % 6 < 2 : (n + seed) % 3 == 0)
+                it.setGroup(n, isOneGroup ? 1 : n + 1);
+        }
+        it.run(seconds { 12 });
+        it.heal();
+        it.run(seconds { 8 });
+    });
+    CHECK(refusedWrongly(result) < 0.03);
+}
+
+// Guards against a burst that is granted again by a new process or coordinator.
+TEST_CASE("limits of workspaces hold while nodes are killed and restarted")
+{
+    runSeeds("kills", [](QuotaSimulation& it, uint64_t seed) {
+        SeededRandom random(seed);
+        for (int round = 0; round < 5; ++round) {
+            std::vector<size_t> killed;
+            for (int n = 0; n < 15; ++n)
+                killed.push_back(random.below(90));
+            for (const size_t n : killed)
+                it.stop(n);
+            it.run(seconds { 1 });
+            for (const size_t n : killed)
+                it.restart(n);
+            it.run(seconds { 2 });
+        }
+    });
+    runSeeds("all restarted", [](QuotaSimulation& it, uint64_t) {
+        it.run(seconds { 2 });
+        for (size_t n = 0; n < 90; ++n)
+            it.restart(n);
+        it.run(seconds { 1 });
+        for (size_t n = 0; n < 90; ++n)
+            it.restart(n);
+        it.run(seconds { 8 });
+    });
+}
+
+// Guards against new nodes that raise the sum of the shares, and against limits that change too late.
+TEST_CASE("limits of workspaces hold while nodes join and limits change")
+{
+    runSeeds("20 nodes join, limits change", [](QuotaSimulation& it, uint64_t) {
+        for (int n = 0; n < 20; ++n)
+            it.addNode();
+        it.run(seconds { 4 });
+        it.setLimits(Changed, 8, 4);
+        it.run(seconds { 8 });
+        it.setLimits(Changed, 60, 30);
+        it.run(seconds { 6 });
+    });
+}
+
+// Guards against a burst of a workspace that each allocator grants before it hears of the others.
+TEST_CASE("a sudden overload of an idle workspace stays within its limit")
+{
+    runSeeds("sudden overload", [](QuotaSimulation& it, uint64_t seed) {
+        it.setLoad(Medium, 0);
+        it.run(seconds { 6 });
+        it.setLoad(Medium, 20 * overload * 4);
+        it.run(Milliseconds { 100 + 20 * (seed % 20) });
+        // A cut in the middle of it, into the failure domains.
+        for (size_t n = 0; n < 90; ++n)
+            it.setGroup(n, n % 6);
+        it.run(seconds { 6 });
+        it.heal();
+        it.run(seconds { 4 });
+    });
+}
