LibGateway: Divide rate limits of workspaces between nodes out of touch

Counts that an allocator reported after a silence were drawn although they came from its own part, and new processes granted tokens before they knew how many nodes there are.

--- a/Libraries/LibGateway/QuotaBucket.cpp
+++ b/Libraries/LibGateway/QuotaBucket.cpp
@@ -13,7 +13,10 @@
     constexpr double rateMargin = 0.25;
     constexpr double burstMargin = 0.15;
     constexpr double unreportedMargin = 0.4;
-    constexpr double startMargin = 0.4;
+    constexpr double unreportedStartMargin = 0.1;
+    constexpr double startMargin = 0.25;
+    /// Of the nodes that are suddenly on their own, at most half are at the same time.
+    constexpr double returnMargin = 1.2;
 
     /// Part of the tokens that allocators may charge unreported by their number of nodes; the rest is by demand.
     constexpr double evenShare = 0.3;
@@ -43,7 +46,7 @@
 }
 
 QuotaBucket::QuotaBucket(const WorkspaceLimits& limits, const QuotaBounds& bounds, const QuotaShares& shares,
-    double dither, MonotonicTime now)
+    bool isReturning, double dither, MonotonicTime now)
     : m_limits(limits)
     , m_bounds(bounds)
     , m_shares(shares)
@@ -51,7 +54,8 @@
     , m_settledAt(now)
     , m_bookedUntil(now)
 {
-    m_level = std::min(capacity(), shares.group * shares.own * startMargin * margin()) + dither;
+    const double part = isReturning ? returnMargin : startMargin;
+    m_level = std::min(capacity(), shares.group * shares.own * part * margin()) + dither;
 }
 
 void QuotaBucket::fill() { m_level = std::max(m_level, capacity() * m_shares.group); }
@@ -111,9 +115,13 @@
 {
     settle(now);
     if (shares.group < m_shares.group) {
-        // The lost part uses its tokens and its part of the rate itself.
+        // The lost part has its part of the tokens that were there when it was last heard and of the refill since then,
+        // whatever was charged here meanwhile.
         const double lost = (m_shares.group - shares.group) / m_shares.group;
-        m_level -= lost * (std::max(m_level, 0.0) + refillPerSecond() * toSeconds(silentFor));
+        double charged = 0;
+        for (const Charges& it : m_charges)
+            charged += now - it.at <= silentFor ? it.own + it.others : 0;
+        m_level -= lost * std::max(m_level + std::max(charged, 0.0), 0.0);
     }
     m_shares = shares;
 }
@@ -129,7 +137,7 @@
     double count = 0;
     for (const Charges& it : m_charges) {
         if (it.at + chargeInterval > syncedUntil && now - it.at < chargeMemory)
-            count += it.count;
+            count += it.own;
     }
     return std::max(0.0, count);
 }
@@ -144,7 +152,8 @@
     const bool isFull = m_level >= fullLevel * capacity() * m_shares.group;
     if (own == 0 && isFull && 1 / m_shares.own <= tolerable)
         return true;
-    const double tolerated = unreportedMargin * margin() * m_shares.group;
+    const double part = m_shares.isStarting ? unreportedStartMargin : unreportedMargin;
+    const double tolerated = part * margin() * m_shares.group;
     // The share may be less than one request. The allocators then take turns.
     const auto turn = static_cast<double>(now.time_since_epoch() / turnTime);
     const double rounding = std::fmod(m_dither + turn * goldenRatio, 1.0);
@@ -172,12 +181,16 @@
     m_ownRecent += 1;
     ++m_charged;
     m_changedAt = now;
-    if (!m_charges.empty() && now - m_charges.back().at < chargeInterval) {
-        m_charges.back().count += 1;
-        return;
+    chargesAt(now).own += 1;
+}
+
+QuotaBucket::Charges& QuotaBucket::chargesAt(MonotonicTime now)
+{
+    if (m_charges.empty() || now - m_charges.back().at >= chargeInterval) {
+        std::erase_if(m_charges, [&](const Charges& it) { return now - it.at > chargeMemory; });
+        m_charges.push_back({ now });
     }
-    std::erase_if(m_charges, [&](const Charges& it) { return now - it.at > chargeMemory; });
-    m_charges.push_back({ now, 1 });
+    return m_charges.back();
 }
 
 void QuotaBucket::refund(MonotonicTime now)
@@ -186,8 +199,7 @@
     m_level = std::min(m_level + 1, capacity());
     --m_charged;
     m_changedAt = now;
-    if (!m_charges.empty())
-        m_charges.back().count -= 1;
+    chargesAt(now).own -= 1;
 }
 
 void QuotaBucket::drawReported(int32_t count, MonotonicTime now)
@@ -197,6 +209,7 @@
     const double least = std::min(m_level, -m_limits.requestsPerSecond * toSeconds(m_bounds.window) - margin());
     m_level = std::clamp(m_level - count, least, std::max(m_level, capacity()));
     m_othersRecent = std::max(0.0, m_othersRecent + count);
+    chargesAt(now).others += count;
 }
 
 void QuotaBucket::adopt(double level, MonotonicTime now)
--- a/Libraries/LibGateway/QuotaBucket.h
+++ b/Libraries/LibGateway/QuotaBucket.h
@@ -26,6 +26,9 @@
     double group { 1 };
     /// Part of the nodes in touch that this allocator serves, in (0, 1].
     double own { 1 };
+    /// Whether the allocator has just begun to count. While the nodes of a deployment start, each allocates its own
+    /// slots for a moment and reports are slow, so more charges remain unknown.
+    bool isStarting { false };
 
     auto operator<=>(const QuotaShares&) const = default;
 };
@@ -43,9 +46,11 @@
 class QuotaBucket {
 public:
     /// Creates the bucket of an allocator that does not know what was charged before: it holds the part of the
-    /// tolerated slack that belongs to the allocator's nodes. `dither` in [0, 1) rounds it; random numbers keep the sum
-    /// of all allocators to the average.
-    QuotaBucket(const WorkspaceLimits&, const QuotaBounds&, const QuotaShares&, double dither, MonotonicTime now);
+    /// tolerated slack that belongs to the allocator's nodes. `isReturning` says that its process has run for a while,
+    /// so that it is not one of many that start together. `dither` in [0, 1) rounds the part; random numbers keep the
+    /// sum of all allocators to the average.
+    QuotaBucket(const WorkspaceLimits&, const QuotaBounds&, const QuotaShares&, bool isReturning, double dither,
+        MonotonicTime now);
 
     /// Fills the bucket as far as the allocator's part of the deployment goes. For workspaces that were not limited
     /// before.
@@ -88,7 +93,8 @@
 private:
     struct Charges {
         MonotonicTime at;
-        double count { 0 };
+        double own { 0 };
+        double others { 0 };
     };
 
     double margin() const;
@@ -97,6 +103,8 @@
     double decayed(double recent, MonotonicTime now) const;
     void settle(MonotonicTime now);
     void take(MonotonicTime now);
+    /// Returns the charges of the present interval.
+    Charges& chargesAt(MonotonicTime now);
     /// Returns the part of the unreported charges of all allocators that this one may have.
     double shareOfTokens() const;
     /// Returns the own charges that the others may not know yet.
@@ -114,7 +122,7 @@
     MonotonicTime m_settledAt;
     uint32_t m_charged { 0 };
     MonotonicTime m_changedAt;
-    /// Own charges of the last seconds, in intervals.
+    /// Charges of the last seconds, in intervals.
     std::vector<Charges> m_charges;
     /// Own charges and those of the others, weighted by age.
     double m_ownRecent { 0 };
--- a/Libraries/LibGateway/WorkspaceQuota.cpp
+++ b/Libraries/LibGateway/WorkspaceQuota.cpp
@@ -22,6 +22,12 @@
     /// Upper limit of the charges between two reports of one allocator; more is an error.
     constexpr int32_t maxReportedCharges = 1'000'000;
 
+    /// Reported instead of the level by an allocator that has just begun to count, and by a new process.
+    constexpr int32_t unknownLevel = -1;
+    constexpr int32_t startedLately = -2;
+
+    constexpr double maxReportedLevel = 1e9;
+
     /// Notices for one workspace are at least this far apart, and this many are given at a time.
     constexpr std::chrono::seconds noticeInterval { 5 };
     constexpr size_t maxNotices = 4;
@@ -72,7 +78,7 @@
             known.mapped().bucket.setLimits(limits, m_bounds, now);
             m_buckets.insert(std::move(known));
         } else {
-            Entry entry { QuotaBucket(limits, m_bounds, m_shares, m_random.unit(), now), key(it.name) };
+            Entry entry { QuotaBucket(limits, m_bounds, m_shares, false, m_random.unit(), now), key(it.name) };
             // While this allocator starts, others may have charged the workspace before.
             if (m_isStarted && !isStarting(now))
                 entry.bucket.fill();
@@ -84,14 +90,17 @@
 
 void WorkspaceQuota::restart(MonotonicTime now)
 {
+    const bool isReturning = m_isStarted && now - m_firstStartedAt > m_bounds.window;
+    m_firstStartedAt = m_isStarted ? m_firstStartedAt : now;
+    m_isStarted = true;
     m_startedAt = now;
     m_heardUntil = now;
     m_group.reset();
     m_group.update(now);
-    m_shares = { m_group.fraction(), m_group.ownShare() };
+    m_shares = { m_group.fraction(), m_group.ownShare(), true };
     m_syncedUntil = now - reportDelay;
     for (auto& [name, entry] : m_buckets) {
-        QuotaBucket bucket(entry.bucket.limits(), m_bounds, m_shares, m_random.unit(), now);
+        QuotaBucket bucket(entry.bucket.limits(), m_bounds, m_shares, isReturning, m_random.unit(), now);
         bucket.continueCount(entry.bucket);
         entry.bucket = std::move(bucket);
         entry.reported.clear();
@@ -104,7 +113,7 @@
         m_updatedAt = now;
         return;
     }
-    if (!std::exchange(m_isStarted, true) || now - m_updatedAt > maxPause)
+    if (!m_isStarted || now - m_updatedAt > maxPause)
         restart(now);
     m_updatedAt = now;
     m_group.update(now);
@@ -114,7 +123,7 @@
 void WorkspaceQuota::updateShares(MonotonicTime now)
 {
     const MonotonicTime heardUntil = m_group.heardUntil(now);
-    const QuotaShares shares { m_group.fraction(), m_group.ownShare() };
+    const QuotaShares shares { m_group.fraction(), m_group.ownShare(), isStarting(now) };
     m_syncedUntil = heardUntil - reportDelay;
     // What an allocator that has fallen silent charged since then is not known.
     const auto silentFor = std::chrono::duration_cast<Milliseconds>(now - m_heardUntil);
@@ -175,25 +184,30 @@
 {
     if (!hasLimits())
         return;
-    const bool wasSilent = m_group.hear(allocator, nodes, lifetime, now);
+    if (m_group.hear(allocator, nodes, lifetime, now)) {
+        // What it charged while it was not heard came from its own part of the tokens.
+        for (auto& [name, entry] : m_buckets)
+            entry.reported.erase(allocator);
+    }
     for (const auto& [key, quota] : quotas) {
         const auto name = m_names.find(key);
         if (name != m_names.end())
-            applyReport(allocator, m_buckets.at(name->second), quota, wasSilent, now);
+            applyReport(allocator, m_buckets.at(name->second), quota, now);
     }
 }
 
 void WorkspaceQuota::applyReport(
-    const std::string& allocator, Entry& entry, const ReportedQuota& quota, bool wasSilent, MonotonicTime now)
+    const std::string& allocator, Entry& entry, const ReportedQuota& quota, MonotonicTime now)
 {
-    const auto [known, isNew] = entry.reported.try_emplace(allocator, quota.charged);
+    // All charges of a process that has just started are recent. Of others it is unknown when they were.
+    const uint32_t first = quota.level == startedLately ? 0 : quota.charged;
+    const auto known = entry.reported.try_emplace(allocator, first).first;
     const auto delta = static_cast<int32_t>(quota.charged - std::exchange(known->second, quota.charged));
     if (delta > maxReportedCharges || delta < -maxReportedCharges)
         return;
     if (isStarting(now) && quota.level >= 0)
         entry.bucket.adopt(quota.level, now);
-    // What an allocator charged while it was not heard came from its own part of the tokens.
-    if (!isNew && !wasSilent && delta != 0)
+    if (delta != 0)
         entry.bucket.drawReported(delta, now);
 }
 
@@ -203,6 +217,7 @@
 {
     ReportedQuotas quotas;
     const bool knowsLevel = m_isStarted && !isStarting(now);
+    const int32_t unknown = now - m_firstStartedAt < m_bounds.window ? startedLately : unknownLevel;
     std::erase_if(m_changed, [&](const std::string& name) {
         Entry* entry = find(name);
         if (!entry)
@@ -213,8 +228,9 @@
             return true;
         }
         if (age <= repetitionTime || age >= secondRepetitionAt) {
-            const double level = std::clamp(entry->bucket.level(now), -1.0, 1e9);
-            quotas[entry->key] = { entry->bucket.charged(), knowsLevel ? static_cast<int32_t>(std::floor(level)) : -1 };
+            const double level = std::clamp(entry->bucket.level(now), -1.0, maxReportedLevel);
+            quotas[entry->key]
+                = { entry->bucket.charged(), knowsLevel ? static_cast<int32_t>(std::floor(level)) : unknown };
         }
         return false;
     });
--- a/Libraries/LibGateway/WorkspaceQuota.h
+++ b/Libraries/LibGateway/WorkspaceQuota.h
@@ -103,7 +103,7 @@
     bool isStarting(MonotonicTime now) const;
     Entry* find(const std::string& workspace);
     void recordChange(const std::string& workspace, Entry&);
-    void applyReport(const std::string& allocator, Entry&, const ReportedQuota&, bool wasSilent, MonotonicTime now);
+    void applyReport(const std::string& allocator, Entry&, const ReportedQuota&, MonotonicTime now);
 
     Random& m_random;
     QuotaBounds m_bounds;
@@ -120,6 +120,7 @@
     Totals m_totals;
     uint64_t m_version { 0 };
     bool m_isStarted { false };
+    MonotonicTime m_firstStartedAt;
     MonotonicTime m_startedAt;
     MonotonicTime m_updatedAt;
     /// Time at which all allocators in touch had last reported.
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -219,6 +219,8 @@
     for (HttpServer* it : { &m_server, &m_peerServer })
         it->setLimits(limits);
     m_environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    // A node that begins to count has to know how many others do.
+    m_scheduler.quota().setKnownNodes(m_peers.knownNodes());
     m_handler.updateWaitingCalls();
     m_broker.schedulePoll();
     // Other nodes may wait for this one to read it from the store.
--- a/Tests/LibGateway/TestWorkspaceQuotas.cpp
+++ b/Tests/LibGateway/TestWorkspaceQuotas.cpp
@@ -73,6 +73,15 @@
     return share(sum.refusedWrongly, sum.allowed);
 }
 
+/// Returns the same share if each node had an equal share of the limits.
+double refusedByEqualShares(const Result& result)
+{
+    QuotaSimulation::Counts sum;
+    for (const size_t n : { Small, Medium })
+        add(sum, result.counts.at(n));
+    return share(sum.refusedByEqualShares, sum.allowed);
+}
+
 void print(const char* name, const Result& result)
 {
     std::cout << name << ": most starts in a window " << result.worst << " of the bound\n";
@@ -131,7 +140,11 @@
         it.heal();
         it.run(seconds { 8 });
     });
-    CHECK(refusedWrongly(result) < 0.03);
+    // A node on its own has a ninetieth of each limit, too little for most of its callers.
+    if (isOneGroup)
+        CHECK(refusedWrongly(result) < 0.03);
+    else
+        CHECK(refusedWrongly(result) < refusedByEqualShares(result) / 2);
 }
 
 // Guards against a burst that is granted again by a new process or coordinator.
