--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -30,7 +30,7 @@
 
     /// Minimum time between two reports to a peer with the charges of workspaces. Each charge is in several reports, so
     /// more would only add bytes.
-    constexpr Milliseconds quotaInterval { 100 };
+    constexpr Milliseconds quotaInterval { 200 };
 
     /// A node is removed and sent no more reports after this time without a report from it.
     constexpr Milliseconds removalTimeout { 30'000 };
--- a/Libraries/LibGateway/WorkspaceQuota.cpp
+++ b/Libraries/LibGateway/WorkspaceQuota.cpp
@@ -12,12 +12,13 @@
     constexpr Milliseconds maxPause { 1'000 };
 
     /// Time from a charge until its report has arrived: the pace of the reports, and the transfer between regions.
-    constexpr Milliseconds reportDelay { 250 };
+    constexpr Milliseconds reportDelay { 350 };
 
     /// Time for which a change is in each report, and after which it is in the reports once more. Reports may be lost
     /// for some of it without leaving a difference.
-    constexpr Milliseconds repetitionTime { 350 };
+    constexpr Milliseconds repetitionTime { 450 };
     constexpr Milliseconds secondRepetitionAt { 1'000 };
+    constexpr Milliseconds secondRepetitionTime { 300 };
 
     /// Upper limit of the charges between two reports of one allocator; more is an error.
     constexpr int32_t maxReportedCharges = 1'000'000;
@@ -223,7 +224,7 @@
         if (!entry)
             return true;
         const auto age = now - entry->bucket.changedAt();
-        if (age > secondRepetitionAt + repetitionTime) {
+        if (age > secondRepetitionAt + secondRepetitionTime) {
             entry->isListed = false;
             return true;
         }
--- a/Tests/LibGateway/QuotaSimulation.h
+++ b/Tests/LibGateway/QuotaSimulation.h
@@ -163,7 +163,7 @@
     static constexpr uint32_t slotsPerEndpoint = 16;
     static constexpr Milliseconds holdTime { 60 };
     static constexpr Milliseconds livenessTime { 1'200 };
-    static constexpr Milliseconds quotaInterval { 100 };
+    static constexpr Milliseconds quotaInterval { 200 };
     static constexpr QuotaBounds bounds {};
 
     struct Workspace {
--- a/Tests/LibGateway/TestPeerReport.cpp
+++ b/Tests/LibGateway/TestPeerReport.cpp
@@ -17,7 +17,9 @@
     report.expectsReply = true;
     report.requests = { { 1, "lm", 2, Milliseconds { -5 }, Milliseconds { 4'000 }, true, { "e1", "e2" } },
         { 7, "lm", 2, Milliseconds { 5 }, Milliseconds { 4'000 }, true, {}, "v1" },
-        { 8, "lm", 2, Milliseconds { 5 }, Milliseconds { 4'000 }, true, {}, "" } };
+        { 8, "lm", 2, Milliseconds { 5 }, Milliseconds { 4'000 }, true, {}, "" },
+        { 10, "lm", 2, Milliseconds { 5 }, Milliseconds { 4'000 }, true, {}, {}, {}, true, false },
+        { 11, "lm", 2, Milliseconds { 5 }, Milliseconds { 4'000 }, true, {}, {}, {}, false, true } };
     report.items = { { 2, "lm", Milliseconds { 18'000 }, Milliseconds { 300 }, { "e3" } },
         { 9, "lm", Milliseconds { 18'000 }, Milliseconds { 300 }, {}, "v1" } };
     report.held = { { 3, "lm", "e4", true, Milliseconds { 7 }, Milliseconds { -9 }, Milliseconds { 20 } } };
@@ -48,6 +50,8 @@
     report.node = "n1.ab";
     report.failureDomain = "z1";
     report.sequence = 77;
+    report.servedNodes = 15;
+    report.quotas = { { 7, { 4'000'000'000, 12 } }, { 8, { 1, -1 } } };
     report.waiting = 3;
     report.isStoreReachable = true;
     report.storeReachableFor = Milliseconds { 4'200 };
--- a/Tests/LibGateway/TestWorkspaceQuotas.cpp
+++ b/Tests/LibGateway/TestWorkspaceQuotas.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdlib>
+#include <ctime>
 #include <iostream>
 
 using namespace Chicorydock;
@@ -205,3 +206,30 @@
         it.run(seconds { 4 });
     });
 }
+
+// Not a check: prints what the limits cost a node. The load of each node is the same, whatever their number.
+TEST_CASE("cost of the limits of 560 workspaces", "[.cost]")
+{
+    constexpr size_t workspaces = 560;
+    constexpr double requestsPerNode = 4.1;
+    const size_t nodes = GENERATE(12, 90, 300);
+    const bool isLimited = GENERATE(false, true);
+    std::vector<QuotaSimulation::Traffic> traffic;
+    for (size_t n = 0; n < workspaces; ++n) {
+        const double rate = requestsPerNode * static_cast<double>(nodes) / workspaces;
+        traffic.push_back({ { "workspace-" + std::to_string(n), isLimited ? rate / usualLoad : 0, 5 }, rate });
+    }
+    QuotaSimulation simulation({ .nodes = nodes, .domains = nodes == 12 ? 3U : 6U }, traffic);
+    simulation.run(seconds { 8 });
+    const std::clock_t before = std::clock();
+    simulation.run(seconds { 10 });
+    const double processor = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    simulation.measureBytes();
+    simulation.run(seconds { 10 });
+    const auto perSecond = [&](uint64_t bytes) { return static_cast<double>(bytes) / 10; };
+    std::cout << nodes << " nodes, " << (isLimited ? "limited" : "not limited") << ": " << simulation.allocators()
+              << " allocators, bytes a second of all reports between allocators " << perSecond(simulation.reportBytes())
+              << ", of the charges in them " << perSecond(simulation.quotaBytes()) << " ("
+              << perSecond(simulation.quotaBytes()) / static_cast<double>(nodes) << " a node); processor "
+              << processor * 100 << " ms for a second of all nodes\n";
+}
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -68,6 +68,9 @@
 regions = { bajio-1 = "bajio", noroeste-1 = "noroeste" }
 cpu_share = 2
 memory_mb = 512
+quota_window_s = 4.5
+quota_overshoot = 0.2
+quota_slack = 15
 )",
         "s.toml");
     CHECK(settings.rpc == Settings::Rpc { "[::1]:8081", { "127.0.0.1:1" } });
@@ -75,8 +78,8 @@
     CHECK(settings.log == Settings::Log { "debug", "events.jsonl", 11 });
     CHECK(settings.scheduler == Settings::Scheduling { "naive", 0, 0.5 });
     CHECK(settings.gateway
-        == Settings::Gateway {
-            "127.0.0.1:0", "127.0.0.1:7001", { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512 });
+        == Settings::Gateway { "127.0.0.1:0", "127.0.0.1:7001",
+            { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512, 4.5, 0.2, 15 });
     CHECK(settings.http.defaultDeadlineMs == Milliseconds { 60'000 });
 }
 
@@ -156,6 +159,8 @@
     CHECK(problems.find("gateway.peer_address") != std::string::npos);
     CHECK(problems.find("gateway.regions.a") != std::string::npos);
     CHECK(problemsOf(validText + "[gateway]\ncpu_share = 0\n").find("gateway.cpu_share") != std::string::npos);
+    for (const char* it : { "quota_window_s = 0", "quota_overshoot = -0.1", "quota_slack = nan" })
+        CHECK_FALSE(problemsOf(validText + "[gateway]\n" + it + "\n").find("gateway.quota_") == std::string::npos);
     CHECK(problemsOf(validText + "[gateway]\nmemory_mb = 15\n").find("gateway.memory_mb") != std::string::npos);
 }
 
