--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -36,6 +36,10 @@
     WorkProfile profile {};
     /// Expected time for which the request holds its slot. Set by the scheduler.
     Milliseconds slotTime { 0 };
+    /// Whether an earlier run of the request was charged to the rate limit of its workspace.
+    bool isCharged { false };
+    /// Whether another allocator had accepted the request, and may not be able to give its charge back.
+    bool isTakenOver { false };
 
     bool operator==(const OnlineWork&) const = default;
 };
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -130,6 +130,12 @@
         /// Whether requests and items prefer endpoints that keep parts of their prompt.
         bool placeByPrompt { false };
 
+        /// What the deployment tolerates of the rate limits of workspaces: in any window no more requests of a
+        /// workspace start than (rate x window + burst) x (1 + overshoot) + slack.
+        double quotaWindowS { 5 };
+        double quotaOvershoot { 0.1 };
+        double quotaSlack { 20 };
+
         auto operator<=>(const Gateway&) const = default;
     };
 
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -95,6 +95,13 @@
     constexpr uint64_t minDescriptors = 128;
     constexpr uint64_t maxDescriptors = 1'024 * 1'024;
 
+    /// Limits on what is tolerated of the rate limits of workspaces. In a shorter window, the reports between the nodes
+    /// would be too old.
+    constexpr double minQuotaWindowS = 1;
+    constexpr double maxQuotaWindowS = 600;
+    constexpr double maxQuotaOvershoot = 1;
+    constexpr double maxQuotaSlack = 1'000'000;
+
     void readGateway(TomlTable& table, Settings::Gateway& gateway)
     {
         table.text("status_address", gateway.statusAddress, TextRule::listenAddress(), Presence::Required);
@@ -105,6 +112,9 @@
         table.boolean("learn_endpoint_load", gateway.learnEndpointLoad);
         table.boolean("place_by_prompt", gateway.placeByPrompt);
         table.number("max_descriptors", gateway.maxDescriptors, minDescriptors, maxDescriptors);
+        table.number("quota_window_s", gateway.quotaWindowS, minQuotaWindowS, maxQuotaWindowS);
+        table.number("quota_overshoot", gateway.quotaOvershoot, 0.0, maxQuotaOvershoot);
+        table.number("quota_slack", gateway.quotaSlack, 0.0, maxQuotaSlack);
     }
 
     Settings::Endpoint readEndpoint(TomlTable& table)
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -46,6 +46,13 @@
         return static_cast<uint32_t>(std::lround(settings.gateway->cpuShare * 100));
     }
 
+    QuotaBounds quotaBounds(const Settings& settings)
+    {
+        const std::chrono::duration<double> window(settings.gateway->quotaWindowS);
+        return { std::chrono::round<Milliseconds>(window), settings.gateway->quotaOvershoot,
+            settings.gateway->quotaSlack };
+    }
+
     qint64 elapsedMs(MonotonicTime since, MonotonicTime now)
     {
         return std::chrono::duration_cast<Milliseconds>(now - since).count();
@@ -187,6 +194,8 @@
 {
     m_scheduler.setLearningLoad(settings.gateway->learnEndpointLoad);
     m_scheduler.setPlacingByPrompt(settings.gateway->placeByPrompt);
+    m_scheduler.quota().setBounds(quotaBounds(settings));
+    m_peers.setQuotaSource([this] { return m_scheduler.quota().report(m_clock.now()); });
     m_links.setChangedHandler([this] {
         // A request has just failed and is on the stack.
         QMetaObject::invokeMethod(this, &Gateway::handleLinksChanged, Qt::QueuedConnection);
@@ -235,6 +244,8 @@
     const auto previous
         = std::exchange(m_environment.configuration, std::make_shared<const GatewayConfiguration>(configuration));
     recordWorkspaceFaults(*previous);
+    // A node that begins to count has to know how many others do.
+    m_scheduler.quota().setKnownNodes(m_peers.knownNodes());
     m_broker.setWorkspaces(workspaceLimits(configuration));
     m_handler.updateWaitingCalls();
     m_broker.schedulePoll();
@@ -277,6 +288,7 @@
     recordMemory();
     recordSlotLimits();
     m_connectionLimits.record(m_log);
+    recordQuotas();
     m_jobs.tick();
 }
 
@@ -312,6 +324,8 @@
     report.use = m_scheduler.ownUse();
     if (isCoordinating())
         report.rates = m_scheduler.ownRates(m_clock.now());
+    if (isCoordinating() && m_scheduler.quota().hasLimits())
+        report.servedNodes = m_scheduler.quota().servedNodes();
     return report;
 }
 
@@ -402,8 +416,10 @@
 {
     const MonotonicTime now = m_clock.now();
     if (report.isCoordinating)
-        m_scheduler.setPeerUse(
-            report.node, { report.failureDomain, report.use, report.waiting, lifetime, report.rates }, now);
+        m_scheduler.setPeerUse(report.node,
+            { report.failureDomain, report.use, report.waiting, lifetime, report.rates, report.servedNodes,
+                report.quotas },
+            now);
     else
         m_scheduler.removePeer(report.node);
     m_quarantine.merge(report.suspectParts, now);
@@ -446,6 +462,17 @@
             { "previous", static_cast<qint64>(std::exchange(m_loggedUnusedSlots, unused)) } });
 }
 
+void Gateway::recordQuotas()
+{
+    m_scheduler.quota().setKnownNodes(m_peers.knownNodes());
+    for (const QuotaNotice& it : m_scheduler.quota().takeNotices(m_clock.now()))
+        m_log.record("workspace", "over_quota", it.workspace, {},
+            { { "refused", static_cast<qint64>(it.refused) }, { "requests_per_second", it.limits.requestsPerSecond },
+                { "burst", it.limits.burst }, { "level", it.level },
+                { "nodes_in_touch", static_cast<qint64>(it.nodesInTouch) },
+                { "nodes_known", static_cast<qint64>(it.nodesKnown) } });
+}
+
 void Gateway::recordReload() { m_log.record("node", "reloaded", m_node); }
 
 void Gateway::beginStop(MonotonicTime signalledAt, std::function<void()> onStopped)
@@ -546,6 +573,19 @@
         static_cast<double>(m_scheduler.limitedEndpoints()));
     set("chicorydock_slots_unused", "Slots that stay unused because their endpoints do not take more load well.",
         static_cast<double>(m_scheduler.unusedSlots()));
+    const WorkspaceQuota& quota = m_scheduler.quota();
+    if (quota.hasLimits()) {
+        set("chicorydock_quota_charged", "Requests that this node has charged to rate limits of workspaces.",
+            static_cast<double>(quota.totals().charged));
+        set("chicorydock_quota_refused", "Requests that this node has refused over rate limits of workspaces.",
+            static_cast<double>(quota.totals().refused));
+        set("chicorydock_quota_refunded", "Charges given back because the request did not run.",
+            static_cast<double>(quota.totals().refunded));
+        set("chicorydock_quota_nodes_in_touch", "Nodes with which this node shares the rate limits of workspaces.",
+            quota.group().nodesInTouch());
+        set("chicorydock_quota_nodes_known", "Nodes between which the rate limits of workspaces are divided.",
+            quota.group().nodesKnown());
+    }
     set("chicorydock_prompt_parts_quarantined", "Parts of prompts on which endpoints crash.",
         static_cast<double>(m_quarantine.quarantinedParts(m_clock.now())));
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -83,6 +83,8 @@
     void recordMemory();
     /// Logs how many slots stay unused because of what was learned about the endpoints.
     void recordSlotLimits();
+    /// Records for which workspaces requests were refused over their rate limits, and by whose share.
+    void recordQuotas();
     void checkStopped();
     OpenWork openWork() const;
     void recordStage(StopProgress::Stage, const OpenWork&);
