--- a/Tests/LibGateway/TestWorkspaceQuotas.cpp
+++ b/Tests/LibGateway/TestWorkspaceQuotas.cpp
@@ -18,7 +18,8 @@
 constexpr double usualLoad = 0.62;
 constexpr double overload = 6.6;
 
-enum Workspace : size_t { Overloaded, Small, Medium, Moving, Changed, workspaceCount };
+enum Workspace : size_t { Overloaded, Small, Medium, Moving, Changed };
+constexpr size_t workspaceCount = 5;
 
 std::vector<QuotaSimulation::Traffic> traffic()
 {
