LibGateway: Charge a request once to the rate limit of its workspace

A request that is sent to another endpoint was charged again, because nothing told the allocator that an earlier run had been charged. The new test failed without the change (two charges).

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -390,6 +390,7 @@
     std::ranges::copy(m_excludedWhenQueued, std::back_inserter(work.excluded));
     work.softwareVersion = requiredVersion();
     work.profile = m_request.profile;
+    work.isCharged = m_chargedWorkspace == work.profile.workspace;
     m_slot.request(std::move(work), *this);
 }
 
@@ -428,6 +429,7 @@
 void ForwardedCall::onSlotGranted(const std::string& endpoint, const SlotView& view)
 {
     m_slot.markStarted();
+    m_chargedWorkspace = m_request.profile.workspace;
     m_endpoint = endpoint;
     const auto known = m_environment.directory.find(endpoint);
     logPlacement(known ? &*known : nullptr, view);
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -186,6 +186,8 @@
     std::string m_service;
 
     SlotHandle m_slot;
+    /// Workspace whose rate limit an earlier run of the request was charged to.
+    std::optional<std::string> m_chargedWorkspace;
     const std::string m_fingerprint;
     PromptAttempts m_prompt;
     std::string m_endpoint;
--- a/Tests/LibGateway/TestWorkspaces.cpp
+++ b/Tests/LibGateway/TestWorkspaces.cpp
@@ -24,8 +24,9 @@
     GatewayHandler handler { environment, jobs };
 
     explicit WorkspaceNode(const QByteArray& workspaces
-        = R"([{"name":"acme","api_keys":["a1","a2"],"priority":1},{"name":"bolt","api_keys":["b1"]}])")
-        : GatewayFixture(1)
+        = R"([{"name":"acme","api_keys":["a1","a2"],"priority":1},{"name":"bolt","api_keys":["b1"]}])",
+        size_t endpoints = 1)
+        : GatewayFixture(endpoints)
     {
         jobs.onReachableChanged(true);
         setWorkspaces(workspaces);
@@ -461,6 +462,21 @@
     CHECK(allocator.works[0].priority == 1);
 }
 
+// Guards against a workspace that pays with its rate limit for endpoints that fail.
+TEST_CASE("a request that is sent to another endpoint is charged to the rate limit once")
+{
+    WorkspaceNode node(R"([{"name":"acme","api_keys":["a1"]}])", 2);
+    node.scheduler.setWorkspaces({ { .name = "acme", .requestsPerSecond = 100, .burst = 100 } });
+    node.clock.advance(std::chrono::seconds { 1 });
+    const auto exchange = node.send(WorkspaceNode::makeRequest("POST", "/s/1", "a1"));
+    REQUIRE(node.http.count() == 1);
+    node.http.handOver();
+    node.http.fail(HttpFailure::Phase::Sent);
+    WorkspaceNode::settle();
+    REQUIRE(node.http.count() == 2);
+    CHECK(node.scheduler.quota().totals().charged == 1);
+}
+
 // Guards against metrics whose number grows with the number of customers.
 TEST_CASE("the metrics name a bounded number of workspaces")
 {
