--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <exception>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace Chicorydock {
@@ -78,6 +79,7 @@
 {
     m_listing.clear();
     m_listedVersion = 0;
+    m_listingTime.start();
     listPartition(0, {});
 }
 
@@ -120,6 +122,10 @@
     m_isListed = true;
     m_version = m_listedVersion;
     m_retryDelay = Milliseconds { 0 };
+    const qsizetype bytes = std::accumulate(m_listing.begin(), m_listing.end(), qsizetype { 0 },
+        [](qsizetype sum, const StoredRow& it) { return sum + it.value.size(); });
+    LOG(INFO) << "listed table " << m_options.table << ": " << m_listing.size() << " rows, " << bytes << " bytes, "
+              << m_listingTime.elapsed() << " ms";
     notify([this] { m_listener.onTableListed({ std::exchange(m_listing, {}), m_listedVersion }); });
     proceed();
 }
--- a/Libraries/LibPlatform/TableFollower.h
+++ b/Libraries/LibPlatform/TableFollower.h
@@ -4,6 +4,7 @@
 #include <LibPlatform/RowStore.h>
 #include <LibPlatform/ViewRefresher.h>
 
+#include <QElapsedTimer>
 #include <QObject>
 #include <QTimer>
 
@@ -105,6 +106,8 @@
     /// Version up to which all changes are known.
     uint64_t m_version { 0 };
     uint64_t m_listedVersion { 0 };
+    /// Runs since the listing began.
+    QElapsedTimer m_listingTime;
     bool m_isListed { false };
     bool m_isPaused { false };
     /// Whether a call was due while paused.
