LibGateway: Serve the tables of the store within a failure domain

The sources of a failure domain, which read the configuration for it, now follow the tables of endpoints, nodes and default versions for it as well. A node that knows of a newer configuration answers an unknown route with 503.

--- /dev/null
+++ b/Libraries/LibGateway/DomainFeedPlan.cpp
@@ -0,0 +1,72 @@
+#include <LibGateway/DomainFeedPlan.h>
+
+#include <LibRouting/Rendezvous.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace Chicorydock {
+
+namespace {
+
+    /// Number of nodes up to which all may list the tables at once.
+    constexpr size_t maxNodesWithoutDelay = 24;
+
+    /// Longest time for which a node that has heard of few others waits for the list of nodes.
+    constexpr Milliseconds nodeListTimeout { 300 };
+
+    /// Time in which the nodes of a large deployment hear of each other before they choose sources.
+    constexpr Milliseconds settleTime { 300 };
+
+    /// Time between two nodes without a source that list the tables, about as long as a listing of 3,000 registrations
+    /// takes on a link of 100 Mbit/s. A node that has listed them serves the others, so few nodes ever wait for long.
+    constexpr Milliseconds delayPerNode { 150 };
+
+}
+
+FeedPlanner::FeedPlanner(std::string address, MonotonicTime startedAt)
+    : m_address(std::move(address))
+    , m_startedAt(startedAt)
+{
+}
+
+void FeedPlanner::setAddresses(const std::set<std::string>& addresses)
+{
+    m_addresses = addresses.size();
+    const size_t rank = rendezvousRank("feed", m_address, { addresses.begin(), addresses.end() });
+    m_turn = delayPerNode * static_cast<int64_t>(rank);
+}
+
+bool FeedPlanner::isSettled(size_t nodes, MonotonicTime now)
+{
+    if (nodes <= maxNodesWithoutDelay) {
+        m_largeSince.reset();
+        return m_addresses > 0 || now >= m_startedAt + nodeListTimeout;
+    }
+    if (!m_largeSince)
+        m_largeSince = now;
+    return now >= *m_largeSince + settleTime;
+}
+
+FeedPlan FeedPlanner::plan(const FeedSurroundings& surroundings, MonotonicTime now)
+{
+    const size_t nodes = std::max(m_addresses, surroundings.peers + 1);
+    // A deployment that grows later stays settled.
+    m_isSettled = m_isSettled || isSettled(nodes, now);
+    FeedPlan plan;
+    plan.isSettled = m_isSettled;
+    const bool isLarge = nodes > maxNodesWithoutDelay;
+    plan.storeDelay = isLarge ? m_turn : Milliseconds { 0 };
+    const bool isChosen = std::ranges::find(surroundings.chosen, surroundings.node) != surroundings.chosen.end();
+    // A node that has heard of no other one of its failure domain may be one of many such nodes.
+    plan.isSource = isChosen && (surroundings.domainPeers > 0 || !isLarge);
+    if (isChosen)
+        return plan;
+    plan.sources = surroundings.sources;
+    // Half of the nodes prefer either source.
+    std::ranges::sort(plan.sources, {},
+        [&](const FeedSource& it) { return rendezvousRank(surroundings.node, it.node, surroundings.chosen); });
+    return plan;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/DomainFeedPlan.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <LibCore/Clock.h>
+
+#include <compare>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Chicorydock {
+
+/// Another node of the failure domain that follows the store for it.
+struct FeedSource {
+    std::string node;
+    /// `HOST:PORT` at which the node serves its tables.
+    std::string address;
+
+    auto operator<=>(const FeedSource&) const = default;
+};
+
+/// Where a node gets the tables of the store from.
+struct FeedPlan {
+    /// Whether the node knows enough about its failure domain to choose. Until then no table is listed.
+    bool isSettled { false };
+    /// Whether the node follows the store itself, and at once.
+    bool isSource { false };
+    /// Nodes to ask, the preferred one first; empty for a source.
+    std::vector<FeedSource> sources;
+    /// Time without a source after which the node may list a table of the store.
+    Milliseconds storeDelay { 0 };
+
+    auto operator<=>(const FeedPlan&) const = default;
+};
+
+/// What a node knows about the nodes around it.
+struct FeedSurroundings {
+    std::string node;
+    /// Names of the nodes that follow the store for the failure domain, this node included if it is one.
+    std::vector<std::string> chosen;
+    /// Those of them that are other nodes.
+    std::vector<FeedSource> sources;
+    /// Other nodes of the failure domain that are alive.
+    size_t domainPeers { 0 };
+    /// Other nodes of the deployment that are alive.
+    size_t peers { 0 };
+};
+
+/// Decides where a node gets the tables of the store from. Load: hundreds of nodes that start at once and list
+/// thousands of rows each over one link. In a small deployment nobody waits, and in a small failure domain each node
+/// follows the store itself.
+///
+/// Thread safety: none.
+class FeedPlanner {
+public:
+    /// `address` is where this node serves its tables.
+    FeedPlanner(std::string address, MonotonicTime startedAt);
+
+    /// Records the addresses of all nodes, of which some may be gone.
+    void setAddresses(const std::set<std::string>&);
+
+    FeedPlan plan(const FeedSurroundings&, MonotonicTime now);
+
+private:
+    bool isSettled(size_t nodes, MonotonicTime now);
+
+    const std::string m_address;
+    const MonotonicTime m_startedAt;
+    /// Number of all nodes, 0 while it is not known.
+    size_t m_addresses { 0 };
+    /// Time after which this node may list a table without a source.
+    Milliseconds m_turn { 0 };
+    /// Time since which the deployment is known to be large.
+    std::optional<MonotonicTime> m_largeSince;
+    bool m_isSettled { false };
+};
+
+}
--- a/Libraries/LibGateway/FeedTiming.h
+++ b/Libraries/LibGateway/FeedTiming.h
@@ -34,6 +34,17 @@
         return maxViewAge - storeTimeout - TableFollower::minRetryDelay - responseTime;
     }
 
+    /// Time that a source of a failure domain may add to the wait of a feed before a node asks the store itself. It
+    /// covers a call to the source, what the source does for many nodes at once, and the interval of its answers.
+    constexpr Milliseconds maxSourceDelay { 300 };
+
+    /// Longest time within which a node must know that an endpoint leaves.
+    constexpr Milliseconds maxLeavingTime { 2'500 };
+
+    // A node whose source is silent asks the store after the wait and that delay, on a connection that may be silent
+    // too. With the other terms of `waitFor()`, the sum is the age of its view.
+    static_assert(maxEndpointViewAge + maxSourceDelay <= maxLeavingTime);
+
     /// Delay by which the changes of many items are read together.
     constexpr Milliseconds jobChangeDelay { 700 };
 
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -16,7 +16,9 @@
 #include <LibMetrics/MetricsRegistry.h>
 #include <LibPlatform/ViewRefresher.h>
 
+#include <algorithm>
 #include <memory>
+#include <vector>
 
 namespace Chicorydock {
 
@@ -51,6 +53,14 @@
     /// Returns whether this node has lost the endpoints while a peer reaches them.
     bool shouldDeferToPeers() const { return links.areLost() && !relayPeers.relayPeers().empty(); }
 
+    /// Returns whether a peer has a newer configuration in force, so that what is unknown here may be known there.
+    bool isConfigurationOutdated() const
+    {
+        const std::vector<RelayPeer> peers = relayPeers.relayPeers();
+        return std::ranges::any_of(
+            peers, [this](const RelayPeer& it) { return it.configurationVersion > configuration->version; });
+    }
+
     /// Decodes the head of an endpoint's response to a request that was sent at that time, and records what the
     /// endpoint reports about itself: its load, its rate limit, and that it is leaving or is not the intended one. No
     /// new work starts at an endpoint of the latter two kinds. `request` has the fields of the caller or the item.
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -59,7 +59,10 @@
         return;
     }
     const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
-    if (!route)
+    if (!route && m_environment.isConfigurationOutdated())
+        answerError(
+            exchange, Error(ErrorKind::NotReady, "the route is not known here yet", notReadyRetryAfter), request.id);
+    else if (!route)
         answerError(exchange, Error(ErrorKind::UnknownRoute, "no route matches the request"), request.id);
     else if (!route->isServable())
         refuseUnservable(exchange, request.id);
--- a/Libraries/LibGateway/NodeRegistry.cpp
+++ b/Libraries/LibGateway/NodeRegistry.cpp
@@ -34,6 +34,8 @@
     connect(&m_cleanTimer, &QTimer::timeout, this, &NodeRegistry::removeSilentNodes);
 }
 
+const std::string& NodeRegistry::table() { return nodeTable; }
+
 void NodeRegistry::start()
 {
     writeOwnRow();
--- a/Libraries/LibGateway/NodeRegistry.h
+++ b/Libraries/LibGateway/NodeRegistry.h
@@ -21,6 +21,9 @@
     /// The store and the peers must outlive the registry. `address` is where this node receives the reports of peers.
     NodeRegistry(RowStore&, PeerGroup&, std::string node, std::string address, ListingHandler);
 
+    /// Returns the name of the table of nodes.
+    static const std::string& table();
+
     void start();
 
     /// Removes this node's registration.
--- a/Libraries/LibGateway/PeerGroup.cpp
+++ b/Libraries/LibGateway/PeerGroup.cpp
@@ -304,6 +304,12 @@
     return nodes;
 }
 
+std::string PeerGroup::addressOf(const std::string& node) const
+{
+    const auto it = m_peers.find(node);
+    return it == m_peers.end() ? std::string() : it->second.address;
+}
+
 std::optional<MonotonicTime> PeerGroup::storeAvailableSince() const
 {
     std::vector<std::optional<MonotonicTime>> reachableSince;
--- a/Libraries/LibGateway/PeerGroup.h
+++ b/Libraries/LibGateway/PeerGroup.h
@@ -92,6 +92,9 @@
     /// Returns the other nodes of this node's failure domain that are alive and not leaving.
     std::vector<CoordinatorCandidate> domainPeers() const;
 
+    /// Returns the `HOST:PORT` of a node, empty if it is not known.
+    std::string addressOf(const std::string& node) const;
+
     /// Returns the time since which the store has been available according to the live peers, or nothing if too few of
     /// them reach it.
     std::optional<MonotonicTime> storeAvailableSince() const;
--- a/Libraries/LibGateway/StreamOrigins.cpp
+++ b/Libraries/LibGateway/StreamOrigins.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     const std::string originTable = "stream_origin";
-    const std::string defaultTable = "default_version";
+    const std::string defaultVersionTable = "default_version";
 
     /// A default version may be used for long after it has ended, so it need not be followed closely.
     constexpr Milliseconds followWait { 5'000 };
@@ -55,10 +55,12 @@
 StreamOrigins::StreamOrigins(RowStore& store, const Clock& clock)
     : m_store(store)
     , m_clock(clock)
-    , m_follower(store, { defaultTable, { "" }, followWait }, *this)
+    , m_follower(store, { defaultVersionTable, { "" }, followWait }, *this)
 {
 }
 
+const std::string& StreamOrigins::defaultTable() { return defaultVersionTable; }
+
 StreamOrigins::~StreamOrigins() { *m_lifetime = false; }
 
 void StreamOrigins::onTableListed(const TableListing& listing) { onRowsChanged(listing.rows); }
@@ -158,7 +160,7 @@
 
 void StreamOrigins::readDefault(const std::string& service, RowStore::Reply<std::optional<std::string>> reply)
 {
-    m_store.read({ defaultTable, "", service, service + '\0' },
+    m_store.read({ defaultVersionTable, "", service, service + '\0' },
         [this, service, reply = std::move(reply), lifetime = m_lifetime](const StoreResult<RowPage>& result) {
             if (!*lifetime)
                 return;
@@ -178,7 +180,7 @@
     if (!storeTime)
         return;
     for (const DefaultVersion& it : m_defaults.dueChanges(services, *storeTime)) {
-        const RowAddress row { defaultTable, "", it.service };
+        const RowAddress row { defaultVersionTable, "", it.service };
         m_store.commit({ { { row, it.rowVersion } }, { { row, encodeDefaultVersion(it) } }, {} },
             [this, it, lifetime = m_lifetime](const StoreResult<RowCommit>& result) {
                 const auto* commit = std::get_if<RowCommit>(&result);
--- a/Libraries/LibGateway/StreamOrigins.h
+++ b/Libraries/LibGateway/StreamOrigins.h
@@ -27,6 +27,9 @@
     StreamOrigins(RowStore&, const Clock&);
     ~StreamOrigins() override;
 
+    /// Returns the name of the table of default versions.
+    static const std::string& defaultTable();
+
     void start() { m_follower.start(); }
 
     /// Whether the default versions are known.
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -114,6 +114,8 @@
     {
         if (exchange->request().headers.find(relayField))
             m_gateway.m_handler.handleRelayed(exchange);
+        else if (exchange->request().path == feedPath)
+            m_gateway.m_feed.handle(std::move(exchange));
         else
             m_gateway.m_configuration.handle(std::move(exchange));
     }
@@ -130,10 +132,13 @@
     , m_responseMemory(MemoryShares::of(settings.gateway->memoryMb).responseBytes)
     , m_store(m_controlClient, settings.platform.address, FeedTiming::storeTimeout)
     , m_links(m_clock, m_random, m_directory, m_prober, m_log)
+    , m_feed(m_store, m_controlClient, m_clock, m_log,
+          { { m_wire.endpointTable() }, { StreamOrigins::defaultTable() }, { NodeRegistry::table(), true } })
+    , m_feedPlanner(settings.gateway->peerAddress, m_clock.now())
     , m_quarantine(m_node)
-    , m_origins(m_store, m_clock)
+    , m_origins(m_feed, m_clock)
     , m_registrations(m_wire, m_directory, m_origins, m_clock, m_log, [this] { updateSchedulerEndpoints(); })
-    , m_endpointFollower(std::make_unique<TableFollower>(m_store,
+    , m_endpointFollower(std::make_unique<TableFollower>(m_feed,
           TableFollower::Options {
               m_wire.endpointTable(), { "" }, FeedTiming::waitFor(FeedTiming::maxEndpointViewAge) },
           m_registrations))
@@ -157,9 +162,11 @@
     , m_peerHandler(std::make_unique<PeerHandler>(*this))
     , m_configuration(m_store, m_wire, m_peers, m_controlClient, m_clock, m_random, *m_configurationApplier)
     , m_jobFollower(std::make_unique<TableFollower>(m_store, FeedTiming::jobFeed(), m_jobs))
-    , m_registry(m_store, m_peers, m_node, settings.gateway->peerAddress,
+    , m_registry(m_feed, m_peers, m_node, settings.gateway->peerAddress,
           [this](const std::set<std::string>& addresses) {
               m_configuration.start(storeReadDelay(m_settings.gateway->peerAddress, addresses));
+              m_feedPlanner.setAddresses(addresses);
+              updateFeedPlan(coordinators());
           })
     , m_server(m_handler, serverLimits(settings), [this](const Error& error) { return m_wire.errorAnswer(error, {}); })
     , m_statusServer(*m_statusHandler)
@@ -288,28 +295,51 @@
         m_peers.scheduleReports();
 }
 
-void Gateway::updateCoordinator()
+std::vector<std::string> Gateway::coordinators() const
 {
     const CoordinatorCandidate self { m_node, capacityPercent(m_settings) };
-    const std::vector<std::string> coordinators
-        = chooseCoordinators(self, m_settings.node.failureDomain, m_peers.domainPeers());
-    m_member.setCandidates(coordinators, m_clock.now());
-    // The nodes that may allocate the slots of a failure domain are also its sources of the configuration.
-    const bool isSource = std::ranges::find(coordinators, m_node) != coordinators.end();
+    return chooseCoordinators(self, m_settings.node.failureDomain, m_peers.domainPeers());
+}
+
+void Gateway::updateCoordinator()
+{
+    const std::vector<std::string> candidates = coordinators();
+    m_member.setCandidates(candidates, m_clock.now());
+    // The nodes that may allocate the slots of a failure domain are also its sources of what the store holds.
+    const bool isSource = std::ranges::find(candidates, m_node) != candidates.end();
     m_configuration.setSource(isSource);
     m_peers.setConfigurationSource(isSource);
+    updateFeedPlan(candidates);
     recordCoordinator();
     reportSlotUse();
     m_exchange.schedule();
 }
 
+void Gateway::updateFeedPlan(const std::vector<std::string>& sources)
+{
+    FeedSurroundings surroundings { m_node, sources, {}, m_peers.domainPeers().size(), m_peers.aliveCount() };
+    for (const std::string& it : surroundings.chosen) {
+        if (it != m_node)
+            surroundings.sources.push_back({ it, m_peers.addressOf(it) });
+    }
+    const FeedPlan plan = m_feedPlanner.plan(surroundings, m_clock.now());
+    m_feed.setPlan(plan);
+    // The others wait for the configuration that a source reads.
+    if (plan.isSettled && plan.isSource)
+        m_configuration.start(Milliseconds { 0 });
+}
+
 void Gateway::reportStoreReachability()
 {
     // After an outage of the store, a peer that does not hear soon that this node is back takes over its jobs.
     // Peers that were cut off themselves conclude from it that the store was available.
     const std::pair reachable { m_jobFollower->isReachable(), m_endpointFollower->isReachable() };
-    if (std::exchange(m_reportedReachable, reachable) != reachable)
-        m_peers.announce();
+    if (std::exchange(m_reportedReachable, reachable) == reachable)
+        return;
+    // The registrations may come from a peer while this node cannot write to the store.
+    if (m_feed.usesSource())
+        m_origins.setStoreReachable(reachable.first && reachable.second);
+    m_peers.announce();
 }
 
 void Gateway::updateLinks()
@@ -408,6 +438,7 @@
         it->setDraining(true);
     m_handler.beginStop(m_stop->schedule());
     m_jobs.release();
+    m_feed.stopServing();
     m_registry.leave();
     m_peers.announce();
     m_stopTimer.start(stopCheckInterval);
@@ -490,6 +521,14 @@
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
     set("chicorydock_jobs_owned", "Jobs that this node runs.", static_cast<double>(m_jobs.ownedJobs()));
     set("chicorydock_store_calls", "Calls to the store since the start.", static_cast<double>(m_store.calls()));
+    const DomainFeed::Traffic feed = m_feed.traffic();
+    set("chicorydock_feed_uses_source", "Whether tables come from another node.", m_feed.usesSource());
+    set("chicorydock_feed_store_bytes", "Bytes of tables read from the store since the start.",
+        static_cast<double>(feed.fromStore));
+    set("chicorydock_feed_source_bytes", "Bytes of tables read from other nodes since the start.",
+        static_cast<double>(feed.fromSources));
+    set("chicorydock_feed_served_bytes", "Bytes of tables sent to other nodes since the start.",
+        static_cast<double>(feed.toPeers));
     set("chicorydock_endpoint_connections", "Connections opened to endpoints since the start.",
         static_cast<double>(m_endpointClient.openedConnections()));
     for (const auto& [kind, budget] : { std::pair("requests", &m_requestMemory), { "responses", &m_responseMemory } }) {
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -4,6 +4,7 @@
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
 #include <LibGateway/ConfigurationFollower.h>
+#include <LibGateway/DomainFeed.h>
 #include <LibGateway/EndpointRegistrations.h>
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/NodeRegistry.h>
@@ -67,6 +68,10 @@
     SlotExchange::Handlers exchangeHandlers();
     void reportSlotUse();
     void updateCoordinator();
+    /// Returns the nodes that may allocate slots for this one, in order of preference.
+    std::vector<std::string> coordinators() const;
+    /// Chooses where the tables of the store come from.
+    void updateFeedPlan(const std::vector<std::string>& sources);
     void recordCoordinator();
     void updateQuarantine();
     void updateLinks();
@@ -100,6 +105,8 @@
     EndpointDirectory m_directory;
     TcpEndpointProber m_prober;
     EndpointLinkMonitor m_links;
+    DomainFeed m_feed;
+    FeedPlanner m_feedPlanner;
     PromptQuarantine m_quarantine;
     StreamOrigins m_origins;
     EndpointRegistrations m_registrations;
--- a/Tests/LibGateway/TestGatewayHandler.cpp
+++ b/Tests/LibGateway/TestGatewayHandler.cpp
@@ -66,6 +66,21 @@
     CHECK(fixture.http.count() == 0);
 }
 
+// Guards against a 404, which callers treat as permanent, from a node that has not received the newest configuration
+// yet (issue 51).
+TEST_CASE("a node that knows of a newer configuration answers a request without a route with 503, not 404")
+{
+    HandlerFixture fixture;
+    const uint64_t own = fixture.environment.configuration->version;
+    fixture.relayPeers.peers = { { "peer", "10.0.0.2:7660", PeerDistance::OtherRegion, own } };
+    CHECK(statusOf(fixture.send("POST", "/none/1")) == 404);
+    fixture.relayPeers.peers.front().configurationVersion = own + 1;
+    const auto exchange = fixture.send("POST", "/none/1");
+    CHECK(statusOf(exchange) == 503);
+    CHECK(exchange->response->headers.find("Retry-After"));
+    CHECK(fixture.http.count() == 0);
+}
+
 // Guards against a job that can be submitted but not read or cancelled.
 TEST_CASE("a job is submitted, read and cancelled")
 {
