LibGateway: Keep copies of tables from going back to an old listing

Cause: after it has dropped its history, the store may return older state. A copy could bring back rows that had been removed, and a node that got them would never hear of the removal. A listing that is older than the copy is ignored, and removals are remembered.

--- a/Libraries/LibGateway/DomainFeed.cpp
+++ b/Libraries/LibGateway/DomainFeed.cpp
@@ -26,9 +26,16 @@
     /// Longest time for which a node waits for a listing of sources that are alive.
     constexpr Milliseconds maxListingTime { 4'000 };
 
+    /// Longest time for which a node waits for its turn to list a table again: it uses the rows that it knows
+    /// meanwhile.
+    constexpr Milliseconds maxRelistingDelay { 1'000 };
+
     /// Longest time until a source answers that has asked the store without waiting.
     constexpr Milliseconds refreshPatience { 400 };
 
+    /// Least time between two log lines about failures of one source that go on.
+    constexpr Milliseconds failureLogInterval { 10'000 };
+
     constexpr Milliseconds minPatience { 50 };
 
     /// Interval at which listings look for a source.
@@ -109,8 +116,12 @@
 
 void DomainFeed::markFailed(const FeedSource& source, const std::string& table, int status)
 {
-    m_failedUntil[source.node] = m_clock.now() + pauseAfter(status);
-    if (status != 503)
+    const MonotonicTime now = m_clock.now();
+    m_failedUntil[source.node] = now + pauseAfter(status);
+    if (status == 503)
+        return;
+    const auto [logged, isFirst] = m_loggedFailures.try_emplace(source.node, now);
+    if (isFirst || now - std::exchange(logged->second, now) >= failureLogInterval)
         m_log.record("domain_feed", "source_failed", source.node, {},
             { { "table", QString::fromStdString(table) }, { "status", status } });
 }
@@ -179,7 +190,8 @@
         return false;
     // Sources that are alive may still be listing the table themselves.
     const bool isWaiting = !m_plan.sources.empty() && m_plan.storeDelay.count() > 0;
-    const Milliseconds delay = isWaiting ? maxListingTime + m_plan.storeDelay : m_plan.storeDelay;
+    const Milliseconds turn = feed.copy.isListed() ? std::min(m_plan.storeDelay, maxRelistingDelay) : m_plan.storeDelay;
+    const Milliseconds delay = isWaiting ? maxListingTime + turn : turn;
     return m_plan.isSource || m_clock.now() >= *feed.listingSince + delay;
 }
 
@@ -236,8 +248,10 @@
 {
     Feed& feed = m_feeds.at(table);
     feed.listingSince.reset();
+    const bool isOld = version < feed.copy.version();
     feed.copy.putListing(rows, version);
-    feed.copy.confirm(confirmedAt);
+    if (!isOld)
+        feed.copy.confirm(confirmedAt);
     m_server.update(table);
 }
 
--- a/Libraries/LibGateway/DomainFeed.h
+++ b/Libraries/LibGateway/DomainFeed.h
@@ -152,6 +152,8 @@
     FeedPlan m_plan;
     /// Sources that failed, with the time until which they are not asked.
     std::map<std::string, MonotonicTime> m_failedUntil;
+    /// Times of the latest failure of each source, for the log.
+    std::map<std::string, MonotonicTime> m_loggedFailures;
     std::string m_loggedChoice;
     std::map<uint64_t, std::unique_ptr<FeedCall>> m_calls;
     uint64_t m_callCount { 0 };
--- a/Libraries/LibGateway/TableCopy.cpp
+++ b/Libraries/LibGateway/TableCopy.cpp
@@ -6,21 +6,29 @@
 
 void TableCopy::putListing(const std::vector<StoredRow>& rows, uint64_t storeVersion)
 {
+    // After it has dropped its history, the store may return older state for some seconds.
+    if (m_isListed && storeVersion < m_version)
+        return;
     std::map<std::string, StoredRow> listed;
     for (const StoredRow& it : rows)
-        listed[it.address.key] = it;
-    // A row that changed after the listing is kept as it is known.
-    for (auto& [key, row] : m_rows) {
-        const auto it = listed.find(key);
-        const bool isNewer = it == listed.end() ? row.version > storeVersion : row.version > it->second.version;
-        if (isNewer)
-            listed[key] = std::move(row);
-    }
+        listed[it.address.key] = newest(it);
+    std::erase_if(listed, [](const auto& it) { return it.second.isRemoved; });
     m_rows = std::move(listed);
     m_changes.clear();
     m_isListed = true;
-    m_version = std::max(m_version, storeVersion);
-    m_oldestVersion = m_version;
+    m_version = storeVersion;
+    m_oldestVersion = storeVersion;
+}
+
+StoredRow TableCopy::newest(const StoredRow& row) const
+{
+    const auto known = m_rows.find(row.address.key);
+    if (known != m_rows.end() && known->second.version > row.version)
+        return known->second;
+    const auto removed = m_removals.find(row.address.key);
+    if (removed != m_removals.end() && removed->second > row.version)
+        return { row.address, {}, removed->second, true };
+    return row;
 }
 
 void TableCopy::putChanges(uint64_t after, const RowPage& page)
@@ -41,10 +49,14 @@
 void TableCopy::apply(const StoredRow& row)
 {
     m_changes.push_back(row);
-    if (row.isRemoved)
-        m_rows.erase(row.address.key);
-    else
+    if (!row.isRemoved) {
         m_rows[row.address.key] = row;
+        return;
+    }
+    m_rows.erase(row.address.key);
+    m_removals[row.address.key] = row.version;
+    if (m_removals.size() > maxChanges)
+        m_removals.erase(std::ranges::min_element(m_removals, {}, [](const auto& it) { return it.second; }));
 }
 
 void TableCopy::confirm(MonotonicTime time)
--- a/Libraries/LibGateway/TableCopy.h
+++ b/Libraries/LibGateway/TableCopy.h
@@ -19,8 +19,8 @@
     /// Number of changes that are kept. A node that asks for earlier ones reads them from the store.
     static constexpr size_t maxChanges = 2'000;
 
-    /// Replaces the table by a complete listing. `storeVersion` is the version of the newest change that the listing
-    /// certainly contains.
+    /// Replaces the table by a complete listing, unless that is older. `storeVersion` is the version of the newest
+    /// change that the listing contains according to the store.
     void putListing(const std::vector<StoredRow>& rows, uint64_t storeVersion);
 
     /// Adds the changes after version `after`. They are ignored if changes before them are missing.
@@ -45,8 +45,12 @@
 
 private:
     void apply(const StoredRow&);
+    /// Returns the row of a listing, or what is known about the row if that is newer.
+    StoredRow newest(const StoredRow&) const;
 
     std::map<std::string, StoredRow> m_rows;
+    /// Versions of the latest removals, by key.
+    std::map<std::string, uint64_t> m_removals;
     /// In the order of versions.
     std::deque<StoredRow> m_changes;
     bool m_isListed { false };
--- a/Tests/LibGateway/TestDomainFeed.cpp
+++ b/Tests/LibGateway/TestDomainFeed.cpp
@@ -188,11 +188,17 @@
     copy.putListing({ row("a", 1), row("b", 2) }, 3);
     CHECK(copy.version() == 7);
     CHECK(copy.rows().rows == std::vector { row("a", 5), row("b", 2), row("c", 6) });
-    CHECK_FALSE(copy.changesAfter(6));
     copy.putChanges(9, { { row("a", 10) }, false, 10 });
     CHECK(copy.version() == 7);
     copy.putChanges(7, { { row("c", 8, true) }, false, 9 });
     CHECK(copy.rows().rows == std::vector { row("a", 5), row("b", 2) });
+    // The rows are older than the version that the store states.
+    copy.putListing({ row("a", 1), row("b", 2), row("c", 6) }, 9);
+    CHECK(copy.rows().rows == std::vector { row("a", 5), row("b", 2) });
+    copy.putListing({ row("a", 11) }, 12);
+    CHECK(copy.rows().rows == std::vector { row("a", 11) });
+    CHECK(copy.version() == 12);
+    CHECK_FALSE(copy.changesAfter(11));
 }
 
 // Guards against a peer that makes a node fail or exhausts its memory.
