LibGateway: Keep hundreds of starting nodes below the store's rate of calls

It refuses calls, and a listing that was refused began anew, so no listing ended for seconds, that of the sources neither. A node that had waited 4 s for its sources did not ask them again.

A listing goes on at the page that failed; in a large deployment jobs are listed at a bounded rate; a node asks its sources until its own turn comes. A source sends changes of a table that changes all the time less often, and finds them without a scan.

--- a/Libraries/LibGateway/DomainFeed.cpp
+++ b/Libraries/LibGateway/DomainFeed.cpp
@@ -171,11 +171,12 @@
         return;
     const FeedSource* source = m_plan.isSettled ? usableSource() : nullptr;
     const bool isFirst = feed.isListedAtOnce && !feed.copy.isListed();
-    if (source && !isFirst && m_clock.now() < *feed.listingSince + maxListingTime) {
+    const bool mayListInStore = isFirst || hasTurn(feed);
+    if (source && !mayListInStore) {
         listFromSource(table, *source);
         return;
     }
-    if (isFirst || mayListInStore(feed)) {
+    if (mayListInStore) {
         const Listing listing = std::move(*std::exchange(feed.listing, {}));
         listFromStore(listing.range, listing.reply);
         return;
@@ -184,14 +185,16 @@
         m_listingTimer.start(listingCheckInterval);
 }
 
-bool DomainFeed::mayListInStore(const Feed& feed) const
+bool DomainFeed::hasTurn(const Feed& feed) const
 {
     if (!m_plan.isSettled)
         return false;
     // Sources that are alive may still be listing the table themselves.
-    const bool isWaiting = !m_plan.sources.empty() && m_plan.storeDelay.count() > 0;
+    const Milliseconds patience = m_plan.sources.empty() ? Milliseconds { 0 } : maxListingTime;
     const Milliseconds turn = feed.copy.isListed() ? std::min(m_plan.storeDelay, maxRelistingDelay) : m_plan.storeDelay;
-    const Milliseconds delay = isWaiting ? maxListingTime + turn : turn;
+    // Without a large deployment there is no link to spare: the store is asked as soon as all sources have failed.
+    const bool isAlone = !usableSource() && m_plan.storeDelay.count() == 0;
+    const Milliseconds delay = isAlone ? Milliseconds { 0 } : patience + turn;
     return m_plan.isSource || m_clock.now() >= *feed.listingSince + delay;
 }
 
--- a/Libraries/LibGateway/DomainFeed.h
+++ b/Libraries/LibGateway/DomainFeed.h
@@ -125,7 +125,8 @@
 
     void proceedWithListings();
     void proceedWithListing(const std::string& table);
-    bool mayListInStore(const Feed&) const;
+    /// Returns whether the node may list the table at the store.
+    bool hasTurn(const Feed&) const;
     void listFromSource(const std::string& table, const FeedSource&);
     void listFromStore(const RowRange&, const Reply<RowPage>&);
     void recordListedPage(const RowRange&, const RowPage&);
--- a/Libraries/LibGateway/DomainFeedPlan.cpp
+++ b/Libraries/LibGateway/DomainFeedPlan.cpp
@@ -22,6 +22,18 @@
     /// takes on a link of 100 Mbit/s. A node that has listed them serves the others, so few nodes ever wait for long.
     constexpr Milliseconds delayPerNode { 150 };
 
+    /// Time between two nodes that begin to list the jobs: 1,000 calls a second in 16 partitions, half of what the
+    /// store takes.
+    constexpr Milliseconds jobDelayPerNode { 16 };
+
+}
+
+Milliseconds jobListingDelay(const std::string& own, const std::set<std::string>& addresses)
+{
+    if (addresses.size() <= maxNodesWithoutDelay)
+        return Milliseconds { 0 };
+    const size_t rank = rendezvousRank("jobs", own, { addresses.begin(), addresses.end() });
+    return jobDelayPerNode * static_cast<int64_t>(rank);
 }
 
 FeedPlanner::FeedPlanner(std::string address, MonotonicTime startedAt)
--- a/Libraries/LibGateway/DomainFeedPlan.h
+++ b/Libraries/LibGateway/DomainFeedPlan.h
@@ -46,6 +46,12 @@
     size_t peers { 0 };
 };
 
+/// Returns the time for which a node that starts waits before it lists the jobs, which takes a call for each partition
+/// and is not needed to serve requests. Load: hundreds of nodes that start at once and together make more calls than
+/// the store takes in a second. In a small deployment nobody waits. `addresses` are those of all nodes, of which some
+/// may be gone, and include `own`. May be called from any thread.
+Milliseconds jobListingDelay(const std::string& own, const std::set<std::string>& addresses);
+
 /// Decides where a node gets the tables of the store from. Load: hundreds of nodes that start at once and list
 /// thousands of rows each over one link. In a small deployment nobody waits, and in a small failure domain each node
 /// follows the store itself.
--- a/Libraries/LibGateway/FeedServer.cpp
+++ b/Libraries/LibGateway/FeedServer.cpp
@@ -12,6 +12,9 @@
     /// Age of a copy above which it is of no use to another node, which then asks the store.
     constexpr Milliseconds maxServedAge { 8'000 };
 
+    /// Answers with changes of a table that changes all the time, within the wait of a call.
+    constexpr int pushesPerWait = 6;
+
 }
 
 FeedServer::FeedServer(const Clock& clock, FindCopy findCopy, Refresh refresh)
@@ -90,37 +93,39 @@
         return false;
     if (held.request.after)
         return tryAnswerChanges(calls, held, copy, isConfirmed);
-    answer(calls, held, copy, {});
+    answer(calls, held, copy);
     return true;
 }
 
 bool FeedServer::tryAnswerChanges(Calls& calls, const Held& held, const TableCopy& copy, bool isConfirmed)
 {
-    const auto page = copy.changesAfter(*held.request.after);
-    if (!page) {
+    const auto hasChanges = copy.hasChangesAfter(*held.request.after);
+    if (!hasChanges) {
         refuse(held, 410);
         return true;
     }
     const MonotonicTime now = m_clock.now();
-    if (page->rows.empty() && !isConfirmed && now < held.expiresAt)
+    if (!*hasChanges && !isConfirmed && now < held.expiresAt)
         return false;
-    if (!page->rows.empty() && now < calls.pushedAt + minPushInterval) {
-        scheduleDue(calls.pushedAt + minPushInterval);
+    const MonotonicTime pushAt = calls.pushedAt + std::max(minPushInterval, held.request.wait / pushesPerWait);
+    if (*hasChanges && now < pushAt) {
+        scheduleDue(pushAt);
         return false;
     }
-    answer(calls, held, copy, *page);
+    m_hasSentChanges = m_hasSentChanges || *hasChanges;
+    answer(calls, held, copy);
     return true;
 }
 
-void FeedServer::answer(Calls& calls, const Held& held, const TableCopy& copy, const RowPage& changes)
+void FeedServer::answer(Calls& calls, const Held& held, const TableCopy& copy)
 {
     if (std::exchange(calls.bodiesVersion, copy.version()) != copy.version())
         calls.bodies.clear();
-    QByteArray& body = calls.bodies[held.request.after];
+    const auto after = held.request.after;
+    QByteArray& body = calls.bodies[after];
     if (body.isEmpty())
-        body = encodeRowPage(held.request.after ? changes : copy.rows());
+        body = encodeRowPage(after ? copy.changesAfter(*after).value_or(RowPage {}) : copy.rows());
     const auto age = std::chrono::ceil<Milliseconds>(m_clock.now() - *copy.confirmedAt());
-    m_hasSentChanges = m_hasSentChanges || !changes.rows.empty();
     m_sentBytes += static_cast<uint64_t>(body.size());
     held.exchange->answer({ .status = 200,
         .headers = { { "Content-Type", "application/octet-stream" },
--- a/Libraries/LibGateway/FeedServer.h
+++ b/Libraries/LibGateway/FeedServer.h
@@ -32,7 +32,7 @@
     /// Brings the copy of a table up to date, and reports whether that succeeded.
     using Refresh = std::function<void(const std::string& table, std::function<void(bool)> onDone)>;
 
-    /// Time between two answers with changes of a table.
+    /// Least time between two answers with changes of a table.
     static constexpr Milliseconds minPushInterval { 150 };
 
     FeedServer(const Clock&, FindCopy, Refresh);
@@ -71,7 +71,7 @@
     bool tryAnswerChanges(Calls&, const Held&, const TableCopy&, bool isConfirmed);
     bool isUsable(const TableCopy&, const FeedRequest&) const;
     void refresh(const std::string& table, Held);
-    void answer(Calls&, const Held&, const TableCopy&, const RowPage&);
+    void answer(Calls&, const Held&, const TableCopy&);
     void refuse(const Held&, int status) const;
     void hold(Calls&, Held);
     void processDue();
--- a/Libraries/LibGateway/TableCopy.cpp
+++ b/Libraries/LibGateway/TableCopy.cpp
@@ -73,14 +73,19 @@
     return page;
 }
 
-std::optional<RowPage> TableCopy::changesAfter(uint64_t version) const
+std::optional<bool> TableCopy::hasChangesAfter(uint64_t version) const
 {
     if (!m_isListed || version < m_oldestVersion)
         return {};
-    RowPage page { {}, false, m_version };
-    std::ranges::copy_if(
-        m_changes, std::back_inserter(page.rows), [&](const StoredRow& it) { return it.version > version; });
-    return page;
+    return !m_changes.empty() && m_changes.back().version > version;
+}
+
+std::optional<RowPage> TableCopy::changesAfter(uint64_t version) const
+{
+    if (!hasChangesAfter(version))
+        return {};
+    const auto first = std::ranges::upper_bound(m_changes, version, {}, &StoredRow::version);
+    return RowPage { { first, m_changes.end() }, false, m_version };
 }
 
 }
--- a/Libraries/LibGateway/TableCopy.h
+++ b/Libraries/LibGateway/TableCopy.h
@@ -40,6 +40,9 @@
     /// Returns all rows.
     RowPage rows() const;
 
+    /// Returns whether there are changes after that version, or nothing if they are no longer known.
+    std::optional<bool> hasChangesAfter(uint64_t version) const;
+
     /// Returns the changes after that version, or nothing if they are no longer known.
     std::optional<RowPage> changesAfter(uint64_t version) const;
 
--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -77,6 +77,11 @@
 
 void TableFollower::list()
 {
+    // A store that refuses calls because there are too many must not be asked for the pages before again.
+    if (const auto from = std::exchange(m_failedPage, {})) {
+        listPartition(from->first, from->second);
+        return;
+    }
     m_listing.clear();
     m_listedVersion = 0;
     m_listingTime.start();
@@ -87,10 +92,12 @@
 {
     m_store.read(
         { m_options.table, m_options.partitions[n], from, {} }, [this, n, from](const StoreResult<RowPage>& result) {
-            if (const auto* page = std::get_if<RowPage>(&result))
+            if (const auto* page = std::get_if<RowPage>(&result)) {
                 handleListing(n, from, *page);
-            else
-                handleFailure(std::get<StoreFailure>(result));
+                return;
+            }
+            m_failedPage = { n, from };
+            handleFailure(std::get<StoreFailure>(result));
         });
 }
 
--- a/Libraries/LibPlatform/TableFollower.h
+++ b/Libraries/LibPlatform/TableFollower.h
@@ -9,7 +9,9 @@
 #include <QTimer>
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Chicorydock {
@@ -106,6 +108,8 @@
     /// Version up to which all changes are known.
     uint64_t m_version { 0 };
     uint64_t m_listedVersion { 0 };
+    /// Partition and first key at which a listing goes on after a failed call.
+    std::optional<std::pair<size_t, std::string>> m_failedPage;
     /// Runs since the listing began.
     QElapsedTimer m_listingTime;
     bool m_isListed { false };
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -20,6 +20,9 @@
     /// Longest time for which the configuration waits for the list of nodes at the start.
     constexpr Milliseconds nodeListTimeout { 300 };
 
+    /// Longest time for which the list of jobs waits for the list of nodes at the start.
+    constexpr Milliseconds jobListingTimeout { 1'000 };
+
     /// The load balancer checks readiness once a second, and detects within two checks that a node is not ready.
     constexpr Milliseconds drainDelay { 2'300 };
     constexpr Milliseconds stopCheckInterval { 50 };
@@ -166,6 +169,8 @@
           [this](const std::set<std::string>& addresses) {
               m_configuration.start(storeReadDelay(m_settings.gateway->peerAddress, addresses));
               m_feedPlanner.setAddresses(addresses);
+              if (m_jobStartTimer.isActive())
+                  m_jobStartTimer.start(jobListingDelay(m_settings.gateway->peerAddress, addresses));
               updateFeedPlan(coordinators());
           })
     , m_server(m_handler, serverLimits(settings), [this](const Error& error) { return m_wire.errorAnswer(error, {}); })
@@ -182,6 +187,8 @@
         it->setMemory(m_requestMemory, m_responseMemory);
     }
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
+    m_jobStartTimer.setSingleShot(true);
+    connect(&m_jobStartTimer, &QTimer::timeout, this, [this] { m_jobFollower->resume(); });
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
 }
 
@@ -195,7 +202,9 @@
     m_peerServer.listen(m_settings.gateway->peerAddress);
     m_configuration.start(nodeListTimeout);
     m_endpointFollower->start();
+    m_jobFollower->pause();
     m_jobFollower->start();
+    m_jobStartTimer.start(jobListingTimeout);
     m_origins.start();
     m_registry.start();
     m_tickTimer.start(tickInterval);
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -130,6 +130,8 @@
     HttpServer m_statusServer;
     HttpServer m_peerServer;
     QTimer m_tickTimer;
+    /// Runs until the jobs may be listed.
+    QTimer m_jobStartTimer;
     QTimer m_stopTimer;
     /// Coordinator in the latest log line about it.
     std::string m_loggedCoordinator;
--- a/Tests/LibGateway/TestDomainFeed.cpp
+++ b/Tests/LibGateway/TestDomainFeed.cpp
@@ -145,6 +145,24 @@
     });
 }
 
+// Guards against a store that refuses all calls because hundreds of nodes list 16 partitions of jobs at once.
+TEST_CASE("nodes that start together list the jobs at a bounded rate, those of a small deployment at once")
+{
+    const auto addresses = [](size_t n) {
+        std::set<std::string> names;
+        for (size_t i = 0; i < n; ++i)
+            names.insert("n" + std::to_string(i));
+        return names;
+    };
+    CHECK(jobListingDelay("n3", addresses(24)) == Milliseconds { 0 });
+    std::multiset<Milliseconds> delays;
+    for (const std::string& it : addresses(300))
+        delays.insert(jobListingDelay(it, addresses(300)));
+    const auto inFirstSecond = std::distance(delays.begin(), delays.lower_bound(Milliseconds { 1'000 }));
+    CHECK(inFirstSecond * 16 <= 1'100);
+    CHECK(*delays.rbegin() <= Milliseconds { 5'000 });
+}
+
 // Guards against small deployments that start later or make other calls than without sources.
 TEST_CASE("the nodes of a small failure domain list and follow the store themselves")
 {
--- a/Tests/LibPlatform/TestTableFollower.cpp
+++ b/Tests/LibPlatform/TestTableFollower.cpp
@@ -226,6 +226,47 @@
     CHECK(listener.rows == std::map<std::string, QByteArray> { { "a", "1" } });
 }
 
+// Guards against hundreds of nodes that start a listing of many partitions anew whenever the store refuses one of their
+// calls, and so keep it from serving any (issue 51).
+TEST_CASE("a listing goes on at the page that failed")
+{
+    /// A store that refuses the second partition once.
+    class RefusingStore final : public RowStore {
+    public:
+        std::vector<std::string> partitions;
+
+        void read(const RowRange& range, Reply<RowPage> reply) override
+        {
+            partitions.push_back(range.partition);
+            const bool isRefused = partitions.size() == 2;
+            QMetaObject::invokeMethod(
+                &m_context,
+                [range, reply, isRefused] {
+                    if (isRefused)
+                        reply(StoreFailure { StoreFailure::Kind::NotExecuted, "the store answered 429" });
+                    else
+                        reply(RowPage { { { { "t", range.partition, "k-" + range.partition }, "1", 1 } }, false, 1 });
+                },
+                Qt::QueuedConnection);
+        }
+        void commit(const RowTransaction&, Reply<RowCommit>) override { }
+        std::optional<Milliseconds> time() const override { return {}; }
+        void changes(const std::string&, uint64_t, Milliseconds, Reply<RowPage>) override { }
+        void putObject(const std::string&, const QByteArray&, Reply<bool>) override { }
+        void getObject(const std::string&, Reply<QByteArray>) override { }
+
+    private:
+        QObject m_context;
+    };
+    RefusingStore store;
+    RecordingListener listener;
+    TableFollower follower { store, { "t", { "p0", "p1", "p2" }, Milliseconds { 1 } }, listener };
+    follower.start();
+    REQUIRE(waitFor([&] { return listener.listings == 1; }));
+    CHECK(store.partitions == std::vector<std::string> { "p0", "p1", "p1", "p2" });
+    CHECK(listener.rows.size() == 3);
+}
+
 // Guards against a process that ends, or a table that is not followed any more, because of one exception.
 TEST_CASE("a follower continues when its listener throws")
 {
