LibGateway: Read the list of nodes again at spread times

Nodes that had heard of few others took themselves for sources.

A failed listing of the nodes is repeated at a time of the node's own, or comes from a source; a node that has heard of few others is no source until its turn.

--- a/Libraries/LibGateway/DomainFeed.cpp
+++ b/Libraries/LibGateway/DomainFeed.cpp
@@ -30,6 +30,11 @@
     /// meanwhile.
     constexpr Milliseconds maxRelistingDelay { 1'000 };
 
+    /// Time over which the nodes of a large deployment spread the repetition of a listing, for each failure, and its
+    /// limit.
+    constexpr Milliseconds repeatWindow { 2'000 };
+    constexpr Milliseconds maxRepeatWindow { 8'000 };
+
     /// Longest time until a source answers that has asked the store without waiting.
     constexpr Milliseconds refreshPatience { 400 };
 
@@ -152,7 +157,7 @@
         listFromStore(range, reply);
         return;
     }
-    feed->second.listing = Listing { range, std::move(reply) };
+    feed->second.listing = Listing { range, std::move(reply), m_clock.now() };
     if (!feed->second.listingSince)
         feed->second.listingSince = m_clock.now();
     proceedWithListing(range.table);
@@ -171,7 +176,7 @@
         return;
     const FeedSource* source = m_plan.isSettled ? usableSource() : nullptr;
     const bool isFirst = feed.isListedAtOnce && !feed.copy.isListed();
-    const bool mayListInStore = isFirst || hasTurn(feed);
+    const bool mayListInStore = isFirst ? hasTurnToRepeat(feed) : hasTurn(feed);
     if (source && !mayListInStore) {
         listFromSource(table, *source);
         return;
@@ -198,6 +203,16 @@
     return m_plan.isSource || m_clock.now() >= *feed.listingSince + delay;
 }
 
+bool DomainFeed::hasTurnToRepeat(const Feed& feed) const
+{
+    if (feed.failures == 0 || m_plan.storeDelay.count() == 0)
+        return true;
+    // What the store sends after the node has given up still takes its time on the link. If all nodes repeated their
+    // calls at once, none would get its answer in time.
+    const Milliseconds window = std::min(repeatWindow * feed.failures, maxRepeatWindow);
+    return m_clock.now() >= feed.listing->since + m_plan.storeDelay % window;
+}
+
 void DomainFeed::listFromSource(const std::string& table, const FeedSource& source)
 {
     Feed& feed = m_feeds.at(table);
@@ -228,6 +243,8 @@
             return;
         if (const auto* page = std::get_if<RowPage>(&result))
             recordListedPage(range, *page);
+        else
+            ++m_feeds.at(range.table).failures;
         reply(result);
     });
 }
@@ -251,6 +268,7 @@
 {
     Feed& feed = m_feeds.at(table);
     feed.listingSince.reset();
+    feed.failures = 0;
     const bool isOld = version < feed.copy.version();
     feed.copy.putListing(rows, version);
     if (!isOld)
--- a/Libraries/LibGateway/DomainFeed.h
+++ b/Libraries/LibGateway/DomainFeed.h
@@ -92,6 +92,7 @@
     struct Listing {
         RowRange range;
         Reply<RowPage> reply;
+        MonotonicTime since;
         bool isCalling { false };
     };
 
@@ -101,6 +102,8 @@
         std::optional<Listing> listing;
         /// Time since which a listing has been wanted, also after failed calls.
         std::optional<MonotonicTime> listingSince;
+        /// Number of calls of the listing that have failed at the store.
+        int failures { 0 };
         /// Pages that the store has returned so far, the version of the first one, and the time at which it came.
         std::vector<StoredRow> listedRows;
         uint64_t listedVersion { 0 };
@@ -127,6 +130,7 @@
     void proceedWithListing(const std::string& table);
     /// Returns whether the node may list the table at the store.
     bool hasTurn(const Feed&) const;
+    bool hasTurnToRepeat(const Feed&) const;
     void listFromSource(const std::string& table, const FeedSource&);
     void listFromStore(const RowRange&, const Reply<RowPage>&);
     void recordListedPage(const RowRange&, const RowPage&);
--- a/Libraries/LibGateway/DomainFeedPlan.cpp
+++ b/Libraries/LibGateway/DomainFeedPlan.cpp
@@ -2,6 +2,9 @@
 
 #include <LibRouting/Rendezvous.h>
 
+#include <QByteArray>
+#include <QHashFunctions>
+
 #include <algorithm>
 #include <utility>
 
@@ -22,6 +25,9 @@
     /// takes on a link of 100 Mbit/s. A node that has listed them serves the others, so few nodes ever wait for long.
     constexpr Milliseconds delayPerNode { 150 };
 
+    /// Number of nodes whose turns are spread while the list of nodes is not known.
+    constexpr size_t assumedNodes = 300;
+
     /// Time between two nodes that begin to list the jobs: 1,000 calls a second in 16 partitions, half of what the
     /// store takes.
     constexpr Milliseconds jobDelayPerNode { 16 };
@@ -39,6 +45,8 @@
 FeedPlanner::FeedPlanner(std::string address, MonotonicTime startedAt)
     : m_address(std::move(address))
     , m_startedAt(startedAt)
+    // Until the other nodes are known, any order serves.
+    , m_turn(delayPerNode * static_cast<int64_t>(qHash(QByteArray::fromStdString(m_address)) % assumedNodes))
 {
 }
 
@@ -60,6 +68,14 @@
     return now >= *m_largeSince + settleTime;
 }
 
+bool FeedPlanner::knowsDomain(const FeedSurroundings& surroundings) const
+{
+    if (surroundings.chosen.size() > 1)
+        return true;
+    // A node that is the only one chosen is in a small failure domain, or has not heard of the others yet.
+    return m_addresses > 0 && (surroundings.peers + 1) * 4 >= m_addresses * 3;
+}
+
 FeedPlan FeedPlanner::plan(const FeedSurroundings& surroundings, MonotonicTime now)
 {
     const size_t nodes = std::max(m_addresses, surroundings.peers + 1);
@@ -70,8 +86,7 @@
     const bool isLarge = nodes > maxNodesWithoutDelay;
     plan.storeDelay = isLarge ? m_turn : Milliseconds { 0 };
     const bool isChosen = std::ranges::find(surroundings.chosen, surroundings.node) != surroundings.chosen.end();
-    // A node that has heard of no other one of its failure domain may be one of many such nodes.
-    plan.isSource = isChosen && (surroundings.domainPeers > 0 || !isLarge);
+    plan.isSource = isChosen && (!isLarge || knowsDomain(surroundings));
     if (isChosen)
         return plan;
     plan.sources = surroundings.sources;
--- a/Libraries/LibGateway/DomainFeedPlan.h
+++ b/Libraries/LibGateway/DomainFeedPlan.h
@@ -40,8 +40,6 @@
     std::vector<std::string> chosen;
     /// Those of them that are other nodes.
     std::vector<FeedSource> sources;
-    /// Other nodes of the failure domain that are alive.
-    size_t domainPeers { 0 };
     /// Other nodes of the deployment that are alive.
     size_t peers { 0 };
 };
@@ -69,13 +67,15 @@
 
 private:
     bool isSettled(size_t nodes, MonotonicTime now);
+    /// Returns whether this node has heard of enough others to be right about who is a source.
+    bool knowsDomain(const FeedSurroundings&) const;
 
     const std::string m_address;
     const MonotonicTime m_startedAt;
     /// Number of all nodes, 0 while it is not known.
     size_t m_addresses { 0 };
     /// Time after which this node may list a table without a source.
-    Milliseconds m_turn { 0 };
+    Milliseconds m_turn;
     /// Time since which the deployment is known to be large.
     std::optional<MonotonicTime> m_largeSince;
     bool m_isSettled { false };
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -20,8 +20,11 @@
     /// Longest time for which the configuration waits for the list of nodes at the start.
     constexpr Milliseconds nodeListTimeout { 300 };
 
+    /// Longest time for which a node of a large deployment waits for the configuration of a peer at the start.
+    constexpr Milliseconds maxConfigurationDelay { 4'000 };
+
     /// Longest time for which the list of jobs waits for the list of nodes at the start.
-    constexpr Milliseconds jobListingTimeout { 1'000 };
+    constexpr Milliseconds jobListingTimeout { 3'000 };
 
     /// The load balancer checks readiness once a second, and detects within two checks that a node is not ready.
     constexpr Milliseconds drainDelay { 2'300 };
@@ -326,13 +329,16 @@
 
 void Gateway::updateFeedPlan(const std::vector<std::string>& sources)
 {
-    FeedSurroundings surroundings { m_node, sources, {}, m_peers.domainPeers().size(), m_peers.aliveCount() };
+    FeedSurroundings surroundings { m_node, sources, {}, m_peers.aliveCount() };
     for (const std::string& it : surroundings.chosen) {
         if (it != m_node)
             surroundings.sources.push_back({ it, m_peers.addressOf(it) });
     }
     const FeedPlan plan = m_feedPlanner.plan(surroundings, m_clock.now());
     m_feed.setPlan(plan);
+    // The list of nodes may be late when many of them start.
+    if (plan.storeDelay.count() > 0 && !std::exchange(m_isInLargeDeployment, true))
+        m_configuration.start(std::min(plan.storeDelay, maxConfigurationDelay));
     // The others wait for the configuration that a source reads.
     if (plan.isSettled && plan.isSource)
         m_configuration.start(Milliseconds { 0 });
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -130,6 +130,8 @@
     HttpServer m_statusServer;
     HttpServer m_peerServer;
     QTimer m_tickTimer;
+    /// Whether there are more nodes than can all read the store at once.
+    bool m_isInLargeDeployment { false };
     /// Runs until the jobs may be listed.
     QTimer m_jobStartTimer;
     QTimer m_stopTimer;
--- a/Tests/LibGateway/FeedWorld.h
+++ b/Tests/LibGateway/FeedWorld.h
@@ -324,8 +324,8 @@
         for (const auto& it : nodes) {
             if (it->state == State::Stopped)
                 continue;
-            FeedSurroundings surroundings { it->name, chosenFor(*it), {}, peersOf(*it).size(), m_others };
-            surroundings.peers += surroundings.domainPeers;
+            const size_t peers = it->isCutOff ? 0 : peersOf(*it).size() + m_others;
+            FeedSurroundings surroundings { it->name, chosenFor(*it), {}, peers };
             for (const std::string& name : surroundings.chosen) {
                 if (name != it->name)
                     surroundings.sources.push_back({ name, name });
--- a/Tests/LibGateway/TestDomainFeed.cpp
+++ b/Tests/LibGateway/TestDomainFeed.cpp
@@ -145,6 +145,31 @@
     });
 }
 
+// Guards against a hundred nodes that each take themselves for a source because they have heard of few others.
+TEST_CASE("a node of a large deployment that has heard of few others is no source until its turn")
+{
+    FeedPlanner planner("10.0.0.1:1", {});
+    const auto after = [](int64_t ms) { return MonotonicTime {} + Milliseconds { ms }; };
+    const FeedSurroundings few { "n1", { "n1" }, {}, 60 };
+    CHECK_FALSE(planner.plan(few, after(10)).isSettled);
+    const FeedPlan unknown = planner.plan(few, after(400));
+    CHECK(unknown.isSettled);
+    CHECK_FALSE(unknown.isSource);
+    CHECK(unknown.storeDelay > Milliseconds { 0 });
+    std::set<std::string> addresses;
+    for (int n = 0; n < 300; ++n)
+        addresses.insert("10.0.0." + std::to_string(n) + ":1");
+    planner.setAddresses(addresses);
+    CHECK_FALSE(planner.plan(few, after(500)).isSource);
+    // It has heard of most nodes, so its failure domain is small.
+    CHECK(planner.plan({ "n1", { "n1" }, {}, 240 }, after(600)).isSource);
+    // It has heard of enough nodes of its failure domain.
+    CHECK(planner.plan({ "n1", { "n1", "n2" }, { { "n2", "a" } }, 60 }, after(700)).isSource);
+    const FeedPlan member = planner.plan({ "n1", { "n2", "n3" }, { { "n2", "a" }, { "n3", "b" } }, 60 }, after(800));
+    CHECK_FALSE(member.isSource);
+    CHECK(member.sources.size() == 2);
+}
+
 // Guards against a store that refuses all calls because hundreds of nodes list 16 partitions of jobs at once.
 TEST_CASE("nodes that start together list the jobs at a bounded rate, those of a small deployment at once")
 {
