--- a/Tests/LibGateway/FeedWorld.h
+++ b/Tests/LibGateway/FeedWorld.h
@@ -127,10 +127,20 @@
 
     void read(const RowRange& range, Reply<RowPage> reply) override
     {
-        if (isLost)
+        if (isLost) {
             fail(std::move(reply));
-        else
-            m_store.read(range, std::move(reply));
+            return;
+        }
+        // The response of a call that has timed out still crosses the link.
+        const auto pending = std::make_shared<Reply<RowPage>>(std::move(reply));
+        m_store.read(range, [pending](const StoreResult<RowPage>& result) {
+            if (*pending)
+                std::exchange(*pending, {})(result);
+        });
+        QTimer::singleShot(FeedTiming::storeTimeout, &m_timers, [pending] {
+            if (*pending)
+                std::exchange(*pending, {})(StoreFailure { StoreFailure::Kind::OutcomeUnknown, "no response" });
+        });
     }
     void changes(const std::string& table, uint64_t after, Milliseconds wait, Reply<RowPage> reply) override
     {
@@ -173,12 +183,12 @@
     };
 
     struct Node final : TableListener, HttpClient {
-        Node(FeedWorld& world, std::string nodeName)
+        Node(FeedWorld& world, std::string nodeName, bool isListedAtOnce)
             : name(std::move(nodeName))
             , store(world.store)
             , m_world(world)
             , planner(name, world.clock.now())
-            , feed(store, *this, world.clock, world.m_log, { { "servers" } })
+            , feed(store, *this, world.clock, world.m_log, { { "servers", isListedAtOnce } })
             , follower(feed, { "servers", { "" }, FeedTiming::waitFor(FeedTiming::maxEndpointViewAge) }, *this)
         {
         }
@@ -217,15 +227,15 @@
         TableFollower follower;
     };
 
-    /// `others` is the number of nodes of other failure domains.
-    FeedWorld(size_t nodes, size_t others, size_t rows, SimulatedEventLoop& loop)
+    /// `others` is the number of nodes of other failure domains; `isListedAtOnce` says that each node lists the table.
+    FeedWorld(size_t nodes, size_t others, size_t rows, SimulatedEventLoop& loop, bool isListedAtOnce = false)
         : m_loop(loop)
         , m_others(others)
     {
         for (size_t n = 0; n < rows; ++n)
             store.put(n, QByteArray(280, 'x'));
         for (size_t n = 0; n < nodes; ++n)
-            this->nodes.push_back(std::make_unique<Node>(*this, "n" + std::to_string(n)));
+            this->nodes.push_back(std::make_unique<Node>(*this, "n" + std::to_string(n), isListedAtOnce));
     }
 
     void start()
--- a/Tests/LibGateway/TestDomainFeed.cpp
+++ b/Tests/LibGateway/TestDomainFeed.cpp
@@ -145,6 +145,20 @@
     });
 }
 
+// Guards against nodes whose calls all time out because they are repeated faster than the link carries the answers
+// (issue 51).
+TEST_CASE("a table that each node lists is known to all within seconds although the first calls time out")
+{
+    runOnSimulatedTime([](SimulatedEventLoop& loop) {
+        // As many bytes as the rows of 600 nodes, of which half are gone.
+        FeedWorld world(manyNodes, otherNodes, 130, loop, true);
+        for (const auto& it : world.nodes)
+            it->isCutOff = true;
+        world.start();
+        CHECK(world.runUntilCurrent(Milliseconds { 40'000 }) <= Milliseconds { 6'000 });
+    });
+}
+
 // Guards against a hundred nodes that each take themselves for a source because they have heard of few others.
 TEST_CASE("a node of a large deployment that has heard of few others is no source until its turn")
 {
