LibGateway: Wait longer for the list of nodes before taking a deployment for small

Cause (trial, ended after the return): behind the slow link, the list of 600 rows came later than 0.3 s and few reports had arrived, so every node took itself for a source. In the other region the return took 0.64 s.

--- a/Libraries/LibGateway/DomainFeedPlan.cpp
+++ b/Libraries/LibGateway/DomainFeedPlan.cpp
@@ -15,8 +15,9 @@
     /// Number of nodes up to which all may list the tables at once.
     constexpr size_t maxNodesWithoutDelay = 24;
 
-    /// Longest time for which a node that has heard of few others waits for the list of nodes.
-    constexpr Milliseconds nodeListTimeout { 300 };
+    /// Longest time for which a node that has heard of few others waits for the list of nodes. The list of hundreds of
+    /// nodes may take more than a second on a link that all of them read it over.
+    constexpr Milliseconds nodeListTimeout { 2'000 };
 
     /// Time in which the nodes of a large deployment hear of each other before they choose sources.
     constexpr Milliseconds settleTime { 300 };
