LibGateway: Spread repeated calls also while the number of nodes is unknown

Behind the slow link a node knows neither the list of nodes nor many of them when its first call fails, so the calls were repeated at once by all.

--- a/Libraries/LibGateway/DomainFeed.cpp
+++ b/Libraries/LibGateway/DomainFeed.cpp
@@ -30,10 +30,9 @@
     /// meanwhile.
     constexpr Milliseconds maxRelistingDelay { 1'000 };
 
-    /// Time over which the nodes of a large deployment spread the repetition of a listing, for each failure, and its
-    /// limit.
+    /// Time over which nodes spread the repetition of a listing, for each failure, and its limit.
     constexpr Milliseconds repeatWindow { 2'000 };
-    constexpr Milliseconds maxRepeatWindow { 8'000 };
+    constexpr Milliseconds maxRepeatWindow { 4'000 };
 
     /// Longest time until a source answers that has asked the store without waiting.
     constexpr Milliseconds refreshPatience { 400 };
@@ -205,12 +204,12 @@
 
 bool DomainFeed::hasTurnToRepeat(const Feed& feed) const
 {
-    if (feed.failures == 0 || m_plan.storeDelay.count() == 0)
+    if (feed.failures == 0)
         return true;
     // What the store sends after the node has given up still takes its time on the link. If all nodes repeated their
     // calls at once, none would get its answer in time.
     const Milliseconds window = std::min(repeatWindow * feed.failures, maxRepeatWindow);
-    return m_clock.now() >= feed.listing->since + m_plan.storeDelay % window;
+    return m_clock.now() >= feed.listing->since + m_plan.turn % window;
 }
 
 void DomainFeed::listFromSource(const std::string& table, const FeedSource& source)
--- a/Libraries/LibGateway/DomainFeedPlan.cpp
+++ b/Libraries/LibGateway/DomainFeedPlan.cpp
@@ -17,7 +17,7 @@
 
     /// Longest time for which a node that has heard of few others waits for the list of nodes. The list of hundreds of
     /// nodes may take more than a second on a link that all of them read it over.
-    constexpr Milliseconds nodeListTimeout { 2'000 };
+    constexpr Milliseconds nodeListTimeout { 4'000 };
 
     /// Time in which the nodes of a large deployment hear of each other before they choose sources.
     constexpr Milliseconds settleTime { 300 };
@@ -85,6 +85,7 @@
     FeedPlan plan;
     plan.isSettled = m_isSettled;
     const bool isLarge = nodes > maxNodesWithoutDelay;
+    plan.turn = m_turn;
     plan.storeDelay = isLarge ? m_turn : Milliseconds { 0 };
     const bool isChosen = std::ranges::find(surroundings.chosen, surroundings.node) != surroundings.chosen.end();
     plan.isSource = isChosen && (!isLarge || knowsDomain(surroundings));
--- a/Libraries/LibGateway/DomainFeedPlan.h
+++ b/Libraries/LibGateway/DomainFeedPlan.h
@@ -29,6 +29,9 @@
     std::vector<FeedSource> sources;
     /// Time without a source after which the node may list a table of the store.
     Milliseconds storeDelay { 0 };
+    /// Turn of this node among all nodes, by which calls are spread that have failed, also while it is not known how
+    /// many nodes there are.
+    Milliseconds turn { 0 };
 
     auto operator<=>(const FeedPlan&) const = default;
 };
