--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -61,6 +61,11 @@
         return;
     }
     const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
+    if (!route && m_environment.isConfigurationOutdated()) {
+        answerError(
+            exchange, Error(ErrorKind::NotReady, "the route is not known here yet", notReadyRetryAfter), request.id);
+        return;
+    }
     if (!route) {
         answerError(exchange, Error(ErrorKind::UnknownRoute, "no route matches the request"), request.id);
         return;
--- a/Libraries/LibPlatform/TableFollower.cpp
+++ b/Libraries/LibPlatform/TableFollower.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <exception>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace Chicorydock {
@@ -76,8 +77,14 @@
 
 void TableFollower::list()
 {
+    // A store that refuses calls because there are too many must not be asked for the pages before again.
+    if (const auto from = std::exchange(m_failedPage, {})) {
+        listPartition(from->first, from->second);
+        return;
+    }
     m_listing.clear();
     m_listedVersion = 0;
+    m_listingTime.start();
     listPartition(0, {});
 }
 
@@ -85,10 +92,12 @@
 {
     m_store.read(
         { m_options.table, m_options.partitions[n], from, {} }, [this, n, from](const StoreResult<RowPage>& result) {
-            if (const auto* page = std::get_if<RowPage>(&result))
+            if (const auto* page = std::get_if<RowPage>(&result)) {
                 handleListing(n, from, *page);
-            else
-                handleFailure(std::get<StoreFailure>(result));
+                return;
+            }
+            m_failedPage = { n, from };
+            handleFailure(std::get<StoreFailure>(result));
         });
 }
 
@@ -120,6 +129,10 @@
     m_isListed = true;
     m_version = m_listedVersion;
     m_retryDelay = Milliseconds { 0 };
+    const qsizetype bytes = std::accumulate(m_listing.begin(), m_listing.end(), qsizetype { 0 },
+        [](qsizetype sum, const StoredRow& it) { return sum + it.value.size(); });
+    LOG(INFO) << "listed table " << m_options.table << ": " << m_listing.size() << " rows, " << bytes << " bytes, "
+              << m_listingTime.elapsed() << " ms";
     notify([this] { m_listener.onTableListed({ std::exchange(m_listing, {}), m_listedVersion }); });
     proceed();
 }
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -20,6 +20,12 @@
     /// Longest time for which the configuration waits for the list of nodes at the start.
     constexpr Milliseconds nodeListTimeout { 300 };
 
+    /// Longest time for which a node of a large deployment waits for the configuration of a peer at the start.
+    constexpr Milliseconds maxConfigurationDelay { 4'000 };
+
+    /// Longest time for which the list of jobs waits for the list of nodes at the start.
+    constexpr Milliseconds jobListingTimeout { 3'000 };
+
     /// The load balancer checks readiness once a second, and detects within two checks that a node is not ready.
     constexpr Milliseconds drainDelay { 2'300 };
     constexpr Milliseconds stopCheckInterval { 50 };
@@ -139,6 +145,8 @@
     {
         if (exchange->request().headers.find(relayField))
             m_gateway.m_handler.handleRelayed(exchange);
+        else if (exchange->request().path == feedPath)
+            m_gateway.m_feed.handle(std::move(exchange));
         else
             m_gateway.m_configuration.handle(std::move(exchange));
     }
@@ -155,10 +163,13 @@
     , m_responseMemory(MemoryShares::of(settings.gateway->memoryMb).responseBytes)
     , m_store(m_controlClient, settings.platform.address, FeedTiming::storeTimeout)
     , m_links(m_clock, m_random, m_directory, m_prober, m_log)
+    , m_feed(m_store, m_controlClient, m_clock, m_log,
+          { { m_wire.endpointTable() }, { StreamOrigins::defaultTable() }, { NodeRegistry::table(), true } })
+    , m_feedPlanner(settings.gateway->peerAddress, m_clock.now())
     , m_quarantine(m_node)
-    , m_origins(m_store, m_clock)
+    , m_origins(m_feed, m_clock)
     , m_registrations(m_wire, m_directory, m_origins, m_clock, m_log, [this] { updateSchedulerEndpoints(); })
-    , m_endpointFollower(std::make_unique<TableFollower>(m_store,
+    , m_endpointFollower(std::make_unique<TableFollower>(m_feed,
           TableFollower::Options {
               m_wire.endpointTable(), { "" }, FeedTiming::waitFor(FeedTiming::maxEndpointViewAge) },
           m_registrations))
@@ -182,9 +193,13 @@
     , m_peerHandler(std::make_unique<PeerHandler>(*this))
     , m_configuration(m_store, m_wire, m_peers, m_controlClient, m_clock, m_random, *m_configurationApplier)
     , m_jobFollower(std::make_unique<TableFollower>(m_store, FeedTiming::jobFeed(), m_jobs))
-    , m_registry(m_store, m_peers, m_node, settings.gateway->peerAddress,
+    , m_registry(m_feed, m_peers, m_node, settings.gateway->peerAddress,
           [this](const std::set<std::string>& addresses) {
               m_configuration.start(storeReadDelay(m_settings.gateway->peerAddress, addresses));
+              m_feedPlanner.setAddresses(addresses);
+              if (m_jobStartTimer.isActive())
+                  m_jobStartTimer.start(jobListingDelay(m_settings.gateway->peerAddress, addresses));
+              updateFeedPlan(coordinators());
           })
     , m_server(m_handler, serverLimits(settings), [this](const Error& error) { return m_wire.errorAnswer(error, {}); })
     , m_statusServer(*m_statusHandler, statusLimits())
@@ -207,6 +222,8 @@
     }
     m_environment.isConfigurationCurrent = [this] { return m_configuration.isCurrent(); };
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
+    m_jobStartTimer.setSingleShot(true);
+    connect(&m_jobStartTimer, &QTimer::timeout, this, [this] { m_jobFollower->resume(); });
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
 }
 
@@ -220,7 +237,9 @@
     m_peerServer.listen(m_settings.gateway->peerAddress);
     m_configuration.start(nodeListTimeout);
     m_endpointFollower->start();
+    m_jobFollower->pause();
     m_jobFollower->start();
+    m_jobStartTimer.start(jobListingTimeout);
     m_origins.start();
     m_registry.start();
     m_tickTimer.start(tickInterval);
@@ -346,28 +365,54 @@
         m_peers.scheduleReports();
 }
 
-void Gateway::updateCoordinator()
+std::vector<std::string> Gateway::coordinators() const
 {
     const CoordinatorCandidate self { m_node, capacityPercent(m_settings) };
-    const std::vector<std::string> coordinators
-        = chooseCoordinators(self, m_settings.node.failureDomain, m_peers.domainPeers());
-    m_member.setCandidates(coordinators, m_clock.now());
-    // The nodes that may allocate the slots of a failure domain are also its sources of the configuration.
-    const bool isSource = std::ranges::find(coordinators, m_node) != coordinators.end();
+    return chooseCoordinators(self, m_settings.node.failureDomain, m_peers.domainPeers());
+}
+
+void Gateway::updateCoordinator()
+{
+    const std::vector<std::string> candidates = coordinators();
+    m_member.setCandidates(candidates, m_clock.now());
+    // The nodes that may allocate the slots of a failure domain are also its sources of what the store holds.
+    const bool isSource = std::ranges::find(candidates, m_node) != candidates.end();
     m_configuration.setSource(isSource);
     m_peers.setConfigurationSource(isSource);
+    updateFeedPlan(candidates);
     recordCoordinator();
     reportSlotUse();
     m_exchange.schedule();
 }
 
+void Gateway::updateFeedPlan(const std::vector<std::string>& sources)
+{
+    FeedSurroundings surroundings { m_node, sources, {}, m_peers.aliveCount() };
+    for (const std::string& it : surroundings.chosen) {
+        if (it != m_node)
+            surroundings.sources.push_back({ it, m_peers.addressOf(it) });
+    }
+    const FeedPlan plan = m_feedPlanner.plan(surroundings, m_clock.now());
+    m_feed.setPlan(plan);
+    // The list of nodes may be late when many of them start.
+    if (plan.storeDelay.count() > 0 && !std::exchange(m_isInLargeDeployment, true))
+        m_configuration.start(std::min(plan.storeDelay, maxConfigurationDelay));
+    // The others wait for the configuration that a source reads.
+    if (plan.isSettled && plan.isSource)
+        m_configuration.start(Milliseconds { 0 });
+}
+
 void Gateway::reportStoreReachability()
 {
     // After an outage of the store, a peer that does not hear soon that this node is back takes over its jobs.
     // Peers that were cut off themselves conclude from it that the store was available.
     const std::pair reachable { m_jobFollower->isReachable(), m_endpointFollower->isReachable() };
-    if (std::exchange(m_reportedReachable, reachable) != reachable)
-        m_peers.announce();
+    if (std::exchange(m_reportedReachable, reachable) == reachable)
+        return;
+    // The registrations may come from a peer while this node cannot write to the store.
+    if (m_feed.usesSource())
+        m_origins.setStoreReachable(reachable.first && reachable.second);
+    m_peers.announce();
 }
 
 void Gateway::updateLinks()
@@ -491,6 +536,7 @@
         it->setDraining(true);
     m_handler.beginStop(m_stop->schedule());
     m_jobs.release();
+    m_feed.stopServing();
     m_registry.leave();
     m_peers.announce();
     m_stopTimer.start(stopCheckInterval);
@@ -591,6 +637,14 @@
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
     set("chicorydock_jobs_owned", "Jobs that this node runs.", static_cast<double>(m_jobs.ownedJobs()));
     set("chicorydock_store_calls", "Calls to the store since the start.", static_cast<double>(m_store.calls()));
+    const DomainFeed::Traffic feed = m_feed.traffic();
+    set("chicorydock_feed_uses_source", "Whether tables come from another node.", m_feed.usesSource());
+    set("chicorydock_feed_store_bytes", "Bytes of tables read from the store since the start.",
+        static_cast<double>(feed.fromStore));
+    set("chicorydock_feed_source_bytes", "Bytes of tables read from other nodes since the start.",
+        static_cast<double>(feed.fromSources));
+    set("chicorydock_feed_served_bytes", "Bytes of tables sent to other nodes since the start.",
+        static_cast<double>(feed.toPeers));
     set("chicorydock_endpoint_connections", "Connections opened to endpoints since the start.",
         static_cast<double>(m_endpointClient.openedConnections()));
     for (const auto& [kind, budget] : { std::pair("requests", &m_requestMemory), { "responses", &m_responseMemory } }) {
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -6,6 +6,7 @@
 #include <LibCore/SeededRandom.h>
 #include <LibCore/SystemClock.h>
 #include <LibGateway/ConfigurationFollower.h>
+#include <LibGateway/DomainFeed.h>
 #include <LibGateway/EndpointRegistrations.h>
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/NodeRegistry.h>
@@ -71,6 +72,10 @@
     SlotExchange::Handlers exchangeHandlers();
     void reportSlotUse();
     void updateCoordinator();
+    /// Returns the nodes that may allocate slots for this one, in order of preference.
+    std::vector<std::string> coordinators() const;
+    /// Chooses where the tables of the store come from.
+    void updateFeedPlan(const std::vector<std::string>& sources);
     void recordCoordinator();
     void updateQuarantine();
     void updateLinks();
@@ -108,6 +113,8 @@
     EndpointDirectory m_directory;
     TcpEndpointProber m_prober;
     EndpointLinkMonitor m_links;
+    DomainFeed m_feed;
+    FeedPlanner m_feedPlanner;
     PromptQuarantine m_quarantine;
     StreamOrigins m_origins;
     EndpointRegistrations m_registrations;
@@ -132,6 +139,10 @@
     HttpServer m_peerServer;
     ConnectionLimits m_connectionLimits;
     QTimer m_tickTimer;
+    /// Whether there are more nodes than can all read the store at once.
+    bool m_isInLargeDeployment { false };
+    /// Runs until the jobs may be listed.
+    QTimer m_jobStartTimer;
     QTimer m_stopTimer;
     /// Coordinator in the latest log line about it.
     std::string m_loggedCoordinator;
