LibHTTP, LibGateway: Mend what the review of connections and feeds found

A connection that gave way lost the response that it had just sent (reset with what the kernel had not delivered), or was reset while its caller took the response; a burst of connections could replace the balancer's before its request was read; silent connections stayed while uploads were reset. A node without the store got no changes while its source had failed, and a call that had ended could end twice.

--- a/Libraries/LibGateway/FeedCall.cpp
+++ b/Libraries/LibGateway/FeedCall.cpp
@@ -109,6 +109,9 @@
 {
     m_timer.stop();
     const auto onEnd = std::exchange(m_onEnd, {});
+    // The connection may fail after the timer has expired, before this call is destroyed.
+    if (!onEnd)
+        return;
     const Result result = std::move(m_result);
     onEnd(result);
 }
--- a/Libraries/LibGateway/FeedServer.cpp
+++ b/Libraries/LibGateway/FeedServer.cpp
@@ -108,7 +108,9 @@
     if (!*hasChanges && !isConfirmed && now < held.expiresAt)
         return false;
     const MonotonicTime pushAt = calls.pushedAt + std::max(minPushInterval, held.request.wait / pushesPerWait);
-    if (*hasChanges && now < pushAt) {
+    // A node that asks without waiting has no other way to the changes.
+    const bool isPaced = held.request.wait.count() > 0;
+    if (*hasChanges && isPaced && now < pushAt) {
         scheduleDue(pushAt);
         return false;
     }
--- a/Libraries/LibHTTP/ConnectionAcceptor.cpp
+++ b/Libraries/LibHTTP/ConnectionAcceptor.cpp
@@ -2,6 +2,7 @@
 
 #include <QTimer>
 
+#include <algorithm>
 #include <chrono>
 #include <sys/socket.h>
 
@@ -9,9 +10,13 @@
 
 namespace {
 
-    /// Connections that are accepted before other events have their turn. Connections that are closed meanwhile are
-    /// destroyed only then, and open ones wait, so callers that connect without end must not delay it.
-    constexpr int maxAcceptedAtOnce = 64;
+    /// Upper limit of the connections that are accepted before other events have their turn. Connections that are
+    /// closed meanwhile are destroyed only then, and open ones wait, so callers that connect without end must not delay
+    /// it.
+    constexpr size_t maxAcceptedAtOnce = 64;
+
+    /// Share of the open connections that may be replaced before the requests on them are read, as a divisor.
+    constexpr size_t unreadParts = 4;
 
     /// Upper limit of the connections that wait in the backlog of the kernel.
     constexpr int maxPending = 1024;
@@ -21,8 +26,11 @@
 
 }
 
-ConnectionAcceptor::ConnectionAcceptor(AddConnection addConnection)
+ConnectionAcceptor::ConnectionAcceptor(AddConnection addConnection, size_t maxConnections)
     : m_addConnection(std::move(addConnection))
+    , m_maxAcceptedAtOnce(static_cast<int>(maxConnections == 0
+              ? maxAcceptedAtOnce
+              : std::clamp<size_t>(maxConnections / unreadParts, 1, maxAcceptedAtOnce)))
 {
     // QTcpServer stops accepting when that fails.
     connect(this, &QTcpServer::acceptError, this,
@@ -44,7 +52,7 @@
 {
     if (QTcpSocket* socket = m_addConnection(descriptor))
         addPendingConnection(socket);
-    if (++m_acceptedAtOnce < maxAcceptedAtOnce)
+    if (++m_acceptedAtOnce < m_maxAcceptedAtOnce)
         return;
     // QAbstractHttpServer removes pending connections at once, so only a limit of none ends the loop of QTcpServer.
     setMaxPendingConnections(0);
@@ -54,7 +62,7 @@
 void ConnectionAcceptor::acceptFurther()
 {
     m_acceptedAtOnce = 0;
-    setMaxPendingConnections(maxAcceptedAtOnce);
+    setMaxPendingConnections(m_maxAcceptedAtOnce);
     if (isListening())
         resumeAccepting();
 }
--- a/Libraries/LibHTTP/ConnectionAcceptor.h
+++ b/Libraries/LibHTTP/ConnectionAcceptor.h
@@ -15,7 +15,8 @@
     /// Takes ownership of the descriptor. Returns nothing if it has closed the connection.
     using AddConnection = std::function<QTcpSocket*(qintptr descriptor)>;
 
-    explicit ConnectionAcceptor(AddConnection);
+    /// `maxConnections` is the limit on open connections, 0 for none.
+    ConnectionAcceptor(AddConnection, size_t maxConnections);
 
     /// Accepts the connections that wait in the backlog of the kernel. Closing the listening socket without this would
     /// reset them.
@@ -28,6 +29,8 @@
     void acceptFurther();
 
     AddConnection m_addConnection;
+    /// Connections that are accepted before other events have their turn.
+    const int m_maxAcceptedAtOnce;
     int m_acceptedAtOnce { 0 };
 };
 
--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -278,22 +278,30 @@
         return {};
     if (m_socket->bytesToWrite() > 0 && time >= m_lastWriteProgress + stallTime)
         return GiveWayRank { Class::Stalled, m_lastWriteProgress };
+    // The caller is taking its response.
+    if (m_socket->bytesToWrite() > 0)
+        return {};
     if (m_stage == Stage::Lingering)
         return GiveWayRank { Class::Closing, m_deadline };
-    if (m_stage != Stage::Reading || m_socket->bytesToWrite() > 0)
+    if (m_stage != Stage::Reading)
         return {};
     if (m_reader.isStarted() || !m_input.isEmpty() || m_socket->bytesAvailable() > 0)
         return GiveWayRank { Class::Arriving, m_requestStart };
     if (m_hasServed)
         return GiveWayRank { Class::Idle, m_requestStart };
     const bool isNew = time < m_acceptedAt + firstRequestTime;
-    return GiveWayRank { isNew ? Class::Arriving : Class::Silent, m_acceptedAt };
+    return GiveWayRank { isNew ? Class::New : Class::Silent, m_acceptedAt };
 }
 
 void HttpConnection::giveWay()
 {
     recordLimited(CallerLimit::Connections);
-    reset();
+    // A reset would drop what the kernel has not delivered yet of the last response.
+    const bool isAnswered = m_hasServed && !m_reader.isStarted() && m_socket->bytesToWrite() == 0;
+    if (isAnswered && m_stage != Stage::Handling)
+        m_socket->abort();
+    else
+        reset();
     onDisconnected();
 }
 
@@ -315,7 +323,10 @@
     m_isActive = isActive;
 }
 
-bool HttpConnection::closesAfterResponse() const { return m_context.isDraining || !m_request.keepAlive; }
+bool HttpConnection::closesAfterResponse() const
+{
+    return m_context.isDraining || !m_request.keepAlive || m_dropsInput;
+}
 
 void HttpConnection::send(const QByteArray& bytes)
 {
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -99,6 +99,8 @@
             Silent,
             /// It waits for the next request.
             Idle,
+            /// It was just opened, and its first request is probably on its way.
+            New,
             /// A request is arriving, or was sent ahead.
             Arriving,
             /// The last response was sent, and the caller may not have read all of it.
--- a/Tests/LibHTTP/TestCallerLimits.cpp
+++ b/Tests/LibHTTP/TestCallerLimits.cpp
@@ -9,6 +9,10 @@
 
 #include <QElapsedTimer>
 
+#include <array>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <utility>
 
 using namespace Chicorydock;
@@ -215,3 +219,45 @@
     CHECK(headers.find("Request-Id") == "5");
     CHECK(headers.find("1999") == "b");
 }
+
+namespace {
+
+class LargeHandler final : public HttpHandler {
+public:
+    void handle(std::shared_ptr<HttpExchange> exchange) override
+    {
+        exchange->answer({ .status = 200, .headers = {}, .body = QByteArray(200'000, 'x') + "end" });
+    }
+};
+
+}
+
+// Guards against a response that is lost because its connection, on which the node has sent all of it, gives way
+// before the caller has received it.
+TEST_CASE("a connection that gives way delivers the response that was sent on it")
+{
+    const QByteArray fields = GENERATE("", "Connection: close\r\n");
+    Fixture<LargeHandler> fixture(1);
+    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(fixture.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    const QByteArray text = "GET / HTTP/1.1\r\n" + fields + "\r\n";
+    REQUIRE(::send(caller, text.constData(), static_cast<size_t>(text.size()), 0) == text.size());
+    std::array<char, 65536> buf;
+    REQUIRE(waitFor([&] {
+        return ::recv(caller, buf.data(), 1, MSG_PEEK | MSG_DONTWAIT) == 1 && fixture.server.unsentBytes() == 0;
+    }));
+    RawCaller other(fixture.port);
+    REQUIRE(waitFor([&] { return fixture.limited(CallerLimit::Connections) == 1; }));
+    QByteArray received;
+    CHECK(waitFor([&] {
+        const ssize_t n = ::recv(caller, buf.data(), buf.size(), MSG_DONTWAIT);
+        if (n > 0)
+            received.append(buf.data(), n);
+        return received.endsWith("end");
+    }));
+    ::close(caller);
+}
