LibGateway: Mend what the review of workspaces, quotas and bookings found

- A caller could pass itself off as a peer by a header field, and escape revocation: whether a request comes from a peer follows from the port.
- Jobs whose identifiers begin alike were taken for each other in deployments without workspaces.
- A request that was queued again was refused by its own charge; charges were drawn or given back twice after a pause; a debt could shut a workspace out for minutes; reports of ended processes were kept for good.
- A scheduler that knew no endpoint yet booked seconds ahead, and callers without room returned all at once.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -84,7 +84,7 @@
     , m_slot(environment.broker)
     , m_fingerprint(requestFingerprint(m_exchange->request(), m_request.caller.workspace))
     , m_prompt(environment.quarantine, environment.clock, m_request.promptParts, m_fingerprint)
-    , m_isFromPeer(m_exchange->request().headers.find(relayField).has_value())
+    , m_isFromPeer(m_request.isFromPeer)
     , m_memory(&environment.responseMemory, [this] { handleMemoryRevoked(); })
     , m_sequence(m_request.lastEventId.value_or(0) > 0 ? m_request.lastEventId : std::nullopt)
     , m_stream(*m_exchange)
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -108,6 +108,7 @@
 void GatewayHandler::handleRelayed(const std::shared_ptr<HttpExchange>& exchange)
 {
     ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
+    request.isFromPeer = true;
     const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
     // The peer found the route, so its configuration is newer than the one here.
     if (!route || route->kind == RouteKind::Batch)
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -43,6 +43,13 @@
         return { ErrorKind::PlatformUnavailable, failure.message, storeRetryAfter };
     }
 
+    /// Returns whether the job was accepted while the deployment had workspaces.
+    bool isScoped(const JobHead& record)
+    {
+        const std::string callerId = record.id.substr(0, record.id.rfind(JobRows::scopeSeparator));
+        return record.id == JobRows::scopedId(record.workspace, callerId);
+    }
+
     const Error jobNotFound { ErrorKind::NotFound, "job not found" };
 
 }
@@ -73,11 +80,15 @@
         return id;
     if (workspace) {
         const auto it = m_records.find(callerId);
-        return it != m_records.end() && it->second.workspace.empty() ? callerId : id;
+        return it != m_records.end() && !isScoped(it->second) ? callerId : id;
     }
     const std::string prefix = callerId + JobRows::scopeSeparator;
-    const auto it = m_records.lower_bound(prefix);
-    return it != m_records.end() && it->first.starts_with(prefix) ? it->first : id;
+    for (auto it = m_records.lower_bound(prefix); it != m_records.end() && it->first.starts_with(prefix); ++it) {
+        // Identifiers of callers may contain the separator themselves.
+        if (it->first == JobRows::scopedId(it->second.workspace, callerId))
+            return it->first;
+    }
+    return id;
 }
 
 void JobController::submit(
--- a/Libraries/LibGateway/QueueAdmission.cpp
+++ b/Libraries/LibGateway/QueueAdmission.cpp
@@ -17,6 +17,9 @@
     constexpr Milliseconds maxRetryAfter { 1'600 };
     constexpr int maxRetryShareOfTimeLeft = 3;
 
+    /// The same limit while no endpoint of the service is known.
+    constexpr Milliseconds maxUnknownRetryAfter { 400 };
+
 }
 
 QueueAdmission::QueueAdmission(
@@ -70,6 +73,10 @@
 {
     const auto left = std::chrono::duration_cast<Milliseconds>(work.deadline - now);
     const Milliseconds latest = std::clamp(left / maxRetryShareOfTimeLeft, minRetryAfter, maxRetryAfter);
+    // Without endpoints nothing is known of the room. They are usually listed within a few hundred milliseconds, so
+    // callers return soon and book nothing.
+    if (!m_capacity.hasEndpoints(work.service))
+        return m_bookings.nextAtEnd({ minRetryAfter, std::min(latest, maxUnknownRetryAfter) });
     const Milliseconds earliest = minRetryAfter + expectedWait(work, line);
     // Peers refuse callers of their own, who are served from the same slots.
     const size_t peers = m_peers.countAt(PeerDistance::FailureDomain) + m_peers.countAt(PeerDistance::Region)
--- a/Libraries/LibGateway/QuotaBucket.cpp
+++ b/Libraries/LibGateway/QuotaBucket.cpp
@@ -175,9 +175,11 @@
     take(now);
 }
 
+double QuotaBucket::maxDebtLevel() const { return -refillPerSecond() * toSeconds(m_bounds.window); }
+
 void QuotaBucket::take(MonotonicTime now)
 {
-    m_level -= 1;
+    m_level = std::max(m_level - 1, std::min(m_level, maxDebtLevel()));
     m_ownRecent += 1;
     ++m_charged;
     m_changedAt = now;
@@ -193,20 +195,21 @@
     return m_charges.back();
 }
 
-void QuotaBucket::refund(MonotonicTime now)
+void QuotaBucket::refund(bool isDrawn, MonotonicTime now)
 {
     settle(now);
-    m_level = std::min(m_level + 1, capacity());
     --m_charged;
     m_changedAt = now;
+    if (!isDrawn)
+        return;
+    m_level = std::min(m_level + 1, std::max(m_level, capacity() * m_shares.group));
     chargesAt(now).own -= 1;
 }
 
 void QuotaBucket::drawReported(int32_t count, MonotonicTime now)
 {
     settle(now);
-    // No more debt than one window repays.
-    const double least = std::min(m_level, -m_limits.requestsPerSecond * toSeconds(m_bounds.window) - margin());
+    const double least = std::min(m_level, maxDebtLevel());
     m_level = std::clamp(m_level - count, least, std::max(m_level, capacity()));
     m_othersRecent = std::max(0.0, m_othersRecent + count);
     chargesAt(now).others += count;
--- a/Libraries/LibGateway/QuotaBucket.h
+++ b/Libraries/LibGateway/QuotaBucket.h
@@ -71,8 +71,8 @@
     /// Takes a token whether or not it is there, for a request that another allocator has accepted.
     void chargeAccepted(MonotonicTime now);
 
-    /// Returns the token of a request that did not run.
-    void refund(MonotonicTime now);
+    /// Returns the token of a request that did not run. `isDrawn` says that this bucket has drawn it.
+    void refund(bool isDrawn, MonotonicTime now);
 
     /// Draws the charges of another allocator, negative for refunds.
     void drawReported(int32_t count, MonotonicTime now);
@@ -103,6 +103,8 @@
     double decayed(double recent, MonotonicTime now) const;
     void settle(MonotonicTime now);
     void take(MonotonicTime now);
+    /// Returns the lowest level: no more debt than one window repays.
+    double maxDebtLevel() const;
     /// Returns the charges of the present interval.
     Charges& chargesAt(MonotonicTime now);
     /// Returns the part of the unreported charges of all allocators that this one may have.
--- a/Libraries/LibGateway/QuotaGroup.cpp
+++ b/Libraries/LibGateway/QuotaGroup.cpp
@@ -29,14 +29,21 @@
     return wasSilent;
 }
 
-void QuotaGroup::update(MonotonicTime now)
+std::vector<std::string> QuotaGroup::update(MonotonicTime now)
 {
-    std::erase_if(m_allocators, [&](const auto& it) { return now - it.second.heardAt > allocatorMemory; });
+    std::vector<std::string> forgotten;
+    for (const auto& [name, allocator] : m_allocators) {
+        if (now - allocator.heardAt > allocatorMemory)
+            forgotten.push_back(name);
+    }
+    for (const std::string& it : forgotten)
+        m_allocators.erase(it);
     m_inTouch = m_ownNodes;
     for (const auto& [name, allocator] : m_allocators) {
         if (allocator.isInTouch(now))
             m_inTouch += allocator.nodes;
     }
+    return forgotten;
 }
 
 uint32_t QuotaGroup::nodesKnown() const { return std::max(m_knownNodes, m_inTouch); }
--- a/Libraries/LibGateway/QuotaGroup.h
+++ b/Libraries/LibGateway/QuotaGroup.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Chicorydock {
 
@@ -30,13 +31,17 @@
     bool hear(const std::string& allocator, uint32_t nodes, Milliseconds lifetime, MonotonicTime now);
 
     /// Forgets a node that no longer allocates slots.
-    void remove(const std::string& allocator) { m_allocators.erase(allocator); }
+    /// Returns whether it was known.
+    bool remove(const std::string& allocator) { return m_allocators.erase(allocator) > 0; }
+
+    /// Returns whether the allocator was heard in the last time.
+    bool knows(const std::string& allocator) const { return m_allocators.contains(allocator); }
 
     /// Forgets all allocators.
     void reset() { m_allocators.clear(); }
 
-    /// Computes the numbers below anew.
-    void update(MonotonicTime now);
+    /// Computes the numbers below anew. Returns the allocators that are forgotten from now on.
+    std::vector<std::string> update(MonotonicTime now);
 
     /// Returns the number of nodes that this allocator and those that it is in touch with serve.
     uint32_t nodesInTouch() const { return m_inTouch; }
--- a/Libraries/LibGateway/RetryBookings.cpp
+++ b/Libraries/LibGateway/RetryBookings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace Chicorydock {
 
@@ -36,12 +37,19 @@
     line.recentMilliseconds += static_cast<double>(slotTime.count());
 }
 
+void RetryBookings::rescale(Line& line, double slots, MonotonicTime now)
+{
+    const double before = std::exchange(line.slotCount, slots);
+    if (before > 0 && slots > before && line.bookedUntil > now)
+        line.bookedUntil
+            = now + std::chrono::duration_cast<MonotonicTime::duration>((line.bookedUntil - now) * (before / slots));
+}
+
 Milliseconds RetryBookings::nextAtEnd(const Window& window)
 {
     m_spread += goldenRatio;
     m_spread -= std::floor(m_spread);
-    const Milliseconds length = std::max(window.latest - window.earliest, Milliseconds { 0 });
-    const auto part = static_cast<double>(std::min(length, fullWindowSpread).count());
+    const auto part = static_cast<double>(std::min(window.latest / 4, fullWindowSpread).count());
     return window.latest - Milliseconds { std::lround(part * m_spread) };
 }
 
@@ -50,6 +58,7 @@
 {
     Line& line = m_lines[service];
     decay(line, now);
+    rescale(line, slots, now);
     const MonotonicTime at = std::max(now + window.earliest, line.bookedUntil);
     if (at >= now + window.latest)
         return nextAtEnd(window);
--- a/Libraries/LibGateway/RetryBookings.h
+++ b/Libraries/LibGateway/RetryBookings.h
@@ -31,6 +31,9 @@
     Milliseconds book(
         const std::string& service, Milliseconds slotTime, const Window&, double slots, MonotonicTime now);
 
+    /// Returns a time in the last part of the window, without a booking.
+    Milliseconds nextAtEnd(const Window&);
+
 private:
     struct Line {
         /// End of the last booking.
@@ -38,13 +41,15 @@
         /// Slot time of recent requests, which decays with time, as of `updatedAt`.
         double recentMilliseconds { 0 };
         MonotonicTime updatedAt;
+        /// Slots at the last booking.
+        double slotCount { 0 };
     };
 
+    /// Brings the bookings forward when there are more slots than when they were made: a scheduler that has just
+    /// started does not know most endpoints yet.
+    static void rescale(Line&, double slots, MonotonicTime now);
     /// Lets the slot time of earlier requests decay until now.
     static void decay(Line&, MonotonicTime now);
-    /// Returns a time in the last part of the window.
-    Milliseconds nextAtEnd(const Window&);
-
     std::map<std::string, Line> m_lines;
     /// Place of the last caller in the part over which `nextAtEnd()` spreads them, from 0 to 1.
     double m_spread { 0 };
--- a/Libraries/LibGateway/ServiceCapacity.h
+++ b/Libraries/LibGateway/ServiceCapacity.h
@@ -35,6 +35,9 @@
     /// Returns the slots of the service in this node's failure domain.
     uint64_t domainSlots(const std::string& service) const { return find(service).domainSlotCount; }
 
+    /// Returns whether any endpoint of the service is known.
+    bool hasEndpoints(const std::string& service) const { return find(service).endpoints > 0; }
+
     /// Returns how many slots of the service can be in use at the same time within the limits, at least 1.
     double usableSlots(const std::string& service) const;
 
--- a/Libraries/LibGateway/SlotCoordinator.cpp
+++ b/Libraries/LibGateway/SlotCoordinator.cpp
@@ -49,10 +49,11 @@
     member.isReplyDue = member.isReplyDue || report.expectsReply;
     settleDecisions(member, report.acknowledged);
     finishWork(member, report.finished, now);
+    // Gives charges back before the requests that replace the withdrawn ones are charged.
+    removeMissingWork(member, report, now);
     addRequests(node, member, report.requests, now);
     addItems(node, member, report.items, now);
     addSlots(node, member, report.held, now);
-    removeMissingWork(member, report, now);
     for (const EndpointLoad& it : report.loads)
         m_scheduler.observe(it.endpoint, it.load, now);
     for (const EndpointRate& it : report.rates)
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -44,6 +44,8 @@
     WorkProfile profile;
     /// Follows from the key and is not set by the decoder. Its workspace is that of the profile.
     CallerIdentity caller {};
+    /// Whether a peer handed the request over. Not set by the decoder, since callers may send the field of peers too.
+    bool isFromPeer { false };
 };
 
 /// Status line and header fields of an endpoint's response, decoded.
--- a/Libraries/LibGateway/WorkspaceQuota.cpp
+++ b/Libraries/LibGateway/WorkspaceQuota.cpp
@@ -96,6 +96,7 @@
     m_isStarted = true;
     m_startedAt = now;
     m_heardUntil = now;
+    m_returned.clear();
     m_group.reset();
     m_group.update(now);
     m_shares = { m_group.fraction(), m_group.ownShare(), true };
@@ -117,7 +118,8 @@
     if (!m_isStarted || now - m_updatedAt > maxPause)
         restart(now);
     m_updatedAt = now;
-    m_group.update(now);
+    for (const std::string& it : m_group.update(now))
+        forgetReports(it);
     updateShares(now);
 }
 
@@ -157,7 +159,7 @@
         return retryAfter;
     }
     ++m_totals.charged;
-    m_queued[work] = workspace;
+    m_queued[work] = { workspace, now };
     recordChange(workspace, *entry);
     return std::nullopt;
 }
@@ -165,12 +167,13 @@
 void WorkspaceQuota::refund(uint64_t work)
 {
     const auto charged = m_queued.extract(work);
-    Entry* entry = charged.empty() ? nullptr : find(charged.mapped());
+    Entry* entry = charged.empty() ? nullptr : find(charged.mapped().workspace);
     if (!entry)
         return;
-    entry->bucket.refund(m_updatedAt);
+    // The bucket knows nothing of charges from before a pause. The others have drawn them.
+    entry->bucket.refund(charged.mapped().at >= m_startedAt, m_updatedAt);
     ++m_totals.refunded;
-    recordChange(charged.mapped(), *entry);
+    recordChange(charged.mapped().workspace, *entry);
 }
 
 void WorkspaceQuota::recordChange(const std::string& workspace, Entry& entry)
@@ -185,10 +188,12 @@
 {
     if (!hasLimits())
         return;
+    const bool isKnown = m_group.knows(allocator);
     if (m_group.hear(allocator, nodes, lifetime, now)) {
         // What it charged while it was not heard came from its own part of the tokens.
-        for (auto& [name, entry] : m_buckets)
-            entry.reported.erase(allocator);
+        forgetReports(allocator);
+        if (isKnown)
+            m_returned.insert(allocator);
     }
     for (const auto& [key, quota] : quotas) {
         const auto name = m_names.find(key);
@@ -201,7 +206,8 @@
     const std::string& allocator, Entry& entry, const ReportedQuota& quota, MonotonicTime now)
 {
     // All charges of a process that has just started are recent. Of others it is unknown when they were.
-    const uint32_t first = quota.level == startedLately ? 0 : quota.charged;
+    const bool isFirst = quota.level == startedLately && !m_returned.contains(allocator);
+    const uint32_t first = isFirst ? 0 : quota.charged;
     const auto known = entry.reported.try_emplace(allocator, first).first;
     const auto delta = static_cast<int32_t>(quota.charged - std::exchange(known->second, quota.charged));
     if (delta > maxReportedCharges || delta < -maxReportedCharges)
@@ -212,7 +218,18 @@
         entry.bucket.drawReported(delta, now);
 }
 
-void WorkspaceQuota::removeAllocator(const std::string& allocator) { m_group.remove(allocator); }
+void WorkspaceQuota::removeAllocator(const std::string& allocator)
+{
+    if (m_group.remove(allocator))
+        forgetReports(allocator);
+}
+
+void WorkspaceQuota::forgetReports(const std::string& allocator)
+{
+    m_returned.erase(allocator);
+    for (auto& [name, entry] : m_buckets)
+        entry.reported.erase(allocator);
+}
 
 ReportedQuotas WorkspaceQuota::report(MonotonicTime now)
 {
--- a/Libraries/LibGateway/WorkspaceQuota.h
+++ b/Libraries/LibGateway/WorkspaceQuota.h
@@ -98,7 +98,14 @@
         MonotonicTime noticedAt {};
     };
 
+    struct Charge {
+        std::string workspace;
+        MonotonicTime at;
+    };
+
     void restart(MonotonicTime now);
+    /// Forgets the charges that the allocator has reported. Names of allocators are never used again.
+    void forgetReports(const std::string& allocator);
     void updateShares(MonotonicTime now);
     bool isStarting(MonotonicTime now) const;
     Entry* find(const std::string& workspace);
@@ -111,12 +118,14 @@
     QuotaShares m_shares;
     std::unordered_map<std::string, Entry> m_buckets;
     std::unordered_map<uint64_t, std::string> m_names;
-    /// Workspaces of charged requests that do not run yet, by request.
-    std::unordered_map<uint64_t, std::string> m_queued;
+    /// Charged requests that do not run yet.
+    std::unordered_map<uint64_t, Charge> m_queued;
     /// Workspaces whose charges have changed in the last seconds.
     std::vector<std::string> m_changed;
     /// Workspaces that were refused requests since their last notice.
     std::unordered_set<std::string> m_refused;
+    /// Allocators that were silent for a while. Their earlier charges have been drawn.
+    std::unordered_set<std::string> m_returned;
     Totals m_totals;
     uint64_t m_version { 0 };
     bool m_isStarted { false };
--- a/Tests/LibGateway/ForwardingFixture.h
+++ b/Tests/LibGateway/ForwardingFixture.h
@@ -32,7 +32,8 @@
     void forward(const HttpRequest& request)
     {
         exchange = std::make_shared<FakeExchange>(request);
-        const ForwardRequest decoded = wire.decodeRequest(request);
+        ForwardRequest decoded = wire.decodeRequest(request);
+        decoded.isFromPeer = request.headers.find(relayField).has_value();
         const GatewayRoute* route = environment.configuration->findRoute(decoded.host, decoded.path);
         REQUIRE(route);
         call = std::make_unique<ForwardedCall>(
--- a/Tests/LibGateway/TestRetryBookings.cpp
+++ b/Tests/LibGateway/TestRetryBookings.cpp
@@ -70,3 +70,28 @@
     CHECK(times.size() > 70);
     CHECK(*times.begin() >= Milliseconds { 1'300 });
 }
+
+// Guards against a booking that blocks the line after the capacity has become known.
+TEST_CASE("a booking made with one slot does not outlive it")
+{
+    SimulatedClock clock;
+    RetryBookings bookings;
+    const RetryBookings::Window window { Milliseconds { 150 }, Milliseconds { 1'600 } };
+    for (int n = 0; n < 5; ++n)
+        bookings.recordArrival("lm", Milliseconds { 500 }, clock.now());
+    bookings.book("lm", Milliseconds { 500 }, window, 1, clock.now());
+    clock.advance(Milliseconds { 500 });
+    CHECK(bookings.book("lm", Milliseconds { 100 }, window, 576, clock.now()) < Milliseconds { 300 });
+}
+
+// Guards against callers who return all at once, because their window is empty.
+TEST_CASE("callers of an empty window are spread too")
+{
+    SimulatedClock clock;
+    RetryBookings bookings;
+    std::set<Milliseconds> times;
+    for (int n = 0; n < 100; ++n)
+        times.insert(bookings.book(
+            "lm", Milliseconds { 500 }, { Milliseconds { 2'000 }, Milliseconds { 1'600 } }, 1, clock.now()));
+    CHECK(times.size() > 50);
+}
--- a/Tests/LibGateway/TestWorkspaceQuotas.cpp
+++ b/Tests/LibGateway/TestWorkspaceQuotas.cpp
@@ -65,14 +65,14 @@
     return static_cast<double>(part) / static_cast<double>(std::max<size_t>(whole, 1));
 }
 
-/// Returns the share of the requests refused although they are below the limit, of the workspaces that send less than
-/// the limit.
-double refusedWrongly(const Result& result)
+/// Returns the largest share of the requests refused although they are below the limit, of the workspaces that send
+/// less than the limit.
+double mostRefusedWrongly(const Result& result)
 {
-    QuotaSimulation::Counts sum;
+    double most = 0;
     for (const size_t n : { Small, Medium, Moving })
-        add(sum, result.counts.at(n));
-    return share(sum.refusedWrongly, sum.allowed);
+        most = std::max(most, share(result.counts.at(n).refusedWrongly, result.counts.at(n).allowed));
+    return most;
 }
 
 void print(const char* name, const Result& result)
@@ -87,11 +87,24 @@
     }
 }
 
+std::vector<uint64_t> seedsFrom(uint64_t first, uint64_t count)
+{
+    std::vector<uint64_t> seeds;
+    for (uint64_t n = 0; n < count; ++n)
+        seeds.push_back(first + n);
+    return seeds;
+}
+
+/// Enough seeds to measure shares below a hundredth.
+std::vector<uint64_t> seedsForShares() { return seedsFrom(1'000, 10); }
+
 /// Runs the scenario with each seed and returns the sums over all seeds.
-template <typename Scenario> Result runSeeds(const char* name, Scenario scenario)
+template <typename Scenario>
+Result runSeeds(
+    const char* name, Scenario scenario, const std::vector<uint64_t>& seeds = seedsFrom(firstSeed(), seedCount()))
 {
     Result sum;
-    for (uint64_t seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed) {
+    for (const uint64_t seed : seeds) {
         QuotaSimulation::Options options;
         options.seed = seed;
         QuotaSimulation simulation(options, traffic());
@@ -115,14 +128,14 @@
 TEST_CASE("workspaces are served up to their limits over all nodes")
 {
     const Result result = runSeeds("calm", [](QuotaSimulation& it, uint64_t) { it.run(seconds { 15 }); });
-    CHECK(refusedWrongly(result) < 0.005);
+    CHECK(mostRefusedWrongly(result) < 0.005);
     CHECK(share(result.counts.at(Overloaded).started, result.counts.at(Overloaded).allowed) > 0.97);
 }
 
-Result runThirdCutOff(bool isOneGroup)
+Result runThirdCutOff(bool isOneGroup, const std::vector<uint64_t>& seeds)
 {
     const char* name = isOneGroup ? "a third cut off together" : "a third cut off one by one";
-    return runSeeds(name, [&](QuotaSimulation& it, uint64_t seed) {
+    const auto scenario = [&](QuotaSimulation& it, uint64_t seed) {
         for (size_t n = 0; n < 90; ++n) {
             if (isOneGroup ? n % 6 < 2 : (n + seed) % 3 == 0)
                 it.setGroup(n, isOneGroup ? 1 : n + 1);
@@ -130,21 +143,32 @@
         it.run(seconds { 12 });
         it.heal();
         it.run(seconds { 8 });
-    });
+    };
+    return runSeeds(name, scenario, seeds);
 }
 
 // Guards against parts of the deployment that each grant the whole limit.
-TEST_CASE("limits of workspaces hold while a third of the nodes is cut off") { runThirdCutOff(GENERATE(true, false)); }
+TEST_CASE("limits of workspaces hold while a third of the nodes is cut off")
+{
+    runThirdCutOff(GENERATE(true, false), seedsFrom(firstSeed(), seedCount()));
+}
+
+// Target: of no workspace below its limit are 0.5 % of the requests refused in calm, and 3 % while a third of the nodes
+// is cut off.
+TEST_CASE("few are refused wrongly in calm")
+{
+    const auto scenario = [](QuotaSimulation& it, uint64_t) { it.run(seconds { 15 }); };
+    CHECK(mostRefusedWrongly(runSeeds("calm", scenario, seedsForShares())) < 0.005);
+}
 
-// Target: under 3 % of the requests below the limit are refused while a third of the nodes is cut off.
 TEST_CASE("few are refused wrongly while a third of the nodes is cut off together")
 {
-    CHECK(refusedWrongly(runThirdCutOff(true)) < 0.03);
+    CHECK(mostRefusedWrongly(runThirdCutOff(true, seedsForShares())) < 0.03);
 }
 
 TEST_CASE("few are refused wrongly while a third of the nodes is cut off one by one")
 {
-    CHECK(refusedWrongly(runThirdCutOff(false)) < 0.03);
+    CHECK(mostRefusedWrongly(runThirdCutOff(false, seedsForShares())) < 0.03);
 }
 
 // Guards against a burst that is granted again by a new process or coordinator.
@@ -189,21 +213,30 @@
     });
 }
 
+void overloadAndCut(QuotaSimulation& simulation, uint64_t seed)
+{
+    simulation.setLoad(Medium, 0);
+    simulation.run(seconds { 6 });
+    simulation.setLoad(Medium, 20 * overload * 4);
+    simulation.run(Milliseconds { 100 + 20 * (seed % 20) });
+    // A cut in the middle of it, into the failure domains.
+    for (size_t n = 0; n < 90; ++n)
+        simulation.setGroup(n, n % 6);
+    simulation.run(seconds { 6 });
+    simulation.heal();
+    simulation.run(seconds { 4 });
+}
+
 // Guards against a burst of a workspace that each allocator grants before it hears of the others.
 TEST_CASE("a sudden overload of an idle workspace stays within its limit")
 {
-    runSeeds("sudden overload", [](QuotaSimulation& it, uint64_t seed) {
-        it.setLoad(Medium, 0);
-        it.run(seconds { 6 });
-        it.setLoad(Medium, 20 * overload * 4);
-        it.run(Milliseconds { 100 + 20 * (seed % 20) });
-        // A cut in the middle of it, into the failure domains.
-        for (size_t n = 0; n < 90; ++n)
-            it.setGroup(n, n % 6);
-        it.run(seconds { 6 });
-        it.heal();
-        it.run(seconds { 4 });
-    });
+    runSeeds("sudden overload", overloadAndCut);
+}
+
+// The same with a cut before the first reports of the overload.
+TEST_CASE("a sudden overload stays within its limit although the failure domains are cut apart at once")
+{
+    runSeeds("sudden overload, cut at once", overloadAndCut, { 20, 40, 1'000 });
 }
 
 // Not a check: prints what the limits cost a node. The load of each node is the same, whatever their number.
--- a/Tests/LibGateway/TestWorkspaces.cpp
+++ b/Tests/LibGateway/TestWorkspaces.cpp
@@ -3,6 +3,7 @@
 
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/RequestFingerprint.h>
+#include <LibGateway/SlotCoordinator.h>
 #include <LibGateway/WorkspaceMetrics.h>
 #include <Tests/Support/FakeExchange.h>
 
@@ -500,3 +501,129 @@
     CHECK(requestFingerprint(first, "acme") != requestFingerprint(first, "bolt"));
     CHECK(requestFingerprint(first) != requestFingerprint(second));
 }
+
+// Guards against a caller that has its revoked key overlooked by passing itself off as a peer.
+TEST_CASE("the field of peers has no effect on the address for callers")
+{
+    WorkspaceNode node;
+    node.fillSlots();
+    const auto waiting = node.send(WorkspaceNode::makeRequest("POST", "/u/9", "b1", { { relayField, "1" } }));
+    REQUIRE_FALSE(waiting->response);
+    SECTION("the key is revoked")
+    {
+        node.setWorkspaces(R"([{"name":"acme","api_keys":["a1"]}])");
+        REQUIRE(waiting->response);
+        CHECK(waiting->response->status == 401);
+    }
+    SECTION("the request is answered")
+    {
+        node.freeSlot();
+        REQUIRE(node.http.count() == 9);
+        HttpCallObserver& observer = *node.http.call(8).observer;
+        observer.onHandedOver();
+        observer.onHeaders(200, { { "Server-Signature", "s" } });
+        observer.onData("id: 1\ndata: d\n\n");
+        observer.onFinished();
+        WorkspaceNode::settle();
+        REQUIRE(waiting->response);
+        CHECK_FALSE(waiting->response->headers.find(relayedEndpointField));
+    }
+}
+
+// Guards against a job that is taken for another one because callers use the separator themselves (LOST).
+TEST_CASE("an identifier that begins that of another job is its own job")
+{
+    WorkspaceNode node;
+    GatewayConfiguration configuration = *node.environment.configuration;
+    configuration.hasWorkspaces = false;
+    node.environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    HttpRequest request = WorkspaceNode::makeRequest("POST", "/b/q1", "");
+    request.headers = { { "Host", "h.example" }, { "Request-Id", "q1@site" } };
+    request.body = job;
+    REQUIRE(node.statusOf(request) == 202);
+    CHECK(node.readJob("") == 404);
+    CHECK(node.submit("") == 202);
+    CHECK(node.http.count() == 2);
+}
+
+namespace {
+
+/// Starts the first work at an endpoint and keeps all other work waiting.
+struct GrantingAllocator final : SlotAllocator {
+    std::vector<SlotDecision> decisions;
+    std::vector<OnlineWork> works;
+
+    void setEndpoints(const std::vector<EndpointRecord>&) override { }
+    void setWorkspaces(const std::vector<WorkspaceLimits>&) override { }
+    void submit(const OnlineWork& work, MonotonicTime) override
+    {
+        works.push_back(work);
+        if (works.size() == 1)
+            decisions.push_back({ .kind = SlotDecision::Kind::Start, .work = work.id, .endpoint = "e0" });
+    }
+    void submit(const BatchWork&) override { }
+    void withdraw(uint64_t) override { }
+    void finish(uint64_t, EndpointOutcome, MonotonicTime) override { }
+    void observe(const std::string&, const ObservedLoad&, MonotonicTime) override { }
+    void observeRate(const std::string&, const RateStatement&, MonotonicTime) override { }
+    std::vector<SlotDecision> poll(MonotonicTime) override { return std::exchange(decisions, {}); }
+    bool needsPolling() const override { return false; }
+};
+
+}
+
+// Guards against a request that is charged to the rate limit of its workspace for each of its runs.
+TEST_CASE("a request that had a slot is not charged again, unless its key belongs to another workspace now")
+{
+    WorkspaceNode node;
+    GrantingAllocator allocator;
+    SlotBroker broker { allocator, node.clock, [] {} };
+    GatewayEnvironment environment { node.clock, node.random, node.wire, node.client, broker, node.directory,
+        node.quarantine, node.origins, node.endpointView, node.links, node.relayPeers, node.log, node.metrics,
+        node.responseMemory, node.environment.configuration };
+    GatewayHandler handler { environment, node.jobs };
+    const auto exchange = std::make_shared<FakeExchange>(WorkspaceNode::makeRequest("POST", "/s/1", "a1"));
+    handler.handle(exchange);
+    WorkspaceNode::settle();
+    REQUIRE(node.http.count() == 1);
+    node.http.fail(HttpFailure::Phase::NotSent);
+    WorkspaceNode::settle();
+    REQUIRE(allocator.works.size() == 2);
+    CHECK_FALSE(allocator.works[0].isCharged);
+    CHECK(allocator.works[1].isCharged);
+    node.setWorkspaces(R"([{"name":"acme","api_keys":["a2"]},{"name":"bolt","api_keys":["a1"]}])");
+    environment.configuration = node.environment.configuration;
+    handler.updateWaitingCalls();
+    REQUIRE(allocator.works.size() == 3);
+    CHECK(allocator.works[2].profile.workspace == "bolt");
+    CHECK_FALSE(allocator.works[2].isCharged);
+}
+
+// Guards against a request that is submitted again for another endpoint, and refused because of its own charge.
+TEST_CASE("a coordinator gives a charge back before it charges what the same node submits in its place")
+{
+    SeededRandom random { 1 };
+    SlotScheduler scheduler { { "n1", "z1", { { "z1", "r1" } } }, random };
+    SlotCoordinator coordinator { scheduler };
+    coordinator.setWorkspaces({ { .name = "acme", .requestsPerSecond = 0.001, .burst = 1 } });
+    const MonotonicTime now { std::chrono::seconds { 100 } };
+    SlotReport report;
+    const auto submit = [&](uint64_t work) {
+        report.sequence = work;
+        report.requests = { { work, "lm", 0, Milliseconds { 1'000 }, Milliseconds { 60'000 } } };
+        report.requests[0].profile.workspace = "acme";
+        coordinator.receive("n2", report, now);
+        return scheduler.quota().totals().refused == 0;
+    };
+    uint64_t work = 1;
+    for (; submit(work); ++work)
+        report.queued.push_back(work);
+    REQUIRE(work > 1);
+    REQUIRE(scheduler.quota().totals().charged == work - 1);
+    // The refused request is no longer waiting. One of the others is submitted again.
+    report.queued.erase(report.queued.begin());
+    const uint64_t refused = scheduler.quota().totals().refused;
+    submit(++work);
+    CHECK(scheduler.quota().totals().refused == refused);
+    CHECK(scheduler.quota().totals().refunded == 1);
+}
