Documentation: Mend comments and pages that a newcomer stumbled on

Comments and docs only: what FeedCall, QuotaGroup, FairShares and RetryBookings promise, margins without a reason, preconditions, and words of other documents.

--- a/Libraries/LibGateway/ConnectionShares.h
+++ b/Libraries/LibGateway/ConnectionShares.h
@@ -12,7 +12,7 @@
 /// that have lost the endpoints hand requests over on the port for peers. The rest is for files, the store, the status
 /// port and calls to peers.
 ///
-/// Load: callers that open connections and say nothing, or reset them as soon as a request has gone.
+/// Load: callers that open connections and send nothing, or reset them as soon as they have sent a request.
 ///
 /// Thread safety: immutable.
 struct ConnectionShares {
--- a/Libraries/LibGateway/DomainFeed.cpp
+++ b/Libraries/LibGateway/DomainFeed.cpp
@@ -16,14 +16,14 @@
     /// Time for which a source that has no rows yet is not asked, so that the other one is asked in between.
     constexpr Milliseconds busyPause { 100 };
 
-    /// Time for which a source without the call, of an earlier version, is not asked.
+    /// Time for which a source of an earlier build, which does not serve tables, is not asked.
     constexpr Milliseconds unsupportedPause { 30'000 };
 
-    /// Time for which a source may wait for its own listing, and the rest until its answer begins.
+    /// Time for which a source may hold the call until it has listed the table itself, and the timeout of the call.
     constexpr Milliseconds listingWait { 1'500 };
     constexpr Milliseconds listingPatience { 2'000 };
 
-    /// Longest time for which a node waits for a listing of sources that are alive.
+    /// Time for which a node asks sources that are alive for a listing, before its turn at the store can come.
     constexpr Milliseconds maxListingTime { 4'000 };
 
     /// Longest time for which a node waits for its turn to list a table again: it uses the rows that it knows
@@ -37,9 +37,11 @@
     /// Longest time until a source answers that has asked the store without waiting.
     constexpr Milliseconds refreshPatience { 400 };
 
-    /// Least time between two log lines about failures of one source that go on.
+    /// A failure of a source is logged if the source has not failed for this time before it. Failures that go on are
+    /// logged once.
     constexpr Milliseconds failureLogInterval { 10'000 };
 
+    /// Shortest timeout of a call to a source, also if the view is too old already.
     constexpr Milliseconds minPatience { 50 };
 
     /// Interval at which listings look for a source.
--- a/Libraries/LibGateway/DomainFeed.h
+++ b/Libraries/LibGateway/DomainFeed.h
@@ -26,9 +26,9 @@
 /// failure domain (see `DomainFeedPlan.h`), everything else from the store. A source answers from the copies of its
 /// tables, so that each change crosses the link to the store once for each source and not once for each node.
 ///
-/// A call for changes that a source doesn't answer is made at the store before the view gets older than
-/// `FeedTiming::maxSourceDelay` allows. A listing that no source gives is made at the store at a time of the node's
-/// own. A version of a table never goes down, whoever answers.
+/// A call for changes that no source answers in time is made at the store, before the view gets older than
+/// `FeedTiming::maxSourceDelay` allows. A listing that no source gives is made at the store after a delay that differs
+/// between the nodes. The version of a table never goes down, whoever answers.
 ///
 /// Load: thousands of registrations that hundreds of nodes follow over one link between regions.
 ///
@@ -56,7 +56,7 @@
     DomainFeed(RowStore&, HttpClient&, const Clock&, EventLog&, const std::vector<Table>&);
     ~DomainFeed() override;
 
-    /// Must be called several times a second.
+    /// Sets where tables come from. Must be called several times a second, so that lost sources are replaced in time.
     void setPlan(const FeedPlan&);
 
     /// Ends the calls of other nodes, which then ask another source. For a node that stops.
@@ -130,6 +130,7 @@
     void proceedWithListing(const std::string& table);
     /// Returns whether the node may list the table at the store.
     bool hasTurn(const Feed&) const;
+    /// The same for a table that is listed at once, whose listing may have failed.
     bool hasTurnToRepeat(const Feed&) const;
     void listFromSource(const std::string& table, const FeedSource&);
     void listFromStore(const RowRange&, const Reply<RowPage>&);
@@ -144,7 +145,7 @@
     void askStore(const ChangesCall&);
     void askSource(const ChangesCall&, const StoreFailure&);
     void recordChanges(const ChangesCall&, const RowPage&, MonotonicTime confirmedAt);
-    /// Returns the longest time for which a source may be silent before the view is too old.
+    /// Returns the timeout of a call to a source, after which the view would be too old.
     Milliseconds patience(const ChangesCall&) const;
     void refreshCopy(const std::string& table, const std::function<void(bool)>& onDone);
 
@@ -157,7 +158,7 @@
     FeedPlan m_plan;
     /// Sources that failed, with the time until which they are not asked.
     std::map<std::string, MonotonicTime> m_failedUntil;
-    /// Times of the latest failure of each source, for the log.
+    /// Time of the latest failure of each source. A failure is logged only if there was none shortly before it.
     std::map<std::string, MonotonicTime> m_loggedFailures;
     std::string m_loggedChoice;
     std::map<uint64_t, std::unique_ptr<FeedCall>> m_calls;
--- a/Libraries/LibGateway/DomainFeedPlan.h
+++ b/Libraries/LibGateway/DomainFeedPlan.h
@@ -25,12 +25,12 @@
     bool isSettled { false };
     /// Whether the node follows the store itself, and at once.
     bool isSource { false };
-    /// Nodes to ask, the preferred one first; empty for a source.
+    /// Nodes to ask, the preferred one first; empty if this node is one of those chosen as sources.
     std::vector<FeedSource> sources;
     /// Time without a source after which the node may list a table of the store.
     Milliseconds storeDelay { 0 };
-    /// Turn of this node among all nodes, by which calls are spread that have failed, also while it is not known how
-    /// many nodes there are.
+    /// Delay of this node relative to all others, by which repeated calls are spread. Set also while the number of
+    /// nodes is unknown.
     Milliseconds turn { 0 };
 
     auto operator<=>(const FeedPlan&) const = default;
@@ -39,7 +39,7 @@
 /// What a node knows about the nodes around it.
 struct FeedSurroundings {
     std::string node;
-    /// Names of the nodes that follow the store for the failure domain, this node included if it is one.
+    /// Names of the nodes that are chosen as sources of the failure domain, this node included if it is one.
     std::vector<std::string> chosen;
     /// Those of them that are other nodes.
     std::vector<FeedSource> sources;
@@ -66,6 +66,7 @@
     /// Records the addresses of all nodes, of which some may be gone.
     void setAddresses(const std::set<std::string>&);
 
+    /// Returns the plan for now. Once it is settled, it stays so.
     FeedPlan plan(const FeedSurroundings&, MonotonicTime now);
 
 private:
--- a/Libraries/LibGateway/EndpointLoadProfile.cpp
+++ b/Libraries/LibGateway/EndpointLoadProfile.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    /// Time in which a sample loses two thirds of its weight. An endpoint is tried above its limit when the evidence
+    /// Time constant of the exponential decay of samples. An endpoint is tried above its limit when the evidence
     /// has become weak, which makes work late there, so it must not happen often.
     constexpr std::chrono::duration<double> sampleLifetime { 45 };
 
--- a/Libraries/LibGateway/FairShares.cpp
+++ b/Libraries/LibGateway/FairShares.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    /// Number of accounts of a service above which those that are not behind are removed.
+    /// Number of accounts of a service above which those without effect on the order are removed: those whose work has
+    /// ended in virtual time.
     constexpr size_t maxAccounts = 1'024;
 
 }
--- a/Libraries/LibGateway/FeedCall.h
+++ b/Libraries/LibGateway/FeedCall.h
@@ -29,9 +29,10 @@
 
 /// Path at which nodes serve tables to each other.
 extern const QByteArray feedPath;
-/// Header field of an answer: time since the rows were certainly up to date, in milliseconds.
+/// Header field of a response: time since the copy of the source was last known to be up to date, in milliseconds.
 extern const QByteArray viewAgeField;
 
+/// Returns the request target, with the request as its query. May be called from any thread.
 QByteArray encodeFeedTarget(const FeedRequest&);
 /// Returns nothing if the query names no table. May be called from any thread.
 std::optional<FeedRequest> decodeFeedQuery(const QByteArray& query);
@@ -42,9 +43,9 @@
 class FeedCall final : public HttpCallObserver {
 public:
     struct Result {
-        /// Status code, 0 if there was no answer in time.
+        /// Status code, 0 if no response began in time or the connection failed.
         int status { 0 };
-        /// Set if the status is 200.
+        /// Set if the status is 200 and a whole page has arrived that is not older than the request asks for.
         std::optional<RowPage> page;
         Milliseconds viewAge { 0 };
         qsizetype bytes { 0 };
--- a/Libraries/LibGateway/FeedServer.cpp
+++ b/Libraries/LibGateway/FeedServer.cpp
@@ -12,7 +12,7 @@
     /// Age of a copy above which it is of no use to another node, which then asks the store.
     constexpr Milliseconds maxServedAge { 8'000 };
 
-    /// Answers with changes of a table that changes all the time, within the wait of a call.
+    /// Limit on the answers with changes within the wait of a call, for a table that changes all the time.
     constexpr int pushesPerWait = 6;
 
 }
--- a/Libraries/LibGateway/FeedServer.h
+++ b/Libraries/LibGateway/FeedServer.h
@@ -38,12 +38,13 @@
     FeedServer(const Clock&, FindCopy, Refresh);
     ~FeedServer() override;
 
+    /// Answers a call of another node for a table, now or later.
     void handle(std::shared_ptr<HttpExchange>);
 
     /// Answers the calls that wait for a table whose copy has just been found to be up to date.
     void update(const std::string& table);
 
-    /// Ends all calls.
+    /// Refuses further calls and ends those that wait for rows or changes. Calls that wait for a refresh end with it.
     void stop();
 
     /// Bytes of the answers.
--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -52,7 +52,8 @@
     MemoryBudget& responseMemory;
     /// The current configuration; its version is 0 until one has been received.
     std::shared_ptr<const GatewayConfiguration> configuration;
-    /// Returns whether the configuration is the newest one, as far as this node can know. It is if nothing is set.
+    /// Returns whether the configuration is the newest one, as far as this node can know. If it is not set, the
+    /// configuration counts as the newest one.
     std::function<bool()> isConfigurationCurrent {};
     WorkspaceMetrics workspaceMetrics {};
     mutable KeyTableCache keyCache {};
--- a/Libraries/LibGateway/JobHead.h
+++ b/Libraries/LibGateway/JobHead.h
@@ -71,8 +71,8 @@
     /// Separates the identifier that a caller has given its job from the scope, which follows.
     constexpr char scopeSeparator = '@';
 
-    /// Returns the identifier under which a job of the workspace is stored. Identifiers of different workspaces never
-    /// meet, so that nobody can learn of another one's job or occupy its identifier.
+    /// Returns the identifier under which a job of the workspace is stored. Identifiers of different workspaces differ,
+    /// as the hashes of their names do, so that nobody can learn of another one's job or occupy its identifier.
     std::string scopedId(const std::string& workspace, const std::string& callerId);
 
     std::string partition(const std::string& jobId);
--- a/Libraries/LibGateway/QuotaBucket.cpp
+++ b/Libraries/LibGateway/QuotaBucket.cpp
@@ -7,15 +7,19 @@
 
 namespace {
 
-    /// Parts of what the bounds tolerate beyond the limits: a higher rate and a larger bucket than granted, so that
-    /// requests are not refused for others that are counted late; charges that are not known everywhere; and the
-    /// tokens of allocators that know nothing. The rest covers late reports and pauses.
+    // Parts of what the bounds tolerate beyond the limits, by purpose. The rest covers late reports and pauses.
+
+    /// A higher rate and a larger bucket than granted, so that requests are not refused for others that are counted
+    /// late.
     constexpr double rateMargin = 0.25;
     constexpr double burstMargin = 0.15;
+    /// Charges that are not known everywhere, later and in the first window after a start.
     constexpr double unreportedMargin = 0.4;
     constexpr double unreportedStartMargin = 0.1;
+    /// Tokens of allocators that do not know what was charged before.
     constexpr double startMargin = 0.25;
-    /// Of the nodes that are suddenly on their own, at most half are at the same time.
+    /// Like `startMargin`, for an allocator whose process has run for a while. At most half of the nodes are suddenly
+    /// on their own at the same time, so together they have at most half of it.
     constexpr double returnMargin = 1.2;
 
     /// Part of the tokens that allocators may charge unreported by their number of nodes; the rest is by demand.
@@ -26,10 +30,11 @@
 
     /// Time for which the share of an allocator is rounded the same way; longer than a charge is unreported.
     constexpr std::chrono::milliseconds turnTime { 500 };
-    /// Successive multiples of it are spread evenly over the fractions.
+    /// Fractional part of the golden ratio. The fractional parts of its multiples are spread evenly over [0, 1).
     constexpr double goldenRatio = 0.618034;
 
-    /// Time in which the weight of a charge falls to 1/e. Callers that move to another node are followed that fast.
+    /// Time constant of the exponential decay of charges. When callers move to another node, the shares follow them at
+    /// this pace.
     constexpr double demandSeconds = 2;
 
     /// Resolution and memory of the own charges. No allocator in touch is silent for longer.
--- a/Libraries/LibGateway/QuotaGroup.h
+++ b/Libraries/LibGateway/QuotaGroup.h
@@ -13,7 +13,7 @@
 /// other divide the rate limits of workspaces. The unit is the node: the slots of every node are allocated by one
 /// allocator, so the nodes of all allocators add up to the deployment, whichever of them coordinate.
 ///
-/// Load: any; costs one update for each report of another allocator.
+/// Load: any. The cost is one update for each report of another allocator.
 ///
 /// Thread safety: none.
 class QuotaGroup {
@@ -30,11 +30,10 @@
     /// of `lifetime`. Returns whether it was unknown or silent before.
     bool hear(const std::string& allocator, uint32_t nodes, Milliseconds lifetime, MonotonicTime now);
 
-    /// Forgets a node that no longer allocates slots.
-    /// Returns whether it was known.
+    /// Forgets a node that no longer allocates slots. Returns whether it was known.
     bool remove(const std::string& allocator) { return m_allocators.erase(allocator) > 0; }
 
-    /// Returns whether the allocator was heard in the last time.
+    /// Returns whether the allocator has reported and has not been forgotten since. It may be out of touch.
     bool knows(const std::string& allocator) const { return m_allocators.contains(allocator); }
 
     /// Forgets all allocators.
--- a/Libraries/LibGateway/RetryBookings.cpp
+++ b/Libraries/LibGateway/RetryBookings.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-    /// Time constant of the demand of new requests. Shorter than a burst, longer than the gaps between requests.
+    /// Time constant, in milliseconds, of the demand of new requests. Shorter than a burst, longer than the gaps
+    /// between requests.
     constexpr double demandMemory = 300;
 
     /// Share of the slots that callers who return are expected to get even if new requests ask for all of them. Some of
@@ -18,7 +19,8 @@
     /// Part of the window, at its end, over which the callers for whom it has no room are spread. Callers that were
     /// refused together do not return together, and a burst has the most time to end.
     constexpr Milliseconds fullWindowSpread { 100 };
-    /// Successive multiples of this ratio are spread evenly over the unit interval, however many there are.
+    /// Fractional part of the golden ratio. The fractional parts of its multiples are spread evenly over [0, 1),
+    /// however many there are.
     constexpr double goldenRatio = 0.6180339887498949;
 
 }
--- a/Libraries/LibGateway/RetryBookings.h
+++ b/Libraries/LibGateway/RetryBookings.h
@@ -8,8 +8,8 @@
 namespace Chicorydock {
 
 /// Gives refused callers the times at which slots are expected to get free for them: each caller after all earlier ones
-/// of its service, at the rate at which new requests leave slots free. A booking that its caller does not use lapses
-/// when its time has passed. Callers for whom there is no room in time are told to return as late as they can.
+/// of its service, at the rate at which new requests leave slots free. A booking reserves no slot: it only makes later
+/// callers wait longer. Callers for whom there is no room in time are told to return as late as they can.
 ///
 /// Load: bursts of requests that the slots cannot serve. Callers that are told random times return together with new
 /// requests while the burst lasts, and are too late for the slots that are free after it.
--- a/Libraries/LibGateway/ServiceCapacity.h
+++ b/Libraries/LibGateway/ServiceCapacity.h
@@ -7,7 +7,7 @@
 
 namespace Chicorydock {
 
-/// Slots of the usable endpoints of each service, and what rate limits leave of them.
+/// Slots of the usable endpoints of each service, and what rate limits and load profiles leave of them.
 ///
 /// Thread safety: none.
 class ServiceCapacity {
@@ -18,7 +18,7 @@
     /// Adds an endpoint. `isInDomain` tells whether it is in the failure domain of this node.
     void addEndpoint(const std::string& service, uint32_t slotCount, bool isInDomain);
 
-    /// Forgets what rate limits leave. Must be called before the limits are added anew.
+    /// Forgets what rate limits and load profiles leave. Must be called before they are added anew.
     void clearLimits();
 
     /// Takes the limit of an endpoint into account, if it has one. Precondition: the endpoint has been added.
@@ -26,7 +26,8 @@
     void addLimit(const std::string& service, uint32_t slotCount, const RateLimiter&, Milliseconds requestTime,
         MonotonicTime now);
 
-    /// Takes slots into account that should stay unused.
+    /// Takes slots of an endpoint into account that should stay unused, see `EndpointLoadProfile`. Precondition: the
+    /// endpoint has been added.
     void addUnusedSlots(const std::string& service, uint32_t slotCount)
     {
         m_services[service].unusableSlots += slotCount;
@@ -50,7 +51,7 @@
         uint64_t slotCount { 0 };
         uint64_t domainSlotCount { 0 };
         uint32_t limitedEndpoints { 0 };
-        /// Slots that stay unused because of rate limits while all others are in use.
+        /// Slots that stay unused because of rate limits or load profiles while all others are in use.
         double unusableSlots { 0 };
         /// Time until an endpoint with a limit takes the next request.
         Milliseconds limitedRequestIn { Milliseconds::max() };
--- a/Libraries/LibGateway/SlotEndpoints.h
+++ b/Libraries/LibGateway/SlotEndpoints.h
@@ -50,7 +50,8 @@
     /// Updates what the rate limits and the load profiles leave of the capacity.
     void updateLimits(const SlotTimeEstimator&, MonotonicTime now);
 
-    /// Returns the slots of the usable endpoints, within their rate limits as of the last call of `updateLimits()`.
+    /// Returns the slots of the usable endpoints, within their rate limits and load profiles as of the last call of
+    /// `updateLimits()`.
     const ServiceCapacity& capacity() const { return m_capacity; }
 
     /// Returns when the endpoint last responded to a node that the scheduler works for.
--- a/Libraries/LibGateway/SlotMember.h
+++ b/Libraries/LibGateway/SlotMember.h
@@ -73,7 +73,8 @@
         /// Sequence of the report in which the work was first sent to the coordinator, 0 if it has not been.
         uint64_t sentIn { 0 };
         bool isAcknowledged { false };
-        /// Whether a coordinator has acknowledged the work since it was submitted, the present one or an earlier one.
+        /// Whether any coordinator, the present one or an earlier one, has acknowledged the work since it was
+        /// submitted.
         bool wasAcknowledged { false };
     };
 
--- a/Libraries/LibGateway/SlotTimeEstimator.cpp
+++ b/Libraries/LibGateway/SlotTimeEstimator.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    /// Assumed hold time of a slot until the first request of the service has been answered.
+    /// Assumed slot time of a request until the first request of the service has been answered.
     constexpr Milliseconds defaultRequestTime { 500 };
 
 }
--- a/Libraries/LibGateway/SlotTypes.h
+++ b/Libraries/LibGateway/SlotTypes.h
@@ -38,7 +38,8 @@
     Milliseconds slotTime { 0 };
     /// Whether an earlier run of the request was charged to the rate limit of its workspace.
     bool isCharged { false };
-    /// Whether another allocator had accepted the request, and may not be able to give its charge back.
+    /// Whether an earlier allocator has accepted the request, which it may not be able to refund. The request is
+    /// charged to the rate limit and not refused for it.
     bool isTakenOver { false };
 
     bool operator==(const OnlineWork&) const = default;
--- a/Libraries/LibHTTP/ConnectionAcceptor.h
+++ b/Libraries/LibHTTP/ConnectionAcceptor.h
@@ -12,7 +12,7 @@
 /// Thread safety: used on the thread that created it.
 class ConnectionAcceptor final : public QTcpServer {
 public:
-    /// Takes ownership of the descriptor. Returns nothing if it has closed the connection.
+    /// Takes ownership of the descriptor. Returns null if it has closed the connection.
     using AddConnection = std::function<QTcpSocket*(qintptr descriptor)>;
 
     /// `maxConnections` is the limit on open connections, 0 for none.
--- a/Libraries/LibHTTP/HttpConnection.h
+++ b/Libraries/LibHTTP/HttpConnection.h
@@ -31,6 +31,7 @@
     /// The responses that the caller does not take do not fit in the memory for responses.
     ResponseMemory,
 };
+/// Number of values of `CallerLimit`.
 constexpr size_t callerLimits = 3;
 
 /// Counts the callers that a limit was applied to.
@@ -110,16 +111,18 @@
         };
 
         Class kind { Class::Silent };
-        /// Since when it has been so.
+        /// Start of what `kind` states, by which connections of the same kind are ordered.
         MonotonicTime since;
 
         auto operator<=>(const GiveWayRank&) const = default;
     };
 
-    /// Returns nothing if the connection does not give way, because a request is in progress.
+    /// Returns nothing if the connection does not give way, because a request is in progress whose caller takes its
+    /// response.
     std::optional<GiveWayRank> giveWayRank(MonotonicTime now) const;
 
-    /// Resets the connection and ends its exchange, because the server has too many.
+    /// Ends the exchange and the connection, because the server has too many. The connection is closed if its last
+    /// response was sent and nothing of a further request was read, and reset otherwise.
     void giveWay();
 
     /// Returns whether a request has arrived in part, or whether the connection is so new that its first request is
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -40,9 +40,10 @@
     /// reset. Must be called before `listen()`; the budgets outlive the server and are used on its thread.
     void setMemory(MemoryBudget& requests, MemoryBudget& responses);
 
-    /// Limits the number of open connections, 0 for any number. At the limit, one that has sent no request gives way to
-    /// a new one, then one that waits for its next request, then one whose request arrives slowly or whose caller does
-    /// not take its response. A new connection is reset if all others have requests in progress.
+    /// Limits the number of open connections, 0 for any number. Must be called before `listen()`. At the limit, one
+    /// that has sent no request gives way to a new one, then one that waits for its next request, then one whose
+    /// request arrives slowly or whose caller does not take its response. A new connection is reset if all others have
+    /// requests in progress.
     void setMaxConnections(size_t connections) { m_maxConnections = connections; }
 
     /// Returns the callers that a limit was applied to since the start.
@@ -110,7 +111,7 @@
     void missingHandler(const QHttpServerRequest&, QTcpSocket*) override;
 
 private:
-    /// Returns nothing if the connection was refused.
+    /// Returns null if the connection was refused.
     QTcpSocket* addConnection(qintptr descriptor);
     /// Makes a connection give way. Returns whether there was one that can.
     bool makeRoom();
--- a/Services/chicorydockd/ConnectionLimits.h
+++ b/Services/chicorydockd/ConnectionLimits.h
@@ -12,7 +12,8 @@
 
 /// Limits the connections of a gateway, and tells which callers the limits of its servers were applied to.
 ///
-/// Load: callers that keep to no limit. However many these are, one line is written for each port and reason at a time.
+/// Load: callers that exceed the limits. However many these are, each call of `record()` writes at most one line for
+/// each port and limit.
 ///
 /// Thread safety: used on the thread of the servers.
 class ConnectionLimits final {
@@ -31,6 +32,7 @@
     /// Records the callers that a limit was applied to since the last call.
     void record(EventLog&);
 
+    /// Sets the numbers of connections and of limited callers in the registry.
     void updateMetrics(MetricsRegistry&) const;
 
 private:
