LibGateway: Place items by prompt too, and believe no view without its age

A feed response without a readable age counted as new. Accepted jobs without a workspace leave the field out. One line is formatted.

--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -141,7 +141,8 @@
         if (free == 0 || !m_turns.isBatchTurn(it, free, now))
             continue;
         const double cost = static_cast<double>(it.total()) / it.slotLimit + distanceCost(it) + slownessCost(it, now)
-            + m_random.unit() * randomSlots / it.slotLimit - (it.limiter.isLimited() ? limitedRateCost : 0);
+            + m_random.unit() * randomSlots / it.slotLimit - (it.limiter.isLimited() ? limitedRateCost : 0)
+            - promptGain(prompt, it);
         if (cost < bestCost) {
             bestCost = cost;
             best = &it;
--- a/Libraries/LibGateway/FeedCall.cpp
+++ b/Libraries/LibGateway/FeedCall.cpp
@@ -78,7 +78,11 @@
 void FeedCall::onHeaders(int status, const HttpHeaders& headers)
 {
     m_result.status = status;
-    m_result.viewAge = Milliseconds { headers.find(viewAgeField).value_or(QByteArray()).toUInt() };
+    bool hasAge = false;
+    m_result.viewAge = Milliseconds { headers.find(viewAgeField).value_or(QByteArray()).toUInt(&hasAge) };
+    // Without its age, the view confirms nothing.
+    if (status == 200 && !hasAge)
+        m_result.status = 0;
     m_timer.start(progressTimeout);
 }
 
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -174,10 +174,11 @@
         JobHead accepted = record;
         accepted.version = commit->version;
         updateRecord(accepted);
-        m_environment.log.record("job", "accepted", record.id, {},
-            { { "items", static_cast<qint64>(record.itemCount) }, { "tokens", static_cast<qint64>(record.tokens) },
-                { "workspace", QString::fromStdString(record.workspace) },
-                { "version", static_cast<qint64>(accepted.version) } });
+        QJsonObject details { { "items", static_cast<qint64>(record.itemCount) },
+            { "tokens", static_cast<qint64>(record.tokens) }, { "version", static_cast<qint64>(accepted.version) } };
+        if (!record.workspace.empty())
+            details["workspace"] = QString::fromStdString(record.workspace);
+        m_environment.log.record("job", "accepted", record.id, {}, details);
         if (accepted.owner == m_node && !m_isLeaving)
             startJob(accepted, { items, {}, {}, 0 });
     }
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -58,8 +58,7 @@
 {
     Q_ASSERT(!m_acceptor);
     const int descriptor = openListeningSocket(address);
-    m_acceptor
-        = new ConnectionAcceptor([this](qintptr accepted) { return addConnection(accepted); }, m_maxConnections);
+    m_acceptor = new ConnectionAcceptor([this](qintptr accepted) { return addConnection(accepted); }, m_maxConnections);
     m_acceptor->setSocketDescriptor(descriptor);
     bind(m_acceptor);
     return m_acceptor->serverPort();
--- a/Tests/LibGateway/TestPromptPlacement.cpp
+++ b/Tests/LibGateway/TestPromptPlacement.cpp
@@ -163,6 +163,33 @@
     CHECK(engines.keepersOf(0) >= 8);
 }
 
+// Guards against items that read the same part again at each endpoint.
+TEST_CASE("items go where their prompts are kept")
+{
+    SeededRandom random(GENERATE(1, 2, 3));
+    SimulatedClock clock;
+    SlotScheduler scheduler({ "n", "z", { { "z", "r" } } }, random);
+    scheduler.setEndpoints(
+        { { "a", "10.0.0.1:80", "lm", "z", 8, false, 1 }, { "b", "10.0.0.2:80", "lm", "z", 8, false, 1 } });
+    scheduler.setPlacingByPrompt(true);
+    std::vector<std::string> endpoints;
+    for (uint64_t id = 1; id <= 4; ++id) {
+        clock.advance(Milliseconds { 500 });
+        BatchWork item { .id = id, .service = "lm", .dueAt = clock.now() + std::chrono::seconds { 18 } };
+        item.profile = makeProfile(1);
+        scheduler.submit(item);
+        scheduler.poll(clock.now());
+        clock.advance(Milliseconds { 500 });
+        for (const SlotDecision& it : scheduler.poll(clock.now()))
+            endpoints.push_back(it.endpoint);
+        if (const RunningWork* running = scheduler.findRunning(id))
+            endpoints.push_back(running->endpoint);
+        scheduler.finish(id, EndpointOutcome::Answered, clock.now());
+    }
+    REQUIRE(endpoints.size() >= 4);
+    CHECK(std::ranges::count(endpoints, endpoints.front()) == static_cast<ptrdiff_t>(endpoints.size()));
+}
+
 TEST_CASE("a prompt without a length, or without shared parts, is placed by load alone")
 {
     PromptPlacement placement;
