--- a/Libraries/LibGateway/QueueAdmission.cpp
+++ b/Libraries/LibGateway/QueueAdmission.cpp
@@ -17,16 +17,20 @@
     constexpr Milliseconds maxRetryAfter { 1'600 };
     constexpr int maxRetryShareOfTimeLeft = 3;
 
-    /// The same limit while no endpoint of the service is known.
+    /// The random part of the time is up to the longer of the expected wait and this.
+    constexpr Milliseconds minRetrySpread { 300 };
+
+    /// Limit of the time after which callers retry while no endpoint of the service is known.
     constexpr Milliseconds maxUnknownRetryAfter { 400 };
 
 }
 
 QueueAdmission::QueueAdmission(
-    const ServiceCapacity& capacity, const SlotPeers& peers, const SlotTimeEstimator& slotTimes)
+    const ServiceCapacity& capacity, const SlotPeers& peers, const SlotTimeEstimator& slotTimes, Random& random)
     : m_capacity(capacity)
     , m_peers(peers)
     , m_slotTimes(slotTimes)
+    , m_random(random)
 {
 }
 
@@ -70,6 +74,18 @@
 }
 
 Milliseconds QueueAdmission::retryAfter(const OnlineWork& work, const WaitingLine& line, MonotonicTime now)
+{
+    const Milliseconds wait = expectedWait(work, line);
+    return work.profile.workspace.empty() ? randomRetryAfter(wait) : bookRetry(work, wait, now);
+}
+
+Milliseconds QueueAdmission::randomRetryAfter(Milliseconds wait)
+{
+    const double spread = m_random.unit() * static_cast<double>(std::max(wait, minRetrySpread).count());
+    return std::min(minRetryAfter + wait + Milliseconds { std::lround(spread) }, maxRetryAfter);
+}
+
+Milliseconds QueueAdmission::bookRetry(const OnlineWork& work, Milliseconds wait, MonotonicTime now)
 {
     const auto left = std::chrono::duration_cast<Milliseconds>(work.deadline - now);
     const Milliseconds latest = std::clamp(left / maxRetryShareOfTimeLeft, minRetryAfter, maxRetryAfter);
@@ -77,12 +93,11 @@
     // callers return soon and book nothing.
     if (!m_capacity.hasEndpoints(work.service))
         return m_bookings.nextAtEnd({ minRetryAfter, std::min(latest, maxUnknownRetryAfter) });
-    const Milliseconds earliest = minRetryAfter + expectedWait(work, line);
     // Peers refuse callers of their own, who are served from the same slots.
     const size_t peers = m_peers.countAt(PeerDistance::FailureDomain) + m_peers.countAt(PeerDistance::Region)
         + m_peers.countAt(PeerDistance::OtherRegion);
     const double slots = m_capacity.usableSlots(work.service) / static_cast<double>(peers + 1);
-    return m_bookings.book(work.service, work.slotTime, { earliest, latest }, slots, now);
+    return m_bookings.book(work.service, work.slotTime, { minRetryAfter + wait, latest }, slots, now);
 }
 
 }
--- a/Libraries/LibGateway/QueueAdmission.h
+++ b/Libraries/LibGateway/QueueAdmission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Random.h>
 #include <LibGateway/RetryBookings.h>
 #include <LibGateway/SlotEndpoints.h>
 
@@ -29,7 +30,7 @@
 class QueueAdmission {
 public:
     /// The arguments outlive the object.
-    QueueAdmission(const ServiceCapacity&, const SlotPeers&, const SlotTimeEstimator&);
+    QueueAdmission(const ServiceCapacity&, const SlotPeers&, const SlotTimeEstimator&, Random&);
 
     /// Records that the request has arrived. To be called once for each request.
     void recordArrival(const OnlineWork&, MonotonicTime now);
@@ -42,15 +43,20 @@
 
     /// Returns the time after which a refused caller should retry: when the slots that it needs get free behind all
     /// earlier refused callers, see `RetryBookings`.
+    /// Without workspaces it is partly random, so that callers that were refused together do not return together.
     Milliseconds retryAfter(const OnlineWork&, const WaitingLine&, MonotonicTime now);
 
 private:
+    Milliseconds randomRetryAfter(Milliseconds wait);
+    /// Returns a time behind earlier bookings.
+    Milliseconds bookRetry(const OnlineWork&, Milliseconds wait, MonotonicTime now);
     /// Returns the requests queued at peers that are expected to be served before the request.
     double aheadAtPeers(const OnlineWork&, const WaitingLine&) const;
 
     const ServiceCapacity& m_capacity;
     const SlotPeers& m_peers;
     const SlotTimeEstimator& m_slotTimes;
+    Random& m_random;
     RetryBookings m_bookings;
 };
 
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -22,7 +22,7 @@
     , m_usage(m_endpoints, m_peers, m_reserve)
     , m_chooser(m_endpoints, m_peers, m_reserve, random)
     , m_queue(m_slotTimes)
-    , m_admission(m_endpoints.capacity(), m_peers, m_slotTimes)
+    , m_admission(m_endpoints.capacity(), m_peers, m_slotTimes, random)
     , m_preemption(m_usage, m_peers, m_slotTimes)
     , m_quota(random)
 {
