--- a/review/standins/Node.h
+++ b/review/standins/Node.h
@@ -85,11 +85,22 @@
             text.replace(at, from.size(), to);
     }
 
+    /// Removes the sections of the template for bounds, which this platform does not state.
+    static void removeBounds(std::string& text)
+    {
+        const std::string end = "{{/bounds.";
+        for (size_t at = text.find("{{#bounds."); at != std::string::npos; at = text.find("{{#bounds.")) {
+            const size_t last = text.find('\n', text.find(end, at));
+            text.erase(at, last + 1 - at);
+        }
+    }
+
     std::string render() const
     {
         std::stringstream content;
         content << std::ifstream("deploy/settings.toml.in").rdbuf();
         std::string text = content.str();
+        removeBounds(text);
         const size_t begin = text.find("{{#zones}}");
         const size_t end = text.find("{{/zones}}");
         text.replace(begin, end + 10 - begin, "zone-a = \"region-1\"\nzone-b = \"region-1\"\nzone-c = \"region-2\"\n");
