LibGateway: Identify workspaces in reports by the common stable hash

WorkspaceQuota had a copy of FNV-1a; stableHash() of LibCore is the one that is stable across nodes.

--- a/Libraries/LibGateway/WorkspaceQuota.cpp
+++ b/Libraries/LibGateway/WorkspaceQuota.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/WorkspaceQuota.h>
 
+#include <LibCore/Digest.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -52,14 +54,7 @@
 {
 }
 
-uint64_t WorkspaceQuota::key(const std::string& workspace)
-{
-    // FNV-1a, because std::hash may differ between the standard libraries of the nodes.
-    uint64_t hash = 14695981039346656037U;
-    for (const char c : workspace)
-        hash = (hash ^ static_cast<uint8_t>(c)) * 1099511628211U;
-    return hash;
-}
+uint64_t WorkspaceQuota::key(const std::string& workspace) { return stableHash(workspace); }
 
 bool WorkspaceQuota::isStarting(MonotonicTime now) const { return now - m_startedAt < m_bounds.window; }
 
