LibGateway: Let the shares of rate limits follow demand that others know

Two tests of rate limits were red.

The time constant is 0.7 s now, and charges that are not reported yet count up to the demand that is known to all, and half a request more.

--- a/Libraries/LibGateway/QuotaBucket.cpp
+++ b/Libraries/LibGateway/QuotaBucket.cpp
@@ -35,7 +35,12 @@
 
     /// Time constant of the exponential decay of charges. When callers move to another node, the shares follow them at
     /// this pace.
-    constexpr double demandSeconds = 2;
+    constexpr double demandSeconds = 0.7;
+
+    /// Own charges that the others do not know yet count as demand up to the demand that is known to all and this many
+    /// more. Otherwise each allocator would take itself for the only one in demand when an idle workspace starts to
+    /// send to all of them.
+    constexpr double freshDemand = 0.5;
 
     /// Resolution and memory of the own charges. No allocator in touch is silent for longer.
     constexpr Milliseconds chargeInterval { 25 };
@@ -131,9 +136,12 @@
     m_shares = shares;
 }
 
-double QuotaBucket::shareOfTokens() const
+double QuotaBucket::shareOfTokens(double ownUnreported) const
 {
-    const double byDemand = (m_ownRecent + m_shares.own) / (m_ownRecent + m_othersRecent + 1);
+    const double fresh = std::min(m_ownRecent, ownUnreported);
+    const double known = m_ownRecent - fresh;
+    const double own = known + std::min(fresh, known + m_othersRecent + freshDemand);
+    const double byDemand = (own + m_shares.own) / (own + m_othersRecent + 1);
     return evenShare * m_shares.own + (1 - evenShare) * byDemand;
 }
 
@@ -162,14 +170,14 @@
     // The share may be less than one request. The allocators then take turns.
     const auto turn = static_cast<double>(now.time_since_epoch() / turnTime);
     const double rounding = std::fmod(m_dither + turn * goldenRatio, 1.0);
-    return own + 1 <= shareOfTokens() * (m_level + own + tolerated) + rounding;
+    return own + 1 <= shareOfTokens(own) * (m_level + own + tolerated) + rounding;
 }
 
 std::optional<Milliseconds> QuotaBucket::charge(MonotonicTime syncedUntil, MonotonicTime now)
 {
     settle(now);
     if (m_level < 1 || !isWithinShare(syncedUntil, now))
-        return bookRetry(m_level, now);
+        return bookRetry(syncedUntil, now);
     take(now);
     return std::nullopt;
 }
@@ -226,15 +234,16 @@
     m_level = std::max(m_level, std::min(level, capacity()) * m_shares.group - unreported(now - chargeMemory, now));
 }
 
-Milliseconds QuotaBucket::bookRetry(double level, MonotonicTime now)
+Milliseconds QuotaBucket::bookRetry(MonotonicTime syncedUntil, MonotonicTime now)
 {
     const double refill = refillPerSecond();
     const auto after = [](double seconds) {
         return std::chrono::duration_cast<MonotonicTime::duration>(
             std::chrono::duration<double>(std::clamp(seconds, 0.0, maxRetrySeconds)));
     };
-    const MonotonicTime earliest = now + after(std::max(minRetrySeconds, (1 - level) / refill));
-    m_bookedUntil = std::max(earliest, m_bookedUntil + after(1 / (refill * shareOfTokens())));
+    const MonotonicTime earliest = now + after(std::max(minRetrySeconds, (1 - m_level) / refill));
+    const double share = shareOfTokens(unreported(syncedUntil, now));
+    m_bookedUntil = std::max(earliest, m_bookedUntil + after(1 / (refill * share)));
     m_bookedUntil = std::min(m_bookedUntil, now + after(maxRetrySeconds));
     return std::chrono::ceil<Milliseconds>(m_bookedUntil - now);
 }
--- a/Libraries/LibGateway/QuotaBucket.h
+++ b/Libraries/LibGateway/QuotaBucket.h
@@ -107,13 +107,14 @@
     double maxDebtLevel() const;
     /// Returns the charges of the present interval.
     Charges& chargesAt(MonotonicTime now);
-    /// Returns the part of the unreported charges of all allocators that this one may have.
-    double shareOfTokens() const;
+    /// Returns the part of the unreported charges of all allocators that this one may have. `ownUnreported` is the
+    /// number of its own.
+    double shareOfTokens(double ownUnreported) const;
     /// Returns the own charges that the others may not know yet.
     double unreported(MonotonicTime syncedUntil, MonotonicTime now) const;
     /// Returns whether one more charge is within this allocator's share of the tokens.
     bool isWithinShare(MonotonicTime syncedUntil, MonotonicTime now) const;
-    Milliseconds bookRetry(double level, MonotonicTime now);
+    Milliseconds bookRetry(MonotonicTime syncedUntil, MonotonicTime now);
 
     WorkspaceLimits m_limits;
     QuotaBounds m_bounds;
