LibGateway: Report no job as missing before the jobs have been listed

A job of a deployment that began or ceased to hold workspaces is stored under another identifier than the one its caller would get now. A node finds it by its list of the jobs; one that had just started and had none answered 404 for an accepted job (LOST). It answers 503 with Retry-After until it has listed the jobs.

The new test fails without the change (NotFound in place of NotReady). Two tests that expected 404 from a node without a list now expect 503 there, and 404 after the list.

--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -51,6 +51,7 @@
     }
 
     const Error jobNotFound { ErrorKind::NotFound, "job not found" };
+    const Error jobsNotListed { ErrorKind::NotReady, "the jobs have not been listed here yet", storeRetryAfter };
 
 }
 
@@ -253,7 +254,11 @@
     started.start();
 }
 
-void JobController::onTableListed(const TableListing& listing) { onRowsChanged(listing.rows); }
+void JobController::onTableListed(const TableListing& listing)
+{
+    m_isListed = true;
+    onRowsChanged(listing.rows);
+}
 
 void JobController::onRowsChanged(const std::vector<StoredRow>& rows)
 {
@@ -433,7 +438,8 @@
             }
             const auto head = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
             if (!head) {
-                reply(jobNotFound);
+                // The job may have been accepted under another identifier, see `findId()`.
+                reply(m_isListed ? jobNotFound : jobsNotListed);
                 return;
             }
             updateRecord(*head);
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -51,7 +51,7 @@
     void submit(const SubmittedJob&, const GatewayRoute&, const std::string& host, const Done&);
 
     /// Reads the results starting at position `after`; the page may be empty. Replies NotFound only if the store has no
-    /// such job.
+    /// such job, and NotReady instead of it until the jobs have been listed.
     void readResults(const std::string& jobId, size_t after, const Reply<JobResultPage>&);
 
     /// Reads the request body of an item.
@@ -104,8 +104,7 @@
     Milliseconds claimDelay(const std::string& jobId, const std::vector<std::string>& peers) const;
     void claim(const JobHead&);
     void load(const JobHead&);
-    /// Reads the head of a job from the store and updates the local copy. Replies NotFound only if the store has no
-    /// such job.
+    /// Reads the head of a job from the store and updates the local copy. For replies without it see `readResults()`.
     void readHead(const std::string& jobId, const Reply<JobHead>&);
     void cancelRecord(JobHead, int retriesLeft, const Done&);
     void releaseJob(OwnedJob&);
@@ -124,6 +123,7 @@
     std::map<std::string, JobHead> m_submitting;
     std::map<std::string, MonotonicTime> m_orphanSince;
     std::function<void(const std::string&)> m_onResultsCommitted;
+    bool m_isListed { false };
     bool m_isStoreReachable { false };
     /// When the store last became reachable and unreachable.
     MonotonicTime m_reachableSince;
--- a/Tests/LibGateway/TestGatewayHandler.cpp
+++ b/Tests/LibGateway/TestGatewayHandler.cpp
@@ -85,6 +85,8 @@
 TEST_CASE("a job is submitted, read and cancelled")
 {
     HandlerFixture fixture;
+    CHECK(statusOf(fixture.send("GET", "/api/lots/none?after=0")) == 503);
+    fixture.jobs.onTableListed({});
     CHECK(statusOf(fixture.send("POST", "/b/q1", job)) == 202);
     CHECK(statusOf(fixture.send("POST", "/b/q1", job)) == 202);
     CHECK(statusOf(fixture.send("POST", "/b/q1", "no job")) == 400);
--- a/Tests/LibGateway/TestJobController.cpp
+++ b/Tests/LibGateway/TestJobController.cpp
@@ -231,6 +231,9 @@
     SimulatedClock clock;
     MemoryRowStore store(clock);
     JobNode node(store, "n1");
+    // Until the jobs are listed, the job may be stored under an identifier that is not known here.
+    CHECK(std::get<Error>(node.read("nothing")).kind() == ErrorKind::NotReady);
+    node.syncFromStore();
     CHECK(std::get<Error>(node.read("nothing")).kind() == ErrorKind::NotFound);
     store.isDown = true;
     CHECK(errorRow(std::get<Error>(node.read("nothing")).kind()).httpStatus == 503);
--- a/Tests/LibGateway/TestWorkspaces.cpp
+++ b/Tests/LibGateway/TestWorkspaces.cpp
@@ -30,6 +30,7 @@
         : GatewayFixture(endpoints)
     {
         jobs.onReachableChanged(true);
+        jobs.onTableListed({});
         setWorkspaces(workspaces);
     }
 
@@ -341,6 +342,29 @@
     CHECK(node.http.count() == 1);
 }
 
+// Guards against the loss of such a job at a node that has started since then and has not listed the jobs yet.
+TEST_CASE("a job is not reported as missing before the jobs have been listed")
+{
+    WorkspaceNode node;
+    REQUIRE(node.submit("a1") == 202);
+    GatewayConfiguration configuration = *node.environment.configuration;
+    configuration.hasWorkspaces = false;
+    configuration.workspaces.clear();
+    node.environment.configuration = std::make_shared<const GatewayConfiguration>(configuration);
+    JobController startedLater(node.environment, node.rows, node.peers, "n2");
+    startedLater.onReachableChanged(true);
+    const auto read = [&] {
+        std::variant<JobResultPage, Error> found;
+        startedLater.readResults(
+            startedLater.findId({}, "q1"), 0, [&](const std::variant<JobResultPage, Error>& it) { found = it; });
+        node.rows.deliver();
+        return found;
+    };
+    CHECK(std::get<Error>(read()).kind() == ErrorKind::NotReady);
+    startedLater.onTableListed({ jobHeadRows(node.rows) });
+    CHECK(std::get<JobResultPage>(read()).total == 1);
+}
+
 // Guards against one workspace that uses up what all may have waiting on a route (QUOTA).
 TEST_CASE("the limit of waiting tokens binds each workspace by itself")
 {
