Tests: Add crowds of refused callers, silent endpoints and batch jobs

Crowd and bounds are those of the other crowds; the product is unchanged. A crowd on connections that a planned stop is closing is not played.

--- a/Tests/Crowds/Crowd.cpp
+++ b/Tests/Crowds/Crowd.cpp
@@ -18,6 +18,17 @@
     const std::string usualFields
         = "Host: " + std::string(Review::World::host) + "\r\nRequest-Id: crowd\r\nDeadline-Ms: 4000\r\n";
 
+    std::string keyField(const std::string& key) { return "Authorization: Bearer " + key + "\r\n"; }
+
+    /// A valid job of one item.
+    std::string jobSubmission()
+    {
+        const std::string body
+            = R"({"items":[{"id":"crowd-1","path":"/lots/crowd-1/9","headers":{},"body":"eA==","token_count":9}]})";
+        return "POST /lots/ HTTP/1.1\r\n" + usualFields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+
     std::string request(const std::string& target, const std::string& fields)
     {
         return "POST " + target + " HTTP/1.1\r\n" + fields + "\r\n";
@@ -97,6 +108,36 @@
             .connections = 48,
             .repeated = request("/metrics", largeBody) + std::string(largestBody, 'x'),
             .port = CrowdKind::Port::Status },
+        { .name = "no keys",
+            .connections = 16,
+            .repeated = request("/stream/crowd/1", usualFields),
+            .deployment = CrowdKind::Deployment::Workspaces },
+        { .name = "unknown keys",
+            .connections = 16,
+            .repeated = request("/stream/crowd/1", usualFields + keyField("unknown")),
+            .deployment = CrowdKind::Deployment::Workspaces },
+        { .name = "over a rate limit",
+            .connections = 16,
+            .repeated = request("/stream/crowd/1", usualFields + keyField(crowdKey)),
+            .deployment = CrowdKind::Deployment::Workspaces },
+        { .name = "silent endpoint",
+            .connections = 64,
+            .repeated = request("/silent/crowd/1", usualFields),
+            .deployment = CrowdKind::Deployment::SilentEndpoint },
+        { .name = "bodies to a silent endpoint",
+            .connections = 48,
+            .opening = request("/silent/crowd/1", largeBody) + std::string(largestBody, 'x'),
+            .repeated = request("/silent/crowd/1", largeBody) + std::string(largestBody, 'x'),
+            .deployment = CrowdKind::Deployment::SilentEndpoint },
+        { .name = "batch jobs",
+            .connections = 16,
+            .repeated = jobSubmission(),
+            .deployment = CrowdKind::Deployment::Batch },
+        { .name = "unread job results",
+            .connections = 64,
+            .opening = jobSubmission(),
+            .repeated = "GET /api/lots/crowd?after=0 HTTP/1.1\r\n" + usualFields + "\r\n",
+            .deployment = CrowdKind::Deployment::Batch },
     };
     return kinds;
 }
--- a/Tests/Crowds/Crowd.h
+++ b/Tests/Crowds/Crowd.h
@@ -16,6 +16,17 @@
         Peers,
     };
 
+    /// What the configuration holds besides the route of ordinary requests.
+    enum class Deployment {
+        Plain,
+        /// Workspaces: one for ordinary callers, and one with a rate limit for the crowd.
+        Workspaces,
+        /// A route to an endpoint that never answers.
+        SilentEndpoint,
+        /// A route of batch jobs.
+        Batch,
+    };
+
     std::string name;
     size_t connections { 0 };
     /// Sent first on each connection.
@@ -25,8 +36,13 @@
     /// Resets the connection as soon as the opening has been sent.
     bool isReset { false };
     Port port { Port::Callers };
+    Deployment deployment { Deployment::Plain };
 };
 
+/// The keys of the workspaces of ordinary callers and of the crowd.
+inline const char* const ordinaryKey = "ordinary-key";
+inline const char* const crowdKey = "crowd-key";
+
 /// All kinds of crowds that are tested.
 const std::vector<CrowdKind>& crowdKinds();
 
--- a/Tests/Crowds/main.cpp
+++ b/Tests/Crowds/main.cpp
@@ -128,7 +128,7 @@
         for (int n = 0; n < attempts && answer.status != 200; ++n) {
             answer = Review::call(front, "POST", "/stream/ordinary" + std::to_string(n) + "/3",
                 { { "Host", Review::World::host }, { "Request-Id", "ordinary" + std::to_string(n) },
-                    { "Deadline-Ms", "5000" } },
+                    { "Authorization", std::string("Bearer ") + ordinaryKey }, { "Deadline-Ms", "5000" } },
                 "hi", timeoutMs);
             if (answer.status != 200)
                 Review::sleepMs(250);
@@ -177,14 +177,62 @@
         return isServed && !node.hasJustEnded() ? Passed : Failed;
     }
 
+    /// Writes a configuration with a workspace for ordinary callers and one, with a rate limit, for the crowd.
+    void configureWorkspaces(Review::World& world, long version)
+    {
+        using Review::Json;
+        const auto workspace = [](const char* name, const char* key, double rate) {
+            return Json::object({ { "name", name }, { "api_keys", Json::array({ Json(key) }) },
+                { "requests_per_s", rate }, { "burst_size", rate } });
+        };
+        constexpr double crowdRate = 5;
+        const Json service
+            = Json::object({ { "name", "model" }, { "health_check_path", "/health" }, { "max_connections", 180 },
+                { "protocol", "h1" }, { "tls", false }, { "engine", Json::object({ { "slots", 16 } }) } });
+        const Json limits = Json::object({ { "max_header_bytes", 16'384 }, { "max_body_bytes", 4'194'304 },
+            { "header_timeout_ms", 3'000 }, { "idle_timeout_ms", 15'000 } });
+        world.store.put("op", "config",
+            Json::object({ { "version", version },
+                             { "routes", Json::array({ Review::World::streamRoute("/stream/", "model") }) },
+                             { "services", Json::array({ service }) }, { "limits", limits },
+                             { "tenants",
+                                 Json::array({ workspace("ordinary", ordinaryKey, 0),
+                                     workspace("crowd", crowdKey, crowdRate) }) } })
+                .dump());
+    }
+
+    /// Adds the endpoints and writes the configuration.
+    void configure(Review::World& world, CrowdKind::Deployment deployment)
+    {
+        constexpr long version = 7;
+        constexpr double neverMs = 1e9;
+        const std::vector<Review::Json> ordinary { Review::World::streamRoute("/stream/", "model") };
+        world.addWorker({ .id = "w-1", .service = "model", .zone = "zone-b", .slots = 16, .eventMs = 1 });
+        switch (deployment) {
+        case CrowdKind::Deployment::Plain:
+            world.configure(version, ordinary, { "model" });
+            break;
+        case CrowdKind::Deployment::Workspaces:
+            configureWorkspaces(world, version);
+            break;
+        case CrowdKind::Deployment::SilentEndpoint:
+            world.addWorker({ .id = "w-2", .service = "silent", .zone = "zone-b", .slots = 16, .eventMs = neverMs });
+            world.configure(
+                version, { ordinary.front(), Review::World::streamRoute("/silent/", "silent") }, { "model", "silent" });
+            break;
+        case CrowdKind::Deployment::Batch:
+            world.configure(version, { ordinary.front(), Review::World::batchRoute("/lots/", "model") }, { "model" });
+            break;
+        }
+    }
+
     /// Starts a node and passes it to the check.
-    int run(const std::function<int(SoakNode&)>& check)
+    int run(CrowdKind::Deployment deployment, const std::function<int(SoakNode&)>& check)
     {
         const std::string folder = makeFolder();
         // The threads of the stand-ins are not joined, so they are not destroyed.
         auto* world = new Review::World(folder);
-        world->addWorker({ .id = "w-1", .service = "model", .zone = "zone-b", .slots = 16, .eventMs = 1 });
-        world->configure(7, { Review::World::streamRoute("/stream/", "model") }, { "model" });
+        configure(*world, deployment);
         SoakNode node({ FLAGS_daemon, writeTemplate(folder) }, 1, world->store.address(), folder);
         limitDescriptors(maxDescriptors);
         node.start();
@@ -221,7 +269,8 @@
             std::printf("%s\n", it.name.c_str());
         return CouldNotRun;
     }
-    const int status = run([&](SoakNode& node) {
+    const auto deployment = kind == crowdKinds().end() ? CrowdKind::Deployment::Plain : kind->deployment;
+    const int status = run(deployment, [&](SoakNode& node) {
         return request != limitRequests().end() ? checkAtLimit(*request, node) : check(*kind, node);
     });
     std::fflush(stdout);
