LibGateway: Choose sources of the store's tables once most nodes are heard

A node now settles as soon as it has heard of three quarters of the listed nodes, checks that at each report until then, and notices the end of the 300 ms within 50 ms. Ruled out: the store (8 ms for the configuration, 11 to 45 ms for the list of nodes) and the slots of the lost processes (work was placed within 30 ms once endpoints were known).

--- a/Libraries/LibGateway/DomainFeedPlan.cpp
+++ b/Libraries/LibGateway/DomainFeedPlan.cpp
@@ -19,7 +19,7 @@
     /// nodes may take more than a second on a link that all of them read it over.
     constexpr Milliseconds nodeListTimeout { 4'000 };
 
-    /// Time in which the nodes of a large deployment hear of each other before they choose sources.
+    /// Longest time for which the nodes of a large deployment wait to hear of each other before they choose sources.
     constexpr Milliseconds settleTime { 300 };
 
     /// Time between two nodes without a source that list the tables, about as long as a listing of 3,000 registrations
@@ -58,15 +58,18 @@
     m_turn = delayPerNode * static_cast<int64_t>(rank);
 }
 
-bool FeedPlanner::isSettled(size_t nodes, MonotonicTime now)
+bool FeedPlanner::hasHeardOfMost(size_t peers) const { return m_addresses > 0 && (peers + 1) * 4 >= m_addresses * 3; }
+
+bool FeedPlanner::isSettled(size_t peers, MonotonicTime now)
 {
+    const size_t nodes = std::max(m_addresses, peers + 1);
     if (nodes <= maxNodesWithoutDelay) {
         m_largeSince.reset();
         return m_addresses > 0 || now >= m_startedAt + nodeListTimeout;
     }
     if (!m_largeSince)
         m_largeSince = now;
-    return now >= *m_largeSince + settleTime;
+    return hasHeardOfMost(peers) || now >= *m_largeSince + settleTime;
 }
 
 bool FeedPlanner::knowsDomain(const FeedSurroundings& surroundings) const
@@ -74,14 +77,14 @@
     if (surroundings.chosen.size() > 1)
         return true;
     // A node that is the only one chosen is in a small failure domain, or has not heard of the others yet.
-    return m_addresses > 0 && (surroundings.peers + 1) * 4 >= m_addresses * 3;
+    return hasHeardOfMost(surroundings.peers);
 }
 
 FeedPlan FeedPlanner::plan(const FeedSurroundings& surroundings, MonotonicTime now)
 {
     const size_t nodes = std::max(m_addresses, surroundings.peers + 1);
     // A deployment that grows later stays settled.
-    m_isSettled = m_isSettled || isSettled(nodes, now);
+    m_isSettled = m_isSettled || isSettled(surroundings.peers, now);
     FeedPlan plan;
     plan.isSettled = m_isSettled;
     const bool isLarge = nodes > maxNodesWithoutDelay;
--- a/Libraries/LibGateway/DomainFeedPlan.h
+++ b/Libraries/LibGateway/DomainFeedPlan.h
@@ -68,9 +68,14 @@
 
     /// Returns the plan for now. Once it is settled, it stays so.
     FeedPlan plan(const FeedSurroundings&, MonotonicTime now);
+    /// Returns whether the latest plan was settled. Until then the plan should be made again whenever a node is heard
+    /// of, and often enough to notice when the wait for others ends.
+    bool isSettled() const { return m_isSettled; }
 
 private:
-    bool isSettled(size_t nodes, MonotonicTime now);
+    bool isSettled(size_t peers, MonotonicTime now);
+    /// Returns whether three quarters of the nodes are alive, as far as this one has heard.
+    bool hasHeardOfMost(size_t peers) const;
     /// Returns whether this node has heard of enough others to be right about who is a source.
     bool knowsDomain(const FeedSurroundings&) const;
 
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -17,6 +17,9 @@
 
     constexpr Milliseconds tickInterval { 250 };
 
+    /// Interval at which a node that has just started looks for sources of the store's tables.
+    constexpr Milliseconds feedPlanInterval { 50 };
+
     /// Longest time for which the configuration waits for the list of nodes at the start.
     constexpr Milliseconds nodeListTimeout { 300 };
 
@@ -222,6 +225,7 @@
     }
     m_environment.isConfigurationCurrent = [this] { return m_configuration.isCurrent(); };
     connect(&m_tickTimer, &QTimer::timeout, this, &Gateway::tick);
+    connect(&m_feedPlanTimer, &QTimer::timeout, this, [this] { updateFeedPlan(coordinators()); });
     m_jobStartTimer.setSingleShot(true);
     connect(&m_jobStartTimer, &QTimer::timeout, this, [this] { m_jobFollower->resume(); });
     connect(&m_stopTimer, &QTimer::timeout, this, &Gateway::checkStopped);
@@ -243,6 +247,7 @@
     m_origins.start();
     m_registry.start();
     m_tickTimer.start(tickInterval);
+    m_feedPlanTimer.start(feedPlanInterval);
     m_log.record("node", "started", m_node);
 }
 
@@ -394,6 +399,8 @@
     }
     const FeedPlan plan = m_feedPlanner.plan(surroundings, m_clock.now());
     m_feed.setPlan(plan);
+    if (plan.isSettled)
+        m_feedPlanTimer.stop();
     // The list of nodes may be late when many of them start.
     if (plan.storeDelay.count() > 0 && !std::exchange(m_isInLargeDeployment, true))
         m_configuration.start(std::min(plan.storeDelay, maxConfigurationDelay));
@@ -477,6 +484,8 @@
         m_exchange.receive(report.node, *report.slotReport);
     if (report.slotReply)
         m_exchange.receive(report.node, *report.slotReply);
+    if (!m_feedPlanner.isSettled())
+        updateFeedPlan(coordinators());
     // Most reports arrive while no work depends on what the peers use.
     if (report.isCoordinating && m_scheduler.dependsOnPeers())
         m_exchange.schedule();
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -139,6 +139,8 @@
     HttpServer m_peerServer;
     ConnectionLimits m_connectionLimits;
     QTimer m_tickTimer;
+    /// Runs until the sources of the store's tables are chosen.
+    QTimer m_feedPlanTimer;
     /// Whether there are more nodes than can all read the store at once.
     bool m_isInLargeDeployment { false };
     /// Runs until the jobs may be listed.
--- a/Tests/LibGateway/TestDomainFeed.cpp
+++ b/Tests/LibGateway/TestDomainFeed.cpp
@@ -186,6 +186,25 @@
     CHECK(member.sources.size() == 2);
 }
 
+// Guards against nodes that cannot serve for half a second after all have been restarted, although all have heard of
+// each other.
+TEST_CASE("a node of a large deployment waits for the others only until it has heard of most of them")
+{
+    FeedPlanner planner("10.0.0.1:1", {});
+    const auto after = [](int64_t ms) { return MonotonicTime {} + Milliseconds { ms }; };
+    std::set<std::string> addresses;
+    for (int n = 0; n < 40; ++n)
+        addresses.insert("10.0.0." + std::to_string(n) + ":1");
+    const std::vector<std::string> chosen { "n2", "n3" };
+    const std::vector<FeedSource> sources { { "n2", "a" }, { "n3", "b" } };
+    CHECK_FALSE(planner.plan({ "n1", chosen, sources, 35 }, after(5)).isSettled);
+    planner.setAddresses(addresses);
+    CHECK_FALSE(planner.plan({ "n1", chosen, sources, 28 }, after(10)).isSettled);
+    CHECK_FALSE(planner.isSettled());
+    CHECK(planner.plan({ "n1", chosen, sources, 29 }, after(20)).isSettled);
+    CHECK(planner.isSettled());
+}
+
 // Guards against a store that refuses all calls because hundreds of nodes list 16 partitions of jobs at once.
 TEST_CASE("nodes that start together list the jobs at a bounded rate, those of a small deployment at once")
 {
