LibGateway: Explain where a request would go now

Operators could only learn from logs, afterwards, why a request went to an endpoint or was refused. RequestExplainer asks the deciding code about a request that is not sent: route, caller, limit of waiting tokens, quarantine, rate limit, place in the queue, and each endpoint by its obstacle and the parts of its cost. What changes when it decides (queue, bucket, quarantine) is copied first; no random number is drawn.

For that, EndpointChooser divides a decision into obstacle and cost, the first attempt of a request becomes work in one place (makeOnlineWork), and identifyCaller counts nothing. The chooser no longer looks up prompts while placement by prompt is off.

Tests compare the explanation with what then happens to the same request.

--- a/Libraries/LibGateway/CallerAuthentication.cpp
+++ b/Libraries/LibGateway/CallerAuthentication.cpp
@@ -19,7 +19,7 @@
 
 }
 
-std::variant<CallerIdentity, Error> authenticateCaller(
+std::variant<CallerIdentity, Error> identifyCaller(
     const GatewayEnvironment& environment, const QByteArray& key, bool allowsAnonymous)
 {
     const GatewayConfiguration& configuration = *environment.configuration;
@@ -36,15 +36,26 @@
         }
     }
     // A route without a key may be new as well.
-    if (environment.isConfigurationCurrent && !environment.isConfigurationCurrent()) {
-        countRefusal(environment, "configuration_outdated");
+    if (environment.isConfigurationCurrent && !environment.isConfigurationCurrent())
         return Error(ErrorKind::NotReady, "a newer configuration may hold the key", configurationRetryAfter);
-    }
-    countRefusal(environment, key.isEmpty() ? "no_key" : "unknown_key");
     return Error(ErrorKind::Unauthorized,
         key.isEmpty() ? "the request has no key" : "no workspace of the configuration holds the key");
 }
 
+std::variant<CallerIdentity, Error> authenticateCaller(
+    const GatewayEnvironment& environment, const QByteArray& key, bool allowsAnonymous)
+{
+    std::variant<CallerIdentity, Error> result = identifyCaller(environment, key, allowsAnonymous);
+    const auto* error = std::get_if<Error>(&result);
+    if (!error || environment.configuration->version == 0)
+        return result;
+    if (error->kind() == ErrorKind::NotReady)
+        countRefusal(environment, "configuration_outdated");
+    else
+        countRefusal(environment, key.isEmpty() ? "no_key" : "unknown_key");
+    return result;
+}
+
 CallerIdentity identityOf(const GatewayConfiguration& configuration, const std::string& workspace)
 {
     const auto it = std::ranges::find(
--- a/Libraries/LibGateway/EndpointChooser.cpp
+++ b/Libraries/LibGateway/EndpointChooser.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace Chicorydock {
 
@@ -42,6 +43,9 @@
     /// Random cost of an endpoint, in slots. It makes nodes that see the same loads choose different endpoints.
     constexpr double randomSlots = 0.5;
 
+    /// Mean of the random numbers that are drawn.
+    constexpr double meanDraw = 0.5;
+
     /// Maximum cost of an endpoint that the node does not prefer, in slots. It serves the same purpose.
     constexpr double preferredSlots = 2;
 
@@ -93,30 +97,55 @@
         m_prompts.record(profile, endpoint.key, now);
 }
 
+PromptPlacement::Matches EndpointChooser::findPrompt(const WorkProfile& profile, MonotonicTime now) const
+{
+    return m_isPlacingByPrompt ? m_prompts.find(profile, now) : PromptPlacement::Matches {};
+}
+
+EndpointObstacle EndpointChooser::onlineObstacle(
+    SlotEndpoint& endpoint, const OnlineWork& work, MonotonicTime now) const
+{
+    if (const EndpointObstacle obstacle = endpoint.obstacleFor(work, now); obstacle != EndpointObstacle::None)
+        return obstacle;
+    const uint32_t free = endpoint.freeForOnline(now);
+    if (free == 0)
+        return EndpointObstacle::Full;
+    if (!m_turns.isSpilloverAllowed(endpoint, work, now))
+        return EndpointObstacle::Remote;
+    // The node whose work has just ended knows of the free slot before its peers do.
+    const bool hasJustFreedSlot = !endpoint.limiter.isLimited() && now - endpoint.ownEndedAt < slotReuseTime;
+    if (!hasJustFreedSlot && !m_turns.isOnlineTurn(endpoint, free, now))
+        return EndpointObstacle::OtherTurn;
+    return EndpointObstacle::None;
+}
+
+EndpointCost EndpointChooser::onlineCost(
+    const SlotEndpoint& endpoint, const PromptPlacement::Matches& prompt, double draw, MonotonicTime now) const
+{
+    const uint32_t capacity = endpoint.slotLimit;
+    EndpointCost cost;
+    cost.load = static_cast<double>(endpoint.total()) / capacity;
+    cost.distance = distanceCost(endpoint);
+    cost.slowness = slownessCost(endpoint, now);
+    // The random part spreads the requests of nodes that see the same loads.
+    cost.spread = (draw * randomSlots + endpoint.preference * preferredSlots) / capacity;
+    if (endpoint.total() >= capacity)
+        cost.yield = endpoint.own.batch > 0 ? ownYieldCost : peerYieldCost;
+    if (endpoint.limiter.isLimited())
+        cost.rateLimit = limitedRateCost * (1 + endpoint.preference);
+    cost.prompt -= promptGain(prompt, endpoint);
+    return cost;
+}
+
 SlotEndpoint* EndpointChooser::chooseForOnline(const OnlineWork& work, MonotonicTime now)
 {
     SlotEndpoint* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    const PromptPlacement::Matches prompt = m_prompts.find(work.profile, now);
+    const PromptPlacement::Matches prompt = findPrompt(work.profile, now);
     for (auto& [id, it] : m_endpoints) {
-        if (!it.isEligible(work, now))
-            continue;
-        const uint32_t capacity = it.slotLimit;
-        const uint32_t free = it.freeForOnline(now);
-        if (free == 0 || !m_turns.isSpilloverAllowed(it, work, now))
+        if (onlineObstacle(it, work, now) != EndpointObstacle::None)
             continue;
-        // The node whose work has just ended knows of the free slot before its peers do.
-        const bool hasJustFreedSlot = !it.limiter.isLimited() && now - it.ownEndedAt < slotReuseTime;
-        if (!hasJustFreedSlot && !m_turns.isOnlineTurn(it, free, now))
-            continue;
-        // The random part spreads the requests of nodes that see the same loads.
-        double cost = static_cast<double>(it.total()) / capacity + distanceCost(it) + slownessCost(it, now)
-            + (m_random.unit() * randomSlots + it.preference * preferredSlots) / capacity;
-        if (it.total() >= capacity)
-            cost += it.own.batch > 0 ? ownYieldCost : peerYieldCost;
-        if (it.limiter.isLimited())
-            cost += limitedRateCost * (1 + it.preference);
-        cost -= promptGain(prompt, it);
+        const double cost = onlineCost(it, prompt, m_random.unit(), now).total();
         if (cost < bestCost) {
             bestCost = cost;
             best = &it;
@@ -125,24 +154,49 @@
     return best;
 }
 
+EndpointObstacle EndpointChooser::eligibilityForBatch(
+    const SlotEndpoint& endpoint, const BatchWork& work, bool isPoolExhausted, MonotonicTime now) const
+{
+    const EndpointObstacle obstacle = endpoint.obstacleFor(work, now);
+    if (obstacle == EndpointObstacle::None && isPoolExhausted && m_reserve.isPooled(endpoint))
+        return EndpointObstacle::Full;
+    return obstacle;
+}
+
+EndpointObstacle EndpointChooser::batchLoadObstacle(SlotEndpoint& endpoint, MonotonicTime now) const
+{
+    const uint32_t free = m_reserve.freeForBatch(endpoint, now);
+    if (free == 0)
+        return EndpointObstacle::Full;
+    return m_turns.isBatchTurn(endpoint, free, now) ? EndpointObstacle::None : EndpointObstacle::OtherTurn;
+}
+
+EndpointCost EndpointChooser::batchCost(
+    const SlotEndpoint& endpoint, const PromptPlacement::Matches& prompt, double draw, MonotonicTime now) const
+{
+    EndpointCost cost;
+    cost.load = static_cast<double>(endpoint.total()) / endpoint.slotLimit;
+    cost.distance = distanceCost(endpoint);
+    cost.slowness = slownessCost(endpoint, now);
+    cost.spread = draw * randomSlots / endpoint.slotLimit;
+    cost.rateLimit = endpoint.limiter.isLimited() ? -limitedRateCost : 0;
+    cost.prompt -= promptGain(prompt, endpoint);
+    return cost;
+}
+
 SlotEndpoint* EndpointChooser::chooseForBatch(const BatchWork& work, MonotonicTime now)
 {
     SlotEndpoint* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    const PromptPlacement::Matches prompt = m_prompts.find(work.profile, now);
+    const PromptPlacement::Matches prompt = findPrompt(work.profile, now);
     const bool isPoolExhausted = m_reserve.isPoolExhausted(work.service, now);
     for (auto& [id, it] : m_endpoints) {
-        if (!it.isEligible(work, now))
-            continue;
-        if (isPoolExhausted && m_reserve.isPooled(it))
+        if (eligibilityForBatch(it, work, isPoolExhausted, now) != EndpointObstacle::None)
             continue;
         m_reserve.updateAvailability(it, now);
-        const uint32_t free = m_reserve.freeForBatch(it, now);
-        if (free == 0 || !m_turns.isBatchTurn(it, free, now))
+        if (batchLoadObstacle(it, now) != EndpointObstacle::None)
             continue;
-        const double cost = static_cast<double>(it.total()) / it.slotLimit + distanceCost(it) + slownessCost(it, now)
-            + m_random.unit() * randomSlots / it.slotLimit - (it.limiter.isLimited() ? limitedRateCost : 0)
-            - promptGain(prompt, it);
+        const double cost = batchCost(it, prompt, m_random.unit(), now).total();
         if (cost < bestCost) {
             bestCost = cost;
             best = &it;
@@ -151,4 +205,51 @@
     return best;
 }
 
+EndpointEvaluation EndpointChooser::makeEvaluation(
+    const SlotEndpoint& endpoint, EndpointObstacle obstacle, MonotonicTime now)
+{
+    return { endpoint.record.id, endpoint.record.failureDomain, obstacle, {}, endpoint.view(now) };
+}
+
+void EndpointChooser::sortByCost(std::vector<EndpointEvaluation>& evaluations)
+{
+    std::ranges::stable_sort(evaluations, {}, [](const EndpointEvaluation& it) {
+        return std::tuple(it.obstacle != EndpointObstacle::None, it.cost.total());
+    });
+}
+
+std::vector<EndpointEvaluation> EndpointChooser::evaluate(const OnlineWork& work, MonotonicTime now)
+{
+    std::vector<EndpointEvaluation> evaluations;
+    const PromptPlacement::Matches prompt = findPrompt(work.profile, now);
+    for (auto& [id, it] : m_endpoints) {
+        if (it.record.service != work.service)
+            continue;
+        evaluations.push_back(makeEvaluation(it, onlineObstacle(it, work, now), now));
+        if (it.slotLimit > 0)
+            evaluations.back().cost = onlineCost(it, prompt, meanDraw, now);
+    }
+    sortByCost(evaluations);
+    return evaluations;
+}
+
+std::vector<EndpointEvaluation> EndpointChooser::evaluate(const BatchWork& work, MonotonicTime now)
+{
+    std::vector<EndpointEvaluation> evaluations;
+    const PromptPlacement::Matches prompt = findPrompt(work.profile, now);
+    const bool isPoolExhausted = m_reserve.isPoolExhausted(work.service, now);
+    for (auto& [id, it] : m_endpoints) {
+        if (it.record.service != work.service)
+            continue;
+        EndpointObstacle obstacle = eligibilityForBatch(it, work, isPoolExhausted, now);
+        if (obstacle == EndpointObstacle::None)
+            obstacle = batchLoadObstacle(it, now);
+        evaluations.push_back(makeEvaluation(it, obstacle, now));
+        if (it.slotLimit > 0)
+            evaluations.back().cost = batchCost(it, prompt, meanDraw, now);
+    }
+    sortByCost(evaluations);
+    return evaluations;
+}
+
 }
--- a/Libraries/LibGateway/EndpointChooser.h
+++ b/Libraries/LibGateway/EndpointChooser.h
@@ -4,6 +4,8 @@
 #include <LibGateway/PromptPlacement.h>
 #include <LibGateway/SlotTurns.h>
 
+#include <vector>
+
 namespace Chicorydock {
 
 /// Decides at which endpoint a request or an item starts: at the one of lowest cost among those that may run it, have a
@@ -29,7 +31,25 @@
     SlotEndpoint* chooseForOnline(const OnlineWork&, MonotonicTime now);
     SlotEndpoint* chooseForBatch(const BatchWork&, MonotonicTime now);
 
+    /// Returns how the endpoints of the service of a request or an item are judged now, those of lowest cost first and
+    /// those with an obstacle last. Changes nothing and draws no random numbers.
+    std::vector<EndpointEvaluation> evaluate(const OnlineWork&, MonotonicTime now);
+    std::vector<EndpointEvaluation> evaluate(const BatchWork&, MonotonicTime now);
+
 private:
+    /// Returns why the work does not start at the endpoint now.
+    EndpointObstacle onlineObstacle(SlotEndpoint&, const OnlineWork&, MonotonicTime now) const;
+    /// Returns why the item may not start at the endpoint, whether or not a slot is free there.
+    EndpointObstacle eligibilityForBatch(
+        const SlotEndpoint&, const BatchWork&, bool isPoolExhausted, MonotonicTime now) const;
+    /// Returns why no item starts at the endpoint now that may run there.
+    EndpointObstacle batchLoadObstacle(SlotEndpoint&, MonotonicTime now) const;
+    /// Returns the cost of the endpoint. `draw` in [0, 1) is the random part.
+    EndpointCost onlineCost(const SlotEndpoint&, const PromptPlacement::Matches&, double draw, MonotonicTime now) const;
+    EndpointCost batchCost(const SlotEndpoint&, const PromptPlacement::Matches&, double draw, MonotonicTime now) const;
+    PromptPlacement::Matches findPrompt(const WorkProfile&, MonotonicTime now) const;
+    static EndpointEvaluation makeEvaluation(const SlotEndpoint&, EndpointObstacle, MonotonicTime now);
+    static void sortByCost(std::vector<EndpointEvaluation>&);
     double distanceCost(const SlotEndpoint&) const;
     double promptGain(const PromptPlacement::Matches&, const SlotEndpoint&) const;
     double slownessCost(const SlotEndpoint&, MonotonicTime now) const;
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -4,6 +4,7 @@
 #include <LibGateway/DecisionFields.h>
 #include <LibGateway/FurtherRun.h>
 #include <LibGateway/RequestFingerprint.h>
+#include <LibGateway/RequestWork.h>
 #include <LibGateway/ServiceChoice.h>
 
 #include <algorithm>
@@ -14,16 +15,6 @@
 
 namespace {
 
-    /// Assumed if the caller sends no deadline.
-    constexpr Milliseconds defaultDeadline { 30'000 };
-
-    /// Time from the request to the first byte at an endpoint with a free slot.
-    constexpr Milliseconds typicalFirstByteTime { 80 };
-
-    /// If the caller's deadline is more than this below the route's timeout, the caller has spent time on an earlier
-    /// attempt.
-    constexpr Milliseconds retryDetectionMargin { 60 };
-
     constexpr uint32_t maxFailedConnections = 4;
 
     /// Minimum time without data after which a repeatable stream moves to another endpoint. The first event takes
@@ -107,12 +98,6 @@
     m_slot.release(EndpointOutcome::Cancelled);
 }
 
-Milliseconds ForwardedCall::timeLimit(const ForwardRequest& request, const GatewayRoute& route)
-{
-    const Milliseconds limit = request.deadline.value_or(defaultDeadline);
-    return route.timeout.count() > 0 ? std::min(limit, route.timeout) : limit;
-}
-
 void ForwardedCall::start()
 {
     m_service = chooseOfferedService(m_route, m_environment.directory, m_environment.random.unit());
@@ -203,14 +188,6 @@
 
 Milliseconds ForwardedCall::timeLeft() const { return milliseconds(m_deadline - m_environment.clock.now()); }
 
-MonotonicTime ForwardedCall::latestStart() const
-{
-    // The caller of a stream that has begun waits for its next event.
-    const Milliseconds target = m_origin ? m_route.gapTarget : m_route.latencyTarget;
-    const MonotonicTime since = m_origin ? m_environment.clock.now() : m_arrival;
-    return since + std::max(Milliseconds { 0 }, target - typicalFirstByteTime);
-}
-
 bool ForwardedCall::relayIfEndpointsAreLost()
 {
     const bool areLost = m_environment.links.areLost() || m_failedConnections >= maxFailedConnectionsBeforeRelay;
@@ -377,19 +354,17 @@
             "no endpoint has the software version that began the stream");
         return;
     }
-    OnlineWork work;
-    work.service = m_service;
-    work.priority = m_request.caller.priority.value_or(m_route.priority);
-    work.startBy = latestStart();
+    OnlineWork work = makeOnlineWork(m_request, m_route, m_service, m_arrival);
     work.deadline = m_deadline;
-    const bool isRetry = m_request.deadline && *m_request.deadline + retryDetectionMargin < m_route.timeout;
-    work.isLastAttempt = isRetry || m_mayHaveRun || m_origin;
+    // The caller of a stream that has begun waits for its next event.
+    if (m_origin)
+        work.startBy = latestStart(m_route.gapTarget, m_environment.clock.now());
+    work.isLastAttempt = work.isLastAttempt || m_mayHaveRun || m_origin;
     work.excluded = m_excluded;
     // The coordinator may not know yet that these endpoints are leaving or have been replaced.
     m_excludedWhenQueued = m_environment.directory.excluded();
     std::ranges::copy(m_excludedWhenQueued, std::back_inserter(work.excluded));
     work.softwareVersion = requiredVersion();
-    work.profile = m_request.profile;
     work.isCharged = m_chargedWorkspace == work.profile.workspace;
     m_slot.request(std::move(work), *this);
 }
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -38,10 +38,6 @@
         std::function<void()> onDone);
     ~ForwardedCall() override;
 
-    /// Returns how long such a request may take: the caller's deadline, or the limit of the operator if that is
-    /// shorter.
-    static Milliseconds timeLimit(const ForwardRequest&, const GatewayRoute&);
-
     void start();
 
     /// Ends the call by that time at the latest, because the process stops.
@@ -91,8 +87,6 @@
     std::optional<std::string> workspace() const;
     /// Adds the workspace of the caller to the details of a log line.
     void addWorkspace(QJsonObject& details) const;
-    /// Returns the latest start that keeps the latency target of the route.
-    MonotonicTime latestStart() const;
     void send(const EndpointRecord&);
     /// Has a peer forward the request if this node cannot reach the endpoints. Returns whether it does.
     bool relayIfEndpointsAreLost();
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/GatewayHandler.h>
 
 #include <LibGateway/CallerAuthentication.h>
+#include <LibGateway/RequestWork.h>
 
 #include <algorithm>
 #include <utility>
@@ -206,7 +207,7 @@
 void GatewayHandler::forward(
     const std::shared_ptr<HttpExchange>& exchange, const ForwardRequest& request, const GatewayRoute& route)
 {
-    if (refuseIfStopping(exchange, request.id, ForwardedCall::timeLimit(request, route)))
+    if (refuseIfStopping(exchange, request.id, timeLimit(request, route)))
         return;
     const uint64_t number = ++m_lastNumber;
     auto call = std::make_unique<ForwardedCall>(
--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -92,27 +92,42 @@
     return id;
 }
 
-void JobController::submit(
-    const SubmittedJob& submission, const GatewayRoute& route, const std::string& host, const Done& done)
+JobHead JobController::makeRecord(const SubmittedJob& submission, const GatewayRoute& route)
 {
-    if (m_records.contains(submission.jobId)) {
-        done({});
-        return;
-    }
     JobHead record;
     record.id = submission.jobId;
-    record.owner = m_isLeaving ? "" : m_node;
     record.route = route.name;
-    record.host = host;
     record.itemCount = static_cast<uint32_t>(submission.items.size());
     record.workspace = submission.workspace.value_or("");
     for (const JobItem& it : submission.items)
         record.tokens += it.tokens;
-    const uint64_t waiting = route.maxWaitingTokens > 0 ? waitingTokens(record, submission.workspace.has_value()) : 0;
-    if (route.maxWaitingTokens > 0 && waiting + record.tokens > route.maxWaitingTokens) {
-        done(Error(ErrorKind::Overloaded, "the route reached its limit of waiting tokens", quotaRetryAfter));
+    return record;
+}
+
+std::optional<Error> JobController::limitExceededBy(const SubmittedJob& submission, const GatewayRoute& route) const
+{
+    if (route.maxWaitingTokens == 0)
+        return std::nullopt;
+    const JobHead record = makeRecord(submission, route);
+    if (waitingTokens(record, submission.workspace.has_value()) + record.tokens <= route.maxWaitingTokens)
+        return std::nullopt;
+    return Error(ErrorKind::Overloaded, "the route reached its limit of waiting tokens", quotaRetryAfter);
+}
+
+void JobController::submit(
+    const SubmittedJob& submission, const GatewayRoute& route, const std::string& host, const Done& done)
+{
+    if (m_records.contains(submission.jobId)) {
+        done({});
+        return;
+    }
+    if (const auto error = limitExceededBy(submission, route)) {
+        done(error);
         return;
     }
+    JobHead record = makeRecord(submission, route);
+    record.owner = m_isLeaving ? "" : m_node;
+    record.host = host;
     if (!m_store.time()) {
         done(Error(
             ErrorKind::PlatformUnavailable, "the store has not replied since the start of this node", storeRetryAfter));
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -47,6 +48,9 @@
     /// stay within reach after that has changed.
     std::string findId(const std::optional<std::string>& workspace, const std::string& callerId) const;
 
+    /// Returns why the job does not fit into the limit of waiting tokens of the route, or nothing if it does.
+    std::optional<Error> limitExceededBy(const SubmittedJob&, const GatewayRoute&) const;
+
     /// Submits a job; idempotent for each job identifier. Replies without an error once the job is stored.
     void submit(const SubmittedJob&, const GatewayRoute&, const std::string& host, const Done&);
 
@@ -86,6 +90,8 @@
     void onReachableChanged(bool) override;
 
 private:
+    /// Returns the record of a job that is submitted now, without an owner and a time.
+    static JobHead makeRecord(const SubmittedJob&, const GatewayRoute&);
     void updateRecord(const JobHead&);
     /// Returns the tokens that wait on the route of the job, or those of its workspace on that route if it has one,
     /// without the job itself.
--- a/Libraries/LibGateway/QueueAdmission.cpp
+++ b/Libraries/LibGateway/QueueAdmission.cpp
@@ -79,6 +79,11 @@
     return work.profile.workspace.empty() ? randomRetryAfter(wait) : bookRetry(work, wait, now);
 }
 
+Milliseconds QueueAdmission::earliestRetryAfter(const OnlineWork& work, const WaitingLine& line) const
+{
+    return std::min(minRetryAfter + expectedWait(work, line), maxRetryAfter);
+}
+
 Milliseconds QueueAdmission::randomRetryAfter(Milliseconds wait)
 {
     const double spread = m_random.unit() * static_cast<double>(std::max(wait, minRetrySpread).count());
--- a/Libraries/LibGateway/QueueAdmission.h
+++ b/Libraries/LibGateway/QueueAdmission.h
@@ -46,6 +46,9 @@
     /// Without workspaces it is partly random, so that callers that were refused together do not return together.
     Milliseconds retryAfter(const OnlineWork&, const WaitingLine&, MonotonicTime now);
 
+    /// Returns the shortest time that `retryAfter()` may return. Books nothing.
+    Milliseconds earliestRetryAfter(const OnlineWork&, const WaitingLine&) const;
+
 private:
     Milliseconds randomRetryAfter(Milliseconds wait);
     /// Returns a time behind earlier bookings.
--- a/Libraries/LibGateway/SlotEndpoint.cpp
+++ b/Libraries/LibGateway/SlotEndpoint.cpp
@@ -58,10 +58,13 @@
     respondedAt = now;
 }
 
-bool SlotEndpoint::isAvoided(const std::vector<std::string>& excluded, MonotonicTime now) const
+bool SlotEndpoint::isExcluded(const std::vector<std::string>& excluded) const
+{
+    return !isUsable || std::ranges::find(excluded, record.id) != excluded.end();
+}
+
+bool SlotEndpoint::isAvoided(MonotonicTime now) const
 {
-    if (!isUsable || std::ranges::find(excluded, record.id) != excluded.end())
-        return true;
     if (failures == 0)
         return false;
     // After the avoidance time, one request or item at a time probes whether the endpoint has recovered.
--- a/Libraries/LibGateway/SlotEndpoint.h
+++ b/Libraries/LibGateway/SlotEndpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibGateway/EndpointEvaluation.h>
 #include <LibGateway/EndpointLoadProfile.h>
 #include <LibGateway/EndpointRecord.h>
 #include <LibGateway/RateLimiter.h>
@@ -84,17 +85,21 @@
     void recordFailure(MonotonicTime now);
     void recordResponse(MonotonicTime now);
 
-    /// Returns whether work must not start here, because the endpoint is gone, excluded or has failed lately.
-    bool isAvoided(const std::vector<std::string>& excluded, MonotonicTime now) const;
+    /// Returns whether the endpoint has left, or is one of the excluded ones.
+    bool isExcluded(const std::vector<std::string>& excluded) const;
+    /// Returns whether work must not start here because the endpoint has failed lately.
+    bool isAvoided(MonotonicTime now) const;
 
-    /// Returns whether the endpoint may run the request or item, apart from its load.
-    template <typename Work> bool isEligible(const Work& work, MonotonicTime now) const
+    /// Returns why the endpoint may not run the request or item, apart from its load.
+    template <typename Work> EndpointObstacle obstacleFor(const Work& work, MonotonicTime now) const
     {
         if (record.service != work.service)
-            return false;
+            return EndpointObstacle::OtherService;
         if (work.softwareVersion && record.softwareVersion != *work.softwareVersion)
-            return false;
-        return !isAvoided(work.excluded, now);
+            return EndpointObstacle::OtherVersion;
+        if (isExcluded(work.excluded))
+            return EndpointObstacle::Excluded;
+        return isAvoided(now) ? EndpointObstacle::Avoided : EndpointObstacle::None;
     }
 };
 
--- a/Libraries/LibGateway/SlotQueue.cpp
+++ b/Libraries/LibGateway/SlotQueue.cpp
@@ -79,6 +79,11 @@
         m_online, [&](const OnlineWork& it) { return it.profile.workspace != m_online.front().profile.workspace; });
 }
 
+uint32_t SlotQueue::waitingBatch(const std::string& service) const
+{
+    return static_cast<uint32_t>(std::ranges::count(m_batch, service, &BatchWork::service));
+}
+
 void SlotQueue::recordStart(const OnlineWork& work)
 {
     m_shares.recordStart(work.service, work.profile.workspace, work.slotTime);
--- a/Libraries/LibGateway/SlotQueue.h
+++ b/Libraries/LibGateway/SlotQueue.h
@@ -4,6 +4,7 @@
 #include <LibGateway/SlotTimeEstimator.h>
 #include <LibGateway/SlotTypes.h>
 
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -45,6 +46,8 @@
     bool isEmpty() const { return m_online.empty() && m_batch.empty(); }
     uint32_t waitingOnline() const { return static_cast<uint32_t>(m_online.size()); }
     uint32_t waitingBatch() const { return static_cast<uint32_t>(m_batch.size()); }
+    /// Returns the number of queued items of the service.
+    uint32_t waitingBatch(const std::string& service) const;
 
 private:
     /// Place of a request in the order.
--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -161,6 +161,67 @@
     m_queue.putBack(std::move(waiting));
 }
 
+WaitingLine SlotScheduler::lineFor(const OnlineWork& work, MonotonicTime now) const
+{
+    SlotQueue queue = m_queue;
+    queue.add(work, now);
+    WaitingLine line { .rest = 0 };
+    bool isAhead = true;
+    for (const OnlineWork& it : queue.takeOnline(now)) {
+        isAhead = isAhead && it.id != work.id;
+        if (it.service != work.service)
+            continue;
+        if (isAhead) {
+            ++line.ahead;
+            line.timeAhead += it.slotTime;
+        } else {
+            ++line.rest;
+        }
+    }
+    return line;
+}
+
+SlotExplanation SlotScheduler::explain(const OnlineWork& work, MonotonicTime now)
+{
+    OnlineWork arriving = work;
+    arriving.submittedAt = now;
+    const WaitingLine line = lineFor(arriving, now);
+    SlotExplanation explanation { .service = work.service,
+        .ahead = static_cast<uint32_t>(line.ahead),
+        .expectedWait = m_admission.expectedWait(arriving, line),
+        .expectedSlotTime = m_slotTimes.requestTime(work.service, work.profile),
+        .quota = m_quota.view(work.profile.workspace, now),
+        .endpoints = m_chooser.evaluate(arriving, now) };
+    if (explanation.quota && explanation.quota->retryAfter) {
+        explanation.refusal = RefusalReason::Quota;
+        explanation.retryAfter = *explanation.quota->retryAfter;
+        return explanation;
+    }
+    // Requests that wait have found no endpoint, so a later one finds none either.
+    if (line.ahead == 0 && !explanation.endpoints.empty()
+        && explanation.endpoints.front().obstacle == EndpointObstacle::None) {
+        explanation.endpoint = explanation.endpoints.front().endpoint;
+    } else if (work.service.empty() || m_endpoints.isVersionGone(work)
+        || m_admission.shouldRefuse(arriving, line, now)) {
+        explanation.refusal = RefusalReason::Load;
+        explanation.retryAfter = m_admission.earliestRetryAfter(arriving, line);
+    }
+    return explanation;
+}
+
+SlotExplanation SlotScheduler::explain(const BatchWork& work, MonotonicTime now)
+{
+    SlotExplanation explanation { .service = work.service,
+        .ahead = m_queue.waitingBatch(work.service),
+        .expectedSlotTime
+        = std::max(m_slotTimes.itemTime(work.service, work.profile) - work.slotTimeUsed, Milliseconds { 0 }),
+        .endpoints = m_chooser.evaluate(work, now) };
+    if (explanation.ahead == 0 && !explanation.endpoints.empty()
+        && explanation.endpoints.front().obstacle == EndpointObstacle::None)
+        explanation.endpoint = explanation.endpoints.front().endpoint;
+    return explanation;
+}
+
 void SlotScheduler::startWork(
     std::vector<SlotDecision>& decisions, RunningWork work, SlotEndpoint& endpoint, MonotonicTime now)
 {
--- a/Libraries/LibGateway/SlotScheduler.h
+++ b/Libraries/LibGateway/SlotScheduler.h
@@ -83,6 +83,10 @@
     std::vector<SlotDecision> poll(MonotonicTime now) override;
     bool needsPolling() const override { return !m_queue.isEmpty() || !m_overQuota.empty(); }
 
+    /// Returns what would be decided about the work now, without queueing, charging or booking anything.
+    SlotExplanation explain(const OnlineWork&, MonotonicTime now);
+    SlotExplanation explain(const BatchWork&, MonotonicTime now);
+
     /// Returns the work if it holds a slot, or null. Valid until the next call of another method.
     const RunningWork* findRunning(uint64_t work) const { return m_usage.find(work); }
     /// Returns when the endpoint last responded to a node that this scheduler works for.
@@ -118,6 +122,8 @@
     void decideOnline(std::vector<SlotDecision>&, MonotonicTime now);
     void decideYields(std::vector<SlotDecision>&, MonotonicTime now);
     void decideBatch(std::vector<SlotDecision>&, MonotonicTime now);
+    /// Returns the place that the request would have in the queue.
+    WaitingLine lineFor(const OnlineWork&, MonotonicTime now) const;
     /// Starts work of which the identifier and the fields of items are set.
     void startWork(std::vector<SlotDecision>&, RunningWork, SlotEndpoint&, MonotonicTime now);
     /// Returns for how much longer the work is expected to hold a slot when it starts.
--- a/Libraries/LibGateway/WorkspaceQuota.cpp
+++ b/Libraries/LibGateway/WorkspaceQuota.cpp
@@ -159,6 +159,16 @@
     return std::nullopt;
 }
 
+std::optional<QuotaView> WorkspaceQuota::view(const std::string& workspace, MonotonicTime now) const
+{
+    const auto it = m_buckets.find(workspace);
+    if (it == m_buckets.end())
+        return std::nullopt;
+    QuotaBucket bucket = it->second.bucket;
+    return QuotaView { bucket.limits(), bucket.level(now), m_shares.group, m_shares.own,
+        bucket.charge(m_syncedUntil, now) };
+}
+
 void WorkspaceQuota::refund(uint64_t work)
 {
     const auto charged = m_queued.extract(work);
--- a/Libraries/LibGateway/WorkspaceQuota.h
+++ b/Libraries/LibGateway/WorkspaceQuota.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Random.h>
+#include <LibGateway/EndpointEvaluation.h>
 #include <LibGateway/QuotaBucket.h>
 #include <LibGateway/QuotaGroup.h>
 #include <LibGateway/ReportedQuota.h>
@@ -61,6 +62,10 @@
     /// another allocator has accepted the request, which cannot charge it any more; it is charged but not refused.
     std::optional<Milliseconds> charge(uint64_t work, const std::string& workspace, bool isAccepted, MonotonicTime now);
 
+    /// Returns what is left of the limit of the workspace, and whether a request would be refused now; nothing if it
+    /// has no limit. Charges nothing.
+    std::optional<QuotaView> view(const std::string& workspace, MonotonicTime now) const;
+
     /// Records that the request runs, so that its charge is final.
     void recordStart(uint64_t work) { m_queued.erase(work); }
     /// Gives the charge of the request back unless it runs or ran.
--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -40,17 +40,6 @@
 
     MonotonicTime now() { return std::chrono::steady_clock::now(); }
 
-    QByteArray toPath(const QByteArray& target)
-    {
-        return QByteArray::fromPercentEncoding(target.first(std::ranges::find(target, '?') - target.begin()));
-    }
-
-    QByteArray toQuery(const QByteArray& target)
-    {
-        const qsizetype mark = target.indexOf('?');
-        return mark < 0 ? QByteArray() : target.sliced(mark + 1);
-    }
-
     bool isSupported(QHttpServerRequest::Method method)
     {
         using Method = QHttpServerRequest::Method;
@@ -182,14 +171,9 @@
         refuse(Error(ErrorKind::UnsupportedMethod, "the method is not supported"));
         return;
     }
-    HttpRequest request { .method = std::move(m_request.method),
-        .path = toPath(m_request.target),
-        .query = toQuery(m_request.target),
-        .headers = std::move(m_request.headers),
-        .body = std::move(m_request.body),
-        .target = std::move(m_request.target) };
+    const bool isHttp10 = m_request.isHttp10;
     const auto exchange
-        = std::make_shared<ConnectionExchange>(*this, std::move(request), m_request.isHttp10, m_received);
+        = std::make_shared<ConnectionExchange>(*this, toRequest(std::move(m_request)), isHttp10, m_received);
     m_exchange = exchange;
     m_context.handler.handle(exchange);
 }
--- a/Libraries/LibHTTP/HttpRequestReader.cpp
+++ b/Libraries/LibHTTP/HttpRequestReader.cpp
@@ -11,6 +11,17 @@
 
 namespace {
 
+    QByteArray toPath(const QByteArray& target)
+    {
+        return QByteArray::fromPercentEncoding(target.first(std::ranges::find(target, '?') - target.begin()));
+    }
+
+    QByteArray toQuery(const QByteArray& target)
+    {
+        const qsizetype mark = target.indexOf('?');
+        return mark < 0 ? QByteArray() : target.sliced(mark + 1);
+    }
+
     /// More digits than any permitted length has, and few enough that the number fits in 64 bits.
     constexpr qsizetype maxLengthDigits = 15;
 
@@ -56,6 +67,26 @@
 
 }
 
+HttpRequest toRequest(FramedRequest&& request)
+{
+    return { .method = std::move(request.method),
+        .path = toPath(request.target),
+        .query = toQuery(request.target),
+        .headers = std::move(request.headers),
+        .body = std::move(request.body),
+        .target = std::move(request.target) };
+}
+
+HttpRequest readWholeRequest(QByteArrayView message, const HttpServerLimits& limits)
+{
+    HttpRequestReader reader(limits);
+    if (!reader.consume(message))
+        throw Error(ErrorKind::MalformedRequest, "the request is not complete");
+    if (!message.isEmpty())
+        throw Error(ErrorKind::MalformedRequest, "bytes follow the request");
+    return toRequest(reader.take());
+}
+
 HttpRequestReader::HttpRequestReader(const HttpServerLimits& limits)
     : m_limits(limits)
 {
--- a/Libraries/LibHTTP/HttpRequestReader.h
+++ b/Libraries/LibHTTP/HttpRequestReader.h
@@ -27,6 +27,13 @@
     bool keepAlive { true };
 };
 
+/// May be called from any thread.
+HttpRequest toRequest(FramedRequest&&);
+
+/// Reads a message that is one whole request. Throws Error(MalformedRequest) if it is anything else, and as
+/// `HttpRequestReader::consume()` does. May be called from any thread.
+HttpRequest readWholeRequest(QByteArrayView message, const HttpServerLimits&);
+
 /// Splits the bytes of a connection into requests and checks their framing and size, because the parser of
 /// QHttpServer has no limits and accepts contradictory lengths.
 ///
