--- a/Libraries/LibOperator/OperatorClient.cpp
+++ b/Libraries/LibOperator/OperatorClient.cpp
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/ConfigurationSchema.h>
 #include <LibCore/Error.h>
+#include <LibOperator/ExplanationMessages.h>
 #include <LibOperator/OperatorMessages.h>
 #include <Schema/Node.capnp.h>
 
@@ -52,6 +53,8 @@
         m_hasLostConnection = exception.getType() == kj::Exception::Type::DISCONNECTED
             || exception.getType() == kj::Exception::Type::OVERLOADED;
         const std::string description(exception.getDescription().cStr());
+        if (exception.getType() == kj::Exception::Type::UNIMPLEMENTED)
+            throw Error(ErrorKind::UnsupportedMethod, "node " + m_address + " is of a version without this call");
         if (!m_hasLostConnection)
             throw toError(description);
         throw Error(isChange ? ErrorKind::OutcomeUnknown : ErrorKind::NotReady,
@@ -156,4 +159,11 @@
     return readList(read(request).getEvents());
 }
 
+RequestExplanation OperatorClient::explainRequest(const std::string& message)
+{
+    auto request = m_connection->node.explainRequestRequest();
+    request.setRequest(capnp::Data::Reader(reinterpret_cast<const kj::byte*>(message.data()), message.size()));
+    return Chicorydock::read(read(request).getExplanation());
+}
+
 }
--- a/Libraries/LibOperator/OperatorClient.h
+++ b/Libraries/LibOperator/OperatorClient.h
@@ -41,6 +41,7 @@
     JobView cancelJob(const std::string& id) override;
     void drain(const std::string& endpoint) override;
     std::vector<Event> timeline(const std::string& id, uint32_t limit) override;
+    RequestExplanation explainRequest(const std::string& message) override;
 
 private:
     struct Connection;
--- a/Libraries/LibOperator/OperatorHandler.h
+++ b/Libraries/LibOperator/OperatorHandler.h
@@ -2,6 +2,7 @@
 
 #include <LibBatch/JobService.h>
 #include <LibConfiguration/ConfigurationStore.h>
+#include <LibGateway/RequestExplanation.h>
 #include <LibLog/EventLog.h>
 #include <LibOperator/OperatorTypes.h>
 
@@ -47,6 +48,10 @@
 
     /// Returns the newest events of the node, oldest first; `id` filters by identifier or trace id if not empty.
     virtual std::vector<Event> timeline(const std::string& id, uint32_t limit) = 0;
+
+    /// Explains where a request of a caller would go now, without sending it. `message` is the request as an HTTP/1.1
+    /// message. Throws Error(MalformedRequest).
+    virtual RequestExplanation explainRequest(const std::string& message) = 0;
 };
 
 }
--- a/Libraries/LibOperator/OperatorServer.cpp
+++ b/Libraries/LibOperator/OperatorServer.cpp
@@ -1,6 +1,7 @@
 #include <LibOperator/OperatorServer.h>
 
 #include <LibConfiguration/ConfigurationSchema.h>
+#include <LibOperator/ExplanationMessages.h>
 #include <LibOperator/OperatorMessages.h>
 #include <LibRPC/CrossThread.h>
 
@@ -161,4 +162,14 @@
         });
 }
 
+kj::Promise<void> OperatorServer::explainRequest(ExplainRequestContext context)
+{
+    const auto bytes = context.getParams().getRequest();
+    std::string message(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+    return respond(
+        m_post, context,
+        [&handler = m_handler, message = std::move(message)] { return handler.explainRequest(message); },
+        [](auto results, const RequestExplanation& explanation) { write(explanation, results.initExplanation()); });
+}
+
 }
--- a/Libraries/LibOperator/OperatorServer.h
+++ b/Libraries/LibOperator/OperatorServer.h
@@ -27,6 +27,7 @@
     kj::Promise<void> cancelJob(CancelJobContext) override;
     kj::Promise<void> drain(DrainContext) override;
     kj::Promise<void> timeline(TimelineContext) override;
+    kj::Promise<void> explainRequest(ExplainRequestContext) override;
 
 private:
     OperatorHandler& m_handler;
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -130,6 +130,9 @@
         /// Whether requests and items prefer endpoints that keep parts of their prompt.
         bool placeByPrompt { false };
 
+        /// Whether operators may call the node over RPC, on the address of `Rpc`.
+        bool servesOperators { false };
+
         /// What the deployment tolerates of the rate limits of workspaces: in any window no more requests of a
         /// workspace start than (rate x window + burst) x (1 + overshoot) + slack.
         double quotaWindowS { 5 };
--- a/Libraries/LibSettings/SettingsLoader.cpp
+++ b/Libraries/LibSettings/SettingsLoader.cpp
@@ -111,6 +111,7 @@
         table.number("memory_mb", gateway.memoryMb, minMemoryMb, maxMemoryMb);
         table.boolean("learn_endpoint_load", gateway.learnEndpointLoad);
         table.boolean("place_by_prompt", gateway.placeByPrompt);
+        table.boolean("serve_operators", gateway.servesOperators);
         table.number("max_descriptors", gateway.maxDescriptors, minDescriptors, maxDescriptors);
         table.number("quota_window_s", gateway.quotaWindowS, minQuotaWindowS, maxQuotaWindowS);
         table.number("quota_overshoot", gateway.quotaOvershoot, 0.0, maxQuotaOvershoot);
--- a/Schema/Operator.capnp
+++ b/Schema/Operator.capnp
@@ -90,6 +90,74 @@
   # A JSON object.
 }
 
+struct QuotaView {
+  # What is left of the rate limit of a workspace, as far as the node knows.
+  workspace @0 :Text;
+  requestsPerSecond @1 :Float64;
+  burst @2 :Float64;
+  level @3 :Float64;
+  groupShare @4 :Float64;
+  # Part of the nodes that the node is in touch with.
+  ownShare @5 :Float64;
+  # Part of those for which it allocates slots.
+  retryAfterMs @6 :Int64 = -1;
+  # -1 if the request would not be refused over the limit.
+}
+
+struct EndpointEvaluation {
+  endpoint @0 :Text;
+  failureDomain @1 :Text;
+  obstacle @2 :Text;
+  # Why the work does not start there; "none" if it could.
+  load @3 :Float64;
+  distance @4 :Float64;
+  slowness @5 :Float64;
+  spread @6 :Float64;
+  yield @7 :Float64;
+  rateLimit @8 :Float64;
+  prompt @9 :Float64;
+  # Parts of the cost, in units of the load of an endpoint.
+  online @10 :UInt32;
+  batch @11 :UInt32;
+  slots @12 :UInt32;
+  slotsAgeMs @13 :Int64 = -1;
+  # Time since the last known change of the slots in use; -1 if none is known.
+}
+
+struct ServiceExplanation {
+  service @0 :Text;
+  weight @1 :UInt32;
+  endpoint @2 :Text;
+  # Empty if the request or item would wait or be refused.
+  refusal @3 :Text;
+  # "load" or "quota"; empty if it would not be refused.
+  retryAfterMs @4 :Int64;
+  ahead @5 :UInt32;
+  expectedWaitMs @6 :Int64;
+  expectedSlotMs @7 :Int64;
+  quota @8 :QuotaView;
+  # Absent if the workspace has no rate limit.
+  endpoints @9 :List(EndpointEvaluation);
+}
+
+struct RequestExplanation {
+  node @0 :Text;
+  configuration @1 :UInt64;
+  refusal @2 :Text;
+  # Name of the kind of error; empty if the request would be queued.
+  refusalMessage @3 :Text;
+  refusalRetryAfterMs @4 :Int64 = -1;
+  route @5 :Text;
+  prefix @6 :Text;
+  otherPrefixes @7 :List(Text);
+  workspace @8 :Text;
+  # Absent if there are no workspaces, empty for an anonymous caller.
+  priority @9 :UInt32;
+  items @10 :UInt32;
+  coordinator @11 :Text;
+  services @12 :List(ServiceExplanation);
+}
+
 interface Operator {
   status @0 () -> (status :NodeStatus);
   endpoints @1 () -> (endpoints :List(EndpointStatus));
@@ -107,4 +175,6 @@
   drain @9 (endpoint :Text) -> ();
   # Marks an endpoint as leaving. This cannot be undone.
   timeline @10 (id :Text, limit :UInt32) -> (events :List(TimelineEvent));
+  explainRequest @11 (request :Data) -> (explanation :RequestExplanation);
+  # Explains where a request of a caller, an HTTP/1.1 message, would go now, without sending it.
 }
--- a/Schema/Operator.capnp.h
+++ b/Schema/Operator.capnp.h
@@ -27,6 +27,10 @@
 CAPNP_DECLARE_SCHEMA(c44b513aa18b628f);
 CAPNP_DECLARE_SCHEMA(c5dce27136d1b996);
 CAPNP_DECLARE_SCHEMA(e5a622b1108d8262);
+CAPNP_DECLARE_SCHEMA(b7df7db337340a8f);
+CAPNP_DECLARE_SCHEMA(c486ed61e46a28c5);
+CAPNP_DECLARE_SCHEMA(8ad04b0141cc9bce);
+CAPNP_DECLARE_SCHEMA(a894b8d8347f70a4);
 CAPNP_DECLARE_SCHEMA(d0aaae5f98cdc282);
 CAPNP_DECLARE_SCHEMA(f7d001deec9542fb);
 CAPNP_DECLARE_SCHEMA(a5b405486f6b77b2);
@@ -50,6 +54,8 @@
 CAPNP_DECLARE_SCHEMA(e24410698ee297d7);
 CAPNP_DECLARE_SCHEMA(c73242311fae5471);
 CAPNP_DECLARE_SCHEMA(e1d40d411b3cb8d0);
+CAPNP_DECLARE_SCHEMA(a54ca8b0cfe42f55);
+CAPNP_DECLARE_SCHEMA(bf6b3d66798c6f0f);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -162,6 +168,66 @@
   };
 };
 
+struct QuotaView {
+  QuotaView() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b7df7db337340a8f, 6, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EndpointEvaluation {
+  EndpointEvaluation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c486ed61e46a28c5, 10, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ServiceExplanation {
+  ServiceExplanation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8ad04b0141cc9bce, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct RequestExplanation {
+  RequestExplanation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a894b8d8347f70a4, 3, 9)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Operator {
   Operator() = delete;
 
@@ -192,6 +258,8 @@
   struct DrainResults;
   struct TimelineParams;
   struct TimelineResults;
+  struct ExplainRequestParams;
+  struct ExplainRequestResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -531,6 +599,36 @@
   };
 };
 
+struct Operator::ExplainRequestParams {
+  ExplainRequestParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a54ca8b0cfe42f55, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Operator::ExplainRequestResults {
+  ExplainRequestResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bf6b3d66798c6f0f, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class MemberStatus::Reader {
@@ -1470,122 +1568,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Operator::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Operator Calls;
-  typedef Operator Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::Chicorydock::Schema::Operator::StatusParams,  ::Chicorydock::Schema::Operator::StatusResults> statusRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::EndpointsParams,  ::Chicorydock::Schema::Operator::EndpointsResults> endpointsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::ApplyParams,  ::Chicorydock::Schema::Operator::ApplyResults> applyRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::ConfigurationParams,  ::Chicorydock::Schema::Operator::ConfigurationResults> configurationRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::HistoryParams,  ::Chicorydock::Schema::Operator::HistoryResults> historyRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::SubmitJobParams,  ::Chicorydock::Schema::Operator::SubmitJobResults> submitJobRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::JobStatusParams,  ::Chicorydock::Schema::Operator::JobStatusResults> jobStatusRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::JobResultsParams,  ::Chicorydock::Schema::Operator::JobResultsResults> jobResultsRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::CancelJobParams,  ::Chicorydock::Schema::Operator::CancelJobResults> cancelJobRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::DrainParams,  ::Chicorydock::Schema::Operator::DrainResults> drainRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::Chicorydock::Schema::Operator::TimelineParams,  ::Chicorydock::Schema::Operator::TimelineResults> timelineRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Operator::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Operator Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::Chicorydock::Schema::Operator::StatusParams StatusParams;
-  typedef  ::Chicorydock::Schema::Operator::StatusResults StatusResults;
-  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
-  virtual ::kj::Promise<void> status(StatusContext context);
-  typedef  ::Chicorydock::Schema::Operator::EndpointsParams EndpointsParams;
-  typedef  ::Chicorydock::Schema::Operator::EndpointsResults EndpointsResults;
-  typedef ::capnp::CallContext<EndpointsParams, EndpointsResults> EndpointsContext;
-  virtual ::kj::Promise<void> endpoints(EndpointsContext context);
-  typedef  ::Chicorydock::Schema::Operator::ApplyParams ApplyParams;
-  typedef  ::Chicorydock::Schema::Operator::ApplyResults ApplyResults;
-  typedef ::capnp::CallContext<ApplyParams, ApplyResults> ApplyContext;
-  virtual ::kj::Promise<void> apply(ApplyContext context);
-  typedef  ::Chicorydock::Schema::Operator::ConfigurationParams ConfigurationParams;
-  typedef  ::Chicorydock::Schema::Operator::ConfigurationResults ConfigurationResults;
-  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
-  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
-  typedef  ::Chicorydock::Schema::Operator::HistoryParams HistoryParams;
-  typedef  ::Chicorydock::Schema::Operator::HistoryResults HistoryResults;
-  typedef ::capnp::CallContext<HistoryParams, HistoryResults> HistoryContext;
-  virtual ::kj::Promise<void> history(HistoryContext context);
-  typedef  ::Chicorydock::Schema::Operator::SubmitJobParams SubmitJobParams;
-  typedef  ::Chicorydock::Schema::Operator::SubmitJobResults SubmitJobResults;
-  typedef ::capnp::CallContext<SubmitJobParams, SubmitJobResults> SubmitJobContext;
-  virtual ::kj::Promise<void> submitJob(SubmitJobContext context);
-  typedef  ::Chicorydock::Schema::Operator::JobStatusParams JobStatusParams;
-  typedef  ::Chicorydock::Schema::Operator::JobStatusResults JobStatusResults;
-  typedef ::capnp::CallContext<JobStatusParams, JobStatusResults> JobStatusContext;
-  virtual ::kj::Promise<void> jobStatus(JobStatusContext context);
-  typedef  ::Chicorydock::Schema::Operator::JobResultsParams JobResultsParams;
-  typedef  ::Chicorydock::Schema::Operator::JobResultsResults JobResultsResults;
-  typedef ::capnp::CallContext<JobResultsParams, JobResultsResults> JobResultsContext;
-  virtual ::kj::Promise<void> jobResults(JobResultsContext context);
-  typedef  ::Chicorydock::Schema::Operator::CancelJobParams CancelJobParams;
-  typedef  ::Chicorydock::Schema::Operator::CancelJobResults CancelJobResults;
-  typedef ::capnp::CallContext<CancelJobParams, CancelJobResults> CancelJobContext;
-  virtual ::kj::Promise<void> cancelJob(CancelJobContext context);
-  typedef  ::Chicorydock::Schema::Operator::DrainParams DrainParams;
-  typedef  ::Chicorydock::Schema::Operator::DrainResults DrainResults;
-  typedef ::capnp::CallContext<DrainParams, DrainResults> DrainContext;
-  virtual ::kj::Promise<void> drain(DrainContext context);
-  typedef  ::Chicorydock::Schema::Operator::TimelineParams TimelineParams;
-  typedef  ::Chicorydock::Schema::Operator::TimelineResults TimelineResults;
-  typedef ::capnp::CallContext<TimelineParams, TimelineResults> TimelineContext;
-  virtual ::kj::Promise<void> timeline(TimelineContext context);
-
-  inline  ::Chicorydock::Schema::Operator::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::Chicorydock::Schema::Operator>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Operator::StatusParams::Reader {
+class QuotaView::Reader {
 public:
-  typedef StatusParams Reads;
+  typedef QuotaView Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1600,6 +1585,21 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline double getRequestsPerSecond() const;
+
+  inline double getBurst() const;
+
+  inline double getLevel() const;
+
+  inline double getGroupShare() const;
+
+  inline double getOwnShare() const;
+
+  inline  ::int64_t getRetryAfterMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1612,9 +1612,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::StatusParams::Builder {
+class QuotaView::Builder {
 public:
-  typedef StatusParams Builds;
+  typedef QuotaView Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1628,6 +1628,31 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline double getRequestsPerSecond();
+  inline void setRequestsPerSecond(double value);
+
+  inline double getBurst();
+  inline void setBurst(double value);
+
+  inline double getLevel();
+  inline void setLevel(double value);
+
+  inline double getGroupShare();
+  inline void setGroupShare(double value);
+
+  inline double getOwnShare();
+  inline void setOwnShare(double value);
+
+  inline  ::int64_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1638,9 +1663,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::StatusParams::Pipeline {
+class QuotaView::Pipeline {
 public:
-  typedef StatusParams Pipelines;
+  typedef QuotaView Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1654,9 +1679,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::StatusResults::Reader {
+class EndpointEvaluation::Reader {
 public:
-  typedef StatusResults Reads;
+  typedef EndpointEvaluation Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1671,8 +1696,36 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::Chicorydock::Schema::NodeStatus::Reader getStatus() const;
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline bool hasFailureDomain() const;
+  inline  ::capnp::Text::Reader getFailureDomain() const;
+
+  inline bool hasObstacle() const;
+  inline  ::capnp::Text::Reader getObstacle() const;
+
+  inline double getLoad() const;
+
+  inline double getDistance() const;
+
+  inline double getSlowness() const;
+
+  inline double getSpread() const;
+
+  inline double getYield() const;
+
+  inline double getRateLimit() const;
+
+  inline double getPrompt() const;
+
+  inline  ::uint32_t getOnline() const;
+
+  inline  ::uint32_t getBatch() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline  ::int64_t getSlotsAgeMs() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1686,9 +1739,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::StatusResults::Builder {
+class EndpointEvaluation::Builder {
 public:
-  typedef StatusResults Builds;
+  typedef EndpointEvaluation Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1702,32 +1755,78 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::Chicorydock::Schema::NodeStatus::Builder getStatus();
-  inline void setStatus( ::Chicorydock::Schema::NodeStatus::Reader value);
-  inline  ::Chicorydock::Schema::NodeStatus::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::Chicorydock::Schema::NodeStatus>&& value);
-  inline ::capnp::Orphan< ::Chicorydock::Schema::NodeStatus> disownStatus();
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
 
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
+  inline bool hasFailureDomain();
+  inline  ::capnp::Text::Builder getFailureDomain();
+  inline void setFailureDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFailureDomain(unsigned int size);
+  inline void adoptFailureDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFailureDomain();
+
+  inline bool hasObstacle();
+  inline  ::capnp::Text::Builder getObstacle();
+  inline void setObstacle( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initObstacle(unsigned int size);
+  inline void adoptObstacle(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownObstacle();
+
+  inline double getLoad();
+  inline void setLoad(double value);
+
+  inline double getDistance();
+  inline void setDistance(double value);
+
+  inline double getSlowness();
+  inline void setSlowness(double value);
+
+  inline double getSpread();
+  inline void setSpread(double value);
+
+  inline double getYield();
+  inline void setYield(double value);
+
+  inline double getRateLimit();
+  inline void setRateLimit(double value);
+
+  inline double getPrompt();
+  inline void setPrompt(double value);
+
+  inline  ::uint32_t getOnline();
+  inline void setOnline( ::uint32_t value);
+
+  inline  ::uint32_t getBatch();
+  inline void setBatch( ::uint32_t value);
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline  ::int64_t getSlotsAgeMs();
+  inline void setSlotsAgeMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
 #if !CAPNP_LITE
-class Operator::StatusResults::Pipeline {
+class EndpointEvaluation::Pipeline {
 public:
-  typedef StatusResults Pipelines;
+  typedef EndpointEvaluation Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Chicorydock::Schema::NodeStatus::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1736,9 +1835,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::EndpointsParams::Reader {
+class ServiceExplanation::Reader {
 public:
-  typedef EndpointsParams Reads;
+  typedef ServiceExplanation Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1753,6 +1852,31 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline  ::uint32_t getWeight() const;
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+  inline bool hasRefusal() const;
+  inline  ::capnp::Text::Reader getRefusal() const;
+
+  inline  ::int64_t getRetryAfterMs() const;
+
+  inline  ::uint32_t getAhead() const;
+
+  inline  ::int64_t getExpectedWaitMs() const;
+
+  inline  ::int64_t getExpectedSlotMs() const;
+
+  inline bool hasQuota() const;
+  inline  ::Chicorydock::Schema::QuotaView::Reader getQuota() const;
+
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1765,9 +1889,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::EndpointsParams::Builder {
+class ServiceExplanation::Builder {
 public:
-  typedef EndpointsParams Builds;
+  typedef ServiceExplanation Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1781,6 +1905,56 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline  ::uint32_t getWeight();
+  inline void setWeight( ::uint32_t value);
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+  inline bool hasRefusal();
+  inline  ::capnp::Text::Builder getRefusal();
+  inline void setRefusal( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRefusal(unsigned int size);
+  inline void adoptRefusal(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRefusal();
+
+  inline  ::int64_t getRetryAfterMs();
+  inline void setRetryAfterMs( ::int64_t value);
+
+  inline  ::uint32_t getAhead();
+  inline void setAhead( ::uint32_t value);
+
+  inline  ::int64_t getExpectedWaitMs();
+  inline void setExpectedWaitMs( ::int64_t value);
+
+  inline  ::int64_t getExpectedSlotMs();
+  inline void setExpectedSlotMs( ::int64_t value);
+
+  inline bool hasQuota();
+  inline  ::Chicorydock::Schema::QuotaView::Builder getQuota();
+  inline void setQuota( ::Chicorydock::Schema::QuotaView::Reader value);
+  inline  ::Chicorydock::Schema::QuotaView::Builder initQuota();
+  inline void adoptQuota(::capnp::Orphan< ::Chicorydock::Schema::QuotaView>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::QuotaView> disownQuota();
+
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>> disownEndpoints();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1791,14 +1965,15 @@
 };
 
 #if !CAPNP_LITE
-class Operator::EndpointsParams::Pipeline {
+class ServiceExplanation::Pipeline {
 public:
-  typedef EndpointsParams Pipelines;
+  typedef ServiceExplanation Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::QuotaView::Pipeline getQuota();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1807,9 +1982,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::EndpointsResults::Reader {
+class RequestExplanation::Reader {
 public:
-  typedef EndpointsResults Reads;
+  typedef RequestExplanation Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1824,8 +1999,40 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoints() const;
-  inline  ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline  ::uint64_t getConfiguration() const;
+
+  inline bool hasRefusal() const;
+  inline  ::capnp::Text::Reader getRefusal() const;
+
+  inline bool hasRefusalMessage() const;
+  inline  ::capnp::Text::Reader getRefusalMessage() const;
+
+  inline  ::int64_t getRefusalRetryAfterMs() const;
+
+  inline bool hasRoute() const;
+  inline  ::capnp::Text::Reader getRoute() const;
+
+  inline bool hasPrefix() const;
+  inline  ::capnp::Text::Reader getPrefix() const;
+
+  inline bool hasOtherPrefixes() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getOtherPrefixes() const;
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::uint32_t getItems() const;
+
+  inline bool hasCoordinator() const;
+  inline  ::capnp::Text::Reader getCoordinator() const;
+
+  inline bool hasServices() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>::Reader getServices() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1839,9 +2046,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::EndpointsResults::Builder {
+class RequestExplanation::Builder {
 public:
-  typedef EndpointsResults Builds;
+  typedef RequestExplanation Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1855,12 +2062,81 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoints();
-  inline  ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
-  inline void setEndpoints( ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
-  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>> disownEndpoints();
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline  ::uint64_t getConfiguration();
+  inline void setConfiguration( ::uint64_t value);
+
+  inline bool hasRefusal();
+  inline  ::capnp::Text::Builder getRefusal();
+  inline void setRefusal( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRefusal(unsigned int size);
+  inline void adoptRefusal(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRefusal();
+
+  inline bool hasRefusalMessage();
+  inline  ::capnp::Text::Builder getRefusalMessage();
+  inline void setRefusalMessage( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRefusalMessage(unsigned int size);
+  inline void adoptRefusalMessage(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRefusalMessage();
+
+  inline  ::int64_t getRefusalRetryAfterMs();
+  inline void setRefusalRetryAfterMs( ::int64_t value);
+
+  inline bool hasRoute();
+  inline  ::capnp::Text::Builder getRoute();
+  inline void setRoute( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRoute(unsigned int size);
+  inline void adoptRoute(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRoute();
+
+  inline bool hasPrefix();
+  inline  ::capnp::Text::Builder getPrefix();
+  inline void setPrefix( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initPrefix(unsigned int size);
+  inline void adoptPrefix(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownPrefix();
+
+  inline bool hasOtherPrefixes();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getOtherPrefixes();
+  inline void setOtherPrefixes( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setOtherPrefixes(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initOtherPrefixes(unsigned int size);
+  inline void adoptOtherPrefixes(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownOtherPrefixes();
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::uint32_t getItems();
+  inline void setItems( ::uint32_t value);
+
+  inline bool hasCoordinator();
+  inline  ::capnp::Text::Builder getCoordinator();
+  inline void setCoordinator( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCoordinator(unsigned int size);
+  inline void adoptCoordinator(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCoordinator();
+
+  inline bool hasServices();
+  inline  ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>::Builder getServices();
+  inline void setServices( ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>::Builder initServices(unsigned int size);
+  inline void adoptServices(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>> disownServices();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1872,9 +2148,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::EndpointsResults::Pipeline {
+class RequestExplanation::Pipeline {
 public:
-  typedef EndpointsResults Pipelines;
+  typedef RequestExplanation Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1888,9 +2164,128 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::ApplyParams::Reader {
+#if !CAPNP_LITE
+class Operator::Client
+    : public virtual ::capnp::Capability::Client {
 public:
-  typedef ApplyParams Reads;
+  typedef Operator Calls;
+  typedef Operator Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::Chicorydock::Schema::Operator::StatusParams,  ::Chicorydock::Schema::Operator::StatusResults> statusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::EndpointsParams,  ::Chicorydock::Schema::Operator::EndpointsResults> endpointsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::ApplyParams,  ::Chicorydock::Schema::Operator::ApplyResults> applyRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::ConfigurationParams,  ::Chicorydock::Schema::Operator::ConfigurationResults> configurationRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::HistoryParams,  ::Chicorydock::Schema::Operator::HistoryResults> historyRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::SubmitJobParams,  ::Chicorydock::Schema::Operator::SubmitJobResults> submitJobRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::JobStatusParams,  ::Chicorydock::Schema::Operator::JobStatusResults> jobStatusRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::JobResultsParams,  ::Chicorydock::Schema::Operator::JobResultsResults> jobResultsRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::CancelJobParams,  ::Chicorydock::Schema::Operator::CancelJobResults> cancelJobRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::DrainParams,  ::Chicorydock::Schema::Operator::DrainResults> drainRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::TimelineParams,  ::Chicorydock::Schema::Operator::TimelineResults> timelineRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::Chicorydock::Schema::Operator::ExplainRequestParams,  ::Chicorydock::Schema::Operator::ExplainRequestResults> explainRequestRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Operator::Server
+    : public virtual ::capnp::Capability::Server {
+public:
+  typedef Operator Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::Chicorydock::Schema::Operator::StatusParams StatusParams;
+  typedef  ::Chicorydock::Schema::Operator::StatusResults StatusResults;
+  typedef ::capnp::CallContext<StatusParams, StatusResults> StatusContext;
+  virtual ::kj::Promise<void> status(StatusContext context);
+  typedef  ::Chicorydock::Schema::Operator::EndpointsParams EndpointsParams;
+  typedef  ::Chicorydock::Schema::Operator::EndpointsResults EndpointsResults;
+  typedef ::capnp::CallContext<EndpointsParams, EndpointsResults> EndpointsContext;
+  virtual ::kj::Promise<void> endpoints(EndpointsContext context);
+  typedef  ::Chicorydock::Schema::Operator::ApplyParams ApplyParams;
+  typedef  ::Chicorydock::Schema::Operator::ApplyResults ApplyResults;
+  typedef ::capnp::CallContext<ApplyParams, ApplyResults> ApplyContext;
+  virtual ::kj::Promise<void> apply(ApplyContext context);
+  typedef  ::Chicorydock::Schema::Operator::ConfigurationParams ConfigurationParams;
+  typedef  ::Chicorydock::Schema::Operator::ConfigurationResults ConfigurationResults;
+  typedef ::capnp::CallContext<ConfigurationParams, ConfigurationResults> ConfigurationContext;
+  virtual ::kj::Promise<void> configuration(ConfigurationContext context);
+  typedef  ::Chicorydock::Schema::Operator::HistoryParams HistoryParams;
+  typedef  ::Chicorydock::Schema::Operator::HistoryResults HistoryResults;
+  typedef ::capnp::CallContext<HistoryParams, HistoryResults> HistoryContext;
+  virtual ::kj::Promise<void> history(HistoryContext context);
+  typedef  ::Chicorydock::Schema::Operator::SubmitJobParams SubmitJobParams;
+  typedef  ::Chicorydock::Schema::Operator::SubmitJobResults SubmitJobResults;
+  typedef ::capnp::CallContext<SubmitJobParams, SubmitJobResults> SubmitJobContext;
+  virtual ::kj::Promise<void> submitJob(SubmitJobContext context);
+  typedef  ::Chicorydock::Schema::Operator::JobStatusParams JobStatusParams;
+  typedef  ::Chicorydock::Schema::Operator::JobStatusResults JobStatusResults;
+  typedef ::capnp::CallContext<JobStatusParams, JobStatusResults> JobStatusContext;
+  virtual ::kj::Promise<void> jobStatus(JobStatusContext context);
+  typedef  ::Chicorydock::Schema::Operator::JobResultsParams JobResultsParams;
+  typedef  ::Chicorydock::Schema::Operator::JobResultsResults JobResultsResults;
+  typedef ::capnp::CallContext<JobResultsParams, JobResultsResults> JobResultsContext;
+  virtual ::kj::Promise<void> jobResults(JobResultsContext context);
+  typedef  ::Chicorydock::Schema::Operator::CancelJobParams CancelJobParams;
+  typedef  ::Chicorydock::Schema::Operator::CancelJobResults CancelJobResults;
+  typedef ::capnp::CallContext<CancelJobParams, CancelJobResults> CancelJobContext;
+  virtual ::kj::Promise<void> cancelJob(CancelJobContext context);
+  typedef  ::Chicorydock::Schema::Operator::DrainParams DrainParams;
+  typedef  ::Chicorydock::Schema::Operator::DrainResults DrainResults;
+  typedef ::capnp::CallContext<DrainParams, DrainResults> DrainContext;
+  virtual ::kj::Promise<void> drain(DrainContext context);
+  typedef  ::Chicorydock::Schema::Operator::TimelineParams TimelineParams;
+  typedef  ::Chicorydock::Schema::Operator::TimelineResults TimelineResults;
+  typedef ::capnp::CallContext<TimelineParams, TimelineResults> TimelineContext;
+  virtual ::kj::Promise<void> timeline(TimelineContext context);
+  typedef  ::Chicorydock::Schema::Operator::ExplainRequestParams ExplainRequestParams;
+  typedef  ::Chicorydock::Schema::Operator::ExplainRequestResults ExplainRequestResults;
+  typedef ::capnp::CallContext<ExplainRequestParams, ExplainRequestResults> ExplainRequestContext;
+  virtual ::kj::Promise<void> explainRequest(ExplainRequestContext context);
+
+  inline  ::Chicorydock::Schema::Operator::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::Chicorydock::Schema::Operator>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Operator::StatusParams::Reader {
+public:
+  typedef StatusParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1905,11 +2300,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration() const;
-  inline  ::Chicorydock::Schema::Configuration::Reader getConfiguration() const;
-
-  inline  ::uint64_t getExpectedRevision() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1922,9 +2312,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::ApplyParams::Builder {
+class Operator::StatusParams::Builder {
 public:
-  typedef ApplyParams Builds;
+  typedef StatusParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1938,16 +2328,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration();
-  inline  ::Chicorydock::Schema::Configuration::Builder getConfiguration();
-  inline void setConfiguration( ::Chicorydock::Schema::Configuration::Reader value);
-  inline  ::Chicorydock::Schema::Configuration::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::Chicorydock::Schema::Configuration>&& value);
-  inline ::capnp::Orphan< ::Chicorydock::Schema::Configuration> disownConfiguration();
-
-  inline  ::uint64_t getExpectedRevision();
-  inline void setExpectedRevision( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1958,15 +2338,14 @@
 };
 
 #if !CAPNP_LITE
-class Operator::ApplyParams::Pipeline {
+class Operator::StatusParams::Pipeline {
 public:
-  typedef ApplyParams Pipelines;
+  typedef StatusParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Chicorydock::Schema::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1975,9 +2354,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::ApplyResults::Reader {
+class Operator::StatusResults::Reader {
 public:
-  typedef ApplyResults Reads;
+  typedef StatusResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1992,7 +2371,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision() const;
+  inline bool hasStatus() const;
+  inline  ::Chicorydock::Schema::NodeStatus::Reader getStatus() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2006,9 +2386,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::ApplyResults::Builder {
+class Operator::StatusResults::Builder {
 public:
-  typedef ApplyResults Builds;
+  typedef StatusResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2022,8 +2402,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasStatus();
+  inline  ::Chicorydock::Schema::NodeStatus::Builder getStatus();
+  inline void setStatus( ::Chicorydock::Schema::NodeStatus::Reader value);
+  inline  ::Chicorydock::Schema::NodeStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::Chicorydock::Schema::NodeStatus>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::NodeStatus> disownStatus();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2035,14 +2419,15 @@
 };
 
 #if !CAPNP_LITE
-class Operator::ApplyResults::Pipeline {
+class Operator::StatusResults::Pipeline {
 public:
-  typedef ApplyResults Pipelines;
+  typedef StatusResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::NodeStatus::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2051,9 +2436,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::ConfigurationParams::Reader {
+class Operator::EndpointsParams::Reader {
 public:
-  typedef ConfigurationParams Reads;
+  typedef EndpointsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2080,9 +2465,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::ConfigurationParams::Builder {
+class Operator::EndpointsParams::Builder {
 public:
-  typedef ConfigurationParams Builds;
+  typedef EndpointsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2106,9 +2491,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::ConfigurationParams::Pipeline {
+class Operator::EndpointsParams::Pipeline {
 public:
-  typedef ConfigurationParams Pipelines;
+  typedef EndpointsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2122,9 +2507,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::ConfigurationResults::Reader {
+class Operator::EndpointsResults::Reader {
 public:
-  typedef ConfigurationResults Reads;
+  typedef EndpointsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2139,8 +2524,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration() const;
-  inline  ::Chicorydock::Schema::Configuration::Reader getConfiguration() const;
+  inline bool hasEndpoints() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>::Reader getEndpoints() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2154,9 +2539,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::ConfigurationResults::Builder {
+class Operator::EndpointsResults::Builder {
 public:
-  typedef ConfigurationResults Builds;
+  typedef EndpointsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2170,12 +2555,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasConfiguration();
-  inline  ::Chicorydock::Schema::Configuration::Builder getConfiguration();
-  inline void setConfiguration( ::Chicorydock::Schema::Configuration::Reader value);
-  inline  ::Chicorydock::Schema::Configuration::Builder initConfiguration();
-  inline void adoptConfiguration(::capnp::Orphan< ::Chicorydock::Schema::Configuration>&& value);
-  inline ::capnp::Orphan< ::Chicorydock::Schema::Configuration> disownConfiguration();
+  inline bool hasEndpoints();
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>::Builder getEndpoints();
+  inline void setEndpoints( ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>::Builder initEndpoints(unsigned int size);
+  inline void adoptEndpoints(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointStatus,  ::capnp::Kind::STRUCT>> disownEndpoints();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2187,15 +2572,14 @@
 };
 
 #if !CAPNP_LITE
-class Operator::ConfigurationResults::Pipeline {
+class Operator::EndpointsResults::Pipeline {
 public:
-  typedef ConfigurationResults Pipelines;
+  typedef EndpointsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Chicorydock::Schema::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2204,9 +2588,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::HistoryParams::Reader {
+class Operator::ApplyParams::Reader {
 public:
-  typedef HistoryParams Reads;
+  typedef ApplyParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2221,7 +2605,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getLimit() const;
+  inline bool hasConfiguration() const;
+  inline  ::Chicorydock::Schema::Configuration::Reader getConfiguration() const;
+
+  inline  ::uint64_t getExpectedRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2235,9 +2622,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::HistoryParams::Builder {
+class Operator::ApplyParams::Builder {
 public:
-  typedef HistoryParams Builds;
+  typedef ApplyParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2251,8 +2638,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getLimit();
-  inline void setLimit( ::uint32_t value);
+  inline bool hasConfiguration();
+  inline  ::Chicorydock::Schema::Configuration::Builder getConfiguration();
+  inline void setConfiguration( ::Chicorydock::Schema::Configuration::Reader value);
+  inline  ::Chicorydock::Schema::Configuration::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::Chicorydock::Schema::Configuration>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::Configuration> disownConfiguration();
+
+  inline  ::uint64_t getExpectedRevision();
+  inline void setExpectedRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2264,14 +2658,15 @@
 };
 
 #if !CAPNP_LITE
-class Operator::HistoryParams::Pipeline {
+class Operator::ApplyParams::Pipeline {
 public:
-  typedef HistoryParams Pipelines;
+  typedef ApplyParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2280,9 +2675,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::HistoryResults::Reader {
+class Operator::ApplyResults::Reader {
 public:
-  typedef HistoryResults Reads;
+  typedef ApplyResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2297,8 +2692,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRevisions() const;
-  inline  ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>::Reader getRevisions() const;
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2312,9 +2706,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::HistoryResults::Builder {
+class Operator::ApplyResults::Builder {
 public:
-  typedef HistoryResults Builds;
+  typedef ApplyResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2328,12 +2722,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRevisions();
-  inline  ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>::Builder getRevisions();
-  inline void setRevisions( ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>::Builder initRevisions(unsigned int size);
-  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>> disownRevisions();
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2345,9 +2735,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::HistoryResults::Pipeline {
+class Operator::ApplyResults::Pipeline {
 public:
-  typedef HistoryResults Pipelines;
+  typedef ApplyResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2361,9 +2751,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::SubmitJobParams::Reader {
+class Operator::ConfigurationParams::Reader {
 public:
-  typedef SubmitJobParams Reads;
+  typedef ConfigurationParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2378,9 +2768,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasJob() const;
-  inline  ::Chicorydock::Schema::BatchJob::Reader getJob() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2393,9 +2780,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::SubmitJobParams::Builder {
+class Operator::ConfigurationParams::Builder {
 public:
-  typedef SubmitJobParams Builds;
+  typedef ConfigurationParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2409,13 +2796,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasJob();
-  inline  ::Chicorydock::Schema::BatchJob::Builder getJob();
-  inline void setJob( ::Chicorydock::Schema::BatchJob::Reader value);
-  inline  ::Chicorydock::Schema::BatchJob::Builder initJob();
-  inline void adoptJob(::capnp::Orphan< ::Chicorydock::Schema::BatchJob>&& value);
-  inline ::capnp::Orphan< ::Chicorydock::Schema::BatchJob> disownJob();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2426,15 +2806,14 @@
 };
 
 #if !CAPNP_LITE
-class Operator::SubmitJobParams::Pipeline {
+class Operator::ConfigurationParams::Pipeline {
 public:
-  typedef SubmitJobParams Pipelines;
+  typedef ConfigurationParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Chicorydock::Schema::BatchJob::Pipeline getJob();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2443,9 +2822,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::SubmitJobResults::Reader {
+class Operator::ConfigurationResults::Reader {
 public:
-  typedef SubmitJobResults Reads;
+  typedef ConfigurationResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2460,8 +2839,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::Chicorydock::Schema::JobStatus::Reader getStatus() const;
+  inline bool hasConfiguration() const;
+  inline  ::Chicorydock::Schema::Configuration::Reader getConfiguration() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2475,9 +2854,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::SubmitJobResults::Builder {
+class Operator::ConfigurationResults::Builder {
 public:
-  typedef SubmitJobResults Builds;
+  typedef ConfigurationResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2491,12 +2870,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::Chicorydock::Schema::JobStatus::Builder getStatus();
-  inline void setStatus( ::Chicorydock::Schema::JobStatus::Reader value);
-  inline  ::Chicorydock::Schema::JobStatus::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::Chicorydock::Schema::JobStatus>&& value);
-  inline ::capnp::Orphan< ::Chicorydock::Schema::JobStatus> disownStatus();
+  inline bool hasConfiguration();
+  inline  ::Chicorydock::Schema::Configuration::Builder getConfiguration();
+  inline void setConfiguration( ::Chicorydock::Schema::Configuration::Reader value);
+  inline  ::Chicorydock::Schema::Configuration::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::Chicorydock::Schema::Configuration>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::Configuration> disownConfiguration();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2508,15 +2887,15 @@
 };
 
 #if !CAPNP_LITE
-class Operator::SubmitJobResults::Pipeline {
+class Operator::ConfigurationResults::Pipeline {
 public:
-  typedef SubmitJobResults Pipelines;
+  typedef ConfigurationResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Chicorydock::Schema::JobStatus::Pipeline getStatus();
+  inline  ::Chicorydock::Schema::Configuration::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2525,9 +2904,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::JobStatusParams::Reader {
+class Operator::HistoryParams::Reader {
 public:
-  typedef JobStatusParams Reads;
+  typedef HistoryParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2542,8 +2921,7 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
+  inline  ::uint32_t getLimit() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2557,9 +2935,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::JobStatusParams::Builder {
+class Operator::HistoryParams::Builder {
 public:
-  typedef JobStatusParams Builds;
+  typedef HistoryParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2573,12 +2951,8 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2590,9 +2964,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::JobStatusParams::Pipeline {
+class Operator::HistoryParams::Pipeline {
 public:
-  typedef JobStatusParams Pipelines;
+  typedef HistoryParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2606,9 +2980,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::JobStatusResults::Reader {
+class Operator::HistoryResults::Reader {
 public:
-  typedef JobStatusResults Reads;
+  typedef HistoryResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2623,8 +2997,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus() const;
-  inline  ::Chicorydock::Schema::JobStatus::Reader getStatus() const;
+  inline bool hasRevisions() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>::Reader getRevisions() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2638,9 +3012,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::JobStatusResults::Builder {
+class Operator::HistoryResults::Builder {
 public:
-  typedef JobStatusResults Builds;
+  typedef HistoryResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2654,12 +3028,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasStatus();
-  inline  ::Chicorydock::Schema::JobStatus::Builder getStatus();
-  inline void setStatus( ::Chicorydock::Schema::JobStatus::Reader value);
-  inline  ::Chicorydock::Schema::JobStatus::Builder initStatus();
-  inline void adoptStatus(::capnp::Orphan< ::Chicorydock::Schema::JobStatus>&& value);
-  inline ::capnp::Orphan< ::Chicorydock::Schema::JobStatus> disownStatus();
+  inline bool hasRevisions();
+  inline  ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>::Builder getRevisions();
+  inline void setRevisions( ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>::Builder initRevisions(unsigned int size);
+  inline void adoptRevisions(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::RevisionSummary,  ::capnp::Kind::STRUCT>> disownRevisions();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2671,15 +3045,14 @@
 };
 
 #if !CAPNP_LITE
-class Operator::JobStatusResults::Pipeline {
+class Operator::HistoryResults::Pipeline {
 public:
-  typedef JobStatusResults Pipelines;
+  typedef HistoryResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::Chicorydock::Schema::JobStatus::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2688,9 +3061,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::JobResultsParams::Reader {
+class Operator::SubmitJobParams::Reader {
 public:
-  typedef JobResultsParams Reads;
+  typedef SubmitJobParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2705,12 +3078,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline  ::uint32_t getAfter() const;
-
-  inline  ::uint32_t getLimit() const;
+  inline bool hasJob() const;
+  inline  ::Chicorydock::Schema::BatchJob::Reader getJob() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2724,9 +3093,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::JobResultsParams::Builder {
+class Operator::SubmitJobParams::Builder {
 public:
-  typedef JobResultsParams Builds;
+  typedef SubmitJobParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2740,18 +3109,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline  ::uint32_t getAfter();
-  inline void setAfter( ::uint32_t value);
-
-  inline  ::uint32_t getLimit();
-  inline void setLimit( ::uint32_t value);
+  inline bool hasJob();
+  inline  ::Chicorydock::Schema::BatchJob::Builder getJob();
+  inline void setJob( ::Chicorydock::Schema::BatchJob::Reader value);
+  inline  ::Chicorydock::Schema::BatchJob::Builder initJob();
+  inline void adoptJob(::capnp::Orphan< ::Chicorydock::Schema::BatchJob>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::BatchJob> disownJob();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2763,14 +3126,15 @@
 };
 
 #if !CAPNP_LITE
-class Operator::JobResultsParams::Pipeline {
+class Operator::SubmitJobParams::Pipeline {
 public:
-  typedef JobResultsParams Pipelines;
+  typedef SubmitJobParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::BatchJob::Pipeline getJob();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2779,9 +3143,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::JobResultsResults::Reader {
+class Operator::SubmitJobResults::Reader {
 public:
-  typedef JobResultsResults Reads;
+  typedef SubmitJobResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2796,12 +3160,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLines() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLines() const;
-
-  inline  ::uint32_t getNext() const;
-
-  inline bool getComplete() const;
+  inline bool hasStatus() const;
+  inline  ::Chicorydock::Schema::JobStatus::Reader getStatus() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2815,9 +3175,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::JobResultsResults::Builder {
+class Operator::SubmitJobResults::Builder {
 public:
-  typedef JobResultsResults Builds;
+  typedef SubmitJobResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2831,19 +3191,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasLines();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLines();
-  inline void setLines( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setLines(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLines(unsigned int size);
-  inline void adoptLines(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLines();
-
-  inline  ::uint32_t getNext();
-  inline void setNext( ::uint32_t value);
-
-  inline bool getComplete();
-  inline void setComplete(bool value);
+  inline bool hasStatus();
+  inline  ::Chicorydock::Schema::JobStatus::Builder getStatus();
+  inline void setStatus( ::Chicorydock::Schema::JobStatus::Reader value);
+  inline  ::Chicorydock::Schema::JobStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::Chicorydock::Schema::JobStatus>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::JobStatus> disownStatus();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2855,14 +3208,15 @@
 };
 
 #if !CAPNP_LITE
-class Operator::JobResultsResults::Pipeline {
+class Operator::SubmitJobResults::Pipeline {
 public:
-  typedef JobResultsResults Pipelines;
+  typedef SubmitJobResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::JobStatus::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2871,9 +3225,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::CancelJobParams::Reader {
+class Operator::JobStatusParams::Reader {
 public:
-  typedef CancelJobParams Reads;
+  typedef JobStatusParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2903,9 +3257,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::CancelJobParams::Builder {
+class Operator::JobStatusParams::Builder {
 public:
-  typedef CancelJobParams Builds;
+  typedef JobStatusParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2936,9 +3290,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::CancelJobParams::Pipeline {
+class Operator::JobStatusParams::Pipeline {
 public:
-  typedef CancelJobParams Pipelines;
+  typedef JobStatusParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2952,9 +3306,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::CancelJobResults::Reader {
+class Operator::JobStatusResults::Reader {
 public:
-  typedef CancelJobResults Reads;
+  typedef JobStatusResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2984,9 +3338,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::CancelJobResults::Builder {
+class Operator::JobStatusResults::Builder {
 public:
-  typedef CancelJobResults Builds;
+  typedef JobStatusResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3017,9 +3371,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::CancelJobResults::Pipeline {
+class Operator::JobStatusResults::Pipeline {
 public:
-  typedef CancelJobResults Pipelines;
+  typedef JobStatusResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3034,9 +3388,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::DrainParams::Reader {
+class Operator::JobResultsParams::Reader {
 public:
-  typedef DrainParams Reads;
+  typedef JobResultsParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3051,8 +3405,12 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoint() const;
-  inline  ::capnp::Text::Reader getEndpoint() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint32_t getAfter() const;
+
+  inline  ::uint32_t getLimit() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3066,9 +3424,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::DrainParams::Builder {
+class Operator::JobResultsParams::Builder {
 public:
-  typedef DrainParams Builds;
+  typedef JobResultsParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3082,12 +3440,18 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEndpoint();
-  inline  ::capnp::Text::Builder getEndpoint();
-  inline void setEndpoint( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
-  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint32_t getAfter();
+  inline void setAfter( ::uint32_t value);
+
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3099,9 +3463,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::DrainParams::Pipeline {
+class Operator::JobResultsParams::Pipeline {
 public:
-  typedef DrainParams Pipelines;
+  typedef JobResultsParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3115,9 +3479,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::DrainResults::Reader {
+class Operator::JobResultsResults::Reader {
 public:
-  typedef DrainResults Reads;
+  typedef JobResultsResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3132,6 +3496,13 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasLines() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getLines() const;
+
+  inline  ::uint32_t getNext() const;
+
+  inline bool getComplete() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3144,9 +3515,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::DrainResults::Builder {
+class Operator::JobResultsResults::Builder {
 public:
-  typedef DrainResults Builds;
+  typedef JobResultsResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3160,6 +3531,20 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasLines();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getLines();
+  inline void setLines( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setLines(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initLines(unsigned int size);
+  inline void adoptLines(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownLines();
+
+  inline  ::uint32_t getNext();
+  inline void setNext( ::uint32_t value);
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3170,9 +3555,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::DrainResults::Pipeline {
+class Operator::JobResultsResults::Pipeline {
 public:
-  typedef DrainResults Pipelines;
+  typedef JobResultsResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3186,9 +3571,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::TimelineParams::Reader {
+class Operator::CancelJobParams::Reader {
 public:
-  typedef TimelineParams Reads;
+  typedef CancelJobParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3206,8 +3591,6 @@
   inline bool hasId() const;
   inline  ::capnp::Text::Reader getId() const;
 
-  inline  ::uint32_t getLimit() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3220,9 +3603,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::TimelineParams::Builder {
+class Operator::CancelJobParams::Builder {
 public:
-  typedef TimelineParams Builds;
+  typedef CancelJobParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3243,9 +3626,6 @@
   inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline  ::uint32_t getLimit();
-  inline void setLimit( ::uint32_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3256,9 +3636,9 @@
 };
 
 #if !CAPNP_LITE
-class Operator::TimelineParams::Pipeline {
+class Operator::CancelJobParams::Pipeline {
 public:
-  typedef TimelineParams Pipelines;
+  typedef CancelJobParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -3272,9 +3652,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Operator::TimelineResults::Reader {
+class Operator::CancelJobResults::Reader {
 public:
-  typedef TimelineResults Reads;
+  typedef CancelJobResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3289,8 +3669,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEvents() const;
-  inline  ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>::Reader getEvents() const;
+  inline bool hasStatus() const;
+  inline  ::Chicorydock::Schema::JobStatus::Reader getStatus() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -3304,9 +3684,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Operator::TimelineResults::Builder {
+class Operator::CancelJobResults::Builder {
 public:
-  typedef TimelineResults Builds;
+  typedef CancelJobResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3320,12 +3700,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasEvents();
-  inline  ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>::Builder getEvents();
-  inline void setEvents( ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>::Builder initEvents(unsigned int size);
-  inline void adoptEvents(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>> disownEvents();
+  inline bool hasStatus();
+  inline  ::Chicorydock::Schema::JobStatus::Builder getStatus();
+  inline void setStatus( ::Chicorydock::Schema::JobStatus::Reader value);
+  inline  ::Chicorydock::Schema::JobStatus::Builder initStatus();
+  inline void adoptStatus(::capnp::Orphan< ::Chicorydock::Schema::JobStatus>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::JobStatus> disownStatus();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3337,14 +3717,15 @@
 };
 
 #if !CAPNP_LITE
-class Operator::TimelineResults::Pipeline {
+class Operator::CancelJobResults::Pipeline {
 public:
-  typedef TimelineResults Pipelines;
+  typedef CancelJobResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::Chicorydock::Schema::JobStatus::Pipeline getStatus();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3353,1414 +3734,2881 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Operator::DrainParams::Reader {
+public:
+  typedef DrainParams Reads;
 
-inline bool MemberStatus::Reader::hasNodeId() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberStatus::Builder::hasNodeId() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MemberStatus::Reader::getNodeId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MemberStatus::Builder::getNodeId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void MemberStatus::Builder::setNodeId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MemberStatus::Builder::initNodeId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void MemberStatus::Builder::adoptNodeId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownNodeId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool MemberStatus::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool MemberStatus::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader MemberStatus::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder MemberStatus::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void MemberStatus::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder MemberStatus::Builder::initAddress(unsigned int size) {
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint() const;
+  inline  ::capnp::Text::Reader getEndpoint() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Operator::DrainParams::Builder {
+public:
+  typedef DrainParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEndpoint();
+  inline  ::capnp::Text::Builder getEndpoint();
+  inline void setEndpoint( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initEndpoint(unsigned int size);
+  inline void adoptEndpoint(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownEndpoint();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Operator::DrainParams::Pipeline {
+public:
+  typedef DrainParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Operator::DrainResults::Reader {
+public:
+  typedef DrainResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Operator::DrainResults::Builder {
+public:
+  typedef DrainResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Operator::DrainResults::Pipeline {
+public:
+  typedef DrainResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Operator::TimelineParams::Reader {
+public:
+  typedef TimelineParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline  ::uint32_t getLimit() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Operator::TimelineParams::Builder {
+public:
+  typedef TimelineParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline  ::uint32_t getLimit();
+  inline void setLimit( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Operator::TimelineParams::Pipeline {
+public:
+  typedef TimelineParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Operator::TimelineResults::Reader {
+public:
+  typedef TimelineResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEvents() const;
+  inline  ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>::Reader getEvents() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Operator::TimelineResults::Builder {
+public:
+  typedef TimelineResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasEvents();
+  inline  ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>::Builder getEvents();
+  inline void setEvents( ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>::Builder initEvents(unsigned int size);
+  inline void adoptEvents(::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::TimelineEvent,  ::capnp::Kind::STRUCT>> disownEvents();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Operator::TimelineResults::Pipeline {
+public:
+  typedef TimelineResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Operator::ExplainRequestParams::Reader {
+public:
+  typedef ExplainRequestParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Data::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Operator::ExplainRequestParams::Builder {
+public:
+  typedef ExplainRequestParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::capnp::Data::Builder getRequest();
+  inline void setRequest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Operator::ExplainRequestParams::Pipeline {
+public:
+  typedef ExplainRequestParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Operator::ExplainRequestResults::Reader {
+public:
+  typedef ExplainRequestResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasExplanation() const;
+  inline  ::Chicorydock::Schema::RequestExplanation::Reader getExplanation() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Operator::ExplainRequestResults::Builder {
+public:
+  typedef ExplainRequestResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasExplanation();
+  inline  ::Chicorydock::Schema::RequestExplanation::Builder getExplanation();
+  inline void setExplanation( ::Chicorydock::Schema::RequestExplanation::Reader value);
+  inline  ::Chicorydock::Schema::RequestExplanation::Builder initExplanation();
+  inline void adoptExplanation(::capnp::Orphan< ::Chicorydock::Schema::RequestExplanation>&& value);
+  inline ::capnp::Orphan< ::Chicorydock::Schema::RequestExplanation> disownExplanation();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Operator::ExplainRequestResults::Pipeline {
+public:
+  typedef ExplainRequestResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::Chicorydock::Schema::RequestExplanation::Pipeline getExplanation();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool MemberStatus::Reader::hasNodeId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberStatus::Builder::hasNodeId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberStatus::Reader::getNodeId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::getNodeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MemberStatus::Builder::setNodeId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::initNodeId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void MemberStatus::Builder::adoptNodeId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownNodeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MemberStatus::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberStatus::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberStatus::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MemberStatus::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void MemberStatus::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MemberStatus::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberStatus::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberStatus::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MemberStatus::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void MemberStatus::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool MemberStatus::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberStatus::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberStatus::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void MemberStatus::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void MemberStatus::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MemberStatus::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberStatus::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberStatus::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberStatus::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberStatus::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberStatus::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void MemberStatus::Builder::setState( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberStatus::Builder::initState(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void MemberStatus::Builder::adoptState(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool ServiceStatus::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceStatus::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceStatus::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceStatus::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServiceStatus::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceStatus::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServiceStatus::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceStatus::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t ServiceStatus::Reader::getOnlineQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceStatus::Builder::getOnlineQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceStatus::Builder::setOnlineQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceStatus::Reader::getBatchQueued() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceStatus::Builder::getBatchQueued() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceStatus::Builder::setBatchQueued( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceStatus::Reader::getOnlineInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceStatus::Builder::getOnlineInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServiceStatus::Builder::setOnlineInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceStatus::Reader::getBatchInFlight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceStatus::Builder::getBatchInFlight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServiceStatus::Builder::setBatchInFlight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServiceStatus::Reader::getRefused() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceStatus::Builder::getRefused() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ServiceStatus::Builder::setRefused( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServiceStatus::Reader::getYielded() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceStatus::Builder::getYielded() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void ServiceStatus::Builder::setYielded( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t ServiceStatus::Reader::getHedged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t ServiceStatus::Builder::getHedged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void ServiceStatus::Builder::setHedged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeStatus::Reader::hasNodeId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeStatus::Builder::hasNodeId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeStatus::Reader::getNodeId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeStatus::Builder::getNodeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeStatus::Builder::setNodeId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeStatus::Builder::initNodeId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeStatus::Builder::adoptNodeId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeStatus::Builder::disownNodeId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeStatus::Reader::hasRegion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeStatus::Builder::hasRegion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeStatus::Reader::getRegion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeStatus::Builder::getRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeStatus::Builder::setRegion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeStatus::Builder::initRegion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeStatus::Builder::adoptRegion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeStatus::Builder::disownRegion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool NodeStatus::Reader::hasFailureDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeStatus::Builder::hasFailureDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeStatus::Reader::getFailureDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeStatus::Builder::getFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeStatus::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeStatus::Builder::initFailureDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void NodeStatus::Builder::adoptFailureDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeStatus::Builder::disownFailureDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t NodeStatus::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeStatus::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeStatus::Reader::getReady() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getReady() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setReady(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeStatus::Reader::getStopping() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getStopping() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setStopping(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeStatus::Reader::getPlatformReachable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getPlatformReachable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setPlatformReachable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t NodeStatus::Reader::getUptimeMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t NodeStatus::Builder::getUptimeMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setUptimeMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeStatus::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeStatus::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>::Reader NodeStatus::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>::Builder NodeStatus::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void NodeStatus::Builder::setMembers( ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>::Builder NodeStatus::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void NodeStatus::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>> NodeStatus::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool NodeStatus::Reader::hasServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeStatus::Builder::hasServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>::Reader NodeStatus::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>::Builder NodeStatus::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void NodeStatus::Builder::setServices( ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>::Builder NodeStatus::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void NodeStatus::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>> NodeStatus::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t NodeStatus::Reader::getClaimedChunks() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeStatus::Builder::getClaimedChunks() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setClaimedChunks( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool NodeStatus::Reader::getHoldsPlacementLease() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+
+inline bool NodeStatus::Builder::getHoldsPlacementLease() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+}
+inline void NodeStatus::Builder::setHoldsPlacementLease(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EndpointStatus::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointStatus::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EndpointStatus::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EndpointStatus::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EndpointStatus::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EndpointStatus::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EndpointStatus::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EndpointStatus::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EndpointStatus::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EndpointStatus::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EndpointStatus::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EndpointStatus::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EndpointStatus::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void MemberStatus::Builder::adoptAddress(
+inline void EndpointStatus::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool MemberStatus::Reader::hasRegion() const {
+inline bool EndpointStatus::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberStatus::Builder::hasRegion() {
+inline bool EndpointStatus::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberStatus::Reader::getRegion() const {
+inline  ::capnp::Text::Reader EndpointStatus::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberStatus::Builder::getRegion() {
+inline  ::capnp::Text::Builder EndpointStatus::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void MemberStatus::Builder::setRegion( ::capnp::Text::Reader value) {
+inline void EndpointStatus::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberStatus::Builder::initRegion(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointStatus::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void MemberStatus::Builder::adoptRegion(
+inline void EndpointStatus::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownRegion() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool MemberStatus::Reader::hasFailureDomain() const {
+inline bool EndpointStatus::Reader::hasRegion() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberStatus::Builder::hasFailureDomain() {
+inline bool EndpointStatus::Builder::hasRegion() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberStatus::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader EndpointStatus::Reader::getRegion() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberStatus::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder EndpointStatus::Builder::getRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void MemberStatus::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void EndpointStatus::Builder::setRegion( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberStatus::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointStatus::Builder::initRegion(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void MemberStatus::Builder::adoptFailureDomain(
+inline void EndpointStatus::Builder::adoptRegion(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownRegion() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t MemberStatus::Reader::getIncarnation() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t MemberStatus::Builder::getIncarnation() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void MemberStatus::Builder::setIncarnation( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool MemberStatus::Reader::hasState() const {
+inline bool EndpointStatus::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberStatus::Builder::hasState() {
+inline bool EndpointStatus::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader MemberStatus::Reader::getState() const {
+inline  ::capnp::Text::Reader EndpointStatus::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder MemberStatus::Builder::getState() {
+inline  ::capnp::Text::Builder EndpointStatus::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void MemberStatus::Builder::setState( ::capnp::Text::Reader value) {
+inline void EndpointStatus::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder MemberStatus::Builder::initState(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointStatus::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void MemberStatus::Builder::adoptState(
+inline void EndpointStatus::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> MemberStatus::Builder::disownState() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool ServiceStatus::Reader::hasName() const {
+inline bool EndpointStatus::Reader::hasState() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServiceStatus::Builder::hasName() {
+inline bool EndpointStatus::Builder::hasState() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServiceStatus::Reader::getName() const {
+inline  ::capnp::Text::Reader EndpointStatus::Reader::getState() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServiceStatus::Builder::getName() {
+inline  ::capnp::Text::Builder EndpointStatus::Builder::getState() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void ServiceStatus::Builder::setName( ::capnp::Text::Reader value) {
+inline void EndpointStatus::Builder::setState( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServiceStatus::Builder::initName(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointStatus::Builder::initState(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void ServiceStatus::Builder::adoptName(
+inline void EndpointStatus::Builder::adoptState(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> ServiceStatus::Builder::disownName() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownState() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t ServiceStatus::Reader::getOnlineQueued() const {
+inline  ::uint32_t EndpointStatus::Reader::getOnlineInFlight() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceStatus::Builder::getOnlineQueued() {
+inline  ::uint32_t EndpointStatus::Builder::getOnlineInFlight() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServiceStatus::Builder::setOnlineQueued( ::uint32_t value) {
+inline void EndpointStatus::Builder::setOnlineInFlight( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceStatus::Reader::getBatchQueued() const {
+inline  ::uint32_t EndpointStatus::Reader::getBatchInFlight() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceStatus::Builder::getBatchQueued() {
+inline  ::uint32_t EndpointStatus::Builder::getBatchInFlight() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void ServiceStatus::Builder::setBatchQueued( ::uint32_t value) {
+inline void EndpointStatus::Builder::setBatchInFlight( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceStatus::Reader::getOnlineInFlight() const {
+inline  ::uint32_t EndpointStatus::Reader::getLimit() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t ServiceStatus::Builder::getOnlineInFlight() {
+inline  ::uint32_t EndpointStatus::Builder::getLimit() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServiceStatus::Builder::setOnlineInFlight( ::uint32_t value) {
+inline void EndpointStatus::Builder::setLimit( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t ServiceStatus::Reader::getBatchInFlight() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t ServiceStatus::Builder::getBatchInFlight() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
-}
-inline void ServiceStatus::Builder::setBatchInFlight( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t ServiceStatus::Reader::getRefused() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double EndpointStatus::Reader::getHealth() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServiceStatus::Builder::getRefused() {
-  return _builder.getDataField< ::uint64_t>(
+inline double EndpointStatus::Builder::getHealth() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void ServiceStatus::Builder::setRefused( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void EndpointStatus::Builder::setHealth(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ServiceStatus::Reader::getYielded() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double EndpointStatus::Reader::getFirstTokenMs() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServiceStatus::Builder::getYielded() {
-  return _builder.getDataField< ::uint64_t>(
+inline double EndpointStatus::Builder::getFirstTokenMs() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void ServiceStatus::Builder::setYielded( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void EndpointStatus::Builder::setFirstTokenMs(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t ServiceStatus::Reader::getHedged() const {
-  return _reader.getDataField< ::uint64_t>(
+inline double EndpointStatus::Reader::getTokenGapMs() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t ServiceStatus::Builder::getHedged() {
-  return _builder.getDataField< ::uint64_t>(
+inline double EndpointStatus::Builder::getTokenGapMs() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void ServiceStatus::Builder::setHedged( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void EndpointStatus::Builder::setTokenGapMs(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeStatus::Reader::hasNodeId() const {
+inline bool JobStatus::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeStatus::Builder::hasNodeId() {
+inline bool JobStatus::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeStatus::Reader::getNodeId() const {
+inline  ::capnp::Text::Reader JobStatus::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeStatus::Builder::getNodeId() {
+inline  ::capnp::Text::Builder JobStatus::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeStatus::Builder::setNodeId( ::capnp::Text::Reader value) {
+inline void JobStatus::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeStatus::Builder::initNodeId(unsigned int size) {
+inline  ::capnp::Text::Builder JobStatus::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void NodeStatus::Builder::adoptNodeId(
+inline void JobStatus::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeStatus::Builder::disownNodeId() {
+inline ::capnp::Orphan< ::capnp::Text> JobStatus::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeStatus::Reader::hasRegion() const {
+inline bool JobStatus::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeStatus::Builder::hasRegion() {
+inline bool JobStatus::Builder::hasWorkspace() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeStatus::Reader::getRegion() const {
+inline  ::capnp::Text::Reader JobStatus::Reader::getWorkspace() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeStatus::Builder::getRegion() {
+inline  ::capnp::Text::Builder JobStatus::Builder::getWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeStatus::Builder::setRegion( ::capnp::Text::Reader value) {
+inline void JobStatus::Builder::setWorkspace( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeStatus::Builder::initRegion(unsigned int size) {
+inline  ::capnp::Text::Builder JobStatus::Builder::initWorkspace(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NodeStatus::Builder::adoptRegion(
+inline void JobStatus::Builder::adoptWorkspace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeStatus::Builder::disownRegion() {
+inline ::capnp::Orphan< ::capnp::Text> JobStatus::Builder::disownWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool NodeStatus::Reader::hasFailureDomain() const {
+inline bool JobStatus::Reader::hasState() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeStatus::Builder::hasFailureDomain() {
+inline bool JobStatus::Builder::hasState() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader NodeStatus::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader JobStatus::Reader::getState() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder NodeStatus::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder JobStatus::Builder::getState() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void NodeStatus::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void JobStatus::Builder::setState( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder NodeStatus::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder JobStatus::Builder::initState(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void NodeStatus::Builder::adoptFailureDomain(
+inline void JobStatus::Builder::adoptState(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> NodeStatus::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> JobStatus::Builder::disownState() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t NodeStatus::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
+inline  ::uint32_t JobStatus::Reader::getTotal() const {
+  return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeStatus::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
+inline  ::uint32_t JobStatus::Builder::getTotal() {
+  return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeStatus::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
+inline void JobStatus::Builder::setTotal( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeStatus::Reader::getReady() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint32_t JobStatus::Reader::getCompleted() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeStatus::Builder::getReady() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::uint32_t JobStatus::Builder::getCompleted() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NodeStatus::Builder::setReady(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline void JobStatus::Builder::setCompleted( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeStatus::Reader::getStopping() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline  ::uint32_t JobStatus::Reader::getFailed() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeStatus::Builder::getStopping() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+inline  ::uint32_t JobStatus::Builder::getFailed() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void NodeStatus::Builder::setStopping(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+inline void JobStatus::Builder::setFailed( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeStatus::Reader::getPlatformReachable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+inline  ::int64_t JobStatus::Reader::getCreatedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeStatus::Builder::getPlatformReachable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS);
+inline  ::int64_t JobStatus::Builder::getCreatedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void NodeStatus::Builder::setPlatformReachable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<66>() * ::capnp::ELEMENTS, value);
+inline void JobStatus::Builder::setCreatedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t NodeStatus::Reader::getUptimeMs() const {
+inline  ::int64_t JobStatus::Reader::getDeadlineMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t JobStatus::Builder::getDeadlineMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void JobStatus::Builder::setDeadlineMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t RevisionSummary::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t NodeStatus::Builder::getUptimeMs() {
+inline  ::uint64_t RevisionSummary::Builder::getRevision() {
   return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeStatus::Builder::setUptimeMs( ::uint64_t value) {
+inline void RevisionSummary::Builder::setRevision( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeStatus::Reader::hasMembers() const {
+inline bool RevisionSummary::Reader::hasAuthor() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeStatus::Builder::hasMembers() {
+inline bool RevisionSummary::Builder::hasAuthor() {
   return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>::Reader NodeStatus::Reader::getMembers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>::Builder NodeStatus::Builder::getMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RevisionSummary::Reader::getAuthor() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void NodeStatus::Builder::setMembers( ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+inline  ::capnp::Text::Builder RevisionSummary::Builder::getAuthor() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>::Builder NodeStatus::Builder::initMembers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline void RevisionSummary::Builder::setAuthor( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline void NodeStatus::Builder::adoptMembers(
-    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::Text::Builder RevisionSummary::Builder::initAuthor(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>> NodeStatus::Builder::disownMembers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::MemberStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+inline void RevisionSummary::Builder::adoptAuthor(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RevisionSummary::Builder::disownAuthor() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool NodeStatus::Reader::hasServices() const {
+inline bool RevisionSummary::Reader::hasRequestId() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool NodeStatus::Builder::hasServices() {
+inline bool RevisionSummary::Builder::hasRequestId() {
   return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>::Reader NodeStatus::Reader::getServices() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader RevisionSummary::Reader::getRequestId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>::Builder NodeStatus::Builder::getServices() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder RevisionSummary::Builder::getRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void NodeStatus::Builder::setServices( ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void RevisionSummary::Builder::setRequestId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>::Builder NodeStatus::Builder::initServices(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder RevisionSummary::Builder::initRequestId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void NodeStatus::Builder::adoptServices(
-    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+inline void RevisionSummary::Builder::adoptRequestId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>> NodeStatus::Builder::disownServices() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> RevisionSummary::Builder::disownRequestId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t NodeStatus::Reader::getClaimedChunks() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::int64_t RevisionSummary::Reader::getAcceptedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t NodeStatus::Builder::getClaimedChunks() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::int64_t RevisionSummary::Builder::getAcceptedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void NodeStatus::Builder::setClaimedChunks( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void RevisionSummary::Builder::setAcceptedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool NodeStatus::Reader::getHoldsPlacementLease() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+inline  ::int64_t TimelineEvent::Reader::getWallMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool NodeStatus::Builder::getHoldsPlacementLease() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<67>() * ::capnp::ELEMENTS);
+inline  ::int64_t TimelineEvent::Builder::getWallMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void NodeStatus::Builder::setHoldsPlacementLease(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<67>() * ::capnp::ELEMENTS, value);
+inline void TimelineEvent::Builder::setWallMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool EndpointStatus::Reader::hasId() const {
+inline  ::uint32_t TimelineEvent::Reader::getCounter() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t TimelineEvent::Builder::getCounter() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TimelineEvent::Builder::setCounter( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TimelineEvent::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointStatus::Builder::hasId() {
+inline bool TimelineEvent::Builder::hasNode() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointStatus::Reader::getId() const {
+inline  ::capnp::Text::Reader TimelineEvent::Reader::getNode() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::getId() {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::getNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void EndpointStatus::Builder::setId( ::capnp::Text::Reader value) {
+inline void TimelineEvent::Builder::setNode( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::initNode(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void EndpointStatus::Builder::adoptId(
+inline void TimelineEvent::Builder::adoptNode(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointStatus::Reader::hasAddress() const {
+inline bool TimelineEvent::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointStatus::Builder::hasAddress() {
+inline bool TimelineEvent::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointStatus::Reader::getAddress() const {
+inline  ::capnp::Text::Reader TimelineEvent::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::getAddress() {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void EndpointStatus::Builder::setAddress( ::capnp::Text::Reader value) {
+inline void TimelineEvent::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::initAddress(unsigned int size) {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void EndpointStatus::Builder::adoptAddress(
+inline void TimelineEvent::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownAddress() {
+inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointStatus::Reader::hasService() const {
+inline bool TimelineEvent::Reader::hasSubject() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointStatus::Builder::hasService() {
+inline bool TimelineEvent::Builder::hasSubject() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointStatus::Reader::getService() const {
+inline  ::capnp::Text::Reader TimelineEvent::Reader::getSubject() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::getService() {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::getSubject() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void EndpointStatus::Builder::setService( ::capnp::Text::Reader value) {
+inline void TimelineEvent::Builder::setSubject( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::initSubject(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void EndpointStatus::Builder::adoptService(
+inline void TimelineEvent::Builder::adoptSubject(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownSubject() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointStatus::Reader::hasRegion() const {
+inline bool TimelineEvent::Reader::hasAction() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointStatus::Builder::hasRegion() {
+inline bool TimelineEvent::Builder::hasAction() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointStatus::Reader::getRegion() const {
+inline  ::capnp::Text::Reader TimelineEvent::Reader::getAction() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::getRegion() {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::getAction() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void EndpointStatus::Builder::setRegion( ::capnp::Text::Reader value) {
+inline void TimelineEvent::Builder::setAction( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::initRegion(unsigned int size) {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::initAction(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void EndpointStatus::Builder::adoptRegion(
+inline void TimelineEvent::Builder::adoptAction(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownRegion() {
+inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownAction() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointStatus::Reader::hasFailureDomain() const {
+inline bool TimelineEvent::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointStatus::Builder::hasFailureDomain() {
+inline bool TimelineEvent::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointStatus::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader TimelineEvent::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void EndpointStatus::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void TimelineEvent::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void EndpointStatus::Builder::adoptFailureDomain(
+inline void TimelineEvent::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool EndpointStatus::Reader::hasState() const {
+inline bool TimelineEvent::Reader::hasTraceId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool EndpointStatus::Builder::hasState() {
+inline bool TimelineEvent::Builder::hasTraceId() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader EndpointStatus::Reader::getState() const {
+inline  ::capnp::Text::Reader TimelineEvent::Reader::getTraceId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::getState() {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::getTraceId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void EndpointStatus::Builder::setState( ::capnp::Text::Reader value) {
+inline void TimelineEvent::Builder::setTraceId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder EndpointStatus::Builder::initState(unsigned int size) {
+inline  ::capnp::Text::Builder TimelineEvent::Builder::initTraceId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void EndpointStatus::Builder::adoptState(
+inline void TimelineEvent::Builder::adoptTraceId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> EndpointStatus::Builder::disownState() {
+inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownTraceId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t EndpointStatus::Reader::getOnlineInFlight() const {
-  return _reader.getDataField< ::uint32_t>(
+inline bool TimelineEvent::Reader::hasDetails() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool TimelineEvent::Builder::hasDetails() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TimelineEvent::Reader::getDetails() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TimelineEvent::Builder::getDetails() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void TimelineEvent::Builder::setDetails( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TimelineEvent::Builder::initDetails(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void TimelineEvent::Builder::adoptDetails(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownDetails() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool QuotaView::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaView::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaView::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaView::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaView::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaView::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaView::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaView::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline double QuotaView::Reader::getRequestsPerSecond() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointStatus::Builder::getOnlineInFlight() {
-  return _builder.getDataField< ::uint32_t>(
+inline double QuotaView::Builder::getRequestsPerSecond() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setOnlineInFlight( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void QuotaView::Builder::setRequestsPerSecond(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointStatus::Reader::getBatchInFlight() const {
-  return _reader.getDataField< ::uint32_t>(
+inline double QuotaView::Reader::getBurst() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t EndpointStatus::Builder::getBatchInFlight() {
-  return _builder.getDataField< ::uint32_t>(
+inline double QuotaView::Builder::getBurst() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setBatchInFlight( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void QuotaView::Builder::setBurst(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t EndpointStatus::Reader::getLimit() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t EndpointStatus::Builder::getLimit() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void EndpointStatus::Builder::setLimit( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline double EndpointStatus::Reader::getHealth() const {
+inline double QuotaView::Reader::getLevel() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline double EndpointStatus::Builder::getHealth() {
+inline double QuotaView::Builder::getLevel() {
   return _builder.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setHealth(double value) {
+inline void QuotaView::Builder::setLevel(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline double EndpointStatus::Reader::getFirstTokenMs() const {
+inline double QuotaView::Reader::getGroupShare() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline double EndpointStatus::Builder::getFirstTokenMs() {
+inline double QuotaView::Builder::getGroupShare() {
   return _builder.getDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setFirstTokenMs(double value) {
+inline void QuotaView::Builder::setGroupShare(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline double EndpointStatus::Reader::getTokenGapMs() const {
+inline double QuotaView::Reader::getOwnShare() const {
   return _reader.getDataField<double>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline double EndpointStatus::Builder::getTokenGapMs() {
+inline double QuotaView::Builder::getOwnShare() {
   return _builder.getDataField<double>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void EndpointStatus::Builder::setTokenGapMs(double value) {
+inline void QuotaView::Builder::setOwnShare(double value) {
   _builder.setDataField<double>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool JobStatus::Reader::hasId() const {
+inline  ::int64_t QuotaView::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t QuotaView::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void QuotaView::Builder::setRetryAfterMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool EndpointEvaluation::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobStatus::Builder::hasId() {
+inline bool EndpointEvaluation::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobStatus::Reader::getId() const {
+inline  ::capnp::Text::Reader EndpointEvaluation::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder JobStatus::Builder::getId() {
+inline  ::capnp::Text::Builder EndpointEvaluation::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void JobStatus::Builder::setId( ::capnp::Text::Reader value) {
+inline void EndpointEvaluation::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder JobStatus::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointEvaluation::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void JobStatus::Builder::adoptId(
+inline void EndpointEvaluation::Builder::adoptEndpoint(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> JobStatus::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointEvaluation::Builder::disownEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool JobStatus::Reader::hasWorkspace() const {
+inline bool EndpointEvaluation::Reader::hasFailureDomain() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobStatus::Builder::hasWorkspace() {
+inline bool EndpointEvaluation::Builder::hasFailureDomain() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobStatus::Reader::getWorkspace() const {
+inline  ::capnp::Text::Reader EndpointEvaluation::Reader::getFailureDomain() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder JobStatus::Builder::getWorkspace() {
+inline  ::capnp::Text::Builder EndpointEvaluation::Builder::getFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void JobStatus::Builder::setWorkspace( ::capnp::Text::Reader value) {
+inline void EndpointEvaluation::Builder::setFailureDomain( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder JobStatus::Builder::initWorkspace(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointEvaluation::Builder::initFailureDomain(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void JobStatus::Builder::adoptWorkspace(
+inline void EndpointEvaluation::Builder::adoptFailureDomain(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> JobStatus::Builder::disownWorkspace() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointEvaluation::Builder::disownFailureDomain() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool JobStatus::Reader::hasState() const {
+inline bool EndpointEvaluation::Reader::hasObstacle() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool JobStatus::Builder::hasState() {
+inline bool EndpointEvaluation::Builder::hasObstacle() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader JobStatus::Reader::getState() const {
+inline  ::capnp::Text::Reader EndpointEvaluation::Reader::getObstacle() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder JobStatus::Builder::getState() {
+inline  ::capnp::Text::Builder EndpointEvaluation::Builder::getObstacle() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void JobStatus::Builder::setState( ::capnp::Text::Reader value) {
+inline void EndpointEvaluation::Builder::setObstacle( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder JobStatus::Builder::initState(unsigned int size) {
+inline  ::capnp::Text::Builder EndpointEvaluation::Builder::initObstacle(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void JobStatus::Builder::adoptState(
+inline void EndpointEvaluation::Builder::adoptObstacle(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> JobStatus::Builder::disownState() {
+inline ::capnp::Orphan< ::capnp::Text> EndpointEvaluation::Builder::disownObstacle() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t JobStatus::Reader::getTotal() const {
-  return _reader.getDataField< ::uint32_t>(
+inline double EndpointEvaluation::Reader::getLoad() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t JobStatus::Builder::getTotal() {
-  return _builder.getDataField< ::uint32_t>(
+inline double EndpointEvaluation::Builder::getLoad() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void JobStatus::Builder::setTotal( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void EndpointEvaluation::Builder::setLoad(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t JobStatus::Reader::getCompleted() const {
-  return _reader.getDataField< ::uint32_t>(
+inline double EndpointEvaluation::Reader::getDistance() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
