-inline  ::uint32_t JobStatus::Builder::getCompleted() {
-  return _builder.getDataField< ::uint32_t>(
+inline double EndpointEvaluation::Builder::getDistance() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void JobStatus::Builder::setCompleted( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void EndpointEvaluation::Builder::setDistance(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t JobStatus::Reader::getFailed() const {
-  return _reader.getDataField< ::uint32_t>(
+inline double EndpointEvaluation::Reader::getSlowness() const {
+  return _reader.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t JobStatus::Builder::getFailed() {
-  return _builder.getDataField< ::uint32_t>(
+inline double EndpointEvaluation::Builder::getSlowness() {
+  return _builder.getDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void JobStatus::Builder::setFailed( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
+inline void EndpointEvaluation::Builder::setSlowness(double value) {
+  _builder.setDataField<double>(
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t JobStatus::Reader::getCreatedMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline double EndpointEvaluation::Reader::getSpread() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t JobStatus::Builder::getCreatedMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline double EndpointEvaluation::Builder::getSpread() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void JobStatus::Builder::setCreatedMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void EndpointEvaluation::Builder::setSpread(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t JobStatus::Reader::getDeadlineMs() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline double EndpointEvaluation::Reader::getYield() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t JobStatus::Builder::getDeadlineMs() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline double EndpointEvaluation::Builder::getYield() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void JobStatus::Builder::setDeadlineMs( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void EndpointEvaluation::Builder::setYield(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t RevisionSummary::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline double EndpointEvaluation::Reader::getRateLimit() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t RevisionSummary::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline double EndpointEvaluation::Builder::getRateLimit() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
 }
-inline void RevisionSummary::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void EndpointEvaluation::Builder::setRateLimit(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool RevisionSummary::Reader::hasAuthor() const {
+inline double EndpointEvaluation::Reader::getPrompt() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline double EndpointEvaluation::Builder::getPrompt() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEvaluation::Builder::setPrompt(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointEvaluation::Reader::getOnline() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointEvaluation::Builder::getOnline() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEvaluation::Builder::setOnline( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointEvaluation::Reader::getBatch() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointEvaluation::Builder::getBatch() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEvaluation::Builder::setBatch( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<15>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t EndpointEvaluation::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t EndpointEvaluation::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void EndpointEvaluation::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t EndpointEvaluation::Reader::getSlotsAgeMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t EndpointEvaluation::Builder::getSlotsAgeMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void EndpointEvaluation::Builder::setSlotsAgeMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool ServiceExplanation::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool RevisionSummary::Builder::hasAuthor() {
+inline bool ServiceExplanation::Builder::hasService() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RevisionSummary::Reader::getAuthor() const {
+inline  ::capnp::Text::Reader ServiceExplanation::Reader::getService() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RevisionSummary::Builder::getAuthor() {
+inline  ::capnp::Text::Builder ServiceExplanation::Builder::getService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void RevisionSummary::Builder::setAuthor( ::capnp::Text::Reader value) {
+inline void ServiceExplanation::Builder::setService( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RevisionSummary::Builder::initAuthor(unsigned int size) {
+inline  ::capnp::Text::Builder ServiceExplanation::Builder::initService(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void RevisionSummary::Builder::adoptAuthor(
+inline void ServiceExplanation::Builder::adoptService(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> RevisionSummary::Builder::disownAuthor() {
+inline ::capnp::Orphan< ::capnp::Text> ServiceExplanation::Builder::disownService() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RevisionSummary::Reader::hasRequestId() const {
+inline  ::uint32_t ServiceExplanation::Reader::getWeight() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceExplanation::Builder::getWeight() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServiceExplanation::Builder::setWeight( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServiceExplanation::Reader::hasEndpoint() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool RevisionSummary::Builder::hasRequestId() {
+inline bool ServiceExplanation::Builder::hasEndpoint() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader RevisionSummary::Reader::getRequestId() const {
+inline  ::capnp::Text::Reader ServiceExplanation::Reader::getEndpoint() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder RevisionSummary::Builder::getRequestId() {
+inline  ::capnp::Text::Builder ServiceExplanation::Builder::getEndpoint() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void RevisionSummary::Builder::setRequestId( ::capnp::Text::Reader value) {
+inline void ServiceExplanation::Builder::setEndpoint( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder RevisionSummary::Builder::initRequestId(unsigned int size) {
+inline  ::capnp::Text::Builder ServiceExplanation::Builder::initEndpoint(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void RevisionSummary::Builder::adoptRequestId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+inline void ServiceExplanation::Builder::adoptEndpoint(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceExplanation::Builder::disownEndpoint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ServiceExplanation::Reader::hasRefusal() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceExplanation::Builder::hasRefusal() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServiceExplanation::Reader::getRefusal() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServiceExplanation::Builder::getRefusal() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ServiceExplanation::Builder::setRefusal( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServiceExplanation::Builder::initRefusal(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ServiceExplanation::Builder::adoptRefusal(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServiceExplanation::Builder::disownRefusal() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ServiceExplanation::Reader::getRetryAfterMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServiceExplanation::Builder::getRetryAfterMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ServiceExplanation::Builder::setRetryAfterMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ServiceExplanation::Reader::getAhead() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ServiceExplanation::Builder::getAhead() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> RevisionSummary::Builder::disownRequestId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline void ServiceExplanation::Builder::setAhead( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t RevisionSummary::Reader::getAcceptedMs() const {
+inline  ::int64_t ServiceExplanation::Reader::getExpectedWaitMs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t RevisionSummary::Builder::getAcceptedMs() {
+inline  ::int64_t ServiceExplanation::Builder::getExpectedWaitMs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void RevisionSummary::Builder::setAcceptedMs( ::int64_t value) {
+inline void ServiceExplanation::Builder::setExpectedWaitMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::int64_t TimelineEvent::Reader::getWallMs() const {
+inline  ::int64_t ServiceExplanation::Reader::getExpectedSlotMs() const {
   return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t TimelineEvent::Builder::getWallMs() {
+inline  ::int64_t ServiceExplanation::Builder::getExpectedSlotMs() {
   return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void TimelineEvent::Builder::setWallMs( ::int64_t value) {
+inline void ServiceExplanation::Builder::setExpectedSlotMs( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t TimelineEvent::Reader::getCounter() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool ServiceExplanation::Reader::hasQuota() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServiceExplanation::Builder::hasQuota() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::QuotaView::Reader ServiceExplanation::Reader::getQuota() const {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::QuotaView>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::QuotaView::Builder ServiceExplanation::Builder::getQuota() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::QuotaView>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chicorydock::Schema::QuotaView::Pipeline ServiceExplanation::Pipeline::getQuota() {
+  return  ::Chicorydock::Schema::QuotaView::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void ServiceExplanation::Builder::setQuota( ::Chicorydock::Schema::QuotaView::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::QuotaView>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::QuotaView::Builder ServiceExplanation::Builder::initQuota() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::QuotaView>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ServiceExplanation::Builder::adoptQuota(
+    ::capnp::Orphan< ::Chicorydock::Schema::QuotaView>&& value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::QuotaView>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::QuotaView> ServiceExplanation::Builder::disownQuota() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::QuotaView>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t TimelineEvent::Builder::getCounter() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline bool ServiceExplanation::Reader::hasEndpoints() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline void TimelineEvent::Builder::setCounter( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline bool ServiceExplanation::Builder::hasEndpoints() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>::Reader ServiceExplanation::Reader::getEndpoints() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>::Builder ServiceExplanation::Builder::getEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ServiceExplanation::Builder::setEndpoints( ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>::Builder ServiceExplanation::Builder::initEndpoints(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ServiceExplanation::Builder::adoptEndpoints(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>> ServiceExplanation::Builder::disownEndpoints() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::EndpointEvaluation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool TimelineEvent::Reader::hasNode() const {
+inline bool RequestExplanation::Reader::hasNode() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TimelineEvent::Builder::hasNode() {
+inline bool RequestExplanation::Builder::hasNode() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TimelineEvent::Reader::getNode() const {
+inline  ::capnp::Text::Reader RequestExplanation::Reader::getNode() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::getNode() {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::getNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TimelineEvent::Builder::setNode( ::capnp::Text::Reader value) {
+inline void RequestExplanation::Builder::setNode( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::initNode(unsigned int size) {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::initNode(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void TimelineEvent::Builder::adoptNode(
+inline void RequestExplanation::Builder::adoptNode(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownNode() {
+inline ::capnp::Orphan< ::capnp::Text> RequestExplanation::Builder::disownNode() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool TimelineEvent::Reader::hasFailureDomain() const {
+inline  ::uint64_t RequestExplanation::Reader::getConfiguration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RequestExplanation::Builder::getConfiguration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void RequestExplanation::Builder::setConfiguration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RequestExplanation::Reader::hasRefusal() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool TimelineEvent::Builder::hasFailureDomain() {
+inline bool RequestExplanation::Builder::hasRefusal() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TimelineEvent::Reader::getFailureDomain() const {
+inline  ::capnp::Text::Reader RequestExplanation::Reader::getRefusal() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::getFailureDomain() {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::getRefusal() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void TimelineEvent::Builder::setFailureDomain( ::capnp::Text::Reader value) {
+inline void RequestExplanation::Builder::setRefusal( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::initFailureDomain(unsigned int size) {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::initRefusal(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void TimelineEvent::Builder::adoptFailureDomain(
+inline void RequestExplanation::Builder::adoptRefusal(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownFailureDomain() {
+inline ::capnp::Orphan< ::capnp::Text> RequestExplanation::Builder::disownRefusal() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool TimelineEvent::Reader::hasSubject() const {
+inline bool RequestExplanation::Reader::hasRefusalMessage() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool TimelineEvent::Builder::hasSubject() {
+inline bool RequestExplanation::Builder::hasRefusalMessage() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TimelineEvent::Reader::getSubject() const {
+inline  ::capnp::Text::Reader RequestExplanation::Reader::getRefusalMessage() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::getSubject() {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::getRefusalMessage() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void TimelineEvent::Builder::setSubject( ::capnp::Text::Reader value) {
+inline void RequestExplanation::Builder::setRefusalMessage( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::initSubject(unsigned int size) {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::initRefusalMessage(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void TimelineEvent::Builder::adoptSubject(
+inline void RequestExplanation::Builder::adoptRefusalMessage(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownSubject() {
+inline ::capnp::Orphan< ::capnp::Text> RequestExplanation::Builder::disownRefusalMessage() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool TimelineEvent::Reader::hasAction() const {
+inline  ::int64_t RequestExplanation::Reader::getRefusalRetryAfterMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t RequestExplanation::Builder::getRefusalRetryAfterMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void RequestExplanation::Builder::setRefusalRetryAfterMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool RequestExplanation::Reader::hasRoute() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool TimelineEvent::Builder::hasAction() {
+inline bool RequestExplanation::Builder::hasRoute() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TimelineEvent::Reader::getAction() const {
+inline  ::capnp::Text::Reader RequestExplanation::Reader::getRoute() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::getAction() {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::getRoute() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void TimelineEvent::Builder::setAction( ::capnp::Text::Reader value) {
+inline void RequestExplanation::Builder::setRoute( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::initAction(unsigned int size) {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::initRoute(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void TimelineEvent::Builder::adoptAction(
+inline void RequestExplanation::Builder::adoptRoute(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownAction() {
+inline ::capnp::Orphan< ::capnp::Text> RequestExplanation::Builder::disownRoute() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool TimelineEvent::Reader::hasId() const {
+inline bool RequestExplanation::Reader::hasPrefix() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool TimelineEvent::Builder::hasId() {
+inline bool RequestExplanation::Builder::hasPrefix() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TimelineEvent::Reader::getId() const {
+inline  ::capnp::Text::Reader RequestExplanation::Reader::getPrefix() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::getId() {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::getPrefix() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void TimelineEvent::Builder::setId( ::capnp::Text::Reader value) {
+inline void RequestExplanation::Builder::setPrefix( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::initId(unsigned int size) {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::initPrefix(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void TimelineEvent::Builder::adoptId(
+inline void RequestExplanation::Builder::adoptPrefix(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownId() {
+inline ::capnp::Orphan< ::capnp::Text> RequestExplanation::Builder::disownPrefix() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
-inline bool TimelineEvent::Reader::hasTraceId() const {
+inline bool RequestExplanation::Reader::hasOtherPrefixes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline bool TimelineEvent::Builder::hasTraceId() {
+inline bool RequestExplanation::Builder::hasOtherPrefixes() {
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TimelineEvent::Reader::getTraceId() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader RequestExplanation::Reader::getOtherPrefixes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::getTraceId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RequestExplanation::Builder::getOtherPrefixes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void TimelineEvent::Builder::setTraceId( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void RequestExplanation::Builder::setOtherPrefixes( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::initTraceId(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void RequestExplanation::Builder::setOtherPrefixes(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder RequestExplanation::Builder::initOtherPrefixes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
-inline void TimelineEvent::Builder::adoptTraceId(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void RequestExplanation::Builder::adoptOtherPrefixes(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownTraceId() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> RequestExplanation::Builder::disownOtherPrefixes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
-inline bool TimelineEvent::Reader::hasDetails() const {
+inline bool RequestExplanation::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline bool TimelineEvent::Builder::hasDetails() {
+inline bool RequestExplanation::Builder::hasWorkspace() {
   return !_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TimelineEvent::Reader::getDetails() const {
+inline  ::capnp::Text::Reader RequestExplanation::Reader::getWorkspace() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::getDetails() {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::getWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
-inline void TimelineEvent::Builder::setDetails( ::capnp::Text::Reader value) {
+inline void RequestExplanation::Builder::setWorkspace( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TimelineEvent::Builder::initDetails(unsigned int size) {
+inline  ::capnp::Text::Builder RequestExplanation::Builder::initWorkspace(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), size);
 }
-inline void TimelineEvent::Builder::adoptDetails(
+inline void RequestExplanation::Builder::adoptWorkspace(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TimelineEvent::Builder::disownDetails() {
+inline ::capnp::Orphan< ::capnp::Text> RequestExplanation::Builder::disownWorkspace() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t RequestExplanation::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestExplanation::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void RequestExplanation::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t RequestExplanation::Reader::getItems() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t RequestExplanation::Builder::getItems() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void RequestExplanation::Builder::setItems( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool RequestExplanation::Reader::hasCoordinator() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestExplanation::Builder::hasCoordinator() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader RequestExplanation::Reader::getCoordinator() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder RequestExplanation::Builder::getCoordinator() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void RequestExplanation::Builder::setCoordinator( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder RequestExplanation::Builder::initCoordinator(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void RequestExplanation::Builder::adoptCoordinator(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> RequestExplanation::Builder::disownCoordinator() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool RequestExplanation::Reader::hasServices() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool RequestExplanation::Builder::hasServices() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>::Reader RequestExplanation::Reader::getServices() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>::Builder RequestExplanation::Builder::getServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void RequestExplanation::Builder::setServices( ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>::Builder RequestExplanation::Builder::initServices(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void RequestExplanation::Builder::adoptServices(
+    ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>> RequestExplanation::Builder::disownServices() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::Chicorydock::Schema::ServiceExplanation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Operator::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -5480,6 +7328,79 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Operator::ExplainRequestParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Operator::ExplainRequestParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Operator::ExplainRequestParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Operator::ExplainRequestParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Operator::ExplainRequestParams::Builder::setRequest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Operator::ExplainRequestParams::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Operator::ExplainRequestParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Operator::ExplainRequestParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Operator::ExplainRequestResults::Reader::hasExplanation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Operator::ExplainRequestResults::Builder::hasExplanation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::Chicorydock::Schema::RequestExplanation::Reader Operator::ExplainRequestResults::Reader::getExplanation() const {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::RequestExplanation>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::Chicorydock::Schema::RequestExplanation::Builder Operator::ExplainRequestResults::Builder::getExplanation() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::RequestExplanation>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::Chicorydock::Schema::RequestExplanation::Pipeline Operator::ExplainRequestResults::Pipeline::getExplanation() {
+  return  ::Chicorydock::Schema::RequestExplanation::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Operator::ExplainRequestResults::Builder::setExplanation( ::Chicorydock::Schema::RequestExplanation::Reader value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::RequestExplanation>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::Chicorydock::Schema::RequestExplanation::Builder Operator::ExplainRequestResults::Builder::initExplanation() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::RequestExplanation>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Operator::ExplainRequestResults::Builder::adoptExplanation(
+    ::capnp::Orphan< ::Chicorydock::Schema::RequestExplanation>&& value) {
+  ::capnp::_::PointerHelpers< ::Chicorydock::Schema::RequestExplanation>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::Chicorydock::Schema::RequestExplanation> Operator::ExplainRequestResults::Builder::disownExplanation() {
+  return ::capnp::_::PointerHelpers< ::Chicorydock::Schema::RequestExplanation>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -209,6 +209,7 @@
     , m_peerServer(*m_peerHandler, serverLimits(settings))
     , m_connectionLimits(*settings.gateway,
           { { { "callers", m_server }, { "peers", m_peerServer }, { "status", m_statusServer } } }, m_endpointClient)
+    , m_operator({ m_environment, m_scheduler, m_member, m_jobs, m_node }, serverLimits(settings))
 {
     m_scheduler.setLearningLoad(settings.gateway->learnEndpointLoad);
     m_scheduler.setPlacingByPrompt(settings.gateway->placeByPrompt);
@@ -239,6 +240,8 @@
     m_server.listen(m_settings.http.address);
     m_statusServer.listen(m_settings.gateway->statusAddress);
     m_peerServer.listen(m_settings.gateway->peerAddress);
+    if (m_settings.gateway->servesOperators)
+        m_operatorPort = std::make_unique<GatewayOperatorPort>(m_settings.rpc.address, m_operator);
     m_configuration.start(nodeListTimeout);
     m_endpointFollower->start();
     m_jobFollower->pause();
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ConnectionLimits.h"
+#include "GatewayOperator.h"
 
 #include <LibCore/MemoryBudget.h>
 #include <LibCore/SeededRandom.h>
@@ -138,6 +139,9 @@
     HttpServer m_statusServer;
     HttpServer m_peerServer;
     ConnectionLimits m_connectionLimits;
+    GatewayOperator m_operator;
+    /// Absent unless the settings offer it.
+    std::unique_ptr<GatewayOperatorPort> m_operatorPort;
     QTimer m_tickTimer;
     /// Runs until the sources of the store's tables are chosen.
     QTimer m_feedPlanTimer;
--- a/Services/chicorydockd/NodeOperator.cpp
+++ b/Services/chicorydockd/NodeOperator.cpp
@@ -114,4 +114,9 @@
     return m_dependencies.eventLog.recent(limit, id);
 }
 
+RequestExplanation NodeOperator::explainRequest(const std::string&)
+{
+    throw Error(ErrorKind::UnsupportedMethod, "only nodes with a gateway explain requests");
+}
+
 }
--- a/Tests/LibOperator/MockOperatorHandler.h
+++ b/Tests/LibOperator/MockOperatorHandler.h
@@ -20,6 +20,7 @@
     MAKE_MOCK1(cancelJob, JobView(const std::string&), override);
     MAKE_MOCK1(drain, void(const std::string&), override);
     MAKE_MOCK2(timeline, std::vector<Event>(const std::string&, uint32_t), override);
+    MAKE_MOCK1(explainRequest, RequestExplanation(const std::string&), override);
 };
 
 }
--- a/Tests/LibOperator/TestOperatorClient.cpp
+++ b/Tests/LibOperator/TestOperatorClient.cpp
@@ -55,6 +55,31 @@
         fromUnixMilliseconds(1'700'000'900'002) };
 }
 
+RequestExplanation someExplanation()
+{
+    const EndpointEvaluation evaluation { "e1", "z1", EndpointObstacle::OtherTurn,
+        { 0.5, 0.02, 0.25, 0.125, 0.7, 1, -0.9 }, { 3, 2, 8, Milliseconds { 40 } } };
+    SlotExplanation decision;
+    decision.service = "lm";
+    decision.endpoint = "e1";
+    decision.refusal = RefusalReason::Quota;
+    decision.retryAfter = Milliseconds { 150 };
+    decision.ahead = 3;
+    decision.expectedWait = Milliseconds { 20 };
+    decision.expectedSlotTime = Milliseconds { 800 };
+    decision.quota = QuotaView { { "acme", 5, 7 }, 1.5, 0.75, 0.25, Milliseconds { 300 } };
+    decision.endpoints = { evaluation, { .endpoint = "e2" } };
+    return { "n1", 9, std::nullopt, "r", "/s/", { "/u/" }, "acme", 2, 4, "n1", { { 3, decision }, {} } };
+}
+
+RequestExplanation someRefusal()
+{
+    RequestExplanation explanation { .node = "n1", .configuration = 9 };
+    explanation.refusal = Error(ErrorKind::UnknownRoute, "no route", Milliseconds { 5 });
+    explanation.workspace = "";
+    return explanation;
+}
+
 Event someEvent()
 {
     return { { 1'700'000'000'003, 2 }, "n1", "bajio-1", "job", "accepted", "j1", "t1", { { "items", 10 } } };
@@ -138,6 +163,12 @@
         REQUIRE_CALL(handler, timeline("t1", 50)).RETURN(std::vector { someEvent() });
         CHECK(client.timeline("t1", 50) == std::vector { someEvent() });
     }
+    SECTION("explanation of a request")
+    {
+        const RequestExplanation explanation = GENERATE(someExplanation(), RequestExplanation {}, someRefusal());
+        REQUIRE_CALL(handler, explainRequest("GET / HTTP/1.1\r\n\r\n")).RETURN(explanation);
+        CHECK(client.explainRequest("GET / HTTP/1.1\r\n\r\n") == explanation);
+    }
 }
 
 // Guards against an operator who cannot distinguish a conflicting change from a fault of the node.
--- a/Tests/LibSettings/TestSettingsLoader.cpp
+++ b/Tests/LibSettings/TestSettingsLoader.cpp
@@ -71,6 +71,7 @@
 max_descriptors = 4100
 learn_endpoint_load = true
 place_by_prompt = true
+serve_operators = true
 quota_window_s = 4.5
 quota_overshoot = 0.2
 quota_slack = 15
@@ -82,7 +83,8 @@
     CHECK(settings.scheduler == Settings::Scheduling { "naive", 0, 0.5 });
     CHECK(settings.gateway
         == Settings::Gateway { "127.0.0.1:0", "127.0.0.1:7001",
-            { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512, 4'100, true, true, 4.5, 0.2, 15 });
+            { { "bajio-1", "bajio" }, { "noroeste-1", "noroeste" } }, 2.0, 512, 4'100, true, true, true, 4.5, 0.2,
+            15 });
     CHECK(settings.http.defaultDeadlineMs == Milliseconds { 60'000 });
 }
 
--- a/Tests/Utilities/chicorydock/TestTool.cpp
+++ b/Tests/Utilities/chicorydock/TestTool.cpp
@@ -1,4 +1,5 @@
 #include <Tests/Utilities/chicorydock/ToolFixture.h>
+#include <Utilities/chicorydock/RequestFile.h>
 
 #include <QJsonArray>
 
@@ -297,3 +298,44 @@
     CHECK(run({ "history", "--json" }) == 0);
     CHECK(outJson()["revisions"][0][u"revision"_s].toInt() == 4);
 }
+
+// Guards against a file of a request that is sent in another form than its author wrote.
+TEST_CASE("a file of a request becomes a message with a length")
+{
+    CHECK(toRequestMessage("GET /a HTTP/1.1\nHost: h\n") == "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(toRequestMessage("POST /a HTTP/1.1\r\nHost: h\r\n\r\nhi\n")
+        == "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nhi");
+    const std::string whole = "POST /a HTTP/1.1\r\ncontent-length: 3\r\n\r\nhi\n";
+    CHECK(toRequestMessage(whole) == whole);
+}
+
+// Guards against an operator who cannot tell from the output where a request goes, or why not.
+TEST_CASE_METHOD(ToolFixture, "route explain prints the decision, or the refusal, and no key")
+{
+    const std::string file = writeFile("request", "GET /s/1 HTTP/1.1\nHost: h\nAuthorization: Bearer secret\n");
+    RequestExplanation explanation { .node = "n1", .configuration = 3, .route = "r", .prefix = "/s/" };
+    explanation.coordinator = "n1";
+    SlotExplanation decision;
+    decision.service = "lm";
+    decision.endpoint = "e1";
+    decision.endpoints = { { .endpoint = "e1" }, { .endpoint = "e2", .obstacle = EndpointObstacle::Full } };
+    explanation.services = { { 1, decision } };
+    ALLOW_CALL(first, explainRequest(_)).RETURN(explanation);
+    REQUIRE(run({ "route", "explain", file }) == 0);
+    CHECK_THAT(out(), Catch::Contains("starts at e1") && Catch::Contains("full") && !Catch::Contains("secret"));
+    REQUIRE(run({ "route", "explain", file, "--json" }) == 0);
+    CHECK(outJson()["services"][0]["endpoints"][1]["obstacle"] == "full");
+    CHECK_THAT(out(), !Catch::Contains("secret"));
+
+    explanation.refusal = Error(ErrorKind::UnknownRoute, "no route matches the request");
+    ALLOW_CALL(first, explainRequest(_)).RETURN(explanation);
+    REQUIRE(run({ "route", "explain", file }) == 0);
+    CHECK_THAT(out(), Catch::Contains("refused with 404: no route matches the request"));
+
+    explanation.refusal.reset();
+    explanation.coordinator = "n2";
+    ALLOW_CALL(first, explainRequest(_)).RETURN(explanation);
+    REQUIRE(run({ "route", "explain", file }) == 0);
+    CHECK_THAT(out(), Catch::Contains("node n2 allocates the slots"));
+    CHECK(run({ "route", "explain", "/nowhere" }) == 2);
+}
--- a/Utilities/chicorydock/Commands.cpp
+++ b/Utilities/chicorydock/Commands.cpp
@@ -10,6 +10,7 @@
 #include <Utilities/chicorydock/JobFile.h>
 #include <Utilities/chicorydock/LogTimeline.h>
 #include <Utilities/chicorydock/OperatorJson.h>
+#include <Utilities/chicorydock/RequestCommand.h>
 #include <Utilities/chicorydock/TextTable.h>
 #include <Utilities/chicorydock/ToolFailure.h>
 
@@ -410,6 +411,8 @@
                 "Prints the lines about a request, job or item from the logs of several processes, in order of time. "
                 "Reads standard input if no file is given.",
                 runExplain },
+            { { "route", "explain" }, 1, 1, "route explain FILE",
+                "Explains where the request in a file would go now, without sending it.", runExplainRequest },
             { { "digest" }, 1, 1, "digest KEY", "Prints the digest of a caller's key, for use in declarations.",
                 runDigest },
         };
--- a/Utilities/chicorydock/OperatorJson.cpp
+++ b/Utilities/chicorydock/OperatorJson.cpp
@@ -1,5 +1,6 @@
 #include <Utilities/chicorydock/OperatorJson.h>
 
+#include <LibOperator/ExplanationMessages.h>
 #include <LibOperator/OperatorMessages.h>
 
 #include <QJsonDocument>
@@ -107,6 +108,78 @@
     };
 }
 
+QJsonObject toJson(const EndpointEvaluation& evaluation)
+{
+    QJsonObject json {
+        { "endpoint", toText(evaluation.endpoint) },
+        { "failure_domain", toText(evaluation.failureDomain) },
+        { "obstacle", toText(obstacleName(evaluation.obstacle)) },
+        { "cost", evaluation.cost.total() },
+        { "load", evaluation.cost.load },
+        { "distance", evaluation.cost.distance },
+        { "slowness", evaluation.cost.slowness },
+        { "spread", evaluation.cost.spread },
+        { "yield", evaluation.cost.yield },
+        { "rate_limit", evaluation.cost.rateLimit },
+        { "prompt", evaluation.cost.prompt },
+        { "online", static_cast<qint64>(evaluation.view.online) },
+        { "batch", static_cast<qint64>(evaluation.view.batch) },
+        { "slots", static_cast<qint64>(evaluation.view.slotCount) },
+    };
+    if (evaluation.view.age)
+        json["slots_age_ms"] = static_cast<qint64>(evaluation.view.age->count());
+    return json;
+}
+
+QJsonObject toJson(const ServiceExplanation& explanation)
+{
+    const SlotExplanation& decision = explanation.decision;
+    QJsonObject json {
+        { "service", toText(decision.service) },
+        { "weight", static_cast<qint64>(explanation.weight) },
+        { "endpoint", toText(decision.endpoint) },
+        { "ahead", static_cast<qint64>(decision.ahead) },
+        { "expected_wait_ms", static_cast<qint64>(decision.expectedWait.count()) },
+        { "expected_slot_ms", static_cast<qint64>(decision.expectedSlotTime.count()) },
+        { "endpoints", toJsonArray(decision.endpoints) },
+    };
+    if (decision.refusal) {
+        json["refusal"] = toText(refusalName(*decision.refusal));
+        json["retry_after_ms"] = static_cast<qint64>(decision.retryAfter.count());
+    }
+    if (const auto& quota = decision.quota)
+        json["quota"] = QJsonObject { { "requests_per_second", quota->limits.requestsPerSecond },
+            { "burst", quota->limits.burst }, { "level", quota->level }, { "group_share", quota->groupShare },
+            { "own_share", quota->ownShare } };
+    return json;
+}
+
+QJsonObject toJson(const RequestExplanation& explanation)
+{
+    QJsonArray prefixes;
+    for (const std::string& it : explanation.otherPrefixes)
+        prefixes.append(toText(it));
+    QJsonObject json {
+        { "node", toText(explanation.node) },
+        { "configuration", static_cast<qint64>(explanation.configuration) },
+        { "route", toText(explanation.route) },
+        { "prefix", toText(explanation.prefix) },
+        { "other_prefixes", prefixes },
+        { "priority", static_cast<qint64>(explanation.priority) },
+        { "items", static_cast<qint64>(explanation.items) },
+        { "coordinator", toText(explanation.coordinator) },
+        { "services", toJsonArray(explanation.services) },
+    };
+    if (explanation.workspace)
+        json["workspace"] = toText(*explanation.workspace);
+    if (const auto& refusal = explanation.refusal) {
+        const ErrorRow& row = errorRow(refusal->kind());
+        json["refusal"] = QJsonObject { { "kind", toText(row.name) }, { "status", row.httpStatus },
+            { "message", toText(refusal->message()) } };
+    }
+    return json;
+}
+
 std::string toLine(const QJsonObject& object)
 {
     return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
--- a/Utilities/chicorydock/OperatorJson.h
+++ b/Utilities/chicorydock/OperatorJson.h
@@ -2,6 +2,7 @@
 
 #include <LibBatch/JobService.h>
 #include <LibConfiguration/ConfigurationStore.h>
+#include <LibGateway/RequestExplanation.h>
 #include <LibOperator/OperatorTypes.h>
 
 #include <QJsonArray>
@@ -17,6 +18,9 @@
 QJsonObject toJson(const EndpointStatus&);
 QJsonObject toJson(const RevisionInfo&);
 QJsonObject toJson(const JobView&);
+QJsonObject toJson(const EndpointEvaluation&);
+QJsonObject toJson(const ServiceExplanation&);
+QJsonObject toJson(const RequestExplanation&);
 
 /// Returns the object on one line.
 std::string toLine(const QJsonObject&);
