Libraries: Keep what several places decide or set in one place

The route of a request, with its three ways to fail, stood in the handler and again in the explanation: findRoute() serves both. ForwardRequest sets the caller and the workspace of its profile together (four places), the golden ratio and the option that makes a close reset a connection have one definition each.

--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -320,8 +320,7 @@
         refuse(error->kind(), error->message(), error->retryAfter());
         return false;
     }
-    m_request.caller = std::get<CallerIdentity>(result);
-    m_request.profile.workspace = m_request.caller.workspace.value_or("");
+    m_request.setCaller(std::get<CallerIdentity>(result));
     return true;
 }
 
--- a/Libraries/LibGateway/GatewayHandler.cpp
+++ b/Libraries/LibGateway/GatewayHandler.cpp
@@ -2,6 +2,7 @@
 
 #include <LibGateway/CallerAuthentication.h>
 #include <LibGateway/RequestWork.h>
+#include <LibGateway/RouteLookup.h>
 
 #include <algorithm>
 #include <utility>
@@ -56,21 +57,12 @@
         return;
     }
     ForwardRequest request = m_environment.wire.decodeRequest(exchange->request());
-    if (m_environment.configuration->version == 0) {
-        answerError(exchange, Error(ErrorKind::NotReady, "no configuration has been received yet", notReadyRetryAfter),
-            request.id);
-        return;
-    }
-    const GatewayRoute* route = m_environment.configuration->findRoute(request.host, request.path);
-    if (!route && m_environment.isConfigurationOutdated()) {
-        answerError(
-            exchange, Error(ErrorKind::NotReady, "the route is not known here yet", notReadyRetryAfter), request.id);
-        return;
-    }
-    if (!route) {
-        answerError(exchange, Error(ErrorKind::UnknownRoute, "no route matches the request"), request.id);
+    const auto found = findRoute(m_environment, request);
+    if (const auto* error = std::get_if<Error>(&found)) {
+        answerError(exchange, *error, request.id);
         return;
     }
+    const GatewayRoute* route = std::get<const GatewayRoute*>(found);
     if (!authenticate(exchange, request, route->allowsAnonymous))
         return;
     if (!route->isServable())
@@ -89,8 +81,7 @@
         answerError(exchange, *error, request.id);
         return false;
     }
-    request.caller = std::get<CallerIdentity>(result);
-    request.profile.workspace = request.caller.workspace.value_or("");
+    request.setCaller(std::get<CallerIdentity>(result));
     return true;
 }
 
@@ -101,8 +92,7 @@
     // A peer of an earlier version, or without workspaces in its configuration, passes the key on.
     if (!workspace)
         return authenticate(exchange, request, allowsAnonymous);
-    request.caller = identityOf(*m_environment.configuration, *workspace);
-    request.profile.workspace = *workspace;
+    request.setCaller(identityOf(*m_environment.configuration, *workspace));
     return true;
 }
 
--- a/Libraries/LibGateway/QuotaBucket.cpp
+++ b/Libraries/LibGateway/QuotaBucket.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/QuotaBucket.h>
 
+#include <LibCore/GoldenRatio.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -30,8 +32,6 @@
 
     /// Time for which the share of an allocator is rounded the same way; longer than a charge is unreported.
     constexpr std::chrono::milliseconds turnTime { 500 };
-    /// Fractional part of the golden ratio. The fractional parts of its multiples are spread evenly over [0, 1).
-    constexpr double goldenRatio = 0.618034;
 
     /// Time constant of the exponential decay of charges. When callers move to another node, the shares follow them at
     /// this pace.
--- a/Libraries/LibGateway/RequestExplainer.cpp
+++ b/Libraries/LibGateway/RequestExplainer.cpp
@@ -3,6 +3,7 @@
 #include <LibGateway/CallerAuthentication.h>
 #include <LibGateway/RequestFingerprint.h>
 #include <LibGateway/RequestWork.h>
+#include <LibGateway/RouteLookup.h>
 
 #include <algorithm>
 #include <iterator>
@@ -45,24 +46,21 @@
     const GatewayConfiguration& configuration = *m_environment.configuration;
     if (m_environment.wire.decodeJobCall(request))
         return Error(ErrorKind::MalformedRequest, "a call about a job is answered by the node that receives it");
-    if (configuration.version == 0)
-        return Error(ErrorKind::NotReady, "no configuration has been received yet");
-    subject.route = configuration.findRoute(subject.request.host, subject.request.path);
+    const auto found = findRoute(m_environment, subject.request);
+    if (const auto* route = std::get_if<const GatewayRoute*>(&found))
+        subject.route = *route;
     for (const GatewayRoute& it : configuration.routes) {
         if (it.host == subject.request.host && &it != subject.route)
             explanation.otherPrefixes.push_back(it.prefix);
     }
-    if (!subject.route && m_environment.isConfigurationOutdated())
-        return Error(ErrorKind::NotReady, "the route is not known here yet");
-    if (!subject.route)
-        return Error(ErrorKind::UnknownRoute, "no route matches the request");
+    if (const auto* error = std::get_if<Error>(&found))
+        return *error;
     explanation.route = subject.route->name;
     explanation.prefix = subject.route->prefix;
     const auto caller = identifyCaller(m_environment, subject.request.key, subject.route->allowsAnonymous);
     if (const auto* error = std::get_if<Error>(&caller))
         return *error;
-    subject.request.caller = std::get<CallerIdentity>(caller);
-    subject.request.profile.workspace = subject.request.caller.workspace.value_or("");
+    subject.request.setCaller(std::get<CallerIdentity>(caller));
     explanation.workspace = subject.request.caller.workspace;
     explanation.priority = subject.request.caller.priority.value_or(subject.route->priority);
     if (!subject.route->isServable())
--- a/Libraries/LibGateway/RetryBookings.cpp
+++ b/Libraries/LibGateway/RetryBookings.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/RetryBookings.h>
 
+#include <LibCore/GoldenRatio.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -19,9 +21,6 @@
     /// Part of the window, at its end, over which the callers for whom it has no room are spread. Callers that were
     /// refused together do not return together, and a burst has the most time to end.
     constexpr Milliseconds fullWindowSpread { 100 };
-    /// Fractional part of the golden ratio. The fractional parts of its multiples are spread evenly over [0, 1),
-    /// however many there are.
-    constexpr double goldenRatio = 0.6180339887498949;
 
 }
 
--- a/Libraries/LibGateway/WireFormat.h
+++ b/Libraries/LibGateway/WireFormat.h
@@ -42,10 +42,17 @@
     QByteArray key;
     /// The workspace follows from the key and is not set by the decoder.
     WorkProfile profile;
-    /// Follows from the key and is not set by the decoder. Its workspace is that of the profile.
+    /// Follows from the key and is not set by the decoder, see `setCaller()`.
     CallerIdentity caller {};
     /// Whether a peer handed the request over. Not set by the decoder, since callers may send the field of peers too.
     bool isFromPeer { false };
+
+    /// Sets the caller, and with it the workspace of the profile.
+    void setCaller(const CallerIdentity& identity)
+    {
+        caller = identity;
+        profile.workspace = identity.workspace.value_or("");
+    }
 };
 
 /// Status line and header fields of an endpoint's response, decoded.
--- a/Libraries/LibHTTP/HttpConnection.cpp
+++ b/Libraries/LibHTTP/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHTTP/ConnectionExchange.h>
 #include <LibHTTP/ErrorResponse.h>
+#include <LibHTTP/SocketOptions.h>
 
 #include <QHttpServerRequest>
 #include <QUrl>
@@ -395,8 +396,7 @@
 
 void HttpConnection::reset()
 {
-    const linger option { .l_onoff = 1, .l_linger = 0 };
-    ::setsockopt(static_cast<int>(m_socket->socketDescriptor()), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+    setResetOnClose(static_cast<int>(m_socket->socketDescriptor()));
     m_socket->abort();
     m_unsent.clear();
 }
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHTTP/ConnectionAcceptor.h>
 #include <LibHTTP/ListeningSocket.h>
+#include <LibHTTP/SocketOptions.h>
 
 #include <QHostAddress>
 #include <QTcpSocket>
@@ -154,8 +155,7 @@
     LimitedCallers& limited = m_context.limited[static_cast<size_t>(CallerLimit::Connections)];
     ++limited.count;
     limited.lastAddress = peerAddress(descriptor);
-    const linger option { .l_onoff = 1, .l_linger = 0 };
-    ::setsockopt(static_cast<int>(descriptor), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+    setResetOnClose(static_cast<int>(descriptor));
     ::close(static_cast<int>(descriptor));
 }
 
