--- a/Libraries/LibGateway/SlotScheduler.cpp
+++ b/Libraries/LibGateway/SlotScheduler.cpp
@@ -13,6 +13,13 @@
     /// Interval between two checks for expired peers and outdated load reports of endpoints.
     constexpr Milliseconds expiryInterval { 20 };
 
+    /// Returns the endpoint of lowest cost without an obstacle, empty if there is none. Precondition: it comes first.
+    std::string bestEndpoint(const std::vector<EndpointEvaluation>& evaluations)
+    {
+        const bool isAny = !evaluations.empty() && evaluations.front().obstacle == EndpointObstacle::None;
+        return isAny ? evaluations.front().endpoint : std::string();
+    }
+
 }
 
 SlotScheduler::SlotScheduler(Location location, Random& random)
@@ -198,11 +205,10 @@
         return explanation;
     }
     // Requests that wait have found no endpoint, so a later one finds none either.
-    if (line.ahead == 0 && !explanation.endpoints.empty()
-        && explanation.endpoints.front().obstacle == EndpointObstacle::None) {
-        explanation.endpoint = explanation.endpoints.front().endpoint;
-    } else if (work.service.empty() || m_endpoints.isVersionGone(work)
-        || m_admission.shouldRefuse(arriving, line, now)) {
+    if (line.ahead == 0)
+        explanation.endpoint = bestEndpoint(explanation.endpoints);
+    if (explanation.endpoint.empty()
+        && (work.service.empty() || m_endpoints.isVersionGone(work) || m_admission.shouldRefuse(arriving, line, now))) {
         explanation.refusal = RefusalReason::Load;
         explanation.retryAfter = m_admission.earliestRetryAfter(arriving, line);
     }
@@ -216,9 +222,8 @@
         .expectedSlotTime
         = std::max(m_slotTimes.itemTime(work.service, work.profile) - work.slotTimeUsed, Milliseconds { 0 }),
         .endpoints = m_chooser.evaluate(work, now) };
-    if (explanation.ahead == 0 && !explanation.endpoints.empty()
-        && explanation.endpoints.front().obstacle == EndpointObstacle::None)
-        explanation.endpoint = explanation.endpoints.front().endpoint;
+    if (explanation.ahead == 0)
+        explanation.endpoint = bestEndpoint(explanation.endpoints);
     return explanation;
 }
 
