LibHTTP: Keep the grammar of HTTP messages in one place

Cause: what a field name, a value, a length, a coding and the line of a chunk are stood in HttpRequestReader alone.

Change: HttpGrammar has them as functions without state; the request reader calls it. One thing is stricter: behind the size of a chunk a request may have extensions and nothing else (RFC 9112, 7.1.1). Before, a blank there and any text behind a semicolon were taken.

Ruled out: reading requests and responses with one class. Their limits, errors and the first line differ, and a request is kept whole while a response is passed on as it arrives.

--- a/Libraries/LibHTTP/HttpRequestReader.cpp
+++ b/Libraries/LibHTTP/HttpRequestReader.cpp
@@ -1,6 +1,7 @@
 #include <LibHTTP/HttpRequestReader.h>
 
 #include <LibCore/Error.h>
+#include <LibHTTP/HttpGrammar.h>
 
 #include <QByteArrayList>
 
@@ -22,44 +23,22 @@
         return mark < 0 ? QByteArray() : target.sliced(mark + 1);
     }
 
-    /// More digits than any permitted length has, and few enough that the number fits in 64 bits.
-    constexpr qsizetype maxLengthDigits = 15;
-
     constexpr qsizetype maxChunkLineBytes = 256;
 
     [[noreturn]] void throwMalformed(const char* message) { throw Error(ErrorKind::MalformedRequest, message); }
 
-    bool isTokenCharacter(char c)
-    {
-        if ((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'))
-            return true;
-        return c != '\0' && QByteArrayView("!#$%&'*+-.^_`|~").contains(c);
-    }
-
-    bool isToken(QByteArrayView text) { return !text.empty() && std::ranges::all_of(text, isTokenCharacter); }
-
-    bool isControlCharacter(char c) { return (c >= 0 && c < 0x20 && c != '\t') || c == 0x7f; }
+    [[noreturn]] void throwTooLarge() { throw Error(ErrorKind::BodyTooLarge, "the body of the request is too large"); }
 
     bool isGraphic(char c) { return c > 0x20 && c < 0x7f; }
 
-    bool equalsIgnoringCase(QByteArrayView left, QByteArrayView right)
-    {
-        return left.compare(right, Qt::CaseInsensitive) == 0;
-    }
-
-    bool listContains(QByteArrayView list, QByteArrayView word)
-    {
-        return std::ranges::any_of(list.toByteArray().split(','),
-            [&](const QByteArray& it) { return equalsIgnoringCase(it.trimmed(), word); });
-    }
-
     /// Returns the path and query of a target in origin form or in absolute form.
     QByteArray toOriginForm(const QByteArray& target)
     {
         if (target.startsWith('/'))
             return target;
         const QByteArrayView scheme("http://");
-        if (!equalsIgnoringCase(QByteArrayView(target).first(std::min(target.size(), scheme.size())), scheme))
+        if (!HttpGrammar::equalsIgnoringCase(
+                QByteArrayView(target).first(std::min(target.size(), scheme.size())), scheme))
             throwMalformed("the request target is not a path");
         const qsizetype slash = target.indexOf('/', scheme.size());
         return slash < 0 ? QByteArray("/") : target.sliced(slash);
@@ -138,11 +117,10 @@
     input = input.sliced(size);
     if (end < 0)
         return {};
-    if (!m_line.endsWith("\r\n"))
-        throwMalformed("a line of the request does not end with CR LF");
-    m_line.chop(2);
-    if (std::ranges::any_of(m_line, isControlCharacter))
-        throwMalformed("a line of the request contains a control character");
+    const auto line = HttpGrammar::withoutLineEnd(m_line);
+    if (!line)
+        throwMalformed("a line of the request does not end with CR LF, or contains a control character");
+    m_line.truncate(line->size());
     return std::exchange(m_line, {});
 }
 
@@ -192,7 +170,8 @@
 void HttpRequestReader::handleRequestLine(const QByteArray& line)
 {
     const QByteArrayList words = line.split(' ');
-    if (words.size() != 3 || !isToken(words[0]) || words[1].isEmpty() || !std::ranges::all_of(words[1], isGraphic))
+    if (words.size() != 3 || !HttpGrammar::isToken(words[0]) || words[1].isEmpty()
+        || !std::ranges::all_of(words[1], isGraphic))
         throwMalformed("the request line is malformed");
     if (words[2] != "HTTP/1.1" && words[2] != "HTTP/1.0")
         throwMalformed("the protocol version is not supported");
@@ -207,29 +186,28 @@
 void HttpRequestReader::handleField(const QByteArray& line)
 {
     ++m_fields;
-    const qsizetype colon = line.indexOf(':');
-    const QByteArrayView name = QByteArrayView(line).first(std::max<qsizetype>(colon, 0));
-    if (!isToken(name))
+    const auto field = HttpGrammar::parseField(line);
+    if (!field)
         throwMalformed("a header field is malformed");
-    const QByteArrayView value = QByteArrayView(line).sliced(colon + 1).trimmed();
-    if (equalsIgnoringCase(name, "Content-Length")) {
+    const auto& [name, value] = *field;
+    if (HttpGrammar::equalsIgnoringCase(name, "Content-Length")) {
         handleContentLength(value);
         return;
     }
-    if (equalsIgnoringCase(name, "Transfer-Encoding")) {
+    if (HttpGrammar::equalsIgnoringCase(name, "Transfer-Encoding")) {
         // Any other coding would leave the length of the body unknown.
-        if (m_isChunked || m_request.isHttp10 || !equalsIgnoringCase(value, "chunked"))
+        if (m_isChunked || m_request.isHttp10 || !HttpGrammar::isChunkedCoding(value))
             throwMalformed("the transfer encoding is not supported");
         m_isChunked = true;
         return;
     }
-    if (equalsIgnoringCase(name, "Upgrade"))
+    if (HttpGrammar::equalsIgnoringCase(name, "Upgrade"))
         return;
-    if (equalsIgnoringCase(name, "Host") && std::exchange(m_hasHost, true))
+    if (HttpGrammar::equalsIgnoringCase(name, "Host") && std::exchange(m_hasHost, true))
         throwMalformed("the Host field is repeated");
-    if (equalsIgnoringCase(name, "Connection") && listContains(value, "close"))
+    if (HttpGrammar::equalsIgnoringCase(name, "Connection") && HttpGrammar::listContains(value, "close"))
         m_request.keepAlive = false;
-    if (equalsIgnoringCase(name, "Expect") && equalsIgnoringCase(value, "100-continue"))
+    if (HttpGrammar::equalsIgnoringCase(name, "Expect") && HttpGrammar::equalsIgnoringCase(value, "100-continue"))
         m_expectsContinue = !m_request.isHttp10;
     m_request.headers.add(name.toByteArray(), value.toByteArray());
 }
@@ -238,13 +216,11 @@
 {
     if (m_contentLength)
         throwMalformed("Content-Length is repeated");
-    if (value.empty() || !std::ranges::all_of(value, [](char c) { return c >= '0' && c <= '9'; }))
+    m_contentLength = HttpGrammar::parseContentLength(value);
+    if (!m_contentLength)
         throwMalformed("Content-Length is not a number");
-    while (value.size() > 1 && value.startsWith('0'))
-        value = value.sliced(1);
-    if (value.size() > maxLengthDigits)
-        throw Error(ErrorKind::BodyTooLarge, "the body of the request is too large");
-    m_contentLength = value.toLongLong();
+    if (m_contentLength == HttpGrammar::unsupportedLength)
+        throwTooLarge();
 }
 
 void HttpRequestReader::handleEndOfFields()
@@ -263,13 +239,12 @@
 
 void HttpRequestReader::handleChunkSize(const QByteArray& line)
 {
-    const auto isHexDigit = [](char c) { return (c >= '0' && c <= '9') || ((c | 0x20) >= 'a' && (c | 0x20) <= 'f'); };
-    const QByteArray digits = line.first(std::ranges::find(line, ';') - line.begin()).trimmed();
-    if (digits.isEmpty() || !std::ranges::all_of(digits, isHexDigit))
+    const auto size = HttpGrammar::parseChunkSize(line);
+    if (!size)
         throwMalformed("the size of a chunk is not a number");
-    if (digits.size() > maxLengthDigits)
-        throw Error(ErrorKind::BodyTooLarge, "the body of the request is too large");
-    m_remaining = digits.toLongLong(nullptr, 16);
+    if (size == HttpGrammar::unsupportedLength)
+        throwTooLarge();
+    m_remaining = *size;
     checkBodySize(m_request.body.size() + m_remaining);
     m_stage = m_remaining > 0 ? Stage::ChunkData : Stage::Trailer;
 }
@@ -277,7 +252,7 @@
 void HttpRequestReader::checkBodySize(qint64 size) const
 {
     if (size > m_limits.maxBodyBytes)
-        throw Error(ErrorKind::BodyTooLarge, "the body of the request is too large");
+        throwTooLarge();
 }
 
 }
