LibHTTP: Refuse responses without a valid status line

Cause: HttpResponseReader left the check of heads to http_parser. Debian builds that library without its strict mode, it does not check the range of a status, and its authors no longer maintain it.

What was weighed: - llhttp and picohttpparser: not among Debian 12's packages. - Boost.Beast (1.74, already a dependency of the build): refuses bad names and versions, but takes any three digits as a status, folded lines, and codings it does not know; refuses HTTP/1.2 and a missing space behind the status, which are served today; judges a head that arrives in pieces only once its empty line is there, so bytes that are no response would be found at the time limit; does not bound trailers or lines of chunks. Each gap needs a check before or behind it. - a check before http_parser: two parsers that have to agree on each byte. - own code: HttpRequestReader has read and checked requests line by line since it was written, and shares its grammar with this reader.

Change: HttpResponseReader reads responses line by line itself. The status line is HTTP/1.x (RFC 9112, 2.3; a higher minor version is read like 1, RFC 9110, 2.5), one space, three digits from 100 to 599 (RFC 9110, 15) and a reason that may be empty or, with its space, missing. Lines end with CR LF (RFC 9112, 2.2). Bytes that cannot become a status line are refused at once. 101 is refused, because no request offers another protocol.

Why it works: the listener hears of a head only when all of it has been checked, so no caller gets a part of it, and the call fails like one whose connection broke.

Each form that is odd but allowed has a check in the same file.

--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -1,129 +1,280 @@
 #include <LibHTTP/HttpResponseReader.h>
 
+#include <LibHTTP/HttpGrammar.h>
+
+#include <algorithm>
 #include <utility>
 
 namespace Chicorydock {
 
 namespace {
 
-    HttpResponseReader& readerOf(http_parser* parser) { return *static_cast<HttpResponseReader*>(parser->data); }
+    /// Limit on a head, on the line of a chunk, and on a trailer section.
+    constexpr qsizetype maxSectionBytes = 80 * 1024;
+
+    /// How a status line begins, up to the minor version.
+    constexpr QByteArrayView protocolStart("HTTP/1.");
+
+    /// Sizes of `HTTP/1.1` and of `HTTP/1.1 200`.
+    constexpr qsizetype protocolSize = 8;
+    constexpr qsizetype statusEnd = 12;
+
+    /// RFC 9110, section 15: there are no others.
+    constexpr int minStatus = 100;
+    constexpr int maxStatus = 599;
+
+    constexpr int switchingProtocols = 101;
+
+    constexpr std::string_view otherProtocol = "the response is not one of HTTP/1";
+
+    bool isInterim(int status) { return status / 100 == 1; }
+
+    /// Returns whether the bytes can be the beginning of a status line.
+    bool canBeStatusLine(QByteArrayView start)
+    {
+        const qsizetype size = std::min(start.size(), protocolStart.size());
+        return start.first(size) == protocolStart.first(size);
+    }
+
+    /// Returns whether the status line names a version of HTTP/1. A higher minor version than 1 is read like 1 (RFC
+    /// 9110, section 2.5).
+    bool isHttp1(QByteArrayView line)
+    {
+        const bool hasVersion
+            = line.size() >= protocolSize && canBeStatusLine(line) && HttpGrammar::isDigit(line[protocolSize - 1]);
+        return hasVersion && (line.size() == protocolSize || line[protocolSize] == ' ');
+    }
+
+    /// Returns the status in the status line; nothing if there is no valid one. The space behind it may be missing if
+    /// there is no reason phrase (RFC 9112, section 4).
+    std::optional<int> parseStatus(QByteArrayView line)
+    {
+        if (line.size() < statusEnd || (line.size() > statusEnd && line[statusEnd] != ' '))
+            return {};
+        const QByteArrayView digits = line.first(statusEnd).sliced(protocolSize + 1);
+        if (!std::ranges::all_of(digits, HttpGrammar::isDigit))
+            return {};
+        const int status = digits.toInt();
+        if (status < minStatus || status > maxStatus)
+            return {};
+        return status;
+    }
 
 }
 
 HttpResponseReader::HttpResponseReader(HttpResponseListener& listener)
     : m_listener(listener)
 {
-    reset();
 }
 
 void HttpResponseReader::reset(const QByteArray& method)
 {
     m_isResponseToHead = method == "HEAD";
-    http_parser_init(&m_parser, HTTP_RESPONSE);
-    m_parser.data = this;
-    m_headers = {};
-    m_fieldName.clear();
-    m_fieldValue.clear();
-    m_isInValue = false;
-    m_isComplete = false;
     m_keepsConnection = false;
+    m_problem = {};
+    beginHead();
+}
+
+void HttpResponseReader::beginHead()
+{
+    m_stage = Stage::StatusLine;
+    m_line.clear();
+    m_sectionBytes = 0;
+    m_headers = {};
+    m_framing = {};
 }
 
 bool HttpResponseReader::consume(QByteArrayView& input)
 {
-    while (!input.empty() && !m_isComplete) {
-        const size_t n = http_parser_execute(&m_parser, &callbacks(), input.data(), static_cast<size_t>(input.size()));
-        input = input.sliced(static_cast<qsizetype>(n));
-        const http_errno ec = HTTP_PARSER_ERRNO(&m_parser);
-        if (ec == HPE_PAUSED) {
-            http_parser_pause(&m_parser, 0);
-            continue;
-        }
-        if (ec != HPE_OK || m_parser.upgrade)
-            return false;
+    while (!input.empty() && !isComplete() && m_problem.empty()) {
+        if (isInBody())
+            readBody(input);
+        else
+            readLine(input);
     }
-    return true;
+    return m_problem.empty();
 }
 
 void HttpResponseReader::finishInput()
 {
-    if (!m_isComplete)
-        http_parser_execute(&m_parser, &callbacks(), nullptr, 0);
+    if (m_stage == Stage::BodyUntilClose)
+        finish(true);
 }
 
-const http_parser_settings& HttpResponseReader::callbacks()
+bool HttpResponseReader::isInBody() const
 {
-    static const http_parser_settings settings = [] {
-        http_parser_settings it;
-        http_parser_settings_init(&it);
-        it.on_message_begin = &HttpResponseReader::handleBegin;
-        it.on_header_field = &HttpResponseReader::handleField;
-        it.on_header_value = &HttpResponseReader::handleValue;
-        it.on_headers_complete = &HttpResponseReader::handleHeadersEnd;
-        it.on_body = &HttpResponseReader::handleBody;
-        it.on_message_complete = &HttpResponseReader::handleMessageEnd;
-        return it;
-    }();
-    return settings;
+    return m_stage == Stage::FixedBody || m_stage == Stage::BodyUntilClose || m_stage == Stage::ChunkData;
 }
 
-int HttpResponseReader::handleBegin(http_parser* parser)
+void HttpResponseReader::readBody(QByteArrayView& input)
 {
-    readerOf(parser).m_headers = {};
-    return 0;
+    if (m_stage == Stage::BodyUntilClose) {
+        m_listener.onResponseBody(std::exchange(input, {}));
+        return;
+    }
+    const auto size = static_cast<qsizetype>(std::min<qint64>(input.size(), m_remaining));
+    m_listener.onResponseBody(input.first(size));
+    input = input.sliced(size);
+    m_remaining -= size;
+    if (m_remaining > 0)
+        return;
+    if (m_stage == Stage::FixedBody)
+        finish(false);
+    else
+        m_stage = Stage::ChunkEnd;
 }
 
-int HttpResponseReader::handleField(http_parser* parser, const char* data, size_t size)
+void HttpResponseReader::readLine(QByteArrayView& input)
 {
-    HttpResponseReader& self = readerOf(parser);
-    if (std::exchange(self.m_isInValue, false))
-        self.addField();
-    self.m_fieldName.append(data, static_cast<qsizetype>(size));
-    return 0;
+    const qsizetype end = input.indexOf('\n');
+    const QByteArrayView part = input.first(end < 0 ? input.size() : end + 1);
+    input = input.sliced(part.size());
+    m_sectionBytes += part.size();
+    if (m_sectionBytes > maxSectionBytes) {
+        refuse("the head, the line of a chunk or the trailer is too long");
+        return;
+    }
+    if (m_line.isEmpty() && end >= 0) {
+        handleLine(part);
+        return;
+    }
+    m_line.append(part);
+    if (end >= 0)
+        handleLine(std::exchange(m_line, {}));
+    else if (m_stage == Stage::StatusLine && !canBeStatusLine(m_line))
+        refuse(otherProtocol);
 }
 
-int HttpResponseReader::handleValue(http_parser* parser, const char* data, size_t size)
+void HttpResponseReader::handleLine(QByteArrayView bytes)
 {
-    HttpResponseReader& self = readerOf(parser);
-    self.m_isInValue = true;
-    self.m_fieldValue.append(data, static_cast<qsizetype>(size));
-    return 0;
+    const auto line = HttpGrammar::withoutLineEnd(bytes);
+    if (!line) {
+        refuse("a line does not end with CR LF, or contains a control character");
+        return;
+    }
+    switch (m_stage) {
+    case Stage::StatusLine:
+        handleStatusLine(*line);
+        return;
+    case Stage::Fields:
+        line->isEmpty() ? handleEndOfHead() : handleField(*line);
+        return;
+    case Stage::ChunkSize:
+        handleChunkSize(*line);
+        return;
+    case Stage::ChunkEnd:
+        if (!line->isEmpty())
+            refuse("a chunk is longer than its size");
+        m_sectionBytes = 0;
+        m_stage = Stage::ChunkSize;
+        return;
+    case Stage::Trailer:
+        if (line->isEmpty())
+            finish(false);
+        return;
+    case Stage::FixedBody:
+    case Stage::BodyUntilClose:
+    case Stage::ChunkData:
+    case Stage::Complete:
+        break;
+    }
+    Q_UNREACHABLE();
 }
 
-void HttpResponseReader::addField() { m_headers.add(std::exchange(m_fieldName, {}), std::exchange(m_fieldValue, {})); }
+void HttpResponseReader::handleStatusLine(QByteArrayView line)
+{
+    if (!isHttp1(line)) {
+        refuse(otherProtocol);
+        return;
+    }
+    const auto status = parseStatus(line);
+    if (!status) {
+        refuse("the response has no valid status");
+        return;
+    }
+    // The server offers another protocol only if the request names one, and none does (RFC 9110, section 7.8).
+    if (status == switchingProtocols) {
+        refuse("the server switches to a protocol that was not asked for");
+        return;
+    }
+    m_status = *status;
+    m_isHttp10 = line[protocolSize - 1] == '0';
+    m_stage = Stage::Fields;
+}
 
-bool HttpResponseReader::hasNoBody() const
+void HttpResponseReader::handleField(QByteArrayView line)
 {
-    return m_isResponseToHead || m_parser.status_code == 204 || m_parser.status_code == 304;
+    const qsizetype colon = line.indexOf(':');
+    if (colon < 0) {
+        refuse("a field has no name");
+        return;
+    }
+    const QByteArrayView name = line.first(colon);
+    const QByteArrayView value = line.sliced(colon + 1).trimmed();
+    if (HttpGrammar::equalsIgnoringCase(name, "Content-Length")) {
+        handleContentLength(value);
+    } else if (HttpGrammar::equalsIgnoringCase(name, "Transfer-Encoding")) {
+        m_framing.isChunked |= HttpGrammar::isChunkedCoding(value);
+    } else if (HttpGrammar::equalsIgnoringCase(name, "Connection")) {
+        m_framing.closes |= HttpGrammar::listContains(value, "close");
+        m_framing.keepsAlive |= HttpGrammar::listContains(value, "keep-alive");
+    }
+    m_headers.add(name.toByteArray(), value.toByteArray());
 }
 
-int HttpResponseReader::handleHeadersEnd(http_parser* parser)
+void HttpResponseReader::handleContentLength(QByteArrayView value)
 {
-    HttpResponseReader& self = readerOf(parser);
-    if (std::exchange(self.m_isInValue, false))
-        self.addField();
-    constexpr int skipBody = 1;
-    if (self.isInterim())
-        return skipBody;
-    self.m_listener.onResponseHeaders(parser->status_code, self.m_headers);
-    return self.hasNoBody() ? skipBody : 0;
+    const auto length = HttpGrammar::parseContentLength(value);
+    if (!length || length == HttpGrammar::unsupportedLength)
+        refuse("Content-Length is not a supported number");
+    else if (m_framing.contentLength)
+        refuse("Content-Length is repeated");
+    m_framing.contentLength = length;
 }
 
-int HttpResponseReader::handleBody(http_parser* parser, const char* data, size_t size)
+void HttpResponseReader::handleEndOfHead()
 {
-    readerOf(parser).m_listener.onResponseBody(QByteArrayView(data, static_cast<qsizetype>(size)));
-    return 0;
+    if (isInterim(m_status)) {
+        beginHead();
+        return;
+    }
+    m_listener.onResponseHeaders(m_status, m_headers);
+    m_sectionBytes = 0;
+    beginBody();
+}
+
+void HttpResponseReader::beginBody()
+{
+    m_remaining = m_framing.contentLength.value_or(0);
+    if (hasNoBody() || m_framing.contentLength == 0)
+        finish(false);
+    else if (m_framing.isChunked)
+        m_stage = Stage::ChunkSize;
+    else
+        m_stage = m_framing.contentLength ? Stage::FixedBody : Stage::BodyUntilClose;
+}
+
+bool HttpResponseReader::hasNoBody() const { return m_isResponseToHead || m_status == 204 || m_status == 304; }
+
+void HttpResponseReader::handleChunkSize(QByteArrayView line)
+{
+    const auto isHexDigit = [](char c) { return HttpGrammar::isDigit(c) || ((c | 0x20) >= 'a' && (c | 0x20) <= 'f'); };
+    const auto size
+        = HttpGrammar::parseChunkSize(line.first(std::ranges::find_if_not(line, isHexDigit) - line.begin()));
+    if (!size || size == HttpGrammar::unsupportedLength) {
+        refuse("the size of a chunk is not a supported number");
+        return;
+    }
+    m_remaining = *size;
+    m_sectionBytes = 0;
+    m_stage = m_remaining > 0 ? Stage::ChunkData : Stage::Trailer;
 }
 
-int HttpResponseReader::handleMessageEnd(http_parser* parser)
+void HttpResponseReader::finish(bool endsWithConnection)
 {
-    HttpResponseReader& self = readerOf(parser);
-    if (self.isInterim())
-        return 0;
-    self.m_isComplete = true;
-    self.m_keepsConnection = http_should_keep_alive(parser) != 0;
-    http_parser_pause(parser, 1);
-    return 0;
+    const bool isKept = m_isHttp10 ? m_framing.keepsAlive : true;
+    m_keepsConnection = isKept && !m_framing.closes && !endsWithConnection;
+    m_stage = Stage::Complete;
 }
 
 }
--- a/Tests/LibHTTP/TestHttpResponseReader.cpp
+++ b/Tests/LibHTTP/TestHttpResponseReader.cpp
@@ -1,3 +1,5 @@
+#include "RecordingListener.h"
+
 #include <LibHTTP/HttpResponseReader.h>
 
 #include <catch2/catch.hpp>
@@ -6,22 +8,6 @@
 
 namespace {
 
-class RecordingListener final : public HttpResponseListener {
-public:
-    int heads { 0 };
-    int status { 0 };
-    HttpHeaders headers;
-    QByteArray body;
-
-    void onResponseHeaders(int newStatus, const HttpHeaders& newHeaders) override
-    {
-        ++heads;
-        status = newStatus;
-        headers = newHeaders;
-    }
-    void onResponseBody(QByteArrayView data) override { body += data; }
-};
-
 struct Response {
     QByteArray head;
     QByteArray rest;
--- /dev/null
+++ b/Tests/LibHTTP/TestMalformedResponses.cpp
@@ -0,0 +1,194 @@
+#include "RecordingListener.h"
+
+#include <LibHTTP/HttpResponseReader.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace Chicorydock;
+
+namespace {
+
+/// What a caller gets of one response whose connection ends in order after it.
+struct Reading {
+    int heads { 0 };
+    int status { 0 };
+    QByteArray body;
+    bool isRefused { false };
+    bool isComplete { false };
+    std::string problem;
+};
+
+Reading read(const QByteArray& bytes, qsizetype piece)
+{
+    RecordingListener listener;
+    HttpResponseReader reader(listener);
+    Reading reading;
+    for (qsizetype at = 0; at < bytes.size() && !reading.isRefused && !reader.isComplete(); at += piece) {
+        QByteArrayView input = QByteArrayView(bytes).sliced(at, std::min(piece, bytes.size() - at));
+        reading.isRefused = !reader.consume(input);
+    }
+    if (!reading.isRefused)
+        reader.finishInput();
+    reading.heads = listener.heads;
+    reading.status = listener.status;
+    reading.body = listener.body;
+    reading.isComplete = !reading.isRefused && reader.isComplete();
+    reading.problem = reader.problem();
+    return reading;
+}
+
+/// The sizes of the pieces in which a response arrives: single bytes, some that cut lines anywhere, and whole.
+const std::vector<qsizetype> pieces { 1, 7, 100'000 };
+
+const QByteArray signature = "Server-Signature: a.b\r\n";
+const QByteArray body = "twelve bytes";
+const QByteArray ok = "HTTP/1.1 200 OK\r\n";
+
+/// Checks that a response is refused before its caller gets anything of it.
+void checkRefusedHead(const QByteArray& bytes)
+{
+    for (const qsizetype piece : pieces) {
+        CAPTURE(bytes.toStdString(), piece);
+        const Reading reading = read(bytes, piece);
+        CHECK(reading.isRefused);
+        CHECK_FALSE(reading.isComplete);
+        CHECK(reading.heads == 0);
+        CHECK(reading.body.isEmpty());
+        CHECK_FALSE(reading.problem.empty());
+    }
+}
+
+void checkTaken(const QByteArray& bytes, int status = 200, const QByteArray& expected = body)
+{
+    for (const qsizetype piece : pieces) {
+        CAPTURE(bytes.toStdString(), piece);
+        const Reading reading = read(bytes, piece);
+        CHECK_FALSE(reading.isRefused);
+        CHECK(reading.problem.empty());
+        CHECK(reading.isComplete);
+        CHECK(reading.heads == 1);
+        CHECK(reading.status == status);
+        CHECK(reading.body == expected);
+    }
+}
+
+QByteArray withStatusLine(const QByteArray& line)
+{
+    return line + "\r\n" + signature + "Content-Length: 12\r\n\r\n" + body;
+}
+
+/// Puts field lines, each with its end, into the head of a response.
+QByteArray withFields(const QByteArray& lines, const QByteArray& rest = body)
+{
+    return ok + signature + lines + "Date: x\r\n\r\n" + rest;
+}
+
+QByteArray withLengthAndField(const QByteArray& line) { return withFields("Content-Length: 12\r\n" + line + "\r\n"); }
+
+QByteArray chunked(const QByteArray& chunks) { return withFields("Transfer-Encoding: chunked\r\n", chunks); }
+
+}
+
+// RFC 9110, section 15: a status has three digits, from 100 to 599. RFC 9112, section 4: one space before it.
+TEST_CASE("a response without a valid status is refused")
+{
+    for (const char* it : { "000", "001", "099", "600", "601", "999", "0", "7", "20", "0200", "00200", "2000", "-200",
+             "+200", "2 0", "20x", "abc", "0x1", "1e2", "" })
+        checkRefusedHead(withStatusLine("HTTP/1.1 " + QByteArray(it) + " OK"));
+    for (const char* it : { "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1200 OK", "HTTP/1.1\t200 OK", "HTTP/1.1  200 OK",
+             "HTTP/1.1 200OK", "HTTP/1.1 200\tOK" })
+        checkRefusedHead(withStatusLine(it));
+    checkRefusedHead(withStatusLine(QByteArray("HTTP/1.1 200 O\0K", 16)));
+    checkRefusedHead(withStatusLine("HTTP/1.1 200 O\x01K"));
+}
+
+TEST_CASE("a response with a valid status is taken, whether or not the status has a name")
+{
+    for (const int status : { 200, 201, 226, 299, 300, 400, 418, 429, 451, 500, 503, 599 }) {
+        const QByteArray number = QByteArray::number(status);
+        for (const char* reason : { " OK", " ", "", " Not quite: \t\xc3\xbc \xff", "  two spaces " })
+            checkTaken(withStatusLine("HTTP/1.1 " + number + reason), status);
+    }
+}
+
+// RFC 9112, section 2.3: the name of the protocol is case-sensitive. RFC 9110, section 2.5: a higher minor version is
+// read as the highest that is known.
+TEST_CASE("a response of another protocol is refused, and of any version of HTTP/1 taken")
+{
+    for (const char* it : { "HTTP/0.9", "HTTP/2.0", "HTTP/2", "HTTP/9.9", "HTTP/1", "HTTP/1.", "HTTP/1.x", "HTTP/1,1",
+             "HTTP/11", "HTTP/1.11", "HTTP/01.1", "HTTP/ 1.1", "http/1.1", "Http/1.1", "HTTPS/1.1", "ICY", "RTSP/1.0",
+             "HTP/1.1", "XHTTP/1.1", " HTTP/1.1", "\tHTTP/1.1", "\r\nHTTP/1.1", "" })
+        checkRefusedHead(withStatusLine(it + QByteArray(" 200 OK")));
+    for (const char* it : { "HTTP/1.0", "HTTP/1.1", "HTTP/1.2", "HTTP/1.9" })
+        checkTaken(withStatusLine(it + QByteArray(" 200 OK")));
+}
+
+// Guards against callers that wait until their deadline for the rest of bytes that cannot become a response.
+TEST_CASE("bytes that are no response are refused as soon as they differ from one")
+{
+    for (const QByteArray& bytes : { QByteArray("x"), QByteArray("\0", 1), QByteArray("\n"), QByteArray("HTTP/2"),
+             QByteArray("{\"status\":200}"), QByteArray("HTTX") }) {
+        for (const qsizetype piece : pieces) {
+            CAPTURE(bytes.toStdString(), piece);
+            CHECK(read(bytes, piece).isRefused);
+        }
+    }
+}
+
+// RFC 9110, section 5.5: a value with CR, LF or NUL must not be passed on, and other control characters are invalid.
+TEST_CASE("a response with a control character in a value is refused")
+{
+    for (int byte = 0; byte < 256; ++byte) {
+        const QByteArray line = QByteArray("X-Name: val") + static_cast<char>(byte) + "ue";
+        const bool isControl = (byte < 0x20 && byte != '\t') || byte == 0x7f;
+        if (isControl)
+            checkRefusedHead(withLengthAndField(line));
+        else
+            checkTaken(withLengthAndField(line));
+    }
+}
+
+// RFC 9112, section 2.2: a line ends with CR LF. A recipient may take a bare LF; this one does not.
+TEST_CASE("a response whose lines do not end with CR LF is refused")
+{
+    checkRefusedHead("HTTP/1.1 200 OK\n" + signature + "Content-Length: 12\r\n\r\n" + body);
+    checkRefusedHead(ok + "Server-Signature: a.b\nContent-Length: 12\r\n\r\n" + body);
+    checkRefusedHead(ok + "Server-Signature: a.b\rContent-Length: 12\r\n\r\n" + body);
+    checkRefusedHead(ok + "Content-Length: 12\r\n\n" + body);
+    checkRefusedHead(ok + "Content-Length: 12\r\n\r\r\n" + body);
+}
+
+TEST_CASE("a response with a length that is a number is taken")
+{
+    for (const char* it : { "12", "012", "0000000000000000000000012", " \t12 \t" })
+        checkTaken(withFields("Content-Length:" + QByteArray(it) + "\r\n"));
+    checkTaken(withFields("CONTENT-LENGTH: 12\r\n"));
+    checkTaken(withFields("Content-Length: 0\r\n", ""), 200, "");
+}
+
+TEST_CASE("a response with odd but valid chunks is taken")
+{
+    for (const char* it : { "c", "C", "0c", "00000000000000000000c", "c;a", "c;a=b", "c;a=\"b c\\\"\xff\"", "c ; a = b",
+             "c\t;\ta", "c;a;b=c;d" })
+        checkTaken(chunked(QByteArray(it) + "\r\ntwelve bytes\r\n0\r\n\r\n"));
+    checkTaken(chunked("1\r\nt\r\n0b;a=b\r\nwelve bytes\r\n000;a=b\r\n\r\n"));
+}
+
+// Guards against a head or a line that is kept without end.
+TEST_CASE("a response with a line without end is refused")
+{
+    const QByteArray flood(200'000, 'a');
+    CHECK(read("HTTP/1.1 200 " + flood, 1'000).isRefused);
+    CHECK(read(ok + "X: " + flood, 1'000).isRefused);
+    CHECK(read(chunked("c;" + flood), 1'000).isRefused);
+    CHECK(read(chunked("0\r\nX: " + flood), 1'000).isRefused);
+    QByteArray many;
+    for (int n = 0; n < 20'000; ++n)
+        many += "X: value\r\n";
+    CHECK(read(ok + many + "\r\n", 1'000).isRefused);
+    CHECK(read(chunked("0\r\n" + many + "\r\n"), 1'000).isRefused);
+}
