LibHTTP: Refuse responses with a line that is no field

What callers saw: a head held a blank or a control byte in the name of a field, or a line that is no field, and the response reached the caller as its answer.

Change: a field line is a token, a colon at once and a value (RFC 9110, 5.1; RFC 9112, 5), by the function that checks requests. A folded line has no name, and so the response is discarded, which RFC 9112, 5.2, leaves to a gateway. A blank before the colon is refused too: 5.1 lets a proxy remove it, but then the length in such a line would have to be believed. Interim responses are checked like the final one.

Why it works: a line that might say where the body ends is either read as it stands or ends the response; nothing is guessed.

--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -204,13 +204,12 @@
 
 void HttpResponseReader::handleField(QByteArrayView line)
 {
-    const qsizetype colon = line.indexOf(':');
-    if (colon < 0) {
-        refuse("a field has no name");
+    const auto field = HttpGrammar::parseField(line);
+    if (!field) {
+        refuse("a field has no valid name");
         return;
     }
-    const QByteArrayView name = line.first(colon);
-    const QByteArrayView value = line.sliced(colon + 1).trimmed();
+    const auto& [name, value] = *field;
     if (HttpGrammar::equalsIgnoringCase(name, "Content-Length")) {
         handleContentLength(value);
     } else if (HttpGrammar::equalsIgnoringCase(name, "Transfer-Encoding")) {
--- a/Tests/LibHTTP/TestMalformedResponses.cpp
+++ b/Tests/LibHTTP/TestMalformedResponses.cpp
@@ -91,6 +91,8 @@
 
 QByteArray chunked(const QByteArray& chunks) { return withFields("Transfer-Encoding: chunked\r\n", chunks); }
 
+QByteArray nameWith(char byte) { return QByteArray("X-Na") + byte + "me: value"; }
+
 }
 
 // RFC 9110, section 15: a status has three digits, from 100 to 599. RFC 9112, section 4: one space before it.
@@ -139,6 +141,37 @@
     }
 }
 
+// RFC 9112, section 5, and RFC 9110, section 5.1: a name is a token, and the colon follows it at once.
+TEST_CASE("a response with a field whose name is no token is refused")
+{
+    for (const char* it : { "X Name: value", "X-Name : value", "X-Name\t: value", "X\tName: value", ": value",
+             " : value", "no colon", "X-Name", "(X): value", "X/Name: value", "X[0]: value", "X=1: value", "X,Y: value",
+             "\"X\": value", "X@Y: value", "{X}: value", "X;Y: value", "X\xc3\xbc: value", "X\xff: value",
+             "HTTP/1.1 200 OK", "Content Length: 12", "Content-Length : 12", "Server Signature: c.d" })
+        checkRefusedHead(withLengthAndField(it));
+    for (int byte = 0; byte < 256; ++byte) {
+        const QByteArray line = nameWith(static_cast<char>(byte));
+        const bool isLetterOrDigit = byte < 128 && std::isalnum(byte);
+        const bool isOther
+            = byte != 0 && std::string("!#$%&'*+-.^_`|~").find(static_cast<char>(byte)) != std::string::npos;
+        // With a colon within it, the line has another name and another value.
+        if (isLetterOrDigit || isOther || byte == ':')
+            checkTaken(withLengthAndField(line));
+        else
+            checkRefusedHead(withLengthAndField(line));
+    }
+}
+
+// RFC 9112, section 5.2: a gateway may discard a response with folded lines.
+TEST_CASE("a response with a folded line is refused")
+{
+    for (const char* it : { " X-Name: value", "\tX-Name: value", " Content-Length: 12", " folded", " ", "\t" }) {
+        checkRefusedHead(withFields(it + QByteArray("\r\n")));
+        checkRefusedHead(withLengthAndField(it));
+        checkRefusedHead(ok + it + "\r\n" + signature + "\r\n" + body);
+    }
+}
+
 // RFC 9110, section 5.5: a value with CR, LF or NUL must not be passed on, and other control characters are invalid.
 TEST_CASE("a response with a control character in a value is refused")
 {
@@ -152,6 +185,14 @@
     }
 }
 
+TEST_CASE("a response with odd but valid fields is taken")
+{
+    for (const char* it : { "X-Name:", "X-Name: ", "X-Name:value", "X-Name: \t value \t", "X-Name: a:b",
+             "x: \xc3\xbc\xff", "!#$%&'*+-.^_`|~: value", "X-Name: a, b;c=\"d\"", "X-Name: value\r\nX-Name: value",
+             "Content-Lengths: 13", "Upgrade: h2c", "Trailer: X", "Connection: X-Name, keep-alive" })
+        checkTaken(withLengthAndField(it));
+}
+
 // RFC 9112, section 2.2: a line ends with CR LF. A recipient may take a bare LF; this one does not.
 TEST_CASE("a response whose lines do not end with CR LF is refused")
 {
@@ -178,6 +219,20 @@
     checkTaken(chunked("1\r\nt\r\n0b;a=b\r\nwelve bytes\r\n000;a=b\r\n\r\n"));
 }
 
+// RFC 9110, section 15.2: interim responses are passed over. No other protocol has been offered (section 7.8).
+TEST_CASE("an interim response is checked like the response after it")
+{
+    const QByteArray response = withStatusLine("HTTP/1.1 200 OK");
+    for (const char* it : { "HTTP/1.1 100 Continue\r\n", "HTTP/1.1 100\r\n", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n",
+             "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\n", "HTTP/1.1 199 \r\n" })
+        checkTaken(it + QByteArray("\r\n") + response);
+    for (const char* it : { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n",
+             "HTTP/1.1 101 Switching Protocols\r\n", "HTTP/1.1 10 Continue\r\n", "HTTP/1.1 100 Continue\r\nX Y: z\r\n",
+             "HTTP/1.1 100 Continue\r\nno colon\r\n", "HTTP/1.1 100 Continue\r\nContent-Length: x\r\n",
+             "HTTP/1.1 100 Continue\r\n folded\r\n", "HTTP/2.0 100 Continue\r\n" })
+        checkRefusedHead(it + QByteArray("\r\n") + response);
+}
+
 // Guards against a head or a line that is kept without end.
 TEST_CASE("a response with a line without end is refused")
 {
