LibHTTP: Refuse responses whose transfer coding is not chunked alone

Cause: http_parser reads any value of Transfer-Encoding but "chunked" as no length at all, so that the body ends with the connection, and takes "gzip, chunked" as chunked.

Change: the only coding that is taken is chunked, once and alone, in any case (RFC 9112, 6.1 and 7): no other one is asked for, and its body could not be passed on. With HTTP/1.0 it is refused (6.1), beside a Content-Length as well (6.3).

Why it works: a body has a known end, or there is no answer. Without a length and without a coding it still ends with its connection (6.3).

--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -213,7 +213,7 @@
     if (HttpGrammar::equalsIgnoringCase(name, "Content-Length")) {
         handleContentLength(value);
     } else if (HttpGrammar::equalsIgnoringCase(name, "Transfer-Encoding")) {
-        m_framing.isChunked |= HttpGrammar::isChunkedCoding(value);
+        handleTransferEncoding(value);
     } else if (HttpGrammar::equalsIgnoringCase(name, "Connection")) {
         m_framing.closes |= HttpGrammar::listContains(value, "close");
         m_framing.keepsAlive |= HttpGrammar::listContains(value, "keep-alive");
@@ -231,8 +231,21 @@
     m_framing.contentLength = length;
 }
 
+void HttpResponseReader::handleTransferEncoding(QByteArrayView value)
+{
+    if (!HttpGrammar::isChunkedCoding(value) || m_framing.isChunked)
+        refuse("the transfer coding is not chunked alone");
+    else if (m_isHttp10)
+        refuse("a response of HTTP/1.0 has a transfer coding");
+    m_framing.isChunked = true;
+}
+
 void HttpResponseReader::handleEndOfHead()
 {
+    if (m_framing.isChunked && m_framing.contentLength) {
+        refuse("Content-Length and Transfer-Encoding contradict each other");
+        return;
+    }
     if (isInterim(m_status)) {
         beginHead();
         return;
--- a/Libraries/LibHTTP/HttpResponseReader.h
+++ b/Libraries/LibHTTP/HttpResponseReader.h
@@ -82,6 +82,7 @@
     void handleStatusLine(QByteArrayView line);
     void handleField(QByteArrayView line);
     void handleContentLength(QByteArrayView value);
+    void handleTransferEncoding(QByteArrayView value);
     void handleEndOfHead();
     void handleChunkSize(QByteArrayView line);
     void beginBody();
--- a/Tests/LibHTTP/TestMalformedResponses.cpp
+++ b/Tests/LibHTTP/TestMalformedResponses.cpp
@@ -203,6 +203,18 @@
     checkRefusedHead(ok + "Content-Length: 12\r\n\r\r\n" + body);
 }
 
+// RFC 9110, section 8.6, and RFC 9112, section 6.3.
+TEST_CASE("a response whose length is no number is refused")
+{
+    for (const char* it : { "", " ", "twelve", "12x", "x12", "-12", "+12", "0x0c", "1 2", "12 12", "12,12", "12, 12",
+             "12, 13", "12,", ",12", "12.0", "1e1", "\"12\"", "12;", "99999999999999999999999", "18446744073709551628",
+             "9223372036854775808" })
+        checkRefusedHead(withFields("Content-Length: " + QByteArray(it) + "\r\n"));
+    checkRefusedHead(withFields("Content-Length: 12\r\nContent-Length: 12\r\n"));
+    checkRefusedHead(withFields("Content-Length: 12\r\nContent-Length: 13\r\n"));
+    checkRefusedHead(withFields("Content-Length: 12\r\ncontent-length: 5\r\n"));
+}
+
 TEST_CASE("a response with a length that is a number is taken")
 {
     for (const char* it : { "12", "012", "0000000000000000000000012", " \t12 \t" })
@@ -211,6 +223,24 @@
     checkTaken(withFields("Content-Length: 0\r\n", ""), 200, "");
 }
 
+// RFC 9112, sections 6.1, 6.3 and 7.1: without `chunked` as the only coding, the end of the body is not known, or its
+// bytes are not the ones that the endpoint means.
+TEST_CASE("a response with a transfer coding that is not chunked alone is refused")
+{
+    const QByteArray chunks = "c\r\ntwelve bytes\r\n0\r\n\r\n";
+    for (const char* it : { "", "chunke", "chunkedd", "xchunked", "chunk ed", "\"chunked\"", "chunked;q=1", "chunked;",
+             "chunked, chunked", "chunked, gzip", "gzip, chunked", "gzip", "identity", "identity, chunked", "chunked,",
+             ", chunked", "chunked identity", "deflate" })
+        checkRefusedHead(withFields("Transfer-Encoding: " + QByteArray(it) + "\r\n", chunks));
+    checkRefusedHead(withFields("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", chunks));
+    checkRefusedHead(withFields("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunks));
+    checkRefusedHead(withFields("Transfer-Encoding: chunked\r\nContent-Length: 12\r\n", chunks));
+    checkRefusedHead(withFields("Content-Length: 12\r\nTransfer-Encoding: chunked\r\n", chunks));
+    checkRefusedHead("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+    checkTaken(withFields("Transfer-Encoding: chunked\r\n", chunks));
+    checkTaken(withFields("transfer-encoding: \tCHUNKED \r\n", chunks));
+}
+
 TEST_CASE("a response with odd but valid chunks is taken")
 {
     for (const char* it : { "c", "C", "0c", "00000000000000000000c", "c;a", "c;a=b", "c;a=\"b c\\\"\xff\"", "c ; a = b",
