LibHTTP: Refuse responses with spoilt chunks or trailers

Cause: http_parser skips whatever stands behind the size, and so did the reader up to here; the lines of the trailer section were not looked at.

Change: the line of a chunk is a hexadecimal size with extensions, as in requests (RFC 9112, 7.1 and 7.1.1). A blank behind the size without an extension is refused: the grammar has none there. A trailer is a field; one that names a length or a transfer coding is refused (RFC 9110, 6.5.1: no sender may generate it). Valid trailers are still dropped.

Why it works: these lines come when parts of the body have been passed on. A body that is kept until its end is dropped, and the request repeated if it may be; a stream that has begun is cut or resumed, and has no end that looks whole.

--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -169,8 +169,7 @@
         m_stage = Stage::ChunkSize;
         return;
     case Stage::Trailer:
-        if (line->isEmpty())
-            finish(false);
+        line->isEmpty() ? finish(false) : handleTrailer(*line);
         return;
     case Stage::FixedBody:
     case Stage::BodyUntilClose:
@@ -270,11 +269,9 @@
 
 void HttpResponseReader::handleChunkSize(QByteArrayView line)
 {
-    const auto isHexDigit = [](char c) { return HttpGrammar::isDigit(c) || ((c | 0x20) >= 'a' && (c | 0x20) <= 'f'); };
-    const auto size
-        = HttpGrammar::parseChunkSize(line.first(std::ranges::find_if_not(line, isHexDigit) - line.begin()));
+    const auto size = HttpGrammar::parseChunkSize(line);
     if (!size || size == HttpGrammar::unsupportedLength) {
-        refuse("the size of a chunk is not a supported number");
+        refuse("the size of a chunk is not a supported number, or no extension follows it");
         return;
     }
     m_remaining = *size;
@@ -282,6 +279,17 @@
     m_stage = m_remaining > 0 ? Stage::ChunkData : Stage::Trailer;
 }
 
+// Trailers are not passed on, which RFC 9110, section 6.5.1, permits.
+void HttpResponseReader::handleTrailer(QByteArrayView line)
+{
+    const auto field = HttpGrammar::parseField(line);
+    if (!field)
+        refuse("a trailer has no valid name");
+    else if (HttpGrammar::equalsIgnoringCase(field->name, "Content-Length")
+        || HttpGrammar::equalsIgnoringCase(field->name, "Transfer-Encoding"))
+        refuse("a trailer describes the framing");
+}
+
 void HttpResponseReader::finish(bool endsWithConnection)
 {
     const bool isKept = m_isHttp10 ? m_framing.keepsAlive : true;
--- a/Libraries/LibHTTP/HttpResponseReader.h
+++ b/Libraries/LibHTTP/HttpResponseReader.h
@@ -85,6 +85,7 @@
     void handleTransferEncoding(QByteArrayView value);
     void handleEndOfHead();
     void handleChunkSize(QByteArrayView line);
+    void handleTrailer(QByteArrayView line);
     void beginBody();
     void finish(bool endsWithConnection);
     /// Returns whether the response ends with its head, even if it states the length that a body would have.
--- a/Tests/LibHTTP/TestMalformedResponses.cpp
+++ b/Tests/LibHTTP/TestMalformedResponses.cpp
@@ -62,6 +62,18 @@
     }
 }
 
+/// Checks that a response whose body is spoilt is not complete, whatever its caller has got by then.
+void checkRefusedBody(const QByteArray& bytes)
+{
+    for (const qsizetype piece : pieces) {
+        CAPTURE(bytes.toStdString(), piece);
+        const Reading reading = read(bytes, piece);
+        CHECK(reading.isRefused);
+        CHECK_FALSE(reading.isComplete);
+        CHECK(QByteArray("twelve bytes").startsWith(reading.body));
+    }
+}
+
 void checkTaken(const QByteArray& bytes, int status = 200, const QByteArray& expected = body)
 {
     for (const qsizetype piece : pieces) {
@@ -241,6 +253,21 @@
     checkTaken(withFields("transfer-encoding: \tCHUNKED \r\n", chunks));
 }
 
+// RFC 9112, section 7.1.
+TEST_CASE("a response with a spoilt chunk is not complete")
+{
+    for (const char* it : { "", " c", "c ", "c\t", "0xc", "+c", "-c", "g", "c x", "c,", "c:", "c=", "c;", "c;;", "c;=a",
+             "c; =a", "c;a=", "c;a=\"b", "c;a=\"b\"c", "c;a b", "c;a=b c", "c;\x01", "c\"", "c.0", "cx",
+             "fffffffffffffffff", "7fffffffffffffff", "10000000000000000c" })
+        checkRefusedBody(chunked(QByteArray(it) + "\r\ntwelve bytes\r\n0\r\n\r\n"));
+    checkRefusedBody(chunked("c\ntwelve bytes\r\n0\r\n\r\n"));
+    checkRefusedBody(chunked("c\r\ntwelve bytesX\r\n0\r\n\r\n"));
+    checkRefusedBody(chunked("c\r\ntwelve bytes\n0\r\n\r\n"));
+    checkRefusedBody(chunked("b\r\ntwelve bytes\r\n0\r\n\r\n"));
+    checkRefusedBody(chunked("c\r\ntwelve bytes\r\n0 x\r\n\r\n"));
+    checkRefusedBody(chunked("c\r\ntwelve bytes\r\n\r\n\r\n"));
+}
+
 TEST_CASE("a response with odd but valid chunks is taken")
 {
     for (const char* it : { "c", "C", "0c", "00000000000000000000c", "c;a", "c;a=b", "c;a=\"b c\\\"\xff\"", "c ; a = b",
@@ -249,6 +276,17 @@
     checkTaken(chunked("1\r\nt\r\n0b;a=b\r\nwelve bytes\r\n000;a=b\r\n\r\n"));
 }
 
+// RFC 9112, section 7.1.2, and RFC 9110, section 6.5.1: no trailer describes the framing.
+TEST_CASE("a response with a spoilt trailer is not complete")
+{
+    const QByteArray chunks = "c\r\ntwelve bytes\r\n0\r\n";
+    for (const char* it : { "no colon", "X Name: a", "X-Name : a", " X-Name: a", ": a", "X\x01: a", "X: a\x01",
+             "X: a\r\n folded", "Content-Length: 12", "Content-Length: 13", "Transfer-Encoding: chunked" })
+        checkRefusedBody(chunked(chunks + it + "\r\n\r\n"));
+    for (const char* it : { "X-Name: a\r\n", "X-Name:\r\nX-Name: \xc3\xbc\r\n", "Server-Signature: c.d\r\n", "" })
+        checkTaken(chunked(chunks + it + "\r\n"));
+}
+
 // RFC 9110, section 15.2: interim responses are passed over. No other protocol has been offered (section 7.8).
 TEST_CASE("an interim response is checked like the response after it")
 {
