LibHTTP: Report a reset that a failed write saw first as a reset

Cause: a send() that fails with ECONNRESET takes the pending error of the socket with it. The recv() after it returns 0, which was reported as the orderly end that completes a response without a length.

Change: ClientSocket remembers that a write has failed, writes nothing more and goes on reading. The end that it reads then is a reset. It is an orderly end if the write failed with EPIPE: Linux reports a reset so when the peer had ended its direction before, so all that it sent has been read.

With a length or in chunks it reaches its caller, also if the connection is reset behind it, for example 413 or 401 from a server that does not read on (9.5). Without a length its end is the end of the server's direction (6.3), in order; a reset of the rest of the upload after that changes nothing (9.6), and a reset before it makes the response incomplete (8).

Ruled out: reading before each write (the reset may still come between the two), and taking each response that comes before the end of the upload as incomplete (that would lose sound refusals of uploads).

--- a/Libraries/LibHTTP/ClientSocket.cpp
+++ b/Libraries/LibHTTP/ClientSocket.cpp
@@ -89,17 +89,29 @@
 
 void ClientSocket::sendOutput()
 {
-    while (!m_output.isEmpty()) {
+    while (!m_output.isEmpty() && !m_hasWriteError) {
         const ssize_t n
             = ::send(m_descriptor, m_output.constData(), static_cast<size_t>(m_output.size()), MSG_NOSIGNAL);
-        if (n < 0 && errno == EINTR)
+        if (n >= 0) {
+            m_output.remove(0, n);
             continue;
-        if (n < 0)
+        }
+        if (errno == EAGAIN || errno == EWOULDBLOCK)
             break;
-        m_output.remove(0, n);
+        if (errno != EINTR)
+            handleWriteError(errno);
     }
-    // A write error shows up as a read event, which reports how the connection ended.
-    m_writeNotifier->setEnabled(!m_output.isEmpty() && (errno == EAGAIN || errno == EWOULDBLOCK));
+    m_writeNotifier->setEnabled(!m_output.isEmpty() && !m_hasWriteError);
+}
+
+// The end of the connection is reported by a read event, behind what the peer sent before it. `send()` takes the
+// pending error of the socket with it, so that event would look like an orderly end after a reset.
+void ClientSocket::handleWriteError(int ec)
+{
+    m_hasWriteError = true;
+    // Linux reports a reset as EPIPE if the peer had ended its direction in order before, and all that it sent has
+    // arrived then.
+    m_wasReset = ec != EPIPE;
 }
 
 bool ClientSocket::hasUnreadInput() const
@@ -120,7 +132,7 @@
         if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
             return;
         if (n <= 0) {
-            end(n == 0 ? SocketEnd::EndOfStream : SocketEnd::Reset);
+            end(n == 0 && !m_wasReset ? SocketEnd::EndOfStream : SocketEnd::Reset);
             return;
         }
         m_listener.onInput(QByteArrayView(buf.data(), n));
--- a/Libraries/LibHTTP/ClientSocket.h
+++ b/Libraries/LibHTTP/ClientSocket.h
@@ -13,7 +13,7 @@
 
 /// Why a connection ended.
 enum class SocketEnd : uint8_t {
-    /// The peer closed it in an orderly way.
+    /// The peer closed it in an orderly way, so that all it sent has been read.
     EndOfStream,
     /// It was reset, or a network error ended it.
     Reset,
@@ -59,6 +59,7 @@
     void open(const std::string& address);
     void finishConnecting();
     void sendOutput();
+    void handleWriteError(int ec);
     void readInput();
     void end(SocketEnd);
     void close();
@@ -67,6 +68,10 @@
     int m_descriptor { -1 };
     bool m_isConnected { false };
     bool m_isPaused { false };
+    /// Whether a write has failed. Nothing is written after that, and what has arrived is still read.
+    bool m_hasWriteError { false };
+    /// Whether a failed write has shown that the peer reset the connection.
+    bool m_wasReset { false };
     QByteArray m_output;
     std::unique_ptr<QSocketNotifier> m_readNotifier;
     std::unique_ptr<QSocketNotifier> m_writeNotifier;
