LibHTTP: Refuse a content coding that was not asked for

What callers would see: a response with a Content-Encoding, though the request accepts none, as its answer. It was found while looking for the same class; nobody has reported it.

Cause: nothing read the field.

Change: ClientConnection refuses such a response, with a status of any kind, to every caller of the client (endpoints, peers, feeds, the store). Where the request names a coding in Accept-Encoding (RFC 9110, 12.5.3), it is passed on as before. "identity" has no place in the field (8.4.1) and is refused like the others.

Ruled out: deciding it in platform/. It is a rule of HTTP as soon as the request's own field counts, and holds for the answers of peers as well.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -48,6 +48,17 @@
         return !request.echoedField.isEmpty() && echoedValue(request).isEmpty();
     }
 
+    /// Returns whether the request accepts any content coding. Without the field, a server may choose one (RFC 9110,
+    /// section 12.5.3), but a caller that does not name one does not decode it.
+    bool acceptsContentCoding(const HttpHeaders& request)
+    {
+        const QByteArrayList codings = request.find("Accept-Encoding").value_or(QByteArray()).split(',');
+        return std::ranges::any_of(codings, [](const QByteArray& it) {
+            const QByteArray name = it.first(std::ranges::find(it, ';') - it.begin()).trimmed();
+            return !name.isEmpty() && name.compare("identity", Qt::CaseInsensitive) != 0;
+        });
+    }
+
     Milliseconds idleReuseLimit(const HttpHeaders& headers)
     {
         const auto value = headers.find("Keep-Alive");
@@ -260,6 +271,10 @@
         fail(HttpFailure::Reason::Protocol, "the answer does not repeat the identifier of its request");
         return;
     }
+    if (headers.find("Content-Encoding") && !acceptsContentCoding(m_request.headers)) {
+        fail(HttpFailure::Reason::Protocol, "the answer has a content coding that was not asked for");
+        return;
+    }
     m_phase = HttpFailure::Phase::Answering;
     m_lastProgress = now();
     m_idleReuseLimit = idleReuseLimit(headers);
