LibPlatform: Read the responses of the platform with the checked reader

What callers would see: the daemon's own client of the table service and of the object store took a broken response as content or as the outcome of a write: another protocol's first line, a blank in the name of the length, a line that is no field, a length that is no number or that differs from another one, a body that is shorter than its length, a coding that is none, a spoilt chunk, and a body without a length whose connection was reset. It was found while looking for the same class in all readers of answers.

Cause: BlockingHttp used QNetworkAccessManager, which reads leniently, decodes codings by itself, and does not tell a reset from an orderly end.

Change: BlockingHttp runs its calls on PooledHttpClient, the client of everything else. A response that is refused counts as a broken connection: a read is unavailable, a write has an unknown outcome. That a request with a body is sent once is a property of that client, so the body that cannot be rewound goes.

Ruled out: checks on what QNetworkAccessManager hands out; the bytes that would have to be checked are gone by then.

--- a/Libraries/LibPlatform/BlockingHttp.h
+++ b/Libraries/LibPlatform/BlockingHttp.h
@@ -3,20 +3,19 @@
 #include <LibCore/Clock.h>
 
 #include <QByteArray>
+#include <QObject>
 #include <QThread>
 
 #include <memory>
 #include <string>
 
-class QNetworkAccessManager;
-
 namespace Chicorydock {
 
 /// Sends HTTP requests to the platform and blocks the caller until the response arrives or the timeout expires.
 ///
-/// Requests run on a thread of this class, so that no event of the calling thread is processed while it waits. Each
-/// call has a network access manager of its own, because one manager queues calls beyond its sixth connection. After a
-/// failed call its manager is discarded together with its connections, so a dead connection delays one call only.
+/// Requests run on a thread of this class, so that no event of the calling thread is processed while it waits. A
+/// response that is broken counts as a connection that broke (`HttpResponseReader`). After a timeout, the idle
+/// connections are closed, so that a dead connection delays one call only.
 ///
 /// Thread safety: `send()` may be called from any thread. Precondition of destruction: no call is running.
 class BlockingHttp {
@@ -33,8 +32,8 @@
     BlockingHttp(const BlockingHttp&) = delete;
     BlockingHttp& operator=(const BlockingHttp&) = delete;
 
-    /// Sends a request and returns the response, whatever its status. A request with a body is sent at most once.
-    /// Throws Error(PlatformUnavailable) if no byte of the body was handed to a connection or the method is GET, and
+    /// Sends a request and returns the response, whatever its status. A request is sent at most once. Throws
+    /// Error(PlatformUnavailable) if no byte of it was handed to a connection or the method is GET, and
     /// Error(OutcomeUnknown) otherwise.
     Response send(const QByteArray& method, const QByteArray& path, const QByteArray& body = {});
 
@@ -42,6 +41,8 @@
     class Worker;
 
     QThread m_thread;
+    /// Lives on the thread, which runs the functions that are sent to it.
+    QObject m_context;
     std::unique_ptr<Worker> m_worker;
 };
 
