LibGateway: Log and count the responses that are refused as broken

Cause: a refused response showed only as a moved or failed request. Broken responses of the store, of feeds and of peers left no line at all, so nobody could tell a faulty server from a lost connection.

Change: PooledHttpClient tells a handler of each response that it refuses, with the address and what was wrong, in fixed words without bytes of the response. The gateway and the daemon use it for all their clients.

Ruled out: logging at each caller of the client; the feeds and probes would still be silent, and the next caller would be forgotten.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -217,7 +217,7 @@
         if (!m_observer)
             return;
         if (!isHttp) {
-            fail(HttpFailure::Reason::Protocol, "the bytes that arrived are not an HTTP answer");
+            fail(HttpFailure::Reason::Protocol, "the answer is not valid HTTP: " + std::string(m_reader.problem()));
             return;
         }
         if (isAnswerTooLarge()) {
@@ -333,6 +333,8 @@
 void ClientConnection::fail(HttpFailure::Reason reason, std::string message)
 {
     HttpCallObserver* observer = std::exchange(m_observer, nullptr);
+    if (reason == HttpFailure::Reason::Protocol)
+        m_refusal = message;
     setState(State::Closed);
     observer->onFailed({ .phase = m_phase, .reason = reason, .message = std::move(message) });
 }
--- a/Libraries/LibHTTP/ClientConnection.h
+++ b/Libraries/LibHTTP/ClientConnection.h
@@ -57,6 +57,9 @@
     /// Returns whether a call failed because no data was sent or received within its time limit.
     bool hasTimedOut() const { return m_hasTimedOut; }
 
+    /// Returns why a response was refused, in words that contain no bytes of it; empty if none was.
+    const std::string& refusal() const { return m_refusal; }
+
 private:
     void onConnected() override;
     void onInput(QByteArrayView) override;
@@ -96,6 +99,7 @@
     qsizetype m_bytesBeforeResponse { 0 };
     qsizetype m_bodyBytes { 0 };
     bool m_hasTimedOut { false };
+    std::string m_refusal;
     MonotonicTime m_lastProgress;
     MonotonicTime m_usableUntil;
     /// Number of requests that the connection has carried.
--- a/Libraries/LibHTTP/PooledHttpClient.cpp
+++ b/Libraries/LibHTTP/PooledHttpClient.cpp
@@ -101,6 +101,8 @@
         std::erase(it->second, &connection);
     std::erase(m_connections, &connection);
     connection.deleteLater();
+    if (m_onRefused && !connection.refusal().empty())
+        m_onRefused({ connection.address(), connection.refusal() });
     // After one connection timed out, the other ones to the same address may be dead too.
     if (connection.hasTimedOut())
         closeIdle(connection.address());
--- a/Libraries/LibHTTP/PooledHttpClient.h
+++ b/Libraries/LibHTTP/PooledHttpClient.h
@@ -2,6 +2,7 @@
 
 #include <LibHTTP/ClientConnection.h>
 #include <LibHTTP/HttpClient.h>
+#include <LibHTTP/RefusedResponse.h>
 
 #include <memory>
 #include <unordered_map>
@@ -14,7 +15,8 @@
 /// carry (`ClientConnection::canCarry()`). A request is written once, to one connection: bytes that arrive on an idle
 /// connection before that replace it by a new one.
 ///
-/// A response without a length is complete if its connection ends in an orderly way.
+/// A response without a length is complete if its connection ends in an orderly way. A response that is refused fails
+/// its call like a connection that broke, and the connection is closed.
 ///
 /// Thread safety: used on the thread that created it, which runs a Qt event loop.
 /// Precondition: all handles are destroyed before the client.
@@ -29,6 +31,10 @@
     /// shortest time is closed before a new one is opened; calls in progress are not limited.
     void setMaxConnections(size_t connections) { m_maxConnections = connections; }
 
+    /// Sets what is called for each response that is refused, before the observer of its call is. It must not use the
+    /// client.
+    void setRefusalHandler(RefusedResponseHandler handler) { m_onRefused = std::move(handler); }
+
     /// Returns the number of connections opened so far.
     uint64_t openedConnections() const { return m_openedConnections; }
 
@@ -47,6 +53,7 @@
     std::vector<ClientConnection*> m_connections;
     uint64_t m_openedConnections { 0 };
     size_t m_maxConnections { 0 };
+    RefusedResponseHandler m_onRefused;
     QTimer m_sweepTimer;
 };
 
--- a/Services/chicorydockd/Daemon.cpp
+++ b/Services/chicorydockd/Daemon.cpp
@@ -86,7 +86,7 @@
 
 void Daemon::start()
 {
-    m_batchRunners = std::make_unique<RunnerThread>(m_clock, m_dispatcher, m_eventLog, "batch");
+    m_batchRunners = std::make_unique<RunnerThread>(m_clock, m_dispatcher, m_eventLog, m_metrics, "batch");
     m_batchRunners->run(
         [this] { m_executor = std::make_unique<BatchItemExecutor>(m_batchRunners->environment(), m_configuration); });
     m_batch = std::make_unique<BatchController>(batchOptions(m_settings), m_tables, m_objects, *m_executor, m_clock,
@@ -132,7 +132,7 @@
     m_httpAddress = m_settings.http.address;
     for (uint32_t n = 0; n < m_settings.http.ioThreads; ++n) {
         m_ioThreads.push_back(std::make_unique<IoThread>(
-            m_clock, m_dispatcher, m_eventLog, parts, serverLimits(m_settings), "io-" + std::to_string(n)));
+            m_clock, m_dispatcher, m_eventLog, m_metrics, parts, serverLimits(m_settings), "io-" + std::to_string(n)));
         // If the port is 0, the first thread binds a free one, which the others share.
         m_httpAddress = withPort(m_httpAddress, m_ioThreads.back()->listen(m_httpAddress));
     }
--- a/Services/chicorydockd/Daemon.h
+++ b/Services/chicorydockd/Daemon.h
@@ -10,6 +10,7 @@
 #include <LibBatch/TableJobService.h>
 #include <LibCore/SystemClock.h>
 #include <LibEndpoint/HttpEndpointClient.h>
+#include <LibGateway/RefusedResponseLog.h>
 #include <LibHTTP/PooledHttpClient.h>
 #include <LibLog/RecordingEventLog.h>
 #include <LibPlatform/HttpObjectStore.h>
@@ -89,6 +90,7 @@
     std::unique_ptr<BatchThread> m_batchThread;
 
     PooledHttpClient m_controllerHttp;
+    RefusedResponseLog m_refusedByController { m_controllerHttp, "control", m_eventLog, m_metrics, m_clock };
     HttpEndpointClient m_controllerClient { m_controllerHttp };
     RpcThread m_rpcThread;
     std::unique_ptr<RpcPeerLink> m_link;
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -164,6 +164,8 @@
     , m_log({ m_node, settings.node.failureDomain }, m_clock)
     , m_requestMemory(MemoryShares::of(settings.gateway->memoryMb).requestBytes)
     , m_responseMemory(MemoryShares::of(settings.gateway->memoryMb).responseBytes)
+    , m_refusedByEndpointClient(m_endpointClient, "endpoints", m_log, m_metrics, m_clock)
+    , m_refusedByControlClient(m_controlClient, "control", m_log, m_metrics, m_clock)
     , m_store(m_controlClient, settings.platform.address, FeedTiming::storeTimeout)
     , m_links(m_clock, m_random, m_directory, m_prober, m_log)
     , m_feed(m_store, m_controlClient, m_clock, m_log,
--- a/Services/chicorydockd/Gateway.h
+++ b/Services/chicorydockd/Gateway.h
@@ -12,6 +12,7 @@
 #include <LibGateway/GatewayHandler.h>
 #include <LibGateway/NodeRegistry.h>
 #include <LibGateway/PeerGroup.h>
+#include <LibGateway/RefusedResponseLog.h>
 #include <LibGateway/SlotExchange.h>
 #include <LibGateway/StopProgress.h>
 #include <LibGateway/TcpEndpointProber.h>
@@ -110,6 +111,8 @@
     PooledHttpClient m_endpointClient;
     /// For calls to the store and to other nodes.
     PooledHttpClient m_controlClient;
+    RefusedResponseLog m_refusedByEndpointClient;
+    RefusedResponseLog m_refusedByControlClient;
     PlatformRowStore m_store;
     EndpointDirectory m_directory;
     TcpEndpointProber m_prober;
--- a/Services/chicorydockd/IoThread.cpp
+++ b/Services/chicorydockd/IoThread.cpp
@@ -2,9 +2,9 @@
 
 namespace Chicorydock {
 
-IoThread::IoThread(const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog, const PipelineDependencies& parts,
-    const HttpServerLimits& limits, const std::string& name)
-    : m_thread(clock, dispatcher, eventLog, name)
+IoThread::IoThread(const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog, MetricsRegistry& metrics,
+    const PipelineDependencies& parts, const HttpServerLimits& limits, const std::string& name)
+    : m_thread(clock, dispatcher, eventLog, metrics, name)
 {
     m_thread.run([&] {
         m_chain = makeRequestPipeline(parts, m_thread.environment());
--- a/Services/chicorydockd/IoThread.h
+++ b/Services/chicorydockd/IoThread.h
@@ -12,8 +12,8 @@
 /// Thread safety: all methods are called on the main thread, except `activeExchanges()`.
 class IoThread {
 public:
-    IoThread(const Clock&, Dispatcher&, EventLog&, const PipelineDependencies&, const HttpServerLimits&,
-        const std::string& name);
+    IoThread(const Clock&, Dispatcher&, EventLog&, MetricsRegistry&, const PipelineDependencies&,
+        const HttpServerLimits&, const std::string& name);
     ~IoThread();
 
     /// Returns the bound port. Throws Error(Internal) if the address cannot be bound.
--- a/Services/chicorydockd/RunnerThread.cpp
+++ b/Services/chicorydockd/RunnerThread.cpp
@@ -17,14 +17,15 @@
 
 }
 
-RunnerThread::RunnerThread(const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog, const std::string& name)
+RunnerThread::RunnerThread(
+    const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog, MetricsRegistry& metrics, const std::string& name)
     : m_context(new QObject)
     , m_post(postTo(m_context))
 {
     m_thread.setObjectName(QString::fromStdString(name));
     m_context->moveToThread(&m_thread);
     m_thread.start();
-    run([&] { setUp(clock, dispatcher, eventLog); });
+    run([&] { setUp(clock, dispatcher, eventLog, metrics); });
 }
 
 RunnerThread::~RunnerThread() { stop(); }
@@ -40,6 +41,7 @@
         QCoreApplication::removePostedEvents(m_context);
         m_environment.reset();
         m_endpointClient.reset();
+        m_refusedResponses.reset();
         m_httpClient.reset();
         m_context->deleteLater();
     });
@@ -47,9 +49,10 @@
     m_thread.wait();
 }
 
-void RunnerThread::setUp(const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog)
+void RunnerThread::setUp(const Clock& clock, Dispatcher& dispatcher, EventLog& eventLog, MetricsRegistry& metrics)
 {
     m_httpClient = std::make_unique<PooledHttpClient>();
+    m_refusedResponses = std::make_unique<RefusedResponseLog>(*m_httpClient, "endpoints", eventLog, metrics, clock);
     m_endpointClient = std::make_unique<HttpEndpointClient>(*m_httpClient);
     m_environment = std::make_unique<RunnerEnvironment>(
         RunnerEnvironment { clock, dispatcher, *m_endpointClient, m_deadlines, eventLog, m_post });
--- a/Services/chicorydockd/RunnerThread.h
+++ b/Services/chicorydockd/RunnerThread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibDispatch/RunnerEnvironment.h>
+#include <LibGateway/RefusedResponseLog.h>
 
 #include <QObject>
 #include <QThread>
@@ -15,7 +16,7 @@
 /// this one.
 class RunnerThread {
 public:
-    RunnerThread(const Clock&, Dispatcher&, EventLog&, const std::string& name);
+    RunnerThread(const Clock&, Dispatcher&, EventLog&, MetricsRegistry&, const std::string& name);
     ~RunnerThread();
 
     RunnerThread(const RunnerThread&) = delete;
@@ -35,13 +36,14 @@
     RunnerEnvironment& environment() { return *m_environment; }
 
 private:
-    void setUp(const Clock&, Dispatcher&, EventLog&);
+    void setUp(const Clock&, Dispatcher&, EventLog&, MetricsRegistry&);
 
     QThread m_thread;
     // Lives on the thread and receives the posted functions.
     QObject* m_context;
     Post m_post;
-    std::unique_ptr<HttpClient> m_httpClient;
+    std::unique_ptr<PooledHttpClient> m_httpClient;
+    std::unique_ptr<RefusedResponseLog> m_refusedResponses;
     std::unique_ptr<EndpointClient> m_endpointClient;
     DeadlineQueue m_deadlines;
     std::unique_ptr<RunnerEnvironment> m_environment;
