Tests: Send broken responses to forwarded requests, streams, items, feeds and the store

Stand-ins send responses that are valid but for one thing, over real connections, to what reads them: an idempotent request is served by another endpoint, one that may not be repeated fails with 502 and never with a status that says it did not run (also if the broken head says so), a stream is resumed or cut off, an item is run again, a feed fails, and the outcome of a transaction is unknown. The connection is not used again.

ConnectedFixture moves to a header of its own for this.

--- a/Tests/LibGateway/TestForwardedCall.cpp
+++ b/Tests/LibGateway/TestForwardedCall.cpp
@@ -1,9 +1,8 @@
 #include <LibGateway/ForwardedCall.h>
 
-#include "ForwardingFixture.h"
+#include "ConnectedFixture.h"
 
 #include <LibGateway/ItemRun.h>
-#include <LibHTTP/PooledHttpClient.h>
 #include <Tests/Support/ScriptedServer.h>
 #include <Tests/Support/SimulatedEventLoop.h>
 #include <Tests/Support/WaitFor.h>
@@ -425,31 +424,6 @@
     const std::string m_address { m_server.address() };
 };
 
-struct ClientHolder {
-    PooledHttpClient pooledClient;
-};
-
-/// Forwards requests over real connections.
-struct ConnectedFixture : private ClientHolder, ForwardingFixture {
-    explicit ConnectedFixture(const std::vector<std::string>& addresses)
-        : ForwardingFixture(0, Milliseconds { 0 }, &pooledClient)
-    {
-        std::vector<EndpointRecord> records;
-        for (const std::string& it : addresses)
-            records.push_back({ "e" + it, it, "lm", "z1", 8, false, 1 });
-        directory.replaceAll(records, 0, clock.now());
-        scheduler.setEndpoints(records);
-    }
-
-    /// Forwards a request and returns the status of the response.
-    int run(const QByteArray& target, const QByteArray& id)
-    {
-        forward(makeRequest(target, id));
-        REQUIRE(waitFor([&] { return exchange->isFinished || exchange->isAborted; }));
-        return status();
-    }
-};
-
 }
 
 // Guards against a request that is reported as not run, or is run by a second endpoint, while an endpoint runs it.
--- a/Tests/Platform/TestPlatformRowStore.cpp
+++ b/Tests/Platform/TestPlatformRowStore.cpp
@@ -76,6 +76,22 @@
     CHECK(fixture.store.time() >= Milliseconds { 51'230 });
 }
 
+// Guards against a commit that a broken response reports, and against one that is taken for not executed.
+TEST_CASE("a broken response leaves the outcome of a transaction unknown, and gives no rows")
+{
+    const QByteArray body = R"({"ver":412,"now_ms":51230,"rows":[]})";
+    const QByteArray sized = "Content-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+    const QByteArray reply = GENERATE_COPY(as<QByteArray> {}, "HTTP/1.1 000 OK\r\n" + sized,
+        "HTTP/2.0 200 OK\r\n" + sized, "HTTP/1.1 200 OK\r\nX Name: value\r\n" + sized,
+        "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" + sized, "HTTP/1.1 503 Busy\r\nno field\r\n" + sized,
+        "HTTP/1.1 429 Busy\r\n folded\r\n" + sized, "HTTP/1.1 412 No\r\nTransfer-Encoding: chunke\r\n\r\n" + body);
+    CAPTURE(reply.toStdString());
+    StoreFixture fixture(reply);
+    CHECK(failureOf(fixture.commit()) == StoreFailure::Kind::OutcomeUnknown);
+    CHECK(std::holds_alternative<StoreFailure>(fixture.changes()));
+    CHECK(fixture.server.connections() == 2);
+}
+
 // Guards against a conflict that is mistaken for an outage.
 TEST_CASE("a condition that does not hold gives a result with the current rows")
 {
