LibPlatform: Send a read once more if its connection ends before the response

Its stand-in closed each connection right behind a response that says that it is kept, and the next call was sent on it at that moment; 1 of 900 reads failed so, and now and then a write.

Cause: QNetworkAccessManager repeated such reads by itself; PooledHttpClient never repeats. A write has an unknown outcome then, as before.

Change: BlockingHttp sends a GET once more, on a new connection, if its connection ends before the response began (RFC 9110, 9.2.2). A response that is refused is not asked for again.

--- a/Libraries/LibPlatform/BlockingHttp.cpp
+++ b/Libraries/LibPlatform/BlockingHttp.cpp
@@ -37,18 +37,18 @@
         if (!body.isEmpty())
             request.headers.add("Content-Type", "application/octet-stream");
         const uint64_t number = ++m_lastNumber;
-        m_calls[number] = std::make_unique<Call>(*this, number, request, std::move(promise));
+        m_calls[number] = std::make_unique<Call>(*this, number, std::move(request), std::move(promise));
     }
 
 private:
     class Call final : public HttpCallObserver {
     public:
-        Call(Worker& worker, uint64_t number, const HttpCallRequest& request, std::promise<Response> promise)
+        Call(Worker& worker, uint64_t number, HttpCallRequest request, std::promise<Response> promise)
             : m_worker(worker)
             , m_number(number)
-            , m_isRead(request.method == "GET")
+            , m_request(std::move(request))
             , m_promise(std::move(promise))
-            , m_call(worker.m_client.start(request, *this))
+            , m_call(worker.m_client.start(m_request, *this))
         {
         }
 
@@ -64,7 +64,12 @@
 
         void onFailed(const HttpFailure& failure) override
         {
-            const bool isUnknown = failure.phase != HttpFailure::Phase::NotSent && !m_isRead;
+            if (mayRepeat(failure)) {
+                m_request.freshConnection = true;
+                m_call = m_worker.m_client.start(m_request, *this);
+                return;
+            }
+            const bool isUnknown = failure.phase != HttpFailure::Phase::NotSent && !isRead();
             m_promise.set_exception(
                 std::make_exception_ptr(Error(isUnknown ? ErrorKind::OutcomeUnknown : ErrorKind::PlatformUnavailable,
                     "call to the platform failed: " + failure.message)));
@@ -72,9 +77,18 @@
         }
 
     private:
+        bool isRead() const { return m_request.method == "GET"; }
+
+        /// Returns whether the platform may have closed an idle connection while a read was sent on it.
+        bool mayRepeat(const HttpFailure& failure) const
+        {
+            return isRead() && !m_request.freshConnection && failure.phase == HttpFailure::Phase::Sent
+                && failure.reason == HttpFailure::Reason::Closed;
+        }
+
         Worker& m_worker;
         const uint64_t m_number;
-        const bool m_isRead;
+        HttpCallRequest m_request;
         std::promise<Response> m_promise;
         Response m_response;
         std::unique_ptr<HttpCall> m_call;
--- a/Libraries/LibPlatform/BlockingHttp.h
+++ b/Libraries/LibPlatform/BlockingHttp.h
@@ -32,7 +32,8 @@
     BlockingHttp(const BlockingHttp&) = delete;
     BlockingHttp& operator=(const BlockingHttp&) = delete;
 
-    /// Sends a request and returns the response, whatever its status. A request is sent at most once. Throws
+    /// Sends a request and returns the response, whatever its status. A request with the method GET is sent once more,
+    /// on a new connection, if its connection ends before the response; any other is sent at most once. Throws
     /// Error(PlatformUnavailable) if no byte of it was handed to a connection or the method is GET, and
     /// Error(OutcomeUnknown) otherwise.
     Response send(const QByteArray& method, const QByteArray& path, const QByteArray& body = {});
