LibHTTP: Refuse a chunk that is too long at its first surplus byte

Found when the change was read again: behind the data of a chunk the reader waited for the end of a line, so an endpoint that sent more bytes than it had announced and then nothing held the request until its time limit.

Change: an unfinished line is refused as soon as it cannot become valid, as was the case for status lines.

--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -25,7 +25,10 @@
 
     constexpr int switchingProtocols = 101;
 
+    constexpr QByteArrayView lineEnd("\r\n");
+
     constexpr std::string_view otherProtocol = "the response is not one of HTTP/1";
+    constexpr std::string_view overlongChunk = "a chunk is longer than its size";
 
     bool isInterim(int status) { return status / 100 == 1; }
 
@@ -141,8 +144,16 @@
     m_line.append(part);
     if (end >= 0)
         handleLine(std::exchange(m_line, {}));
-    else if (m_stage == Stage::StatusLine && !canBeStatusLine(m_line))
+    else
+        checkUnfinishedLine();
+}
+
+void HttpResponseReader::checkUnfinishedLine()
+{
+    if (m_stage == Stage::StatusLine && !canBeStatusLine(m_line))
         refuse(otherProtocol);
+    else if (m_stage == Stage::ChunkEnd && !lineEnd.startsWith(m_line))
+        refuse(overlongChunk);
 }
 
 void HttpResponseReader::handleLine(QByteArrayView bytes)
@@ -164,7 +175,7 @@
         return;
     case Stage::ChunkEnd:
         if (!line->isEmpty())
-            refuse("a chunk is longer than its size");
+            refuse(overlongChunk);
         m_sectionBytes = 0;
         m_stage = Stage::ChunkSize;
         return;
--- a/Libraries/LibHTTP/HttpResponseReader.h
+++ b/Libraries/LibHTTP/HttpResponseReader.h
@@ -78,6 +78,8 @@
     bool isInBody() const;
     void readBody(QByteArrayView& input);
     void readLine(QByteArrayView& input);
+    /// Refuses a line that cannot become a valid one, so that nobody waits for its end.
+    void checkUnfinishedLine();
     void handleLine(QByteArrayView line);
     void handleStatusLine(QByteArrayView line);
     void handleField(QByteArrayView line);
--- a/Tests/LibHTTP/TestMalformedResponses.cpp
+++ b/Tests/LibHTTP/TestMalformedResponses.cpp
@@ -145,7 +145,7 @@
 TEST_CASE("bytes that are no response are refused as soon as they differ from one")
 {
     for (const QByteArray& bytes : { QByteArray("x"), QByteArray("\0", 1), QByteArray("\n"), QByteArray("HTTP/2"),
-             QByteArray("{\"status\":200}"), QByteArray("HTTX") }) {
+             QByteArray("{\"status\":200}"), QByteArray("HTTX"), chunked("c\r\ntwelve bytes, and more") }) {
         for (const qsizetype piece : pieces) {
             CAPTURE(bytes.toStdString(), piece);
             CHECK(read(bytes, piece).isRefused);
