--- a/Tests/Plays/BrokenResponses.cpp
+++ b/Tests/Plays/BrokenResponses.cpp
@@ -6,6 +6,8 @@
 // It starts target/bin/chicorydockd. Its exit status is 1 if a broken response reached a caller as an answer, or a
 // valid one did not.
 
+#include "PlaySetup.h"
+
 #include <review/standins/Node.h>
 #include <review/standins/Store.h>
 #include <review/standins/World.h>
@@ -21,7 +23,7 @@
 namespace {
 
 constexpr double answerMs = 3'000;
-constexpr size_t uploadBytes = 4 * 1024 * 1024;
+constexpr size_t uploadBytes = 4'000'000;
 
 /// A whole event, so that it is an answer on a route of streams too.
 const std::string body = "id:1\ndata:\n\n";
@@ -141,49 +143,24 @@
     }
 
 private:
-    static std::string makeFolder()
-    {
-        std::string name = std::filesystem::temp_directory_path() / "play-XXXXXX";
-        return ::mkdtemp(name.data()) ? name : std::string("/tmp");
-    }
-
-    static Json route(const std::string& name, const std::string& type, const std::string& service)
-    {
-        return Json::object(
-            { { "name", name }, { "host", World::host }, { "prefix", "/" + name + "/" }, { "route_type", type },
-                { "timeout_ms", 2000 }, { "target_latency_ms", 500 }, { "priority", 0 }, { "service", service },
-                { "max_attempts", 1 }, { "sticky", false }, { "can_resume", false }, { "gap_aim_ms", 250 } });
-    }
-
     /// Several endpoints, because one that has failed rests.
     void addEndpoints(const std::string& service, const std::string& address)
     {
         constexpr int endpoints = 12;
+        constexpr long slots = 8;
         for (int n = 0; n < endpoints; ++n)
-            m_store.put("servers", "i-" + service + std::to_string(n),
-                Json::object({ { "service", service }, { "address", address }, { "zone", "zone-a" },
-                                 { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_remaining_ms", 0 },
-                                 { "sequence", 1 }, { "born", 1 } })
-                    .dump());
+            m_store.put("servers", "i-" + service + std::to_string(n), Plays::registration(service, address, slots));
     }
 
     void setUp()
     {
         addEndpoints("forms", m_server.address());
         addEndpoints("uploads", m_resetting.address());
-        std::vector<Json> services;
-        for (const char* it : { "forms", "uploads" })
-            services.push_back(
-                Json::object({ { "name", it }, { "health_check_path", "/health" }, { "max_connections", 2000 },
-                    { "protocol", "h1" }, { "tls", false }, { "engine", Json::object({ { "slots", 4 } }) } }));
-        const Json limits = Json::object({ { "max_header_bytes", 16384 }, { "max_body_bytes", 8388608 },
-            { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } });
-        const std::vector<Json> routes { route("i", "idempotent", "forms"), route("s", "streaming", "forms"),
-            route("up", "idempotent", "uploads") };
         m_store.put("op", "config",
-            Json::object({ { "version", 7 }, { "routes", Json::array(routes) },
-                             { "services", Json::array(std::move(services)) }, { "limits", limits } })
-                .dump());
+            Plays::configuration(
+                { Plays::route("i", "idempotent", "forms", false), Plays::route("s", "streaming", "forms", false),
+                    Plays::route("up", "idempotent", "uploads", false) },
+                { "forms", "uploads" }));
     }
 
     void respond(const Request& request, Connection& connection) const
@@ -228,7 +205,7 @@
     }
 
     const std::vector<Form> m_forms = makeForms();
-    const std::string m_folder = makeFolder();
+    const std::string m_folder = Plays::makeFolder();
     Store m_store;
     Server m_server { [this](const Request& request, Connection& connection) { respond(request, connection); } };
     ResettingServer m_resetting;
--- a/Tests/Plays/BytesWithoutEnd.cpp
+++ b/Tests/Plays/BytesWithoutEnd.cpp
@@ -6,6 +6,8 @@
 // It starts target/bin/chicorydockd. Its exit status is 1 if a sound request has no whole answer, or if the process has
 // grown by more than the memory that its settings allow.
 
+#include "PlaySetup.h"
+
 #include <review/standins/Node.h>
 #include <review/standins/Record.h>
 #include <review/standins/Store.h>
@@ -43,11 +45,7 @@
         , m_id(std::move(id))
         , m_server([this](const Request& request, Connection& connection) { handle(request, connection); })
     {
-        store.put("servers", m_id,
-            Json::object({ { "service", "faulty" }, { "address", m_server.address() }, { "zone", "zone-a" },
-                             { "version", "v1" }, { "slots", static_cast<long>(slots) }, { "state", "ready" },
-                             { "cold_remaining_ms", 0 }, { "sequence", 1 }, { "born", 1 } })
-                .dump());
+        store.put("servers", m_id, Plays::registration("faulty", m_server.address(), static_cast<long>(slots)));
     }
 
 private:
@@ -178,21 +176,13 @@
     std::thread m_thread;
 };
 
-Json route(const std::string& name, const std::string& type, const std::string& service, bool canResume)
-{
-    return Json::object(
-        { { "name", name }, { "host", World::host }, { "prefix", "/" + name + "/" }, { "route_type", type },
-            { "timeout_ms", 4000 }, { "target_latency_ms", 500 }, { "priority", 0 }, { "service", service },
-            { "max_attempts", 2 }, { "sticky", false }, { "can_resume", canResume }, { "gap_aim_ms", 250 } });
-}
-
 /// One node between faulty endpoints, sound endpoints, and callers.
 class Play {
 public:
     Play(std::string kind, int requests)
         : m_kind(std::move(kind))
         , m_requests(requests)
-        , m_folder(makeFolder())
+        , m_folder(Plays::makeFolder())
         , m_record(m_folder + "/record.txt")
     {
     }
@@ -225,12 +215,6 @@
     }
 
 private:
-    static std::string makeFolder()
-    {
-        std::string name = std::filesystem::temp_directory_path() / "play-XXXXXX";
-        return ::mkdtemp(name.data()) ? name : std::string("/tmp");
-    }
-
     void setUp()
     {
         constexpr unsigned faultyWorkers = 3;
@@ -238,21 +222,13 @@
             new FaultyWorker(m_store, "i-f" + std::to_string(n), m_kind, static_cast<unsigned>(m_requests));
         m_sound = new Worker(m_store, m_record, m_runs,
             { .id = "i-s1", .service = "sound", .zone = "zone-a", .slots = 8, .eventMs = 5 });
-        std::vector<Json> list;
-        for (const char* it : { "faulty", "sound" })
-            list.push_back(
-                Json::object({ { "name", it }, { "health_check_path", "/health" }, { "max_connections", 2000 },
-                    { "protocol", "h1" }, { "tls", false }, { "engine", Json::object({ { "slots", 4 } }) } }));
-        const Json limits = Json::object({ { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 },
-            { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } });
-        std::vector<Json> routes { route("i", "idempotent", "faulty", false),
-            route("n", "non_idempotent", "faulty", false), route("s", "streaming", "faulty", true),
-            route("u", "streaming", "faulty", false), route("sound", "streaming", "sound", false),
-            World::batchRoute("/b/", "faulty") };
         m_store.put("op", "config",
-            Json::object({ { "version", 7 }, { "routes", Json::array(routes) },
-                             { "services", Json::array(std::move(list)) }, { "limits", limits } })
-                .dump());
+            Plays::configuration(
+                { Plays::route("i", "idempotent", "faulty", false),
+                    Plays::route("n", "non_idempotent", "faulty", false),
+                    Plays::route("s", "streaming", "faulty", true), Plays::route("u", "streaming", "faulty", false),
+                    Plays::route("sound", "streaming", "sound", false), World::batchRoute("/b/", "faulty") },
+                { "faulty", "sound" }));
     }
 
     void sendSoundRequests(const std::string& front)
