--- a/Tests/LibGateway/TestBrokenResponses.cpp
+++ b/Tests/LibGateway/TestBrokenResponses.cpp
@@ -156,6 +156,23 @@
     }
 }
 
+// Guards against the same through a peer, which may be an earlier build that passes broken responses on.
+TEST_CASE("a relayed request whose peer sends a broken response fails, and is not said not to have run")
+{
+    const QByteArray response = GENERATE(from_range(brokenResponses));
+    const int broken = GENERATE(0, 1);
+    CAPTURE(response.toStdString(), broken);
+    const EndpointPair peers(response, ok + streamFields + "\r\n" + event(1), broken);
+    const std::vector<std::string> unreachable { "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3" };
+    ConnectedFixture node(unreachable);
+    node.relayPeers.peers = { { "n2", peers.addresses().front(), PeerDistance::FailureDomain, 3 } };
+    for (const std::string& it : unreachable)
+        node.links.recordFailure("e" + it, node.clock.now());
+    REQUIRE(node.links.areLost());
+    CHECK(node.run("/u/1", "q1") == (broken ? 502 : 200));
+    CHECK(peers.requests() == 1);
+}
+
 // Guards against a completed result that is not the output of the item.
 TEST_CASE("an item whose endpoint sends a broken response is run again")
 {
