--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -282,7 +282,7 @@
 {
     const auto size = HttpGrammar::parseChunkSize(line);
     if (!size || size == HttpGrammar::unsupportedLength) {
-        refuse("the size of a chunk is not a supported number, or no extension follows it");
+        refuse("a chunk does not begin with a supported size and, at most, extensions");
         return;
     }
     m_remaining = *size;
@@ -303,7 +303,7 @@
 
 void HttpResponseReader::finish(bool endsWithConnection)
 {
-    const bool isKept = m_isHttp10 ? m_framing.keepsAlive : true;
+    const bool isKept = !m_isHttp10 || m_framing.keepsAlive;
     m_keepsConnection = isKept && !m_framing.closes && !endsWithConnection;
     m_stage = Stage::Complete;
 }
