LibHTTP, LibPlatform: Simplify what the reading of the change found

- HttpResponseReader::finish() took what its stage already tells.
- ClientConnection compares words by the shared function.
- Three tests reset a connection with the same lines; resetConnection() in Tests/Support serves them.

--- a/Libraries/LibHTTP/ClientConnection.cpp
+++ b/Libraries/LibHTTP/ClientConnection.cpp
@@ -1,5 +1,7 @@
 #include <LibHTTP/ClientConnection.h>
 
+#include <LibHTTP/HttpGrammar.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -28,7 +30,7 @@
     {
         return std::ranges::any_of(std::initializer_list<const char*> { "Connection", "Content-Length", "Keep-Alive",
                                        "Transfer-Encoding", "Upgrade", "Expect", "TE" },
-            [&](const char* it) { return name.compare(it, Qt::CaseInsensitive) == 0; });
+            [&](const char* it) { return HttpGrammar::equalsIgnoringCase(name, it); });
     }
 
     bool needsLength(const HttpCallRequest& request)
@@ -55,7 +57,7 @@
         const QByteArrayList codings = request.find("Accept-Encoding").value_or(QByteArray()).split(',');
         return std::ranges::any_of(codings, [](const QByteArray& it) {
             const QByteArray name = it.first(std::ranges::find(it, ';') - it.begin()).trimmed();
-            return !name.isEmpty() && name.compare("identity", Qt::CaseInsensitive) != 0;
+            return !name.isEmpty() && !HttpGrammar::equalsIgnoringCase(name, "identity");
         });
     }
 
--- a/Libraries/LibHTTP/HttpResponseReader.cpp
+++ b/Libraries/LibHTTP/HttpResponseReader.cpp
@@ -101,7 +101,7 @@
 void HttpResponseReader::finishInput()
 {
     if (m_stage == Stage::BodyUntilClose)
-        finish(true);
+        finish();
 }
 
 bool HttpResponseReader::isInBody() const
@@ -122,7 +122,7 @@
     if (m_remaining > 0)
         return;
     if (m_stage == Stage::FixedBody)
-        finish(false);
+        finish();
     else
         m_stage = Stage::ChunkEnd;
 }
@@ -180,7 +180,7 @@
         m_stage = Stage::ChunkSize;
         return;
     case Stage::Trailer:
-        line->isEmpty() ? finish(false) : handleTrailer(*line);
+        line->isEmpty() ? finish() : handleTrailer(*line);
         return;
     case Stage::FixedBody:
     case Stage::BodyUntilClose:
@@ -269,7 +269,7 @@
 {
     m_remaining = m_framing.contentLength.value_or(0);
     if (hasNoBody() || m_framing.contentLength == 0)
-        finish(false);
+        finish();
     else if (m_framing.isChunked)
         m_stage = Stage::ChunkSize;
     else
@@ -301,8 +301,9 @@
         refuse("a trailer describes the framing");
 }
 
-void HttpResponseReader::finish(bool endsWithConnection)
+void HttpResponseReader::finish()
 {
+    const bool endsWithConnection = m_stage == Stage::BodyUntilClose;
     const bool isKept = !m_isHttp10 || m_framing.keepsAlive;
     m_keepsConnection = isKept && !m_framing.closes && !endsWithConnection;
     m_stage = Stage::Complete;
--- a/Libraries/LibHTTP/HttpResponseReader.h
+++ b/Libraries/LibHTTP/HttpResponseReader.h
@@ -89,7 +89,7 @@
     void handleChunkSize(QByteArrayView line);
     void handleTrailer(QByteArrayView line);
     void beginBody();
-    void finish(bool endsWithConnection);
+    void finish();
     /// Returns whether the response ends with its head, even if it states the length that a body would have.
     bool hasNoBody() const;
     void refuse(std::string_view problem) { m_problem = problem; }
--- a/Libraries/LibPlatform/BlockingHttp.cpp
+++ b/Libraries/LibPlatform/BlockingHttp.cpp
@@ -23,7 +23,8 @@
     {
     }
 
-    void start(const QByteArray& method, const QByteArray& path, const QByteArray& body, std::promise<Response> promise)
+    void start(const QByteArray& method, const QByteArray& path, const QByteArray& body,
+        const std::shared_ptr<std::promise<Response>>& promise)
     {
         HttpCallRequest request { .address = m_address,
             .method = method,
@@ -37,13 +38,13 @@
         if (!body.isEmpty())
             request.headers.add("Content-Type", "application/octet-stream");
         const uint64_t number = ++m_lastNumber;
-        m_calls[number] = std::make_unique<Call>(*this, number, std::move(request), std::move(promise));
+        m_calls[number] = std::make_unique<Call>(*this, number, std::move(request), promise);
     }
 
 private:
     class Call final : public HttpCallObserver {
     public:
-        Call(Worker& worker, uint64_t number, HttpCallRequest request, std::promise<Response> promise)
+        Call(Worker& worker, uint64_t number, HttpCallRequest request, std::shared_ptr<std::promise<Response>> promise)
             : m_worker(worker)
             , m_number(number)
             , m_request(std::move(request))
@@ -58,7 +59,7 @@
 
         void onFinished() override
         {
-            m_promise.set_value(std::move(m_response));
+            m_promise->set_value(std::move(m_response));
             m_worker.remove(m_number);
         }
 
@@ -70,7 +71,7 @@
                 return;
             }
             const bool isUnknown = failure.phase != HttpFailure::Phase::NotSent && !isRead();
-            m_promise.set_exception(
+            m_promise->set_exception(
                 std::make_exception_ptr(Error(isUnknown ? ErrorKind::OutcomeUnknown : ErrorKind::PlatformUnavailable,
                     "call to the platform failed: " + failure.message)));
             m_worker.remove(m_number);
@@ -89,7 +90,7 @@
         Worker& m_worker;
         const uint64_t m_number;
         HttpCallRequest m_request;
-        std::promise<Response> m_promise;
+        const std::shared_ptr<std::promise<Response>> m_promise;
         Response m_response;
         std::unique_ptr<HttpCall> m_call;
     };
@@ -125,9 +126,10 @@
 
 BlockingHttp::Response BlockingHttp::send(const QByteArray& method, const QByteArray& path, const QByteArray& body)
 {
-    std::promise<Response> promise;
-    std::future<Response> future = promise.get_future();
-    runAndWait(&m_context, [&] { m_worker->start(method, path, body, std::move(promise)); });
+    auto promise = std::make_shared<std::promise<Response>>();
+    std::future<Response> future = promise->get_future();
+    QMetaObject::invokeMethod(
+        &m_context, [=, this] { m_worker->start(method, path, body, promise); }, Qt::QueuedConnection);
     return future.get();
 }
 
--- a/Tests/LibHTTP/TestEarlyResponses.cpp
+++ b/Tests/LibHTTP/TestEarlyResponses.cpp
@@ -2,6 +2,7 @@
 #include <LibHTTP/PooledHttpClient.h>
 
 #include <Tests/Support/RecordingObserver.h>
+#include <Tests/Support/ResetConnection.h>
 #include <Tests/Support/ScriptedServer.h>
 #include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
@@ -30,13 +31,6 @@
     OrderlyThenReset,
 };
 
-void reset(QTcpSocket& socket)
-{
-    const linger option { .l_onoff = 1, .l_linger = 0 };
-    ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-    socket.abort();
-}
-
 /// Answers the beginning of a request at once and ends the connection.
 void answerEarly(QTcpSocket& socket, const QByteArray& response, Ending ending)
 {
@@ -45,7 +39,7 @@
         == response.size());
     if (ending == Ending::OrderlyThenReset)
         ::shutdown(descriptor, SHUT_WR);
-    reset(socket);
+    resetConnection(socket);
 }
 
 RecordingObserver upload(const QByteArray& response, Ending ending)
--- a/Tests/LibHTTP/TestHttpClient.cpp
+++ b/Tests/LibHTTP/TestHttpClient.cpp
@@ -1,6 +1,7 @@
 #include <LibHTTP/PooledHttpClient.h>
 
 #include <Tests/Support/RecordingObserver.h>
+#include <Tests/Support/ResetConnection.h>
 #include <Tests/Support/ScriptedServer.h>
 #include <Tests/Support/WaitFor.h>
 #include <catch2/catch.hpp>
@@ -665,9 +666,7 @@
         if (isReset) {
             socket.flush();
             socket.waitForBytesWritten();
-            const linger option { .l_onoff = 1, .l_linger = 0 };
-            ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-            socket.abort();
+            resetConnection(socket);
         } else {
             socket.disconnectFromHost();
         }
--- a/Tests/LibHTTP/TestMalformedResponses.cpp
+++ b/Tests/LibHTTP/TestMalformedResponses.cpp
@@ -70,7 +70,7 @@
         const Reading reading = read(bytes, piece);
         CHECK(reading.isRefused);
         CHECK_FALSE(reading.isComplete);
-        CHECK(QByteArray("twelve bytes").startsWith(reading.body));
+        CHECK(body.startsWith(reading.body));
     }
 }
 
--- a/Tests/LibPlatform/TestBrokenResponses.cpp
+++ b/Tests/LibPlatform/TestBrokenResponses.cpp
@@ -2,6 +2,7 @@
 #include <LibCore/Post.h>
 #include <LibPlatform/HttpObjectStore.h>
 #include <LibPlatform/HttpTableService.h>
+#include <Tests/Support/ResetConnection.h>
 #include <Tests/Support/ScriptedServer.h>
 
 #include <QThread>
@@ -9,7 +10,6 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
-#include <sys/socket.h>
 
 using namespace Chicorydock;
 
@@ -75,11 +75,8 @@
     {
         if (ending == Ending::Close)
             socket.disconnectFromHost();
-        if (ending != Ending::Reset)
-            return;
-        const linger option { .l_onoff = 1, .l_linger = 0 };
-        ::setsockopt(static_cast<int>(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-        socket.abort();
+        if (ending == Ending::Reset)
+            resetConnection(socket);
     }
 
     QThread m_thread;
