--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -26,7 +26,7 @@
 
 def free_ports(count):
     """Free ports of 127.0.0.1 below the range of outgoing connections."""
-    ports, port = [], 12000 + (os.getpid() * 37) % 15000
+    ports, port = [], 12000 + os.getpid() % 180 * 100
     while len(ports) < count:
         port += 1
         try:
