--- a/review/standins-3/Standins.h
+++ b/review/standins-3/Standins.h
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <list>
@@ -1060,8 +1061,8 @@
 /// Returns a new temporary folder.
 inline std::string temporaryFolder()
 {
-    char name[] = "/tmp/review-XXXXXX";
-    return ::mkdtemp(name);
+    std::string name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+    return ::mkdtemp(name.data());
 }
 
 /// Ends the processes of the system and this program, whose threads may still run.
