LibGateway: Run a job only while its record is the newest that the node knows

Cause, by the test "a job that has ended elsewhere is not started by a late reply to its submission", which plays one order of events without processes: the node submits, another node ends the job, the feed brings the end, and then the reply to the submission comes. updateRecord() left the newer record alone, and startJob() ran the job from the older one all the same. Nothing found it later, because the newer version had been handled.

Ruled out: the other node's cancellation (the record in the store was "ended" each time) and the feed (delivered before the start in the test).

Change, one rule at one place: - JobRecords holds the newest known version of each record. An older one never replaces a newer one, nor brings a removed record back. - JobController::mayRun() decides: the record is the newest known, open, this node's, and the node is not leaving. startJob() asks it, so submission, claim and load do; every new version and removal stops an owned job that it no longer allows. - All transactions of jobs go through JobController::commit(), which takes notice of what each reply says about records, also those to jobs that have ended here, and conflicts of submissions.

Relatives, each with a test that failed before: - a job that its own node ends while it waits for the reply to the submission (no feed needed), - a job that another node has claimed meanwhile: two nodes ran its items, - a removed job that a late reply to the submission or to a read brought back, - a removed job went on at its owner: neither the feed nor a conflict of a checkpoint stopped it, - a claim of a removed job was sent again at once, without end, - the feed of an earlier state reopened a job that this node had just finished, and it was claimed, - a late reply without a record made a reader believe that a known job does not exist (404). Two searches: all orders of the replies and changes that wait at a node, and 1,500 seeded lives of a record in random order; both failed before, the second also with only the check of the case mended (a conflict of a repeated submission told the node of the new owner, and was ignored).

One test did not end on the earlier code (a claim without end, 10 minutes until it was stopped); it now delivers a bounded number of replies and fails at once.

--- a/Libraries/LibGateway/JobController.cpp
+++ b/Libraries/LibGateway/JobController.cpp
@@ -80,11 +80,12 @@
     if (m_records.contains(id))
         return id;
     if (workspace) {
-        const auto it = m_records.find(callerId);
-        return it != m_records.end() && !isScoped(it->second) ? callerId : id;
+        const JobHead* record = m_records.find(callerId);
+        return record && !isScoped(*record) ? callerId : id;
     }
     const std::string prefix = callerId + JobRows::scopeSeparator;
-    for (auto it = m_records.lower_bound(prefix); it != m_records.end() && it->first.starts_with(prefix); ++it) {
+    const JobRecords::Records& all = m_records.all();
+    for (auto it = all.lower_bound(prefix); it != all.end() && it->first.starts_with(prefix); ++it) {
         // Identifiers of callers may contain the separator themselves.
         if (it->first == JobRows::scopedId(it->second.workspace, callerId))
             return it->first;
@@ -167,11 +168,11 @@
     }
     // The feed may bring the record before the reply: the job is not an orphan.
     m_loading.insert(record.id);
-    m_store.commit(transaction, guarded([this, record, items, done](const StoreResult<RowCommit>& result) {
+    commit(transaction, [this, record, items, done](const StoreResult<RowCommit>& result) {
         m_loading.erase(record.id);
         m_submitting.erase(record.id);
         handleSubmission(record, items, done, result);
-    }));
+    });
 }
 
 void JobController::handleSubmission(
@@ -195,8 +196,7 @@
         if (!record.workspace.empty())
             details["workspace"] = QString::fromStdString(record.workspace);
         m_environment.log.record("job", "accepted", record.id, {}, details);
-        if (accepted.owner == m_node && !m_isLeaving)
-            startJob(accepted, { items, {}, {}, 0 });
+        startJob(accepted, { items, {}, {}, 0 });
     }
     done({});
 }
@@ -207,7 +207,7 @@
         return it.route == job.route && it.id != job.id && (!ofWorkspace || it.workspace == job.workspace);
     };
     uint64_t sum = 0;
-    for (const auto& [id, record] : m_records) {
+    for (const auto& [id, record] : m_records.all()) {
         if (record.state != JobHead::State::Open || !counts(record))
             continue;
         const auto owned = m_owned.find(id);
@@ -222,19 +222,71 @@
 
 void JobController::updateRecord(const JobHead& record)
 {
-    const auto [it, isNew] = m_records.try_emplace(record.id, record);
-    if (!isNew && record.version < it->second.version)
+    if (!m_records.put(record))
         return;
-    it->second = record;
-    const bool isOpen = record.state == JobHead::State::Open;
-    if (!isOpen || !isOrphan(record))
+    if (record.state != JobHead::State::Open || !isOrphan(record))
         m_orphanSince.erase(record.id);
-    const auto owned = m_owned.find(record.id);
-    if (owned == m_owned.end())
+    stopUnlessMayRun(record.id);
+}
+
+void JobController::removeRecord(const std::string& jobId, uint64_t version)
+{
+    if (!m_records.remove(jobId, version, m_environment.clock.now()))
+        return;
+    m_orphanSince.erase(jobId);
+    stopUnlessMayRun(jobId);
+}
+
+void JobController::applyRow(const StoredRow& row)
+{
+    if (row.isRemoved)
+        removeRecord(row.address.key, row.version);
+    else if (const auto record = decodeJobHead(row))
+        updateRecord(*record);
+}
+
+void JobController::commit(const RowTransaction& transaction, const RowStore::Reply<RowCommit>& onReply)
+{
+    m_store.commit(transaction, guarded([this, transaction, onReply](const StoreResult<RowCommit>& result) {
+        // A job must learn that a conflict comes from its own commit before the record shows that it has ended.
+        onReply(result);
+        if (const auto* commit = std::get_if<RowCommit>(&result))
+            applyReply(transaction, *commit);
+    }));
+}
+
+void JobController::applyReply(const RowTransaction& transaction, const RowCommit& commit)
+{
+    if (commit.isCommitted) {
+        for (const RowWrite& it : transaction.writes) {
+            if (it.row.table == JobRows::recordTable)
+                applyRow({ it.row, it.value, commit.version, false });
+        }
         return;
-    const bool isStillOwner = isOpen && record.owner == m_node;
-    if (!isStillOwner && record.version > owned->second->record().version)
-        removeOwnedJob(record.id);
+    }
+    for (const RowCondition& it : transaction.conditions) {
+        if (it.row.table != JobRows::recordTable)
+            continue;
+        const auto row = std::ranges::find(commit.current, it.row, &StoredRow::address);
+        if (row != commit.current.end())
+            applyRow(*row);
+        else if (it.version > 0)
+            removeRecord(it.row.key, it.version);
+    }
+}
+
+bool JobController::mayRun(const JobHead& record) const
+{
+    const JobHead* newest = m_records.find(record.id);
+    return newest && newest->version == record.version && newest->state == JobHead::State::Open
+        && newest->owner == m_node && !m_isLeaving;
+}
+
+void JobController::stopUnlessMayRun(const std::string& jobId)
+{
+    const auto it = m_owned.find(jobId);
+    if (it != m_owned.end() && !mayRun(it->second->record()))
+        removeOwnedJob(jobId);
 }
 
 void JobController::removeOwnedJob(const std::string& jobId)
@@ -250,25 +302,30 @@
 
 void JobController::startJob(const JobHead& record, const JobContent& content)
 {
+    // The reply that leads here may be older than what the feed has brought meanwhile.
+    if (!mayRun(record))
+        return;
     const std::string id = record.id;
-    auto job = std::make_unique<OwnedJob>(
-        m_environment, m_store, record, content,
-        [this, id](OwnedJob::Outcome outcome) {
-            if (outcome == OwnedJob::Outcome::Done) {
-                m_records[id].state = JobHead::State::Done;
-                m_environment.log.record("job", "done", id);
-            }
-            removeOwnedJob(id);
-        },
-        [this, id] {
-            if (m_onResultsCommitted)
-                m_onResultsCommitted(id);
-        });
+    OwnedJob::Owner owner;
+    owner.commit = [this](const RowTransaction& transaction, const auto& onReply) { commit(transaction, onReply); };
+    owner.onEnd = [this, id](OwnedJob::Outcome outcome) { handleJobEnd(id, outcome); };
+    owner.onResultsCommitted = [this, id] {
+        if (m_onResultsCommitted)
+            m_onResultsCommitted(id);
+    };
+    auto job = std::make_unique<OwnedJob>(m_environment, m_store.time(), record, content, std::move(owner));
     OwnedJob& started = *job;
     m_owned[id] = std::move(job);
     started.start();
 }
 
+void JobController::handleJobEnd(const std::string& jobId, OwnedJob::Outcome outcome)
+{
+    if (outcome == OwnedJob::Outcome::Done)
+        m_environment.log.record("job", "done", jobId);
+    removeOwnedJob(jobId);
+}
+
 void JobController::onTableListed(const TableListing& listing)
 {
     m_isListed = true;
@@ -277,14 +334,8 @@
 
 void JobController::onRowsChanged(const std::vector<StoredRow>& rows)
 {
-    for (const StoredRow& it : rows) {
-        if (it.isRemoved) {
-            m_records.erase(it.address.key);
-            continue;
-        }
-        if (const auto record = decodeJobHead(it))
-            updateRecord(*record);
-    }
+    for (const StoredRow& it : rows)
+        applyRow(it);
     tick();
 }
 
@@ -310,6 +361,7 @@
 void JobController::tick()
 {
     const MonotonicTime now = m_environment.clock.now();
+    m_records.forgetOldRemovals(now);
     updateSuspension(now);
     for (const auto& [id, job] : m_owned)
         job->update();
@@ -319,7 +371,7 @@
     if (hasLostEndpoints() && !m_peers.nodesForJobs().empty())
         return;
     std::optional<std::vector<std::string>> peers;
-    for (const auto& [id, record] : m_records) {
+    for (const auto& [id, record] : m_records.all()) {
         if (record.state != JobHead::State::Open || m_loading.contains(id) || m_owned.contains(id))
             continue;
         if (!isOrphan(record)) {
@@ -352,35 +404,30 @@
     m_loading.insert(record.id);
     const RowTransaction transaction { { { JobRows::record(record.id), record.version } },
         { { JobRows::record(record.id), encodeJobHead(claimed) } }, {} };
-    m_store.commit(transaction, guarded([this, record, claimed](const StoreResult<RowCommit>& result) mutable {
+    commit(transaction, [this, record, claimed](const StoreResult<RowCommit>& result) mutable {
         m_loading.erase(record.id);
         m_orphanSince.erase(record.id);
         const auto* commit = std::get_if<RowCommit>(&result);
-        if (!commit)
+        if (!commit || !commit->isCommitted)
             return;
-        if (!commit->isCommitted) {
-            onRowsChanged(commit->current);
-            return;
-        }
         claimed.version = commit->version;
         m_environment.log.record("job", "claimed", record.id, {},
             { { "previous_owner", QString::fromStdString(record.owner) },
                 { "version", static_cast<qint64>(claimed.version) } });
-        m_loading.insert(record.id);
         updateRecord(claimed);
         load(claimed);
-    }));
+    });
 }
 
 void JobController::load(const JobHead& record)
 {
+    if (!mayRun(record))
+        return;
+    m_loading.insert(record.id);
     JobLoader::loadAll(m_store, record, guarded([this, record](const StoreResult<JobContent>& result) {
         m_loading.erase(record.id);
-        const auto* content = std::get_if<JobContent>(&result);
-        const auto known = m_records.find(record.id);
-        const bool isCurrent = known != m_records.end() && known->second.version == record.version;
         // After a failed load the job is an orphan, since its record names this node as owner, and is claimed again.
-        if (content && isCurrent && !m_isLeaving)
+        if (const auto* content = std::get_if<JobContent>(&result))
             startJob(record, *content);
     }));
 }
@@ -396,8 +443,8 @@
             JobResultPage page;
             page.results = std::move(std::get<std::vector<JobResult>>(result));
             page.next = after + page.results.size();
-            if (const auto it = m_records.find(jobId); it != m_records.end()) {
-                page.total = it->second.itemCount;
+            if (const JobHead* record = m_records.find(jobId)) {
+                page.total = record->itemCount;
                 reply(std::move(page));
                 return;
             }
@@ -445,27 +492,27 @@
 {
     const RowAddress address = JobRows::record(jobId);
     m_store.read({ address.table, address.partition, jobId, jobId + '\0' },
-        guarded([this, reply](const StoreResult<RowPage>& rows) {
+        guarded([this, jobId, reply](const StoreResult<RowPage>& rows) {
             const auto* found = std::get_if<RowPage>(&rows);
             if (!found) {
                 reply(readError(std::get<StoreFailure>(rows)));
                 return;
             }
-            const auto head = found->rows.empty() ? std::nullopt : decodeJobHead(found->rows.front());
-            if (!head) {
+            for (const StoredRow& it : found->rows)
+                applyRow(it);
+            // The feed may have brought the record, or its removal, since the store read it.
+            if (const JobHead* newest = m_records.find(jobId))
+                reply(*newest);
+            else
                 // The job may have been accepted under another identifier, see `findId()`.
                 reply(m_isListed ? jobNotFound : jobsNotListed);
-                return;
-            }
-            updateRecord(*head);
-            reply(*head);
         }));
 }
 
 void JobController::cancel(const std::string& jobId, const Done& done)
 {
-    if (const auto it = m_records.find(jobId); it != m_records.end()) {
-        cancelRecord(it->second, maxCancelRetries, done);
+    if (const JobHead* record = m_records.find(jobId)) {
+        cancelRecord(*record, maxCancelRetries, done);
         return;
     }
     readHead(jobId, [this, done](const std::variant<JobHead, Error>& head) {
@@ -487,29 +534,28 @@
     cancelled.state = JobHead::State::Cancelled;
     const RowTransaction transaction { { { JobRows::record(record.id), record.version } },
         { { JobRows::record(record.id), encodeJobHead(cancelled) } }, {} };
-    m_store.commit(
-        transaction, guarded([this, cancelled, retriesLeft, done](const StoreResult<RowCommit>& result) mutable {
-            const auto* commit = std::get_if<RowCommit>(&result);
-            if (!commit) {
-                done(writeError(std::get<StoreFailure>(result)));
-                return;
-            }
-            if (commit->isCommitted) {
-                cancelled.version = commit->version;
-                m_environment.log.record("job", "ended", cancelled.id);
-                updateRecord(cancelled);
-                done({});
-                return;
-            }
-            const auto current = commit->current.empty() ? std::nullopt : decodeJobHead(commit->current.front());
-            if (!current)
-                done(jobNotFound);
-            else if (retriesLeft > 0)
-                cancelRecord(*current, retriesLeft - 1, done);
-            else
-                done(Error(ErrorKind::PlatformUnavailable, "the job changed during each attempt to cancel it",
-                    storeRetryAfter));
-        }));
+    commit(transaction, [this, cancelled, retriesLeft, done](const StoreResult<RowCommit>& result) mutable {
+        const auto* commit = std::get_if<RowCommit>(&result);
+        if (!commit) {
+            done(writeError(std::get<StoreFailure>(result)));
+            return;
+        }
+        if (commit->isCommitted) {
+            cancelled.version = commit->version;
+            m_environment.log.record("job", "ended", cancelled.id);
+            updateRecord(cancelled);
+            done({});
+            return;
+        }
+        const auto current = commit->current.empty() ? std::nullopt : decodeJobHead(commit->current.front());
+        if (!current)
+            done(jobNotFound);
+        else if (retriesLeft > 0)
+            cancelRecord(*current, retriesLeft - 1, done);
+        else
+            done(Error(
+                ErrorKind::PlatformUnavailable, "the job changed during each attempt to cancel it", storeRetryAfter));
+    });
 }
 
 void JobController::release()
@@ -527,17 +573,17 @@
 void JobController::releaseJob(OwnedJob& job)
 {
     ++m_pendingReleases;
-    m_store.commit(job.release(), guarded([this, id = job.record().id](const StoreResult<RowCommit>& result) {
+    commit(job.release(), [this, id = job.record().id](const StoreResult<RowCommit>& result) {
         --m_pendingReleases;
         const auto* commit = std::get_if<RowCommit>(&result);
         m_environment.log.record("job", "released", id, {}, { { "committed", commit && commit->isCommitted } });
-    }));
+    });
 }
 
 size_t JobController::openJobs() const
 {
     return static_cast<size_t>(
-        std::ranges::count_if(m_records, [](const auto& it) { return it.second.state == JobHead::State::Open; }));
+        std::ranges::count_if(m_records.all(), [](const auto& it) { return it.second.state == JobHead::State::Open; }));
 }
 
 }
--- a/Libraries/LibGateway/JobController.h
+++ b/Libraries/LibGateway/JobController.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/GatewayEnvironment.h>
 #include <LibGateway/JobLoader.h>
+#include <LibGateway/JobRecords.h>
 #include <LibGateway/OwnedJob.h>
 #include <LibPlatform/TableFollower.h>
 
@@ -92,13 +93,27 @@
 private:
     /// Returns the record of a job that is submitted now, without an owner and a time.
     static JobHead makeRecord(const SubmittedJob&, const GatewayRoute&);
+    /// Takes notice of a version of a record, wherever it came from, and stops the job if it is no longer this node's.
     void updateRecord(const JobHead&);
+    /// The same for a removal at that version of the store.
+    void removeRecord(const std::string& jobId, uint64_t version);
+    void applyRow(const StoredRow&);
+    /// Commits a transaction, and takes notice of what the reply says about records once its receiver has handled it.
+    void commit(const RowTransaction&, const RowStore::Reply<RowCommit>& onReply);
+    void applyReply(const RowTransaction&, const RowCommit&);
+    /// Returns whether this node may run the job: the record is the newest known, open and this node's, and the node is
+    /// not leaving. All ways that lead to a run, or let one go on, ask this.
+    bool mayRun(const JobHead&) const;
+    /// Stops the job if it may no longer run here.
+    void stopUnlessMayRun(const std::string& jobId);
     /// Returns the tokens that wait on the route of the job, or those of its workspace on that route if it has one,
     /// without the job itself.
     uint64_t waitingTokens(const JobHead&, bool ofWorkspace) const;
     void commitSubmission(const JobHead&, const QByteArray& content, const std::vector<JobItem>&, const Done&);
     void handleSubmission(const JobHead&, const std::vector<JobItem>&, const Done&, const StoreResult<RowCommit>&);
+    /// Starts the job, if it may run here by now.
     void startJob(const JobHead&, const JobContent&);
+    void handleJobEnd(const std::string& jobId, OwnedJob::Outcome);
     void removeOwnedJob(const std::string& jobId);
     /// Returns whether the job has no owner that can run it.
     bool isOrphan(const JobHead&) const;
@@ -120,8 +135,7 @@
     RowStore& m_store;
     const JobPeers& m_peers;
     const std::string m_node;
-    /// Latest known heads of all jobs in the store.
-    std::map<std::string, JobHead> m_records;
+    JobRecords m_records;
     std::map<std::string, std::unique_ptr<OwnedJob>> m_owned;
     /// Jobs that are being submitted, claimed or loaded by this node.
     std::set<std::string> m_loading;
--- a/Libraries/LibGateway/OwnedJob.cpp
+++ b/Libraries/LibGateway/OwnedJob.cpp
@@ -21,25 +21,24 @@
     constexpr size_t maxCommitResults = 20;
 
     /// Converts a time of the store's clock to this node's clock.
-    MonotonicTime localTime(const GatewayEnvironment& environment, const RowStore& store, Milliseconds storeTime)
+    MonotonicTime localTime(
+        const GatewayEnvironment& environment, std::optional<Milliseconds> storeNow, Milliseconds storeTime)
     {
         const MonotonicTime now = environment.clock.now();
-        return now + (storeTime - store.time().value_or(storeTime));
+        return now + (storeTime - storeNow.value_or(storeTime));
     }
 
 }
 
-OwnedJob::OwnedJob(GatewayEnvironment& environment, RowStore& store, JobHead record, JobContent content,
-    std::function<void(Outcome)> onEnd, std::function<void()> onResultsCommitted)
+OwnedJob::OwnedJob(GatewayEnvironment& environment, std::optional<Milliseconds> storeTime, JobHead record,
+    JobContent content, Owner owner)
     : m_environment(environment)
-    , m_store(store)
     , m_record(std::move(record))
-    , m_onEnd(std::move(onEnd))
-    , m_onResultsCommitted(std::move(onResultsCommitted))
+    , m_owner(std::move(owner))
     , m_nextPosition(content.results.size())
     , m_nextProgress(content.nextProgress)
 {
-    const MonotonicTime submittedAt = localTime(environment, store, m_record.submittedAt);
+    const MonotonicTime submittedAt = localTime(environment, storeTime, m_record.submittedAt);
     const GatewayRoute* route = environment.configuration->findJobRoute(m_record.route, m_record.host);
     m_job = { m_record.id, m_record.route, m_record.host,
         submittedAt + (route ? route->completionTarget : Milliseconds { 0 }),
@@ -111,7 +110,7 @@
 
 void OwnedJob::commitCheckpoint()
 {
-    m_store.commit(m_checkpoint, [this, lifetime = m_lifetime](const StoreResult<RowCommit>& result) {
+    m_owner.commit(m_checkpoint, [this, lifetime = m_lifetime](const StoreResult<RowCommit>& result) {
         if (!*lifetime || m_hasEnded)
             return;
         const auto* commit = std::get_if<RowCommit>(&result);
@@ -132,8 +131,9 @@
 void OwnedJob::handleCheckpointConflict(const RowCommit& commit)
 {
     const auto current = commit.current.empty() ? std::nullopt : decodeJobHead(commit.current.front());
-    // The job may also be done by a commit of this node whose reply was lost. The next commit detects that.
-    if (current && (current->state == JobHead::State::Cancelled || current->owner != m_record.owner))
+    // The job may be done by a commit of this node whose reply was lost. The next commit detects that.
+    const bool mayBeOwnCommit = current && current->state == JobHead::State::Done && current->owner == m_record.owner;
+    if (!mayBeOwnCommit)
         handleLoss();
 }
 
@@ -214,7 +214,7 @@
         }
         m_transaction = transaction(m_committing);
     }
-    m_store.commit(m_transaction, [this, lifetime = m_lifetime](const StoreResult<RowCommit>& result) {
+    m_owner.commit(m_transaction, [this, lifetime = m_lifetime](const StoreResult<RowCommit>& result) {
         if (*lifetime && !m_hasEnded)
             handleCommit(result);
     });
@@ -267,7 +267,7 @@
 {
     m_environment.log.record("job", "lost", m_record.id, {},
         { { "version", static_cast<qint64>(m_record.version) },
-            { "reason", "another node owns the job, or its caller cancelled it" } });
+            { "reason", "another node owns the job, its caller cancelled it, or it was removed" } });
     finish(Outcome::Lost);
 }
 
@@ -285,7 +285,7 @@
 {
     m_nextPosition += m_committing.size();
     m_committing.clear();
-    m_onResultsCommitted();
+    m_owner.onResultsCommitted();
     if (m_nextPosition >= m_record.itemCount)
         finish(Outcome::Done);
     else if (!m_pendingResults.empty())
@@ -295,7 +295,7 @@
 void OwnedJob::finish(Outcome outcome)
 {
     stop();
-    m_onEnd(outcome);
+    m_owner.onEnd(outcome);
 }
 
 }
--- a/Libraries/LibGateway/OwnedJob.h
+++ b/Libraries/LibGateway/OwnedJob.h
@@ -23,14 +23,24 @@
     enum class Outcome : uint8_t {
         /// All items have a result.
         Done,
-        /// Another node owns the job, or its caller cancelled it.
+        /// Another node owns the job, its caller cancelled it, or it was removed.
         Lost,
     };
 
-    /// `content` is the stored data of the job. `onEnd` is called once and must not destroy the job synchronously.
-    /// `onResultsCommitted` is called after each commit of results.
-    OwnedJob(GatewayEnvironment&, RowStore&, JobHead, JobContent, std::function<void(Outcome)> onEnd,
-        std::function<void()> onResultsCommitted);
+    using Commit = std::function<void(const RowTransaction&, const RowStore::Reply<RowCommit>&)>;
+
+    /// What a job needs of its owner. No function may destroy the job synchronously.
+    struct Owner {
+        /// Commits a transaction of the job.
+        Commit commit;
+        /// Called once, when the work on the job has ended.
+        std::function<void(Outcome)> onEnd;
+        /// Called after each commit of results.
+        std::function<void()> onResultsCommitted;
+    };
+
+    /// `content` is the stored data of the job. `storeTime` is the present time of the store's clock, if known.
+    OwnedJob(GatewayEnvironment&, std::optional<Milliseconds> storeTime, JobHead, JobContent, Owner);
     ~OwnedJob();
 
     void start();
@@ -70,7 +80,7 @@
     RowTransaction transaction(const std::vector<JobResult>&) const;
     void handleCommit(const StoreResult<RowCommit>&);
     void handleConflict(const RowCommit&);
-    /// Ends the work on a job that another node owns, or that its caller cancelled.
+    /// Ends the work on a job that another node owns, that its caller cancelled, or that was removed.
     void handleLoss();
     /// Returns whether `current` shows that the commit in progress was applied although its reply was lost.
     bool isOwnCommit(const std::vector<StoredRow>& current) const;
@@ -78,11 +88,9 @@
     void finish(Outcome);
 
     GatewayEnvironment& m_environment;
-    RowStore& m_store;
     JobHead m_record;
     ItemRun::Job m_job;
-    const std::function<void(Outcome)> m_onEnd;
-    const std::function<void()> m_onResultsCommitted;
+    const Owner m_owner;
     std::vector<std::unique_ptr<ItemRun>> m_runs;
     /// Position of the next result to commit.
     size_t m_nextPosition { 0 };
