LibGateway: Try a part in quarantine again after seconds, at any node that has work with it

Cause, two faults of PromptQuarantine: - The time. After three crashes a part was kept back for 90 s, doubled with each further crash of the same failure, so that six crashes within 1.4 s kept it back for 12 minutes. - Who may try it. Only the rendezvous owner of the part might send the trial. It need not have any work with the part, and an item with two parts in quarantine needed a node that owns both.

Change: - The first quarantine takes 5 s after the last crash, and each trial that crashes its endpoint makes it four times as long (20 s, 80 s, 320 s, at most 30 minutes). The crashes of one failure count once. - A node that has a request or an item for the trial reports so from 2 s before the end on; of all that do, the first in an order of nodes that is the same for all parts sends it, and reports that a trial is under way. A candidate that does not ask again for 3 s gives way. Nodes that don't hear of each other may each send one trial. - The log says what keeps work back: "held" lines of items and "finished" lines of requests name the part, the number of crashes, the time since the last one, and when it is tried again. chicorydock_prompt_refusals counts them.

The test "after the quarantine one node sends one request, and its answer clears the part on all nodes" let the two nodes decide without a word between them, which only the rendezvous owner made safe. It now has both nodes ask before the end and exchange reports, and checks the same as before.

--- a/Libraries/LibGateway/DecisionFields.cpp
+++ b/Libraries/LibGateway/DecisionFields.cpp
@@ -38,6 +38,14 @@
         details["last_event"] = static_cast<qint64>(*run.lastIdBefore);
 }
 
+void addPromptRefusal(QJsonObject& details, const PromptDecision& refusal)
+{
+    details["prompt_part"] = QString::fromStdString(refusal.part);
+    details["crashes"] = static_cast<qint64>(refusal.crashes);
+    details["last_crash_ms"] = static_cast<qint64>(refusal.lastCrashAgo.count());
+    details["retry_after_ms"] = static_cast<qint64>(refusal.retryAfter.count());
+}
+
 void addRateLimit(QJsonObject& details, const std::optional<double>& rateLimit)
 {
     if (rateLimit && *rateLimit != unlimitedRate)
--- a/Libraries/LibGateway/DecisionFields.h
+++ b/Libraries/LibGateway/DecisionFields.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/EndpointRecord.h>
 #include <LibGateway/EventSequence.h>
+#include <LibGateway/PromptQuarantine.h>
 #include <LibGateway/SlotTypes.h>
 
 #include <QJsonObject>
@@ -22,6 +23,10 @@
 /// called from any thread.
 void addRun(QJsonObject& details, const EventRun&);
 
+/// Adds the part of the prompt that keeps work back, the crashes that speak against it, and for how long. May be called
+/// from any thread. Precondition: the decision is a refusal.
+void addPromptRefusal(QJsonObject& details, const PromptDecision&);
+
 /// Adds the rate limit that an endpoint states in a response, if it states one. May be called from any thread.
 void addRateLimit(QJsonObject& details, const std::optional<double>& rateLimit);
 
--- a/Libraries/LibGateway/ForwardedCall.cpp
+++ b/Libraries/LibGateway/ForwardedCall.cpp
@@ -177,12 +177,11 @@
 
 bool ForwardedCall::refuseIfQuarantined()
 {
-    const auto retryAfter = m_prompt.refusal();
-    if (!retryAfter)
+    m_promptRefusal = m_prompt.refusal();
+    if (!m_promptRefusal)
         return false;
-    m_retryAfter = retryAfter;
     refuse(m_mayHaveRun ? ErrorKind::EndpointFailed : ErrorKind::PromptQuarantined,
-        "endpoints crash on the request or on a part of its prompt", retryAfter);
+        "endpoints crash on the request or on a part of its prompt", m_promptRefusal->retryAfter);
     return true;
 }
 
@@ -977,6 +976,8 @@
     addRateLimit(details, m_head.rateLimit);
     if (m_retryAfter)
         details["retry_after_ms"] = static_cast<qint64>(m_retryAfter->count());
+    if (m_promptRefusal)
+        addPromptRefusal(details, *m_promptRefusal);
     m_environment.log.record("request", "finished", m_request.id, {}, details);
 }
 
--- a/Libraries/LibGateway/ForwardedCall.h
+++ b/Libraries/LibGateway/ForwardedCall.h
@@ -235,6 +235,8 @@
     /// State of the slots on which the scheduler based its refusal.
     std::optional<SlotView> m_refusal;
     std::optional<Milliseconds> m_retryAfter;
+    /// Set if a part of the prompt kept the request from being sent.
+    std::optional<PromptDecision> m_promptRefusal;
     QTimer m_deadlineTimer;
     QTimer m_idleTimer;
     QTimer m_holdTimer;
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -137,10 +137,11 @@
         return;
     }
     // An item on which endpoints crash waits until it may be tried again, or until it expires.
-    if (const auto retryAfter = m_prompt.refusal()) {
-        m_retryTimer.start(std::min(*retryAfter, maxQuarantineCheckInterval));
+    if (const auto refusal = m_prompt.refusal()) {
+        waitForPrompt(*refusal);
         return;
     }
+    m_promptRefusal.reset();
     m_idleTimeout = std::max(minEventIdleTimeout, route->gapTarget * eventIdleTimeoutFactor);
     if (m_origin && !canResume(*route))
         discardOutput("no endpoint can continue the output, because none has the software version that began it");
@@ -150,6 +151,19 @@
     m_slot.request(m_queuedWork, *this);
 }
 
+void ItemRun::waitForPrompt(const PromptDecision& refusal)
+{
+    m_retryTimer.start(std::min(refusal.retryAfter, maxQuarantineCheckInterval));
+    const bool isLogged
+        = m_promptRefusal && m_promptRefusal->part == refusal.part && m_promptRefusal->crashes == refusal.crashes;
+    if (isLogged)
+        return;
+    m_promptRefusal = refusal;
+    QJsonObject details = logDetails(m_sequence.resumeAfter());
+    addPromptRefusal(details, refusal);
+    m_environment.log.record("item", "held", m_item.id, {}, details);
+}
+
 std::optional<std::string> ItemRun::workspace() const
 {
     const bool hasWorkspaces = m_environment.configuration->hasWorkspaces || !m_job.workspace.empty();
--- a/Libraries/LibGateway/ItemRun.h
+++ b/Libraries/LibGateway/ItemRun.h
@@ -86,6 +86,8 @@
     void countHeldBytes();
     void handleMemoryRevoked();
     void requestSlotLater();
+    /// Keeps the item back until it may be tried again, and logs why if that has changed.
+    void waitForPrompt(const PromptDecision&);
     /// Sends the item to the endpoint of the slot.
     void startCall(const EndpointRecord&);
     void endCall();
@@ -157,6 +159,8 @@
     Milliseconds m_slotTimeUsed { 0 };
     /// Delay after the latest refusal, 0 if another response came since.
     Milliseconds m_refusalDelay { 0 };
+    /// The latest refusal that was logged while a part of the prompt keeps the item back.
+    std::optional<PromptDecision> m_promptRefusal;
     QTimer m_retryTimer;
     /// Runs while the endpoint has not sent the next event.
     QTimer m_idleTimer;
--- a/Libraries/LibGateway/PeerReport.cpp
+++ b/Libraries/LibGateway/PeerReport.cpp
@@ -54,6 +54,12 @@
             list[n].setPart(parts[n].part);
             if (parts[n].answeredAgo)
                 list[n].setAnsweredAgoMs(static_cast<int32_t>(parts[n].answeredAgo->count()));
+            if (parts[n].trialAgo)
+                list[n].setTrialAgoMs(static_cast<int32_t>(parts[n].trialAgo->count()));
+            if (parts[n].candidate) {
+                list[n].setCandidate(parts[n].candidate->node);
+                list[n].setCandidateAgoMs(static_cast<uint32_t>(parts[n].candidate->age.count()));
+            }
             auto crashes = list[n].initCrashes(static_cast<uint32_t>(parts[n].crashes.size()));
             for (uint32_t k = 0; k < crashes.size(); ++k) {
                 crashes[k].setIncarnation(parts[n].crashes[k].incarnation);
@@ -70,6 +76,10 @@
             part.part = it.getPart();
             if (it.getAnsweredAgoMs() >= 0)
                 part.answeredAgo = Milliseconds { it.getAnsweredAgoMs() };
+            if (it.getTrialAgoMs() >= 0)
+                part.trialAgo = Milliseconds { it.getTrialAgoMs() };
+            if (it.hasCandidate())
+                part.candidate = TrialCandidate { it.getCandidate(), Milliseconds { it.getCandidateAgoMs() } };
             for (const auto crash : it.getCrashes())
                 part.crashes.push_back({ crash.getIncarnation(), Milliseconds { crash.getAgeMs() } });
         }
--- a/Libraries/LibGateway/PromptAttempts.cpp
+++ b/Libraries/LibGateway/PromptAttempts.cpp
@@ -24,13 +24,13 @@
         m_suspects.push_back(m_fingerprint);
 }
 
-std::optional<Milliseconds> PromptAttempts::refusal()
+std::optional<PromptDecision> PromptAttempts::refusal()
 {
     if (m_suspects.empty() || m_isTrial)
         return {};
     const PromptDecision decision = m_quarantine.decide(m_suspects, m_clock.now());
     m_isTrial = decision.kind == PromptDecision::Kind::SendOnTrial;
-    return decision.kind == PromptDecision::Kind::Refuse ? std::optional(decision.retryAfter) : std::nullopt;
+    return decision.kind == PromptDecision::Kind::Refuse ? std::optional(decision) : std::nullopt;
 }
 
 void PromptAttempts::begin(const EndpointRecord& endpoint)
--- a/Libraries/LibGateway/PromptAttempts.h
+++ b/Libraries/LibGateway/PromptAttempts.h
@@ -20,8 +20,8 @@
     /// happens to its endpoints.
     PromptAttempts(PromptQuarantine&, const Clock&, std::vector<std::string> parts, std::string fingerprint = {});
 
-    /// Returns nothing if the request may be sent now, otherwise the time after which it may be tried again.
-    std::optional<Milliseconds> refusal();
+    /// Returns nothing if the request may be sent now, otherwise why and for how long it may not.
+    std::optional<PromptDecision> refusal();
 
     /// Begins an attempt at an endpoint.
     void begin(const EndpointRecord&);
--- a/Libraries/LibGateway/PromptQuarantine.cpp
+++ b/Libraries/LibGateway/PromptQuarantine.cpp
@@ -1,7 +1,6 @@
 #include <LibGateway/PromptQuarantine.h>
 
 #include <LibCore/Digest.h>
-#include <LibRouting/Rendezvous.h>
 
 #include <algorithm>
 #include <utility>
@@ -19,9 +18,21 @@
     /// Responses that were on their way when the connections were closed arrive within this time.
     constexpr Milliseconds responseTransitTime { 50 };
 
-    constexpr std::chrono::seconds firstQuarantineTime { 90 };
+    /// Endpoints that crash together have done so within this time, and others are left that can be spared for a trial.
+    constexpr std::chrono::seconds firstQuarantineTime { 5 };
+    /// With it, three trials fall into the first two minutes after a part began to crash endpoints.
+    constexpr int quarantineTimeFactor = 4;
     constexpr std::chrono::minutes maxQuarantineTime { 30 };
 
+    /// Pause between two crashes under a part in quarantine that shows that the second one was a trial. Requests that
+    /// were on their way when the quarantine began crash their endpoints earlier.
+    constexpr std::chrono::seconds minPauseBeforeTrial { 3 };
+
+    /// Time before the end of a quarantine from which nodes with a request for the trial report it.
+    constexpr std::chrono::seconds candidacyLead { 2 };
+    /// Time for which such a report counts. Items ask each second, and a report takes up to a second to all nodes.
+    constexpr std::chrono::seconds candidacyTime { 3 };
+
     /// Limit on the time that a request with a part on trial may take.
     constexpr std::chrono::seconds trialTime { 10 };
 
@@ -56,6 +67,25 @@
 
     using Crashes = std::map<uint64_t, MonotonicTime>;
 
+    /// Returns how many trials have crashed their endpoints.
+    size_t failedTrials(const Crashes& crashes)
+    {
+        std::vector<MonotonicTime> times;
+        for (const auto& [incarnation, at] : crashes)
+            times.push_back(at);
+        std::ranges::sort(times);
+        size_t trials = 0;
+        for (size_t n = crashesBeforeQuarantine; n < times.size(); ++n)
+            trials += times[n] - times[n - 1] >= minPauseBeforeTrial ? 1 : 0;
+        return trials;
+    }
+
+    /// Returns whether the first node comes before the other one in the order of candidates.
+    bool comesBefore(const std::string& node, const std::string& other)
+    {
+        return std::pair(stableHash(node), node) < std::pair(stableHash(other), other);
+    }
+
     MonotonicTime latestCrash(const Crashes& crashes)
     {
         MonotonicTime latest;
@@ -78,7 +108,6 @@
 
 PromptQuarantine::PromptQuarantine(std::string node)
     : m_node(std::move(node))
-    , m_nodes { m_node }
 {
 }
 
@@ -87,12 +116,6 @@
     return stableHash(endpoint.id, static_cast<uint64_t>(endpoint.startedAt));
 }
 
-void PromptQuarantine::setPeers(std::vector<std::string> peers)
-{
-    m_nodes = std::move(peers);
-    m_nodes.push_back(m_node);
-}
-
 bool PromptQuarantine::isQuarantined(const Suspect& suspect)
 {
     return suspect.crashes.size() >= crashesBeforeQuarantine;
@@ -101,37 +124,77 @@
 MonotonicTime PromptQuarantine::quarantineEnd(const Suspect& suspect)
 {
     std::chrono::seconds time = firstQuarantineTime;
-    for (size_t n = crashesBeforeQuarantine; n < suspect.crashes.size() && time < maxQuarantineTime; ++n)
-        time *= 2;
+    for (size_t n = failedTrials(suspect.crashes); n > 0 && time < maxQuarantineTime; --n)
+        time *= quarantineTimeFactor;
     return latestCrash(suspect.crashes) + std::min<std::chrono::seconds>(time, maxQuarantineTime);
 }
 
 PromptDecision PromptQuarantine::decide(const std::vector<std::string>& parts, MonotonicTime now)
 {
     confirmCrashes(now);
-    std::vector<Suspect*> onTrial;
-    Milliseconds longest { 0 };
+    const auto suspects = quarantinedAmong(parts);
+    if (suspects.empty())
+        return { PromptDecision::Kind::Send };
+    const auto& longest
+        = *std::ranges::max_element(suspects, {}, [](const auto& it) { return quarantineEnd(*it.second); });
+    const MonotonicTime end = quarantineEnd(*longest.second);
+    // A candidate that could not send its request yet would keep others from sending theirs.
+    if (now + candidacyLead >= end) {
+        for (const auto& [part, suspect] : suspects)
+            addCandidate(*suspect, { m_node, now }, now);
+    }
+    if (now < end)
+        return refuse(longest, std::chrono::ceil<Milliseconds>(end - now), now);
+    for (const auto& it : suspects) {
+        if (mustWaitForOthers(*it.second, now))
+            return refuse(it, trialRetryDelay, now);
+    }
+    for (const auto& [part, suspect] : suspects)
+        suspect->trialStartedAt = now;
+    return { PromptDecision::Kind::SendOnTrial };
+}
+
+std::vector<std::pair<std::string, PromptQuarantine::Suspect*>> PromptQuarantine::quarantinedAmong(
+    const std::vector<std::string>& parts)
+{
+    std::vector<std::pair<std::string, Suspect*>> suspects;
     for (const std::string& part : parts) {
         const auto it = m_suspects.find(part);
-        if (it == m_suspects.end() || !isQuarantined(it->second))
-            continue;
-        longest = std::max(longest, refusalTime(part, it->second, now));
-        onTrial.push_back(&it->second);
+        if (it != m_suspects.end() && isQuarantined(it->second))
+            suspects.emplace_back(part, &it->second);
     }
-    if (longest.count() > 0)
-        return { PromptDecision::Kind::Refuse, longest };
-    for (Suspect* it : onTrial)
-        it->trialStartedAt = now;
-    return { onTrial.empty() ? PromptDecision::Kind::Send : PromptDecision::Kind::SendOnTrial };
+    return suspects;
 }
 
-Milliseconds PromptQuarantine::refusalTime(const std::string& part, const Suspect& suspect, MonotonicTime now) const
+PromptDecision PromptQuarantine::refuse(
+    const std::pair<std::string, Suspect*>& suspect, Milliseconds retryAfter, MonotonicTime now)
 {
-    const MonotonicTime end = quarantineEnd(suspect);
-    if (now < end)
-        return std::chrono::ceil<Milliseconds>(end - now);
-    const bool isOnTrial = suspect.trialStartedAt && now - *suspect.trialStartedAt < trialTime;
-    return isOnTrial || rendezvousOwner(part, m_nodes) != m_node ? trialRetryDelay : Milliseconds { 0 };
+    ++m_refusals;
+    const Crashes& crashes = suspect.second->crashes;
+    return { PromptDecision::Kind::Refuse, retryAfter, suspect.first, crashes.size(),
+        milliseconds(now - latestCrash(crashes)) };
+}
+
+void PromptQuarantine::addCandidate(Suspect& suspect, const Candidate& candidate, MonotonicTime now)
+{
+    const auto isFresh = [&](const Candidate& it) { return now - it.at < candidacyTime; };
+    if (!isFresh(candidate))
+        return;
+    std::optional<Candidate>& first = suspect.candidate;
+    if (first && first->node == candidate.node)
+        first->at = std::max(first->at, candidate.at);
+    else if (!first || !isFresh(*first) || comesBefore(candidate.node, first->node))
+        first = candidate;
+}
+
+bool PromptQuarantine::isTrialUnderWay(const Suspect& suspect, MonotonicTime now)
+{
+    return suspect.trialStartedAt && now - *suspect.trialStartedAt < trialTime;
+}
+
+bool PromptQuarantine::mustWaitForOthers(const Suspect& suspect, MonotonicTime now) const
+{
+    return isTrialUnderWay(suspect, now) || (suspect.candidate && suspect.candidate->node != m_node);
 }
 
 bool PromptQuarantine::isAnswered(const std::string& part) const
@@ -145,14 +208,16 @@
     suspect.crashes.clear();
     suspect.ownCrashAt.reset();
     suspect.trialStartedAt.reset();
+    suspect.candidate.reset();
     suspect.answeredAt = std::max(suspect.answeredAt.value_or(answeredAt), answeredAt);
 }
 
 void PromptQuarantine::addCrash(Suspect& suspect, uint64_t incarnation, MonotonicTime at)
 {
     // Reports of crashes before the answer may still be on their way.
-    if (!suspect.answeredAt || at > *suspect.answeredAt)
-        suspect.crashes.try_emplace(incarnation, at);
+    if (suspect.answeredAt && at <= *suspect.answeredAt)
+        return;
+    suspect.crashes.try_emplace(incarnation, at);
 }
 
 void PromptQuarantine::recordAnswer(const std::vector<std::string>& parts, MonotonicTime now)
@@ -255,6 +320,10 @@
             entry.crashes = reportedCrashes(suspect.crashes, now);
         if (suspect.answeredAt && now - *suspect.answeredAt < newsAge)
             entry.answeredAgo = milliseconds(now - *suspect.answeredAt);
+        if (isTrialUnderWay(suspect, now))
+            entry.trialAgo = milliseconds(now - *suspect.trialStartedAt);
+        if (suspect.candidate && now - suspect.candidate->at < candidacyTime)
+            entry.candidate = { suspect.candidate->node, milliseconds(now - suspect.candidate->at) };
         if (!entry.crashes.empty() || entry.answeredAgo)
             parts.push_back(std::move(entry));
     }
@@ -277,8 +346,13 @@
             clear(m_suspects[it.part], now - it.answeredAgo.value_or(Milliseconds { 0 }));
             continue;
         }
+        Suspect& suspect = m_suspects[it.part];
         for (const EndpointCrash& crash : it.crashes)
-            addCrash(m_suspects[it.part], crash.incarnation, now - crash.age);
+            addCrash(suspect, crash.incarnation, now - crash.age);
+        if (it.trialAgo)
+            suspect.trialStartedAt = std::max(suspect.trialStartedAt.value_or(MonotonicTime {}), now - *it.trialAgo);
+        if (it.candidate)
+            addCandidate(suspect, { it.candidate->node, now - it.candidate->age }, now);
     }
 }
 
--- a/Libraries/LibGateway/PromptQuarantine.h
+++ b/Libraries/LibGateway/PromptQuarantine.h
@@ -23,8 +23,13 @@
     };
 
     Kind kind { Kind::Send };
-    /// Time after which the caller may try again; set for refusals only.
+    /// The following are set for refusals only. Time after which the caller may try again.
     Milliseconds retryAfter { 0 };
+    /// The part that is refused for the longest time.
+    std::string part {};
+    /// Number of endpoints that crashed under it, and the time since the last crash.
+    size_t crashes { 0 };
+    Milliseconds lastCrashAgo { 0 };
 
     auto operator<=>(const PromptDecision&) const = default;
 };
@@ -39,8 +44,11 @@
 /// different endpoints, counted over all nodes. An answer to any request with the part clears it, so the parts that
 /// sound requests share with a crashing one stay in use.
 ///
-/// When a quarantine ends, one node lets one request with the part through. If it crashes its endpoint too, the next
-/// quarantine is twice as long.
+/// Endpoints that fail together for a reason of their own look the same, so a quarantine is short at first. When it
+/// ends, one request with the part is sent on trial. If it crashes its endpoint too, the next quarantine is several
+/// times as long; if it is answered, the part is cleared. Any node that has such a request may send it: nodes report
+/// that they have one, and of several the first in a fixed order does. As the order is the same for all parts, requests
+/// with several parts in quarantine do not wait for each other. Nodes that do not hear of each other may each send one.
 ///
 /// Thread safety: none.
 class PromptQuarantine {
@@ -60,9 +68,6 @@
     /// Records that an endpoint responds, so that connections which it closed just before are no sign of a crash.
     void recordResponse(const std::string& endpoint, MonotonicTime now);
 
-    /// Replaces the set of live peers.
-    void setPeers(std::vector<std::string> peers);
-
     /// Returns what other nodes should know, the parts with most crashes first.
     std::vector<SuspectPart> report(MonotonicTime now) const;
 
@@ -76,18 +81,32 @@
     /// Returns the number of parts that are in quarantine.
     size_t quarantinedParts(MonotonicTime now) const;
 
+    /// Returns how often requests and items have been refused since the start. An item asks again each second.
+    uint64_t refusals() const { return m_refusals; }
+
     /// Returns the number by which nodes tell incarnations of endpoints apart. May be called from any thread.
     static uint64_t incarnationKey(const EndpointRecord&);
 
 private:
+    using Crashes = std::map<uint64_t, MonotonicTime>;
+
+    /// A node that has a request with a part, and when it last did.
+    struct Candidate {
+        std::string node;
+        MonotonicTime at;
+    };
+
     struct Suspect {
         /// Times of the crashes by incarnation.
-        std::map<uint64_t, MonotonicTime> crashes;
+        Crashes crashes;
         /// Latest crash that this node has observed itself.
         std::optional<MonotonicTime> ownCrashAt;
         std::optional<MonotonicTime> answeredAt;
-        /// Set while a request tries whether the part still crashes endpoints.
+        /// When the latest trial began, at any node. Set while a request tries whether the part still crashes
+        /// endpoints.
         std::optional<MonotonicTime> trialStartedAt;
+        /// The first in order of the candidates for the next trial.
+        std::optional<Candidate> candidate;
         /// Whether the part was in quarantine at the last update.
         bool wasQuarantined { false };
     };
@@ -104,9 +123,14 @@
     /// Returns when the quarantine ends. Precondition: the part is quarantined.
     static MonotonicTime quarantineEnd(const Suspect&);
     static void addCrash(Suspect&, uint64_t incarnation, MonotonicTime at);
-    /// Returns the time for which requests with the part are refused, 0 if one may be sent on trial. Precondition: the
-    /// part is quarantined.
-    Milliseconds refusalTime(const std::string& part, const Suspect&, MonotonicTime now) const;
+    /// Returns the suspects among the parts that are in quarantine.
+    std::vector<std::pair<std::string, Suspect*>> quarantinedAmong(const std::vector<std::string>& parts);
+    /// Makes the node a candidate for the trial of the part, unless another one comes before it.
+    static void addCandidate(Suspect&, const Candidate&, MonotonicTime now);
+    static bool isTrialUnderWay(const Suspect&, MonotonicTime now);
+    /// Returns whether a trial of the part must wait for another node. Precondition: the quarantine has ended.
+    bool mustWaitForOthers(const Suspect&, MonotonicTime now) const;
+    PromptDecision refuse(const std::pair<std::string, Suspect*>& suspect, Milliseconds retryAfter, MonotonicTime now);
     bool isAnswered(const std::string& part) const;
     /// Returns whether the other nodes may not know the crashes yet.
     static bool isNews(const Suspect&, MonotonicTime now);
@@ -118,9 +142,9 @@
     void rotateAnsweredParts(MonotonicTime now);
 
     const std::string m_node;
-    std::vector<std::string> m_nodes;
     std::map<std::string, Suspect> m_suspects;
     std::vector<BrokenConnection> m_brokenConnections;
+    uint64_t m_refusals { 0 };
     /// Hashes of the parts that were answered lately, in this and in the previous period.
     std::unordered_set<uint64_t> m_answered;
     std::unordered_set<uint64_t> m_previouslyAnswered;
--- a/Schema/Load.capnp
+++ b/Schema/Load.capnp
@@ -58,6 +58,13 @@
   crashes @1 :List(EndpointCrash);
   # Time since an endpoint answered a request with the part; negative if unknown.
   answeredAgoMs @2 :Int32 = -1;
+  # Time since a node sent the latest request that tries whether the part still crashes endpoints; negative if there is
+  # none under way.
+  trialAgoMs @3 :Int32 = -1;
+  # The first in order of the nodes that have a request for such a trial; absent if there is none.
+  candidate @4 :Text;
+  # Time since the candidate last had the request.
+  candidateAgoMs @5 :UInt32;
 }
 
 # The crash of an endpoint while it ran a request with the part.
--- a/Schema/Load.capnp.h
+++ b/Schema/Load.capnp.h
@@ -91,7 +91,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fbfc1343aa20f8f4, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fbfc1343aa20f8f4, 2, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -648,6 +648,13 @@
 
   inline  ::int32_t getAnsweredAgoMs() const;
 
+  inline  ::int32_t getTrialAgoMs() const;
+
+  inline bool hasCandidate() const;
+  inline  ::capnp::Text::Reader getCandidate() const;
+
+  inline  ::uint32_t getCandidateAgoMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -693,6 +700,19 @@
   inline  ::int32_t getAnsweredAgoMs();
   inline void setAnsweredAgoMs( ::int32_t value);
 
+  inline  ::int32_t getTrialAgoMs();
+  inline void setTrialAgoMs( ::int32_t value);
+
+  inline bool hasCandidate();
+  inline  ::capnp::Text::Builder getCandidate();
+  inline void setCandidate( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCandidate(unsigned int size);
+  inline void adoptCandidate(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCandidate();
+
+  inline  ::uint32_t getCandidateAgoMs();
+  inline void setCandidateAgoMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2845,6 +2865,68 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value, -1);
 }
 
+inline  ::int32_t SuspectPart::Reader::getTrialAgoMs() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1);
+}
+
+inline  ::int32_t SuspectPart::Builder::getTrialAgoMs() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, -1);
+}
+inline void SuspectPart::Builder::setTrialAgoMs( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value, -1);
+}
+
+inline bool SuspectPart::Reader::hasCandidate() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool SuspectPart::Builder::hasCandidate() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader SuspectPart::Reader::getCandidate() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder SuspectPart::Builder::getCandidate() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void SuspectPart::Builder::setCandidate( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder SuspectPart::Builder::initCandidate(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void SuspectPart::Builder::adoptCandidate(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> SuspectPart::Builder::disownCandidate() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t SuspectPart::Reader::getCandidateAgoMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SuspectPart::Builder::getCandidateAgoMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setCandidateAgoMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EndpointCrash::Reader::getIncarnation() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/Services/chicorydockd/Gateway.cpp
+++ b/Services/chicorydockd/Gateway.cpp
@@ -454,7 +454,6 @@
 void Gateway::updateQuarantine()
 {
     const MonotonicTime now = m_clock.now();
-    m_quarantine.setPeers(m_peers.aliveNodes());
     for (const std::string& it : m_quarantine.update(now))
         m_log.record("prompt_part", "quarantined", it);
 }
@@ -648,6 +647,8 @@
     }
     set("chicorydock_prompt_parts_quarantined", "Parts of prompts on which endpoints crash.",
         static_cast<double>(m_quarantine.quarantinedParts(m_clock.now())));
+    set("chicorydock_prompt_refusals", "Refusals of requests and items with such parts; an item asks each second.",
+        static_cast<double>(m_quarantine.refusals()));
     set("chicorydock_jobs_open", "Open jobs of the deployment.", static_cast<double>(m_jobs.openJobs()));
     set("chicorydock_jobs_owned", "Jobs that this node runs.", static_cast<double>(m_jobs.ownedJobs()));
     set("chicorydock_store_calls", "Calls to the store since the start.", static_cast<double>(m_store.calls()));
--- a/Tests/LibGateway/TestPromptQuarantine.cpp
+++ b/Tests/LibGateway/TestPromptQuarantine.cpp
@@ -249,18 +249,27 @@
     MonotonicTime now { std::chrono::hours { 1 } };
     PromptQuarantine first("n1");
     PromptQuarantine second("n2");
-    first.setPeers({ "n2" });
-    second.setPeers({ "n1" });
+    const auto exchange = [&] {
+        second.merge(first.report(now), now);
+        first.merge(second.report(now), now);
+    };
     const std::vector<std::string> parts { "p" };
     for (int n = 0; n < 3; ++n)
         first.recordBrokenConnection(parts, endpoint(n), now);
     now += Milliseconds { 300 };
     CHECK(first.update(now) == parts);
-    second.merge(first.report(now), now);
+    exchange();
     CHECK(second.update(now) == parts);
     const PromptDecision refused = second.decide(parts, now);
     CHECK(refused.kind == PromptDecision::Kind::Refuse);
-    now += refused.retryAfter;
+    CHECK(refused.part == "p");
+    CHECK(refused.crashes == 3);
+    // Both nodes have a request shortly before the end.
+    now += refused.retryAfter - Milliseconds { 500 };
+    CHECK(first.decide(parts, now).kind == PromptDecision::Kind::Refuse);
+    CHECK(second.decide(parts, now).kind == PromptDecision::Kind::Refuse);
+    exchange();
+    now += Milliseconds { 500 };
 
     const bool isFirstChosen = first.decide(parts, now).kind == PromptDecision::Kind::SendOnTrial;
     PromptQuarantine& chosen = isFirstChosen ? first : second;
