LibGateway: An endpoint that responds later, at any node, has not crashed

Cause: a broken connection counted as a crash if its endpoint answered nothing else at that node within 0.2 s. A node among tens hears from one endpoint every few seconds, so most of the endpoints that reset connections and went on answering others counted as crashed, and nothing took that back.

Change: evidence lasts only while nothing contradicts it. A response from an incarnation that any node takes for crashed removes that crash from all parts at the node that gets the response, and the reports of others don't bring it back. The next incarnation of an endpoint proves nothing about the one before. Responses cost a look-up in a set, and nothing while no part is suspected.

--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -79,7 +79,7 @@
         MonotonicTime sentAt, const HttpHeaders& request) const
     {
         EndpointAnswerHead head = wire.decodeAnswerHead(status, headers);
-        quarantine.recordResponse(endpoint, clock.now());
+        recordResponse(endpoint);
         if (head.load)
             broker.observe(endpoint, *head.load);
         if (head.rateLimit && !head.isMisdirected)
@@ -91,6 +91,13 @@
         return head;
     }
 
+    /// Records that the endpoint responds, which shows that it has not crashed.
+    void recordResponse(const std::string& endpoint) const
+    {
+        if (!quarantine.hasNoEvidence())
+            quarantine.recordResponse(directory.find(endpoint).value_or(EndpointRecord { endpoint }), clock.now());
+    }
+
     /// Returns whether the response shows that the address of the endpoint belongs to another one. A refusal of a
     /// request with a condition of its caller does not, unless the endpoint names itself: no caller may keep others
     /// from an endpoint.
--- a/Libraries/LibGateway/PromptQuarantine.cpp
+++ b/Libraries/LibGateway/PromptQuarantine.cpp
@@ -60,6 +60,10 @@
 
     constexpr size_t maxSuspects = 512;
 
+    /// Time for which it is remembered that an endpoint responded after others took it for crashed. Their reports end
+    /// within it.
+    constexpr std::chrono::minutes responseMemory { 3 };
+
     Milliseconds milliseconds(MonotonicTime::duration duration)
     {
         return std::chrono::duration_cast<Milliseconds>(duration);
@@ -214,10 +218,14 @@
 
 void PromptQuarantine::addCrash(Suspect& suspect, uint64_t incarnation, MonotonicTime at)
 {
+    const auto responded = m_respondedAt.find(incarnation);
+    if (responded != m_respondedAt.end() && at < responded->second)
+        return;
     // Reports of crashes before the answer may still be on their way.
     if (suspect.answeredAt && at <= *suspect.answeredAt)
         return;
     suspect.crashes.try_emplace(incarnation, at);
+    m_suspectedIncarnations.insert(incarnation);
 }
 
 void PromptQuarantine::recordAnswer(const std::vector<std::string>& parts, MonotonicTime now)
@@ -237,10 +245,21 @@
         m_brokenConnections.push_back({ endpoint.id, incarnationKey(endpoint), parts, now });
 }
 
-void PromptQuarantine::recordResponse(const std::string& endpoint, MonotonicTime now)
+void PromptQuarantine::recordResponse(const EndpointRecord& endpoint, MonotonicTime now)
 {
     std::erase_if(m_brokenConnections,
-        [&](const auto& it) { return it.endpoint == endpoint && now - it.at > responseTransitTime; });
+        [&](const auto& it) { return it.endpoint == endpoint.id && now - it.at > responseTransitTime; });
+    const uint64_t incarnation = incarnationKey(endpoint);
+    if (!m_suspectedIncarnations.contains(incarnation))
+        return;
+    // A response that was sent before the crash may arrive a moment after it.
+    const MonotonicTime aliveAt = now - responseTransitTime;
+    m_respondedAt[incarnation] = aliveAt;
+    for (auto& [part, suspect] : m_suspects) {
+        const auto crash = suspect.crashes.find(incarnation);
+        if (crash != suspect.crashes.end() && crash->second < aliveAt)
+            suspect.crashes.erase(crash);
+    }
 }
 
 void PromptQuarantine::confirmCrashes(MonotonicTime now)
@@ -285,6 +304,19 @@
             = std::max(latestCrash(suspect.crashes), suspect.answeredAt.value_or(MonotonicTime {}));
         return now - latest > suspicionMemory;
     });
+    std::erase_if(m_respondedAt, [&](const auto& it) { return now - it.second > responseMemory; });
+    collectSuspectedIncarnations();
+}
+
+void PromptQuarantine::collectSuspectedIncarnations()
+{
+    m_suspectedIncarnations.clear();
+    for (const auto& [part, suspect] : m_suspects) {
+        for (const auto& [incarnation, at] : suspect.crashes)
+            m_suspectedIncarnations.insert(incarnation);
+    }
+    for (const auto& [incarnation, at] : m_respondedAt)
+        m_suspectedIncarnations.insert(incarnation);
 }
 
 void PromptQuarantine::makeRoom()
--- a/Libraries/LibGateway/PromptQuarantine.h
+++ b/Libraries/LibGateway/PromptQuarantine.h
@@ -42,7 +42,8 @@
 /// it runs. A part is suspected if an endpoint closed the connection of a request with it before the answer had
 /// properly begun, and did not respond to anything soon after that. It is quarantined after a few such crashes of
 /// different endpoints, counted over all nodes. An answer to any request with the part clears it, so the parts that
-/// sound requests share with a crashing one stay in use.
+/// sound requests share with a crashing one stay in use. An endpoint that responds later has not crashed, and its
+/// broken connections are no evidence any more.
 ///
 /// Endpoints that fail together for a reason of their own look the same, so a quarantine is short at first. When it
 /// ends, one request with the part is sent on trial. If it crashes its endpoint too, the next quarantine is several
@@ -65,8 +66,11 @@
     /// Records that an endpoint closed the connection of a request with these parts before it answered.
     void recordBrokenConnection(const std::vector<std::string>& parts, const EndpointRecord&, MonotonicTime now);
 
-    /// Records that an endpoint responds, so that connections which it closed just before are no sign of a crash.
-    void recordResponse(const std::string& endpoint, MonotonicTime now);
+    /// Records that an endpoint responds, so that connections which it closed before are no sign of a crash.
+    void recordResponse(const EndpointRecord&, MonotonicTime now);
+
+    /// Returns whether no connection that broke is held against anything, so that responses need not be recorded.
+    bool hasNoEvidence() const { return m_brokenConnections.empty() && m_suspects.empty(); }
 
     /// Returns what other nodes should know, the parts with most crashes first.
     std::vector<SuspectPart> report(MonotonicTime now) const;
@@ -122,7 +126,7 @@
     static bool isQuarantined(const Suspect&);
     /// Returns when the quarantine ends. Precondition: the part is quarantined.
     static MonotonicTime quarantineEnd(const Suspect&);
-    static void addCrash(Suspect&, uint64_t incarnation, MonotonicTime at);
+    void addCrash(Suspect&, uint64_t incarnation, MonotonicTime at);
     /// Returns the suspects among the parts that are in quarantine.
     std::vector<std::pair<std::string, Suspect*>> quarantinedAmong(const std::vector<std::string>& parts);
     /// Makes the node a candidate for the trial of the part, unless another one comes before it.
@@ -139,11 +143,16 @@
     static void clear(Suspect&, MonotonicTime answeredAt);
     void confirmCrashes(MonotonicTime now);
     void forgetOldSuspects(MonotonicTime now);
+    void collectSuspectedIncarnations();
     void rotateAnsweredParts(MonotonicTime now);
 
     const std::string m_node;
     std::map<std::string, Suspect> m_suspects;
     std::vector<BrokenConnection> m_brokenConnections;
+    /// When incarnations that other nodes may take for crashed have last responded to this node.
+    std::map<uint64_t, MonotonicTime> m_respondedAt;
+    /// Incarnations whose responses matter: they are taken for crashed, here or by others.
+    std::unordered_set<uint64_t> m_suspectedIncarnations;
     uint64_t m_refusals { 0 };
     /// Hashes of the parts that were answered lately, in this and in the previous period.
     std::unordered_set<uint64_t> m_answered;
--- a/Tests/LibGateway/TestPromptQuarantine.cpp
+++ b/Tests/LibGateway/TestPromptQuarantine.cpp
@@ -301,8 +301,36 @@
     for (int n = 0; n < 5; ++n) {
         quarantine.recordBrokenConnection({ "p" }, endpoint(n), now);
         now += Milliseconds { 100 };
-        quarantine.recordResponse("e" + std::to_string(n), now);
+        quarantine.recordResponse(endpoint(n), now);
         now += Milliseconds { 300 };
     }
     CHECK(quarantine.decide({ "p" }, now).kind == PromptDecision::Kind::Send);
 }
+
+// Guards against sound work that is kept back because endpoints reset connections and go on answering others, some time
+// later or at other nodes (issue 44).
+TEST_CASE("an endpoint that responds later, at any node, has not crashed")
+{
+    MonotonicTime now { std::chrono::hours { 1 } };
+    PromptQuarantine observer("n1");
+    PromptQuarantine other("n2");
+    for (int n = 0; n < 3; ++n)
+        observer.recordBrokenConnection({ "p" }, endpoint(n), now);
+    now += Milliseconds { 300 };
+    observer.update(now);
+    const std::vector<SuspectPart> report = observer.report(now);
+    other.merge(report, now);
+    REQUIRE(other.decide({ "p" }, now).kind == PromptDecision::Kind::Refuse);
+    now += Milliseconds { 600 };
+    other.recordResponse(endpoint(1), now);
+    CHECK(other.decide({ "p" }, now).kind == PromptDecision::Kind::Send);
+    // The observer still reports what it saw.
+    other.merge(observer.report(now), now);
+    CHECK(other.decide({ "p" }, now).kind == PromptDecision::Kind::Send);
+    CHECK(observer.decide({ "p" }, now).kind == PromptDecision::Kind::Refuse);
+    // The next incarnation of an endpoint says nothing about the one before.
+    EndpointRecord restarted = endpoint(2);
+    restarted.startedAt = 7;
+    observer.recordResponse(restarted, now);
+    CHECK(observer.decide({ "p" }, now).kind == PromptDecision::Kind::Refuse);
+}
