Tests: Cover the forms of broken answers that had no test

The issue's last point asks whether callers get a part of an answer as the whole of it when a worker answers a long upload at once, without a length, and resets the connection, and whether a status 000 reaches them. Neither does: no fault was found, and the product is unchanged.

The gateway's probes only connect, so they have no status. A caller's upload in chunks is collected before it is sent on with a length, so it is the same form.

--- a/Tests/LibHTTP/TestEarlyResponses.cpp
+++ b/Tests/LibHTTP/TestEarlyResponses.cpp
@@ -76,8 +76,10 @@
 // otherwise it is incomplete. Guards against callers that get a part of a response as the whole of it.
 TEST_CASE("a response to an upload that is reset on the way is not complete")
 {
-    const QByteArray response = GENERATE(
-        withoutLength + "fourteen", withoutLength, withLength + "fourteen", chunked + "e\r\nfourteen bytes\r\n");
+    const QByteArray response = GENERATE(withoutLength + "fourteen", withoutLength, withLength + "fourteen",
+        chunked + "e\r\nfourteen bytes\r\n",
+        // All of the body has arrived, but nothing says so.
+        withoutLength + body);
     CAPTURE(response.toStdString());
     for (int round = 0; round < 5; ++round) {
         const RecordingObserver observer = upload(response, Ending::Reset);
--- a/Tests/LibHTTP/TestMalformedResponses.cpp
+++ b/Tests/LibHTTP/TestMalformedResponses.cpp
@@ -297,7 +297,8 @@
     for (const char* it : { "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: upgrade\r\n",
              "HTTP/1.1 101 Switching Protocols\r\n", "HTTP/1.1 10 Continue\r\n", "HTTP/1.1 100 Continue\r\nX Y: z\r\n",
              "HTTP/1.1 100 Continue\r\nno colon\r\n", "HTTP/1.1 100 Continue\r\nContent-Length: x\r\n",
-             "HTTP/1.1 100 Continue\r\n folded\r\n", "HTTP/2.0 100 Continue\r\n" })
+             "HTTP/1.1 100 Continue\r\n folded\r\n", "HTTP/2.0 100 Continue\r\n", "HTTP/1.1 000 Continue\r\n",
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Continue\r\n" })
         checkRefusedHead(it + QByteArray("\r\n") + response);
 }
 
