LibGateway: A trial of a part in quarantine begins when its request is sent

Change: decide() only says that a request may be sent; recordSent() marks the trial when the request goes to its endpoint. An item that has waited for a slot asks again before it is sent, as online requests did already.

The test "a trial is under way from the moment at which its request is sent" failed before (the second request was refused while the first had not been sent); the tests of the quarantine mark what they send. Names: hasEvidence() for hasNoEvidence(), and JobRecords::isNewest() is private, as only its own methods use it.

--- a/Libraries/LibGateway/GatewayEnvironment.h
+++ b/Libraries/LibGateway/GatewayEnvironment.h
@@ -94,7 +94,7 @@
     /// Records that the endpoint responds, which shows that it has not crashed.
     void recordResponse(const std::string& endpoint) const
     {
-        if (!quarantine.hasNoEvidence())
+        if (quarantine.hasEvidence())
             quarantine.recordResponse(directory.find(endpoint).value_or(EndpointRecord { endpoint }), clock.now());
     }
 
--- a/Libraries/LibGateway/ItemRun.cpp
+++ b/Libraries/LibGateway/ItemRun.cpp
@@ -270,6 +270,12 @@
         requestSlotLater();
         return;
     }
+    // Another item may have been sent on trial while this one was queued.
+    if (const auto refusal = m_prompt.refusal()) {
+        releaseSlot(EndpointOutcome::Cancelled);
+        waitForPrompt(*refusal);
+        return;
+    }
     startCall(*record);
 }
 
--- a/Libraries/LibGateway/JobRecords.h
+++ b/Libraries/LibGateway/JobRecords.h
@@ -29,10 +29,6 @@
 
     bool contains(const std::string& jobId) const { return m_records.contains(jobId); }
 
-    /// Returns whether no newer version of the record is known, and no later removal. Every decision to act on a record
-    /// that a reply or an earlier look-up has brought asks this first.
-    bool isNewest(const JobHead&) const;
-
     /// Forgets removals that no late reply can contradict any more.
     void forgetOldRemovals(MonotonicTime now);
 
@@ -45,6 +41,9 @@
         MonotonicTime at;
     };
 
+    /// Returns whether no newer version of the record is known, and no later removal.
+    bool isNewest(const JobHead&) const;
+
     Records m_records;
     std::map<std::string, Removal> m_removals;
 };
--- a/Libraries/LibGateway/PromptAttempts.cpp
+++ b/Libraries/LibGateway/PromptAttempts.cpp
@@ -26,10 +26,9 @@
 
 std::optional<PromptDecision> PromptAttempts::refusal()
 {
-    if (m_suspects.empty() || m_isTrial)
+    if (m_suspects.empty())
         return {};
     const PromptDecision decision = m_quarantine.decide(m_suspects, m_clock.now());
-    m_isTrial = decision.kind == PromptDecision::Kind::SendOnTrial;
     return decision.kind == PromptDecision::Kind::Refuse ? std::optional(decision) : std::nullopt;
 }
 
@@ -38,6 +37,7 @@
     m_endpoint = endpoint;
     m_events = 0;
     m_isPromptSound = false;
+    m_quarantine.recordSent(m_suspects, m_clock.now());
 }
 
 void PromptAttempts::recordEvent()
@@ -61,14 +61,12 @@
 
 void PromptAttempts::recordFailure(const HttpFailure& failure)
 {
-    m_isTrial = false;
     if (failure.reason == HttpFailure::Reason::Closed)
         recordBrokenStream();
 }
 
 void PromptAttempts::recordBrokenStream()
 {
-    m_isTrial = false;
     if (!m_isPromptSound)
         m_quarantine.recordBrokenConnection(m_suspects, m_endpoint, m_clock.now());
     else if (!m_fingerprint.empty())
--- a/Libraries/LibGateway/PromptAttempts.h
+++ b/Libraries/LibGateway/PromptAttempts.h
@@ -23,7 +23,7 @@
     /// Returns nothing if the request may be sent now, otherwise why and for how long it may not.
     std::optional<PromptDecision> refusal();
 
-    /// Begins an attempt at an endpoint.
+    /// Begins an attempt at an endpoint. Precondition: `refusal()` has just returned nothing.
     void begin(const EndpointRecord&);
 
     /// Records an event of the response to the attempt.
@@ -49,8 +49,6 @@
     /// The parts and, if there is one, the fingerprint.
     std::vector<std::string> m_suspects;
     EndpointRecord m_endpoint;
-    /// Whether the attempt is the one that shows whether a part still crashes endpoints.
-    bool m_isTrial { false };
     bool m_isPromptSound { false };
     unsigned m_events { 0 };
 };
--- a/Libraries/LibGateway/PromptQuarantine.cpp
+++ b/Libraries/LibGateway/PromptQuarantine.cpp
@@ -153,11 +153,15 @@
         if (mustWaitForOthers(*it.second, now))
             return refuse(it, trialRetryDelay, now);
     }
-    for (const auto& [part, suspect] : suspects)
-        suspect->trialStartedAt = now;
     return { PromptDecision::Kind::SendOnTrial };
 }
 
+void PromptQuarantine::recordSent(const std::vector<std::string>& parts, MonotonicTime now)
+{
+    for (const auto& [part, suspect] : quarantinedAmong(parts))
+        suspect->trialStartedAt = now;
+}
+
 std::vector<std::pair<std::string, PromptQuarantine::Suspect*>> PromptQuarantine::quarantinedAmong(
     const std::vector<std::string>& parts)
 {
--- a/Libraries/LibGateway/PromptQuarantine.h
+++ b/Libraries/LibGateway/PromptQuarantine.h
@@ -17,7 +17,7 @@
 struct PromptDecision {
     enum class Kind : uint8_t {
         Send,
-        /// The request may be sent, and shows whether a part still crashes endpoints.
+        /// The request may be sent now, and shows whether a part still crashes endpoints.
         SendOnTrial,
         Refuse,
     };
@@ -57,9 +57,14 @@
     /// `node` identifies this node among its peers.
     explicit PromptQuarantine(std::string node);
 
-    /// Decides whether a request with these parts may be sent to an endpoint now.
+    /// Decides whether a request with these parts may be sent to an endpoint now. A request that has waited since then
+    /// asks again before it is sent.
     PromptDecision decide(const std::vector<std::string>& parts, MonotonicTime now);
 
+    /// Records that a request with these parts is sent to an endpoint. While it has no answer, no other one is sent
+    /// with those of the parts that are in quarantine, for a time. Precondition: `decide()` has just allowed it.
+    void recordSent(const std::vector<std::string>& parts, MonotonicTime now);
+
     /// Records that an endpoint answers a request with these parts.
     void recordAnswer(const std::vector<std::string>& parts, MonotonicTime now);
 
@@ -69,8 +74,8 @@
     /// Records that an endpoint responds, so that connections which it closed before are no sign of a crash.
     void recordResponse(const EndpointRecord&, MonotonicTime now);
 
-    /// Returns whether no connection that broke is held against anything, so that responses need not be recorded.
-    bool hasNoEvidence() const { return m_brokenConnections.empty() && m_suspects.empty(); }
+    /// Returns whether any connection that broke may be held against something. If not, responses need not be recorded.
+    bool hasEvidence() const { return !m_brokenConnections.empty() || !m_suspects.empty(); }
 
     /// Returns what other nodes should know, the parts with most crashes first.
     std::vector<SuspectPart> report(MonotonicTime now) const;
--- a/Tests/LibGateway/TestCrashingRequests.cpp
+++ b/Tests/LibGateway/TestCrashingRequests.cpp
@@ -201,6 +201,7 @@
             return;
         }
         ++soundSent;
+        node.recordSent({ request }, m_now);
         node.recordAnswer({ request }, m_now);
     }
 
@@ -211,6 +212,7 @@
         const bool isUp = m_now - m_crashedAt.at(n) >= std::chrono::seconds { 3 };
         if (!isUp || node.decide({ "crashing" }, m_now).kind == PromptDecision::Kind::Refuse)
             return;
+        node.recordSent({ "crashing" }, m_now);
         ++crashes;
         m_crashedAt.at(n) = m_now;
         const EndpointRecord record { "e" + std::to_string(crashes), "10.0.0.1:80", "lm", "z1", 6, false, 1 };
--- a/Tests/LibGateway/TestPromptQuarantine.cpp
+++ b/Tests/LibGateway/TestPromptQuarantine.cpp
@@ -156,6 +156,7 @@
             return;
         }
         ++soundSent;
+        node.recordSent(parts, m_now);
         node.recordAnswer(parts, m_now);
     }
 
@@ -166,6 +167,7 @@
             "crashing" };
         if (node.decide(parts, m_now).kind == PromptDecision::Kind::Refuse)
             return;
+        node.recordSent(parts, m_now);
         ++crashes;
         const int n = static_cast<int>(m_random.below(endpointCount));
         node.recordBrokenConnection(parts, endpoint(n + m_starts[n] * endpointCount), m_now);
@@ -276,6 +278,7 @@
     PromptQuarantine& other = isFirstChosen ? second : first;
     if (!isFirstChosen)
         CHECK(chosen.decide(parts, now).kind == PromptDecision::Kind::SendOnTrial);
+    chosen.recordSent(parts, now);
     CHECK(chosen.decide(parts, now).kind == PromptDecision::Kind::Refuse);
     CHECK(other.decide(parts, now).kind == PromptDecision::Kind::Refuse);
 
--- a/Tests/LibGateway/TestPromptTrials.cpp
+++ b/Tests/LibGateway/TestPromptTrials.cpp
@@ -110,6 +110,7 @@
             item.asksAt = m_now + std::min(decision.retryAfter, itemInterval);
             return;
         }
+        m_nodes.at(item.node)->recordSent(item.parts, m_now);
         item.sentAt = m_now;
         item.isTrial = decision.kind == PromptDecision::Kind::SendOnTrial;
         if (!item.isTrial)
@@ -298,3 +299,20 @@
     }
     CHECK(requests <= 10);
 }
+
+// Guards against a part that nobody tries because the request that was let through waits for a slot, or is refused for
+// another reason, and against several requests that waited meanwhile and are then sent together.
+TEST_CASE("a trial is under way from the moment at which its request is sent")
+{
+    MonotonicTime now { std::chrono::hours { 1 } };
+    PromptQuarantine quarantine("n1");
+    for (int n = 0; n < 3; ++n)
+        quarantine.recordBrokenConnection(
+            { "p" }, { "e" + std::to_string(n), "10.0.0.1:80", "lm", "z1", 8, false, 1 }, now);
+    now += std::chrono::seconds { 6 };
+    CHECK(quarantine.decide({ "p", "first" }, now).kind == PromptDecision::Kind::SendOnTrial);
+    now += std::chrono::seconds { 1 };
+    CHECK(quarantine.decide({ "p", "second" }, now).kind == PromptDecision::Kind::SendOnTrial);
+    quarantine.recordSent({ "p", "second" }, now);
+    CHECK(quarantine.decide({ "p", "first" }, now).kind == PromptDecision::Kind::Refuse);
+}
