--- a/Tests/LibGateway/TestConfigurationFollower.cpp
+++ b/Tests/LibGateway/TestConfigurationFollower.cpp
@@ -133,6 +133,31 @@
     });
 }
 
+// Guards against a node that goes back to an earlier version, with its routes and keys, because the store returns an
+// older state for some seconds after it has dropped its history.
+TEST_CASE("a row of the store that is behind does not replace the configuration in force")
+{
+    runOnSimulatedTime([&](SimulatedEventLoop& loop) {
+        BehindNode node;
+        loop.advance(Milliseconds { 1 });
+        node.store.deliverOne();
+        REQUIRE(node.follower.version() == 5);
+        node.store.put({ node.wire.configurationTable(), "", node.wire.configurationKey() }, documentOf(4));
+        node.store.dropHistory();
+        for (int n = 0; n < 20; ++n) {
+            node.store.deliverOne();
+            loop.advance(Milliseconds { 500 });
+        }
+        CHECK(node.received == std::vector<uint64_t> { 5 });
+        node.store.put({ node.wire.configurationTable(), "", node.wire.configurationKey() }, documentOf(6));
+        for (int n = 0; n < 20; ++n) {
+            node.store.deliverOne();
+            loop.advance(Milliseconds { 500 });
+        }
+        CHECK(node.received == std::vector<uint64_t> { 5, 6 });
+    });
+}
+
 // Guards against a node that takes a key for unknown although it cannot know the newest keys (DENIED).
 TEST_CASE("a node knows whether its configuration may be outdated")
 {
